--- a/packages/core/src/configuration.ts
+++ b/packages/core/src/configuration.ts
@@ -87,13 +87,18 @@
   if (read.isErr()) return neverthrow.err(invalid([read.error]));
   const parsed = documentSchema.safeParse(read.value);
   if (!parsed.success) {
-    const faults = parsed.error.issues.map((issue) => `${issue.path.join(".") || "document"}: ${issue.message}`);
+    const faults = parsed.error.issues.map((issue) => `${issue.path.join(".") || "document"}: ${messageOf(issue)}`);
     return neverthrow.err(invalid(faults));
   }
   const faults = crossCheck(parsed.data, team);
   return faults.length > 0 ? neverthrow.err(invalid(faults)) : neverthrow.ok(parsed.data);
 }
 
+/** For a key that is no name, the rule that it breaks says more than that it is invalid. */
+function messageOf(issue: zod.core.$ZodIssue): string {
+  return issue.code === "invalid_key" ? (issue.issues[0]?.message ?? issue.message) : issue.message;
+}
+
 function readYaml(text: string): neverthrow.Result<unknown, string> {
   const document = yaml.parseDocument(text);
   const fault = document.errors[0];
--- /dev/null
+++ b/packages/core/tests/configuration.test.ts
@@ -0,0 +1,181 @@
+import * as common from "@camphorcourse/common";
+import * as fastCheck from "fast-check";
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+import * as core from "../src/index.js";
+import * as coreHarness from "./helpers/coreHarness.js";
+import * as documents from "./helpers/documents.js";
+
+const VMS = Array.from({ length: 9 }, (_, index) => `vm-${index + 1}`);
+
+function documentOf(version: number): string {
+  return documents.PLAIN_TEAM.replace("deadlineMs: 8000", `deadlineMs: ${1000 + version}`);
+}
+
+function versionAt(harness: coreHarness.CoreHarness, vm: string): number {
+  const service = harness.core(vm).tree.service("leoben/yard-app");
+  return (service?.settings.deadlineMs ?? 1000) - 1000;
+}
+
+const parsing = uvu.suite("team documents");
+
+parsing("a fault names its path and what to do", () => {
+  const text = documents.PLAIN_TEAM.replace("deadlineMs: 8000", "deadlineMs: soon").replace("printer-2", "Printer 2");
+  const parsed = core.parseTeamDocument(text, "leoben");
+  assert.ok(parsed.isErr());
+  const problem = parsed._unsafeUnwrapErr();
+  assert.is(problem.kind, common.ProblemKind.InvalidConfiguration);
+  assert.match(problem.detail, "services.yard-app.deadlineMs");
+  assert.match(problem.detail, "lower-case letters");
+});
+
+parsing("a runner of an unknown service and another team's document are refused", () => {
+  const unknown = core.parseTeamDocument(
+    documents.PLAIN_TEAM.replaceAll("service: yard-app", "service: gate"),
+    "leoben",
+  );
+  assert.match(unknown._unsafeUnwrapErr().detail, "runners.printer-1.service");
+  const foreign = core.parseTeamDocument(documents.PLAIN_TEAM, "ishikari");
+  assert.match(foreign._unsafeUnwrapErr().detail, "the path names 'ishikari'");
+});
+
+parsing("no text makes the parser throw, nor do aliases that would expand", () => {
+  const bomb = `a: &a [1,1,1,1,1,1,1,1,1]\nb: &b [*a,*a,*a,*a,*a,*a]\nc: [*b,*b,*b,*b,*b,*b]`;
+  assert.ok(core.parseTeamDocument(bomb, "leoben").isErr());
+  fastCheck.assert(
+    fastCheck.property(fastCheck.string({ unit: "binary", maxLength: 300 }), (text) => {
+      assert.ok(core.parseTeamDocument(text, "leoben").isErr());
+    }),
+    { numRuns: 500, seed: 1 },
+  );
+});
+
+parsing.run();
+
+const forward = uvu.suite("configuration moves forward");
+
+/*
+ * Nine daemons follow a team's document while it is changed again and again.
+ * Daemons are paused and started anew, watch events come late. No daemon ever
+ * goes back to an older document, and all end with the last one.
+ */
+forward("no daemon reverts, whatever the order in which changes reach it", () => {
+  const change = fastCheck.record({
+    what: fastCheck.constantFrom("apply", "apply", "pause", "restart"),
+    vm: fastCheck.integer({ min: 0, max: 8 }),
+    waitMs: fastCheck.integer({ min: 0, max: 400 }),
+  });
+  fastCheck.assert(
+    fastCheck.property(
+      fastCheck.integer({ min: 1, max: 1e9 }),
+      fastCheck.array(change, { maxLength: 25 }),
+      (seed, steps) => {
+        const harness = new coreHarness.CoreHarness(seed);
+        harness.configure(documentOf(1), "leoben");
+        for (const vm of VMS) harness.start(vm);
+        let version = 1;
+        const seen = new Map<string, number>();
+        for (const step of steps) {
+          const vm = VMS[step.vm] ?? "vm-1";
+          if (step.what === "apply") harness.configure(documentOf(++version), "leoben");
+          if (step.what === "pause") harness.pause(vm, 1500);
+          if (step.what === "restart") {
+            harness.start(vm);
+            seen.delete(vm);
+          }
+          harness.run(step.waitMs);
+          for (const name of VMS) {
+            const present = versionAt(harness, name);
+            assert.ok(present >= (seen.get(name) ?? 0), `${name} went back to ${present}`);
+            seen.set(name, present);
+          }
+        }
+        harness.run(2000);
+        for (const name of VMS) assert.is(versionAt(harness, name), version);
+      },
+    ),
+    { numRuns: 40, seed: 20261202, endOnFailure: true },
+  );
+});
+
+/*
+ * A daemon's push of an old record arrives after the new one: a process that
+ * was paused in the middle of telling its peers. The old record changes nothing.
+ */
+forward("a late push of an older record changes nothing", () => {
+  const store = new core.ControlStore();
+  const record = (value: string, modRevision: number): core.KeyRecord => ({
+    key: "k",
+    value,
+    createRevision: 1,
+    modRevision,
+  });
+  assert.ok(store.apply(record("new", 9)));
+  assert.not(store.apply(record("old", 5)));
+  assert.is(store.get("k")?.value, "new");
+  assert.ok(store.apply({ ...record("", 12), deleted: true }));
+  assert.not(store.apply(record("new", 9)));
+  assert.is(store.get("k"), undefined);
+});
+
+forward.run();
+
+const freshness = uvu.suite("freshness of the view");
+
+/*
+ * A daemon is cut off from the key-value service and from its peers. After the
+ * freshness limit it refuses new work as not run, since an endpoint may have
+ * begun to leave without its knowing. With most peers in reach it serves on.
+ */
+freshness("a daemon that hears neither the service nor its peers takes no new work", () => {
+  const harness = new coreHarness.CoreHarness(2);
+  harness.configure(documents.PLAIN_TEAM, "leoben");
+  for (const vm of ["vm-1", "vm-2", "vm-3"]) harness.start(vm);
+  harness.run(3000);
+  harness.keyValueDown = true;
+  harness.run(10_000);
+  assert.is(harness.core("vm-1").refusal(harness.now), undefined);
+  harness.kill("vm-2");
+  harness.kill("vm-3");
+  harness.run(10_000);
+  assert.is(harness.core("vm-1").refusal(harness.now)?.kind, common.ProblemKind.Isolated);
+  assert.is(harness.core("vm-1").refusal(harness.now)?.outcome, common.Outcome.NotRun);
+});
+
+/*
+ * A daemon was paused, and requests wait in its sockets when it goes on. It
+ * refuses them until it has heard something, since its view may be old.
+ */
+freshness("requests that waited out a pause are not served from an old view", () => {
+  const harness = new coreHarness.CoreHarness(2);
+  harness.configure(documents.PLAIN_TEAM, "leoben");
+  const only = harness.start("vm-1");
+  harness.run(3000);
+  const request = documents.plainCall("late", "key");
+  const instant = { now: harness.now + 20_000, wall: 0 };
+  const actions = only.handle({ type: core.EventType.RequestArrived, request }, instant);
+  const refusal = actions.find((action) => action.type === core.ActionType.Refuse);
+  assert.is(refusal?.type === core.ActionType.Refuse && refusal.problem.kind, common.ProblemKind.Isolated);
+});
+
+/*
+ * The key-value service loses every lease at once. The daemons still hear one
+ * another, so none drops the others from its roster.
+ */
+freshness("registrations that vanish all together don't empty the roster", () => {
+  const harness = new coreHarness.CoreHarness(2);
+  harness.configure(documents.PLAIN_TEAM, "leoben");
+  for (const vm of ["vm-1", "vm-2", "vm-3"]) harness.start(vm);
+  harness.run(3000);
+  const members = harness.store.range(
+    `${core.constants.CONTROL_PREFIX}members/`,
+    `${core.constants.CONTROL_PREFIX}members0`,
+  );
+  for (const { lease } of members) harness.store.revokeLease(lease);
+  harness.run(300);
+  assert.is(harness.core("vm-1").servingMembers(harness.now).length, 3);
+  harness.run(10_000);
+  assert.is(harness.core("vm-1").servingMembers(harness.now).length, 3);
+});
+
+freshness.run();
--- /dev/null
+++ b/packages/core/tests/helpers/documents.ts
@@ -0,0 +1,49 @@
+import type * as core from "../../src/index.js";
+
+/** A team with three plain runners whose calls may not be repeated. */
+export const PLAIN_TEAM = `
+team: leoben
+services:
+  yard-app: { kind: service, idempotent: false, deadlineMs: 8000 }
+runners:
+  printer-1: { service: yard-app, url: "http://10.0.0.1", place: halle-a }
+  printer-2: { service: yard-app, url: "http://10.0.0.2", place: halle-b }
+  printer-3: { service: yard-app, url: "http://10.0.0.3", place: halle-c }
+`;
+
+/**
+ * @param roles - wanted role of each engine
+ * @param checksFencing - whether the engines check fencing numbers
+ * @returns a team document with engines
+ */
+export function engineTeam(roles: readonly string[], checksFencing: boolean): string {
+  const runners = roles.map(
+    (role, index) =>
+      `  engine-${index + 1}: { service: assist-llm, url: "http://10.0.1.${index + 1}", place: halle-a, role: ${role}, checksFencing: ${checksFencing} }`,
+  );
+  return `
+team: leoben
+services:
+  assist-llm: { kind: engine, deadlineMs: 20000 }
+runners:
+${runners.join("\n")}
+`;
+}
+
+/**
+ * @param id - of the request
+ * @param key - idempotency key
+ * @param digest - of the request
+ * @returns a call of the plain service
+ */
+export function plainCall(id: string, key: string, digest = "digest"): core.RequestDescription {
+  return {
+    id,
+    team: "leoben",
+    service: "leoben/yard-app",
+    promptTokens: 0,
+    maximumOutputTokens: 0,
+    key,
+    digest,
+  };
+}
