Prove the promises over real processes and sockets

Cause: the core's proofs say nothing of sockets, pauses of whole processes and connections that die silently. Faults that they found, each mended: - a retry chose the dead engine again, since a crashed engine fails fastest and looks least loaded (an engine killed in mid-answer left the caller without the rest); a retry now avoids runners that failed it, and one out of reach rests. - a daemon back from a pause blocked role changes for good, as a suspect whose VM was still listed. - after a role change a late load report brought the old role back, and a second order followed the first. - a role seen by a successor was taken for the effect of an order though the engine had it before; now the change itself must be seen. - a write or reading over a silent or just closed connection of the key-value service failed a configuration change that a new connection could carry. Ports: tests raced for free ports and could reach each other's daemons; a daemon now takes port 0 and tells where it listens.

--- a/packages/core/src/membership.ts
+++ b/packages/core/src/membership.ts
@@ -63,7 +63,7 @@
 export class Roster {
   readonly #self: string;
   readonly #members = new Map<string, Member>();
-  readonly #suspects = new Map<string, string>();
+  readonly #suspects = new Set<string>();
   #lastVanishedAt = Number.NEGATIVE_INFINITY;
   #vmStates = new Map<string, VmState>();
 
@@ -78,6 +78,8 @@
    * @returns whether the daemon is new here, or a new incarnation
    */
   onRegistered(registration: Registration, now: number): boolean {
+    // A new process, or the same one back from a pause: either way it answers for itself again.
+    this.#suspects.delete(registration.vm);
     const present = this.#members.get(registration.vm);
     const fresh = present?.registration.incarnation !== registration.incarnation;
     if (present && fresh && !present.registration.stopped) this.#lastVanishedAt = now;
@@ -87,7 +89,6 @@
       return false;
     }
     this.#members.set(registration.vm, { registration, registered: true, heardAt: now });
-    if (this.#suspects.get(registration.vm) !== registration.incarnation) this.#suspects.delete(registration.vm);
     return true;
   }
 
@@ -172,7 +173,7 @@
    * @returns their VMs
    */
   suspects(): string[] {
-    return [...this.#suspects.keys()].filter((vm) => !this.isGone(vm));
+    return [...this.#suspects].filter((vm) => !this.isGone(vm));
   }
 
   /**
@@ -198,7 +199,7 @@
   }
 
   #onVanished(member: Member, now: number): void {
-    this.#suspects.set(member.registration.vm, member.registration.incarnation);
+    this.#suspects.add(member.registration.vm);
     this.#lastVanishedAt = now;
   }
 
--- a/packages/core/src/orderDesk.ts
+++ b/packages/core/src/orderDesk.ts
@@ -46,6 +46,8 @@
   sending?: number;
   retryAt: number;
   drainSeenAt: number;
+  settledAt: number;
+  witness?: orders.RoleWitness;
   waitsFor: string;
 }
 
@@ -108,7 +110,10 @@
     this.#orders.set(record.runner, { record, revision });
     const work = this.#workOf(record.runner);
     delete work.writing;
-    if (record.phase === orders.OrderPhase.Draining) work.drainSeenAt = now;
+    if (record.phase === orders.OrderPhase.Draining) {
+      work.drainSeenAt = now;
+      work.witness = new orders.RoleWitness(now + constants.REPORT_LAG_MS);
+    }
     if (record.phase === orders.OrderPhase.Settled) this.#onSettled(record, now);
   }
 
@@ -119,10 +124,9 @@
    */
   roleOf(runner: configuration.RunnerEntry, now: number): configuration.RunnerRole {
     const order = this.#orders.get(runner.id)?.record;
-    const load = this.#context.loadOf(runner.id);
-    const fresh = load && now - load.at < constants.VIEW_FRESHNESS_MS ? load.report.role : undefined;
     if (order && order.phase !== orders.OrderPhase.Settled) return order.fromRole;
-    if (fresh) return fresh;
+    const reported = this.#reportedRole(runner.id, now);
+    if (reported) return reported;
     if (order) return order.targetRole;
     const chosen = runner.settings.role;
     return chosen === configuration.RoleChoice.Auto
@@ -146,6 +150,7 @@
    */
   onTick(now: number): void {
     this.#watchReplacements(now);
+    this.#watchRoles();
     if (!this.#context.leaseIsValid(now)) return;
     for (const service of this.#context.tree.services()) {
       if (service.settings.kind !== configuration.ServiceKind.Engine && !this.#hasDrains(service.id)) continue;
@@ -222,6 +227,13 @@
     if (reset) this.#succession.deposed.add(`${vm}/${incarnation}/${shard}`);
   }
 
+  /** A report that arrives soon after an order may still tell the role before it. */
+  #reportedRole(runner: string, now: number): configuration.RunnerRole | undefined {
+    const load = this.#context.loadOf(runner);
+    if (!load || now - load.at > constants.VIEW_FRESHNESS_MS) return undefined;
+    return load.at > this.#workOf(runner).settledAt + constants.REPORT_LAG_MS ? load.report.role : undefined;
+  }
+
   #advanceService(service: configuration.ServiceEntry, shard: string, epoch: number, now: number): void {
     const runners = this.#context.tree.runnersOf(service.id);
     let busy = false;
@@ -286,8 +298,7 @@
     const { record } = known;
     const work = this.#workOf(runner.id);
     if (work.sending !== undefined) return;
-    const load = this.#context.loadOf(runner.id);
-    if (load && load.at > work.drainSeenAt && orders.wasCarriedOut(record, load.report.role)) {
+    if (work.witness?.sawChange) {
       this.#rewrite(known, { phase: orders.OrderPhase.Settled, epoch }, now);
       return;
     }
@@ -431,6 +442,7 @@
   }
 
   #onSettled(record: orders.OrderRecord, now: number): void {
+    this.#workOf(record.runner).settledAt = now;
     const runner = this.#context.tree.runner(record.runner);
     const pool = runner && this.#context.poolOf(runner.serviceId);
     pool?.planner.onChanged(now);
@@ -438,6 +450,14 @@
     this.#setWaits(record.runner, this.#workOf(record.runner), "");
   }
 
+  /** Every daemon watches, since any may have to succeed the holder. */
+  #watchRoles(): void {
+    for (const { record } of this.#orders.values()) {
+      const load = this.#context.loadOf(record.runner);
+      if (load) this.#workOf(record.runner).witness?.onReport(record, load.report.role, load.at);
+    }
+  }
+
   #watchReplacements(now: number): void {
     for (const { record } of this.#orders.values()) {
       if (record.phase !== orders.OrderPhase.Intended) continue;
@@ -467,7 +487,7 @@
   #workOf(runner: string): RunnerWork {
     const present = this.#work.get(runner);
     if (present) return present;
-    const fresh: RunnerWork = { retryAt: 0, drainSeenAt: 0, waitsFor: "" };
+    const fresh: RunnerWork = { retryAt: 0, drainSeenAt: 0, settledAt: Number.NEGATIVE_INFINITY, waitsFor: "" };
     this.#work.set(runner, fresh);
     return fresh;
   }
--- a/packages/core/src/orders.ts
+++ b/packages/core/src/orders.ts
@@ -81,13 +81,38 @@
 }
 
 /**
- * An unsettled order has been carried out if the runner is seen in the target
- * role and was in another before.
+ * Watches whether an unsettled order has taken effect, by the roles that the
+ * runner reports.
  *
- * @param record - the order
- * @param seenRole - the role that the runner reports, read after the order was written
- * @returns whether the order is known to have taken effect
+ * The target role alone proves nothing: the runner may have had it before, and
+ * a late report of an earlier role may have hidden that when the change was
+ * planned. Taken for a proof, it would let a newer order out while this one's
+ * bytes are still under way. So the change itself must be seen: first the
+ * former role, reported well after the drain began, then the target.
  */
-export function wasCarriedOut(record: OrderRecord, seenRole: configuration.RunnerRole | undefined): boolean {
-  return seenRole === record.targetRole && record.fromRole !== record.targetRole;
+export class RoleWitness {
+  readonly #notBefore: number;
+  #sawFormerRole = false;
+  #sawChange = false;
+
+  /** @param notBefore - reports that arrive earlier may speak of the time before the drain */
+  constructor(notBefore: number) {
+    this.#notBefore = notBefore;
+  }
+
+  /** @returns whether the order is known to have taken effect */
+  get sawChange(): boolean {
+    return this.#sawChange;
+  }
+
+  /**
+   * @param record - the order
+   * @param role - the role that the runner reports
+   * @param at - when the report arrived
+   */
+  onReport(record: OrderRecord, role: configuration.RunnerRole | undefined, at: number): void {
+    if (at < this.#notBefore || record.fromRole === record.targetRole) return;
+    if (role === record.fromRole) this.#sawFormerRole = true;
+    if (role === record.targetRole && this.#sawFormerRole) this.#sawChange = true;
+  }
 }
--- a/packages/core/src/requestDesk.ts
+++ b/packages/core/src/requestDesk.ts
@@ -26,7 +26,7 @@
 interface LiveRequest {
   readonly description: events.RequestDescription;
   readonly pool: servicePool.ServicePool;
-  readonly work: servicePool.Work;
+  work: servicePool.Work;
   readonly arrivedAt: number;
   readonly deadline: number;
   readonly idempotent: boolean;
@@ -253,7 +253,8 @@
     const request = this.#current(id, attempt);
     if (!request) return;
     request.runner?.onEnded(id, now);
-    request.runner?.onFailure(now);
+    request.runner?.onFailure(now, reach !== events.Reach.NeverSent);
+    if (request.runner) request.work = avoiding(request.work, request.runner.id);
     delete request.runner;
     const ran = reach === events.Reach.MayHaveRun;
     if (request.abandoned) this.#live.delete(id);
@@ -626,6 +627,10 @@
   }
 }
 
+function avoiding(work: servicePool.Work, runner: string): servicePool.Work {
+  return { ...work, avoid: new Set([...(work.avoid ?? []), runner]) };
+}
+
 function settledVerdict(record: attempts.AttemptRecord): events.JoinVerdict | undefined {
   if (record.answer) return events.JoinVerdict.Answered;
   if (record.state === attempts.AttemptState.NotKept) return events.JoinVerdict.NotKept;
--- a/packages/core/src/runnerChoice.ts
+++ b/packages/core/src/runnerChoice.ts
@@ -6,6 +6,8 @@
   readonly promptTokens: number;
   readonly outputTokens: number;
   readonly prefix?: string;
+  /** Runners at which the request has failed; taken only if there is no other. */
+  readonly avoid?: ReadonlySet<string>;
 }
 
 /** Which runners serve a request. */
@@ -52,6 +54,10 @@
    * @returns the best plan that can start now, if there is one
    */
   chooseWhole(runners: readonly model.RunnerModel[], work: WorkSize, now: number): RunnerPlan | undefined {
+    return this.#plan(withoutAvoided(runners, work), work, now) ?? this.#plan(runners, work, now);
+  }
+
+  #plan(runners: readonly model.RunnerModel[], work: WorkSize, now: number): RunnerPlan | undefined {
     const whole = this.#best(runners, model.RequestPart.Whole, (runner) => this.#wholeMs(runner, work, now), now);
     const prefill = this.#best(runners, model.RequestPart.Prefill, (runner) => this.#prefillMs(runner, work, now), now);
     const decode = this.#best(
@@ -68,27 +74,33 @@
 
   /**
    * @param runners - the service's runners
-   * @param outputTokens - tokens expected
+   * @param work - size of the request
    * @param now - current time
    * @returns the runner that continues from an imported KV cache
    */
-  chooseDecode(
-    runners: readonly model.RunnerModel[],
-    outputTokens: number,
-    now: number,
-  ): model.RunnerModel | undefined {
-    return this.#best(runners, model.RequestPart.Decode, (runner) => outputTokens * runner.tokenMs(now), now)?.runner;
+  chooseDecode(runners: readonly model.RunnerModel[], work: WorkSize, now: number): model.RunnerModel | undefined {
+    const choose = (candidates: readonly model.RunnerModel[]): model.RunnerModel | undefined =>
+      this.#best(candidates, model.RequestPart.Decode, (runner) => work.outputTokens * runner.tokenMs(now), now)
+        ?.runner;
+    return choose(withoutAvoided(runners, work)) ?? choose(runners);
   }
 
   /**
    * @param runners - runners of a plain service
+   * @param work - the call
    * @param perRunner - calls that one may be given at once
    * @param now - current time
    * @returns the one with the fewest calls, if any has room
    */
-  choosePlain(runners: readonly model.RunnerModel[], perRunner: number, now: number): model.RunnerModel | undefined {
+  choosePlain(
+    runners: readonly model.RunnerModel[],
+    work: WorkSize,
+    perRunner: number,
+    now: number,
+  ): model.RunnerModel | undefined {
     const open = runners.filter((runner) => runner.isUsable(now) && runner.totalInFlight < perRunner);
-    return this.#lowest(open, (runner) => runner.totalInFlight)?.runner;
+    const preferred = withoutAvoided(open, work);
+    return this.#lowest(preferred.length > 0 ? preferred : open, (runner) => runner.totalInFlight)?.runner;
   }
 
   #best(
@@ -130,3 +142,8 @@
     return ties[this.#random.integer(ties.length)];
   }
 }
+
+function withoutAvoided(runners: readonly model.RunnerModel[], work: WorkSize): readonly model.RunnerModel[] {
+  const { avoid } = work;
+  return avoid === undefined ? runners : runners.filter((runner) => !avoid.has(runner.id));
+}
--- a/packages/core/src/runnerModel.ts
+++ b/packages/core/src/runnerModel.ts
@@ -201,13 +201,15 @@
   }
 
   /**
-   * A runner that fails several times in a row gets a rest, longer each time:
-   * a crashed engine refuses fastest and would otherwise look least loaded.
+   * A runner that can't be reached, or fails several times in a row, gets a
+   * rest, longer each time: a crashed engine fails fastest and would otherwise
+   * look least loaded and draw all requests.
    *
    * @param now - current time
+   * @param reachable - whether the runner could be reached at all
    */
-  onFailure(now: number): void {
-    this.#failures++;
+  onFailure(now: number, reachable: boolean): void {
+    this.#failures = reachable ? this.#failures + 1 : Math.max(this.#failures + 1, FAILURES_TO_REST);
     if (this.#failures < FAILURES_TO_REST) return;
     const rest = REST_MS * 2 ** Math.min(this.#failures - FAILURES_TO_REST, 4);
     this.#restsUntil = now + Math.min(rest, LONGEST_REST_MS);
--- a/packages/core/src/servicePool.ts
+++ b/packages/core/src/servicePool.ts
@@ -132,7 +132,7 @@
    */
   choose(work: Work, now: number): runnerChoice.RunnerPlan | undefined {
     if (!this.#isPlain()) return this.#choice.chooseWhole(this.#runnerList, work, now);
-    const runner = this.#choice.choosePlain(this.#runnerList, this.#entry.settings.limits.perRunner, now);
+    const runner = this.#choice.choosePlain(this.#runnerList, work, this.#entry.settings.limits.perRunner, now);
     return runner && { answer: runner, finishMs: this.#plainMs };
   }
 
@@ -142,7 +142,7 @@
    * @returns the runner that makes the answer from an imported KV cache
    */
   chooseDecode(work: Work, now: number): model.RunnerModel | undefined {
-    return this.#choice.chooseDecode(this.#runnerList, work.outputTokens, now);
+    return this.#choice.chooseDecode(this.#runnerList, work, now);
   }
 
   /**
--- a/packages/core/tests/helpers/coreHarness.ts
+++ b/packages/core/tests/helpers/coreHarness.ts
@@ -59,6 +59,7 @@
 const CALL_MS = 20;
 const ORDER_MS = 300;
 const LATE_ORDER_MS = 25_000;
+const ORDER_TIMEOUT_MS = 4000;
 const WALL_START = 1_700_000_000_000;
 
 /** Several cores, the stand-in's key-value store, and fakes of runners, in virtual time and seeded order. */
@@ -427,11 +428,26 @@
       this.after(delayMs, () => {
         if (!token.cancelled) this.#arrive(runner, number, epoch, role, reply);
       });
-      this.after(4000, () => {
-        if (delayMs < 4000 || token.cancelled) return;
-        token.cancelled = node.alive && node.pausedUntil <= this.now;
-        reply({ type: core.EventType.OrderAnswered, runner, number, outcome: core.OrderOutcome.Unknown });
-      });
+      if (delayMs >= ORDER_TIMEOUT_MS) this.#timeOutOrder(node, token, action, reply);
+    });
+  }
+
+  /** The sender gives up and resets the connection; if it is paused, only when it goes on. */
+  #timeOutOrder(
+    node: Node,
+    token: { cancelled: boolean },
+    action: core.SendOrderAction,
+    reply: (event: core.CoreEvent) => void,
+  ): void {
+    this.after(Math.max(ORDER_TIMEOUT_MS, node.pausedUntil - this.now + 1), () => {
+      if (!node.alive || token.cancelled) return;
+      if (node.pausedUntil > this.now) {
+        this.#timeOutOrder(node, token, action, reply);
+        return;
+      }
+      token.cancelled = true;
+      const { runner, number } = action;
+      reply({ type: core.EventType.OrderAnswered, runner, number, outcome: core.OrderOutcome.Unknown });
     });
   }
 
--- a/packages/core/tests/orders.test.ts
+++ b/packages/core/tests/orders.test.ts
@@ -190,6 +190,23 @@
   return write.transaction;
 }
 
+/*
+ * A report that came late hid that the engine had the target role all along.
+ * The former holder's order is still under way, so the successor must not take
+ * that role for its effect: a newer order would then be overtaken by it.
+ */
+ordersSuite("a role that the engine had before proves nothing", () => {
+  const record = { fromRole: core.RunnerRole.Mixed, targetRole: core.RunnerRole.Prefill } as core.OrderRecord;
+  const deceived = new core.RoleWitness(1000);
+  deceived.onReport(record, core.RunnerRole.Mixed, 900);
+  deceived.onReport(record, core.RunnerRole.Prefill, 1100);
+  assert.not(deceived.sawChange);
+  const sound = new core.RoleWitness(1000);
+  sound.onReport(record, core.RunnerRole.Mixed, 1100);
+  sound.onReport(record, core.RunnerRole.Prefill, 1200);
+  assert.ok(sound.sawChange);
+});
+
 /*
  * The former holder's process was replaced on its VM. Its bytes may still sit
  * in a socket buffer there, so a runner that takes any order is left alone
@@ -240,6 +257,21 @@
   assert.is(harness.orders.length, 1);
 });
 
+/*
+ * A daemon is paused until its registration has ended, and goes on. It is the
+ * same process as before, registers again, and answers for its own requests, so
+ * a role change need not wait for its VM to go.
+ */
+drainsSuite("a daemon that comes back from a pause no longer blocks role changes", () => {
+  const harness = startDaemons(8, true);
+  const silent = VMS.find((vm) => vm !== holderOf(harness)) ?? "";
+  harness.pause(silent, 30_000);
+  harness.run(40_000);
+  harness.configure(documents.engineTeam(["decode", "mixed"], true), "leoben");
+  harness.run(15_000);
+  assert.is(harness.orders.length, 1);
+});
+
 /*
  * An operator drains a runner. Within three seconds every daemon has stopped
  * giving it work, also one that has lost the key-value service: its peers tell.
--- a/packages/daemon/src/configurationWriter.ts
+++ b/packages/daemon/src/configurationWriter.ts
@@ -31,6 +31,7 @@
 const HISTORY_KEPT = 20;
 const VERSION_DIGITS = 9;
 const RETRY_MS = 2000;
+const WRITE_RETRIES = 1;
 
 /** Writes team documents, and tells where a change is in force. */
 export class ConfigurationWriter {
@@ -65,7 +66,7 @@
       acceptedAt: this.#daemon.clock.wall(),
     };
     const accepted = await this.#write(change, record, revision);
-    if (accepted.isOk()) await this.#push(change.team, record, accepted.value.revision);
+    if (accepted.isOk()) this.#push(change.team, record, accepted.value.revision);
     return accepted;
   }
 
@@ -106,7 +107,12 @@
     return { inForce, pending };
   }
 
-  async #write(change: ConfigurationChange, record: core.TeamRecord, revision: number): Written<AcceptedChange> {
+  async #write(
+    change: ConfigurationChange,
+    record: core.TeamRecord,
+    revision: number,
+    triesLeft = WRITE_RETRIES,
+  ): Written<AcceptedChange> {
     const key = core.controlKey(core.ControlKind.Team, change.team);
     const value = JSON.stringify(record);
     const dropped = record.version - HISTORY_KEPT;
@@ -122,7 +128,12 @@
       return neverthrow.ok({ version: record.version, revision: result.revision });
     }
     if (result.outcome === core.TransactionOutcome.NotSent) return neverthrow.err(unavailable());
-    return this.#settle(change, record);
+    const settled = await this.#settle(change, record);
+    const undone = settled.isErr() && settled.error.outcome === common.Outcome.Unknown;
+    if (!undone || triesLeft === 0) return settled;
+    // Nothing stands yet. Writing again under the same condition is safe: if the
+    // first write still arrives, only one of the two can take effect.
+    return this.#write(change, record, revision, triesLeft - 1);
   }
 
   /** The write was refused or its reply was lost: the record itself tells whose change stands. */
@@ -137,7 +148,7 @@
     return neverthrow.err(conflict(change, standing));
   }
 
-  async #push(team: string, record: core.TeamRecord, revision: number): Promise<void> {
+  #push(team: string, record: core.TeamRecord, revision: number): void {
     const key = core.controlKey(core.ControlKind.Team, team);
     const pushed: core.KeyRecord = {
       key,
@@ -150,10 +161,11 @@
     this.#pushed.set(revision, reached);
     const oldest = this.#pushed.keys().next().value;
     if (this.#pushed.size > HISTORY_KEPT && oldest !== undefined) this.#pushed.delete(oldest);
-    const pushes = this.#daemon.core.roster.peers().map(async ({ registration }) => {
-      if (await this.#daemon.pushRecords(registration.peerUrl, [pushed], 0)) reached.add(registration.vm);
-    });
-    await Promise.all(pushes);
+    for (const { registration } of this.#daemon.core.roster.peers()) {
+      void this.#daemon.pushRecords(registration.peerUrl, [pushed], 0).then((taken) => {
+        if (taken) reached.add(registration.vm);
+      });
+    }
   }
 
   async #read(team: string): Written<StandingTeam> {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,5 +1,4 @@
 import * as crypto from "node:crypto";
-import type * as http from "node:http";
 import * as common from "@camphorcourse/common";
 import * as core from "@camphorcourse/core";
 import * as platform from "@camphorcourse/platform";
@@ -25,6 +24,13 @@
 const EXCHANGE_TAKEOVER_MS = 2500;
 const STOP_POLL_MS = 100;
 
+/** The ports that the servers came to listen on. */
+export interface ListenPorts {
+  readonly caller: number;
+  readonly peer: number;
+  readonly admin: number;
+}
+
 /** A join that another daemon waits for. */
 export interface JoinQuestion {
   readonly key: string;
@@ -65,9 +71,10 @@
 
   /**
    * @param settings - checked settings
+   * @param ports - on which the daemon listens
    * @param write - takes log lines
    */
-  constructor(settings: settingsModule.Settings, write: (line: string) => void) {
+  constructor(settings: settingsModule.Settings, ports: ListenPorts, write: (line: string) => void) {
     this.settings = settings;
     const seed = settings.seed === 0 ? crypto.randomInt(2 ** 31) : settings.seed;
     this.#random = new common.SeededRandom(seed);
@@ -75,7 +82,7 @@
     this.#hybrid = new common.HybridClock(() => this.clock.wall());
     this.timeline = new core.Timeline(settings.vm, core.constants.TIMELINE_LIMIT);
     this.core = new core.Core({
-      registration: registrationOf(settings),
+      registration: registrationOf(settings, ports),
       seed: seed + 1,
       lingerMs: settings.orderLingerMs,
     });
@@ -111,6 +118,8 @@
     this.#every(CALLER_KEEP_ALIVE_MS, () => {
       this.#keepCallersAlive();
     });
+    const { callerUrl, peerUrl, adminUrl } = this.core.registration;
+    this.log.info({ callerUrl, peerUrl, adminUrl }, "listening");
     void this.keyValue.follow(() => this.#random.next());
     this.handle({ type: core.EventType.Tick });
   }
@@ -456,15 +465,15 @@
   }
 }
 
-function registrationOf(settings: settingsModule.Settings): core.Registration {
-  const { vm, place, advertise, listen, peerListen, adminListen } = settings;
+function registrationOf(settings: settingsModule.Settings, ports: ListenPorts): core.Registration {
+  const { vm, place, advertise } = settings;
   return {
     vm,
     place,
     incarnation: crypto.randomUUID(),
-    callerUrl: `http://${advertise}:${listen.port}`,
-    peerUrl: `http://${advertise}:${peerListen.port}`,
-    adminUrl: `http://${advertise}:${adminListen.port}`,
+    callerUrl: `http://${advertise}:${ports.caller}`,
+    peerUrl: `http://${advertise}:${ports.peer}`,
+    adminUrl: `http://${advertise}:${ports.admin}`,
     leaving: false,
   };
 }
@@ -474,15 +483,3 @@
   map.delete(key);
   return value;
 }
-
-/**
- * @param server - an HTTP server
- * @param address - where to listen
- * @returns when it listens
- */
-export function listen(server: http.Server, address: settingsModule.ListenAddress): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(address.port, address.host, resolve);
-  });
-}
--- a/packages/daemon/src/peerServer.ts
+++ b/packages/daemon/src/peerServer.ts
@@ -1,4 +1,4 @@
-import * as http from "node:http";
+import type * as http from "node:http";
 import type * as connect from "@connectrpc/connect";
 import * as connectNode from "@connectrpc/connect-node";
 import * as common from "@camphorcourse/common";
@@ -10,7 +10,7 @@
 /** Serves the other daemons. */
 export class PeerServer {
   readonly #daemon: daemon.Daemon;
-  readonly server: http.Server;
+  readonly handler: http.RequestListener;
 
   /** @param owner - the daemon */
   constructor(owner: daemon.Daemon) {
@@ -25,7 +25,7 @@
         timeline: (request) => this.#timeline(request),
       });
     };
-    this.server = http.createServer(connectNode.connectNodeAdapter({ routes }));
+    this.handler = connectNode.connectNodeAdapter({ routes }) as http.RequestListener;
   }
 
   #exchange(request: protocol.ExchangeRequest): { reply: protocol.ExchangeRequest } {
--- a/packages/daemon/src/runDaemon.ts
+++ b/packages/daemon/src/runDaemon.ts
@@ -1,4 +1,5 @@
-import type * as http from "node:http";
+import * as http from "node:http";
+import type * as net from "node:net";
 import * as nodeServer from "@hono/node-server";
 import * as adminServer from "./adminServer.js";
 import * as callerServer from "./callerServer.js";
@@ -13,6 +14,13 @@
   stop(): Promise<void>;
 }
 
+/** A server that listens before what answers on it is made, since that has to know the port. */
+interface Door {
+  readonly server: http.Server;
+  readonly port: number;
+  handler: http.RequestListener;
+}
+
 /**
  * @param settings - checked settings
  * @param write - takes log lines
@@ -22,23 +30,47 @@
   settings: settingsModule.Settings,
   write: (line: string) => void,
 ): Promise<RunningDaemon> {
-  const owner = new daemon.Daemon(settings, write);
-  const callers = nodeServer.createAdaptorServer({
-    fetch: new callerServer.CallerServer(owner).app.fetch,
-  }) as http.Server;
-  const admin = nodeServer.createAdaptorServer({ fetch: new adminServer.AdminServer(owner).app.fetch }) as http.Server;
-  const peers = new peerServer.PeerServer(owner).server;
-  await daemon.listen(callers, settings.listen);
-  await daemon.listen(admin, settings.adminListen);
-  await daemon.listen(peers, settings.peerListen);
+  const callers = await openDoor(settings.listen);
+  const peers = await openDoor(settings.peerListen);
+  const admin = await openDoor(settings.adminListen);
+  const owner = new daemon.Daemon(settings, { caller: callers.port, peer: peers.port, admin: admin.port }, write);
+  callers.handler = toListener(new callerServer.CallerServer(owner).app.fetch);
+  admin.handler = toListener(new adminServer.AdminServer(owner).app.fetch);
+  peers.handler = new peerServer.PeerServer(owner).handler;
   owner.start();
   const stop = async (): Promise<void> => {
     await owner.drain();
     await owner.close();
-    for (const server of [callers, admin, peers]) {
+    for (const { server } of [callers, admin, peers]) {
       server.close();
       server.closeIdleConnections();
     }
   };
   return { daemon: owner, stop };
 }
+
+function toListener(fetch: Parameters<typeof nodeServer.getRequestListener>[0]): http.RequestListener {
+  const listener = nodeServer.getRequestListener(fetch);
+  return (request, response) => {
+    void listener(request, response);
+  };
+}
+
+function openDoor(address: settingsModule.ListenAddress): Promise<Door> {
+  return new Promise((resolve, reject) => {
+    const server = http.createServer((request, response) => {
+      door.handler(request, response);
+    });
+    const door = { server, port: address.port, handler: notYet };
+    server.once("error", reject);
+    server.listen(address.port, address.host, () => {
+      door.port = (server.address() as net.AddressInfo).port;
+      resolve(door);
+    });
+  });
+}
+
+function notYet(_request: http.IncomingMessage, response: http.ServerResponse): void {
+  response.writeHead(503, { "retry-after": "1", "x-outcome": "not-run" });
+  response.end();
+}
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -57,9 +57,9 @@
 const DESCRIPTIONS: Record<SettingName, { description: string; defaultValue?: string }> = {
   vm: { description: "name of this VM" },
   place: { description: "place (data centre) of this VM" },
-  listen: { description: "host:port for callers" },
-  peerListen: { description: "host:port for the other daemons" },
-  adminListen: { description: "host:port for the administration API" },
+  listen: { description: "host:port for callers; port 0 takes a free one" },
+  peerListen: { description: "host:port for the other daemons; port 0 takes a free one" },
+  adminListen: { description: "host:port for the administration API; port 0 takes a free one" },
   advertise: { description: "host by which callers and peers reach this VM", defaultValue: "127.0.0.1" },
   keyValue: { description: "URL of the key-value service" },
   vmList: { description: "URL of the list of VMs" },
--- /dev/null
+++ b/packages/daemon/tests/plannedChanges.test.ts
@@ -0,0 +1,108 @@
+import * as standIns from "@camphorcourse/stand-ins";
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+
+const TOKENS = 120;
+
+const fleet = new standIns.Fleet({ engines: 3, services: 2, daemons: 3, engineFlags: ["--speed", "2"] });
+const suite = uvu.suite("planned changes, over processes");
+
+suite.before(() => fleet.start());
+suite.after(() => {
+  fleet.stop();
+});
+
+/** Begins streams through all daemons; the returned promise tells how many ended whole. */
+async function beginStreams(name: string, count: number, daemons: readonly number[]): Promise<Promise<number>> {
+  const replies = await Promise.all(
+    Array.from({ length: count }, (_, index) =>
+      fleet.ask(daemons[index % daemons.length] ?? 0, `${name} ${index}`, TOKENS),
+    ),
+  );
+  const reads = replies.map(async (reply, index) => {
+    const read = await standIns.readStream(reply);
+    return read.complete && read.text === standIns.wholeAnswer(`${name} ${index}`, TOKENS);
+  });
+  return Promise.all(reads).then((whole) => whole.filter(Boolean).length);
+}
+
+async function startedAt(engine: number): Promise<number> {
+  const journal = await fleet.journal(fleet.engines[engine]?.url ?? "");
+  return journal.filter((entry) => entry.event === "started").length;
+}
+
+async function orderOf(runner: string): Promise<string> {
+  const runners = await fleet.admin<{ runner: string; order: string }[]>(0, "/admin/runners");
+  return runners.find((candidate) => candidate.runner === runner)?.order ?? "";
+}
+
+async function journalOf(engine: number): Promise<standIns.JournalEntry[]> {
+  return fleet.journal(fleet.engines[engine]?.url ?? "");
+}
+
+/*
+ * An operator drains an engine while thirty long streams run, one daemon being
+ * cut off from the key-value service by its own silence. The change is in force
+ * at every daemon when the operator is told so; from then on the engine gets
+ * nothing new, and what ran there ends whole.
+ */
+suite("a drained engine gets no new work and nothing there is cut", async () => {
+  const before = await beginStreams("before drain", 30, [0, 1, 2]);
+  await fleet.fault(fleet.keyValueUrl, { silenceOpenConnections: true });
+  await fleet.configure({ draining: ["engine-1"] });
+  const started = await startedAt(0);
+  const after = await beginStreams("after drain", 30, [0, 1, 2]);
+  assert.is(await before, 30);
+  assert.is(await after, 30);
+  assert.is(await startedAt(0), started);
+  assert.ok(await standIns.until(async () => (await orderOf("leoben/engine-1")).includes("drained")));
+});
+
+/*
+ * The operator takes the drain back and asks for roles, while streams run. Each
+ * engine is drained, ordered once, and serves its new role; no stream is cut.
+ */
+suite("role changes cut nothing", async () => {
+  const streams = await beginStreams("roles", 30, [0, 1, 2]);
+  await fleet.configure({ roles: ["prefill", "decode", "mixed"] });
+  assert.is(await streams, 30);
+  assert.ok(
+    await standIns.until(
+      async () =>
+        (await orderOf("leoben/engine-1")).endsWith("settled prefill") &&
+        (await orderOf("leoben/engine-2")).endsWith("settled decode"),
+      60_000,
+    ),
+  );
+  for (const engine of [0, 1, 2]) {
+    assert.equal(
+      (await journalOf(engine)).filter((entry) => entry.event === "cut" || entry.conflicting === true),
+      [],
+    );
+  }
+  assert.is(await await beginStreams("by pairs", 20, [0, 1, 2]), 20);
+});
+
+/*
+ * A daemon is stopped as planned while callers have streams at it. It drops out
+ * of the addresses, serves on, and ends when the last stream has ended.
+ */
+suite("a planned stop of a daemon cuts nothing", async () => {
+  const streams = await beginStreams("stop", 20, [0]);
+  const { child } = fleet.daemon(0);
+  const exited = new Promise<number | null>((resolve) => child.once("exit", resolve));
+  child.kill("SIGTERM");
+  const gone = await standIns.until(async () => {
+    const reply = await fetch(`${fleet.daemon(1).url}/v1/addresses`);
+    const { addresses } = (await reply.json()) as { addresses: { vm: string }[] };
+    return addresses.every((address) => address.vm !== "vm-1");
+  });
+  assert.ok(gone);
+  const late = await fleet.ask(0, "late caller", 10);
+  assert.is(late.status, 200);
+  await late.body?.cancel();
+  assert.is(await streams, 20);
+  assert.is(await exited, 0);
+});
+
+suite.run();
--- a/packages/platform/src/keyValueClient.ts
+++ b/packages/platform/src/keyValueClient.ts
@@ -80,7 +80,10 @@
    */
   async range(key: string, rangeEnd?: string): Promise<neverthrow.Result<RangeReply, origin.TransportFailure>> {
     const body = { key: encode(key), ...(rangeEnd === undefined ? {} : { range_end: encode(rangeEnd) }) };
-    const reply = await this.#post("/v3/kv/range", body, rangeSchema);
+    const first = await this.#post("/v3/kv/range", body, rangeSchema);
+    // A reading can be repeated: silence, or an end, may have been that of one old connection only.
+    const again = first.isErr() && first.error.reach === origin.FailureReach.MayHaveArrived;
+    const reply = again ? await this.#post("/v3/kv/range", body, rangeSchema) : first;
     return reply.map((value) => ({
       entries: (value.kvs ?? []).map((wire) => toEntry(wire, false)),
       revision: Number(value.header.revision),
--- a/packages/stand-ins/src/engine.ts
+++ b/packages/stand-ins/src/engine.ts
@@ -10,6 +10,7 @@
 const KEEP_STREAM_MS = 30_000;
 const CHARACTERS_PER_TOKEN = 4;
 const DEFAULT_OUTPUT_TOKENS = 16;
+const PROMPT_ON_RECORD = 60;
 
 const completionSchema = zod.looseObject({
   messages: zod.array(zod.looseObject({ content: zod.string() })).optional(),
@@ -104,7 +105,7 @@
       readers: new Set<() => void>(),
     };
     this.#streams.set(id, stream);
-    this.record({ event: "started", requestId: id, part, outputTokens });
+    this.record({ event: "started", requestId: id, part, outputTokens, prompt: prompt.slice(0, PROMPT_ON_RECORD) });
     const promptTokens = Math.max(1, Math.ceil(prompt.length / CHARACTERS_PER_TOKEN));
     this.#model.submit({ id, part, promptTokens, outputTokens, priority }, this.#now());
     this.#scheduleStep();
--- a/packages/stand-ins/src/faults.ts
+++ b/packages/stand-ins/src/faults.ts
@@ -1,6 +1,8 @@
 import type * as net from "node:net";
 import * as zod from "zod";
 
+const CLOSE_DELAY_MS = 20;
+
 const faultsSchema = zod.strictObject({
   /** Every connection is closed without a reply. */
   down: zod.boolean().optional(),
@@ -62,7 +64,11 @@
     this.dropReplies = change.dropReplies ?? this.dropReplies;
     this.reportLagMs = change.reportLagMs ?? this.reportLagMs;
     this.loseCacheEvents = change.loseCacheEvents ?? this.loseCacheEvents;
-    if (this.down) this.#closeOpen();
+    // The connection that asked for it gets its reply first.
+    if (this.down)
+      setTimeout(() => {
+        this.#closeOpen();
+      }, CLOSE_DELAY_MS);
   }
 
   #silenceOpen(): void {
--- a/scripts/demo.mjs
+++ b/scripts/demo.mjs
@@ -3,8 +3,7 @@
 import * as fs from "node:fs/promises";
 import * as os from "node:os";
 import * as path from "node:path";
-import * as fleetModule from "./fleet.mjs";
-import * as processes from "./processes.mjs";
+import * as standIns from "../packages/stand-ins/dist/src/index.js";
 
 const REQUESTS = 400;
 const INTERVAL_MS = 25;
@@ -12,13 +11,13 @@
 const KILL_AT = 240;
 const ADDRESS_TTL_MS = 2000;
 
-const launcher = new processes.Launcher();
+const fleet = new standIns.Fleet({ engines: 6, services: 3, daemons: 3 });
 const results = [];
 
 async function main() {
-  const fleet = await fleetModule.startFleet(launcher, { engines: 6, services: 3, daemons: 3 });
-  await applyConfiguration(fleet);
-  await fleetModule.meshed(fleet.daemons);
+  await fleet.startProcesses();
+  await applyConfiguration();
+  await fleet.meshed();
   const caller = new Caller(fleet.daemons);
   const pending = [];
   for (let index = 0; index < REQUESTS; index++) {
@@ -28,23 +27,19 @@
     await new Promise((resolve) => setTimeout(resolve, INTERVAL_MS));
   }
   await Promise.all(pending);
-  return report(fleet);
+  return report();
 }
 
-async function applyConfiguration(fleet) {
-  const text = fleetModule.teamDocument(
-    fleet.engines.map((engine) => engine.url),
-    fleet.services.map((service) => service.url),
-  );
+async function applyConfiguration() {
   const folder = await fs.mkdtemp(path.join(os.tmpdir(), "camphorcourse-"));
   const file = path.join(folder, "leoben.yaml");
-  await fs.writeFile(file, text);
+  await fs.writeFile(file, fleet.document());
   const environment = {
     CAMPHORCOURSE_ADMIN: fleet.daemons[2].adminUrl,
-    CAMPHORCOURSE_TOKEN: fleetModule.OPERATOR_TOKEN,
+    CAMPHORCOURSE_TOKEN: standIns.OPERATOR_TOKEN,
     CAMPHORCOURSE_TEAM: "leoben",
   };
-  const applied = await launcher.tool(["config", "apply", "--wait", file], environment);
+  const applied = await fleet.launcher.tool(["config", "apply", "--wait", file], environment);
   process.stdout.write(applied.output);
   await fs.rm(folder, { recursive: true });
   if (applied.code !== 0) throw new Error("the configuration was not accepted");
@@ -120,7 +115,9 @@
 
   async #ask() {
     for (const daemon of this.#daemons) {
-      const reply = await processes.readJson(`${daemon.url}/v1/addresses?service=assist-llm`).catch(() => undefined);
+      const reply = await fetch(`${daemon.url}/v1/addresses?service=assist-llm`)
+        .then((answer) => answer.json())
+        .catch(() => undefined);
       if (!reply || reply.addresses.length === 0) continue;
       this.#addresses = reply.addresses;
       this.#askedAt = Date.now();
@@ -130,13 +127,13 @@
 }
 
 function headers() {
-  return { authorization: `Bearer ${fleetModule.TEAM_TOKEN}`, "content-type": "application/json" };
+  return { authorization: `Bearer ${standIns.TEAM_TOKEN}`, "content-type": "application/json" };
 }
 
-async function report(fleet) {
+async function report() {
   const executions = new Map();
   for (const service of fleet.services) {
-    for (const entry of await processes.readJson(`${service.url}/journal`)) {
+    for (const entry of await fleet.journal(service.url)) {
       executions.set(entry.key, (executions.get(entry.key) ?? 0) + 1);
     }
   }
@@ -164,5 +161,5 @@
 try {
   process.exitCode = await main();
 } finally {
-  launcher.stopAll();
+  fleet.stop();
 }
--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -30,11 +30,24 @@
 
 function run(file) {
   return new Promise((resolve) => {
-    const child = childProcess.spawn(process.execPath, [file], { timeout: TIMEOUT_MS });
+    // A process group of its own: a test that hangs is ended with all that it started.
+    const child = childProcess.spawn(process.execPath, [file], { detached: true });
+    const endGroup = () => {
+      try {
+        process.kill(-child.pid, "SIGKILL");
+      } catch {
+        // Nothing of the group is left.
+      }
+    };
+    const timer = setTimeout(endGroup, TIMEOUT_MS);
     let output = "";
     child.stdout.on("data", (chunk) => (output += chunk));
     child.stderr.on("data", (chunk) => (output += chunk));
-    child.once("exit", (code) => resolve({ file, code, output }));
+    child.once("exit", (code) => {
+      clearTimeout(timer);
+      endGroup();
+      resolve({ file, code, output });
+    });
   });
 }
 
