--- a/packages/core/src/admission.ts
+++ b/packages/core/src/admission.ts
@@ -1,4 +1,4 @@
-import type * as engineCosts from "./engineCosts.js";
+import * as engineCosts from "./engineCosts.js";
 
 /** A request that waits for a runner. */
 export interface QueuedRequest {
@@ -54,13 +54,7 @@
 
   /** @returns the engine time that waits here */
   demand(): engineCosts.Demand {
-    let [prefillMs, decodeMs, mixedMs] = [0, 0, 0];
-    for (const { demand } of this.#queue) {
-      prefillMs += demand.prefillMs;
-      decodeMs += demand.decodeMs;
-      mixedMs += demand.mixedMs;
-    }
-    return { prefillMs, decodeMs, mixedMs };
+    return this.#queue.reduce((sum, { demand }) => engineCosts.sumOf(sum, demand), engineCosts.NO_DEMAND);
   }
 
   /**
--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -6,6 +6,7 @@
 import * as constants from "./constants.js";
 import * as controlKeys from "./controlKeys.js";
 import * as controlStore from "./controlStore.js";
+import * as engineCosts from "./engineCosts.js";
 import * as events from "./events.js";
 import * as keyValue from "./keyValueTypes.js";
 import * as leases from "./leases.js";
@@ -205,7 +206,7 @@
       appliedRevision: this.#store.appliedRevision,
       keyValueReachable: this.#freshness.isKeyValueFresh(now),
       shares: this.#shares(),
-      queues: this.#queueShares(),
+      services: this.#serviceShares(),
     };
   }
 
@@ -341,11 +342,12 @@
   }
 
   #onTick(now: number): void {
-    for (const vm of this.roster.expire(now)) this.#note(timeline.EventKind.MemberLost, { vm });
+    const lost = this.roster.expire(now);
+    for (const vm of lost) this.#note(timeline.EventKind.MemberLost, { vm });
+    if (lost.length > 0) this.#sumPeerUse(now);
     this.#renewLease(now);
     this.#takeShards(now);
     this.#refreshRunners(now);
-    this.#sumPeerUse(now);
     this.requestDesk.onTick(now);
     for (const pool of this.#pools.values()) this.requestDesk.serveQueues(now, pool);
     this.orderDesk.onTick(now);
@@ -493,9 +495,11 @@
   }
 
   #onPeerHeard(report: membership.PeerReport, now: number): void {
+    const peer = this.roster.get(report.vm);
+    this.#learnPeerDemand(peer?.report, report, now);
     this.roster.onHeard(report, now);
     this.#freshness.onPeerHeard();
-    const peer = this.roster.get(report.vm);
+    this.#sumPeerUse(now);
     const behind = report.appliedRevision < this.#store.appliedRevision;
     if (!peer || report.keyValueReachable || !behind) return;
     // The peer is cut off from the key-value service: it gets here what the watch would have told it.
@@ -507,6 +511,19 @@
     });
   }
 
+  /** The planner of whichever daemon holds the lease has to know what arrives at all of them. */
+  #learnPeerDemand(before: membership.PeerReport | undefined, report: membership.PeerReport, now: number): void {
+    if (before?.incarnation !== report.incarnation) return;
+    const known = new Map(before.services.map((share) => [share.service, share]));
+    for (const share of report.services) {
+      const earlier = known.get(share.service);
+      const requests = share.requests - (earlier?.requests ?? 0);
+      if (requests <= 0) continue;
+      const demand = engineCosts.differenceOf(share.arrived, earlier?.arrived ?? engineCosts.NO_DEMAND);
+      this.#pools.get(share.service)?.planner.onRequests(demand, requests, now);
+    }
+  }
+
   #refreshRunners(now: number): void {
     for (const pool of this.#pools.values()) {
       for (const runner of pool.runners) {
@@ -523,7 +540,7 @@
     const queues = new Map<string, { prefillMs: number; decodeMs: number; mixedMs: number }>();
     for (const peer of this.roster.livePeers(now)) {
       for (const share of peer.report?.shares ?? []) addUse(uses, share);
-      for (const share of peer.report?.queues ?? []) addQueue(queues, share);
+      for (const share of peer.report?.services ?? []) addQueue(queues, share);
     }
     for (const [id, pool] of this.#pools) {
       pool.onPeerQueues(queues.get(id) ?? { prefillMs: 0, decodeMs: 0, mixedMs: 0 });
@@ -552,10 +569,15 @@
     return shares;
   }
 
-  #queueShares(): membership.ServiceShare[] {
+  #serviceShares(): membership.ServiceShare[] {
     return [...this.#pools]
-      .filter(([, pool]) => pool.queue.length > 0)
-      .map(([service, pool]) => ({ service, demand: pool.queue.demand() }));
+      .filter(([, pool]) => pool.requests > 0)
+      .map(([service, pool]) => ({
+        service,
+        waiting: pool.queue.demand(),
+        arrived: pool.arrived,
+        requests: pool.requests,
+      }));
   }
 
   #requestClaim(request: string, claim: claims.Claim): void {
@@ -643,8 +665,8 @@
   share: membership.ServiceShare,
 ): void {
   const queue = queues.get(share.service) ?? { prefillMs: 0, decodeMs: 0, mixedMs: 0 };
-  queue.prefillMs += share.demand.prefillMs;
-  queue.decodeMs += share.demand.decodeMs;
-  queue.mixedMs += share.demand.mixedMs;
+  queue.prefillMs += share.waiting.prefillMs;
+  queue.decodeMs += share.waiting.decodeMs;
+  queue.mixedMs += share.waiting.mixedMs;
   queues.set(share.service, queue);
 }
--- a/packages/core/src/engineCosts.ts
+++ b/packages/core/src/engineCosts.ts
@@ -43,6 +43,40 @@
   readonly mixedMs: number;
 }
 
+/** No work. */
+export const NO_DEMAND: Demand = { prefillMs: 0, decodeMs: 0, mixedMs: 0 };
+
+/**
+ * @param left - some work
+ * @param right - more work
+ * @returns both together
+ */
+export function sumOf(left: Demand, right: Demand): Demand {
+  return {
+    prefillMs: left.prefillMs + right.prefillMs,
+    decodeMs: left.decodeMs + right.decodeMs,
+    mixedMs: left.mixedMs + right.mixedMs,
+  };
+}
+
+/**
+ * @param left - some work
+ * @param factor - what to multiply it with
+ * @returns the product
+ */
+export function scaled(left: Demand, factor: number): Demand {
+  return { prefillMs: left.prefillMs * factor, decodeMs: left.decodeMs * factor, mixedMs: left.mixedMs * factor };
+}
+
+/**
+ * @param left - some work
+ * @param right - a part of it
+ * @returns the rest
+ */
+export function differenceOf(left: Demand, right: Demand): Demand {
+  return sumOf(left, scaled(right, -1));
+}
+
 /**
  * @param costs - the engine's costs
  * @param promptTokens - prompt tokens that are not cached
--- a/packages/core/src/membership.ts
+++ b/packages/core/src/membership.ts
@@ -29,7 +29,7 @@
   readonly appliedRevision: number;
   readonly keyValueReachable: boolean;
   readonly shares: readonly RunnerShare[];
-  readonly queues: readonly ServiceShare[];
+  readonly services: readonly ServiceShare[];
 }
 
 /** How much of one runner a daemon uses. */
@@ -42,10 +42,15 @@
   readonly recordRevision: number;
 }
 
-/** What waits at a daemon for one service, in engine milliseconds. */
+/** One service's work at a daemon. */
 export interface ServiceShare {
   readonly service: string;
-  readonly demand: engineCosts.Demand;
+  /** What waits in its queue. */
+  readonly waiting: engineCosts.Demand;
+  /** What has arrived since it started; the receiver takes differences. */
+  readonly arrived: engineCosts.Demand;
+  /** Requests that have arrived since it started. */
+  readonly requests: number;
 }
 
 /** A daemon as this one knows it. */
--- a/packages/core/src/requestDesk.ts
+++ b/packages/core/src/requestDesk.ts
@@ -93,8 +93,7 @@
     }
     const request = this.#open(description, pool, now);
     this.#note(timeline.EventKind.RequestArrived, request, { service: description.service });
-    pool.retries.earn();
-    pool.planner.onRequest(pool.demandOf(request.work), now);
+    pool.onArrived(request.work, now);
     if (description.key !== undefined && !request.idempotent) this.#beginKeyed(request, description.key, now);
     else this.#admit(request, now);
   }
@@ -459,7 +458,7 @@
       const retryAfterMs = Math.max(MODEL_RETRY_MS, estimate.finishMs);
       return common.problem(common.ProblemKind.Overloaded, `${concurrent} requests wait already`, { retryAfterMs });
     }
-    if (estimate.feasible) return undefined;
+    if (estimate.feasible || !pool.refusesLate) return undefined;
     const detail = `would take ${Math.round(estimate.finishMs)} ms, ${Math.round(request.deadline - now)} ms are left`;
     return common.problem(common.ProblemKind.DeadlineUnreachable, detail, { retryAfterMs: estimate.retryAfterMs });
   }
--- a/packages/core/src/rolePlanner.ts
+++ b/packages/core/src/rolePlanner.ts
@@ -1,5 +1,5 @@
 import * as configuration from "./configuration.js";
-import type * as engineCosts from "./engineCosts.js";
+import * as engineCosts from "./engineCosts.js";
 
 /** How many engines of a service have each role. */
 export interface RoleCounts {
@@ -51,7 +51,7 @@
 /** An average over a time that fades. */
 class FadingRate {
   readonly #timeMs: number;
-  #sum: engineCosts.Demand = { prefillMs: 0, decodeMs: 0, mixedMs: 0 };
+  #sum = engineCosts.NO_DEMAND;
   #requests = 0;
   #at = 0;
 
@@ -59,36 +59,23 @@
     this.#timeMs = timeMs;
   }
 
-  add(demand: engineCosts.Demand, now: number): void {
+  add(demand: engineCosts.Demand, requests: number, now: number): void {
     this.#fade(now);
-    this.#sum = {
-      prefillMs: this.#sum.prefillMs + demand.prefillMs,
-      decodeMs: this.#sum.decodeMs + demand.decodeMs,
-      mixedMs: this.#sum.mixedMs + demand.mixedMs,
-    };
-    this.#requests++;
+    this.#sum = engineCosts.sumOf(this.#sum, demand);
+    this.#requests += requests;
   }
 
   /** Engine time and requests wanted in a millisecond. */
   read(now: number): { demand: engineCosts.Demand; requests: number } {
     this.#fade(now);
-    const demand = {
-      prefillMs: this.#sum.prefillMs / this.#timeMs,
-      decodeMs: this.#sum.decodeMs / this.#timeMs,
-      mixedMs: this.#sum.mixedMs / this.#timeMs,
-    };
-    return { demand, requests: this.#requests / this.#timeMs };
+    return { demand: engineCosts.scaled(this.#sum, 1 / this.#timeMs), requests: this.#requests / this.#timeMs };
   }
 
   #fade(now: number): void {
     const left = Math.exp(-(now - this.#at) / this.#timeMs);
     this.#at = now;
     this.#requests *= left;
-    this.#sum = {
-      prefillMs: this.#sum.prefillMs * left,
-      decodeMs: this.#sum.decodeMs * left,
-      mixedMs: this.#sum.mixedMs * left,
-    };
+    this.#sum = engineCosts.scaled(this.#sum, left);
   }
 }
 
@@ -114,13 +101,14 @@
   }
 
   /**
-   * @param demand - engine time that a request takes, refused ones included
+   * @param demand - engine time that requests take, refused ones included
+   * @param requests - how many they are
    * @param now - current time
    */
-  onRequest(demand: engineCosts.Demand, now: number): void {
+  onRequests(demand: engineCosts.Demand, requests: number, now: number): void {
     this.#startedAt ??= now;
-    this.#short.add(demand, now);
-    this.#long.add(demand, now);
+    this.#short.add(demand, requests, now);
+    this.#long.add(demand, requests, now);
   }
 
   /** @param now - when the last change ended */
--- a/packages/core/src/servicePool.ts
+++ b/packages/core/src/servicePool.ts
@@ -17,6 +17,8 @@
   readonly choice: runnerChoice.ChoiceSettings;
   readonly planner: rolePlanner.PlannerSettings;
   readonly costs: engineCosts.EngineCosts;
+  /** Whether a request that can't be in time is refused at once. */
+  readonly refusesLate: boolean;
 }
 
 /** The settings that the replay measure found best. */
@@ -24,18 +26,19 @@
   choice: runnerChoice.CHOICE_SETTINGS,
   planner: rolePlanner.PLANNER_SETTINGS,
   costs: engineCosts.PRIOR_COSTS,
+  refusesLate: true,
 };
 
 const OUTPUT_LEARNING_RATE = 0.05;
 const PLAIN_CALL_PRIOR_MS = 20;
 const PLAIN_LEARNING_RATE = 0.1;
-const NO_DEMAND: engineCosts.Demand = { prefillMs: 0, decodeMs: 0, mixedMs: 0 };
 
 /** One service at one daemon: its runners, its queue, and what was learned of its requests. */
 export class ServicePool {
   readonly queue = new admission.AdmissionQueue();
   readonly retries = new retryBudget.RetryBudget();
   readonly planner: rolePlanner.RolePlanner;
+  readonly refusesLate: boolean;
   readonly #choice: runnerChoice.RunnerChoice;
   readonly #costs: engineCosts.EngineCosts;
   readonly #runners = new Map<string, model.RunnerModel>();
@@ -43,7 +46,9 @@
   #entry: configuration.ServiceEntry;
   #outputShare = 0.8;
   #plainMs = PLAIN_CALL_PRIOR_MS;
-  #peerQueues: engineCosts.Demand = NO_DEMAND;
+  #peerQueues = engineCosts.NO_DEMAND;
+  #arrived = engineCosts.NO_DEMAND;
+  #requests = 0;
 
   /**
    * @param entry - the service
@@ -53,6 +58,7 @@
   constructor(entry: configuration.ServiceEntry, random: common.SeededRandom, settings: PolicySettings) {
     this.#entry = entry;
     this.#costs = settings.costs;
+    this.refusesLate = settings.refusesLate;
     this.#choice = new runnerChoice.RunnerChoice(random, settings.choice);
     this.planner = new rolePlanner.RolePlanner(settings.planner);
   }
@@ -67,6 +73,16 @@
     return this.#costs.roleChangeMs;
   }
 
+  /** @returns engine time of all requests that have arrived here */
+  get arrived(): engineCosts.Demand {
+    return this.#arrived;
+  }
+
+  /** @returns how many requests have arrived here */
+  get requests(): number {
+    return this.#requests;
+  }
+
   /** @returns the runners */
   get runners(): readonly model.RunnerModel[] {
     return this.#runnerList;
@@ -116,6 +132,18 @@
     return { promptTokens, outputTokens, maximumOutputTokens, ...(prefix === undefined ? {} : { prefix }) };
   }
 
+  /**
+   * @param work - of a request that has just arrived
+   * @param now - current time
+   */
+  onArrived(work: Work, now: number): void {
+    const demand = this.demandOf(work);
+    this.#arrived = engineCosts.sumOf(this.#arrived, demand);
+    this.#requests++;
+    this.retries.earn();
+    this.planner.onRequests(demand, 1, now);
+  }
+
   /**
    * @param work - the request's work
    * @returns engine time that it takes
--- a/packages/daemon/src/peerMessages.ts
+++ b/packages/daemon/src/peerMessages.ts
@@ -68,7 +68,7 @@
     appliedRevision: BigInt(report.appliedRevision),
     keyValueReachable: report.keyValueReachable,
     shares: report.shares.map((share) => ({ ...share, recordRevision: BigInt(share.recordRevision) })),
-    queues: report.queues.map(({ service, demand }) => ({ service, ...demand })),
+    services: report.services.map((share) => ({ ...share, requests: BigInt(share.requests) })),
     wallMs: BigInt(stamp.wallMs),
     counter: stamp.counter,
   });
@@ -92,13 +92,21 @@
       streams: share.streams,
       recordRevision: Number(share.recordRevision),
     })),
-    queues: message.queues.map(({ service, prefillMs, decodeMs, mixedMs }) => ({
-      service,
-      demand: { prefillMs, decodeMs, mixedMs },
+    services: message.services.map((share) => ({
+      service: share.service,
+      waiting: demandFromWire(share.waiting),
+      arrived: demandFromWire(share.arrived),
+      requests: Number(share.requests),
     })),
   };
 }
 
+function demandFromWire(message: protocol.EngineDemand | undefined): core.Demand {
+  if (!message) return core.NO_DEMAND;
+  const { prefillMs, decodeMs, mixedMs } = message;
+  return { prefillMs, decodeMs, mixedMs };
+}
+
 /**
  * @param message - a heartbeat as it came
  * @returns its stamp
--- /dev/null
+++ b/packages/measure/src/index.ts
@@ -0,0 +1,2 @@
+export * from "./replay.js";
+export * from "./trace.js";
