--- a/packages/core/src/admission.ts
+++ b/packages/core/src/admission.ts
@@ -1,23 +1,33 @@
-import * as engineCosts from "./engineCosts.js";
-
 /** A request that waits for a runner. */
 export interface QueuedRequest {
   readonly id: string;
   readonly priority: number;
   /** Monotonic time by which the whole answer must be there. */
   readonly deadline: number;
-  readonly demand: engineCosts.Demand;
-  /** Milliseconds that it takes once it is at a runner that is free. */
+  /** Prompt tokens to be taken in; 0 for a plain call. */
+  readonly promptTokens: number;
+  /** Milliseconds that it takes once it is at a runner. */
   readonly serviceMs: number;
 }
 
-/** What the service's runners can do together, in engine milliseconds per millisecond. */
+/** Work that waits in a queue. */
+export interface WaitingWork {
+  readonly tokens: number;
+  readonly requests: number;
+}
+
+/** What the service's runners can do together, and what they have to do already. */
 export interface PoolCapacity {
-  readonly prefill: number;
-  readonly decode: number;
-  readonly mixed: number;
-  /** Work at the runners, in engine milliseconds. */
-  readonly backlog: engineCosts.Demand;
+  /** Prompt tokens that they take in per millisecond. */
+  readonly tokensPerMs: number;
+  /** Prompt tokens that wait at them, and in the other daemons' queues. */
+  readonly waitingTokens: number;
+  /** Answers that can be under way side by side. */
+  readonly slots: number;
+  /** Answers that are, or that wait in the other daemons' queues. */
+  readonly busySlots: number;
+  /** Milliseconds that an answer holds its slot on average. */
+  readonly slotMs: number;
 }
 
 /** Whether a request can be in time. */
@@ -52,9 +62,10 @@
     return this.#queue[0];
   }
 
-  /** @returns the engine time that waits here */
-  demand(): engineCosts.Demand {
-    return this.#queue.reduce((sum, { demand }) => engineCosts.sumOf(sum, demand), engineCosts.NO_DEMAND);
+  /** @returns the work that waits here */
+  waiting(): WaitingWork {
+    const tokens = this.#queue.reduce((sum, { promptTokens }) => sum + promptTokens, 0);
+    return { tokens, requests: this.#queue.length };
   }
 
   /**
@@ -75,18 +86,22 @@
   }
 
   /**
+   * Predicts when a request would finish. The prompts ahead of it are taken in
+   * one after the other; answers are made side by side, so those ahead delay it
+   * only when all slots are taken.
+   *
    * @param request - not in the queue yet
    * @param pool - the runners' capacity and backlog
    * @param now - current time
    * @returns when it would finish
    */
   estimate(request: QueuedRequest, pool: PoolCapacity, now: number): Estimate {
-    const ahead = this.#workAhead(request, pool.backlog);
-    const waitMs = waitFor(ahead, pool);
-    const finishMs = (waitMs + request.serviceMs) * (1 + SAFETY_SHARE);
-    const slackMs = request.deadline - now;
-    if (finishMs <= slackMs) return { finishMs, feasible: true, retryAfterMs: 0 };
-    return { finishMs, feasible: false, retryAfterMs: this.#bookRetry(finishMs - slackMs, request, pool, now) };
+    const ahead = this.#workAhead(request);
+    const waitMs = prefillWaitMs(request, ahead, pool) + slotWaitMs(ahead, pool);
+    const finishMs = waitMs + request.serviceMs * (1 + SAFETY_SHARE);
+    const lateMs = now + finishMs - request.deadline;
+    if (lateMs <= 0) return { finishMs, feasible: true, retryAfterMs: 0 };
+    return { finishMs, feasible: false, retryAfterMs: this.#bookRetry(lateMs, request, pool, now) };
   }
 
   /**
@@ -103,30 +118,23 @@
    * Retries are spread over the time that the pool needs for them. If all
    * refused callers were given the same instant, they would come back together
    * and most would be refused again.
-   *
-   * @param lateMs - by how much it would be late now
-   * @param request - the refused request
-   * @param pool - the runners' capacity
-   * @param now - current time
-   * @returns milliseconds to stay away
    */
   #bookRetry(lateMs: number, request: QueuedRequest, pool: PoolCapacity, now: number): number {
     const earliest = now + Math.max(LEAST_RETRY_MS, lateMs);
     const start = Math.max(earliest, this.#retriesBookedUntil);
-    const own = waitFor(request.demand, pool);
+    const own = shareOfPoolMs(request, pool);
     this.#retriesBookedUntil = Math.min(start + own, now + LONGEST_RETRY_MS);
     return Math.min(start - now + own, LONGEST_RETRY_MS);
   }
 
-  #workAhead(request: QueuedRequest, backlog: engineCosts.Demand): engineCosts.Demand {
-    let { prefillMs, decodeMs, mixedMs } = backlog;
+  #workAhead(request: QueuedRequest): WaitingWork {
+    let [tokens, requests] = [0, 0];
     for (const other of this.#queue) {
       if (isBefore(request, other)) break;
-      prefillMs += other.demand.prefillMs;
-      decodeMs += other.demand.decodeMs;
-      mixedMs += other.demand.mixedMs;
+      tokens += other.promptTokens;
+      requests++;
     }
-    return { prefillMs, decodeMs, mixedMs };
+    return { tokens, requests };
   }
 }
 
@@ -136,24 +144,21 @@
   return request.deadline < other.deadline;
 }
 
-/**
- * @param work - engine time wanted
- * @param pool - engines that give it
- * @returns milliseconds until it is worked off, if pairs and mixed engines share it
- */
-export function waitFor(work: engineCosts.Demand, pool: PoolCapacity): number {
-  if (work.prefillMs + work.decodeMs + work.mixedMs === 0) return 0;
-  const sharePerMs = pairRate(work, pool) + rate(pool.mixed, work.mixedMs);
-  return sharePerMs === 0 ? LONGEST_RETRY_MS : 1 / sharePerMs;
+function prefillWaitMs(request: QueuedRequest, ahead: WaitingWork, pool: PoolCapacity): number {
+  if (request.promptTokens === 0) return 0;
+  if (pool.tokensPerMs === 0) return LONGEST_RETRY_MS;
+  return (pool.waitingTokens + ahead.tokens) / pool.tokensPerMs;
 }
 
-/** A pair is as fast as its slower half. */
-function pairRate(work: engineCosts.Demand, pool: PoolCapacity): number {
-  if (work.prefillMs === 0) return rate(pool.decode, work.decodeMs);
-  if (work.decodeMs === 0) return rate(pool.prefill, work.prefillMs);
-  return Math.min(rate(pool.prefill, work.prefillMs), rate(pool.decode, work.decodeMs));
+function slotWaitMs(ahead: WaitingWork, pool: PoolCapacity): number {
+  if (pool.slots === 0) return LONGEST_RETRY_MS;
+  const over = pool.busySlots + ahead.requests + 1 - pool.slots;
+  return over <= 0 ? 0 : (over / pool.slots) * pool.slotMs;
 }
 
-function rate(engines: number, workMs: number): number {
-  return workMs > 0 ? engines / workMs : 0;
+/** Time for which the whole pool would be taken up by this request alone. */
+function shareOfPoolMs(request: QueuedRequest, pool: PoolCapacity): number {
+  const prefillMs = request.promptTokens === 0 || pool.tokensPerMs === 0 ? 0 : request.promptTokens / pool.tokensPerMs;
+  const slotMs = pool.slots === 0 ? LONGEST_RETRY_MS : pool.slotMs / pool.slots;
+  return Math.max(prefillMs, slotMs);
 }
--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -1,5 +1,6 @@
 import * as common from "@camphorcourse/common";
 import * as actions from "./actions.js";
+import type * as admission from "./admission.js";
 import * as attempts from "./attempts.js";
 import * as claims from "./claims.js";
 import * as configuration from "./configuration.js";
@@ -537,13 +538,13 @@
 
   #sumPeerUse(now: number): void {
     const uses = new Map<string, { inFlight: number; prefillTokens: number; streams: number }>();
-    const queues = new Map<string, { prefillMs: number; decodeMs: number; mixedMs: number }>();
+    const queues = new Map<string, admission.WaitingWork>();
     for (const peer of this.roster.livePeers(now)) {
       for (const share of peer.report?.shares ?? []) addUse(uses, share);
       for (const share of peer.report?.services ?? []) addQueue(queues, share);
     }
     for (const [id, pool] of this.#pools) {
-      pool.onPeerQueues(queues.get(id) ?? { prefillMs: 0, decodeMs: 0, mixedMs: 0 });
+      pool.onPeerQueues(queues.get(id) ?? { tokens: 0, requests: 0 });
       for (const runner of pool.runners) {
         runner.onPeerUse(uses.get(runner.id) ?? { inFlight: 0, prefillTokens: 0, streams: 0 }, now);
       }
@@ -574,7 +575,7 @@
       .filter(([, pool]) => pool.requests > 0)
       .map(([service, pool]) => ({
         service,
-        waiting: pool.queue.demand(),
+        waiting: pool.queue.waiting(),
         arrived: pool.arrived,
         requests: pool.requests,
       }));
@@ -660,13 +661,7 @@
   uses.set(share.runner, use);
 }
 
-function addQueue(
-  queues: Map<string, { prefillMs: number; decodeMs: number; mixedMs: number }>,
-  share: membership.ServiceShare,
-): void {
-  const queue = queues.get(share.service) ?? { prefillMs: 0, decodeMs: 0, mixedMs: 0 };
-  queue.prefillMs += share.waiting.prefillMs;
-  queue.decodeMs += share.waiting.decodeMs;
-  queue.mixedMs += share.waiting.mixedMs;
-  queues.set(share.service, queue);
+function addQueue(queues: Map<string, admission.WaitingWork>, { service, waiting }: membership.ServiceShare): void {
+  const sum = queues.get(service) ?? { tokens: 0, requests: 0 };
+  queues.set(service, { tokens: sum.tokens + waiting.tokens, requests: sum.requests + waiting.requests });
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -25,6 +25,7 @@
 export * from "./runnerChoice.js";
 export * from "./runnerModel.js";
 export * from "./servicePool.js";
+export * from "./speedFactor.js";
 export * from "./streamAssembly.js";
 export * from "./timeline.js";
 export * from "./viewFreshness.js";
--- a/packages/core/src/membership.ts
+++ b/packages/core/src/membership.ts
@@ -1,3 +1,4 @@
+import type * as admission from "./admission.js";
 import * as constants from "./constants.js";
 import type * as engineCosts from "./engineCosts.js";
 
@@ -46,7 +47,7 @@
 export interface ServiceShare {
   readonly service: string;
   /** What waits in its queue. */
-  readonly waiting: engineCosts.Demand;
+  readonly waiting: admission.WaitingWork;
   /** What has arrived since it started; the receiver takes differences. */
   readonly arrived: engineCosts.Demand;
   /** Requests that have arrived since it started. */
--- a/packages/core/src/requestDesk.ts
+++ b/packages/core/src/requestDesk.ts
@@ -464,11 +464,12 @@
   }
 
   #queued(request: LiveRequest, now: number): admission.QueuedRequest {
+    const isPlain = request.pool.entry.settings.kind === configuration.ServiceKind.Plain;
     return {
       id: request.description.id,
       priority: request.description.priority ?? request.pool.entry.settings.priority,
       deadline: request.deadline,
-      demand: request.pool.demandOf(request.work),
+      promptTokens: isPlain ? 0 : request.work.promptTokens,
       serviceMs: request.pool.serviceMs(request.work, now),
     };
   }
@@ -595,9 +596,9 @@
   }
 
   #learn(request: LiveRequest, outputTokens: number, now: number): void {
-    if (request.pool.entry.settings.kind === configuration.ServiceKind.Plain)
-      request.pool.onPlainAnswered(now - request.dispatchedAt);
-    else request.pool.onAnswered(request.work, outputTokens);
+    const tookMs = now - request.dispatchedAt;
+    if (request.pool.entry.settings.kind === configuration.ServiceKind.Plain) request.pool.onPlainAnswered(tookMs);
+    else request.pool.onAnswered(request.work, outputTokens, tookMs);
   }
 
   #cancel(request: LiveRequest, now: number): void {
--- a/packages/core/src/runnerModel.ts
+++ b/packages/core/src/runnerModel.ts
@@ -1,5 +1,6 @@
 import * as configuration from "./configuration.js";
 import type * as engineCosts from "./engineCosts.js";
+import * as speedFactor from "./speedFactor.js";
 
 /** Which part of a request a runner is asked for. */
 export enum RequestPart {
@@ -29,9 +30,6 @@
   readonly streams: number;
 }
 
-const LEARNING_RATE = 0.1;
-const SMALLEST_FACTOR = 0.2;
-const LARGEST_FACTOR = 10;
 const FAILURES_TO_REST = 3;
 const REST_MS = 2000;
 const LONGEST_REST_MS = 15_000;
@@ -51,8 +49,8 @@
   #streams = 0;
   #peers: PeerUse = { inFlight: 0, prefillTokens: 0, streams: 0 };
   #peersAt = 0;
-  #prefillFactor = 1;
-  #decodeFactor = 1;
+  readonly #prefillSpeed = new speedFactor.SpeedFactor();
+  readonly #decodeSpeed = new speedFactor.SpeedFactor();
   #failures = 0;
   #restsUntil = 0;
   role: configuration.RunnerRole = configuration.RunnerRole.Mixed;
@@ -132,7 +130,7 @@
     if (chunkTokens === 0) return Number.POSITIVE_INFINITY;
     const stepMs =
       this.#costs.stepBaseMs + chunkTokens * this.#costs.prefillTokenMs + this.streams * this.#costs.decodeStreamMs;
-    return (this.#prefillFactor * stepMs) / chunkTokens;
+    return (this.#prefillSpeed.factor * stepMs) / chunkTokens;
   }
 
   /**
@@ -141,7 +139,7 @@
    */
   tokenMs(now: number): number {
     const streams = Math.min(this.streams + 1, Math.max(1, this.slots));
-    return this.#decodeFactor * this.#stepMs(streams, this.#prefillBusyShare(now));
+    return this.#decodeSpeed.factor * this.#stepMs(streams, this.#prefillBusyShare(now));
   }
 
   /**
@@ -261,20 +259,15 @@
 
   #learnPrefill(entry: Outstanding, tookMs: number): void {
     const tokens = entry.aheadTokens + entry.promptTokens;
-    const predicted = (tokens * this.prefillTokenMs()) / this.#prefillFactor;
-    if (predicted <= 0 || tookMs <= 0) return;
-    this.#prefillFactor = blend(this.#prefillFactor, tookMs / predicted);
+    const unscaled = (tokens * this.prefillTokenMs()) / this.#prefillSpeed.factor;
+    // Whatever its length, a prompt waits for the step under way and takes one itself.
+    this.#prefillSpeed.learn(unscaled + 2 * this.#costs.stepBaseMs, tookMs);
   }
 
   #learnDecode(entry: Outstanding, outputTokens: number, now: number): void {
     if (entry.firstTokenAt === undefined || outputTokens < 2) return;
-    const observed = (now - entry.firstTokenAt) / (outputTokens - 1);
-    const predicted = this.#stepMs(Math.min(this.streams + 1, Math.max(1, this.slots)), this.#prefillBusyShare(now));
-    if (observed > 0) this.#decodeFactor = blend(this.#decodeFactor, observed / predicted);
+    const streams = Math.min(this.streams + 1, Math.max(1, this.slots));
+    const predicted = (outputTokens - 1) * this.#stepMs(streams, this.#prefillBusyShare(now));
+    this.#decodeSpeed.learn(predicted, now - entry.firstTokenAt);
   }
 }
-
-function blend(factor: number, observed: number): number {
-  const next = factor + LEARNING_RATE * (observed - factor);
-  return Math.min(LARGEST_FACTOR, Math.max(SMALLEST_FACTOR, next));
-}
--- a/packages/core/src/servicePool.ts
+++ b/packages/core/src/servicePool.ts
@@ -30,6 +30,8 @@
 };
 
 const OUTPUT_LEARNING_RATE = 0.05;
+const ANSWER_PRIOR_MS = 2000;
+const ANSWER_LEARNING_RATE = 0.05;
 const PLAIN_CALL_PRIOR_MS = 20;
 const PLAIN_LEARNING_RATE = 0.1;
 
@@ -45,8 +47,9 @@
   #runnerList: model.RunnerModel[] = [];
   #entry: configuration.ServiceEntry;
   #outputShare = 0.8;
+  #answerMs = ANSWER_PRIOR_MS;
   #plainMs = PLAIN_CALL_PRIOR_MS;
-  #peerQueues = engineCosts.NO_DEMAND;
+  #peerQueues: admission.WaitingWork = { tokens: 0, requests: 0 };
   #arrived = engineCosts.NO_DEMAND;
   #requests = 0;
 
@@ -116,9 +119,9 @@
     return this.#runners.get(id);
   }
 
-  /** @param demand - what waits for this service at the peers */
-  onPeerQueues(demand: engineCosts.Demand): void {
-    this.#peerQueues = demand;
+  /** @param waiting - what waits for this service at the peers */
+  onPeerQueues(waiting: admission.WaitingWork): void {
+    this.#peerQueues = waiting;
   }
 
   /**
@@ -202,30 +205,28 @@
    * @returns what the usable runners give and what is ahead of them
    */
   capacity(now: number): admission.PoolCapacity {
-    let [prefill, decode, mixed] = [0, 0, 0];
-    const { decodeMs } = this.#peerQueues;
-    let { prefillMs, mixedMs } = this.#peerQueues;
-    const parallel = this.#isPlain() ? this.#entry.settings.limits.perRunner : 1;
+    let [tokensPerMs, slots] = [0, 0];
+    let { tokens: waitingTokens, requests: busySlots } = this.#peerQueues;
     for (const runner of this.#runnerList) {
       if (!runner.isUsable(now)) continue;
-      if (runner.role === configuration.RunnerRole.Prefill) {
-        prefill++;
-        prefillMs += runner.prefillWaitMs(now);
-      } else if (runner.role === configuration.RunnerRole.Decode) {
-        decode++;
-      } else {
-        mixed += parallel;
-        mixedMs += this.#isPlain() ? runner.totalInFlight * this.#plainMs : runner.prefillWaitMs(now);
+      if (runner.role !== configuration.RunnerRole.Decode) {
+        tokensPerMs += 1 / runner.prefillTokenMs();
+        waitingTokens += runner.waitingTokens(now);
       }
+      if (runner.role === configuration.RunnerRole.Prefill) continue;
+      slots += this.#isPlain() ? this.#entry.settings.limits.perRunner : runner.slots;
+      busySlots += this.#isPlain() ? runner.totalInFlight : runner.streams;
     }
-    return { prefill, decode, mixed, backlog: { prefillMs, decodeMs, mixedMs } };
+    return { tokensPerMs, waitingTokens, slots, busySlots, slotMs: this.#isPlain() ? this.#plainMs : this.#answerMs };
   }
 
   /**
    * @param work - the work of a request that was answered
    * @param outputTokens - tokens that the answer had
+   * @param tookMs - from dispatch to the end
    */
-  onAnswered(work: Work, outputTokens: number): void {
+  onAnswered(work: Work, outputTokens: number, tookMs: number): void {
+    this.#answerMs += ANSWER_LEARNING_RATE * (tookMs - this.#answerMs);
     const share = outputTokens / Math.max(1, work.maximumOutputTokens);
     this.#outputShare += OUTPUT_LEARNING_RATE * (Math.min(1, share) - this.#outputShare);
   }
--- a/packages/daemon/src/peerMessages.ts
+++ b/packages/daemon/src/peerMessages.ts
@@ -68,7 +68,13 @@
     appliedRevision: BigInt(report.appliedRevision),
     keyValueReachable: report.keyValueReachable,
     shares: report.shares.map((share) => ({ ...share, recordRevision: BigInt(share.recordRevision) })),
-    services: report.services.map((share) => ({ ...share, requests: BigInt(share.requests) })),
+    services: report.services.map(({ service, waiting, arrived, requests }) => ({
+      service,
+      waitingTokens: waiting.tokens,
+      waitingRequests: waiting.requests,
+      arrived,
+      requests: BigInt(requests),
+    })),
     wallMs: BigInt(stamp.wallMs),
     counter: stamp.counter,
   });
@@ -94,7 +100,7 @@
     })),
     services: message.services.map((share) => ({
       service: share.service,
-      waiting: demandFromWire(share.waiting),
+      waiting: { tokens: share.waitingTokens, requests: share.waitingRequests },
       arrived: demandFromWire(share.arrived),
       requests: Number(share.requests),
     })),
--- a/packages/measure/src/coreRouter.ts
+++ b/packages/measure/src/coreRouter.ts
@@ -348,5 +348,5 @@
 }
 
 function withoutWaiting(share: core.ServiceShare): core.ServiceShare {
-  return { ...share, waiting: core.NO_DEMAND };
+  return { ...share, waiting: { tokens: 0, requests: 0 } };
 }
