--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -206,7 +206,7 @@
       leaving: this.#registration.leaving,
       appliedRevision: this.#store.appliedRevision,
       keyValueReachable: this.#freshness.isKeyValueFresh(now),
-      shares: this.#shares(),
+      shares: this.#shares(now),
       services: this.#serviceShares(),
     };
   }
@@ -551,7 +551,7 @@
     }
   }
 
-  #shares(): membership.RunnerShare[] {
+  #shares(now: number): membership.RunnerShare[] {
     const shares: membership.RunnerShare[] = [];
     for (const pool of this.#pools.values()) {
       for (const runner of pool.runners) {
@@ -561,7 +561,7 @@
         shares.push({
           runner: runner.id,
           inFlight: runner.inFlight,
-          prefillTokens: runner.ownPrefillTokens,
+          prefillTokens: runner.ownWaitingTokens(now),
           streams: runner.ownStreams,
           recordRevision: order?.revision ?? 0,
         });
--- a/packages/core/src/runnerModel.ts
+++ b/packages/core/src/runnerModel.ts
@@ -45,7 +45,8 @@
   readonly #costs: engineCosts.EngineCosts;
   readonly #outstanding = new Map<string, Outstanding>();
   readonly #prefixes = new Map<string, number>();
-  #prefillTokens = 0;
+  #backlogTokens = 0;
+  #backlogAt = 0;
   #streams = 0;
   #peers: PeerUse = { inFlight: 0, prefillTokens: 0, streams: 0 };
   #peersAt = 0;
@@ -78,9 +79,12 @@
     return this.#outstanding.size + this.#peers.inFlight;
   }
 
-  /** @returns this daemon's prompt tokens at the runner that are not taken in */
-  get ownPrefillTokens(): number {
-    return this.#prefillTokens;
+  /**
+   * @param now - current time
+   * @returns this daemon's prompt tokens at the runner that are not taken in yet, as far as can be told
+   */
+  ownWaitingTokens(now: number): number {
+    return this.#aged(this.#backlogTokens, this.#backlogAt, now);
   }
 
   /** @returns this daemon's sequences at the runner */
@@ -120,8 +124,7 @@
    * @returns prompt tokens of all daemons that wait at the runner
    */
   waitingTokens(now: number): number {
-    const aged = Math.max(0, this.#peers.prefillTokens - (now - this.#peersAt) / this.prefillTokenMs());
-    return this.#prefillTokens + aged;
+    return this.ownWaitingTokens(now) + this.#aged(this.#peers.prefillTokens, this.#peersAt, now);
   }
 
   /** @returns milliseconds that one prompt token takes while the runner is busy */
@@ -157,7 +160,10 @@
    */
   onDispatched(request: string, entry: Omit<Outstanding, "aheadTokens">): void {
     this.#outstanding.set(request, { ...entry, aheadTokens: this.waitingTokens(entry.dispatchedAt) });
-    if (entry.part !== RequestPart.Decode) this.#prefillTokens += entry.promptTokens;
+    if (entry.part !== RequestPart.Decode) {
+      this.#backlogTokens = this.ownWaitingTokens(entry.dispatchedAt) + entry.promptTokens;
+      this.#backlogAt = entry.dispatchedAt;
+    }
     if (entry.part !== RequestPart.Prefill) this.#streams++;
   }
 
@@ -172,7 +178,7 @@
     if (!entry || entry.firstTokenAt !== undefined) return;
     entry.firstTokenAt = now;
     if (entry.part === RequestPart.Decode) return;
-    this.#prefillTokens = Math.max(0, this.#prefillTokens - entry.promptTokens);
+    this.#correctBacklog(now);
     this.#learnPrefill(entry, now - entry.dispatchedAt);
   }
 
@@ -247,6 +253,21 @@
     this.#prefixes.clear();
   }
 
+  /** Work that was there at some time and has been worked off since. */
+  #aged(tokens: number, at: number, now: number): number {
+    return tokens === 0 ? 0 : Math.max(0, tokens - (now - at) / this.prefillTokenMs());
+  }
+
+  /** A prompt has been taken in: no more can wait than the others have. */
+  #correctBacklog(now: number): void {
+    let left = 0;
+    for (const entry of this.#outstanding.values()) {
+      if (entry.firstTokenAt === undefined && entry.part !== RequestPart.Decode) left += entry.promptTokens;
+    }
+    this.#backlogTokens = Math.min(left, this.ownWaitingTokens(now));
+    this.#backlogAt = now;
+  }
+
   #stepMs(streams: number, prefillBusyShare: number): number {
     const chunk = this.#costs.roles[this.role].chunkTokens * prefillBusyShare;
     return this.#costs.stepBaseMs + streams * this.#costs.decodeStreamMs + chunk * this.#costs.prefillTokenMs;
