--- a/packages/core/src/admission.ts
+++ b/packages/core/src/admission.ts
@@ -8,6 +8,8 @@
   readonly promptTokens: number;
   /** Milliseconds that it takes once it is at a runner. */
   readonly serviceMs: number;
+  /** Tells a request that comes back from others: equal for equal requests. */
+  readonly fingerprint?: string;
 }
 
 /** Work that waits in a queue. */
@@ -28,6 +30,8 @@
   readonly busySlots: number;
   /** Milliseconds that an answer holds its slot on average. */
   readonly slotMs: number;
+  /** Daemons that share the runners, this one included. */
+  readonly daemons: number;
 }
 
 /** Whether a request can be in time. */
@@ -38,11 +42,25 @@
   readonly retryAfterMs: number;
 }
 
-const LEAST_RETRY_MS = 250;
+const LEAST_RETRY_MS = 5000;
 const LONGEST_RETRY_MS = 60_000;
+/** A booking is kept for a caller that comes this much later than told. */
+const RETURN_LEARNING_RATE = 0.05;
+const EARLY_RETURN_MS = 250;
+const BOOKING_GRACE_MS = 1500;
+/** Bookings that fall due within this time count as work ahead of new callers. */
+const BOOKING_AHEAD_MS = 1500;
+/** Share of the predicted lateness that is added to the time told, as the backlog may still grow. */
+const BOOKING_MARGIN = 2;
 /** Share of the predicted time that is added, since predictions are off. */
 const SAFETY_SHARE = 0.1;
 
+/** Work that a refused caller has been told to come back with. */
+interface Booking {
+  readonly dueAt: number;
+  readonly tokens: number;
+}
+
 /**
  * The requests of one service that wait in this daemon: highest priority first,
  * then earliest deadline. A request that can't be in time is refused at once
@@ -51,6 +69,9 @@
 export class AdmissionQueue {
   #queue: QueuedRequest[] = [];
   #retriesBookedUntil = 0;
+  readonly #bookings = new Map<string, Booking>();
+  /** Share of the booked callers that come back, as learned. */
+  #returnShare = 0.5;
 
   /** @returns how many wait */
   get length(): number {
@@ -96,9 +117,10 @@
    * @returns when it would finish
    */
   estimate(request: QueuedRequest, pool: PoolCapacity, now: number): Estimate {
-    const ahead = this.#workAhead(request);
+    const returns = this.#takeBooking(request, now);
+    const ahead = this.#workAhead(request, returns, now);
     const waitMs = prefillWaitMs(request, ahead, pool) + slotWaitMs(ahead, pool);
-    const finishMs = waitMs + request.serviceMs * (1 + SAFETY_SHARE);
+    const finishMs = waitMs + request.serviceMs * (returns ? 1 : 1 + SAFETY_SHARE);
     const lateMs = now + finishMs - request.deadline;
     if (lateMs <= 0) return { finishMs, feasible: true, retryAfterMs: 0 };
     return { finishMs, feasible: false, retryAfterMs: this.#bookRetry(lateMs, request, pool, now) };
@@ -115,25 +137,54 @@
   }
 
   /**
-   * Retries are spread over the time that the pool needs for them. If all
-   * refused callers were given the same instant, they would come back together
-   * and most would be refused again.
+   * Books a time for a refused caller. Were all given the same instant, they
+   * would come back together and most be refused again; and without a booking,
+   * new callers would have taken the room by then. So times are spread over what
+   * the pool needs for them, and what is booked counts as work ahead of others.
    */
   #bookRetry(lateMs: number, request: QueuedRequest, pool: PoolCapacity, now: number): number {
-    const earliest = now + Math.max(LEAST_RETRY_MS, lateMs);
+    const earliest = now + Math.max(LEAST_RETRY_MS, lateMs * (1 + BOOKING_MARGIN));
     const start = Math.max(earliest, this.#retriesBookedUntil);
-    const own = shareOfPoolMs(request, pool);
-    this.#retriesBookedUntil = Math.min(start + own, now + LONGEST_RETRY_MS);
-    return Math.min(start - now + own, LONGEST_RETRY_MS);
+    const own = shareOfPoolMs(request, pool) * pool.daemons;
+    const dueAt = Math.min(start + own, now + LONGEST_RETRY_MS);
+    this.#retriesBookedUntil = dueAt;
+    if (request.fingerprint !== undefined) {
+      this.#bookings.set(request.fingerprint, { dueAt, tokens: request.promptTokens });
+    }
+    return dueAt - now;
+  }
+
+  /** Returns whether the request is one that was told to come back by now. */
+  #takeBooking(request: QueuedRequest, now: number): boolean {
+    for (const [fingerprint, booking] of this.#bookings) {
+      if (booking.dueAt + BOOKING_GRACE_MS >= now) continue;
+      this.#bookings.delete(fingerprint);
+      this.#learnReturn(0);
+    }
+    const booking = request.fingerprint === undefined ? undefined : this.#bookings.get(request.fingerprint);
+    if (!booking || now < booking.dueAt - EARLY_RETURN_MS) return false;
+    this.#learnReturn(1);
+    return this.#bookings.delete(request.fingerprint ?? "");
   }
 
-  #workAhead(request: QueuedRequest): WaitingWork {
+  #learnReturn(came: number): void {
+    this.#returnShare += RETURN_LEARNING_RATE * (came - this.#returnShare);
+  }
+
+  #workAhead(request: QueuedRequest, returns: boolean, now: number): WaitingWork {
     let [tokens, requests] = [0, 0];
     for (const other of this.#queue) {
       if (isBefore(request, other)) break;
       tokens += other.promptTokens;
       requests++;
     }
+    if (returns) return { tokens, requests };
+    for (const booking of this.#bookings.values()) {
+      if (booking.dueAt > now + BOOKING_AHEAD_MS) continue;
+      // Callers that give up leave their room to others, as far as they are known to.
+      tokens += booking.tokens * this.#returnShare;
+      requests += this.#returnShare;
+    }
     return { tokens, requests };
   }
 }
--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -539,12 +539,16 @@
   #sumPeerUse(now: number): void {
     const uses = new Map<string, { inFlight: number; prefillTokens: number; streams: number }>();
     const queues = new Map<string, admission.WaitingWork>();
+    const serving = new Map<string, number>();
     for (const peer of this.roster.livePeers(now)) {
       for (const share of peer.report?.shares ?? []) addUse(uses, share);
-      for (const share of peer.report?.services ?? []) addQueue(queues, share);
+      for (const share of peer.report?.services ?? []) {
+        addQueue(queues, share);
+        serving.set(share.service, (serving.get(share.service) ?? 0) + 1);
+      }
     }
     for (const [id, pool] of this.#pools) {
-      pool.onPeerQueues(queues.get(id) ?? { tokens: 0, requests: 0 });
+      pool.onPeerQueues(queues.get(id) ?? { tokens: 0, requests: 0 }, serving.get(id) ?? 0);
       for (const runner of pool.runners) {
         runner.onPeerUse(uses.get(runner.id) ?? { inFlight: 0, prefillTokens: 0, streams: 0 }, now);
       }
--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -74,6 +74,8 @@
   readonly key?: string;
   /** Digest of the request, given with the key. */
   readonly digest?: string;
+  /** Equal for equal requests, so that one that comes back when told is known again. */
+  readonly fingerprint?: string;
 }
 
 /** How an order at a runner ended. */
--- a/packages/core/src/requestDesk.ts
+++ b/packages/core/src/requestDesk.ts
@@ -464,6 +464,7 @@
   }
 
   #queued(request: LiveRequest, now: number): admission.QueuedRequest {
+    const { fingerprint } = request.description;
     const isPlain = request.pool.entry.settings.kind === configuration.ServiceKind.Plain;
     return {
       id: request.description.id,
@@ -471,6 +472,7 @@
       deadline: request.deadline,
       promptTokens: isPlain ? 0 : request.work.promptTokens,
       serviceMs: request.pool.serviceMs(request.work, now),
+      ...(fingerprint === undefined ? {} : { fingerprint }),
     };
   }
 
--- a/packages/core/src/servicePool.ts
+++ b/packages/core/src/servicePool.ts
@@ -52,6 +52,7 @@
   #peerQueues: admission.WaitingWork = { tokens: 0, requests: 0 };
   #arrived = engineCosts.NO_DEMAND;
   #requests = 0;
+  #peers = 0;
 
   /**
    * @param entry - the service
@@ -119,9 +120,13 @@
     return this.#runners.get(id);
   }
 
-  /** @param waiting - what waits for this service at the peers */
-  onPeerQueues(waiting: admission.WaitingWork): void {
+  /**
+   * @param waiting - what waits for this service at the peers
+   * @param peers - how many of them serve it
+   */
+  onPeerQueues(waiting: admission.WaitingWork, peers: number): void {
     this.#peerQueues = waiting;
+    this.#peers = peers;
   }
 
   /**
@@ -217,7 +222,8 @@
       slots += this.#isPlain() ? this.#entry.settings.limits.perRunner : runner.slots;
       busySlots += this.#isPlain() ? runner.totalInFlight : runner.streams;
     }
-    return { tokensPerMs, waitingTokens, slots, busySlots, slotMs: this.#isPlain() ? this.#plainMs : this.#answerMs };
+    const slotMs = this.#isPlain() ? this.#plainMs : this.#answerMs;
+    return { tokensPerMs, waitingTokens, slots, busySlots, slotMs, daemons: this.#peers + 1 };
   }
 
   /**
--- /dev/null
+++ b/packages/core/tests/policy.test.ts
@@ -0,0 +1,208 @@
+import * as common from "@camphorcourse/common";
+import * as fastCheck from "fast-check";
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+import * as core from "../src/index.js";
+
+const POOL: core.PoolCapacity = {
+  tokensPerMs: 10,
+  waitingTokens: 0,
+  slots: 10,
+  busySlots: 0,
+  slotMs: 1000,
+  daemons: 1,
+};
+
+function queued(id: string, change: Partial<core.QueuedRequest> = {}): core.QueuedRequest {
+  return { id, priority: 5, deadline: 10_000, promptTokens: 1000, serviceMs: 500, ...change };
+}
+
+function engine(id: string, role = core.RunnerRole.Mixed): core.RunnerModel {
+  const model = new core.RunnerModel(id, "halle-a", core.PRIOR_COSTS);
+  model.role = role;
+  return model;
+}
+
+const admissionSuite = uvu.suite("admission");
+
+admissionSuite("the queue is ordered by priority, then by deadline, whatever the order of arrival", () => {
+  const entry = fastCheck.record({ priority: fastCheck.integer({ min: 0, max: 9 }), deadline: fastCheck.nat(1000) });
+  fastCheck.assert(
+    fastCheck.property(fastCheck.array(entry, { maxLength: 30 }), (entries) => {
+      const queue = new core.AdmissionQueue();
+      entries.forEach((change, index) => {
+        queue.add(queued(String(index), change));
+      });
+      let before: core.QueuedRequest | undefined;
+      for (let next = queue.first; next; next = queue.first) {
+        queue.remove(next.id);
+        if (before) assert.ok(before.priority >= next.priority);
+        if (before?.priority === next.priority) assert.ok(before.deadline <= next.deadline);
+        before = next;
+      }
+    }),
+    { seed: 1 },
+  );
+});
+
+/*
+ * More requests come than can be in time. The caller hears so at once, with
+ * when to come back; nobody is held until the deadline and then refused.
+ */
+admissionSuite("what can't be in time is refused at once with a time to come back", () => {
+  const queue = new core.AdmissionQueue();
+  for (let index = 0; index < 100; index++) queue.add(queued(String(index)));
+  const estimate = queue.estimate(queued("late"), POOL, 0);
+  assert.not(estimate.feasible);
+  assert.ok(estimate.retryAfterMs > 0);
+  const next = queue.estimate(queued("later"), POOL, 0);
+  assert.ok(next.retryAfterMs > estimate.retryAfterMs, "times to come back are spread");
+});
+
+/*
+ * A refused caller comes back when it was told to. What was booked for it has
+ * kept new callers from taking its place.
+ */
+admissionSuite("a caller that comes back when told finds its place kept", () => {
+  const queue = new core.AdmissionQueue();
+  const busy = { ...POOL, waitingTokens: 120_000 };
+  const refused = queue.estimate(queued("first", { promptTokens: 8000, fingerprint: "first" }), busy, 0);
+  assert.not(refused.feasible);
+  const now = refused.retryAfterMs;
+  const tight = { ...POOL, waitingTokens: 92_000 };
+  const deadline = now + 10_000;
+  assert.not(queue.estimate(queued("new", { deadline, promptTokens: 8000 }), tight, now).feasible);
+  const back = queued("again", { deadline, promptTokens: 8000, fingerprint: "first" });
+  assert.ok(queue.estimate(back, tight, now).feasible);
+});
+
+admissionSuite("a request that waited too long is taken out before its deadline", () => {
+  const queue = new core.AdmissionQueue();
+  queue.add(queued("waits", { deadline: 1000, serviceMs: 400 }));
+  assert.equal(queue.takeHopeless(600), []);
+  assert.is(queue.takeHopeless(601)[0]?.id, "waits");
+  assert.is(queue.length, 0);
+});
+
+admissionSuite.run();
+
+const choiceSuite = uvu.suite("runner choice");
+const work: core.WorkSize = { promptTokens: 1000, outputTokens: 50 };
+
+/*
+ * An engine has crashed. It refuses connections faster than any other answers,
+ * so it looks least loaded; yet it gets no further request for a while.
+ */
+choiceSuite("an engine out of reach rests, and a request avoids where it failed", () => {
+  const choice = new core.RunnerChoice(new common.SeededRandom(1));
+  const [dead, loaded] = [engine("dead"), engine("loaded")];
+  loaded.onDispatched("other", { part: core.RequestPart.Whole, promptTokens: 500, outputTokens: 50, dispatchedAt: 0 });
+  assert.is(choice.chooseWhole([dead, loaded], work, 0)?.answer.id, "dead");
+  assert.is(choice.chooseWhole([dead, loaded], { ...work, avoid: new Set(["dead"]) }, 0)?.answer.id, "loaded");
+  dead.onFailure(0, false);
+  assert.is(choice.chooseWhole([dead, loaded], work, 1)?.answer.id, "loaded");
+  assert.ok(dead.isUsable(60_000));
+});
+
+/*
+ * Many short prompts wait for a step each. Their overhead must not make the
+ * engine look slow for long ones: requests would be refused without need.
+ */
+choiceSuite("short prompts don't make an engine look slow", () => {
+  const model = engine("engine", core.RunnerRole.Prefill);
+  const before = model.prefillTokenMs();
+  for (let index = 0; index < 500; index++) {
+    const now = index * 100;
+    const short = index % 2 === 0;
+    const promptTokens = short ? 1 : 6000;
+    model.onDispatched(String(index), {
+      part: core.RequestPart.Prefill,
+      promptTokens,
+      outputTokens: 0,
+      dispatchedAt: now,
+    });
+    model.onEnded(String(index), now + (short ? 20 : 6000 * before));
+  }
+  assert.ok(model.prefillTokenMs() < before * 1.2);
+});
+
+choiceSuite.run();
+
+const plannerSuite = uvu.suite("role planner");
+
+function plannerAt(rate: core.Demand, seconds: number): core.RolePlanner {
+  const planner = new core.RolePlanner();
+  for (let second = 0; second < seconds; second++) planner.onRequests(core.scaled(rate, 1000), 10, second * 1000);
+  return planner;
+}
+
+function fleetOf(prefill: number, decode: number): core.PlannedRunner[] {
+  return Array.from({ length: prefill + decode }, (_, index) => ({
+    id: `engine-${index}`,
+    role: index < prefill ? core.RunnerRole.Prefill : core.RunnerRole.Decode,
+    inFlight: 0,
+    changeable: true,
+  }));
+}
+
+const DECODE_HEAVY: core.Demand = { prefillMs: 1, decodeMs: 3.2, mixedMs: 5 };
+
+plannerSuite("a lasting shift moves an engine, a weight above the gain does not", () => {
+  const planner = plannerAt(DECODE_HEAVY, 60);
+  const change = planner.plan(fleetOf(3, 3), 5000, 0, 60_000);
+  assert.is(change?.role, core.RunnerRole.Decode);
+  assert.is(planner.plan(fleetOf(3, 3), 5000, (change?.gain ?? 0) + 1, 60_000), undefined);
+});
+
+plannerSuite("a shift of a second moves nothing", () => {
+  const planner = plannerAt({ prefillMs: 2, decodeMs: 2, mixedMs: 4 }, 60);
+  planner.onRequests(core.scaled(DECODE_HEAVY, 3000), 30, 60_000);
+  assert.is(planner.plan(fleetOf(3, 3), 5000, 10, 60_000), undefined);
+});
+
+plannerSuite("after a change the way back is never planned at the same demand", () => {
+  const mix = fastCheck.record({
+    prefillMs: fastCheck.double({ min: 0.1, max: 5, noNaN: true }),
+    decodeMs: fastCheck.double({ min: 0.1, max: 5, noNaN: true }),
+  });
+  fastCheck.assert(
+    fastCheck.property(mix, fastCheck.integer({ min: 1, max: 5 }), (demand, prefill) => {
+      const planner = plannerAt({ ...demand, mixedMs: 1.25 * (demand.prefillMs + demand.decodeMs) }, 60);
+      const runners = fleetOf(prefill, 6 - prefill);
+      const change = planner.plan(runners, 5000, 0, 60_000);
+      if (!change) return;
+      const from = runners.find((runner) => runner.id === change.runner)?.role;
+      const changed = runners.map((runner) =>
+        runner.id === change.runner ? { ...runner, role: change.role } : runner,
+      );
+      const next = planner.plan(changed, 5000, 0, 60_000);
+      assert.not(next?.runner === change.runner && next.role === from);
+    }),
+    { seed: 7, numRuns: 300 },
+  );
+});
+
+plannerSuite("the last engines that make serving possible are never taken", () => {
+  const planner = plannerAt(DECODE_HEAVY, 60);
+  assert.is(planner.plan(fleetOf(1, 1), 5000, 0, 60_000), undefined);
+});
+
+plannerSuite.run();
+
+const budgetSuite = uvu.suite("retry budget");
+
+/*
+ * All runners fail. Were each request tried three times, the load would triple
+ * just then; the budget keeps retries to a tenth of the requests.
+ */
+budgetSuite("retries stay within a tenth of the requests", () => {
+  const budget = new core.RetryBudget();
+  let retries = 0;
+  for (let request = 0; request < 1000; request++) {
+    budget.earn();
+    while (budget.spend()) retries++;
+  }
+  assert.ok(retries <= 1000 * core.constants.RETRY_RATIO + core.constants.RETRY_BURST);
+});
+
+budgetSuite.run();
--- a/packages/daemon/src/callerRequest.ts
+++ b/packages/daemon/src/callerRequest.ts
@@ -139,6 +139,7 @@
     maximumOutputTokens,
     ...(headers["x-request-timeout-ms"] === undefined ? {} : { deadlineMs: headers["x-request-timeout-ms"] }),
     ...(headers["x-priority"] === undefined ? {} : { priority: headers["x-priority"] }),
+    fingerprint: digest,
     ...(key === undefined ? {} : { key: `${service.id}/${key}`, digest }),
   };
 }
--- a/packages/measure/src/coreRouter.ts
+++ b/packages/measure/src/coreRouter.ts
@@ -94,7 +94,10 @@
 
   #send(request: traceModule.TraceRequest, comeback: boolean): void {
     const target = this.#cores[this.#turn++ % this.#cores.length];
-    if (!target) return;
+    if (target) this.#sendTo(target, request, comeback);
+  }
+
+  #sendTo(target: core.Core, request: traceModule.TraceRequest, comeback: boolean): void {
     const id = comeback ? `${request.id}/again` : request.id;
     this.#pending.set(id, { request, arrivedAt: this.#fleet.now, comeback });
     this.#handle(target, {
@@ -105,6 +108,7 @@
         service: `${this.#trace.team}/assist`,
         promptTokens: request.promptTokens,
         maximumOutputTokens: request.maximumOutputTokens,
+        fingerprint: request.id,
         deadlineMs: request.deadlineMs,
         ...(request.prefix === undefined ? {} : { prefix: request.prefix }),
       },
@@ -147,7 +151,7 @@
         this.#dispatch(target, action);
         break;
       case core.ActionType.Refuse:
-        this.#onRefused(action.request, action.problem);
+        this.#onRefused(target, action.request, action.problem);
         break;
       case core.ActionType.RenewLease:
         this.#renew(target, action.lease);
@@ -201,7 +205,7 @@
     this.#outcome.onEnded(arrivedAt, inTime);
   }
 
-  #onRefused(id: string, problem: common.Problem): void {
+  #onRefused(target: core.Core, id: string, problem: common.Problem): void {
     const pending = this.#pending.get(id);
     this.#pending.delete(id);
     if (!pending || pending.comeback) return;
@@ -211,7 +215,8 @@
     if (!this.#options.comeBack || waitMs === undefined) return;
     this.#outcome.comebacks++;
     this.#fleet.after(waitMs, () => {
-      this.#send(pending.request, true);
+      // A caller keeps the address that it was given, so it comes back to the same daemon.
+      this.#sendTo(target, pending.request, true);
     });
   }
 
