--- a/packages/core/src/orderDesk.ts
+++ b/packages/core/src/orderDesk.ts
@@ -10,6 +10,7 @@
 import type * as membership from "./membership.js";
 import * as orders from "./orders.js";
 import type * as servicePool from "./servicePool.js";
+import * as succession from "./succession.js";
 import * as timeline from "./timeline.js";
 
 /** An order record with its revision. */
@@ -51,14 +52,6 @@
   waitsFor: string;
 }
 
-/** What the former holder of an unsettled order is known to have done. */
-interface Succession {
-  readonly deposed: Set<string>;
-  readonly replacedSince: Map<string, number>;
-}
-
-const DEPOSE_RETRY_MS = 1000;
-
 /**
  * Planned changes of runners, carried out by the daemon that holds the shard's
  * lease: drain, write the intention, order, write the outcome. Each step is one
@@ -69,12 +62,12 @@
   readonly #context: OrderContext;
   readonly #orders = new Map<string, KnownOrder>();
   readonly #work = new Map<string, RunnerWork>();
-  readonly #succession: Succession = { deposed: new Set(), replacedSince: new Map() };
-  readonly #deposeAskedAt = new Map<string, number>();
+  readonly #succession: succession.Succession;
 
   /** @param context - the daemon round the desk */
   constructor(context: OrderContext) {
     this.#context = context;
+    this.#succession = new succession.Succession(context);
   }
 
   /**
@@ -149,7 +142,10 @@
    * @param now - current time
    */
   onTick(now: number): void {
-    this.#watchReplacements(now);
+    this.#succession.watchReplacements(
+      [...this.#orders.values()].map(({ record }) => record),
+      now,
+    );
     this.#watchRoles();
     if (!this.#context.leaseIsValid(now)) return;
     for (const service of this.#context.tree.services()) {
@@ -224,7 +220,7 @@
    * @param shard - the shard
    */
   onDeposed(vm: string, incarnation: string, reset: boolean, shard: string): void {
-    if (reset) this.#succession.deposed.add(`${vm}/${incarnation}/${shard}`);
+    if (reset) this.#succession.onDeposed(vm, incarnation, shard);
   }
 
   /** A report that arrives soon after an order may still tell the role before it. */
@@ -303,8 +299,10 @@
       return;
     }
     const own = record.incarnation === this.#context.incarnation && record.epoch === epoch;
-    if (!own && !this.#maySucceed(runner, record, shard, epoch, now)) return;
     if (!own) {
+      const verdict = this.#succession.decide(runner.settings.checksFencing, record, { shard, epoch }, now);
+      this.#setWaits(runner.id, work, verdict.allowed ? "" : verdict.reason);
+      if (!verdict.allowed) return;
       this.#rewrite(known, { epoch, number: record.number + 1 }, now);
       return;
     }
@@ -321,37 +319,6 @@
     });
   }
 
-  #maySucceed(
-    runner: configuration.RunnerEntry,
-    record: orders.OrderRecord,
-    shard: string,
-    epoch: number,
-    now: number,
-  ): boolean {
-    const writer = `${record.vm}/${record.incarnation}`;
-    const replacedSince = this.#succession.replacedSince.get(writer);
-    const sameProcess = record.incarnation === this.#context.incarnation;
-    const evidence: orders.WriterEvidence = {
-      deposed: sameProcess || this.#succession.deposed.has(`${writer}/${shard}`),
-      vmGone: this.#context.roster.isGone(record.vm),
-      ...(replacedSince === undefined ? {} : { replacedSince }),
-    };
-    const verdict = orders.maySucceed(runner.settings.checksFencing, evidence, this.#context.lingerMs, now);
-    this.#setWaits(runner.id, this.#workOf(runner.id), verdict.allowed ? "" : verdict.reason);
-    if (!verdict.allowed) this.#askDepose(record, shard, epoch, now);
-    return verdict.allowed;
-  }
-
-  #askDepose(record: orders.OrderRecord, shard: string, epoch: number, now: number): void {
-    const member = this.#context.roster.get(record.vm);
-    if (member?.registration.incarnation !== record.incarnation) return;
-    const lastAsked = this.#deposeAskedAt.get(`${record.vm}/${shard}`) ?? Number.NEGATIVE_INFINITY;
-    if (now - lastAsked < DEPOSE_RETRY_MS) return;
-    this.#deposeAskedAt.set(`${record.vm}/${shard}`, now);
-    const { peerUrl } = member.registration;
-    this.#context.emit({ type: actions.ActionType.AskDepose, vm: record.vm, peerUrl, shard, epoch });
-  }
-
   /** A change that the operator's document asks for. */
   #beginWanted(runner: configuration.RunnerEntry, epoch: number, now: number): boolean {
     const known = this.#orders.get(runner.id);
@@ -458,16 +425,6 @@
     }
   }
 
-  #watchReplacements(now: number): void {
-    for (const { record } of this.#orders.values()) {
-      if (record.phase !== orders.OrderPhase.Intended) continue;
-      const writer = `${record.vm}/${record.incarnation}`;
-      const member = this.#context.roster.get(record.vm);
-      const replaced = member !== undefined && member.registration.incarnation !== record.incarnation;
-      if (replaced && !this.#succession.replacedSince.has(writer)) this.#succession.replacedSince.set(writer, now);
-    }
-  }
-
   #hasDrains(service: string): boolean {
     return this.#context.tree
       .runnersOf(service)
--- /dev/null
+++ b/packages/core/src/succession.ts
@@ -0,0 +1,95 @@
+import * as actions from "./actions.js";
+import type * as membership from "./membership.js";
+import * as orders from "./orders.js";
+
+/** What succession asks of its surroundings. */
+export interface SuccessionContext {
+  readonly incarnation: string;
+  readonly lingerMs: number;
+  readonly roster: membership.Roster;
+  emit(action: actions.Action): void;
+}
+
+/** The lease under which a successor acts. */
+export interface SuccessorLease {
+  readonly shard: string;
+  readonly epoch: number;
+}
+
+const DEPOSE_RETRY_MS = 1000;
+
+/** Gathers the evidence on former holders whose orders are unsettled. */
+export class Succession {
+  readonly #context: SuccessionContext;
+  readonly #deposed = new Set<string>();
+  readonly #replacedSince = new Map<string, number>();
+  readonly #askedAt = new Map<string, number>();
+
+  /** @param context - the daemon round it */
+  constructor(context: SuccessionContext) {
+    this.#context = context;
+  }
+
+  /**
+   * @param vm - the former holder's VM
+   * @param incarnation - the process that has reset its order connections
+   * @param shard - the shard
+   */
+  onDeposed(vm: string, incarnation: string, shard: string): void {
+    this.#deposed.add(`${vm}/${incarnation}/${shard}`);
+  }
+
+  /**
+   * @param records - the latest order of each runner
+   * @param now - current time
+   */
+  watchReplacements(records: readonly orders.OrderRecord[], now: number): void {
+    for (const record of records) {
+      if (record.phase !== orders.OrderPhase.Intended) continue;
+      const writer = writerOf(record);
+      const member = this.#context.roster.get(record.vm);
+      const replaced = member !== undefined && member.registration.incarnation !== record.incarnation;
+      if (replaced && !this.#replacedSince.has(writer)) this.#replacedSince.set(writer, now);
+    }
+  }
+
+  /**
+   * @param checksFencing - whether the runner refuses old fencing numbers
+   * @param record - the unsettled order of another holder
+   * @param lease - under which this daemon acts
+   * @param now - current time
+   * @returns whether this daemon may order the runner; if not, the former holder is asked
+   */
+  decide(
+    checksFencing: boolean,
+    record: orders.OrderRecord,
+    lease: SuccessorLease,
+    now: number,
+  ): orders.SuccessionVerdict {
+    const writer = writerOf(record);
+    const replacedSince = this.#replacedSince.get(writer);
+    const sameProcess = record.incarnation === this.#context.incarnation;
+    const evidence: orders.WriterEvidence = {
+      deposed: sameProcess || this.#deposed.has(`${writer}/${lease.shard}`),
+      vmGone: this.#context.roster.isGone(record.vm),
+      ...(replacedSince === undefined ? {} : { replacedSince }),
+    };
+    const verdict = orders.maySucceed(checksFencing, evidence, this.#context.lingerMs, now);
+    if (!verdict.allowed) this.#askDepose(record, lease, now);
+    return verdict;
+  }
+
+  #askDepose(record: orders.OrderRecord, { shard, epoch }: SuccessorLease, now: number): void {
+    const member = this.#context.roster.get(record.vm);
+    if (member?.registration.incarnation !== record.incarnation) return;
+    const lastAsked = this.#askedAt.get(`${record.vm}/${shard}`) ?? Number.NEGATIVE_INFINITY;
+    if (now - lastAsked < DEPOSE_RETRY_MS) return;
+    this.#askedAt.set(`${record.vm}/${shard}`, now);
+    const { peerUrl } = member.registration;
+    this.#context.emit({ type: actions.ActionType.AskDepose, vm: record.vm, peerUrl, shard, epoch });
+  }
+}
+
+function writerOf(record: orders.OrderRecord): string {
+  return `${record.vm}/${record.incarnation}`;
+}
--- a/packages/stand-ins/src/fleet.ts
+++ b/packages/stand-ins/src/fleet.ts
@@ -224,9 +224,11 @@
    * @param change - of its fault switches
    */
   async fault(url: string, change: faults.FaultChange): Promise<void> {
-    // A connection of its own: the switch may silence or close the open ones.
+    // The switch may close the very connection that its reply comes on, or one kept from before.
     const headers = { "content-type": "application/json", connection: "close" };
-    await fetch(`${url}/faults`, { method: "POST", headers, body: JSON.stringify(change) });
+    const post = (): Promise<Response> =>
+      fetch(`${url}/faults`, { method: "POST", headers, body: JSON.stringify(change) });
+    await post().catch(post);
   }
 
   /**
