--- a/packages/core/src/admission.ts
+++ b/packages/core/src/admission.ts
@@ -22,11 +22,13 @@
 export interface PoolCapacity {
   /** Prompt tokens that they take in per millisecond. */
   readonly tokensPerMs: number;
-  /** Prompt tokens that wait at them, and in the other daemons' queues. */
+  /** Prompt tokens that wait at them. */
   readonly waitingTokens: number;
+  /** What waits in the other daemons' queues. */
+  readonly peerQueues: WaitingWork;
   /** Answers that can be under way side by side. */
   readonly slots: number;
-  /** Answers that are, or that wait in the other daemons' queues. */
+  /** Answers that are. */
   readonly busySlots: number;
   /** Milliseconds that an answer holds its slot on average. */
   readonly slotMs: number;
@@ -118,7 +120,7 @@
    */
   estimate(request: QueuedRequest, pool: PoolCapacity, now: number): Estimate {
     const returns = this.#takeBooking(request, now);
-    const ahead = this.#workAhead(request, returns, now);
+    const ahead = withPeers(this.#workAhead(request, returns, now), pool);
     const waitMs = prefillWaitMs(request, ahead, pool) + slotWaitMs(ahead, pool);
     const finishMs = waitMs + request.serviceMs * (returns ? 1 : 1 + SAFETY_SHARE);
     const lateMs = now + finishMs - request.deadline;
@@ -195,6 +197,16 @@
   return request.deadline < other.deadline;
 }
 
+/**
+ * What waits at the other daemons is ahead only of a request that has to wait
+ * here too: one that is first in its own queue goes to the next runner that has
+ * room, however many wait elsewhere.
+ */
+function withPeers(own: WaitingWork, pool: PoolCapacity): WaitingWork {
+  if (own.requests === 0) return own;
+  return { tokens: own.tokens + pool.peerQueues.tokens, requests: own.requests + pool.peerQueues.requests };
+}
+
 function prefillWaitMs(request: QueuedRequest, ahead: WaitingWork, pool: PoolCapacity): number {
   if (request.promptTokens === 0) return 0;
   if (pool.tokensPerMs === 0) return LONGEST_RETRY_MS;
--- a/packages/core/src/servicePool.ts
+++ b/packages/core/src/servicePool.ts
@@ -210,8 +210,7 @@
    * @returns what the usable runners give and what is ahead of them
    */
   capacity(now: number): admission.PoolCapacity {
-    let [tokensPerMs, slots] = [0, 0];
-    let { tokens: waitingTokens, requests: busySlots } = this.#peerQueues;
+    let [tokensPerMs, waitingTokens, slots, busySlots] = [0, 0, 0, 0];
     for (const runner of this.#runnerList) {
       if (!runner.isUsable(now)) continue;
       if (runner.role !== configuration.RunnerRole.Decode) {
@@ -223,7 +222,8 @@
       busySlots += this.#isPlain() ? runner.totalInFlight : runner.streams;
     }
     const slotMs = this.#isPlain() ? this.#plainMs : this.#answerMs;
-    return { tokensPerMs, waitingTokens, slots, busySlots, slotMs, daemons: this.#peers + 1 };
+    const daemons = this.#peers + 1;
+    return { tokensPerMs, waitingTokens, peerQueues: this.#peerQueues, slots, busySlots, slotMs, daemons };
   }
 
   /**
--- a/packages/core/tests/policy.test.ts
+++ b/packages/core/tests/policy.test.ts
@@ -5,6 +5,7 @@
 import * as core from "../src/index.js";
 
 const POOL: core.PoolCapacity = {
+  peerQueues: { tokens: 0, requests: 0 },
   tokensPerMs: 10,
   waitingTokens: 0,
   slots: 10,
@@ -76,6 +77,18 @@
   assert.ok(queue.estimate(back, tight, now).feasible);
 });
 
+/*
+ * Long prompts wait at the other daemons. A short request that is first in its
+ * own queue goes to the next engine with room; it is not refused on their account.
+ */
+admissionSuite("what waits elsewhere is not ahead of a request that is first here", () => {
+  const queue = new core.AdmissionQueue();
+  const busyPeers = { ...POOL, daemons: 3, peerQueues: { tokens: 200_000, requests: 40 } };
+  assert.ok(queue.estimate(queued("short"), busyPeers, 0).feasible);
+  queue.add(queued("ahead"));
+  assert.not(queue.estimate(queued("second"), busyPeers, 0).feasible);
+});
+
 admissionSuite("a request that waited too long is taken out before its deadline", () => {
   const queue = new core.AdmissionQueue();
   queue.add(queued("waits", { deadline: 1000, serviceMs: 400 }));
