Prove a change through an engine's crash, over processes; measure long outages

Cause: docs/promises.md listed both as not proved. What: an engine is killed while it changes its role and comes back in the old one; the order goes out again under the same record, nothing conflicts, callers are served elsewhere meanwhile. npm run measure -- outage takes the key-value service away for two minutes, then makes it slow for two, and counts calls a second after.

--- /dev/null
+++ b/packages/daemon/tests/crashedChange.test.ts
@@ -0,0 +1,50 @@
+import * as standIns from "@camphorcourse/stand-ins";
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+
+const ENGINE_FLAGS = ["--speed", "2"];
+
+const fleet = new standIns.Fleet({ engines: 2, services: 0, daemons: 3, engineFlags: ENGINE_FLAGS });
+const suite = uvu.suite("an engine that crashes in the middle of a change, over processes");
+
+suite.before(() => fleet.start());
+suite.after(() => {
+  fleet.stop();
+});
+
+async function ordersAt(url: string): Promise<standIns.JournalEntry[]> {
+  return (await fleet.journal(url)).filter((entry) => entry.event === "order");
+}
+
+async function runnerRow(): Promise<{ order: string; takesWork: boolean } | undefined> {
+  const rows = await fleet.admin<{ runner: string; order: string; takesWork: boolean }[]>(0, "/admin/runners");
+  return rows.find((row) => row.runner === "leoben/engine-1");
+}
+
+/*
+ * An engine has been ordered into a role and crashes before it has confirmed.
+ * Callers are served by the other engine meanwhile. The engine comes back in its
+ * old role; the order goes out again under the same record, nothing else is
+ * ordered, and the engine takes work again only in the role asked for.
+ */
+suite("the change is taken up again and nothing conflicts", async () => {
+  const [crashing] = fleet.engines;
+  if (!crashing) throw new Error("no engine");
+  await fleet.configure({ roles: ["prefill", "mixed"] });
+  assert.ok(await standIns.until(async () => (await ordersAt(crashing.url)).length > 0));
+  crashing.child.kill("SIGKILL");
+  const read = await standIns.readStream(await fleet.ask(1, "meanwhile", 10));
+  assert.ok(read.complete);
+  assert.is((await runnerRow())?.takesWork, false);
+  const listen = new URL(crashing.url).host;
+  await fleet.launcher.standIn(["engine", "--listen", listen, ...ENGINE_FLAGS]);
+  assert.ok(await standIns.until(async () => (await runnerRow())?.order.endsWith("settled prefill") ?? false, 60_000));
+  for (const order of await ordersAt(crashing.url)) {
+    assert.is(order.role, "prefill");
+    assert.is(order.conflicting, false);
+    assert.is(order.stale, false);
+    assert.is(order.cut, 0);
+  }
+});
+
+suite.run();
--- a/packages/measure/src/main.ts
+++ b/packages/measure/src/main.ts
@@ -1,11 +1,13 @@
 import * as configurationMeasure from "./configurationMeasure.js";
 import * as gatewayMeasure from "./gatewayMeasure.js";
+import * as outageMeasure from "./outageMeasure.js";
 import * as policyMeasure from "./policyMeasure.js";
 import * as replay from "./replay.js";
 import * as slopesMeasure from "./slopesMeasure.js";
 
 const SEEDS = [11, 12, 13];
-const USAGE = "usage: npm run measure -- policy [TRACE or POLICY ...] | gateway | slopes | decisions | configuration";
+const USAGE =
+  "usage: npm run measure -- policy [TRACE or POLICY ...] | gateway | slopes | decisions | configuration | outage";
 
 async function measurePolicy(names: readonly string[]): Promise<void> {
   const all = Object.values(replay.Policy);
@@ -20,5 +22,6 @@
 else if (what === "gateway") console.table(await gatewayMeasure.measureGateway());
 else if (what === "slopes") console.table(await slopesMeasure.measureSlopes());
 else if (what === "decisions") console.table(slopesMeasure.measureCore());
+else if (what === "outage") console.table(await outageMeasure.measureOutage());
 else if (what === "configuration") console.table(await configurationMeasure.measureConfiguration());
 else console.log(USAGE);
