Keep duplicates' waits alive, and walk over all services twice a second only

So the wait was never asked for. It is rounded up now. On the way: a heartbeat that timed out destroyed the agent that a long wait ran on; calls under way now stay where they are, and only the next take new connections. Both have a test that failed first. Ticks: shards are kept with the service, and roles, states and free shards are walked over every half second; changes of records apply at once as before.

--- a/packages/core/src/configuration.ts
+++ b/packages/core/src/configuration.ts
@@ -2,6 +2,7 @@
 import * as neverthrow from "neverthrow";
 import * as yaml from "yaml";
 import * as zod from "zod";
+import * as constants from "./constants.js";
 
 /** What a runner is. */
 export enum ServiceKind {
@@ -132,10 +133,20 @@
   return `${team}/${service}`;
 }
 
+/**
+ * @param service - `team/service`
+ * @returns the control shard whose lease holder changes the service's runners
+ */
+export function controlShardOf(service: string): string {
+  return String(common.hash32(service) % constants.CONTROL_SHARDS);
+}
+
 /** A service with its team. */
 export interface ServiceEntry {
   readonly id: string;
   readonly team: string;
+  /** Its control shard, kept as it is asked for with each tick. */
+  readonly shard: string;
   readonly name: string;
   readonly settings: ServiceSettings;
 }
@@ -250,7 +261,7 @@
     for (const digest of document.tokenDigests) this.#teamsByDigest.set(digest, team);
     for (const [name, settings] of Object.entries(document.services)) {
       const id = serviceId(team, name);
-      this.#services.set(id, { id, team, name, settings });
+      this.#services.set(id, { id, team, shard: controlShardOf(id), name, settings });
     }
     for (const [name, settings] of Object.entries(document.runners)) {
       const entry = { id: `${team}/${name}`, team, serviceId: serviceId(team, settings.service), settings };
--- a/packages/core/src/constants.ts
+++ b/packages/core/src/constants.ts
@@ -16,6 +16,8 @@
 /** A gap between ticks above this means that the process was paused. */
 export const PAUSE_MS = 2000;
 
+/** How often a tick walks over all services and runners. */
+export const SLOW_TICK_MS = 500;
 /** How often peers exchange heartbeats. */
 export const EXCHANGE_MS = 1000;
 /** A peer not heard for this long is taken as silent. */
--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -65,6 +65,7 @@
   readonly #random: common.SeededRandom;
   readonly #pools = new Map<string, servicePool.ServicePool>();
   readonly #loads = new Map<string, orderDesk.SeenLoad>();
+  #nextSlowTickAt = 0;
   #actions: actions.Action[] = [];
   #instant: Instant = { now: 0, wall: 0 };
 
@@ -98,7 +99,7 @@
     this.#leaseDesk = new leaseDesk.LeaseDesk(options.registration, {
       ...context,
       servingMembers,
-      wantedShards: () => new Set(this.tree.services().map((service) => orderDesk.OrderDesk.shardOf(service.id))),
+      wantedShards: () => new Set(this.tree.services().map((service) => service.shard)),
     });
     this.#follower = new controlFollower.ControlFollower({
       ...context,
@@ -357,13 +358,20 @@
     for (const vm of lost) this.#note(timeline.EventKind.MemberLost, { vm });
     if (lost.length > 0) this.#peerView.sumUp(now);
     this.#leaseDesk.renew(now);
-    if (this.#store.appliedRevision > 0) this.#leaseDesk.takeShards(now);
-    this.#follower.refreshRunners(now);
+    this.#onSlowTick(now);
     this.requestDesk.onTick(now);
     for (const pool of this.#pools.values()) this.requestDesk.serveQueues(now, pool);
     this.orderDesk.onTick(now);
   }
 
+  /** What walks over all services and runners: changes of records bring them up to date at once besides. */
+  #onSlowTick(now: number): void {
+    if (now < this.#nextSlowTickAt) return;
+    this.#nextSlowTickAt = now + constants.SLOW_TICK_MS;
+    if (this.#store.appliedRevision > 0) this.#leaseDesk.takeShards(now);
+    this.#follower.refreshRunners(now);
+  }
+
   #onKeyValueHeard(revision: number, now: number): void {
     if (this.#freshness.onKeyValueHeard(now)) this.#note(timeline.EventKind.KeyValueBack, {});
     if (this.#store.appliedRevision > 0) this.#store.completeUpTo(revision);
--- a/packages/core/src/duplicateDesk.ts
+++ b/packages/core/src/duplicateDesk.ts
@@ -220,7 +220,7 @@
       digest: record.digest,
       owner: { vm: owner.vm, incarnation: owner.incarnation, attempt: owner.attempt },
       asker: { vm: this.#context.vm, incarnation: this.#context.incarnation, attempt: record.attempt },
-      timeoutMs: Math.max(0, request.deadline - request.arrivedAt),
+      timeoutMs: Math.ceil(request.deadline - request.arrivedAt),
     });
   }
 
--- a/packages/core/src/orderDesk.ts
+++ b/packages/core/src/orderDesk.ts
@@ -1,4 +1,4 @@
-import * as common from "@camphorcourse/common";
+import type * as common from "@camphorcourse/common";
 import * as actions from "./actions.js";
 import * as configuration from "./configuration.js";
 import * as constants from "./constants.js";
@@ -70,14 +70,6 @@
     this.#succession = new succession.Succession(context);
   }
 
-  /**
-   * @param service - `team/service`
-   * @returns the control shard that the service belongs to
-   */
-  static shardOf(service: string): string {
-    return String(common.hash32(service) % constants.CONTROL_SHARDS);
-  }
-
   /**
    * @param runner - `team/runner`
    * @returns its latest order
@@ -149,10 +141,10 @@
     this.#watchRoles();
     if (!this.#context.leaseIsValid(now)) return;
     for (const service of this.#context.tree.services()) {
+      const epoch = this.#context.shards.epochOf(service.shard, this.#context.incarnation);
+      if (epoch === undefined) continue;
       if (service.settings.kind !== configuration.ServiceKind.Engine && !this.#hasDrains(service.id)) continue;
-      const shard = OrderDesk.shardOf(service.id);
-      const epoch = this.#context.shards.epochOf(shard, this.#context.incarnation);
-      if (epoch !== undefined) this.#advanceService(service, shard, epoch, now);
+      this.#advanceService(service, service.shard, epoch, now);
     }
   }
 
@@ -393,7 +385,7 @@
   #write(record: orders.OrderRecord, revision: number, now: number): void {
     const key = controlKeys.controlKey(controlKeys.ControlKind.Order, record.runner);
     const service = this.#context.tree.runner(record.runner)?.serviceId ?? "";
-    const leaseKey = controlKeys.controlKey(controlKeys.ControlKind.Lease, OrderDesk.shardOf(service));
+    const leaseKey = controlKeys.controlKey(controlKeys.ControlKind.Lease, configuration.controlShardOf(service));
     this.#workOf(record.runner).writing = { attempt: record.attempt, since: now };
     this.#context.emit({
       type: actions.ActionType.Transact,
--- a/packages/core/tests/atMostOnce.test.ts
+++ b/packages/core/tests/atMostOnce.test.ts
@@ -155,6 +155,21 @@
   assert.is(executionsOf(harness, "key"), 1);
 });
 
+/*
+ * A daemon's clock counts fractions of a millisecond, and a difference of two
+ * such times is not always the whole number that was added. Duplicates then got
+ * "unknown" at once, as the call to the daemon that runs their key was not made.
+ */
+atMostOnce("a duplicate's wait is asked for in whole milliseconds", () => {
+  const harness = startDaemons(15);
+  for (let index = 0; index < 60; index++) {
+    harness.run(1 / 3);
+    for (const vm of VMS) harness.send(vm, documents.plainCall(`${vm}-${index}`, `key-${index}`));
+  }
+  harness.run(SETTLE_MS);
+  assert.ok(harness.words.every((word) => word.outcome === "answered"));
+});
+
 /*
  * The runners refuse a label print, and the caller is told "not run". It comes
  * again at two other daemons at once. Both find the first daemon's claim and
--- a/packages/core/tests/helpers/coreHarness.ts
+++ b/packages/core/tests/helpers/coreHarness.ts
@@ -350,7 +350,9 @@
     action: Extract<core.Action, { type: core.ActionType.AskJoin }>,
     reply: (event: core.CoreEvent) => void,
   ): void {
-    const { request, key, digest, owner, asker } = action;
+    const { request, key, digest, owner, asker, timeoutMs } = action;
+    if (!Number.isInteger(timeoutMs))
+      throw new Error(`a call between daemons takes whole milliseconds, not ${timeoutMs}`);
     const join = `join-${this.#joins++}`;
     const { incarnation, attempt } = owner;
     const question = { type: core.EventType.JoinAsked, join, key, digest, incarnation, attempt, asker } as const;
--- a/packages/core/tests/orders.test.ts
+++ b/packages/core/tests/orders.test.ts
@@ -31,7 +31,7 @@
 }
 
 function holderOf(harness: coreHarness.CoreHarness): string {
-  const shard = core.OrderDesk.shardOf("leoben/assist-llm");
+  const shard = core.controlShardOf("leoben/assist-llm");
   return harness.core("vm-1").shards.get(shard)?.vm ?? "";
 }
 
@@ -161,7 +161,7 @@
   harness.configure(documents.engineTeam(["prefill", "mixed"], true), "leoben");
   const written = captureOrderWrite(harness, holder);
   const compares = written.conditions.map(({ key, kind, revision }) => ({ key, target: kind, revision }));
-  const leaseKey = core.controlKey(core.ControlKind.Lease, core.OrderDesk.shardOf("leoben/assist-llm"));
+  const leaseKey = core.controlKey(core.ControlKind.Lease, core.controlShardOf("leoben/assist-llm"));
   const orderKey = core.controlKey(core.ControlKind.Order, ENGINES[0] ?? "");
   const touch = (key: string): void => {
     const value = harness.store.range(key)[0]?.value ?? "{}";
--- a/packages/daemon/src/peerClients.ts
+++ b/packages/daemon/src/peerClients.ts
@@ -15,8 +15,9 @@
   readonly #connections = new Map<string, PeerConnection>();
 
   /**
-   * Calls a peer. After a failure all connections to it are given up, so that
-   * the next call does not wait on one that has silently died.
+   * Calls a peer. After a failure the next calls take new connections, so that
+   * none waits on one that has silently died. Calls under way go on where they
+   * are: one of them may be a duplicate's long wait for its answer.
    *
    * @param url - the peer's address
    * @param call - what to call
@@ -27,8 +28,7 @@
     try {
       return await call(connection.client);
     } catch {
-      connection.agent.destroy();
-      this.#connections.delete(url);
+      this.#retire(url, connection);
       return undefined;
     }
   }
@@ -39,6 +39,14 @@
     this.#connections.clear();
   }
 
+  /** The old connections close by themselves as their calls end. */
+  #retire(url: string, connection: PeerConnection): void {
+    if (this.#connections.get(url) === connection) this.#connections.delete(url);
+    const agent = connection.agent as http.Agent & { keepAlive: boolean };
+    agent.keepAlive = false;
+    for (const sockets of Object.values(agent.freeSockets)) for (const socket of sockets ?? []) socket.destroy();
+  }
+
   #connection(url: string): PeerConnection {
     const present = this.#connections.get(url);
     if (present) return present;
--- a/packages/daemon/tests/atMostOnce.test.ts
+++ b/packages/daemon/tests/atMostOnce.test.ts
@@ -49,7 +49,7 @@
   for (const key of keys) {
     assert.is(counts.get(key), 1);
     const bodies = new Set(words.filter((word) => word.key === key).map((word) => word.body));
-    assert.is(bodies.size, 1);
+    assert.is(bodies.size, 1, JSON.stringify([...bodies]));
   }
   assert.ok(words.every((word) => word.status === 200));
 });
--- /dev/null
+++ b/packages/daemon/tests/peerClients.test.ts
@@ -0,0 +1,34 @@
+import * as http from "node:http";
+import type * as net from "node:net";
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+import * as peerClients from "../src/peerClients.js";
+
+const suite = uvu.suite("calls between daemons, over sockets");
+
+/*
+ * A duplicate waits at another daemon for the answer of the call that runs
+ * there, while a heartbeat to the same daemon goes unanswered. Giving up the
+ * heartbeat must not end the wait: its caller would be told "unknown" though
+ * the call runs and its answer comes.
+ */
+suite("a call that times out doesn't end the others to the same daemon", async () => {
+  const waiting: http.ServerResponse[] = [];
+  const server = http.createServer((request, response) => {
+    if (request.url?.endsWith("/Exchange")) return;
+    waiting.push(response);
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const url = `http://127.0.0.1:${(server.address() as net.AddressInfo).port}`;
+  const clients = new peerClients.PeerClients();
+  const joined = clients.call(url, (client) => client.joinAttempt({}, { timeoutMs: 60_000 }));
+  const exchanged = await clients.call(url, (client) => client.exchange({}, { timeoutMs: 50 }));
+  assert.is(exchanged, undefined);
+  for (const response of waiting) response.writeHead(200, { "content-type": "application/proto" }).end();
+  assert.ok(await joined);
+  clients.close();
+  server.closeAllConnections();
+  server.close();
+});
+
+suite.run();
