--- a/packages/core/src/orderDesk.ts
+++ b/packages/core/src/orderDesk.ts
@@ -1,5 +1,6 @@
 import type * as common from "@camphorcourse/common";
 import * as actions from "./actions.js";
+import * as changeChooser from "./changeChooser.js";
 import * as configuration from "./configuration.js";
 import * as constants from "./constants.js";
 import * as controlKeys from "./controlKeys.js";
@@ -63,11 +64,19 @@
   readonly #orders = new Map<string, KnownOrder>();
   readonly #work = new Map<string, RunnerWork>();
   readonly #succession: succession.Succession;
+  readonly #chooser: changeChooser.ChangeChooser;
 
   /** @param context - the daemon round the desk */
   constructor(context: OrderContext) {
     this.#context = context;
     this.#succession = new succession.Succession(context);
+    this.#chooser = new changeChooser.ChangeChooser({
+      tree: context.tree,
+      poolOf: (service) => context.poolOf(service),
+      hasReported: (runner) => context.loadOf(runner) !== undefined,
+      isSettled: (runner) => this.acceptsWork(runner),
+      roleOf: (runner, now) => this.roleOf(runner, now),
+    });
   }
 
   /**
@@ -230,10 +239,8 @@
       if (known && this.#advance(runner, known, shard, epoch, now)) busy = true;
     }
     if (busy) return;
-    for (const runner of runners) {
-      if (this.#beginWanted(runner, epoch, now)) return;
-    }
-    this.#beginPlanned(service, runners, epoch, now);
+    const change = this.#chooser.next(service, now);
+    if (change) this.#begin(change, epoch, now);
   }
 
   /** Moves an unfinished change on; returns whether one of the service's engines is taken up by it. */
@@ -311,56 +318,10 @@
     });
   }
 
-  /** A change that the operator's document asks for. */
-  #beginWanted(runner: configuration.RunnerEntry, epoch: number, now: number): boolean {
-    const known = this.#orders.get(runner.id);
-    if (known && known.record.phase !== orders.OrderPhase.Settled) return false;
-    const role = this.roleOf(runner, now);
-    if (runner.settings.state === configuration.RunnerState.Draining) {
-      return this.#begin(runner, role, role, "drained by the operator", epoch, now);
-    }
-    const fixed = runner.settings.role;
-    const wanted = Object.values(configuration.RunnerRole).find((candidate) => candidate.valueOf() === fixed.valueOf());
-    const plain = this.#context.tree.service(runner.serviceId)?.settings.kind === configuration.ServiceKind.Plain;
-    if (plain || wanted === undefined || wanted === role || !this.#context.loadOf(runner.id)) return false;
-    return this.#begin(runner, role, wanted, "role set by the operator", epoch, now);
-  }
-
-  /** A change that the planner proposes. */
-  #beginPlanned(
-    service: configuration.ServiceEntry,
-    runners: readonly configuration.RunnerEntry[],
-    epoch: number,
-    now: number,
-  ): void {
-    const pool = this.#context.poolOf(service.id);
-    if (!pool || service.settings.kind !== configuration.ServiceKind.Engine) return;
-    const candidates = runners
-      .filter((runner) => this.acceptsWork(runner.id) && runner.settings.state === configuration.RunnerState.Active)
-      .map((runner) => ({
-        id: runner.id,
-        role: this.roleOf(runner, now),
-        inFlight: pool.runner(runner.id)?.totalInFlight ?? 0,
-        changeable:
-          runner.settings.role === configuration.RoleChoice.Auto && this.#context.loadOf(runner.id) !== undefined,
-      }));
-    const change = pool.planner.plan(candidates, pool.roleChangeMs, service.settings.roleChangeWeight, now);
-    const runner = change && this.#context.tree.runner(change.runner);
-    if (!runner) return;
-    const reason = `planned: ${change.gain.toFixed(1)} answers more within the horizon`;
-    this.#begin(runner, this.roleOf(runner, now), change.role, reason, epoch, now);
-  }
-
-  #begin(
-    runner: configuration.RunnerEntry,
-    fromRole: configuration.RunnerRole,
-    targetRole: configuration.RunnerRole,
-    reason: string,
-    epoch: number,
-    now: number,
-  ): boolean {
+  #begin(change: changeChooser.WantedChange, epoch: number, now: number): void {
+    const { runner, fromRole, targetRole, reason } = change;
     const work = this.#workOf(runner.id);
-    if (work.writing || now < work.retryAt) return true;
+    if (work.writing || now < work.retryAt) return;
     const known = this.#orders.get(runner.id);
     const number = (known?.record.number ?? 0) + 1;
     const { vm, incarnation } = this.#context;
@@ -368,7 +329,6 @@
     const phase = orders.OrderPhase.Draining;
     const record = { runner: runner.id, number, epoch, vm, incarnation, attempt, phase, fromRole, targetRole, reason };
     this.#write(record, known?.revision ?? 0, now);
-    return true;
   }
 
   #rewrite(known: KnownOrder, change: Partial<orders.OrderRecord>, now: number): void {
