Drop what the order desk keeps and passes on without use

Cause: read once more as a newcomer: a write under way was kept with its attempt and time, which nothing read, and the time was handed through five methods for it. What: a flag instead; the desk's surroundings are described in a module of their own.

--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -12,6 +12,7 @@
 import * as leaseDesk from "./leaseDesk.js";
 import * as leases from "./leases.js";
 import * as membership from "./membership.js";
+import type * as orderContext from "./orderContext.js";
 import * as orderDesk from "./orderDesk.js";
 import * as peerView from "./peerView.js";
 import * as requestDesk from "./requestDesk.js";
@@ -64,7 +65,7 @@
   readonly #claimDesk: claimDesk.ClaimDesk;
   readonly #random: common.SeededRandom;
   readonly #pools = new Map<string, servicePool.ServicePool>();
-  readonly #loads = new Map<string, orderDesk.SeenLoad>();
+  readonly #loads = new Map<string, orderContext.SeenLoad>();
   #nextSlowTickAt = 0;
   #actions: actions.Action[] = [];
   #instant: Instant = { now: 0, wall: 0 };
@@ -182,7 +183,7 @@
    * @param runner - `team/runner`
    * @returns its last load report
    */
-  loadOf(runner: string): orderDesk.SeenLoad | undefined {
+  loadOf(runner: string): orderContext.SeenLoad | undefined {
     return this.#loads.get(runner);
   }
 
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -23,6 +23,7 @@
 export * from "./leases.js";
 export * from "./liveRequest.js";
 export * from "./membership.js";
+export * from "./orderContext.js";
 export * from "./orderDesk.js";
 export * from "./orders.js";
 export * from "./peerView.js";
--- a/packages/core/src/orderDesk.ts
+++ b/packages/core/src/orderDesk.ts
@@ -1,4 +1,3 @@
-import type * as common from "@camphorcourse/common";
 import * as actions from "./actions.js";
 import * as changeChooser from "./changeChooser.js";
 import * as configuration from "./configuration.js";
@@ -7,43 +6,14 @@
 import * as drains from "./drains.js";
 import * as events from "./events.js";
 import * as keyValue from "./keyValueTypes.js";
-import type * as leases from "./leases.js";
-import type * as membership from "./membership.js";
+import type * as orderContext from "./orderContext.js";
 import * as orders from "./orders.js";
-import type * as servicePool from "./servicePool.js";
 import * as succession from "./succession.js";
 import * as timeline from "./timeline.js";
 
-/** An order record with its revision. */
-export interface KnownOrder {
-  readonly record: orders.OrderRecord;
-  readonly revision: number;
-}
-
-/** What a runner last reported, and when. */
-export interface SeenLoad {
-  readonly report: events.LoadReport;
-  readonly at: number;
-}
-
-/** What the desk asks of its surroundings. */
-export interface OrderContext {
-  readonly vm: string;
-  readonly incarnation: string;
-  readonly random: common.SeededRandom;
-  readonly lingerMs: number;
-  readonly roster: membership.Roster;
-  readonly shards: leases.ShardLeases;
-  readonly tree: configuration.ConfigurationTree;
-  poolOf(service: string): servicePool.ServicePool | undefined;
-  loadOf(runner: string): SeenLoad | undefined;
-  leaseIsValid(now: number): boolean;
-  emit(action: actions.Action): void;
-}
-
 interface RunnerWork {
-  /** The phase that is being written, until its outcome is known. */
-  writing?: { attempt: string; since: number };
+  /** Set while a phase is being written, until the write's outcome is known. */
+  writing: boolean;
   /** Set while an order is out: its number. */
   sending?: number;
   retryAt: number;
@@ -60,14 +30,14 @@
  * still stands, so that a successor can tell how far its predecessor came.
  */
 export class OrderDesk {
-  readonly #context: OrderContext;
-  readonly #orders = new Map<string, KnownOrder>();
+  readonly #context: orderContext.OrderContext;
+  readonly #orders = new Map<string, orderContext.KnownOrder>();
   readonly #work = new Map<string, RunnerWork>();
   readonly #succession: succession.Succession;
   readonly #chooser: changeChooser.ChangeChooser;
 
   /** @param context - the daemon round the desk */
-  constructor(context: OrderContext) {
+  constructor(context: orderContext.OrderContext) {
     this.#context = context;
     this.#succession = new succession.Succession(context);
     this.#chooser = new changeChooser.ChangeChooser({
@@ -83,7 +53,7 @@
    * @param runner - `team/runner`
    * @returns its latest order
    */
-  orderOf(runner: string): KnownOrder | undefined {
+  orderOf(runner: string): orderContext.KnownOrder | undefined {
     return this.#orders.get(runner);
   }
 
@@ -103,7 +73,7 @@
     if (known && known.revision >= revision) return;
     this.#orders.set(record.runner, { record, revision });
     const work = this.#workOf(record.runner);
-    delete work.writing;
+    work.writing = false;
     if (record.phase === orders.OrderPhase.Draining) {
       work.drainSeenAt = now;
       work.witness = new orders.RoleWitness(now + constants.REPORT_LAG_MS);
@@ -175,7 +145,7 @@
       return;
     }
     if (result.outcome === keyValue.TransactionOutcome.NotSent) {
-      delete work.writing;
+      work.writing = false;
       work.retryAt = now + constants.ORDER_RETRY_MS;
     }
   }
@@ -189,7 +159,7 @@
    */
   onReadBack(runner: string, read: boolean, now: number): void {
     const work = this.#workOf(runner);
-    delete work.writing;
+    work.writing = false;
     if (!read) work.retryAt = now + constants.ORDER_RETRY_MS;
   }
 
@@ -205,13 +175,13 @@
     if (work.sending !== number || !known || known.record.number !== number) return;
     delete work.sending;
     if (outcome === events.OrderOutcome.Confirmed) {
-      this.#rewrite(known, { phase: orders.OrderPhase.Settled }, now);
+      this.#rewrite(known, { phase: orders.OrderPhase.Settled });
       return;
     }
     // A stale number or a lost reply: the order goes out again after a while,
     // with a higher number if a newer one was refused.
     work.retryAt = now + constants.ORDER_RETRY_MS;
-    if (outcome === events.OrderOutcome.Stale) this.#rewrite(known, { number: known.record.number + 1 }, now);
+    if (outcome === events.OrderOutcome.Stale) this.#rewrite(known, { number: known.record.number + 1 });
   }
 
   /**
@@ -244,29 +214,35 @@
   }
 
   /** Moves an unfinished change on; returns whether one of the service's engines is taken up by it. */
-  #advance(runner: configuration.RunnerEntry, known: KnownOrder, shard: string, epoch: number, now: number): boolean {
+  #advance(
+    runner: configuration.RunnerEntry,
+    known: orderContext.KnownOrder,
+    shard: string,
+    epoch: number,
+    now: number,
+  ): boolean {
     const { record } = known;
     const work = this.#workOf(runner.id);
     if (record.phase === orders.OrderPhase.Settled) return false;
     if (work.writing || now < work.retryAt) return true;
-    if (record.phase === orders.OrderPhase.Drained) return this.#reopenIfWanted(runner, known, epoch, now);
+    if (record.phase === orders.OrderPhase.Drained) return this.#reopenIfWanted(runner, known, epoch);
     if (record.phase === orders.OrderPhase.Draining) this.#advanceDrain(runner, known, epoch, now);
     else this.#advanceOrder(runner, known, shard, epoch, now);
     return true;
   }
 
-  #reopenIfWanted(runner: configuration.RunnerEntry, known: KnownOrder, epoch: number, now: number): boolean {
+  #reopenIfWanted(runner: configuration.RunnerEntry, known: orderContext.KnownOrder, epoch: number): boolean {
     if (runner.settings.state === configuration.RunnerState.Draining) return false;
-    this.#rewrite(known, { phase: orders.OrderPhase.Settled, epoch, reason: "reopened by the operator" }, now);
+    this.#rewrite(known, { phase: orders.OrderPhase.Settled, epoch, reason: "reopened by the operator" });
     return true;
   }
 
-  #advanceDrain(runner: configuration.RunnerEntry, known: KnownOrder, epoch: number, now: number): void {
+  #advanceDrain(runner: configuration.RunnerEntry, known: orderContext.KnownOrder, epoch: number, now: number): void {
     const { record } = known;
     const work = this.#workOf(runner.id);
     const forOperator = record.targetRole === record.fromRole;
     if (forOperator && runner.settings.state === configuration.RunnerState.Active) {
-      this.#rewrite(known, { phase: orders.OrderPhase.Settled, epoch, reason: "reopened by the operator" }, now);
+      this.#rewrite(known, { phase: orders.OrderPhase.Settled, epoch, reason: "reopened by the operator" });
       return;
     }
     const load = this.#context.loadOf(runner.id);
@@ -286,15 +262,21 @@
     this.#setWaits(runner.id, work, blockers.join("; "));
     if (blockers.length > 0) return;
     const phase = forOperator ? orders.OrderPhase.Drained : orders.OrderPhase.Intended;
-    this.#rewrite(known, { phase, epoch }, now);
+    this.#rewrite(known, { phase, epoch });
   }
 
-  #advanceOrder(runner: configuration.RunnerEntry, known: KnownOrder, shard: string, epoch: number, now: number): void {
+  #advanceOrder(
+    runner: configuration.RunnerEntry,
+    known: orderContext.KnownOrder,
+    shard: string,
+    epoch: number,
+    now: number,
+  ): void {
     const { record } = known;
     const work = this.#workOf(runner.id);
     if (work.sending !== undefined) return;
     if (work.witness?.sawChange) {
-      this.#rewrite(known, { phase: orders.OrderPhase.Settled, epoch }, now);
+      this.#rewrite(known, { phase: orders.OrderPhase.Settled, epoch });
       return;
     }
     const own = record.incarnation === this.#context.incarnation && record.epoch === epoch;
@@ -302,7 +284,7 @@
       const verdict = this.#succession.decide(runner.settings.checksFencing, record, { shard, epoch }, now);
       this.#setWaits(runner.id, work, verdict.allowed ? "" : verdict.reason);
       if (!verdict.allowed) return;
-      this.#rewrite(known, { epoch, number: record.number + 1 }, now);
+      this.#rewrite(known, { epoch, number: record.number + 1 });
       return;
     }
     work.sending = record.number;
@@ -328,13 +310,13 @@
     const attempt = this.#context.random.identifier();
     const phase = orders.OrderPhase.Draining;
     const record = { runner: runner.id, number, epoch, vm, incarnation, attempt, phase, fromRole, targetRole, reason };
-    this.#write(record, known?.revision ?? 0, now);
+    this.#write(record, known?.revision ?? 0);
   }
 
-  #rewrite(known: KnownOrder, change: Partial<orders.OrderRecord>, now: number): void {
+  #rewrite(known: orderContext.KnownOrder, change: Partial<orders.OrderRecord>): void {
     const { vm, incarnation } = this.#context;
     const attempt = this.#context.random.identifier();
-    this.#write({ ...known.record, ...change, vm, incarnation, attempt }, known.revision, now);
+    this.#write({ ...known.record, ...change, vm, incarnation, attempt }, known.revision);
   }
 
   /**
@@ -342,11 +324,11 @@
    * lease has ended can neither begin nor advance a change, however late its
    * write arrives.
    */
-  #write(record: orders.OrderRecord, revision: number, now: number): void {
+  #write(record: orders.OrderRecord, revision: number): void {
     const key = controlKeys.controlKey(controlKeys.ControlKind.Order, record.runner);
     const service = this.#context.tree.runner(record.runner)?.serviceId ?? "";
     const leaseKey = controlKeys.controlKey(controlKeys.ControlKind.Lease, configuration.controlShardOf(service));
-    this.#workOf(record.runner).writing = { attempt: record.attempt, since: now };
+    this.#workOf(record.runner).writing = true;
     this.#context.emit({
       type: actions.ActionType.Transact,
       token: `order:${record.runner}`,
@@ -396,7 +378,13 @@
   #workOf(runner: string): RunnerWork {
     const present = this.#work.get(runner);
     if (present) return present;
-    const fresh: RunnerWork = { retryAt: 0, drainSeenAt: 0, settledAt: Number.NEGATIVE_INFINITY, waitsFor: "" };
+    const fresh: RunnerWork = {
+      writing: false,
+      retryAt: 0,
+      drainSeenAt: 0,
+      settledAt: Number.NEGATIVE_INFINITY,
+      waitsFor: "",
+    };
     this.#work.set(runner, fresh);
     return fresh;
   }
