--- /dev/null
+++ b/packages/gateway/src/callerRequest.ts
@@ -0,0 +1,94 @@
+import type * as http from "node:http";
+import * as neverthrow from "neverthrow";
+import type * as ports from "./ports.js";
+
+/** A caller's request once its headers are read. */
+export interface CallerRequest {
+  readonly method: string;
+  /** Path and query as the caller sent them. */
+  readonly target: string;
+  readonly host: string;
+  readonly path: string;
+  readonly headers: ports.CallerHeaders;
+  readonly arrivedAt: number;
+}
+
+/** Why a request is turned away before it is routed. */
+export interface RequestFault {
+  readonly status: number;
+  readonly detail: string;
+}
+
+const HEADER_OVERHEAD_BYTES = 4;
+const BAD_REQUEST = 400;
+const HEADERS_TOO_LARGE = 431;
+
+/**
+ * @param incoming - the request as received
+ * @param format - how headers are spelt
+ * @param headerLimit - largest head in bytes
+ * @param now - current instant in milliseconds
+ * @returns the request, or what is wrong with it
+ */
+export function readCallerRequest(
+  incoming: http.IncomingMessage,
+  format: ports.MessageFormat,
+  headerLimit: number,
+  now: number,
+): neverthrow.Result<CallerRequest, RequestFault> {
+  const target = incoming.url ?? "";
+  if (headerBytes(incoming) > headerLimit) return fault(HEADERS_TOO_LARGE, "the head is over the limit");
+  if (!target.startsWith("/")) return fault(BAD_REQUEST, "the target is not a path");
+  const hosts = valuesOf(incoming.rawHeaders, "host");
+  const host = hosts[0];
+  if (host === undefined || hosts.length > 1) return fault(BAD_REQUEST, "there must be one Host");
+  const headers = format.readCaller(incoming.rawHeaders);
+  if (headers.isErr()) return fault(BAD_REQUEST, headers.error);
+  const query = target.indexOf("?");
+  return neverthrow.ok({
+    method: incoming.method ?? "GET",
+    target,
+    host: host.toLowerCase().replace(/:\d+$/, ""),
+    path: query < 0 ? target : target.slice(0, query),
+    headers: headers.value,
+    arrivedAt: now,
+  });
+}
+
+function fault(status: number, detail: string): neverthrow.Result<CallerRequest, RequestFault> {
+  return neverthrow.err({ status, detail });
+}
+
+function headerBytes(incoming: http.IncomingMessage): number {
+  let bytes = (incoming.url?.length ?? 0) + (incoming.method?.length ?? 0);
+  for (const text of incoming.rawHeaders) bytes += text.length;
+  return bytes + (incoming.rawHeaders.length / 2) * HEADER_OVERHEAD_BYTES;
+}
+
+function valuesOf(rawHeaders: readonly string[], name: string): string[] {
+  const values: string[] = [];
+  for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
+    if (rawHeaders[index]?.toLowerCase() === name) values.push(rawHeaders[index + 1] ?? "");
+  }
+  return values;
+}
+
+/**
+ * @param incoming - the request
+ * @param limit - largest body in bytes
+ * @returns the body; undefined when the caller left, "too-large" when it is over the limit
+ */
+export function readBody(incoming: http.IncomingMessage, limit: number): Promise<Buffer | "too-large" | undefined> {
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    incoming.on("data", (chunk: Buffer) => {
+      size += chunk.length;
+      if (size > limit) resolve("too-large");
+      else chunks.push(chunk);
+    });
+    incoming.once("end", () => resolve(Buffer.concat(chunks)));
+    incoming.once("error", () => resolve(undefined));
+    incoming.once("close", () => resolve(undefined));
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/context.ts
@@ -0,0 +1,53 @@
+import * as common from "@camphorcourse/common";
+import * as serving from "@camphorcourse/serving";
+import type * as decisionLogs from "./decisionLog.js";
+import type * as endpointClients from "./endpointClient.js";
+import type * as fleetViews from "./fleetView.js";
+import type * as metricsModule from "./metrics.js";
+import type * as ports from "./ports.js";
+import type * as settingsModule from "./settings.js";
+
+/** What serving a request needs. */
+export interface ServingContext {
+  readonly settings: settingsModule.GatewaySettings;
+  readonly log: decisionLogs.DecisionLog;
+  readonly metrics: metricsModule.Metrics;
+  readonly format: ports.MessageFormat;
+  readonly view: fleetViews.FleetView;
+  readonly board: serving.EngineBoard;
+  readonly health: serving.EndpointHealth;
+  readonly client: endpointClients.EndpointClient;
+  readonly budgets: RetryBudgets;
+  readonly random: common.SeededRandom;
+  /** @returns daemons that live, this one included */
+  liveDaemons(): number;
+}
+
+/** The retry budgets of all services. */
+export class RetryBudgets {
+  readonly #budgets = new Map<string, serving.SharedRetryBudget>();
+  readonly #bounds: serving.RetryBounds;
+  readonly #startedAt: number;
+
+  /**
+   * @param bounds - the operators' bound
+   * @param startedAt - instant at which the process started, in milliseconds
+   */
+  constructor(bounds: serving.RetryBounds, startedAt: number) {
+    this.#bounds = bounds;
+    this.#startedAt = startedAt;
+  }
+
+  /**
+   * @param service - the service
+   * @returns its budget
+   */
+  of(service: string): serving.SharedRetryBudget {
+    let budget = this.#budgets.get(service);
+    if (budget === undefined) {
+      budget = new serving.SharedRetryBudget(this.#bounds, this.#startedAt);
+      this.#budgets.set(service, budget);
+    }
+    return budget;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/fleetView.ts
@@ -0,0 +1,55 @@
+import * as serving from "@camphorcourse/serving";
+
+/** Another daemon, as it registered itself. */
+export interface DaemonEntry {
+  readonly vm: string;
+  /** Names one start of the daemon. */
+  readonly incarnation: string;
+  readonly dataCentre: string;
+  /** IP:PORT for callers. */
+  readonly callers: string;
+  /** IP:PORT for the other daemons. */
+  readonly peers: string;
+  readonly leaving: boolean;
+}
+
+/** What this daemon believes of the fleet, from the key-value service and its peers. */
+export class FleetView {
+  readonly directory = new serving.EndpointDirectory();
+  readonly daemons = new Map<string, DaemonEntry>();
+  #table: serving.RouteTable | undefined;
+  #configurationRevision = 0;
+  #configurationDocument: Uint8Array | undefined;
+
+  /** @returns the configuration in force, once one is known */
+  get table(): serving.RouteTable | undefined {
+    return this.#table;
+  }
+
+  /** @returns revision of the configuration in force, 0 if none is known */
+  get configurationRevision(): number {
+    return this.#configurationRevision;
+  }
+
+  /** @returns the operators' document in force */
+  get configurationDocument(): Uint8Array | undefined {
+    return this.#configurationDocument;
+  }
+
+  /**
+   * Puts a configuration into force. It only ever goes forward: a peer or a
+   * reply that lags can't bring an older one back.
+   *
+   * @param configuration - the configuration
+   * @param document - the operators' document that it was read from
+   * @param revision - revision of its write
+   * @returns whether it is now in force
+   */
+  configure(configuration: serving.Configuration, document: Uint8Array, revision: number): boolean {
+    if (revision <= this.#configurationRevision) return false;
+    this.#table = new serving.RouteTable(configuration);
+    this.#configurationRevision = revision;
+    this.#configurationDocument = document;
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,192 @@
+import * as crypto from "node:crypto";
+import type * as http from "node:http";
+import * as common from "@camphorcourse/common";
+import * as serving from "@camphorcourse/serving";
+import type * as hono from "hono";
+import * as callerListeners from "./callerListener.js";
+import * as contexts from "./context.js";
+import * as decisionLogs from "./decisionLog.js";
+import * as endpointClients from "./endpointClient.js";
+import * as fleetViews from "./fleetView.js";
+import * as metricsModule from "./metrics.js";
+import type * as ports from "./ports.js";
+import * as registrations from "./registration.js";
+import type * as settingsModule from "./settings.js";
+import * as sideServers from "./sideServers.js";
+import * as storeFollowers from "./storeFollower.js";
+
+/** Time for which a stopping daemon still takes callers that hold an older address answer, in milliseconds. */
+const STOP_LINGER_MS = 3_000;
+
+/** Time without a request after which a stopping daemon ends, in milliseconds. */
+const STOP_QUIET_MS = 700;
+
+/** Margin before the forced end at which a stopping daemon ends by itself, in milliseconds. */
+const STOP_MARGIN_MS = 600;
+
+/** Interval at which a stopping daemon looks whether it is idle, in milliseconds. */
+const STOP_CHECK_MS = 100;
+
+/** Most addresses in one answer. */
+const MOST_ADDRESSES = 64;
+
+/** Daemons in a caller's own data centre from which it is sent nowhere else. */
+const ENOUGH_NEAR = 2;
+
+const SEED_BYTES = 4;
+
+/** What the surroundings give a gateway. */
+export interface Surroundings {
+  readonly store: ports.DurableStore;
+  readonly layout: ports.StoreLayout;
+  readonly format: ports.MessageFormat;
+  readonly sink: decisionLogs.LineSink;
+}
+
+/** One daemon: takes callers, follows the fleet, and forwards requests. */
+export class Gateway {
+  readonly #settings: settingsModule.GatewaySettings;
+  readonly #log: decisionLogs.DecisionLog;
+  readonly #metrics = new metricsModule.Metrics();
+  readonly #view = new fleetViews.FleetView();
+  readonly #context: contexts.ServingContext;
+  readonly #listener: callerListeners.CallerListener;
+  readonly #follower: storeFollowers.StoreFollower;
+  readonly #registration: registrations.Registration;
+  readonly #entry: fleetViews.DaemonEntry;
+  readonly #servers: http.Server[] = [];
+  #stopping = false;
+
+  /**
+   * @param settings - checked settings
+   * @param surroundings - the platform
+   */
+  constructor(settings: settingsModule.GatewaySettings, surroundings: Surroundings) {
+    this.#settings = settings;
+    this.#log = new decisionLogs.DecisionLog(settings.vm, settings.logLevel, surroundings.sink);
+    const random = new common.SeededRandom(crypto.randomBytes(SEED_BYTES).readUInt32BE());
+    this.#entry = {
+      vm: settings.vm,
+      incarnation: crypto.randomUUID(),
+      dataCentre: settings.dataCentre,
+      callers: `${settings.callers.host}:${settings.callers.port}`,
+      peers: `${settings.peers.host}:${settings.peers.port}`,
+      leaving: false,
+    };
+    this.#context = {
+      settings,
+      log: this.#log,
+      metrics: this.#metrics,
+      format: surroundings.format,
+      view: this.#view,
+      board: new serving.EngineBoard(),
+      health: new serving.EndpointHealth(),
+      client: new endpointClients.EndpointClient((name) => this.#metrics.count(name)),
+      budgets: new contexts.RetryBudgets(settings.retryBounds, performance.now()),
+      random,
+      liveDaemons: () => Math.max(1, this.#view.daemons.size),
+    };
+    this.#listener = new callerListeners.CallerListener(this.#context);
+    this.#follower = new storeFollowers.StoreFollower({
+      store: surroundings.store,
+      layout: surroundings.layout,
+      view: this.#view,
+      log: this.#log,
+      metrics: this.#metrics,
+      draw: () => random.next(),
+      onEndpoint: (news) => this.#onEndpoint(news),
+      onConfiguration: () => this.#listener.followLimits(),
+    });
+    const key = `${surroundings.layout.daemonPrefix}${settings.vm}`;
+    this.#registration = new registrations.Registration(surroundings.store, key, this.#entry, this.#log);
+  }
+
+  /** @returns whether callers may be sent here */
+  get ready(): boolean {
+    return !this.#stopping && this.#view.table !== undefined;
+  }
+
+  /** Begins to serve. */
+  async start(): Promise<void> {
+    this.#log.info("start", { incarnation: this.#entry.incarnation, dataCentre: this.#settings.dataCentre });
+    void this.#follower.run();
+    void this.#registration.run();
+    await this.#listener.listen(this.#settings.callers);
+  }
+
+  /**
+   * Serves one of the small interfaces beside the callers'.
+   *
+   * @param app - what answers
+   * @param address - where to listen
+   */
+  async serve(app: hono.Hono, address: settingsModule.SocketAddress): Promise<void> {
+    this.#servers.push(await sideServers.listen(app, address));
+  }
+
+  /**
+   * @param dataCentre - the caller's data centre
+   * @returns addresses to which the caller may connect: near ones if there are enough
+   */
+  addressesFor(dataCentre: string): string[] {
+    const all = [...this.#view.daemons.values()].filter((daemon) => !daemon.leaving && daemon.vm !== this.#entry.vm);
+    if (this.ready) all.push(this.#entry);
+    const near = all.filter((daemon) => daemon.dataCentre === dataCentre);
+    const chosen = near.length >= ENOUGH_NEAR ? near : all;
+    return chosen.map((daemon) => daemon.callers).slice(0, MOST_ADDRESSES);
+  }
+
+  /** @returns the metrics as text */
+  metricsText(): string {
+    return this.#metrics.text({
+      requests_open: this.#listener.openRequests,
+      configuration_revision: this.#view.configurationRevision,
+      store_revision: this.#view.directory.revision,
+      daemons_known: this.#view.daemons.size,
+      heap_bytes: process.memoryUsage().heapUsed,
+    });
+  }
+
+  /**
+   * Stops as planned: callers are sent elsewhere, what runs is finished, those
+   * that still come are served until they have learnt of it.
+   */
+  async stop(): Promise<void> {
+    if (this.#stopping) return;
+    this.#stopping = true;
+    const startedAt = performance.now();
+    this.#log.info("stop", { open: this.#listener.openRequests });
+    this.#listener.closeAfterAnswers();
+    await this.#registration.end();
+    await this.#untilIdle(startedAt);
+    this.#listener.close();
+    this.#follower.stop();
+    this.#log.info("stopped", {
+      open: this.#listener.openRequests,
+      tookMs: Math.round(performance.now() - startedAt),
+    });
+  }
+
+  /** @param detail - which settings changed */
+  reloaded(detail: string): void {
+    this.#log.info("reload", { detail });
+  }
+
+  async #untilIdle(startedAt: number): Promise<void> {
+    const lastAt = startedAt + this.#settings.stopGraceMs - STOP_MARGIN_MS;
+    for (;;) {
+      const now = performance.now();
+      if (now >= lastAt) return;
+      const quiet = now - this.#listener.lastRequestAt > STOP_QUIET_MS;
+      if (now - startedAt > STOP_LINGER_MS && this.#listener.openRequests === 0 && quiet) return;
+      await new Promise((resolve) => setTimeout(resolve, STOP_CHECK_MS));
+    }
+  }
+
+  #onEndpoint(news: serving.EndpointNews): void {
+    if (news.change !== serving.EndpointChange.Gone) return;
+    this.#context.client.forget(news.endpoint.id);
+    this.#context.board.forget(news.endpoint.id);
+    this.#context.health.forget(news.endpoint.id);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,11 @@
+/** The gateway: sockets and timers round the decisions of serving, over the ports of its surroundings. */
+export * from "./context.js";
+export * from "./decisionLog.js";
+export * from "./endpointClient.js";
+export * from "./eventSplitter.js";
+export * from "./fleetView.js";
+export * from "./gateway.js";
+export * from "./metrics.js";
+export * from "./ports.js";
+export * from "./settings.js";
+export * from "./storeFollower.js";
--- /dev/null
+++ b/packages/serving/src/engineBoard.ts
@@ -0,0 +1,166 @@
+import * as promptParts from "./promptParts.js";
+import * as urgencies from "./urgency.js";
+
+/** Work that one daemon has at one endpoint. */
+export interface EndpointWork {
+  /** Tokens not yet read, by urgency level. */
+  readonly unread: readonly number[];
+  /** Requests that are under way. */
+  readonly running: number;
+}
+
+/** A read that is under way at an engine; it ends with the first event or the handle. */
+export interface PendingRead {
+  readonly endpointId: string;
+  readonly level: number;
+  readonly tokens: number;
+  done: boolean;
+}
+
+/**
+ * Age at which a peer's word of its work no longer counts, in milliseconds: a
+ * peer speaks several times as often, so an older word is of one that is gone.
+ */
+export const PEER_WORK_EXPIRY_MS = 700;
+
+interface PeerWord {
+  readonly work: ReadonlyMap<string, EndpointWork>;
+  readonly heardAt: number;
+}
+
+interface EndpointState {
+  readonly unread: number[];
+  running: number;
+  cache: promptParts.PromptCacheView | undefined;
+}
+
+/**
+ * What is under way at each endpoint, from here and from the peers. Own work is
+ * exact: it is taken off when the engine has read the prompt, not when a guess
+ * says so. A peer's work counts until its next word, or until it expires.
+ */
+export class EngineBoard {
+  readonly #states = new Map<string, EndpointState>();
+  readonly #peers = new Map<string, PeerWord>();
+
+  /**
+   * @param endpointId - the engine
+   * @param tokens - tokens that it has to read
+   * @param level - urgency of the request
+   * @returns the read, to be ended with {@link endRead}
+   */
+  beginRead(endpointId: string, tokens: number, level: number): PendingRead {
+    const state = this.#state(endpointId);
+    state.unread[level] = (state.unread[level] ?? 0) + tokens;
+    return { endpointId, level, tokens, done: false };
+  }
+
+  /** @param read - a read that has ended; ending it twice has no effect */
+  endRead(read: PendingRead): void {
+    if (read.done) return;
+    read.done = true;
+    const state = this.#state(read.endpointId);
+    state.unread[read.level] = Math.max(0, (state.unread[read.level] ?? 0) - read.tokens);
+  }
+
+  /** @param endpointId - endpoint at which a request begins */
+  beginRun(endpointId: string): void {
+    this.#state(endpointId).running++;
+  }
+
+  /** @param endpointId - endpoint at which a request has ended */
+  endRun(endpointId: string): void {
+    const state = this.#state(endpointId);
+    state.running = Math.max(0, state.running - 1);
+  }
+
+  /**
+   * @param peer - name of the peer
+   * @param work - its work, by endpoint
+   * @param now - current instant in milliseconds
+   */
+  hear(peer: string, work: ReadonlyMap<string, EndpointWork>, now: number): void {
+    this.#peers.set(peer, { work, heardAt: now });
+  }
+
+  /**
+   * @param endpointId - the engine
+   * @param level - urgency of a request that is to be placed
+   * @param now - current instant in milliseconds
+   * @returns unread tokens there that go before such a request
+   */
+  tokensAhead(endpointId: string, level: number, now: number): number {
+    let sum = sumUpTo(this.#states.get(endpointId)?.unread, level);
+    for (const word of this.#fresh(now)) sum += sumUpTo(word.work.get(endpointId)?.unread, level);
+    return sum;
+  }
+
+  /**
+   * @param endpointId - the endpoint
+   * @param now - current instant in milliseconds
+   * @returns requests under way there, from all daemons
+   */
+  running(endpointId: string, now: number): number {
+    let sum = this.#states.get(endpointId)?.running ?? 0;
+    for (const word of this.#fresh(now)) sum += word.work.get(endpointId)?.running ?? 0;
+    return sum;
+  }
+
+  /**
+   * @param endpointId - the endpoint
+   * @returns requests under way there from this daemon
+   */
+  ownRunning(endpointId: string): number {
+    return this.#states.get(endpointId)?.running ?? 0;
+  }
+
+  /**
+   * @param endpointId - the engine
+   * @param memoryTokens - tokens that it can keep
+   * @returns the guess of what it keeps
+   */
+  cache(endpointId: string, memoryTokens: number): promptParts.PromptCacheView {
+    const state = this.#state(endpointId);
+    state.cache ??= new promptParts.PromptCacheView(memoryTokens);
+    return state.cache;
+  }
+
+  /** @param endpointId - an endpoint that is gone */
+  forget(endpointId: string): void {
+    const state = this.#states.get(endpointId);
+    if (state !== undefined) state.cache = undefined;
+  }
+
+  /** @returns own work by endpoint, without endpoints that have none */
+  ownWork(): Map<string, EndpointWork> {
+    const work = new Map<string, EndpointWork>();
+    for (const [endpointId, state] of this.#states) {
+      if (state.running === 0 && state.unread.every((tokens) => tokens === 0)) continue;
+      work.set(endpointId, { unread: [...state.unread], running: state.running });
+    }
+    return work;
+  }
+
+  #state(endpointId: string): EndpointState {
+    let state = this.#states.get(endpointId);
+    if (state === undefined) {
+      state = { unread: new Array<number>(urgencies.URGENCY_LEVELS).fill(0), running: 0, cache: undefined };
+      this.#states.set(endpointId, state);
+    }
+    return state;
+  }
+
+  *#fresh(now: number): Generator<PeerWord> {
+    for (const [peer, word] of this.#peers) {
+      if (now - word.heardAt <= PEER_WORK_EXPIRY_MS) yield word;
+      else this.#peers.delete(peer);
+    }
+  }
+}
+
+function sumUpTo(unread: readonly number[] | undefined, level: number): number {
+  if (unread === undefined) return 0;
+  let sum = 0;
+  for (let index = 0; index <= level; index++) sum += unread[index] ?? 0;
+  return sum;
+}
--- /dev/null
+++ b/packages/serving/src/index.ts
@@ -0,0 +1,11 @@
+/** Decisions of serving, without input or output: routes, endpoints, placement, repeats. */
+export * from "./configuration.js";
+export * from "./routeTable.js";
+export * from "./endpointDirectory.js";
+export * from "./endpointHealth.js";
+export * from "./engineBoard.js";
+export * from "./finalAnswer.js";
+export * from "./placement.js";
+export * from "./promptParts.js";
+export * from "./retryBudget.js";
+export * from "./urgency.js";
--- /dev/null
+++ b/packages/serving/src/placement.ts
@@ -0,0 +1,154 @@
+import * as common from "@camphorcourse/common";
+import * as directories from "./endpointDirectory.js";
+import * as boards from "./engineBoard.js";
+import * as promptParts from "./promptParts.js";
+import * as urgencies from "./urgency.js";
+
+/** Where a prompt is read and where its tokens are made. */
+export interface EnginePlan {
+  /** Engine that makes the tokens. */
+  readonly decoder: directories.Endpoint;
+  /** Engine that reads the prompt first, or undefined where the decoder reads it. */
+  readonly reader: directories.Endpoint | undefined;
+  /** Tokens that have to be read. */
+  readonly unreadTokens: number;
+  readonly level: number;
+  /** Predicted time to the first event, in milliseconds. */
+  readonly predictedMs: number;
+}
+
+/** What the choice rests on. */
+export interface PlacementInputs {
+  readonly prompt: promptParts.Prompt;
+  readonly engines: readonly directories.Endpoint[];
+  readonly board: boards.EngineBoard;
+  readonly memoryTokens: number;
+  /** Factor by which an endpoint is slower than expected, 1 for a sound one. */
+  readonly slowness: (endpointId: string) => number;
+  readonly dataCentre: string;
+  readonly now: number;
+}
+
+/** Tokens that a prefill engine reads in a millisecond; the learned slowness corrects it. */
+const PREFILL_TOKENS_PER_MS = 85;
+
+/** Tokens that a decode engine reads in a millisecond between the tokens that it makes. */
+const DECODE_TOKENS_PER_MS = 32;
+
+/** Attention's share of reading: milliseconds for a million pairs of tokens. */
+const PAIRS_MS_PER_MILLION = 0.35;
+
+/** Time of a second call and of moving the prompt's memory, in milliseconds. */
+const HANDOVER_MS = 14;
+
+/** Time that each request under way at a decode engine adds to the first token, in milliseconds. */
+const RUNNING_MS = 0.5;
+
+/** Time that an endpoint in another data centre adds, in milliseconds. */
+const OTHER_DATA_CENTRE_MS = 2;
+
+const PAIRS_IN_A_MILLION = 1_000_000;
+
+/**
+ * Places a prompt by the predicted time to its first event: tokens ahead of it,
+ * parts already cached, both ways of reading it. Its parts' home engine comes
+ * first among equals, so that one engine keeps each group of shared parts
+ * instead of all of them reading it.
+ *
+ * @param inputs - the prompt, the engines and what is known of them
+ * @returns the best plan, or undefined if no engine can make tokens
+ */
+export function placePrompt(inputs: PlacementInputs): EnginePlan | undefined {
+  const decoders = inputs.engines.filter((engine) => engine.role !== directories.EngineRole.Prefill);
+  const readers = inputs.engines.filter((engine) => engine.role === directories.EngineRole.Prefill);
+  const direct = best(inputs, decoders, DECODE_TOKENS_PER_MS);
+  const apart = best(inputs, readers, PREFILL_TOKENS_PER_MS);
+  const target = leastBusy(inputs, decoders);
+  if (direct === undefined || target === undefined) return undefined;
+  const directMs = direct.predictedMs;
+  const apartMs = apart === undefined ? Number.POSITIVE_INFINITY : apart.predictedMs + HANDOVER_MS;
+  if (apart === undefined || directMs <= apartMs) {
+    return { ...direct, decoder: direct.engine, reader: undefined, predictedMs: directMs };
+  }
+  return { ...apart, decoder: target, reader: apart.engine, predictedMs: apartMs };
+}
+
+interface Candidate {
+  readonly engine: directories.Endpoint;
+  readonly unreadTokens: number;
+  readonly level: number;
+  readonly predictedMs: number;
+}
+
+function best(
+  inputs: PlacementInputs,
+  engines: readonly directories.Endpoint[],
+  tokensPerMs: number,
+): Candidate | undefined {
+  const group = promptParts.sharedGroup(inputs.prompt);
+  const home = group === undefined ? undefined : homeOf(group, engines);
+  let chosen: Candidate | undefined;
+  let chosenCost = Number.POSITIVE_INFINITY;
+  for (const engine of engines) {
+    const candidate = candidateAt(inputs, engine, tokensPerMs);
+    // Leaving home costs the shared parts' reading again there, and room in two caches.
+    const cost = candidate.predictedMs + (engine.id === home ? 0 : homeLeavingMs(inputs, tokensPerMs));
+    if (cost < chosenCost) {
+      chosen = candidate;
+      chosenCost = cost;
+    }
+  }
+  return chosen;
+}
+
+/** Weight of the shared parts' reading that leaving their home costs, in multiples of that reading. */
+const HOME_LEAVING_WEIGHT = 1.5;
+
+function homeLeavingMs(inputs: PlacementInputs, tokensPerMs: number): number {
+  const own = inputs.prompt.parts.at(-1)?.tokens ?? 0;
+  const shared = Math.max(0, inputs.prompt.promptTokens - own);
+  return (HOME_LEAVING_WEIGHT * shared) / tokensPerMs;
+}
+
+function homeOf(group: string, engines: readonly directories.Endpoint[]): string | undefined {
+  return common.rendezvousOrder(
+    group,
+    engines.map((engine) => engine.id),
+  )[0];
+}
+
+function candidateAt(inputs: PlacementInputs, engine: directories.Endpoint, tokensPerMs: number): Candidate {
+  const cached = inputs.board.cache(engine.id, inputs.memoryTokens).cachedTokens(inputs.prompt);
+  const unreadTokens = Math.max(1, inputs.prompt.promptTokens - cached);
+  const level = urgencies.urgencyOf(unreadTokens);
+  const ahead = inputs.board.tokensAhead(engine.id, level, inputs.now);
+  const pairs = unreadTokens * (cached + unreadTokens / 2);
+  const readMs = (ahead + unreadTokens) / tokensPerMs + (pairs / PAIRS_IN_A_MILLION) * PAIRS_MS_PER_MILLION;
+  const runningMs = inputs.board.running(engine.id, inputs.now) * RUNNING_MS;
+  const wayMs = engine.dataCentre === inputs.dataCentre ? 0 : OTHER_DATA_CENTRE_MS;
+  const predictedMs = readMs * inputs.slowness(engine.id) + runningMs + wayMs;
+  return { engine, unreadTokens, level, predictedMs };
+}
+
+function leastBusy(
+  inputs: PlacementInputs,
+  decoders: readonly directories.Endpoint[],
+): directories.Endpoint | undefined {
+  let chosen: directories.Endpoint | undefined;
+  let chosenCost = Number.POSITIVE_INFINITY;
+  for (const engine of decoders) {
+    const runningMs = (1 + inputs.board.running(engine.id, inputs.now)) * RUNNING_MS;
+    const aheadMs = inputs.board.tokensAhead(engine.id, urgencies.LEAST_URGENT, inputs.now) / DECODE_TOKENS_PER_MS;
+    const wayMs = engine.dataCentre === inputs.dataCentre ? 0 : OTHER_DATA_CENTRE_MS;
+    // Waiting prompts slow the tokens of the streams beside them, though not the start of one whose prompt is read.
+    const cost = (runningMs + aheadMs * WAITING_READS_WEIGHT) * inputs.slowness(engine.id) + wayMs;
+    if (cost < chosenCost) {
+      chosen = engine;
+      chosenCost = cost;
+    }
+  }
+  return chosen;
+}
+
+/** Share of a decode engine's waiting reads that a handed-over prompt feels. */
+const WAITING_READS_WEIGHT = 0.3;
