--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -221,6 +221,7 @@
     const active: ActiveSend = { endpoint, stage, sentAt: now, predictedMs, read, sending: undefined, silence: undefined };
     this.#active = active;
     this.#tried.add(endpoint.id);
+    if (stage === Stage.Answering) this.#sends++;
     const source = this.#handedOver;
     const urgency = plan?.level ?? (source === undefined ? undefined : 0);
     const headers = format.writeSend(this.#request.headers, {
@@ -236,7 +237,7 @@
       stage,
       endpoint: endpoint.id,
       service: this.#service,
-      send: this.#sends + 1,
+      sends: this.#sends,
       leftMs: remainingMs,
       predictedMs: Math.round(predictedMs),
       unread: plan?.unreadTokens,
@@ -278,7 +279,7 @@
           this.#sendNext();
           return;
         }
-        this.#sendFailed(active, notRun ? serving.SendFate.Declined : serving.SendFate.NotSent, `status ${status}`);
+        this.#sendFailed(active, serving.SendFate.Declined, `status ${status}${notRun ? "" : ", no handle"}`);
       },
       // Reading a prompt runs nothing, so a lost answer to it leaves the request not run.
       onBroken: (fate, detail) => {
@@ -413,7 +414,7 @@
   #sendFailed(active: ActiveSend, fate: serving.SendFate, detail: string): void {
     const declined = fate === serving.SendFate.Declined;
     this.#recordHealth(active, declined ? serving.SendResult.Declined : serving.SendResult.Failed);
-    if (fate !== serving.SendFate.NotSent) this.#sends++;
+    this.#countSend(active, fate);
     if (fate === serving.SendFate.Unknown) this.#mayHaveRun = true;
     if (declined && active.stage === Stage.Answering) this.#dropHandle();
     if (fate === serving.SendFate.Unknown) this.#handedOver = undefined;
@@ -433,6 +434,12 @@
     else this.#give(BAD_GATEWAY, "endpoint-failed", "the request may have run and its answer is lost");
   }
 
+  /** A send counts unless nothing of it left; the first read that an engine accepts doesn't, a rejected one does. */
+  #countSend(active: ActiveSend, fate: serving.SendFate): void {
+    if (active.stage === Stage.Answering && fate === serving.SendFate.NotSent) this.#sends--;
+    if (active.stage === Stage.Reading && fate !== serving.SendFate.NotSent) this.#sends++;
+  }
+
   #decide(fate: serving.SendFate): serving.NextStep {
     const others = this.#context.view.directory
       .serving(this.#service)
