Pass an answer without a length on without one

Cause: an endpoint that crashes inside an answer without a length closes the connection properly; the answer was passed on with a length and looked whole.

--- a/packages/gateway/src/callerAnswer.ts
+++ b/packages/gateway/src/callerAnswer.ts
@@ -57,7 +57,8 @@
     if (this.#state !== AnswerState.Open) return;
     this.#state = AnswerState.Ended;
     const passed = passedHeaders(headers);
-    if (status !== NO_CONTENT && status !== NOT_MODIFIED) passed.push("content-length", String(body.length));
+    if (!isFramed(headers)) this.#endByClosing();
+    else if (status !== NO_CONTENT && status !== NOT_MODIFIED) passed.push("content-length", String(body.length));
     this.#writeHead(status, passed);
     this.#response.end(body);
   }
@@ -69,6 +70,7 @@
   beginStream(status: number, headers: endpointClients.AnswerHeaders): void {
     if (this.#state !== AnswerState.Open) return;
     this.#state = AnswerState.Streaming;
+    if (!isFramed(headers)) this.#endByClosing();
     this.#writeHead(status, passedHeaders(headers));
   }
 
@@ -113,6 +115,16 @@
     this.#response.end(body);
   }
 
+  /**
+   * An endpoint's answer without a length may have been cut where its connection
+   * closed, and nothing shows it. Passed on with a length it would look whole to
+   * the caller; passed on in the same framing, the caller knows as much as we do.
+   */
+  #endByClosing(): void {
+    this.#response.useChunkedEncodingByDefault = false;
+    this.#response.shouldKeepAlive = false;
+  }
+
   #writeHead(status: number, headers: string[]): void {
     if (this.#closing()) headers.push("connection", "close");
     this.#response.writeHead(status, headers);
@@ -127,3 +139,7 @@
   }
   return passed;
 }
+
+function isFramed(headers: endpointClients.AnswerHeaders): boolean {
+  return headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
+}
--- a/packages/gateway/src/endpointClient.ts
+++ b/packages/gateway/src/endpointClient.ts
@@ -48,6 +48,38 @@
 interface Lane {
   readonly client: undici.Client;
   usedAt: number;
+  /** Whether the connection ended with an error instead of a proper close. */
+  reset: boolean;
+}
+
+const connect = undici.buildConnector({ timeout: CONNECT_TIMEOUT_MS, autoSelectFamily: false, keepAlive: true });
+
+/**
+ * An answer without a length ends with its connection, and one that was reset
+ * on the way isn't whole. The HTTP client takes a reset for the end of such an
+ * answer, so the lane notes the socket's own error before the client hears of it.
+ */
+function openLane(origin: string): Lane {
+  const lane: Lane = {
+    usedAt: 0,
+    reset: false,
+    client: new undici.Client(origin, {
+      pipelining: 1,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      keepAliveTimeout: IDLE_TIMEOUT_MS,
+      connect: (options, callback) => {
+        lane.reset = false;
+        connect(options, (...result) => {
+          result[1]?.on("error", () => {
+            lane.reset = true;
+          });
+          callback(...result);
+        });
+      },
+    }),
+  };
+  return lane;
 }
 
 /** The connections to one start of one endpoint; each carries one request at a time. */
@@ -74,14 +106,7 @@
     this.#busy++;
     const idle = this.#idle.pop();
     if (idle !== undefined) return idle;
-    const client = new undici.Client(this.#origin, {
-      pipelining: 1,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-      keepAliveTimeout: IDLE_TIMEOUT_MS,
-      connect: { timeout: CONNECT_TIMEOUT_MS, autoSelectFamily: false, keepAlive: true },
-    });
-    return { client, usedAt: 0 };
+    return openLane(this.#origin);
   }
 
   giveBack(lane: Lane, now: number): void {
@@ -170,6 +195,7 @@
           receiver.onData(chunk);
         },
         onResponseEnd: () => {
+          if (lane.reset) broken(serving.SendFate.Unknown, "the connection was reset inside the answer");
           if (over) return;
           over = true;
           lanes.heardAt = performance.now();
