Let daemons tell each other work, departures and configurations

Work by datagrams several times a second, news by Connect calls to daemons that the key-value service doesn't answer.

--- /dev/null
+++ b/packages/gateway/src/beliefs.ts
@@ -0,0 +1,163 @@
+import type * as serving from "@camphorcourse/serving";
+import type * as decisionLogs from "./decisionLog.js";
+import type * as fleetViews from "./fleetView.js";
+import type * as ports from "./ports.js";
+
+/** Where a belief comes from. */
+export enum Source {
+  Store = "store",
+  Peer = "peer",
+}
+
+/** What taking beliefs needs. */
+export interface BeliefParts {
+  readonly layout: ports.StoreLayout;
+  readonly view: fleetViews.FleetView;
+  readonly log: decisionLogs.DecisionLog;
+  /** Called for each change of a belief about an endpoint. */
+  readonly onEndpoint: (news: serving.EndpointNews) => void;
+  /** Called when a configuration has come into force. */
+  readonly onConfiguration: () => void;
+}
+
+/** Decodes what the key-value service or a peer says, and changes the view by it. */
+export class Beliefs {
+  readonly #parts: BeliefParts;
+
+  /** @param parts - what it needs */
+  constructor(parts: BeliefParts) {
+    this.#parts = parts;
+  }
+
+  /** @param listing - everything that the key-value service holds */
+  takeListing(listing: ports.StoreListing): void {
+    const { layout, view } = this.#parts;
+    const endpoints: { endpoint: serving.Endpoint; revision: number }[] = [];
+    const daemons = new Set<string>();
+    for (const item of listing.items) {
+      if (item.key.startsWith(layout.endpointPrefix)) {
+        const id = item.key.slice(layout.endpointPrefix.length);
+        const endpoint = this.#decodeEndpoint(id, item.value, item.revision);
+        if (endpoint === undefined) continue;
+        endpoints.push({ endpoint, revision: item.revision });
+        view.endpointDocuments.set(id, { value: item.value, revision: item.revision });
+        continue;
+      }
+      if (item.key.startsWith(layout.daemonPrefix)) daemons.add(item.key);
+      this.#takeItem(item);
+    }
+    for (const news of view.directory.replace(endpoints, listing.revision, performance.now())) {
+      this.#tell(news, Source.Store);
+    }
+    for (const key of [...view.daemons.keys()]) if (!daemons.has(key)) this.#removeDaemon(key);
+  }
+
+  /** @param event - a change in the key-value service */
+  takeEvent(event: ports.StoreEvent): void {
+    const { layout, view } = this.#parts;
+    if (event.item !== undefined) {
+      this.#takeItem(event.item);
+      return;
+    }
+    if (event.key.startsWith(layout.daemonPrefix)) this.#removeDaemon(event.key);
+    if (!event.key.startsWith(layout.endpointPrefix)) return;
+    // A removal just after the service's return may be a lapse of the outage; the listing that follows tells.
+    if (view.directory.lapsesDoubted(performance.now())) return;
+    this.takeDeparture(event.key.slice(layout.endpointPrefix.length), event.revision, Source.Store);
+  }
+
+  /**
+   * @param document - the operators' document
+   * @param revision - revision of its write
+   * @param source - who says so
+   */
+  takeConfiguration(document: Uint8Array, revision: number, source: Source): void {
+    const { layout, view, log } = this.#parts;
+    if (revision <= view.configurationRevision) return;
+    const configuration = layout.decodeConfiguration(document);
+    if (configuration.isErr()) {
+      log.warn("configuration-unreadable", { revision, source, detail: configuration.error });
+      return;
+    }
+    const before = view.configurationRevision;
+    if (!view.configure(configuration.value, document, revision)) return;
+    const { version, routes } = configuration.value;
+    log.info("configuration-in-force", { version, revision, before, routes: routes.length, source });
+    this.#parts.onConfiguration();
+  }
+
+  /**
+   * @param id - the endpoint
+   * @param value - its entry
+   * @param revision - revision of the entry
+   * @param source - who says so
+   */
+  takeEndpoint(id: string, value: Uint8Array, revision: number, source: Source): void {
+    const { view } = this.#parts;
+    const endpoint = this.#decodeEndpoint(id, value, revision);
+    if (endpoint === undefined) return;
+    if ((view.endpointDocuments.get(id)?.revision ?? 0) < revision) view.endpointDocuments.set(id, { value, revision });
+    const news = view.directory.put(endpoint, revision);
+    if (news !== undefined) this.#tell(news, source);
+  }
+
+  /**
+   * @param id - an endpoint that is leaving or gone
+   * @param revision - revision that said so
+   * @param source - who says so
+   */
+  takeDeparture(id: string, revision: number, source: Source): void {
+    const news = this.#parts.view.directory.remove(id, revision);
+    if (news !== undefined) this.#tell(news, source);
+  }
+
+  #takeItem(item: ports.StoredItem): void {
+    const { layout } = this.#parts;
+    if (item.key === layout.configurationKey) {
+      this.takeConfiguration(item.value, item.revision, Source.Store);
+    } else if (item.key.startsWith(layout.endpointPrefix)) {
+      this.takeEndpoint(item.key.slice(layout.endpointPrefix.length), item.value, item.revision, Source.Store);
+    } else if (item.key.startsWith(layout.daemonPrefix)) {
+      this.#takeDaemon(item);
+    }
+  }
+
+  #decodeEndpoint(id: string, value: Uint8Array, revision: number): serving.Endpoint | undefined {
+    const endpoint = this.#parts.layout.decodeEndpoint(id, value);
+    if (endpoint.isOk()) return endpoint.value;
+    this.#parts.log.warn("endpoint-entry-unreadable", { endpoint: id, revision, detail: endpoint.error });
+    return undefined;
+  }
+
+  #takeDaemon(item: ports.StoredItem): void {
+    const { view, log } = this.#parts;
+    try {
+      const entry = JSON.parse(Buffer.from(item.value).toString()) as fleetViews.DaemonEntry;
+      if (!view.daemons.has(item.key)) log.info("daemon-joined", { daemon: entry.vm, revision: item.revision });
+      view.daemons.set(item.key, entry);
+    } catch (error) {
+      log.warn("daemon-entry-unreadable", { key: item.key, detail: String(error) });
+    }
+  }
+
+  #removeDaemon(key: string): void {
+    const entry = this.#parts.view.daemons.get(key);
+    if (entry === undefined) return;
+    this.#parts.view.daemons.delete(key);
+    this.#parts.log.info("daemon-left", { daemon: entry.vm });
+  }
+
+  #tell(news: serving.EndpointNews, source: Source): void {
+    const { endpoint, change, revision } = news;
+    this.#parts.log.info("endpoint", {
+      change,
+      endpoint: endpoint.id,
+      service: endpoint.service,
+      address: endpoint.address,
+      role: endpoint.role,
+      revision,
+      source,
+    });
+    this.#parts.onEndpoint(news);
+  }
+}
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -39,6 +39,7 @@
   readonly stage: Stage;
   readonly sentAt: number;
   readonly predictedMs: number;
+  readonly plan: serving.EnginePlan | undefined;
   read: serving.PendingRead | undefined;
   sending: endpointClients.Sending | undefined;
   silence: NodeJS.Timeout | undefined;
@@ -218,7 +219,16 @@
     const now = performance.now();
     const remainingMs = Math.floor(this.#remainingMs());
     const read = plan === undefined ? undefined : board.beginRead(endpoint.id, plan.unreadTokens, plan.level);
-    const active: ActiveSend = { endpoint, stage, sentAt: now, predictedMs, read, sending: undefined, silence: undefined };
+    const active: ActiveSend = {
+      endpoint,
+      stage,
+      sentAt: now,
+      predictedMs,
+      plan,
+      read,
+      sending: undefined,
+      silence: undefined,
+    };
     this.#active = active;
     this.#tried.add(endpoint.id);
     if (stage === Stage.Answering) this.#sends++;
@@ -273,7 +283,7 @@
         const handle = status === HTTP_OK ? format.readHandle(Buffer.concat(chunks)) : undefined;
         if (handle?.isOk() === true) {
           health.record(active.endpoint.id, serving.SendResult.Good, performance.now());
-          health.recordTime(active.endpoint.id, active.predictedMs, performance.now() - active.sentAt);
+          this.#learnTime(active);
           this.#handedOver = { reader: active.endpoint, handle: handle.value.handle };
           this.#tried.delete(active.endpoint.id);
           this.#sendNext();
@@ -341,10 +351,10 @@
     headers: endpointClients.AnswerHeaders,
     event: eventSplitters.StreamEvent,
   ): void {
-    const { board, health, metrics } = this.#context;
+    const { board, metrics } = this.#context;
     if (active.read !== undefined) {
       board.endRead(active.read);
-      health.recordTime(active.endpoint.id, active.predictedMs, performance.now() - active.sentAt);
+      this.#learnTime(active);
       active.read = undefined;
     }
     if (this.#firstEventAt === undefined) {
@@ -404,6 +414,23 @@
     this.#finish();
   }
 
+  #learnTime(active: ActiveSend): void {
+    const tookMs = performance.now() - active.sentAt;
+    this.#context.health.recordTime(active.endpoint.id, active.predictedMs, tookMs);
+    this.#context.log.info("prompt-read", {
+      id: this.#request.headers.requestId,
+      endpoint: active.endpoint.id,
+      role: active.endpoint.role,
+      unread: active.plan?.unreadTokens,
+      ahead: active.plan?.tokensAhead,
+      urgency: active.plan?.level,
+      running: this.#context.board.running(active.endpoint.id, performance.now()),
+      predictedMs: Math.round(active.predictedMs),
+      tookMs: Math.round(tookMs),
+      slowness: this.#context.health.slowness(active.endpoint.id).toFixed(2),
+    });
+  }
+
   #recordHealth(active: ActiveSend, result: serving.SendResult): void {
     const changed = this.#context.health.record(active.endpoint.id, result, performance.now());
     if (!changed) return;
--- a/packages/gateway/src/fleetView.ts
+++ b/packages/gateway/src/fleetView.ts
@@ -10,12 +10,13 @@
   readonly callers: string;
   /** IP:PORT for the other daemons. */
   readonly peers: string;
-  readonly leaving: boolean;
 }
 
 /** What this daemon believes of the fleet, from the key-value service and its peers. */
 export class FleetView {
   readonly directory = new serving.EndpointDirectory();
+  /** Endpoints' entries as written, to be told to peers that the service doesn't answer. */
+  readonly endpointDocuments = new Map<string, { readonly value: Uint8Array; readonly revision: number }>();
   readonly daemons = new Map<string, DaemonEntry>();
   #table: serving.RouteTable | undefined;
   #configurationRevision = 0;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,12 +3,14 @@
 import * as common from "@camphorcourse/common";
 import * as serving from "@camphorcourse/serving";
 import type * as hono from "hono";
+import * as beliefsModule from "./beliefs.js";
 import * as callerListeners from "./callerListener.js";
 import * as contexts from "./context.js";
 import * as decisionLogs from "./decisionLog.js";
 import * as endpointClients from "./endpointClient.js";
 import * as fleetViews from "./fleetView.js";
 import * as metricsModule from "./metrics.js";
+import * as peerLinks from "./peerLink.js";
 import type * as ports from "./ports.js";
 import * as registrations from "./registration.js";
 import type * as settingsModule from "./settings.js";
@@ -54,6 +56,7 @@
   readonly #follower: storeFollowers.StoreFollower;
   readonly #registration: registrations.Registration;
   readonly #entry: fleetViews.DaemonEntry;
+  readonly #peers: peerLinks.PeerLink;
   readonly #servers: http.Server[] = [];
   #stopping = false;
 
@@ -71,7 +74,6 @@
       dataCentre: settings.dataCentre,
       callers: `${settings.callers.host}:${settings.callers.port}`,
       peers: `${settings.peers.host}:${settings.peers.port}`,
-      leaving: false,
     };
     this.#context = {
       settings,
@@ -87,15 +89,34 @@
       liveDaemons: () => Math.max(1, this.#view.daemons.size),
     };
     this.#listener = new callerListeners.CallerListener(this.#context);
+    const beliefs = new beliefsModule.Beliefs({
+      layout: surroundings.layout,
+      view: this.#view,
+      log: this.#log,
+      onEndpoint: (news) => this.#onEndpoint(news),
+      onConfiguration: () => this.#listener.followLimits(),
+    });
     this.#follower = new storeFollowers.StoreFollower({
       store: surroundings.store,
       layout: surroundings.layout,
       view: this.#view,
+      beliefs,
       log: this.#log,
       metrics: this.#metrics,
       draw: () => random.next(),
-      onEndpoint: (news) => this.#onEndpoint(news),
-      onConfiguration: () => this.#listener.followLimits(),
+    });
+    this.#peers = new peerLinks.PeerLink({
+      settings,
+      entry: this.#entry,
+      view: this.#view,
+      board: this.#context.board,
+      log: this.#log,
+      ready: () => this.ready,
+      storeSilentMs: () => this.#follower.silentMs,
+      onConfiguration: (document, revision) =>
+        beliefs.takeConfiguration(document, revision, beliefsModule.Source.Peer),
+      onEndpoint: (id, value, revision) => beliefs.takeEndpoint(id, value, revision, beliefsModule.Source.Peer),
+      onDeparture: (id, revision) => beliefs.takeDeparture(id, revision, beliefsModule.Source.Peer),
     });
     const key = `${surroundings.layout.daemonPrefix}${settings.vm}`;
     this.#registration = new registrations.Registration(surroundings.store, key, this.#entry, this.#log);
@@ -112,6 +133,7 @@
     void this.#follower.run();
     void this.#registration.run();
     await this.#listener.listen(this.#settings.callers);
+    await this.#peers.start();
   }
 
   /**
@@ -129,7 +151,10 @@
    * @returns addresses to which the caller may connect: near ones if there are enough
    */
   addressesFor(dataCentre: string): string[] {
-    const all = [...this.#view.daemons.values()].filter((daemon) => !daemon.leaving && daemon.vm !== this.#entry.vm);
+    const now = performance.now();
+    const all = [...this.#view.daemons.values()]
+      .filter((daemon) => daemon.vm !== this.#entry.vm)
+      .filter((daemon) => this.#peers.book.mayTakeCallers(daemon.vm, now));
     if (this.ready) all.push(this.#entry);
     const near = all.filter((daemon) => daemon.dataCentre === dataCentre);
     const chosen = near.length >= ENOUGH_NEAR ? near : all;
@@ -157,10 +182,12 @@
     const startedAt = performance.now();
     this.#log.info("stop", { open: this.#listener.openRequests });
     this.#listener.closeAfterAnswers();
-    await this.#registration.end();
+    this.#peers.sayNow();
+    void this.#registration.end();
     await this.#untilIdle(startedAt);
     this.#listener.close();
     this.#follower.stop();
+    this.#peers.stop();
     this.#log.info("stopped", {
       open: this.#listener.openRequests,
       tookMs: Math.round(performance.now() - startedAt),
@@ -184,7 +211,10 @@
   }
 
   #onEndpoint(news: serving.EndpointNews): void {
+    const departed = news.change === serving.EndpointChange.Leaving || news.change === serving.EndpointChange.Gone;
+    if (departed) this.#peers.noteDeparture(news.endpoint.id, news.revision);
     if (news.change !== serving.EndpointChange.Gone) return;
+    this.#view.endpointDocuments.delete(news.endpoint.id);
     this.#context.client.forget(news.endpoint.id);
     this.#context.board.forget(news.endpoint.id);
     this.#context.health.forget(news.endpoint.id);
--- /dev/null
+++ b/packages/gateway/src/peerBook.ts
@@ -0,0 +1,98 @@
+import * as common from "@camphorcourse/common";
+
+/** What a daemon last said of itself. */
+export interface PeerState {
+  readonly vm: string;
+  readonly incarnation: string;
+  readonly ready: boolean;
+  readonly configurationRevision: number;
+  /** Milliseconds for which the key-value service has not answered it. */
+  readonly storeSilentMs: number;
+  readonly heardAt: number;
+}
+
+/** Silence after which a daemon counts as dead, in milliseconds; it speaks several times in that time. */
+export const PEER_SILENT_MS = 1_300;
+
+/** Silence of the key-value service from which a daemon needs its peers' word, in milliseconds. */
+export const STORE_SILENT_MS = 2_600;
+
+/** Time in which one telling of a daemon is expected to arrive, in milliseconds. */
+const TELL_AGAIN_MS = 700;
+
+/** What the other daemons last said, and who needs to be told what. */
+export class PeerBook {
+  readonly #own: string;
+  readonly #states = new Map<string, PeerState>();
+  readonly #toldAt = new Map<string, number>();
+
+  /** @param own - this daemon's VM */
+  constructor(own: string) {
+    this.#own = own;
+  }
+
+  /**
+   * @param state - what a daemon said
+   * @returns what it had said before, if it was heard before
+   */
+  hear(state: PeerState): PeerState | undefined {
+    const before = this.#states.get(state.vm);
+    this.#states.set(state.vm, state);
+    return before;
+  }
+
+  /**
+   * @param now - current instant in milliseconds
+   * @returns daemons that speak
+   */
+  live(now: number): PeerState[] {
+    return [...this.#states.values()].filter((state) => now - state.heardAt <= PEER_SILENT_MS);
+  }
+
+  /**
+   * Daemons whose address may be given to callers. One that has registered but
+   * was never heard is given too: a daemon that has just started hears nobody.
+   *
+   * @param vm - a registered daemon
+   * @param now - current instant in milliseconds
+   * @returns whether callers may be sent there
+   */
+  mayTakeCallers(vm: string, now: number): boolean {
+    const state = this.#states.get(vm);
+    if (state === undefined) return true;
+    if (now - state.heardAt <= PEER_SILENT_MS) return state.ready;
+    // Nobody is heard: it is this daemon that is cut off, and its silence says nothing of the others.
+    return this.live(now).length === 0 && state.ready;
+  }
+
+  /**
+   * Daemons that this one has to tell what it knows. Each is told by one of
+   * those that reach the key-value service, chosen by hash, so that a change
+   * doesn't go out as many times as there are daemons.
+   *
+   * @param configurationRevision - revision of the configuration here
+   * @param storeSilentMs - milliseconds for which the service has not answered this daemon
+   * @param now - current instant in milliseconds
+   * @returns daemons to tell, whose telling is noted
+   */
+  toTell(configurationRevision: number, storeSilentMs: number, now: number): PeerState[] {
+    const live = this.live(now);
+    return live.filter((state) => {
+      const behind = state.configurationRevision < configurationRevision;
+      const cutOff = state.storeSilentMs > STORE_SILENT_MS && storeSilentMs < STORE_SILENT_MS;
+      if (!behind && !cutOff) return false;
+      if (now - (this.#toldAt.get(state.vm) ?? Number.NEGATIVE_INFINITY) < TELL_AGAIN_MS) return false;
+      if (!this.#isTeller(state, live, configurationRevision)) return false;
+      this.#toldAt.set(state.vm, now);
+      return true;
+    });
+  }
+
+  #isTeller(of: PeerState, live: readonly PeerState[], configurationRevision: number): boolean {
+    const able = live
+      .filter((state) => state.vm !== of.vm && state.storeSilentMs < STORE_SILENT_MS)
+      .filter((state) => state.configurationRevision >= configurationRevision)
+      .map((state) => state.vm);
+    return common.rendezvousOrder(of.vm, [this.#own, ...able])[0] === this.#own;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/peerLink.ts
@@ -0,0 +1,199 @@
+import type * as http from "node:http";
+import * as protobuf from "@bufbuild/protobuf";
+import * as messages from "@camphorcourse/protocol/gateway";
+import type * as serving from "@camphorcourse/serving";
+import type * as decisionLogs from "./decisionLog.js";
+import type * as fleetViews from "./fleetView.js";
+import * as peerBooks from "./peerBook.js";
+import * as peerNews from "./peerNews.js";
+import * as peerPulses from "./peerPulse.js";
+import type * as settingsModule from "./settings.js";
+
+/**
+ * Shortest interval between two pulses, in milliseconds, and the time by which
+ * each daemon that hears them lengthens it: the datagrams that one daemon sends
+ * and hears in a second stay the same however many daemons there are.
+ */
+const PULSE_MS = { shortest: 40, perDaemon: 6 };
+
+/** Longest interval between two pulses when nothing has changed, in milliseconds. */
+const QUIET_PULSE_MS = 350;
+
+/** Time for which a departure is told in each pulse, in milliseconds. */
+const DEPARTURE_TOLD_MS = 4_000;
+
+/** What the link needs. */
+export interface PeerLinkParts {
+  readonly settings: settingsModule.GatewaySettings;
+  readonly entry: fleetViews.DaemonEntry;
+  readonly view: fleetViews.FleetView;
+  readonly board: serving.EngineBoard;
+  readonly log: decisionLogs.DecisionLog;
+  readonly ready: () => boolean;
+  /** Milliseconds for which the key-value service has not answered. */
+  readonly storeSilentMs: () => number;
+  /** Takes a configuration document and its revision. */
+  readonly onConfiguration: (document: Uint8Array, revision: number) => void;
+  /** Takes an endpoint's entry and its revision. */
+  readonly onEndpoint: (id: string, value: Uint8Array, revision: number) => void;
+  /** Takes an endpoint that is leaving or gone. */
+  readonly onDeparture: (id: string, revision: number) => void;
+}
+
+/** Speaks with the other daemons: work, departures, and news for those that the key-value service doesn't answer. */
+export class PeerLink {
+  readonly book: peerBooks.PeerBook;
+  readonly #parts: PeerLinkParts;
+  readonly #pulse: peerPulses.PeerPulse;
+  readonly #teller = new peerNews.NewsTeller();
+  readonly #departures = new Map<string, { revision: number; toldUntil: number }>();
+  #server: http.Server | undefined;
+  #timer: NodeJS.Timeout | undefined;
+  #saidAt = 0;
+  #saidWork = "";
+
+  /** @param parts - what it needs */
+  constructor(parts: PeerLinkParts) {
+    this.#parts = parts;
+    this.book = new peerBooks.PeerBook(parts.entry.vm);
+    this.#pulse = new peerPulses.PeerPulse(
+      (pulse) => this.#hear(pulse),
+      (detail) => parts.log.warn("peer-datagram-failed", { detail }),
+    );
+  }
+
+  /** Begins to speak and to hear. */
+  async start(): Promise<void> {
+    await this.#pulse.listen(this.#parts.settings.peers);
+    this.#server = await peerNews.serveNews(this.#parts.settings.peers, (news) => this.#takeNews(news));
+    this.#beat();
+  }
+
+  /** Ends speaking. */
+  stop(): void {
+    clearTimeout(this.#timer);
+    this.#pulse.close();
+    this.#server?.close();
+  }
+
+  /**
+   * @param id - an endpoint that is leaving or gone
+   * @param revision - revision that said so
+   */
+  noteDeparture(id: string, revision: number): void {
+    this.#departures.set(id, { revision, toldUntil: performance.now() + DEPARTURE_TOLD_MS });
+  }
+
+  /** Says at once what has changed, such as that this daemon is leaving. */
+  sayNow(): void {
+    this.#say(performance.now());
+  }
+
+  #beat(): void {
+    const now = performance.now();
+    const peers = this.#others().length;
+    const due = now - this.#saidAt >= QUIET_PULSE_MS || this.#workText() !== this.#saidWork;
+    if (due) this.#say(now);
+    this.#tellNews(now);
+    const interval = Math.max(PULSE_MS.shortest, PULSE_MS.perDaemon * peers);
+    this.#timer = setTimeout(() => this.#beat(), interval);
+  }
+
+  #others(): fleetViews.DaemonEntry[] {
+    return [...this.#parts.view.daemons.values()].filter((daemon) => daemon.vm !== this.#parts.entry.vm);
+  }
+
+  #workText(): string {
+    return JSON.stringify([...this.#parts.board.ownWork()]);
+  }
+
+  #say(now: number): void {
+    const { entry, view, board } = this.#parts;
+    this.#saidAt = now;
+    this.#saidWork = this.#workText();
+    for (const [id, departure] of this.#departures) if (departure.toldUntil < now) this.#departures.delete(id);
+    const pulse = protobuf.create(messages.PulseSchema, {
+      vm: entry.vm,
+      incarnation: entry.incarnation,
+      ready: this.#parts.ready(),
+      configurationRevision: BigInt(view.configurationRevision),
+      storeSilentMs: Math.round(this.#parts.storeSilentMs()),
+      work: [...board.ownWork()].map(([endpoint, work]) => ({
+        endpoint,
+        running: work.running,
+        unread: work.unread.map((tokens) => Math.round(tokens)),
+      })),
+      departures: this.#departureMessages(),
+    });
+    this.#pulse.say(
+      pulse,
+      this.#others().map((daemon) => daemon.peers),
+    );
+  }
+
+  #departureMessages(): { endpoint: string; revision: bigint }[] {
+    return [...this.#departures].map(([endpoint, { revision }]) => ({ endpoint, revision: BigInt(revision) }));
+  }
+
+  #hear(pulse: messages.Pulse): void {
+    const now = performance.now();
+    const before = this.book.hear({
+      vm: pulse.vm,
+      incarnation: pulse.incarnation,
+      ready: pulse.ready,
+      configurationRevision: Number(pulse.configurationRevision),
+      storeSilentMs: pulse.storeSilentMs,
+      heardAt: now,
+    });
+    if (before === undefined || before.incarnation !== pulse.incarnation || before.ready !== pulse.ready) {
+      this.#parts.log.info("peer", { peer: pulse.vm, incarnation: pulse.incarnation, ready: pulse.ready });
+    }
+    this.#parts.board.hear(
+      pulse.vm,
+      new Map(pulse.work.map((work) => [work.endpoint, { unread: work.unread, running: work.running }])),
+      now,
+    );
+    for (const departure of pulse.departures) this.#parts.onDeparture(departure.endpoint, Number(departure.revision));
+  }
+
+  #tellNews(now: number): void {
+    const { view, log } = this.#parts;
+    for (const peer of this.book.toTell(view.configurationRevision, this.#parts.storeSilentMs(), now)) {
+      const address = this.#others().find((daemon) => daemon.vm === peer.vm)?.peers;
+      if (address === undefined) continue;
+      const behind = peer.configurationRevision < view.configurationRevision;
+      log.info("tell-peer", { peer: peer.vm, has: peer.configurationRevision, tells: view.configurationRevision });
+      this.#teller.tell(address, this.#newsFor(behind)).catch((error: unknown) => {
+        log.warn("tell-peer-failed", { peer: peer.vm, detail: String(error) });
+      });
+    }
+  }
+
+  #newsFor(behind: boolean): Omit<messages.News, "$typeName" | "$unknown"> {
+    const { view, entry } = this.#parts;
+    return {
+      vm: entry.vm,
+      configurationRevision: BigInt(view.configurationRevision),
+      configuration: behind ? (view.configurationDocument ?? new Uint8Array()) : new Uint8Array(),
+      endpoints: [...view.endpointDocuments].map(([id, { value, revision }]) => ({
+        $typeName: "camphorcourse.gateway.v1.EndpointEntry",
+        id,
+        value,
+        revision: BigInt(revision),
+      })),
+      departures: this.#departureMessages().map((departure) => ({
+        $typeName: "camphorcourse.gateway.v1.Departure",
+        ...departure,
+      })),
+    };
+  }
+
+  #takeNews(news: messages.News): number {
+    if (news.configuration.length > 0) {
+      this.#parts.onConfiguration(news.configuration, Number(news.configurationRevision));
+    }
+    for (const entry of news.endpoints) this.#parts.onEndpoint(entry.id, entry.value, Number(entry.revision));
+    for (const departure of news.departures) this.#parts.onDeparture(departure.endpoint, Number(departure.revision));
+    return this.#parts.view.configurationRevision;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/peerPulse.ts
@@ -0,0 +1,60 @@
+import * as datagrams from "node:dgram";
+import * as protobuf from "@bufbuild/protobuf";
+import * as messages from "@camphorcourse/protocol/gateway";
+import type * as settingsModule from "./settings.js";
+
+/** Largest datagram in bytes that crosses usual links in one piece. */
+const LARGEST_BYTES = 1_400;
+
+/** Sends and hears the daemons' pulses. Lost ones are made good by the next. */
+export class PeerPulse {
+  readonly #socket = datagrams.createSocket({ type: "udp4", reuseAddr: true });
+  readonly #onPulse: (pulse: messages.Pulse) => void;
+  readonly #onProblem: (detail: string) => void;
+
+  /**
+   * @param onPulse - takes what is heard
+   * @param onProblem - takes what went wrong
+   */
+  constructor(onPulse: (pulse: messages.Pulse) => void, onProblem: (detail: string) => void) {
+    this.#onPulse = onPulse;
+    this.#onProblem = onProblem;
+    this.#socket.on("message", (bytes) => this.#hear(bytes));
+    this.#socket.on("error", (error) => onProblem(error.message));
+  }
+
+  /** @param address - where to listen */
+  listen(address: settingsModule.SocketAddress): Promise<void> {
+    return new Promise((resolve) => this.#socket.bind(address.port, address.host, resolve));
+  }
+
+  /**
+   * @param pulse - what to say
+   * @param addresses - IP:PORT of the daemons to say it to
+   */
+  say(pulse: messages.Pulse, addresses: readonly string[]): void {
+    let bytes = protobuf.toBinary(messages.PulseSchema, pulse);
+    if (bytes.length > LARGEST_BYTES) {
+      bytes = protobuf.toBinary(messages.PulseSchema, { ...pulse, work: [], departures: pulse.departures.slice(-8) });
+    }
+    for (const address of addresses) {
+      const colon = address.lastIndexOf(":");
+      this.#socket.send(bytes, Number(address.slice(colon + 1)), address.slice(0, colon), (error) => {
+        if (error !== null) this.#onProblem(error.message);
+      });
+    }
+  }
+
+  /** Ends speaking and hearing. */
+  close(): void {
+    this.#socket.close();
+  }
+
+  #hear(bytes: Uint8Array): void {
+    try {
+      this.#onPulse(protobuf.fromBinary(messages.PulseSchema, bytes));
+    } catch (error) {
+      this.#onProblem(`a datagram can't be read: ${String(error)}`);
+    }
+  }
+}
--- a/packages/gateway/src/storeFollower.ts
+++ b/packages/gateway/src/storeFollower.ts
@@ -1,4 +1,5 @@
 import * as serving from "@camphorcourse/serving";
+import type * as beliefsModule from "./beliefs.js";
 import type * as decisionLogs from "./decisionLog.js";
 import type * as fleetViews from "./fleetView.js";
 import * as metricsModule from "./metrics.js";
@@ -25,14 +26,11 @@
   readonly store: ports.DurableStore;
   readonly layout: ports.StoreLayout;
   readonly view: fleetViews.FleetView;
+  readonly beliefs: beliefsModule.Beliefs;
   readonly log: decisionLogs.DecisionLog;
   readonly metrics: metricsModule.Metrics;
   /** @returns a uniform number in [0, 1) */
   readonly draw: () => number;
-  /** Called for each change of a belief about an endpoint. */
-  readonly onEndpoint: (news: serving.EndpointNews) => void;
-  /** Called when a configuration has come into force. */
-  readonly onConfiguration: () => void;
 }
 
 /** Follows the configuration, the endpoints and the other daemons in the key-value service. */
@@ -50,9 +48,9 @@
     this.#parts = parts;
   }
 
-  /** @returns instant of the last answer, in milliseconds, if there was one */
-  get answeredAt(): number | undefined {
-    return this.#answeredAt;
+  /** @returns milliseconds for which the service has not answered; since the start if it never has */
+  get silentMs(): number {
+    return performance.now() - (this.#answeredAt ?? 0);
   }
 
   /** Follows until it is stopped. */
@@ -80,7 +78,7 @@
     if (listing.isErr()) return this.#failed(listing.error, started);
     this.#answered(started);
     if (this.#listDueAt !== undefined && performance.now() >= this.#listDueAt) this.#listDueAt = undefined;
-    this.#takeListing(listing.value);
+    this.#parts.beliefs.takeListing(listing.value);
     this.#revision = listing.value.revision;
     return 0;
   }
@@ -98,7 +96,7 @@
       return this.#failed(changes.error, started);
     }
     this.#answered(started);
-    for (const event of changes.value.events) this.#takeEvent(event);
+    for (const event of changes.value.events) this.#parts.beliefs.takeEvent(event);
     this.#revision = Math.max(after, changes.value.revision);
     return WATCH_PAUSE_MS;
   }
@@ -132,104 +130,4 @@
     const pause = Math.min(RETRY_PAUSE_MS.longest, RETRY_PAUSE_MS.first * 2 ** (this.#failures - 1));
     return pause * (0.5 + this.#parts.draw() / 2);
   }
-
-  #takeListing(listing: ports.StoreListing): void {
-    const { layout, view } = this.#parts;
-    const endpoints: { endpoint: serving.Endpoint; revision: number }[] = [];
-    const daemons = new Set<string>();
-    for (const item of listing.items) {
-      if (item.key.startsWith(layout.endpointPrefix)) {
-        const endpoint = this.#decodeEndpoint(item);
-        if (endpoint !== undefined) endpoints.push({ endpoint, revision: item.revision });
-        continue;
-      }
-      if (item.key.startsWith(layout.daemonPrefix)) daemons.add(item.key);
-      this.#takeItem(item);
-    }
-    for (const news of view.directory.replace(endpoints, listing.revision, performance.now())) this.#tell(news);
-    for (const key of [...view.daemons.keys()]) if (!daemons.has(key)) this.#removeDaemon(key);
-  }
-
-  #takeEvent(event: ports.StoreEvent): void {
-    const { layout, view } = this.#parts;
-    if (event.item !== undefined) {
-      this.#takeItem(event.item);
-      return;
-    }
-    if (event.key.startsWith(layout.daemonPrefix)) this.#removeDaemon(event.key);
-    if (!event.key.startsWith(layout.endpointPrefix)) return;
-    // A removal just after the service's return may be a lapse of the outage; the listing that follows tells.
-    if (view.directory.lapsesDoubted(performance.now())) return;
-    const news = view.directory.remove(event.key.slice(layout.endpointPrefix.length), event.revision);
-    if (news !== undefined) this.#tell(news);
-  }
-
-  #takeItem(item: ports.StoredItem): void {
-    const { layout, view } = this.#parts;
-    if (item.key === layout.configurationKey) {
-      this.#takeConfiguration(item);
-    } else if (item.key.startsWith(layout.endpointPrefix)) {
-      const endpoint = this.#decodeEndpoint(item);
-      const news = endpoint === undefined ? undefined : view.directory.put(endpoint, item.revision);
-      if (news !== undefined) this.#tell(news);
-    } else if (item.key.startsWith(layout.daemonPrefix)) {
-      this.#takeDaemon(item);
-    }
-  }
-
-  #takeConfiguration(item: ports.StoredItem): void {
-    const { layout, view, log } = this.#parts;
-    if (item.revision <= view.configurationRevision) return;
-    const configuration = layout.decodeConfiguration(item.value);
-    if (configuration.isErr()) {
-      log.warn("configuration-unreadable", { revision: item.revision, detail: configuration.error });
-      return;
-    }
-    if (!view.configure(configuration.value, item.value, item.revision)) return;
-    log.info("configuration-in-force", {
-      version: configuration.value.version,
-      revision: item.revision,
-      routes: configuration.value.routes.length,
-      source: "store",
-    });
-    this.#parts.onConfiguration();
-  }
-
-  #decodeEndpoint(item: ports.StoredItem): serving.Endpoint | undefined {
-    const { layout, log } = this.#parts;
-    const endpoint = layout.decodeEndpoint(item.key.slice(layout.endpointPrefix.length), item.value);
-    if (endpoint.isOk()) return endpoint.value;
-    log.warn("endpoint-entry-unreadable", { key: item.key, revision: item.revision, detail: endpoint.error });
-    return undefined;
-  }
-
-  #takeDaemon(item: ports.StoredItem): void {
-    const { view, log } = this.#parts;
-    try {
-      const entry = JSON.parse(Buffer.from(item.value).toString()) as fleetViews.DaemonEntry;
-      if (!view.daemons.has(item.key)) log.info("daemon-joined", { daemon: entry.vm, revision: item.revision });
-      view.daemons.set(item.key, entry);
-    } catch (error) {
-      log.warn("daemon-entry-unreadable", { key: item.key, detail: String(error) });
-    }
-  }
-
-  #removeDaemon(key: string): void {
-    const entry = this.#parts.view.daemons.get(key);
-    if (entry === undefined) return;
-    this.#parts.view.daemons.delete(key);
-    this.#parts.log.info("daemon-left", { daemon: entry.vm });
-  }
-
-  #tell(news: serving.EndpointNews): void {
-    this.#parts.log.info("endpoint", {
-      change: news.change,
-      endpoint: news.endpoint.id,
-      service: news.endpoint.service,
-      address: news.endpoint.address,
-      revision: news.revision,
-      source: "store",
-    });
-    this.#parts.onEndpoint(news);
-  }
 }
--- a/packages/serving/src/placement.ts
+++ b/packages/serving/src/placement.ts
@@ -13,6 +13,8 @@
   /** Tokens that have to be read. */
   readonly unreadTokens: number;
   readonly level: number;
+  /** Tokens that the engine has to read before. */
+  readonly tokensAhead: number;
   /** Predicted time to the first event, in milliseconds. */
   readonly predictedMs: number;
 }
@@ -77,6 +79,7 @@
   readonly engine: directories.Endpoint;
   readonly unreadTokens: number;
   readonly level: number;
+  readonly tokensAhead: number;
   readonly predictedMs: number;
 }
 
@@ -127,7 +130,7 @@
   const runningMs = inputs.board.running(engine.id, inputs.now) * RUNNING_MS;
   const wayMs = engine.dataCentre === inputs.dataCentre ? 0 : OTHER_DATA_CENTRE_MS;
   const predictedMs = readMs * inputs.slowness(engine.id) + runningMs + wayMs;
-  return { engine, unreadTokens, level, predictedMs };
+  return { engine, unreadTokens, level, tokensAhead: ahead, predictedMs };
 }
 
 function leastBusy(
