Tell peers which shared parts an engine was given to read

Cause: each daemon took parts for unread that others had read at their home, so loads and urgencies were guessed too high and requests left home for nothing.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -194,8 +194,7 @@
       return;
     }
     const reader = plan.reader ?? plan.decoder;
-    board.cache(reader.id, engine.memoryTokens).read(prompt);
-    if (plan.reader !== undefined) board.cache(plan.decoder.id, engine.memoryTokens).read(prompt);
+    board.noteRead(reader.id, engine.memoryTokens, prompt);
     const stage = plan.reader === undefined ? Stage.Answering : Stage.Reading;
     this.#dispatch(reader, stage, plan.predictedMs, plan);
   }
--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -92,7 +92,7 @@
   #beat(): void {
     const now = performance.now();
     const peers = this.#others().length;
-    const due = now - this.#saidAt >= QUIET_PULSE_MS || this.#workText() !== this.#saidWork;
+    const due = now - this.#saidAt >= QUIET_PULSE_MS || this.#parts.board.hasUntoldReads || this.#workText() !== this.#saidWork;
     if (due) this.#say(now);
     this.#tellNews(now);
     const interval = Math.max(PULSE_MS.shortest, PULSE_MS.perDaemon * peers);
@@ -124,6 +124,12 @@
         unread: work.unread.map((tokens) => Math.round(tokens)),
       })),
       departures: this.#departureMessages(),
+      reads: board.takeUntoldReads().map(({ endpointId, model, part }) => ({
+        endpoint: endpointId,
+        model,
+        part: part.id,
+        tokens: part.tokens,
+      })),
     });
     this.#pulse.say(
       pulse,
@@ -153,6 +159,9 @@
       new Map(pulse.work.map((work) => [work.endpoint, { unread: work.unread, running: work.running }])),
       now,
     );
+    for (const { endpoint, model, part, tokens } of pulse.reads) {
+      this.#parts.board.hearRead({ endpointId: endpoint, model, part: { id: part, tokens } });
+    }
     for (const departure of pulse.departures) this.#parts.onDeparture(departure.endpoint, Number(departure.revision));
   }
 
--- a/packages/serving/src/engineBoard.ts
+++ b/packages/serving/src/engineBoard.ts
@@ -23,11 +23,21 @@
  */
 export const PEER_WORK_EXPIRY_MS = 700;
 
+/** A shared part of a prompt that an engine was given to read. */
+export interface PartRead {
+  readonly endpointId: string;
+  readonly model: string;
+  readonly part: promptParts.PromptPart;
+}
+
 interface PeerWord {
   readonly work: ReadonlyMap<string, EndpointWork>;
   readonly heardAt: number;
 }
 
+/** Most reads kept to be told in the next pulse. */
+const MOST_UNTOLD_READS = 64;
+
 interface EndpointState {
   readonly unread: number[];
   running: number;
@@ -42,6 +52,7 @@
 export class EngineBoard {
   readonly #states = new Map<string, EndpointState>();
   readonly #peers = new Map<string, PeerWord>();
+  #untoldReads: PartRead[] = [];
 
   /**
    * @param endpointId - the engine
@@ -125,6 +136,38 @@
     return state.cache;
   }
 
+  /**
+   * An engine is given a prompt to read: it will keep the parts, and the peers
+   * are to know of those that their own requests may share. Without that each
+   * daemon takes parts for unread that others had read at their home.
+   *
+   * @param endpointId - the engine
+   * @param memoryTokens - tokens that it can keep
+   * @param prompt - the prompt
+   */
+  noteRead(endpointId: string, memoryTokens: number, prompt: promptParts.Prompt): void {
+    this.cache(endpointId, memoryTokens).read(prompt);
+    for (const part of prompt.parts.slice(0, -1)) this.#untoldReads.push({ endpointId, model: prompt.model, part });
+    if (this.#untoldReads.length > MOST_UNTOLD_READS) this.#untoldReads = this.#untoldReads.slice(-MOST_UNTOLD_READS);
+  }
+
+  /** @returns reads that the peers have not been told of; they are then forgotten */
+  takeUntoldReads(): PartRead[] {
+    const reads = this.#untoldReads;
+    this.#untoldReads = [];
+    return reads;
+  }
+
+  /** @returns whether there are reads to tell the peers */
+  get hasUntoldReads(): boolean {
+    return this.#untoldReads.length > 0;
+  }
+
+  /** @param read - a part that an engine was given by a peer */
+  hearRead(read: PartRead): void {
+    this.#states.get(read.endpointId)?.cache?.readPart(read.model, read.part);
+  }
+
   /** @param endpointId - an endpoint that is gone */
   forget(endpointId: string): void {
     const state = this.#states.get(endpointId);
--- a/packages/serving/src/promptParts.ts
+++ b/packages/serving/src/promptParts.ts
@@ -36,9 +36,15 @@
    * @param prompt - a prompt that the engine reads
    */
   read(prompt: Prompt): void {
-    for (const part of prompt.parts) {
-      if (part.tokens > 0) this.#parts.set(cacheKey(prompt.model, part.id), part.tokens);
-    }
+    for (const part of prompt.parts) this.readPart(prompt.model, part);
+  }
+
+  /**
+   * @param model - the model
+   * @param part - a part that the engine reads for it
+   */
+  readPart(model: string, part: PromptPart): void {
+    if (part.tokens > 0) this.#parts.set(cacheKey(model, part.id), part.tokens);
   }
 
   /**
