--- a/packages/gateway/src/callerListener.ts
+++ b/packages/gateway/src/callerListener.ts
@@ -137,12 +137,7 @@
   }
 
   /** A request that is not read to its end leaves bytes on the connection, which must not be taken for another. */
-  #turnAway(
-    incoming: http.IncomingMessage,
-    answer: callerAnswers.CallerAnswer,
-    status: number,
-    detail: string,
-  ): void {
+  #turnAway(incoming: http.IncomingMessage, answer: callerAnswers.CallerAnswer, status: number, detail: string): void {
     answer.refuse(status, detail, ["connection", "close"]);
     incoming.resume();
   }
--- a/packages/gateway/src/endpointClient.ts
+++ b/packages/gateway/src/endpointClient.ts
@@ -178,7 +178,12 @@
       receiver.onBroken(fate, detail);
     };
     lane.client.dispatch(
-      { method: request.method as undici.Dispatcher.HttpMethod, path: request.path, headers: request.headers, body: request.body ?? null },
+      {
+        method: request.method as undici.Dispatcher.HttpMethod,
+        path: request.path,
+        headers: request.headers,
+        body: request.body ?? null,
+      },
       {
         onRequestStart: (started_) => {
           started = true;
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -137,7 +137,9 @@
     const open = view.directory
       .serving(this.#service)
       .filter((endpoint) => !this.#tried.has(endpoint.id))
-      .filter((endpoint) => client.hasRoom(endpoint.id, definition?.maxConnections ?? Number.MAX_SAFE_INTEGER, daemons));
+      .filter((endpoint) =>
+        client.hasRoom(endpoint.id, definition?.maxConnections ?? Number.MAX_SAFE_INTEGER, daemons),
+      );
     const usable = new Set(
       health.usable(
         open.map((endpoint) => endpoint.id),
@@ -208,12 +210,7 @@
     this.#dispatch(decoder, Stage.Answering, 0, undefined);
   }
 
-  #dispatch(
-    endpoint: serving.Endpoint,
-    stage: Stage,
-    predictedMs: number,
-    plan: serving.EnginePlan | undefined,
-  ): void {
+  #dispatch(endpoint: serving.Endpoint, stage: Stage, predictedMs: number, plan: serving.EnginePlan | undefined): void {
     const { board, client, format, log } = this.#context;
     const now = performance.now();
     const remainingMs = Math.floor(this.#remainingMs());
@@ -384,12 +381,7 @@
     this.#finish();
   }
 
-  #onWholeAnswer(
-    active: ActiveSend,
-    status: number,
-    headers: endpointClients.AnswerHeaders,
-    body: Buffer,
-  ): void {
+  #onWholeAnswer(active: ActiveSend, status: number, headers: endpointClients.AnswerHeaders, body: Buffer): void {
     this.#handedOver = undefined;
     const failed = status >= SERVER_ERRORS_FROM;
     const now = performance.now();
@@ -481,8 +473,7 @@
       attempts: this.#route.attempts,
       remainingMs: this.#remainingMs(),
       otherEndpoint: others,
-      spendRepeat: () =>
-        this.#context.budgets.of(this.#service).spend(performance.now(), this.#context.liveDaemons()),
+      spendRepeat: () => this.#context.budgets.of(this.#service).spend(performance.now(), this.#context.liveDaemons()),
     });
   }
 
@@ -569,7 +560,8 @@
       sends: this.#sends,
       mayHaveRun: this.#mayHaveRun,
       tookMs: Math.round(now - this.#request.arrivedAt),
-      firstEventMs: this.#firstEventAt === undefined ? undefined : Math.round(this.#firstEventAt - this.#request.arrivedAt),
+      firstEventMs:
+        this.#firstEventAt === undefined ? undefined : Math.round(this.#firstEventAt - this.#request.arrivedAt),
       configuration: this.#context.view.configurationRevision,
     });
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -113,8 +113,7 @@
       log: this.#log,
       ready: () => this.ready,
       storeSilentMs: () => this.#follower.silentMs,
-      onConfiguration: (document, revision) =>
-        beliefs.takeConfiguration(document, revision, beliefsModule.Source.Peer),
+      onConfiguration: (document, revision) => beliefs.takeConfiguration(document, revision, beliefsModule.Source.Peer),
       onEndpoint: (id, value, revision) => beliefs.takeEndpoint(id, value, revision, beliefsModule.Source.Peer),
       onDeparture: (id, revision) => beliefs.takeDeparture(id, revision, beliefsModule.Source.Peer),
     });
--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -92,7 +92,8 @@
   #beat(): void {
     const now = performance.now();
     const peers = this.#others().length;
-    const due = now - this.#saidAt >= QUIET_PULSE_MS || this.#parts.board.hasUntoldReads || this.#workText() !== this.#saidWork;
+    const due =
+      now - this.#saidAt >= QUIET_PULSE_MS || this.#parts.board.hasUntoldReads || this.#workText() !== this.#saidWork;
     if (due) this.#say(now);
     this.#tellNews(now);
     const interval = Math.max(PULSE_MS.shortest, PULSE_MS.perDaemon * peers);
--- a/packages/gateway/src/peerPulse.ts
+++ b/packages/gateway/src/peerPulse.ts
@@ -35,7 +35,12 @@
   say(pulse: messages.Pulse, addresses: readonly string[]): void {
     let bytes = protobuf.toBinary(messages.PulseSchema, pulse);
     if (bytes.length > LARGEST_BYTES) {
-      bytes = protobuf.toBinary(messages.PulseSchema, { ...pulse, work: [], reads: [], departures: pulse.departures.slice(-8) });
+      bytes = protobuf.toBinary(messages.PulseSchema, {
+        ...pulse,
+        work: [],
+        reads: [],
+        departures: pulse.departures.slice(-8),
+      });
     }
     for (const address of addresses) {
       const colon = address.lastIndexOf(":");
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -76,11 +76,7 @@
    * @param afterRevision - revision after which changes count
    * @param waitMs - longest wait for the first change, in milliseconds
    */
-  watch(
-    prefix: string,
-    afterRevision: number,
-    waitMs: number,
-  ): Promise<neverthrow.Result<StoreChanges, StoreProblem>>;
+  watch(prefix: string, afterRevision: number, waitMs: number): Promise<neverthrow.Result<StoreChanges, StoreProblem>>;
   /** @param write - conditions and changes; @returns the revision of the write */
   write(write: ConditionalWrite): Promise<neverthrow.Result<number, StoreProblem>>;
   /** @param ttlMs - time to live in milliseconds */
--- a/packages/gateway/src/registration.ts
+++ b/packages/gateway/src/registration.ts
@@ -26,12 +26,7 @@
    * @param entry - the entry
    * @param log - takes what is decided
    */
-  constructor(
-    store: ports.DurableStore,
-    key: string,
-    entry: fleetViews.DaemonEntry,
-    log: decisionLogs.DecisionLog,
-  ) {
+  constructor(store: ports.DurableStore, key: string, entry: fleetViews.DaemonEntry, log: decisionLogs.DecisionLog) {
     this.#store = store;
     this.#key = key;
     this.#entry = entry;
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -2,7 +2,9 @@
 import * as childProcess from "node:child_process";
 import * as esbuild from "esbuild";
 
-childProcess.execFileSync(process.execPath, ["node_modules/typescript/bin/tsc", "-b", "platform"], { stdio: "inherit" });
+childProcess.execFileSync(process.execPath, ["node_modules/typescript/bin/tsc", "-b", "platform"], {
+  stdio: "inherit",
+});
 await esbuild.build({
   entryPoints: ["platform/dist/src/main.js"],
   outfile: "target/gateway.mjs",
--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -7,11 +7,11 @@
 const PARALLEL = 4;
 const TIMEOUT_MS = 120_000;
 
-const files = fs
-  .readdirSync("packages")
-  .flatMap((name) => {
-    const folder = path.join("packages", name, "dist", "tests");
-    const sources = path.join("packages", name, "tests");
+const workspaces = [...fs.readdirSync("packages").map((name) => path.join("packages", name)), "platform"];
+const files = workspaces
+  .flatMap((workspace) => {
+    const folder = path.join(workspace, "dist", "tests");
+    const sources = path.join(workspace, "tests");
     if (!fs.existsSync(folder)) return [];
     const built = fs.readdirSync(folder).filter((file) => file.endsWith(".test.js"));
     // A test whose source is gone may still lie in dist/.
