Let engines' roles follow the load, by orders under a lease

Cause: two of six engines read prompts at 80 to 90 in 100 of their time while reading at decode engines slowed all streams there (events 200 ms apart where 60 are usual), so long answers missed their deadlines.

--- a/packages/gateway/src/beliefs.ts
+++ b/packages/gateway/src/beliefs.ts
@@ -16,6 +16,8 @@
   readonly log: decisionLogs.DecisionLog;
   /** Called for each change of a belief about an endpoint. */
   readonly onEndpoint: (news: serving.EndpointNews) => void;
+  /** Called when an engine's role was changed, with its service. */
+  readonly onRoleChange: (service: string) => void;
   /** Called when a configuration has come into force. */
   readonly onConfiguration: () => void;
 }
@@ -23,6 +25,7 @@
 /** Decodes what the key-value service or a peer says, and changes the view by it. */
 export class Beliefs {
   readonly #parts: BeliefParts;
+  #roleChangeRevision = 0;
 
   /** @param parts - what it needs */
   constructor(parts: BeliefParts) {
@@ -119,6 +122,20 @@
       this.takeEndpoint(item.key.slice(layout.endpointPrefix.length), item.value, item.revision, Source.Store);
     } else if (item.key.startsWith(layout.daemonPrefix)) {
       this.#takeDaemon(item);
+    } else if (item.key === layout.roleChangeKey) {
+      this.#takeRoleChange(item);
+    }
+  }
+
+  #takeRoleChange(item: ports.StoredItem): void {
+    if (item.revision <= this.#roleChangeRevision) return;
+    this.#roleChangeRevision = item.revision;
+    try {
+      const change = JSON.parse(Buffer.from(item.value).toString()) as { service: string };
+      this.#parts.log.info("role-change-known", { service: change.service, revision: item.revision });
+      this.#parts.onRoleChange(change.service);
+    } catch (error) {
+      this.#parts.log.warn("role-change-unreadable", { revision: item.revision, detail: String(error) });
     }
   }
 
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -16,6 +16,8 @@
   readonly view: fleetViews.FleetView;
   readonly board: serving.EngineBoard;
   readonly health: serving.EndpointHealth;
+  /** Tokens that own requests' prompts need read. */
+  readonly readDemand: serving.FadingRate;
   readonly client: endpointClients.EndpointClient;
   readonly budgets: RetryBudgets;
   readonly random: common.SeededRandom;
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -62,6 +62,9 @@
   #mayHaveRun = false;
   #lastEventId: string | undefined;
   #firstEventAt: number | undefined;
+  #lastEventAt = 0;
+  #events = 0;
+  #longestGapMs = 0;
   #over = false;
 
   /**
@@ -134,16 +137,17 @@
   #candidates(definition: serving.Service | undefined): serving.Endpoint[] {
     const { view, client, health } = this.#context;
     const daemons = this.#context.liveDaemons();
+    const now = performance.now();
     const open = view.directory
       .serving(this.#service)
-      .filter((endpoint) => !this.#tried.has(endpoint.id))
+      .filter((endpoint) => !this.#tried.has(endpoint.id) && !view.isChanging(endpoint, now))
       .filter((endpoint) =>
         client.hasRoom(endpoint.id, definition?.maxConnections ?? Number.MAX_SAFE_INTEGER, daemons),
       );
     const usable = new Set(
       health.usable(
         open.map((endpoint) => endpoint.id),
-        performance.now(),
+        now,
       ),
     );
     return open.filter((endpoint) => usable.has(endpoint.id));
@@ -197,6 +201,7 @@
     }
     const reader = plan.reader ?? plan.decoder;
     board.noteRead(reader.id, engine.memoryTokens, prompt);
+    this.#context.readDemand.add(plan.readingTokens, performance.now());
     const stage = plan.reader === undefined ? Stage.Answering : Stage.Reading;
     this.#dispatch(reader, stage, plan.predictedMs, plan);
   }
@@ -357,6 +362,10 @@
       this.#firstEventAt = performance.now();
       metrics.record(metricsModule.Duration.FirstEvent, this.#firstEventAt - this.#request.arrivedAt);
     }
+    const now = performance.now();
+    if (this.#events > 0) this.#longestGapMs = Math.max(this.#longestGapMs, now - this.#lastEventAt);
+    this.#events++;
+    this.#lastEventAt = now;
     this.#mayHaveRun = true;
     this.#handedOver = undefined;
     this.#answer.beginStream(status, headers);
@@ -562,6 +571,9 @@
       tookMs: Math.round(now - this.#request.arrivedAt),
       firstEventMs:
         this.#firstEventAt === undefined ? undefined : Math.round(this.#firstEventAt - this.#request.arrivedAt),
+      events: this.#events,
+      longestGapMs: Math.round(this.#longestGapMs),
+      sinceEventMs: this.#events === 0 ? undefined : Math.round(now - this.#lastEventAt),
       configuration: this.#context.view.configurationRevision,
     });
   }
--- a/packages/gateway/src/fleetView.ts
+++ b/packages/gateway/src/fleetView.ts
@@ -12,11 +12,20 @@
   readonly peers: string;
 }
 
+/** An engine that was ordered to take another role. */
+export interface EngineInChange {
+  /** Instant at which it is used again whatever became of the order, in milliseconds. */
+  readonly until: number;
+  readonly role: serving.EngineRole;
+}
+
 /** What this daemon believes of the fleet, from the key-value service and its peers. */
 export class FleetView {
   readonly directory = new serving.EndpointDirectory();
   /** Endpoints' entries as written, to be told to peers that the service doesn't answer. */
   readonly endpointDocuments = new Map<string, { readonly value: Uint8Array; readonly revision: number }>();
+  /** Engines that were ordered to take another role and get no new work meanwhile. */
+  readonly changing = new Map<string, EngineInChange>();
   readonly daemons = new Map<string, DaemonEntry>();
   #table: serving.RouteTable | undefined;
   #configurationRevision = 0;
@@ -27,6 +36,19 @@
     return this.#table;
   }
 
+  /**
+   * @param endpoint - an engine
+   * @param now - current instant in milliseconds
+   * @returns whether it is on the way to another role
+   */
+  isChanging(endpoint: serving.Endpoint, now: number): boolean {
+    const change = this.changing.get(endpoint.id);
+    if (change === undefined) return false;
+    if (change.until > now && change.role !== endpoint.role) return true;
+    this.changing.delete(endpoint.id);
+    return false;
+  }
+
   /** @returns revision of the configuration in force, 0 if none is known */
   get configurationRevision(): number {
     return this.#configurationRevision;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,9 +10,11 @@
 import * as endpointClients from "./endpointClient.js";
 import * as fleetViews from "./fleetView.js";
 import * as metricsModule from "./metrics.js";
+import * as orderAuthorities from "./orderAuthority.js";
 import * as peerLinks from "./peerLink.js";
 import type * as ports from "./ports.js";
 import * as registrations from "./registration.js";
+import * as roleChangers from "./roleChanger.js";
 import type * as settingsModule from "./settings.js";
 import * as sideServers from "./sideServers.js";
 import * as storeFollowers from "./storeFollower.js";
@@ -35,6 +37,9 @@
 /** Daemons in a caller's own data centre from which it is sent nowhere else. */
 const ENOUGH_NEAR = 2;
 
+/** What the daemon that gives orders is chosen for, by hash. */
+const ORDERS_KEY = "orders";
+
 const SEED_BYTES = 4;
 
 /** What the surroundings give a gateway. */
@@ -57,6 +62,8 @@
   readonly #registration: registrations.Registration;
   readonly #entry: fleetViews.DaemonEntry;
   readonly #peers: peerLinks.PeerLink;
+  readonly #authority: orderAuthorities.OrderAuthority;
+  readonly #roles: roleChangers.RoleChanger;
   readonly #servers: http.Server[] = [];
   #stopping = false;
 
@@ -83,6 +90,7 @@
       view: this.#view,
       board: new serving.EngineBoard(),
       health: new serving.EndpointHealth(),
+      readDemand: new serving.FadingRate(),
       client: new endpointClients.EndpointClient((name) => this.#metrics.count(name)),
       budgets: new contexts.RetryBudgets(settings.retryBounds, performance.now()),
       random,
@@ -94,6 +102,7 @@
       view: this.#view,
       log: this.#log,
       onEndpoint: (news) => this.#onEndpoint(news),
+      onRoleChange: (service) => this.#roles.changed(service),
       onConfiguration: () => this.#listener.followLimits(),
     });
     this.#follower = new storeFollowers.StoreFollower({
@@ -110,6 +119,7 @@
       entry: this.#entry,
       view: this.#view,
       board: this.#context.board,
+      readDemand: this.#context.readDemand,
       log: this.#log,
       ready: () => this.ready,
       storeSilentMs: () => this.#follower.silentMs,
@@ -117,6 +127,21 @@
       onEndpoint: (id, value, revision) => beliefs.takeEndpoint(id, value, revision, beliefsModule.Source.Peer),
       onDeparture: (id, revision) => beliefs.takeDeparture(id, revision, beliefsModule.Source.Peer),
     });
+    this.#authority = new orderAuthorities.OrderAuthority({
+      store: surroundings.store,
+      key: surroundings.layout.authorityKey,
+      vm: settings.vm,
+      log: this.#log,
+      leaseMs: settings.orderLeaseMs,
+      eligible: () => this.#isFirst(),
+    });
+    this.#roles = new roleChangers.RoleChanger({
+      context: this.#context,
+      authority: this.#authority,
+      store: surroundings.store,
+      changeKey: surroundings.layout.roleChangeKey,
+      readTokensPerMs: () => this.#readTokensPerMs(),
+    });
     const key = `${surroundings.layout.daemonPrefix}${settings.vm}`;
     this.#registration = new registrations.Registration(surroundings.store, key, this.#entry, this.#log);
   }
@@ -133,6 +158,8 @@
     void this.#registration.run();
     await this.#listener.listen(this.#settings.callers);
     await this.#peers.start();
+    void this.#authority.run();
+    this.#roles.start();
   }
 
   /**
@@ -183,6 +210,8 @@
     this.#listener.closeAfterAnswers();
     this.#peers.sayNow();
     void this.#registration.end();
+    void this.#authority.end();
+    this.#roles.stop();
     await this.#untilIdle(startedAt);
     this.#listener.close();
     this.#follower.stop();
@@ -198,6 +227,20 @@
     this.#log.info("reload", { detail });
   }
 
+  /** One daemon of those that live takes the orders on; another follows when it falls silent. */
+  #isFirst(): boolean {
+    if (!this.ready) return false;
+    const peers = this.#peers.book.live(performance.now()).filter((peer) => peer.ready);
+    const names = [this.#entry.vm, ...peers.map((peer) => peer.vm)];
+    return common.rendezvousOrder(ORDERS_KEY, names)[0] === this.#entry.vm;
+  }
+
+  #readTokensPerMs(): number {
+    const now = performance.now();
+    const peers = this.#peers.book.live(now);
+    return peers.reduce((sum, peer) => sum + peer.readTokensPerMs, this.#context.readDemand.perMs(now));
+  }
+
   async #untilIdle(startedAt: number): Promise<void> {
     const lastAt = startedAt + this.#settings.stopGraceMs - STOP_MARGIN_MS;
     for (;;) {
--- a/packages/gateway/src/peerBook.ts
+++ b/packages/gateway/src/peerBook.ts
@@ -8,6 +8,8 @@
   readonly configurationRevision: number;
   /** Milliseconds for which the key-value service has not answered it. */
   readonly storeSilentMs: number;
+  /** Tokens that its prompts need read in a millisecond. */
+  readonly readTokensPerMs: number;
   readonly heardAt: number;
 }
 
@@ -20,11 +22,19 @@
 /** Time in which one telling of a daemon is expected to arrive, in milliseconds. */
 const TELL_AGAIN_MS = 700;
 
+/**
+ * Time for which a daemon may be behind before it is told, in milliseconds: it
+ * usually reads the change itself within that time, and half a second is left
+ * of the bound for telling it.
+ */
+const OWN_READING_MS = 900;
+
 /** What the other daemons last said, and who needs to be told what. */
 export class PeerBook {
   readonly #own: string;
   readonly #states = new Map<string, PeerState>();
   readonly #toldAt = new Map<string, number>();
+  readonly #behindSince = new Map<string, number>();
 
   /** @param own - this daemon's VM */
   constructor(own: string) {
@@ -78,7 +88,7 @@
   toTell(configurationRevision: number, storeSilentMs: number, now: number): PeerState[] {
     const live = this.live(now);
     return live.filter((state) => {
-      const behind = state.configurationRevision < configurationRevision;
+      const behind = this.#isLongBehind(state, configurationRevision, now);
       const cutOff = state.storeSilentMs > STORE_SILENT_MS && storeSilentMs < STORE_SILENT_MS;
       if (!behind && !cutOff) return false;
       if (now - (this.#toldAt.get(state.vm) ?? Number.NEGATIVE_INFINITY) < TELL_AGAIN_MS) return false;
@@ -88,6 +98,16 @@
     });
   }
 
+  #isLongBehind(state: PeerState, configurationRevision: number, now: number): boolean {
+    if (state.configurationRevision >= configurationRevision) {
+      this.#behindSince.delete(state.vm);
+      return false;
+    }
+    const since = this.#behindSince.get(state.vm) ?? now;
+    this.#behindSince.set(state.vm, since);
+    return now - since >= OWN_READING_MS;
+  }
+
   #isTeller(of: PeerState, live: readonly PeerState[], configurationRevision: number): boolean {
     const able = live
       .filter((state) => state.vm !== of.vm && state.storeSilentMs < STORE_SILENT_MS)
--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -1,7 +1,7 @@
 import type * as http from "node:http";
 import * as protobuf from "@bufbuild/protobuf";
 import * as messages from "@camphorcourse/protocol/gateway";
-import type * as serving from "@camphorcourse/serving";
+import * as serving from "@camphorcourse/serving";
 import type * as decisionLogs from "./decisionLog.js";
 import type * as fleetViews from "./fleetView.js";
 import * as peerBooks from "./peerBook.js";
@@ -22,12 +22,15 @@
 /** Time for which a departure is told in each pulse, in milliseconds. */
 const DEPARTURE_TOLD_MS = 4_000;
 
+const MS_PER_SECOND = 1_000;
+
 /** What the link needs. */
 export interface PeerLinkParts {
   readonly settings: settingsModule.GatewaySettings;
   readonly entry: fleetViews.DaemonEntry;
   readonly view: fleetViews.FleetView;
   readonly board: serving.EngineBoard;
+  readonly readDemand: serving.FadingRate;
   readonly log: decisionLogs.DecisionLog;
   readonly ready: () => boolean;
   /** Milliseconds for which the key-value service has not answered. */
@@ -131,6 +134,10 @@
         part: part.id,
         tokens: part.tokens,
       })),
+      readTokensPerSecond: Math.round(this.#parts.readDemand.perMs(now) * MS_PER_SECOND),
+      changing: [...view.changing]
+        .filter(([, change]) => change.until > now)
+        .map(([endpoint, change]) => ({ endpoint, role: change.role, forMs: Math.round(change.until - now) })),
     });
     this.#pulse.say(
       pulse,
@@ -150,6 +157,7 @@
       ready: pulse.ready,
       configurationRevision: Number(pulse.configurationRevision),
       storeSilentMs: pulse.storeSilentMs,
+      readTokensPerMs: pulse.readTokensPerSecond / MS_PER_SECOND,
       heardAt: now,
     });
     if (before === undefined || before.incarnation !== pulse.incarnation || before.ready !== pulse.ready) {
@@ -160,6 +168,10 @@
       new Map(pulse.work.map((work) => [work.endpoint, { unread: work.unread, running: work.running }])),
       now,
     );
+    for (const { endpoint, role, forMs } of pulse.changing) {
+      if (this.#parts.view.changing.has(endpoint)) continue;
+      this.#parts.view.changing.set(endpoint, { until: now + forMs, role: role as serving.EngineRole });
+    }
     for (const { endpoint, model, part, tokens } of pulse.reads) {
       this.#parts.board.hearRead({ endpointId: endpoint, model, part: { id: part, tokens } });
     }
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -94,6 +94,10 @@
   readonly configurationKey: string;
   readonly endpointPrefix: string;
   readonly daemonPrefix: string;
+  /** Key of the right to give orders. */
+  readonly authorityKey: string;
+  /** Key of the last change of an engine's role. */
+  readonly roleChangeKey: string;
   /** @param value - the operators' document */
   decodeConfiguration(value: Uint8Array): neverthrow.Result<serving.Configuration, string>;
   /** @param id - the endpoint's id; @param value - its entry */
@@ -138,6 +142,33 @@
   readonly handle: string;
 }
 
+/** A call of the gateway's own to an engine. */
+export interface EngineCall {
+  readonly method: string;
+  readonly path: string;
+  /** @param endpointId - the engine that is meant; @returns names and values by turns */
+  headers(endpointId: string): string[];
+  readonly body: string | undefined;
+}
+
+/** An engine's word of itself, some hundred milliseconds old. */
+export interface EngineState {
+  /** Whether an order is being carried out. */
+  readonly busy: boolean;
+  /** Orders that it has accepted since its start. */
+  readonly ordersAccepted: number;
+}
+
+/** An order to take another role. */
+export interface RoleOrder {
+  readonly role: serving.EngineRole;
+  readonly holder: string;
+  /** Fencing token: an engine that has seen a higher one refuses. */
+  readonly token: number;
+  /** Orders that the engine has accepted so far; with another number it refuses. */
+  readonly expectedOrders: number;
+}
+
 /** How requests and answers are spelt between callers, gateway and endpoints. */
 export interface MessageFormat {
   /**
@@ -153,6 +184,12 @@
   readHandle(body: Uint8Array): neverthrow.Result<ReadPrompt, string>;
   /** @param handle - the handle to free; @returns method and path of the call */
   freeHandle(handle: string): { readonly method: string; readonly path: string };
+  /** @returns the call that asks an engine for its state */
+  engineQuestion(): EngineCall;
+  /** @param body - body of the answer to {@link MessageFormat.engineQuestion} */
+  readEngineState(body: Uint8Array): neverthrow.Result<EngineState, string>;
+  /** @param order - the order; @returns the call that gives it */
+  roleOrder(order: RoleOrder): EngineCall;
   /** Name of the header that tells when to come back, in seconds. */
   readonly retryAfterHeader: string;
 }
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -23,5 +23,7 @@
   readonly stopGraceMs: number;
   /** Longest time that callers may keep an answer with addresses, in seconds. */
   readonly addressTtlSeconds: number;
+  /** Time for which the right to give orders is granted, in milliseconds. */
+  readonly orderLeaseMs: number;
   readonly logLevel: string;
 }
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -8,4 +8,5 @@
 export * from "./placement.js";
 export * from "./promptParts.js";
 export * from "./retryBudget.js";
+export * from "./roleBalance.js";
 export * from "./urgency.js";
--- a/packages/serving/src/placement.ts
+++ b/packages/serving/src/placement.ts
@@ -12,6 +12,8 @@
   readonly reader: directories.Endpoint | undefined;
   /** Tokens that have to be read. */
   readonly unreadTokens: number;
+  /** The reading's work, attention included, as tokens of a short prompt. */
+  readonly readingTokens: number;
   readonly level: number;
   /** Tokens that the engine has to read before. */
   readonly tokensAhead: number;
@@ -78,14 +80,27 @@
   const apart = best(inputs, readers, READING);
   const target = leastBusy(inputs, decoders);
   if (direct === undefined || target === undefined) return undefined;
-  const directMs = direct.predictedMs;
+  const directMs = direct.predictedMs + strainMs(inputs, direct);
   const apartMs = apart === undefined ? Number.POSITIVE_INFINITY : apart.predictedMs + HANDOVER_MS;
   if (apart === undefined || directMs <= apartMs) {
-    return { ...direct, decoder: direct.engine, reader: undefined, predictedMs: directMs };
+    return { ...direct, decoder: direct.engine, reader: undefined, predictedMs: direct.predictedMs };
   }
   return { ...apart, decoder: target, reader: apart.engine, predictedMs: apartMs };
 }
 
+/**
+ * Delay of the streams at a decode engine that counts against reading a prompt
+ * there, as a share of the reading for each stream: each piece of the prompt is
+ * read between two tokens of all of them. Without it long answers miss their
+ * deadline: events were 200 ms apart where 60 ms is usual.
+ */
+const STREAM_STRAIN = 0.05;
+
+function strainMs(inputs: PlacementInputs, direct: Candidate): number {
+  const streams = inputs.board.running(direct.engine.id, inputs.now);
+  return (direct.unreadTokens / DECODE_TOKENS_PER_MS) * streams * STREAM_STRAIN;
+}
+
 interface RoleSpeed {
   readonly tokensPerMs: number;
   readonly runningMs: number;
@@ -107,6 +122,7 @@
 interface Candidate {
   readonly engine: directories.Endpoint;
   readonly unreadTokens: number;
+  readonly readingTokens: number;
   readonly level: number;
   readonly tokensAhead: number;
   readonly tokensWaiting: number;
@@ -162,11 +178,13 @@
   const pairs = unreadTokens * (cached + unreadTokens / 2);
   const pieceWait = Math.min(waiting - ahead, speed.pieceTokens);
   const tokensMs = (ahead + unreadTokens + pieceWait) / speed.tokensPerMs;
-  const readMs = tokensMs + (pairs / PAIRS_IN_A_MILLION) * PAIRS_MS_PER_MILLION;
+  const pairsMs = (pairs / PAIRS_IN_A_MILLION) * PAIRS_MS_PER_MILLION;
+  const readMs = tokensMs + pairsMs;
   const runningMs = inputs.board.running(engine.id, inputs.now) * speed.runningMs;
   const wayMs = engine.dataCentre === inputs.dataCentre ? 0 : OTHER_DATA_CENTRE_MS;
   const predictedMs = FIRST_TOKEN_MS + readMs * inputs.slowness(engine.id) + runningMs + wayMs;
-  return { engine, unreadTokens, level, tokensAhead: ahead, tokensWaiting: waiting, predictedMs };
+  const readingTokens = unreadTokens + pairsMs * PREFILL_TOKENS_PER_MS;
+  return { engine, unreadTokens, readingTokens, level, tokensAhead: ahead, tokensWaiting: waiting, predictedMs };
 }
 
 function leastBusy(
