--- /dev/null
+++ b/packages/serving/tests/placement.test.ts
@@ -0,0 +1,96 @@
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+import * as serving from "../src/index.js";
+
+const suite = uvu.suite("placing prompts");
+const MEMORY_TOKENS = 500_000;
+
+function engine(id: string, role: serving.EngineRole): serving.Endpoint {
+  return { id, service: "s", address: `${id}:1`, dataCentre: "a", slots: 64, role, leaving: false };
+}
+
+const FLEET = [
+  engine("p1", serving.EngineRole.Prefill),
+  engine("p2", serving.EngineRole.Prefill),
+  engine("d1", serving.EngineRole.Decode),
+  engine("d2", serving.EngineRole.Decode),
+];
+
+function prompt(group: string, own: string, ownTokens: number): serving.Prompt {
+  const parts = [
+    { id: `root-${group}`, tokens: 500 },
+    { id: group, tokens: 5_000 },
+    { id: own, tokens: ownTokens },
+  ];
+  return { model: "m", parts, promptTokens: 5_500 + ownTokens, outputTokens: 100 };
+}
+
+function place(board: serving.EngineBoard, of: serving.Prompt, engines = FLEET): serving.EnginePlan {
+  const plan = serving.placePrompt({
+    prompt: of,
+    engines,
+    board,
+    memoryTokens: MEMORY_TOKENS,
+    slowness: () => 1,
+    dataCentre: "a",
+    now: 0,
+  });
+  if (plan === undefined) throw new Error("no plan");
+  return plan;
+}
+
+// The load: many callers ask about the same few dossiers. Read at whichever engine is free, each dossier would be
+// read at all of them; kept at its home, it is read once.
+suite("prompts that share a dossier are read at one engine, and the dossier once", () => {
+  const board = new serving.EngineBoard();
+  let unread = 0;
+  const readers = new Map<string, Set<string>>();
+  for (let index = 0; index < 120; index++) {
+    const group = `dossier-${index % 12}`;
+    const plan = place(board, prompt(group, `own-${index}`, 1_000));
+    const reader = (plan.reader ?? plan.decoder).id;
+    board.noteRead(reader, MEMORY_TOKENS, prompt(group, `own-${index}`, 1_000));
+    readers.set(group, (readers.get(group) ?? new Set()).add(reader));
+    unread += plan.unreadTokens;
+  }
+  assert.is(Math.max(...[...readers.values()].map((each) => each.size)), 1);
+  assert.is(unread, 120 * 1_000 + 12 * 5_500);
+});
+
+// The load: a decode engine streams to many callers. Every piece of a prompt read there delays all their tokens;
+// without counting that, long answers missed their deadlines.
+suite("a prompt is read apart when reading it here would hold up many streams", () => {
+  const board = new serving.EngineBoard();
+  for (const id of ["d1", "d2"]) for (let stream = 0; stream < 30; stream++) board.beginRun(id);
+  assert.is(place(board, prompt("g", "own", 3_000)).reader?.role, serving.EngineRole.Prefill);
+});
+
+suite("a prompt is read where its tokens are made if no engine reads apart", () => {
+  const plan = place(new serving.EngineBoard(), prompt("g", "own", 1_000), FLEET.slice(2));
+  assert.is(plan.reader, undefined);
+});
+
+suite("no plan without an engine that makes tokens", () => {
+  const inputs = { prompt: prompt("g", "o", 10), engines: FLEET.slice(0, 2), board: new serving.EngineBoard() };
+  const rest = { memoryTokens: MEMORY_TOKENS, slowness: () => 1, dataCentre: "a", now: 0 };
+  assert.is(serving.placePrompt({ ...inputs, ...rest }), undefined);
+});
+
+// A peer dies with work noted for it. Its word must expire, or the engine would look busy for ever.
+suite("a peer's work counts until its word is old", () => {
+  const board = new serving.EngineBoard();
+  board.hear("peer", new Map([["p1", { unread: [900], running: 3 }]]), 0);
+  assert.is(board.tokensAhead("p1", 0, 100), 900);
+  assert.is(board.tokensAhead("p1", 0, 100 + serving.PEER_WORK_EXPIRY_MS), 0);
+});
+
+suite("short prompts are more urgent than long ones", () => {
+  const levels = [100, 600, 2_000, 9_000, 60_000].map((tokens) => serving.urgencyOf(tokens));
+  assert.equal(
+    levels,
+    [...levels].sort((left, right) => left - right),
+  );
+  assert.ok((levels.at(-1) ?? 10) <= serving.LEAST_URGENT);
+});
+
+suite.run();
--- /dev/null
+++ b/packages/serving/tests/roleBalance.test.ts
@@ -0,0 +1,62 @@
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+import * as serving from "../src/index.js";
+
+const suite = uvu.suite("changing engines' roles");
+
+function engines(prefill: number, decode: number, running: number): serving.BalancedEngine[] {
+  return [
+    ...Array.from({ length: prefill }, (_, index) => ({
+      id: `p${index}`,
+      role: serving.EngineRole.Prefill,
+      running: 1,
+    })),
+    ...Array.from({ length: decode }, (_, index) => ({ id: `d${index}`, role: serving.EngineRole.Decode, running })),
+  ];
+}
+
+function run(
+  balance: serving.RoleBalance,
+  inputs: { engines: serving.BalancedEngine[]; readTokensPerMs: number },
+  fromMs: number,
+  toMs: number,
+): serving.RoleChange | undefined {
+  for (let now = fromMs; now < toMs; now += 250) {
+    const change = balance.decide({ ...inputs, now });
+    if (change !== undefined) return change;
+  }
+  return undefined;
+}
+
+// The load: prompts need 90 in 100 of two prefill engines' time while decode engines have room.
+suite("a decode engine becomes a prefill engine when reading needs it for a while", () => {
+  const change = run(new serving.RoleBalance(), { engines: engines(2, 4, 10), readTokensPerMs: 166 }, 0, 5_000);
+  assert.is(change?.role, serving.EngineRole.Prefill);
+});
+
+suite("a burst of a second changes nothing", () => {
+  const balance = new serving.RoleBalance();
+  assert.is(run(balance, { engines: engines(2, 4, 10), readTokensPerMs: 166 }, 0, 1_000), undefined);
+  assert.is(run(balance, { engines: engines(2, 4, 10), readTokensPerMs: 60 }, 1_000, 2_000), undefined);
+  assert.is(run(balance, { engines: engines(2, 4, 10), readTokensPerMs: 166 }, 2_000, 3_000), undefined);
+});
+
+// The mix swings every few seconds. Each change takes an engine away, so the next one has to wait.
+suite("a change rests, also one that another daemon made", () => {
+  const balance = new serving.RoleBalance();
+  balance.changed(0);
+  assert.is(run(balance, { engines: engines(2, 4, 10), readTokensPerMs: 166 }, 0, 19_000), undefined);
+});
+
+suite("decode engines that are full of streams give none away", () => {
+  assert.is(run(new serving.RoleBalance(), { engines: engines(2, 3, 40), readTokensPerMs: 200 }, 0, 9_000), undefined);
+});
+
+suite("a fleet without any decode engine gets one, without rest", () => {
+  const balance = new serving.RoleBalance();
+  balance.changed(0);
+  const change = run(balance, { engines: engines(3, 0, 0), readTokensPerMs: 10 }, 0, 5_000);
+  assert.is(change?.role, serving.EngineRole.Decode);
+});
+
+suite.run();
