Leave an endpoint that has gone dark, where the request may be repeated

Cause: a dark endpoint, or a connection that went silent, held idempotent calls until their deadline. A caller's call now goes elsewhere once the endpoint has said nothing to anybody here for twice the objective.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -259,6 +259,7 @@
     board.beginRun(endpoint.id);
     const receiver = stage === Stage.Reading ? this.#handleReceiver(active) : this.#answerReceiver(active);
     const body = this.#body.length === 0 ? undefined : this.#body;
+    this.#watchSilence(active);
     active.sending = client.send(
       endpoint,
       { method: this.#request.method, path: this.#request.target, headers, body },
@@ -266,6 +267,47 @@
     );
   }
 
+  /**
+   * An endpoint that has gone dark, or a connection that has, answers nothing and
+   * resets nothing: the caller would wait until its deadline. What may be repeated
+   * goes elsewhere once the endpoint has said nothing to anybody here for a while;
+   * one that is merely busy is still heard on other connections.
+   */
+  #watchSilence(active: ActiveSend): void {
+    const limits = silenceLimits(this.#route, active);
+    active.silence = setInterval(() => {
+      const now = performance.now();
+      const ownAt = Math.max(active.sentAt, this.#lastEventAt);
+      const heardAt = Math.max(ownAt, this.#context.client.heardAt(active.endpoint.id));
+      const silent = now - heardAt > limits.endpointMs || now - ownAt > limits.requestMs;
+      if (!silent || this.#active !== active) return;
+      this.#leaveSilent(active, now - ownAt);
+    }, SILENCE_CHECK_MS);
+  }
+
+  #leaveSilent(active: ActiveSend, silentMs: number): void {
+    const reading = active.stage === Stage.Reading;
+    if (!reading && !serving.mayRepeat(this.#route)) return;
+    const fate = reading ? serving.SendFate.Declined : serving.SendFate.Unknown;
+    if (reading) this.#sends++;
+    const step = this.#decide(fate);
+    if (step !== serving.NextStep.SendAgain) {
+      if (reading) this.#sends--;
+      return;
+    }
+    this.#context.log.warn("endpoint-silent", {
+      id: this.#request.headers.requestId,
+      endpoint: active.endpoint.id,
+      stage: active.stage,
+      silentMs: Math.round(silentMs),
+      step,
+    });
+    if (!reading) this.#mayHaveRun = true;
+    this.#recordHealth(active, serving.SendResult.Silent);
+    active.sending?.cancel();
+    if (this.#endSend(active)) this.#sendNext();
+  }
+
   #handleReceiver(active: ActiveSend): endpointClients.AnswerReceiver {
     const { format, health } = this.#context;
     const chunks: Buffer[] = [];
@@ -528,7 +570,7 @@
   #release(active: ActiveSend): void {
     if (active.read !== undefined) this.#context.board.endRead(active.read);
     this.#context.board.endRun(active.endpoint.id);
-    clearTimeout(active.silence);
+    clearInterval(active.silence);
   }
 
   /** Memory of a prompt that nobody goes on with is freed instead of being kept until it lapses. */
@@ -583,6 +625,35 @@
   }
 }
 
+/** Interval at which a send is looked at for silence, in milliseconds. */
+const SILENCE_CHECK_MS = 100;
+
+/** Silence of a whole endpoint, in multiples of the route's objective, after which a plain call goes elsewhere. */
+const PLAIN_ENDPOINT_SILENCE = 2;
+
+/** Silence on one connection, in multiples of the route's objective, after which a plain call goes elsewhere. */
+const PLAIN_REQUEST_SILENCE = 4;
+
+/** Silence of an engine in milliseconds: reading the longest prompts takes about as long. */
+const ENGINE_SILENCE_MS = 1_100;
+
+interface SilenceLimits {
+  /** Nothing from the endpoint on any connection, in milliseconds. */
+  readonly endpointMs: number;
+  /** Nothing on this request's own connection, in milliseconds. */
+  readonly requestMs: number;
+}
+
+function silenceLimits(route: serving.Route, active: ActiveSend): SilenceLimits {
+  if (route.requestClass === serving.RequestClass.Stream) {
+    return { endpointMs: Math.max(ENGINE_SILENCE_MS, 2 * active.predictedMs), requestMs: Number.POSITIVE_INFINITY };
+  }
+  return {
+    endpointMs: PLAIN_ENDPOINT_SILENCE * route.objectiveMs,
+    requestMs: PLAIN_REQUEST_SILENCE * route.objectiveMs,
+  };
+}
+
 /** Requests under way that an endpoint in another data centre has to be better by; bytes between them cost. */
 const OTHER_DATA_CENTRE_COST = 1;
 
