--- a/packages/gateway/src/beliefs.ts
+++ b/packages/gateway/src/beliefs.ts
@@ -7,6 +7,8 @@
 export enum Source {
   Store = "store",
   Peer = "peer",
+  /** The endpoint itself, by the way it declined a request. */
+  Endpoint = "endpoint",
 }
 
 /** What taking beliefs needs. */
@@ -114,6 +116,23 @@
     if (news !== undefined) this.#tell(news, source);
   }
 
+  /**
+   * An endpoint says that a request was not meant for it. Its address has been
+   * taken over, or its role has changed; a daemon that the news has not reached
+   * would go on sending there and rejecting callers.
+   *
+   * @param endpoint - the endpoint as believed in
+   * @param answeredBy - the endpoint that is there now, if it says so
+   */
+  takeMisdirected(endpoint: serving.Endpoint, answeredBy: string | undefined): void {
+    const { directory } = this.#parts.view;
+    const replaced = answeredBy !== undefined && answeredBy !== endpoint.id;
+    // Word of its own time: a newer entry in the key-value service brings it back.
+    const revision = directory.revisionOf(endpoint.id);
+    const news = replaced ? directory.replaced(endpoint.id, revision) : directory.declinedRole(endpoint.id);
+    if (news !== undefined) this.#tell(news, Source.Endpoint);
+  }
+
   #takeItem(item: ports.StoredItem): void {
     const { layout } = this.#parts;
     if (item.key === layout.configurationKey) {
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -21,6 +21,11 @@
   readonly client: endpointClients.EndpointClient;
   readonly budgets: RetryBudgets;
   readonly random: common.SeededRandom;
+  /**
+   * @param endpoint - an endpoint that a request was not meant for
+   * @param answeredBy - the endpoint that is there now, if it says so
+   */
+  onMisdirected(endpoint: serving.Endpoint, answeredBy: string | undefined): void;
   /** @returns daemons that live, this one included */
   liveDaemons(): number;
 }
--- a/packages/gateway/src/endpointClient.ts
+++ b/packages/gateway/src/endpointClient.ts
@@ -216,8 +216,9 @@
     return {
       cancel: () => {
         if (over) return;
-        controller?.abort(new Error("cancelled"));
+        // First: the abort reports an error at once, which is no result of the endpoint's.
         discard();
+        controller?.abort(new Error("cancelled"));
       },
       pause: () => controller?.pause(),
       resume: () => controller?.resume(),
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -144,13 +144,8 @@
       .filter((endpoint) =>
         client.hasRoom(endpoint.id, definition?.maxConnections ?? Number.MAX_SAFE_INTEGER, daemons),
       );
-    const usable = new Set(
-      health.usable(
-        open.map((endpoint) => endpoint.id),
-        now,
-      ),
-    );
-    return open.filter((endpoint) => usable.has(endpoint.id));
+    const trials = serving.mayRepeat(this.#route);
+    return health.usable(open, trials, now);
   }
 
   #sendPlain(definition: serving.Service | undefined): void {
@@ -318,6 +313,7 @@
         status = answerStatus;
         const head = format.readAnswer(answerStatus, headers);
         notRun = head.notRun;
+        if (head.misdirected) this.#context.onMisdirected(active.endpoint, head.endpointId);
         return head.requestId === undefined || head.requestId === this.#request.headers.requestId;
       },
       onData: (chunk) => chunks.push(chunk),
@@ -357,6 +353,7 @@
         headers = answerHeaders;
         const head = this.#context.format.readAnswer(status, headers);
         notRun = head.notRun;
+        if (head.misdirected) this.#context.onMisdirected(active.endpoint, head.endpointId);
         sealed = head.sealed;
         streaming = isStream && status === HTTP_OK;
         if (head.requestId !== undefined) return head.requestId === this.#request.headers.requestId;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -94,6 +94,7 @@
       client: new endpointClients.EndpointClient((name) => this.#metrics.count(name)),
       budgets: new contexts.RetryBudgets(settings.retryBounds, performance.now()),
       random,
+      onMisdirected: (endpoint, answeredBy) => beliefs.takeMisdirected(endpoint, answeredBy),
       liveDaemons: () => Math.max(1, this.#view.daemons.size),
     };
     this.#listener = new callerListeners.CallerListener(this.#context);
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -135,6 +135,10 @@
   readonly sealed: boolean;
   /** The endpoint says that it did not run the request. */
   readonly notRun: boolean;
+  /** The request was meant for another endpoint, or for another role of this one. */
+  readonly misdirected: boolean;
+  /** The endpoint that answered, if it says so. */
+  readonly endpointId: string | undefined;
 }
 
 /** A prompt that an engine has read for another to go on with. */
--- a/packages/serving/src/endpointDirectory.ts
+++ b/packages/serving/src/endpointDirectory.ts
@@ -110,6 +110,44 @@
     return { change: EndpointChange.Gone, endpoint: known.endpoint, revision };
   }
 
+  /**
+   * Another endpoint has answered at its address: it is gone, whatever its entry says.
+   *
+   * @param id - the endpoint that is gone
+   * @param revision - revision of its entry; a newer one brings it back
+   * @returns what changed, if the endpoint was known
+   */
+  replaced(id: string, revision: number): EndpointNews | undefined {
+    const known = this.#entries.get(id);
+    if (known === undefined) return undefined;
+    this.#departed.set(id, revision);
+    this.#entries.delete(id);
+    this.#byService.get(known.endpoint.service)?.delete(id);
+    return { change: EndpointChange.Gone, endpoint: known.endpoint, revision };
+  }
+
+  /**
+   * An engine has declined its role: it has taken the other one, and its entry here is old.
+   *
+   * @param id - the engine
+   * @returns what changed, if the engine is known to have a role
+   */
+  declinedRole(id: string): EndpointNews | undefined {
+    const known = this.#entries.get(id);
+    if (known === undefined || known.endpoint.role === EngineRole.None) return undefined;
+    const role = known.endpoint.role === EngineRole.Prefill ? EngineRole.Decode : EngineRole.Prefill;
+    known.endpoint = { ...known.endpoint, role };
+    return { change: EndpointChange.Changed, endpoint: known.endpoint, revision: known.revision };
+  }
+
+  /**
+   * @param id - the endpoint
+   * @returns revision of what is known of it, 0 if nothing is
+   */
+  revisionOf(id: string): number {
+    return this.#entries.get(id)?.revision ?? 0;
+  }
+
   /**
    * Takes a whole listing. Entries that are missing from it are gone, unless
    * the service has only just returned: entries lapse while it is away, though
--- a/packages/serving/src/endpointHealth.ts
+++ b/packages/serving/src/endpointHealth.ts
@@ -1,3 +1,5 @@
+import type * as directories from "./endpointDirectory.js";
+
 /** Health of endpoints as their results show it. */
 
 /** How one send to an endpoint ended, as far as its health goes. */
@@ -26,7 +28,8 @@
 /** Badness of each result. */
 const BADNESS: Record<SendResult, number> = {
   [SendResult.Good]: 0,
-  [SendResult.Declined]: 0.3,
+  // Five in a row make it bad: it is full, or on the way to another role.
+  [SendResult.Declined]: 0.6,
   [SendResult.Failed]: 1,
   [SendResult.Silent]: 2,
 };
@@ -99,19 +102,42 @@
   }
 
   /**
-   * @param endpointIds - endpoints that may be used
+   * Chooses within each role by itself: a fleet whose only good engines read
+   * prompts could make no tokens.
+   *
+   * @param endpoints - endpoints that may be used
+   * @param trials - whether the request may be repeated, so that a bad endpoint may be tried with it
    * @param now - current instant in milliseconds
-   * @returns those to choose from: the good ones, one that is due for a trial, or all if none is good
+   * @returns those to choose from: the good ones of each role, one that is due for a trial, or all if none is good
    */
-  usable(endpointIds: readonly string[], now: number): string[] {
-    const good = endpointIds.filter((id) => !this.isBad(id));
-    const due = endpointIds.find((id) => this.isBad(id) && (this.#states.get(id)?.trialAt ?? 0) <= now);
+  usable(endpoints: readonly directories.Endpoint[], trials: boolean, now: number): directories.Endpoint[] {
+    const roles = new Set(endpoints.map((endpoint) => endpoint.role));
+    return [...roles].flatMap((role) =>
+      this.#usableOfRole(
+        endpoints.filter((endpoint) => endpoint.role === role),
+        trials,
+        now,
+      ),
+    );
+  }
+
+  #usableOfRole(
+    endpoints: readonly directories.Endpoint[],
+    trials: boolean,
+    now: number,
+  ): readonly directories.Endpoint[] {
+    const good = endpoints.filter((endpoint) => !this.isBad(endpoint.id));
+    const due = trials ? endpoints.find((endpoint) => this.#isDue(endpoint.id, now)) : undefined;
     if (due !== undefined) {
-      const state = this.#state(due);
+      const state = this.#state(due.id);
       state.trialAt = now + state.trialGapMs;
       return [due];
     }
-    return good.length > 0 ? good : [...endpointIds];
+    return good.length > 0 ? good : endpoints;
+  }
+
+  #isDue(endpointId: string, now: number): boolean {
+    return this.isBad(endpointId) && this.#state(endpointId).trialAt <= now;
   }
 
   /** @param endpointId - an endpoint that is gone */
