--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -177,11 +177,7 @@
   #sendPrompt(definition: serving.Service, engine: serving.EngineLimits, prompt: serving.Prompt): void {
     const { board, health, settings } = this.#context;
     const engines = this.#candidates(definition);
-    if (this.#handedOver !== undefined) {
-      this.#goOn(engines);
-      return;
-    }
-    const plan = serving.placePrompt({
+    const inputs: serving.PlacementInputs = {
       prompt,
       engines,
       board,
@@ -189,7 +185,12 @@
       slowness: (id) => health.slowness(id),
       dataCentre: settings.dataCentre,
       now: performance.now(),
-    });
+    };
+    if (this.#handedOver !== undefined) {
+      this.#goOn(serving.placeDecoder(inputs));
+      return;
+    }
+    const plan = serving.placePrompt(inputs);
     if (plan === undefined) {
       this.#reject("no-engine");
       return;
@@ -201,8 +202,7 @@
     this.#dispatch(reader, stage, plan.predictedMs, plan);
   }
 
-  #goOn(engines: readonly serving.Endpoint[]): void {
-    const decoder = this.#leastBusy(engines.filter((engine) => engine.role !== serving.EngineRole.Prefill));
+  #goOn(decoder: serving.Endpoint | undefined): void {
     if (decoder === undefined) {
       this.#reject("no-engine");
       return;
--- a/packages/serving/src/placement.ts
+++ b/packages/serving/src/placement.ts
@@ -6,7 +6,7 @@
 
 /** Where a prompt is read and where its tokens are made. */
 export interface EnginePlan {
-  /** Engine that makes the tokens. */
+  /** Engine that makes the tokens; where another reads the prompt, as things stand now. */
   readonly decoder: directories.Endpoint;
   /** Engine that reads the prompt first, or undefined where the decoder reads it. */
   readonly reader: directories.Endpoint | undefined;
@@ -78,7 +78,7 @@
   const readers = inputs.engines.filter((engine) => engine.role === directories.EngineRole.Prefill);
   const direct = best(inputs, decoders, DECODING);
   const apart = best(inputs, readers, READING);
-  const target = leastBusy(inputs, decoders);
+  const target = placeDecoder(inputs);
   if (direct === undefined || target === undefined) return undefined;
   const directMs = direct.predictedMs + strainMs(inputs, direct);
   const apartMs = apart === undefined ? Number.POSITIVE_INFINITY : apart.predictedMs + HANDOVER_MS;
@@ -187,18 +187,27 @@
   return { engine, unreadTokens, readingTokens, level, tokensAhead: ahead, tokensWaiting: waiting, predictedMs };
 }
 
-function leastBusy(
-  inputs: PlacementInputs,
-  decoders: readonly directories.Endpoint[],
-): directories.Endpoint | undefined {
+/**
+ * Chooses the engine that makes the tokens of a prompt that another engine has
+ * read: the one with the fewest streams, where the prompt's shared parts are at
+ * home if that is no worse.
+ *
+ * @param inputs - the prompt, the engines and what is known of them
+ * @returns the engine, or undefined if none can make tokens
+ */
+export function placeDecoder(inputs: PlacementInputs): directories.Endpoint | undefined {
+  const decoders = inputs.engines.filter((engine) => engine.role !== directories.EngineRole.Prefill);
+  const group = promptParts.sharedGroup(inputs.prompt);
+  const home = group === undefined ? undefined : homeOf(group, decoders);
   let chosen: directories.Endpoint | undefined;
   let chosenCost = Number.POSITIVE_INFINITY;
   for (const engine of decoders) {
     const runningMs = (1 + inputs.board.running(engine.id, inputs.now)) * DECODE_RUNNING_MS;
     const aheadMs = inputs.board.tokensAhead(engine.id, urgencies.LEAST_URGENT, inputs.now) / DECODE_TOKENS_PER_MS;
     const wayMs = engine.dataCentre === inputs.dataCentre ? 0 : OTHER_DATA_CENTRE_MS;
+    const homeMs = engine.id === home ? 0 : DECODER_HOME_MS;
     // Waiting prompts slow the tokens of the streams beside them, though not the start of one whose prompt is read.
-    const cost = (runningMs + aheadMs * WAITING_READS_WEIGHT) * inputs.slowness(engine.id) + wayMs;
+    const cost = (runningMs + aheadMs * WAITING_READS_WEIGHT) * inputs.slowness(engine.id) + wayMs + homeMs;
     if (cost < chosenCost) {
       chosen = engine;
       chosenCost = cost;
@@ -209,3 +218,6 @@
 
 /** Share of a decode engine's waiting reads that a handed-over prompt feels. */
 const WAITING_READS_WEIGHT = 0.3;
+
+/** Advantage of the decode engine where the prompt's shared parts are at home, in milliseconds. */
+const DECODER_HOME_MS = 0;
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,17 +1,32 @@
 // Bundles the platform's daemon into one file, so that a start reads and compiles only what serving needs.
 import * as childProcess from "node:child_process";
+import { fileURLToPath } from "node:url";
 import * as esbuild from "esbuild";
 
 childProcess.execFileSync(process.execPath, ["node_modules/typescript/bin/tsc", "-b", "platform"], {
   stdio: "inherit",
 });
 await esbuild.build({
+  // The alias itself must reach the package.
+  plugins: [
+    {
+      name: "package-parts",
+      setup(build) {
+        build.onResolve({ filter: /^(undici|hdr-histogram-js)\// }, ({ path }) => ({
+          path: fileURLToPath(import.meta.resolve(path)),
+        }));
+      },
+    },
+  ],
   entryPoints: ["platform/dist/src/main.js"],
   outfile: "target/gateway.mjs",
   bundle: true,
   platform: "node",
   format: "esm",
   target: "node20",
+  minifySyntax: true,
+  minifyWhitespace: true,
+  alias: { undici: "./scripts/undiciClient.cjs", "hdr-histogram-js": "./scripts/histogramBuilder.cjs" },
   external: ["dtrace-provider", "source-map-support", "mv", "safe-json-stringify", "moment"],
   banner: { js: 'import { createRequire } from "node:module"; const require = createRequire(import.meta.url);' },
 });
