--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,7 +1,7 @@
 import * as eslint from "typescript-eslint";
 
 export default eslint.config(
-  { ignores: ["**/dist/**", "**/generated/**", "node_modules/**", "scripts/**", "eslint.config.mjs"] },
+  { ignores: ["**/dist/**", "target/**", "**/generated/**", "node_modules/**", "scripts/**", "eslint.config.mjs"] },
   ...eslint.configs.strict,
   ...eslint.configs.stylistic,
   {
