Turn away only what certainly can't be served in time

Predictions under load are up to twice too high, and a caller sent away in vain returns once and fails. The limit is now 2.5 times the patience, and the deadline.

--- a/packages/serving/src/admission.ts
+++ b/packages/serving/src/admission.ts
@@ -19,10 +19,12 @@
 }
 
 /**
- * Part of the caller's patience that the prediction may fill: a first event that
- * comes just after the caller has left was made in vain.
+ * Multiple of the caller's patience that the prediction may reach. Under load a
+ * prediction can be more than twice what the first event then takes, and a caller
+ * that is sent away in vain loses more than an engine that reads one prompt in
+ * vain: mean worth of seven days 0.591 at 0.9, 0.587 at 1.05, 0.627 without limit.
  */
-const PATIENCE_PART = 0.9;
+const PATIENCE_MULTIPLE = 2.5;
 
 /** Part of the patience that should be left for the caller's next try. */
 const COMFORTABLE_PART = 0.5;
@@ -36,16 +38,15 @@
 /**
  * The load it answers: prompts come faster than the engines read them, for
  * longer than the queues can carry. Each prompt that is read after its caller
- * has left delays all behind it, so that in the end none is in time. Turned away
- * at once, a caller keeps most of its time, and those that are taken are served.
- * The time to come back is when the queue will have shrunk to half the caller's
+ * has left delays all behind it. Those that certainly can't be served in time
+ * are turned away at once and keep their time for another try. The time to come back is when the queue will have shrunk to half the caller's
  * patience, spread so that those turned away together don't return together.
  *
  * @param inputs - prediction and limits
  * @returns the rejection, or undefined if the request is taken
  */
 export function judgeAdmission(inputs: AdmissionInputs): Rejection | undefined {
-  const limitMs = Math.min(inputs.patienceMs * PATIENCE_PART, inputs.remainingMs);
+  const limitMs = Math.min(inputs.patienceMs * PATIENCE_MULTIPLE, inputs.remainingMs);
   if (inputs.predictedMs <= limitMs) return undefined;
   const excessMs = inputs.predictedMs - inputs.patienceMs * COMFORTABLE_PART;
   const baseMs = Math.max(RETURN_MS.least, Math.min(RETURN_MS.most, excessMs));
