--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -2,7 +2,7 @@
 import * as clipanion from "clipanion";
 import * as callCommand from "./callCommand.js";
 import * as configCommands from "./configCommands.js";
-import * as runnerCommands from "./runnerCommands.js";
+import * as endpointCommands from "./endpointCommands.js";
 import * as viewCommands from "./viewCommands.js";
 
 const VERSION = "0.1.0";
@@ -18,10 +18,10 @@
   viewCommands.StatusCommand,
   viewCommands.VmListCommand,
   viewCommands.TimelineCommand,
-  runnerCommands.RunnerListCommand,
-  runnerCommands.RunnerDrainCommand,
-  runnerCommands.RunnerReplaceCommand,
-  runnerCommands.RunnerRoleCommand,
+  endpointCommands.EndpointListCommand,
+  endpointCommands.EndpointDrainCommand,
+  endpointCommands.EndpointReplaceCommand,
+  endpointCommands.EndpointRoleCommand,
   callCommand.CallCommand,
   clipanion.Builtins.HelpCommand,
   clipanion.Builtins.VersionCommand,
--- a/packages/cli/src/teamDocuments.ts
+++ b/packages/cli/src/teamDocuments.ts
@@ -44,9 +44,9 @@
     const fault = edit(document);
     if (fault !== undefined) {
       return neverthrow.err({
-        title: "unknown-runner",
+        title: "unknown-endpoint",
         detail: fault,
-        remedy: "'camphorcourse runner list' lists them",
+        remedy: "'camphorcourse endpoint list' lists them",
       });
     }
     const change = { text: document.toString(), expectedVersion: present.value.version, author };
@@ -58,9 +58,9 @@
 
 /**
  * @param document - a team's document
- * @param runner - name of a runner in it
- * @returns why the runner can't be changed, or undefined
+ * @param endpoint - name of an endpoint in it
+ * @returns why the endpoint can't be changed, or undefined
  */
-export function missingRunner(document: yaml.Document, runner: string): string | undefined {
-  return document.hasIn(["runners", runner]) ? undefined : `the document has no runner '${runner}'`;
+export function missingEndpoint(document: yaml.Document, endpoint: string): string | undefined {
+  return document.hasIn(["endpoints", endpoint]) ? undefined : `the document has no endpoint '${endpoint}'`;
 }
--- a/packages/cli/src/viewCommands.ts
+++ b/packages/cli/src/viewCommands.ts
@@ -63,14 +63,14 @@
   static override paths = [["timeline"]];
   static override usage = clipanion.Command.Usage({ description: "print the events of all daemons, one a line" });
   request = clipanion.Option.String("--request", "", { description: "only this request" });
-  runner = clipanion.Option.String("--runner", "", { description: "only this runner (team/runner)" });
+  endpoint = clipanion.Option.String("--endpoint", "", { description: "only this endpoint (team/endpoint)" });
   follow = clipanion.Option.Boolean("--follow", false, { description: "go on printing" });
 
   async execute(): Promise<adminCommand.ExitCode> {
     const seen = new Set<string>();
     let since = 0;
     for (;;) {
-      const query = new URLSearchParams({ request: this.request, runner: this.runner, since: String(since) });
+      const query = new URLSearchParams({ request: this.request, endpoint: this.endpoint, since: String(since) });
       const reply = await this.client().get<TimelineReply>(`/admin/timeline?${query.toString()}`);
       if (reply.isErr()) return this.fail(reply.error);
       this.#print(reply.value, seen);
--- a/packages/common/src/errors.ts
+++ b/packages/common/src/errors.ts
@@ -2,7 +2,7 @@
 
 /** What became of a request that was not answered with a result. */
 export enum Outcome {
-  /** No runner began it. Said only when nothing was dispatched or the runner itself says so. */
+  /** No endpoint began it. Said only when nothing was dispatched or the endpoint itself says so. */
   NotRun = "not-run",
   /** It ran, and its answer can't be given. */
   Ran = "ran",
@@ -17,18 +17,18 @@
   Unauthorized = "unauthorized",
   Forbidden = "forbidden",
   UnknownService = "unknown-service",
-  UnknownRunner = "unknown-runner",
+  UnknownEndpoint = "unknown-endpoint",
   KeyReused = "idempotency-key-reused",
   Overloaded = "overloaded",
   DeadlineUnreachable = "deadline-unreachable",
-  NoRunner = "no-runner",
+  NoEndpoint = "no-endpoint",
   Leaving = "daemon-leaving",
   Starting = "daemon-starting",
   Isolated = "daemon-isolated",
   KeyValueUnavailable = "key-value-unavailable",
   ClaimantLost = "claimant-lost",
   AnswerNotKept = "answer-not-kept",
-  RunnerFailed = "runner-failed",
+  EndpointFailed = "endpoint-failed",
   Interrupted = "answer-interrupted",
   Conflict = "configuration-conflict",
   InvalidConfiguration = "invalid-configuration",
@@ -51,16 +51,16 @@
     status: 404,
     remedy: "name a service of your team; 'camphorcourse service' lists them",
   },
-  [ProblemKind.UnknownRunner]: {
+  [ProblemKind.UnknownEndpoint]: {
     status: 404,
-    remedy: "name a runner of your team; 'camphorcourse runner list' lists them",
+    remedy: "name an endpoint of your team; 'camphorcourse endpoint list' lists them",
   },
   [ProblemKind.KeyReused]: { status: 422, remedy: "use a fresh Idempotency-Key for a different request" },
   [ProblemKind.Overloaded]: { status: 429, remedy: "come back after Retry-After" },
   [ProblemKind.DeadlineUnreachable]: { status: 503, remedy: "come back after Retry-After, or allow a longer timeout" },
-  [ProblemKind.NoRunner]: {
+  [ProblemKind.NoEndpoint]: {
     status: 503,
-    remedy: "come back after Retry-After; the operator checks 'camphorcourse runner list'",
+    remedy: "come back after Retry-After; the operator checks 'camphorcourse endpoint list'",
   },
   [ProblemKind.Leaving]: { status: 503, remedy: "ask any daemon for addresses and use another VM" },
   [ProblemKind.Starting]: {
@@ -83,7 +83,7 @@
     status: 409,
     remedy: "the call ran; its answer was too large or too old to keep, look up its effect",
   },
-  [ProblemKind.RunnerFailed]: { status: 502, remedy: "see the outcome; an idempotent request can be sent again" },
+  [ProblemKind.EndpointFailed]: { status: 502, remedy: "see the outcome; an idempotent request can be sent again" },
   [ProblemKind.Interrupted]: {
     status: 502,
     remedy: "discard the partial answer and send the request again if it is idempotent",
@@ -91,7 +91,7 @@
   [ProblemKind.Conflict]: { status: 409, remedy: "read the configuration again, merge both sides and apply" },
   [ProblemKind.InvalidConfiguration]: { status: 422, remedy: "correct the named path in the document and apply again" },
   [ProblemKind.InvalidSetting]: { status: 400, remedy: "correct the flag or its environment variable and start again" },
-  [ProblemKind.Busy]: { status: 409, remedy: "wait until the change under way on this runner has ended" },
+  [ProblemKind.Busy]: { status: 409, remedy: "wait until the change under way on this endpoint has ended" },
   [ProblemKind.Internal]: { status: 500, remedy: "report the detail with the daemon's log" },
 };
 
--- a/packages/core/src/actions.ts
+++ b/packages/core/src/actions.ts
@@ -5,7 +5,7 @@
 import type * as events from "./events.js";
 import type * as keyValue from "./keyValueTypes.js";
 import type * as membership from "./membership.js";
-import type * as runnerModel from "./runnerModel.js";
+import type * as endpointModel from "./endpointModel.js";
 import type * as timeline from "./timeline.js";
 
 /** The kinds of thing that the core asks the shell to do. */
@@ -33,15 +33,15 @@
   readonly attempt: string;
 }
 
-/** Send one part of a request to a runner. */
+/** Send one part of a request to an endpoint. */
 export interface DispatchAction {
   readonly type: ActionType.Dispatch;
   readonly request: string;
   /** Nonce that the answer must carry. */
   readonly attempt: string;
-  readonly runner: string;
+  readonly endpoint: string;
   readonly url: string;
-  readonly part: runnerModel.RequestPart;
+  readonly part: endpointModel.RequestPart;
   /** Milliseconds left until the request's deadline. */
   readonly timeoutMs: number;
   readonly handoff?: Handoff;
@@ -50,12 +50,12 @@
 /** Send an order, if `Core.mayOrder` still holds in the step that writes it. */
 export interface SendOrderAction {
   readonly type: ActionType.SendOrder;
-  readonly runner: string;
+  readonly endpoint: string;
   readonly url: string;
   readonly shard: string;
   readonly epoch: number;
   readonly number: number;
-  readonly role: configuration.RunnerRole;
+  readonly role: configuration.EndpointRole;
 }
 
 /** Everything that the core may ask for. */
--- a/packages/core/src/admission.ts
+++ b/packages/core/src/admission.ts
@@ -1,4 +1,4 @@
-/** A request that waits for a runner. */
+/** A request that waits for an endpoint. */
 export interface QueuedRequest {
   readonly id: string;
   readonly priority: number;
@@ -6,7 +6,7 @@
   readonly deadline: number;
   /** Prompt tokens to be taken in; 0 for a plain call. */
   readonly promptTokens: number;
-  /** Milliseconds that it takes once it is at a runner. */
+  /** Milliseconds that it takes once it is at an endpoint. */
   readonly serviceMs: number;
   /** Tells a request that comes back from others: equal for equal requests. */
   readonly fingerprint?: string;
@@ -18,7 +18,7 @@
   readonly requests: number;
 }
 
-/** What the service's runners can do together, and what they have to do already. */
+/** What the service's endpoints can do together, and what they have to do already. */
 export interface PoolCapacity {
   /** Prompt tokens that they take in per millisecond. */
   readonly tokensPerMs: number;
@@ -32,7 +32,7 @@
   readonly busySlots: number;
   /** Milliseconds that an answer holds its slot on average. */
   readonly slotMs: number;
-  /** Daemons that share the runners, this one included. */
+  /** Daemons that share the endpoints, this one included. */
   readonly daemons: number;
 }
 
@@ -114,7 +114,7 @@
    * only when all slots are taken.
    *
    * @param request - not in the queue yet
-   * @param pool - the runners' capacity and backlog
+   * @param pool - the endpoints' capacity and backlog
    * @param now - current time
    * @returns when it would finish
    */
@@ -199,7 +199,7 @@
 
 /**
  * What waits at the other daemons is ahead only of a request that has to wait
- * here too: one that is first in its own queue goes to the next runner that has
+ * here too: one that is first in its own queue goes to the next endpoint that has
  * room, however many wait elsewhere.
  */
 function withPeers(own: WaitingWork, pool: PoolCapacity): WaitingWork {
--- a/packages/core/src/configuration.ts
+++ b/packages/core/src/configuration.ts
@@ -4,14 +4,14 @@
 import * as zod from "zod";
 import * as constants from "./constants.js";
 
-/** What a runner is. */
+/** What an endpoint is. */
 export enum ServiceKind {
   Engine = "engine",
   Plain = "service",
 }
 
 /** What an engine is set up to do. */
-export enum RunnerRole {
+export enum EndpointRole {
   Prefill = "prefill",
   Decode = "decode",
   Mixed = "mixed",
@@ -25,8 +25,8 @@
   Mixed = "mixed",
 }
 
-/** What the operator wants of a runner. */
-export enum RunnerState {
+/** What the operator wants of an endpoint. */
+export enum EndpointState {
   Active = "active",
   /** No new work; what runs is finished. */
   Draining = "draining",
@@ -37,8 +37,8 @@
 const limitsSchema = zod.strictObject({
   /** Requests of the service that a daemon holds at once, waiting ones included. */
   concurrent: zod.int().positive().default(2000),
-  /** Calls that one plain runner is given at once, over all daemons. */
-  perRunner: zod.int().positive().default(16),
+  /** Calls that one plain endpoint is given at once, over all daemons. */
+  perEndpoint: zod.int().positive().default(16),
 });
 
 const serviceSchema = zod.strictObject({
@@ -47,17 +47,17 @@
   idempotent: zod.boolean().default(true),
   deadlineMs: zod.int().min(100).max(600_000).default(30_000),
   priority: zod.int().min(0).max(9).default(5),
-  limits: limitsSchema.default({ concurrent: 2000, perRunner: 16 }),
+  limits: limitsSchema.default({ concurrent: 2000, perEndpoint: 16 }),
   /** Answers in time that a role change must gain beyond what it costs. */
   roleChangeWeight: zod.number().nonnegative().default(10),
 });
 
-const runnerSchema = zod.strictObject({
+const endpointSchema = zod.strictObject({
   service: NAME,
   url: zod.url({ protocol: /^https?$/ }),
-  place: NAME,
+  dataCentre: NAME,
   role: zod.enum(RoleChoice).default(RoleChoice.Mixed),
-  state: zod.enum(RunnerState).default(RunnerState.Active),
+  state: zod.enum(EndpointState).default(EndpointState.Active),
   checksFencing: zod.boolean().default(false),
 });
 
@@ -66,13 +66,13 @@
   /** SHA-256 digests, in hexadecimal, of the tokens that act for this team. */
   tokenDigests: zod.array(zod.string().regex(/^[0-9a-f]{64}$/, "give the SHA-256 digest in hexadecimal")).default([]),
   services: zod.record(NAME, serviceSchema).default({}),
-  runners: zod.record(NAME, runnerSchema).default({}),
+  endpoints: zod.record(NAME, endpointSchema).default({}),
 });
 
 /** Settings of one service. */
 export type ServiceSettings = zod.infer<typeof serviceSchema>;
-/** Settings of one runner. */
-export type RunnerSettings = zod.infer<typeof runnerSchema>;
+/** Settings of one endpoint. */
+export type EndpointSettings = zod.infer<typeof endpointSchema>;
 /** A team's subtree. */
 export type TeamDocument = zod.infer<typeof documentSchema>;
 
@@ -115,11 +115,11 @@
 function crossCheck(document: TeamDocument, team: string): string[] {
   const faults: string[] = [];
   if (document.team !== team) faults.push(`team: is '${document.team}' but the path names '${team}'`);
-  for (const [name, runner] of Object.entries(document.runners)) {
-    const service = document.services[runner.service];
-    if (!service) faults.push(`runners.${name}.service: no service '${runner.service}' in this document`);
-    else if (service.kind === ServiceKind.Plain && runner.role !== RoleChoice.Mixed)
-      faults.push(`runners.${name}.role: a plain service has no roles; leave it out`);
+  for (const [name, endpoint] of Object.entries(document.endpoints)) {
+    const service = document.services[endpoint.service];
+    if (!service) faults.push(`endpoints.${name}.service: no service '${endpoint.service}' in this document`);
+    else if (service.kind === ServiceKind.Plain && endpoint.role !== RoleChoice.Mixed)
+      faults.push(`endpoints.${name}.role: a plain service has no roles; leave it out`);
   }
   return faults;
 }
@@ -135,7 +135,7 @@
 
 /**
  * @param service - `team/service`
- * @returns the control shard whose lease holder changes the service's runners
+ * @returns the control shard whose lease holder changes the service's endpoints
  */
 export function controlShardOf(service: string): string {
   return String(common.hash32(service) % constants.CONTROL_SHARDS);
@@ -151,13 +151,13 @@
   readonly settings: ServiceSettings;
 }
 
-/** A runner with its team. */
-export interface RunnerEntry {
-  /** `team/runner`. */
+/** An endpoint with its team. */
+export interface EndpointEntry {
+  /** `team/endpoint`. */
   readonly id: string;
   readonly team: string;
   readonly serviceId: string;
-  readonly settings: RunnerSettings;
+  readonly settings: EndpointSettings;
 }
 
 /** A team's document as it was accepted. */
@@ -170,8 +170,8 @@
 export class ConfigurationTree {
   readonly #teams = new Map<string, AcceptedDocument>();
   readonly #services = new Map<string, ServiceEntry>();
-  readonly #runners = new Map<string, RunnerEntry>();
-  readonly #runnersByService = new Map<string, RunnerEntry[]>();
+  readonly #endpoints = new Map<string, EndpointEntry>();
+  readonly #endpointsByService = new Map<string, EndpointEntry[]>();
   readonly #teamsByDigest = new Map<string, string>();
 
   /**
@@ -220,24 +220,24 @@
   }
 
   /**
-   * @param id - `team/runner`
-   * @returns the runner
+   * @param id - `team/endpoint`
+   * @returns the endpoint
    */
-  runner(id: string): RunnerEntry | undefined {
-    return this.#runners.get(id);
+  endpoint(id: string): EndpointEntry | undefined {
+    return this.#endpoints.get(id);
   }
 
   /**
    * @param id - `team/service`
-   * @returns its runners
+   * @returns its endpoints
    */
-  runnersOf(id: string): RunnerEntry[] {
-    return this.#runnersByService.get(id) ?? [];
+  endpointsOf(id: string): EndpointEntry[] {
+    return this.#endpointsByService.get(id) ?? [];
   }
 
-  /** @returns all runners */
-  runners(): RunnerEntry[] {
-    return [...this.#runners.values()];
+  /** @returns all endpoints */
+  endpoints(): EndpointEntry[] {
+    return [...this.#endpoints.values()];
   }
 
   /**
@@ -252,9 +252,9 @@
     for (const digest of document.tokenDigests) this.#teamsByDigest.delete(digest);
     for (const name of Object.keys(document.services)) {
       this.#services.delete(serviceId(team, name));
-      this.#runnersByService.delete(serviceId(team, name));
+      this.#endpointsByService.delete(serviceId(team, name));
     }
-    for (const name of Object.keys(document.runners)) this.#runners.delete(`${team}/${name}`);
+    for (const name of Object.keys(document.endpoints)) this.#endpoints.delete(`${team}/${name}`);
   }
 
   #index(team: string, document: TeamDocument): void {
@@ -263,11 +263,11 @@
       const id = serviceId(team, name);
       this.#services.set(id, { id, team, shard: controlShardOf(id), name, settings });
     }
-    for (const [name, settings] of Object.entries(document.runners)) {
+    for (const [name, settings] of Object.entries(document.endpoints)) {
       const entry = { id: `${team}/${name}`, team, serviceId: serviceId(team, settings.service), settings };
-      this.#runners.set(entry.id, entry);
-      const siblings = this.#runnersByService.get(entry.serviceId) ?? [];
-      this.#runnersByService.set(entry.serviceId, [...siblings, entry]);
+      this.#endpoints.set(entry.id, entry);
+      const siblings = this.#endpointsByService.get(entry.serviceId) ?? [];
+      this.#endpointsByService.set(entry.serviceId, [...siblings, entry]);
     }
   }
 }
--- a/packages/core/src/constants.ts
+++ b/packages/core/src/constants.ts
@@ -16,15 +16,15 @@
 /** A gap between ticks above this means that the process was paused. */
 export const PAUSE_MS = 2000;
 
-/** How often a tick walks over all services and runners. */
+/** How often a tick walks over all services and endpoints. */
 export const SLOW_TICK_MS = 500;
 /** How often peers exchange heartbeats. */
 export const EXCHANGE_MS = 1000;
 /** A peer not heard for this long is taken as silent. */
 export const PEER_SILENCE_MS = 3500;
-/** Requests of a daemon that vanished end at the runners within this time. */
+/** Requests of a daemon that vanished end at the endpoints within this time. */
 export const VANISHED_MEMORY_MS = 900_000;
-/** A runner's load report may be this old when it arrives. */
+/** An endpoint's load report may be this old when it arrives. */
 export const REPORT_LAG_MS = 3000;
 /** A view that nobody confirmed for this long is stale. */
 export const VIEW_FRESHNESS_MS = 4000;
@@ -42,7 +42,7 @@
 
 /** Longest time that bytes in a socket buffer can outlive the process that wrote them. */
 export const SOCKET_LINGER_MS = 900_000;
-/** A runner whose order was refused is not ordered again for this long. */
+/** An endpoint whose order was refused is not ordered again for this long. */
 export const ORDER_RETRY_MS = 5000;
 
 /** Attempts of one request, the first included. */
--- a/packages/core/src/controlFollower.ts
+++ b/packages/core/src/controlFollower.ts
@@ -43,7 +43,7 @@
   apply(records: readonly keyValue.KeyRecord[], now: number): void {
     const changed = records.filter((record) => this.#context.store.apply(record));
     for (const record of changed) this.#applyRecord(record, now);
-    if (changed.length > 0) this.refreshRunners(now);
+    if (changed.length > 0) this.refreshEndpoints(now);
   }
 
   #applyRecord(record: keyValue.KeyRecord, now: number): void {
@@ -73,7 +73,7 @@
       const pool =
         this.#context.pools.get(service.id) ??
         new servicePool.ServicePool(service, this.#context.random, this.#context.policy);
-      pool.configure(service, this.#context.tree.runnersOf(service.id));
+      pool.configure(service, this.#context.tree.endpointsOf(service.id));
       this.#context.pools.set(service.id, pool);
     }
     for (const [id, pool] of this.#context.pools) {
@@ -102,14 +102,14 @@
     this.#note(timeline.EventKind.LeaseTaken, { shard, holder: vm, epoch: record.createRevision });
   }
 
-  /** @param now - current time; brings roles and states of all runners up to date */
-  refreshRunners(now: number): void {
+  /** @param now - current time; brings roles and states of all endpoints up to date */
+  refreshEndpoints(now: number): void {
     for (const pool of this.#context.pools.values()) {
-      for (const runner of pool.runners) {
-        const entry = this.#context.tree.runner(runner.id);
-        runner.accepting =
-          entry?.settings.state === configuration.RunnerState.Active && this.#context.orders.acceptsWork(runner.id);
-        if (entry) runner.role = this.#context.orders.roleOf(entry, now);
+      for (const endpoint of pool.endpoints) {
+        const entry = this.#context.tree.endpoint(endpoint.id);
+        endpoint.accepting =
+          entry?.settings.state === configuration.EndpointState.Active && this.#context.orders.acceptsWork(endpoint.id);
+        if (entry) endpoint.role = this.#context.orders.roleOf(entry, now);
       }
     }
   }
@@ -121,8 +121,8 @@
       settled: timeline.EventKind.OrderSettled,
       drained: timeline.EventKind.OrderSettled,
     };
-    const { runner, number, epoch, targetRole, reason } = order;
-    this.#note(kinds[order.phase], { runner, number, epoch, targetRole, reason });
+    const { endpoint, number, epoch, targetRole, reason } = order;
+    this.#note(kinds[order.phase], { endpoint, number, epoch, targetRole, reason });
   }
 
   #note(kind: timeline.EventKind, fields: Record<string, common.Field>): void {
--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -16,7 +16,7 @@
 import * as orderDesk from "./orderDesk.js";
 import * as peerView from "./peerView.js";
 import * as requestDesk from "./requestDesk.js";
-import * as runnerModel from "./runnerModel.js";
+import * as endpointModel from "./endpointModel.js";
 import * as servicePool from "./servicePool.js";
 import * as timeline from "./timeline.js";
 import * as viewFreshness from "./viewFreshness.js";
@@ -84,8 +84,8 @@
       shards: this.shards,
       tree: this.tree,
       poolOf: (service: string) => this.#pools.get(service),
-      urlOf: (runner: string) => this.tree.runner(runner)?.settings.url,
-      loadOf: (runner: string) => this.#loads.get(runner),
+      urlOf: (endpoint: string) => this.tree.endpoint(endpoint)?.settings.url,
+      loadOf: (endpoint: string) => this.#loads.get(endpoint),
       leaseIsValid: (now: number) => this.#leaseDesk.isValid(now),
       requestClaim: (request: string, claim: claims.Claim) => {
         this.#claimDesk.request(request, claim);
@@ -162,7 +162,7 @@
    * Asked in the same step in which an order's bytes are written, so that no
    * pause can come between the check and the write unnoticed.
    *
-   * @param shard - the runner's shard
+   * @param shard - the endpoint's shard
    * @param epoch - the epoch of the order
    * @param now - current time
    * @returns whether the order may still go out
@@ -180,11 +180,11 @@
   }
 
   /**
-   * @param runner - `team/runner`
+   * @param endpoint - `team/endpoint`
    * @returns its last load report
    */
-  loadOf(runner: string): orderContext.SeenLoad | undefined {
-    return this.#loads.get(runner);
+  loadOf(endpoint: string): orderContext.SeenLoad | undefined {
+    return this.#loads.get(endpoint);
   }
 
   /**
@@ -223,7 +223,7 @@
       leaving: this.registration.leaving,
       appliedRevision: this.#store.appliedRevision,
       keyValueReachable: this.#freshness.isKeyValueFresh(now),
-      shares: this.#peerView.runnerShares(now),
+      shares: this.#peerView.endpointShares(now),
       services: this.#peerView.serviceShares(),
     };
   }
@@ -274,10 +274,10 @@
         this.#claimDesk.onAsked(event.claims);
         break;
       case events.EventType.ResumeBegun:
-        this.#poolOfRunner(event.runner)?.runner(event.runner)?.onDispatched(event.resume, resumedWork(now));
+        this.#poolOfEndpoint(event.endpoint)?.endpoint(event.endpoint)?.onDispatched(event.resume, resumedWork(now));
         break;
       case events.EventType.ResumeEnded:
-        this.#poolOfRunner(event.runner)?.runner(event.runner)?.onEnded(event.resume, now);
+        this.#poolOfEndpoint(event.endpoint)?.endpoint(event.endpoint)?.onEnded(event.resume, now);
         break;
       default:
         this.#applyControl(event, now);
@@ -322,10 +322,10 @@
         this.roster.onVmList(event.vms);
         break;
       case events.EventType.LoadReported:
-        this.#loads.set(event.report.runner, { report: event.report, at: now });
+        this.#loads.set(event.report.endpoint, { report: event.report, at: now });
         break;
       case events.EventType.OrderAnswered:
-        this.orderDesk.onAnswered(event.runner, event.number, event.outcome, now);
+        this.orderDesk.onAnswered(event.endpoint, event.number, event.outcome, now);
         break;
       case events.EventType.DeposeAsked:
         this.shards.depose(event.shard, event.epoch);
@@ -365,12 +365,12 @@
     this.orderDesk.onTick(now);
   }
 
-  /** What walks over all services and runners: changes of records bring them up to date at once besides. */
+  /** What walks over all services and endpoints: changes of records bring them up to date at once besides. */
   #onSlowTick(now: number): void {
     if (now < this.#nextSlowTickAt) return;
     this.#nextSlowTickAt = now + constants.SLOW_TICK_MS;
     if (this.#store.appliedRevision > 0) this.#leaseDesk.takeShards(now);
-    this.#follower.refreshRunners(now);
+    this.#follower.refreshEndpoints(now);
   }
 
   #onKeyValueHeard(revision: number, now: number): void {
@@ -434,8 +434,8 @@
     });
   }
 
-  #poolOfRunner(runner: string): servicePool.ServicePool | undefined {
-    const service = this.tree.runner(runner)?.serviceId;
+  #poolOfEndpoint(endpoint: string): servicePool.ServicePool | undefined {
+    const service = this.tree.endpoint(endpoint)?.serviceId;
     return service === undefined ? undefined : this.#pools.get(service);
   }
 
@@ -444,6 +444,6 @@
   }
 }
 
-function resumedWork(now: number): Omit<runnerModel.Outstanding, "aheadTokens"> {
-  return { part: runnerModel.RequestPart.Decode, promptTokens: 0, outputTokens: 0, dispatchedAt: now };
+function resumedWork(now: number): Omit<endpointModel.Outstanding, "aheadTokens"> {
+  return { part: endpointModel.RequestPart.Decode, promptTokens: 0, outputTokens: 0, dispatchedAt: now };
 }
--- a/packages/core/src/runnerModel.ts
+++ b/packages/core/src/endpointModel.ts
@@ -2,7 +2,7 @@
 import type * as engineCosts from "./engineCosts.js";
 import * as speedFactor from "./speedFactor.js";
 
-/** Which part of a request a runner is asked for. */
+/** Which part of a request an endpoint is asked for. */
 export enum RequestPart {
   /** Prompt and answer, or a whole plain call. */
   Whole = "whole",
@@ -12,7 +12,7 @@
   Decode = "decode",
 }
 
-/** What this daemon has at a runner for one request. */
+/** What this daemon has at an endpoint for one request. */
 export interface Outstanding {
   readonly part: RequestPart;
   readonly promptTokens: number;
@@ -23,7 +23,7 @@
   firstTokenAt?: number;
 }
 
-/** Use of a runner by the other daemons, as their heartbeats tell. */
+/** Use of an endpoint by the other daemons, as their heartbeats tell. */
 export interface PeerUse {
   readonly inFlight: number;
   readonly prefillTokens: number;
@@ -36,12 +36,12 @@
 const PREFIXES_REMEMBERED = 256;
 
 /**
- * One runner as this daemon sees it: what is outstanding there, what the peers
+ * One endpoint as this daemon sees it: what is outstanding there, what the peers
  * have there, how fast it is compared with the prior, and whether it fails.
  */
-export class RunnerModel {
+export class EndpointModel {
   readonly id: string;
-  readonly place: string;
+  readonly dataCentre: string;
   readonly #costs: engineCosts.EngineCosts;
   readonly #outstanding = new Map<string, Outstanding>();
   readonly #prefixes = new Map<string, number>();
@@ -54,40 +54,40 @@
   readonly #decodeSpeed = new speedFactor.SpeedFactor();
   #failures = 0;
   #restsUntil = 0;
-  role: configuration.RunnerRole = configuration.RunnerRole.Mixed;
+  role: configuration.EndpointRole = configuration.EndpointRole.Mixed;
   /** False while the configuration or an order keeps new work away. */
   accepting = true;
 
   /**
-   * @param id - `team/runner`
-   * @param place - where it stands
+   * @param id - `team/endpoint`
+   * @param dataCentre - where it stands
    * @param costs - what predictions start from
    */
-  constructor(id: string, place: string, costs: engineCosts.EngineCosts) {
+  constructor(id: string, dataCentre: string, costs: engineCosts.EngineCosts) {
     this.id = id;
-    this.place = place;
+    this.dataCentre = dataCentre;
     this.#costs = costs;
   }
 
-  /** @returns requests of this daemon at the runner */
+  /** @returns requests of this daemon at the endpoint */
   get inFlight(): number {
     return this.#outstanding.size;
   }
 
-  /** @returns requests of all daemons at the runner, as far as known */
+  /** @returns requests of all daemons at the endpoint, as far as known */
   get totalInFlight(): number {
     return this.#outstanding.size + this.#peers.inFlight;
   }
 
   /**
    * @param now - current time
-   * @returns this daemon's prompt tokens at the runner that are not taken in yet, as far as can be told
+   * @returns this daemon's prompt tokens at the endpoint that are not taken in yet, as far as can be told
    */
   ownWaitingTokens(now: number): number {
     return this.#aged(this.#backlogTokens, this.#backlogAt, now);
   }
 
-  /** @returns this daemon's sequences at the runner */
+  /** @returns this daemon's sequences at the endpoint */
   get ownStreams(): number {
     return this.#streams;
   }
@@ -115,19 +115,19 @@
    * @returns whether the present role serves it
    */
   serves(part: RequestPart): boolean {
-    if (this.role === configuration.RunnerRole.Mixed) return part === RequestPart.Whole;
-    return part === (this.role === configuration.RunnerRole.Prefill ? RequestPart.Prefill : RequestPart.Decode);
+    if (this.role === configuration.EndpointRole.Mixed) return part === RequestPart.Whole;
+    return part === (this.role === configuration.EndpointRole.Prefill ? RequestPart.Prefill : RequestPart.Decode);
   }
 
   /**
    * @param now - current time
-   * @returns prompt tokens of all daemons that wait at the runner
+   * @returns prompt tokens of all daemons that wait at the endpoint
    */
   waitingTokens(now: number): number {
     return this.ownWaitingTokens(now) + this.#aged(this.#peers.prefillTokens, this.#peersAt, now);
   }
 
-  /** @returns milliseconds that one prompt token takes while the runner is busy */
+  /** @returns milliseconds that one prompt token takes while the endpoint is busy */
   prefillTokenMs(): number {
     const { chunkTokens } = this.#costs.roles[this.role];
     if (chunkTokens === 0) return Number.POSITIVE_INFINITY;
@@ -198,19 +198,19 @@
     if (outputTokens !== undefined) this.#learnDecode(entry, outputTokens, now);
   }
 
-  /** @param now - current time; the runner answered as it should */
+  /** @param now - current time; the endpoint answered as it should */
   onSuccess(now: number): void {
     this.#failures = 0;
     this.#restsUntil = Math.min(this.#restsUntil, now);
   }
 
   /**
-   * A runner that can't be reached, or fails several times in a row, gets a
+   * An endpoint that can't be reached, or fails several times in a row, gets a
    * rest, longer each time: a crashed engine fails fastest and would otherwise
    * look least loaded and draw all requests.
    *
    * @param now - current time
-   * @param reachable - whether the runner could be reached at all
+   * @param reachable - whether the endpoint could be reached at all
    */
   onFailure(now: number, reachable: boolean): void {
     this.#failures = reachable ? this.#failures + 1 : Math.max(this.#failures + 1, FAILURES_TO_REST);
@@ -220,7 +220,7 @@
   }
 
   /**
-   * @param use - what the peers have at the runner
+   * @param use - what the peers have at the endpoint
    * @param now - current time
    */
   onPeerUse(use: PeerUse, now: number): void {
@@ -237,7 +237,7 @@
   }
 
   /**
-   * @param prefix - beginning of a prompt that the runner takes in
+   * @param prefix - beginning of a prompt that the endpoint takes in
    * @param tokens - its length
    */
   rememberPrefix(prefix: string, tokens: number): void {
@@ -248,7 +248,7 @@
     if (oldest !== undefined) this.#prefixes.delete(oldest);
   }
 
-  /** A role change empties the runner's caches. */
+  /** A role change empties the endpoint's caches. */
   forgetPrefixes(): void {
     this.#prefixes.clear();
   }
@@ -274,7 +274,7 @@
   }
 
   #prefillBusyShare(now: number): number {
-    if (this.role !== configuration.RunnerRole.Mixed) return 0;
+    if (this.role !== configuration.EndpointRole.Mixed) return 0;
     return this.waitingTokens(now) > 0 ? 1 : 0.3;
   }
 
--- a/packages/core/src/engineCosts.ts
+++ b/packages/core/src/engineCosts.ts
@@ -14,11 +14,11 @@
   readonly prefillTokenMs: number;
   readonly decodeStreamMs: number;
   readonly roleChangeMs: number;
-  readonly roles: Readonly<Record<configuration.RunnerRole, RoleCapacity>>;
+  readonly roles: Readonly<Record<configuration.EndpointRole, RoleCapacity>>;
 }
 
 /**
- * The shape that predictions start from; each runner's own speed is learned as
+ * The shape that predictions start from; each endpoint's own speed is learned as
  * a factor on it. The figures are assumed for a mid-sized model.
  */
 export const PRIOR_COSTS: EngineCosts = {
@@ -27,9 +27,9 @@
   decodeStreamMs: 0.45,
   roleChangeMs: 5000,
   roles: {
-    [configuration.RunnerRole.Prefill]: { chunkTokens: 4096, slots: 0 },
-    [configuration.RunnerRole.Decode]: { chunkTokens: 0, slots: 64 },
-    [configuration.RunnerRole.Mixed]: { chunkTokens: 256, slots: 24 },
+    [configuration.EndpointRole.Prefill]: { chunkTokens: 4096, slots: 0 },
+    [configuration.EndpointRole.Decode]: { chunkTokens: 0, slots: 64 },
+    [configuration.EndpointRole.Mixed]: { chunkTokens: 256, slots: 24 },
   },
 };
 
@@ -84,9 +84,9 @@
  * @returns the engine time it takes
  */
 export function demandOf(costs: EngineCosts, promptTokens: number, outputTokens: number): Demand {
-  const prefill = costs.roles[configuration.RunnerRole.Prefill];
-  const decode = costs.roles[configuration.RunnerRole.Decode];
-  const mixed = costs.roles[configuration.RunnerRole.Mixed];
+  const prefill = costs.roles[configuration.EndpointRole.Prefill];
+  const decode = costs.roles[configuration.EndpointRole.Decode];
+  const mixed = costs.roles[configuration.EndpointRole.Mixed];
   const prefillMs = promptTokens * (costs.prefillTokenMs + costs.stepBaseMs / prefill.chunkTokens);
   const decodeMs = outputTokens * (costs.decodeStreamMs + costs.stepBaseMs / decode.slots);
   const mixedPrefillMs = promptTokens * (costs.prefillTokenMs + costs.stepBaseMs / mixed.chunkTokens);
--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -40,7 +40,7 @@
 export enum Reach {
   /** No byte of it left this process. */
   NeverSent = "never-sent",
-  /** The runner says itself that it did not run. */
+  /** The endpoint says itself that it did not run. */
   NotRun = "not-run",
   MayHaveRun = "may-have-run",
 }
@@ -78,10 +78,10 @@
   readonly fingerprint?: string;
 }
 
-/** How an order at a runner ended. */
+/** How an order at an endpoint ended. */
 export enum OrderOutcome {
   Confirmed = "confirmed",
-  /** The runner has seen a newer fencing number. */
+  /** The endpoint has seen a newer fencing number. */
   Stale = "stale",
   /** It never left. */
   NotSent = "not-sent",
@@ -89,12 +89,12 @@
   Unknown = "unknown",
 }
 
-/** What a runner reports of itself. */
+/** What an endpoint reports of itself. */
 export interface LoadReport {
-  readonly runner: string;
+  readonly endpoint: string;
   readonly running: number;
   readonly waiting: number;
-  readonly role?: configuration.RunnerRole;
+  readonly role?: configuration.EndpointRole;
 }
 
 /** Everything that can happen to a daemon. */
@@ -162,7 +162,7 @@
   | { readonly type: EventType.LoadReported; readonly report: LoadReport }
   | {
       readonly type: EventType.OrderAnswered;
-      readonly runner: string;
+      readonly endpoint: string;
       readonly number: number;
       readonly outcome: OrderOutcome;
     }
@@ -176,6 +176,6 @@
       readonly reset: boolean;
     }
   /** A caller takes up, through this daemon, a stream that another one began. */
-  | { readonly type: EventType.ResumeBegun; readonly resume: string; readonly runner: string }
-  | { readonly type: EventType.ResumeEnded; readonly resume: string; readonly runner: string }
+  | { readonly type: EventType.ResumeBegun; readonly resume: string; readonly endpoint: string }
+  | { readonly type: EventType.ResumeEnded; readonly resume: string; readonly endpoint: string }
   | { readonly type: EventType.StopAsked };
--- a/packages/core/src/liveRequest.ts
+++ b/packages/core/src/liveRequest.ts
@@ -3,7 +3,7 @@
 import type * as attempts from "./attempts.js";
 import type * as claims from "./claims.js";
 import type * as events from "./events.js";
-import type * as runnerModel from "./runnerModel.js";
+import type * as endpointModel from "./endpointModel.js";
 import type * as servicePool from "./servicePool.js";
 
 /** Where a request stands. */
@@ -13,7 +13,7 @@
   Joining = "joining",
   Queued = "queued",
   Prefilling = "prefilling",
-  /** Its KV cache is ready; it waits for a place at a decoding runner. */
+  /** Its KV cache is ready; it waits for a place at a decoding endpoint. */
   HandingOff = "handing-off",
   Answering = "answering",
 }
@@ -29,7 +29,7 @@
   phase: RequestPhase;
   attemptCount: number;
   attempt: string;
-  runner?: runnerModel.RunnerModel;
+  endpoint?: endpointModel.EndpointModel;
   dispatchedAt: number;
   handoff?: actions.Handoff;
   record?: attempts.AttemptRecord;
@@ -44,7 +44,7 @@
   readonly incarnation: string;
   readonly random: common.SeededRandom;
   poolOf(service: string): servicePool.ServicePool | undefined;
-  urlOf(runner: string): string | undefined;
+  urlOf(endpoint: string): string | undefined;
   /** The answer comes with `DuplicateDesk.onClaimAnswered`. */
   requestClaim(request: string, claim: claims.Claim): void;
   emit(action: actions.Action): void;
--- a/packages/core/src/membership.ts
+++ b/packages/core/src/membership.ts
@@ -5,7 +5,7 @@
 /** What a daemon writes about itself. */
 export interface Registration {
   readonly vm: string;
-  readonly place: string;
+  readonly dataCentre: string;
   readonly incarnation: string;
   readonly callerUrl: string;
   readonly peerUrl: string;
@@ -29,17 +29,17 @@
   readonly leaving: boolean;
   readonly appliedRevision: number;
   readonly keyValueReachable: boolean;
-  readonly shares: readonly RunnerShare[];
+  readonly shares: readonly EndpointShare[];
   readonly services: readonly ServiceShare[];
 }
 
-/** How much of one runner a daemon uses. */
-export interface RunnerShare {
-  readonly runner: string;
+/** How much of one endpoint a daemon uses. */
+export interface EndpointShare {
+  readonly endpoint: string;
   readonly inFlight: number;
   readonly prefillTokens: number;
   readonly streams: number;
-  /** Revision of the runner's order record that the daemon has applied. */
+  /** Revision of the endpoint's order record that the daemon has applied. */
   readonly recordRevision: number;
 }
 
@@ -173,7 +173,7 @@
 
   /**
    * Daemons that vanished without a planned stop. One may be paused or cut off
-   * and still have requests at runners, so planned changes wait until the
+   * and still have requests at endpoints, so planned changes wait until the
    * platform lists its VM as gone or a new process runs there.
    *
    * @returns their VMs
@@ -198,7 +198,7 @@
   /**
    * @param now - current time
    * @returns whether a daemon ended without a planned stop so lately that its
-   * requests may still run at the runners
+   * requests may still run at the endpoints
    */
   hasVanishedLately(now: number): boolean {
     return now - this.#lastVanishedAt < constants.VANISHED_MEMORY_MS;
--- a/packages/core/src/orderContext.ts
+++ b/packages/core/src/orderContext.ts
@@ -13,7 +13,7 @@
   readonly revision: number;
 }
 
-/** What a runner last reported, and when. */
+/** What an endpoint last reported, and when. */
 export interface SeenLoad {
   readonly report: events.LoadReport;
   readonly at: number;
@@ -29,7 +29,7 @@
   readonly shards: leases.ShardLeases;
   readonly tree: configuration.ConfigurationTree;
   poolOf(service: string): servicePool.ServicePool | undefined;
-  loadOf(runner: string): SeenLoad | undefined;
+  loadOf(endpoint: string): SeenLoad | undefined;
   leaseIsValid(now: number): boolean;
   emit(action: actions.Action): void;
 }
--- a/packages/core/src/orderDesk.ts
+++ b/packages/core/src/orderDesk.ts
@@ -11,7 +11,7 @@
 import * as succession from "./succession.js";
 import * as timeline from "./timeline.js";
 
-interface RunnerWork {
+interface EndpointWork {
   /** Set while a phase is being written, until the write's outcome is known. */
   writing: boolean;
   /** Set while an order is out: its number. */
@@ -24,7 +24,7 @@
 }
 
 /**
- * Planned changes of runners, carried out by the daemon that holds the shard's
+ * Planned changes of endpoints, carried out by the daemon that holds the shard's
  * lease: drain, write the intention, order, write the outcome. Each step is one
  * record in the key-value service, written under the condition that the lease
  * still stands, so that a successor can tell how far its predecessor came.
@@ -32,7 +32,7 @@
 export class OrderDesk {
   readonly #context: orderContext.OrderContext;
   readonly #orders = new Map<string, orderContext.KnownOrder>();
-  readonly #work = new Map<string, RunnerWork>();
+  readonly #work = new Map<string, EndpointWork>();
   readonly #succession: succession.Succession;
   readonly #chooser: changeChooser.ChangeChooser;
 
@@ -43,24 +43,24 @@
     this.#chooser = new changeChooser.ChangeChooser({
       tree: context.tree,
       poolOf: (service) => context.poolOf(service),
-      hasReported: (runner) => context.loadOf(runner) !== undefined,
-      isSettled: (runner) => this.acceptsWork(runner),
-      roleOf: (runner, now) => this.roleOf(runner, now),
+      hasReported: (endpoint) => context.loadOf(endpoint) !== undefined,
+      isSettled: (endpoint) => this.acceptsWork(endpoint),
+      roleOf: (endpoint, now) => this.roleOf(endpoint, now),
     });
   }
 
   /**
-   * @param runner - `team/runner`
+   * @param endpoint - `team/endpoint`
    * @returns its latest order
    */
-  orderOf(runner: string): orderContext.KnownOrder | undefined {
-    return this.#orders.get(runner);
+  orderOf(endpoint: string): orderContext.KnownOrder | undefined {
+    return this.#orders.get(endpoint);
   }
 
-  /** @returns runners whose change waits, with the reasons */
+  /** @returns endpoints whose change waits, with the reasons */
   waiting(): Map<string, string> {
     const waits = [...this.#work].filter(([, work]) => work.waitsFor !== "");
-    return new Map(waits.map(([runner, work]) => [runner, work.waitsFor]));
+    return new Map(waits.map(([endpoint, work]) => [endpoint, work.waitsFor]));
   }
 
   /**
@@ -69,10 +69,10 @@
    * @param now - current time
    */
   onRecord(record: orders.OrderRecord, revision: number, now: number): void {
-    const known = this.#orders.get(record.runner);
+    const known = this.#orders.get(record.endpoint);
     if (known && known.revision >= revision) return;
-    this.#orders.set(record.runner, { record, revision });
-    const work = this.#workOf(record.runner);
+    this.#orders.set(record.endpoint, { record, revision });
+    const work = this.#workOf(record.endpoint);
     work.writing = false;
     if (record.phase === orders.OrderPhase.Draining) {
       work.drainSeenAt = now;
@@ -82,28 +82,28 @@
   }
 
   /**
-   * @param runner - `team/runner`
+   * @param endpoint - `team/endpoint`
    * @param now - current time
    * @returns the role that it has as far as is known
    */
-  roleOf(runner: configuration.RunnerEntry, now: number): configuration.RunnerRole {
-    const order = this.#orders.get(runner.id)?.record;
+  roleOf(endpoint: configuration.EndpointEntry, now: number): configuration.EndpointRole {
+    const order = this.#orders.get(endpoint.id)?.record;
     if (order && order.phase !== orders.OrderPhase.Settled) return order.fromRole;
-    const reported = this.#reportedRole(runner.id, now);
+    const reported = this.#reportedRole(endpoint.id, now);
     if (reported) return reported;
     if (order) return order.targetRole;
-    const chosen = runner.settings.role;
+    const chosen = endpoint.settings.role;
     return chosen === configuration.RoleChoice.Auto
-      ? configuration.RunnerRole.Mixed
-      : (chosen as unknown as configuration.RunnerRole);
+      ? configuration.EndpointRole.Mixed
+      : (chosen as unknown as configuration.EndpointRole);
   }
 
   /**
-   * @param runner - `team/runner`
+   * @param endpoint - `team/endpoint`
    * @returns whether its latest order lets it take new work
    */
-  acceptsWork(runner: string): boolean {
-    const order = this.#orders.get(runner)?.record;
+  acceptsWork(endpoint: string): boolean {
+    const order = this.#orders.get(endpoint)?.record;
     return order === undefined || order.phase === orders.OrderPhase.Settled;
   }
 
@@ -128,20 +128,20 @@
   }
 
   /**
-   * @param runner - `team/runner`
+   * @param endpoint - `team/endpoint`
    * @param result - how the write of its record ended
    * @param now - current time
    */
-  onWritten(runner: string, result: keyValue.TransactionResult, now: number): void {
-    const work = this.#workOf(runner);
+  onWritten(endpoint: string, result: keyValue.TransactionResult, now: number): void {
+    const work = this.#workOf(endpoint);
     if (!work.writing) return;
     if (
       result.outcome === keyValue.TransactionOutcome.Unknown ||
       result.outcome === keyValue.TransactionOutcome.Refused
     ) {
       // The record itself tells whether our write stands: it carries our attempt.
-      const key = controlKeys.controlKey(controlKeys.ControlKind.Order, runner);
-      this.#context.emit({ type: actions.ActionType.ReadKeys, token: `order:${runner}`, prefix: key });
+      const key = controlKeys.controlKey(controlKeys.ControlKind.Order, endpoint);
+      this.#context.emit({ type: actions.ActionType.ReadKeys, token: `order:${endpoint}`, prefix: key });
       return;
     }
     if (result.outcome === keyValue.TransactionOutcome.NotSent) {
@@ -151,27 +151,27 @@
   }
 
   /**
-   * The record of a runner was read back after a write whose outcome was open.
+   * The record of an endpoint was read back after a write whose outcome was open.
    *
-   * @param runner - `team/runner`
+   * @param endpoint - `team/endpoint`
    * @param read - whether the service could be asked
    * @param now - current time
    */
-  onReadBack(runner: string, read: boolean, now: number): void {
-    const work = this.#workOf(runner);
+  onReadBack(endpoint: string, read: boolean, now: number): void {
+    const work = this.#workOf(endpoint);
     work.writing = false;
     if (!read) work.retryAt = now + constants.ORDER_RETRY_MS;
   }
 
   /**
-   * @param runner - `team/runner`
+   * @param endpoint - `team/endpoint`
    * @param number - the order's number
    * @param outcome - how it ended
    * @param now - current time
    */
-  onAnswered(runner: string, number: number, outcome: events.OrderOutcome, now: number): void {
-    const work = this.#workOf(runner);
-    const known = this.#orders.get(runner);
+  onAnswered(endpoint: string, number: number, outcome: events.OrderOutcome, now: number): void {
+    const work = this.#workOf(endpoint);
+    const known = this.#orders.get(endpoint);
     if (work.sending !== number || !known || known.record.number !== number) return;
     delete work.sending;
     if (outcome === events.OrderOutcome.Confirmed) {
@@ -195,18 +195,18 @@
   }
 
   /** A report that arrives soon after an order may still tell the role before it. */
-  #reportedRole(runner: string, now: number): configuration.RunnerRole | undefined {
-    const load = this.#context.loadOf(runner);
+  #reportedRole(endpoint: string, now: number): configuration.EndpointRole | undefined {
+    const load = this.#context.loadOf(endpoint);
     if (!load || now - load.at > constants.VIEW_FRESHNESS_MS) return undefined;
-    return load.at > this.#workOf(runner).settledAt + constants.REPORT_LAG_MS ? load.report.role : undefined;
+    return load.at > this.#workOf(endpoint).settledAt + constants.REPORT_LAG_MS ? load.report.role : undefined;
   }
 
   #advanceService(service: configuration.ServiceEntry, shard: string, epoch: number, now: number): void {
-    const runners = this.#context.tree.runnersOf(service.id);
+    const endpoints = this.#context.tree.endpointsOf(service.id);
     let busy = false;
-    for (const runner of runners) {
-      const known = this.#orders.get(runner.id);
-      if (known && this.#advance(runner, known, shard, epoch, now)) busy = true;
+    for (const endpoint of endpoints) {
+      const known = this.#orders.get(endpoint.id);
+      if (known && this.#advance(endpoint, known, shard, epoch, now)) busy = true;
     }
     if (busy) return;
     const change = this.#chooser.next(service, now);
@@ -215,65 +215,70 @@
 
   /** Moves an unfinished change on; returns whether one of the service's engines is taken up by it. */
   #advance(
-    runner: configuration.RunnerEntry,
+    endpoint: configuration.EndpointEntry,
     known: orderContext.KnownOrder,
     shard: string,
     epoch: number,
     now: number,
   ): boolean {
     const { record } = known;
-    const work = this.#workOf(runner.id);
+    const work = this.#workOf(endpoint.id);
     if (record.phase === orders.OrderPhase.Settled) return false;
     if (work.writing || now < work.retryAt) return true;
-    if (record.phase === orders.OrderPhase.Drained) return this.#reopenIfWanted(runner, known, epoch);
-    if (record.phase === orders.OrderPhase.Draining) this.#advanceDrain(runner, known, epoch, now);
-    else this.#advanceOrder(runner, known, shard, epoch, now);
+    if (record.phase === orders.OrderPhase.Drained) return this.#reopenIfWanted(endpoint, known, epoch);
+    if (record.phase === orders.OrderPhase.Draining) this.#advanceDrain(endpoint, known, epoch, now);
+    else this.#advanceOrder(endpoint, known, shard, epoch, now);
     return true;
   }
 
-  #reopenIfWanted(runner: configuration.RunnerEntry, known: orderContext.KnownOrder, epoch: number): boolean {
-    if (runner.settings.state === configuration.RunnerState.Draining) return false;
+  #reopenIfWanted(endpoint: configuration.EndpointEntry, known: orderContext.KnownOrder, epoch: number): boolean {
+    if (endpoint.settings.state === configuration.EndpointState.Draining) return false;
     this.#rewrite(known, { phase: orders.OrderPhase.Settled, epoch, reason: "reopened by the operator" });
     return true;
   }
 
-  #advanceDrain(runner: configuration.RunnerEntry, known: orderContext.KnownOrder, epoch: number, now: number): void {
+  #advanceDrain(
+    endpoint: configuration.EndpointEntry,
+    known: orderContext.KnownOrder,
+    epoch: number,
+    now: number,
+  ): void {
     const { record } = known;
-    const work = this.#workOf(runner.id);
+    const work = this.#workOf(endpoint.id);
     const forOperator = record.targetRole === record.fromRole;
-    if (forOperator && runner.settings.state === configuration.RunnerState.Active) {
+    if (forOperator && endpoint.settings.state === configuration.EndpointState.Active) {
       this.#rewrite(known, { phase: orders.OrderPhase.Settled, epoch, reason: "reopened by the operator" });
       return;
     }
-    const load = this.#context.loadOf(runner.id);
+    const load = this.#context.loadOf(endpoint.id);
     const reportedSince = work.drainSeenAt + constants.REPORT_LAG_MS;
     const reported = load && load.at > reportedSince ? load.report.running + load.report.waiting : undefined;
-    const plain = this.#context.tree.service(runner.serviceId)?.settings.kind === configuration.ServiceKind.Plain;
+    const plain = this.#context.tree.service(endpoint.serviceId)?.settings.kind === configuration.ServiceKind.Plain;
     const blockers = drains.drainBlockers(
       {
-        runner: runner.id,
+        endpoint: endpoint.id,
         recordRevision: known.revision,
-        ownInFlight: this.#context.poolOf(runner.serviceId)?.runner(runner.id)?.inFlight ?? 0,
-        runnerReports: reported,
-        needsRunnerReport: !plain && this.#context.roster.hasVanishedLately(now),
+        ownInFlight: this.#context.poolOf(endpoint.serviceId)?.endpoint(endpoint.id)?.inFlight ?? 0,
+        endpointReports: reported,
+        needsEndpointReport: !plain && this.#context.roster.hasVanishedLately(now),
       },
       this.#context.roster,
     );
-    this.#setWaits(runner.id, work, blockers.join("; "));
+    this.#setWaits(endpoint.id, work, blockers.join("; "));
     if (blockers.length > 0) return;
     const phase = forOperator ? orders.OrderPhase.Drained : orders.OrderPhase.Intended;
     this.#rewrite(known, { phase, epoch });
   }
 
   #advanceOrder(
-    runner: configuration.RunnerEntry,
+    endpoint: configuration.EndpointEntry,
     known: orderContext.KnownOrder,
     shard: string,
     epoch: number,
     now: number,
   ): void {
     const { record } = known;
-    const work = this.#workOf(runner.id);
+    const work = this.#workOf(endpoint.id);
     if (work.sending !== undefined) return;
     if (work.witness?.sawChange) {
       this.#rewrite(known, { phase: orders.OrderPhase.Settled, epoch });
@@ -281,8 +286,8 @@
     }
     const own = record.incarnation === this.#context.incarnation && record.epoch === epoch;
     if (!own) {
-      const verdict = this.#succession.decide(runner.settings.checksFencing, record, { shard, epoch }, now);
-      this.#setWaits(runner.id, work, verdict.allowed ? "" : verdict.reason);
+      const verdict = this.#succession.decide(endpoint.settings.checksFencing, record, { shard, epoch }, now);
+      this.#setWaits(endpoint.id, work, verdict.allowed ? "" : verdict.reason);
       if (!verdict.allowed) return;
       this.#rewrite(known, { epoch, number: record.number + 1 });
       return;
@@ -291,8 +296,8 @@
     this.#note(timeline.EventKind.OrderSent, record);
     this.#context.emit({
       type: actions.ActionType.SendOrder,
-      runner: runner.id,
-      url: runner.settings.url,
+      endpoint: endpoint.id,
+      url: endpoint.settings.url,
       shard,
       epoch,
       number: record.number,
@@ -301,15 +306,26 @@
   }
 
   #begin(change: changeChooser.WantedChange, epoch: number, now: number): void {
-    const { runner, fromRole, targetRole, reason } = change;
-    const work = this.#workOf(runner.id);
+    const { endpoint, fromRole, targetRole, reason } = change;
+    const work = this.#workOf(endpoint.id);
     if (work.writing || now < work.retryAt) return;
-    const known = this.#orders.get(runner.id);
+    const known = this.#orders.get(endpoint.id);
     const number = (known?.record.number ?? 0) + 1;
     const { vm, incarnation } = this.#context;
     const attempt = this.#context.random.identifier();
     const phase = orders.OrderPhase.Draining;
-    const record = { runner: runner.id, number, epoch, vm, incarnation, attempt, phase, fromRole, targetRole, reason };
+    const record = {
+      endpoint: endpoint.id,
+      number,
+      epoch,
+      vm,
+      incarnation,
+      attempt,
+      phase,
+      fromRole,
+      targetRole,
+      reason,
+    };
     this.#write(record, known?.revision ?? 0);
   }
 
@@ -325,13 +341,13 @@
    * write arrives.
    */
   #write(record: orders.OrderRecord, revision: number): void {
-    const key = controlKeys.controlKey(controlKeys.ControlKind.Order, record.runner);
-    const service = this.#context.tree.runner(record.runner)?.serviceId ?? "";
+    const key = controlKeys.controlKey(controlKeys.ControlKind.Order, record.endpoint);
+    const service = this.#context.tree.endpoint(record.endpoint)?.serviceId ?? "";
     const leaseKey = controlKeys.controlKey(controlKeys.ControlKind.Lease, configuration.controlShardOf(service));
-    this.#workOf(record.runner).writing = true;
+    this.#workOf(record.endpoint).writing = true;
     this.#context.emit({
       type: actions.ActionType.Transact,
-      token: `order:${record.runner}`,
+      token: `order:${record.endpoint}`,
       transaction: {
         conditions: [
           { key, kind: keyValue.RevisionKind.Modified, revision },
@@ -343,57 +359,60 @@
   }
 
   #onSettled(record: orders.OrderRecord, now: number): void {
-    this.#workOf(record.runner).settledAt = now;
-    const runner = this.#context.tree.runner(record.runner);
-    const pool = runner && this.#context.poolOf(runner.serviceId);
+    this.#workOf(record.endpoint).settledAt = now;
+    const endpoint = this.#context.tree.endpoint(record.endpoint);
+    const pool = endpoint && this.#context.poolOf(endpoint.serviceId);
     pool?.planner.onChanged(now);
-    if (record.fromRole !== record.targetRole) pool?.runner(record.runner)?.forgetPrefixes();
-    this.#setWaits(record.runner, this.#workOf(record.runner), "");
+    if (record.fromRole !== record.targetRole) pool?.endpoint(record.endpoint)?.forgetPrefixes();
+    this.#setWaits(record.endpoint, this.#workOf(record.endpoint), "");
   }
 
   /** Every daemon watches, since any may have to succeed the holder. */
   #watchRoles(): void {
     for (const { record } of this.#orders.values()) {
-      const load = this.#context.loadOf(record.runner);
-      if (load) this.#workOf(record.runner).witness?.onReport(record, load.report.role, load.at);
+      const load = this.#context.loadOf(record.endpoint);
+      if (load) this.#workOf(record.endpoint).witness?.onReport(record, load.report.role, load.at);
     }
   }
 
   #hasDrains(service: string): boolean {
     return this.#context.tree
-      .runnersOf(service)
-      .some((runner) => runner.settings.state === configuration.RunnerState.Draining || !this.acceptsWork(runner.id));
+      .endpointsOf(service)
+      .some(
+        (endpoint) =>
+          endpoint.settings.state === configuration.EndpointState.Draining || !this.acceptsWork(endpoint.id),
+      );
   }
 
-  #setWaits(runner: string, work: RunnerWork, waitsFor: string): void {
+  #setWaits(endpoint: string, work: EndpointWork, waitsFor: string): void {
     if (work.waitsFor === waitsFor) return;
     work.waitsFor = waitsFor;
     if (waitsFor === "") return;
     this.#context.emit({
       type: actions.ActionType.Note,
-      note: { kind: timeline.EventKind.OrderWaits, fields: { runner, waitsFor } },
+      note: { kind: timeline.EventKind.OrderWaits, fields: { endpoint, waitsFor } },
     });
   }
 
-  #workOf(runner: string): RunnerWork {
-    const present = this.#work.get(runner);
+  #workOf(endpoint: string): EndpointWork {
+    const present = this.#work.get(endpoint);
     if (present) return present;
-    const fresh: RunnerWork = {
+    const fresh: EndpointWork = {
       writing: false,
       retryAt: 0,
       drainSeenAt: 0,
       settledAt: Number.NEGATIVE_INFINITY,
       waitsFor: "",
     };
-    this.#work.set(runner, fresh);
+    this.#work.set(endpoint, fresh);
     return fresh;
   }
 
   #note(kind: timeline.EventKind, record: orders.OrderRecord): void {
-    const { runner, number, epoch, targetRole } = record;
+    const { endpoint, number, epoch, targetRole } = record;
     this.#context.emit({
       type: actions.ActionType.Note,
-      note: { kind, fields: { runner, number, epoch, targetRole } },
+      note: { kind, fields: { endpoint, number, epoch, targetRole } },
     });
   }
 }
--- a/packages/core/src/orders.ts
+++ b/packages/core/src/orders.ts
@@ -1,21 +1,21 @@
 import type * as configuration from "./configuration.js";
 
-/** How far a planned change of a runner has come. */
+/** How far a planned change of an endpoint has come. */
 export enum OrderPhase {
   /** Daemons give no new work; what runs is finished. */
   Draining = "draining",
   /** The order may have been sent. */
   Intended = "intended",
-  /** The runner confirmed, or was seen in the new role. */
+  /** The endpoint confirmed, or was seen in the new role. */
   Settled = "settled",
   /** Drained for the operator; no order follows. */
   Drained = "drained",
 }
 
-/** The durable record of the latest change of one runner. */
+/** The durable record of the latest change of one endpoint. */
 export interface OrderRecord {
-  /** `team/runner`. */
-  readonly runner: string;
+  /** `team/endpoint`. */
+  readonly endpoint: string;
   /** Fencing number: grows by one with each order. */
   readonly number: number;
   /** Revision of the lease under which it was written; grows with each holder. */
@@ -25,8 +25,8 @@
   /** Names the write, so that its writer knows it again when the reply was lost. */
   readonly attempt: string;
   readonly phase: OrderPhase;
-  readonly fromRole: configuration.RunnerRole;
-  readonly targetRole: configuration.RunnerRole;
+  readonly fromRole: configuration.EndpointRole;
+  readonly targetRole: configuration.EndpointRole;
   readonly reason: string;
 }
 
@@ -40,7 +40,7 @@
   readonly replacedSince?: number;
 }
 
-/** Whether a successor may order a runner. */
+/** Whether a successor may order an endpoint. */
 export interface SuccessionVerdict {
   readonly allowed: boolean;
   /** Why not, for the operator. */
@@ -48,16 +48,16 @@
 }
 
 /**
- * Whether the successor of a lease holder may order a runner whose order is
+ * Whether the successor of a lease holder may order an endpoint whose order is
  * unsettled.
  *
- * A runner that checks fencing numbers refuses the former holder's late order
- * by itself. A runner that doesn't would carry it out after ours: the former
+ * An endpoint that checks fencing numbers refuses the former holder's late order
+ * by itself. An endpoint that doesn't would carry it out after ours: the former
  * holder may be paused between its check and its write, or its bytes may sit in
  * a socket buffer. No clock excludes that, so the successor waits for proof
  * that nothing more can come.
  *
- * @param checksFencing - whether the runner refuses old fencing numbers
+ * @param checksFencing - whether the endpoint refuses old fencing numbers
  * @param evidence - what is known of the former holder
  * @param lingerMs - longest time that socket buffers outlive their process
  * @param now - current time
@@ -69,7 +69,7 @@
   lingerMs: number,
   now: number,
 ): SuccessionVerdict {
-  if (checksFencing) return { allowed: true, reason: "the runner checks fencing numbers" };
+  if (checksFencing) return { allowed: true, reason: "the endpoint checks fencing numbers" };
   if (evidence.deposed) return { allowed: true, reason: "the former holder has reset its order connections" };
   if (evidence.vmGone) return { allowed: true, reason: "the former holder's VM is gone" };
   if (evidence.replacedSince === undefined) {
@@ -82,9 +82,9 @@
 
 /**
  * Watches whether an unsettled order has taken effect, by the roles that the
- * runner reports.
+ * endpoint reports.
  *
- * The target role alone proves nothing: the runner may have had it before, and
+ * The target role alone proves nothing: the endpoint may have had it before, and
  * a late report of an earlier role may have hidden that when the change was
  * planned. Taken for a proof, it would let a newer order out while this one's
  * bytes are still under way. So the change itself must be seen: first the
@@ -107,10 +107,10 @@
 
   /**
    * @param record - the order
-   * @param role - the role that the runner reports
+   * @param role - the role that the endpoint reports
    * @param at - when the report arrived
    */
-  onReport(record: OrderRecord, role: configuration.RunnerRole | undefined, at: number): void {
+  onReport(record: OrderRecord, role: configuration.EndpointRole | undefined, at: number): void {
     if (at < this.#notBefore || record.fromRole === record.targetRole) return;
     if (role === record.fromRole) this.#sawFormerRole = true;
     if (role === record.targetRole && this.#sawFormerRole) this.#sawChange = true;
--- a/packages/core/src/peerView.ts
+++ b/packages/core/src/peerView.ts
@@ -4,13 +4,13 @@
 import type * as orderDesk from "./orderDesk.js";
 import type * as servicePool from "./servicePool.js";
 
-interface RunnerUse {
+interface EndpointUse {
   readonly inFlight: number;
   readonly prefillTokens: number;
   readonly streams: number;
 }
 
-const NO_USE: RunnerUse = { inFlight: 0, prefillTokens: 0, streams: 0 };
+const NO_USE: EndpointUse = { inFlight: 0, prefillTokens: 0, streams: 0 };
 const NOTHING_WAITS: admission.WaitingWork = { tokens: 0, requests: 0 };
 
 /** What daemons tell one another of their requests, and what is made of it. */
@@ -36,21 +36,21 @@
 
   /**
    * @param now - current time
-   * @returns how much of each runner this daemon uses; runners under change are
+   * @returns how much of each endpoint this daemon uses; endpoints under change are
    * always named, as this is the acknowledgement that the change waits for
    */
-  runnerShares(now: number): membership.RunnerShare[] {
-    const shares: membership.RunnerShare[] = [];
+  endpointShares(now: number): membership.EndpointShare[] {
+    const shares: membership.EndpointShare[] = [];
     for (const pool of this.#pools.values()) {
-      for (const runner of pool.runners) {
-        const order = this.#orders.orderOf(runner.id);
-        const changing = order !== undefined && !this.#orders.acceptsWork(runner.id);
-        if (runner.inFlight === 0 && !changing) continue;
+      for (const endpoint of pool.endpoints) {
+        const order = this.#orders.orderOf(endpoint.id);
+        const changing = order !== undefined && !this.#orders.acceptsWork(endpoint.id);
+        if (endpoint.inFlight === 0 && !changing) continue;
         shares.push({
-          runner: runner.id,
-          inFlight: runner.inFlight,
-          prefillTokens: runner.ownWaitingTokens(now),
-          streams: runner.ownStreams,
+          endpoint: endpoint.id,
+          inFlight: endpoint.inFlight,
+          prefillTokens: endpoint.ownWaitingTokens(now),
+          streams: endpoint.ownStreams,
           recordRevision: order?.revision ?? 0,
         });
       }
@@ -91,12 +91,12 @@
 
   /** @param now - current time; tells the pools what all peers have and what waits there */
   sumUp(now: number): void {
-    const uses = new Map<string, RunnerUse>();
+    const uses = new Map<string, EndpointUse>();
     const queues = new Map<string, admission.WaitingWork>();
     const serving = new Map<string, number>();
     for (const peer of this.#roster.livePeers(now)) {
       for (const share of peer.report?.shares ?? []) {
-        uses.set(share.runner, sumOfUse(uses.get(share.runner) ?? NO_USE, share));
+        uses.set(share.endpoint, sumOfUse(uses.get(share.endpoint) ?? NO_USE, share));
       }
       for (const { service, waiting } of peer.report?.services ?? []) {
         queues.set(service, sumOfWork(queues.get(service) ?? NOTHING_WAITS, waiting));
@@ -105,12 +105,12 @@
     }
     for (const [id, pool] of this.#pools) {
       pool.onPeerQueues(queues.get(id) ?? NOTHING_WAITS, serving.get(id) ?? 0);
-      for (const runner of pool.runners) runner.onPeerUse(uses.get(runner.id) ?? NO_USE, now);
+      for (const endpoint of pool.endpoints) endpoint.onPeerUse(uses.get(endpoint.id) ?? NO_USE, now);
     }
   }
 }
 
-function sumOfUse(left: RunnerUse, right: RunnerUse): RunnerUse {
+function sumOfUse(left: EndpointUse, right: EndpointUse): EndpointUse {
   return {
     inFlight: left.inFlight + right.inFlight,
     prefillTokens: left.prefillTokens + right.prefillTokens,
--- a/packages/core/src/requestDesk.ts
+++ b/packages/core/src/requestDesk.ts
@@ -7,8 +7,8 @@
 import * as duplicateDesk from "./duplicateDesk.js";
 import * as events from "./events.js";
 import * as liveRequest from "./liveRequest.js";
-import type * as runnerChoice from "./runnerChoice.js";
-import * as runnerModel from "./runnerModel.js";
+import type * as endpointChoice from "./endpointChoice.js";
+import * as endpointModel from "./endpointModel.js";
 import type * as servicePool from "./servicePool.js";
 import * as timeline from "./timeline.js";
 
@@ -76,9 +76,9 @@
   onPrefillDone(id: string, attempt: string, now: number): void {
     const request = this.#current(id, attempt);
     if (request?.phase !== liveRequest.RequestPhase.Prefilling) return;
-    request.runner?.onEnded(id, now);
-    request.runner?.onSuccess(now);
-    request.handoff = { url: this.#context.urlOf(request.runner?.id ?? "") ?? "", attempt };
+    request.endpoint?.onEnded(id, now);
+    request.endpoint?.onSuccess(now);
+    request.handoff = { url: this.#context.urlOf(request.endpoint?.id ?? "") ?? "", attempt };
     request.phase = liveRequest.RequestPhase.HandingOff;
     this.#handingOff.add(request);
     this.serveQueues(now, request.pool);
@@ -93,7 +93,7 @@
     const request = this.#current(id, attempt);
     if (request?.phase !== liveRequest.RequestPhase.Answering) return;
     request.firstTokenSeen = true;
-    request.runner?.onFirstToken(id, now);
+    request.endpoint?.onFirstToken(id, now);
     this.serveQueues(now, request.pool);
   }
 
@@ -104,11 +104,11 @@
   onAnswerDone(event: Extract<events.CoreEvent, { type: events.EventType.AnswerDone }>, now: number): void {
     const request = this.#current(event.request, event.attempt);
     if (request?.phase !== liveRequest.RequestPhase.Answering) return;
-    request.runner?.onEnded(event.request, now, event.outputTokens);
-    request.runner?.onSuccess(now);
+    request.endpoint?.onEnded(event.request, now, event.outputTokens);
+    request.endpoint?.onSuccess(now);
     this.#learn(request, event.outputTokens, now);
     this.#note(timeline.EventKind.RequestAnswered, request, {
-      runner: request.runner?.id,
+      endpoint: request.endpoint?.id,
       tookMs: Math.round(now - request.arrivedAt),
     });
     this.#live.delete(event.request);
@@ -128,10 +128,10 @@
   onAttemptFailed(id: string, attempt: string, reach: events.Reach, now: number): void {
     const request = this.#current(id, attempt);
     if (!request) return;
-    request.runner?.onEnded(id, now);
-    request.runner?.onFailure(now, reach !== events.Reach.NeverSent);
-    if (request.runner) request.work = avoiding(request.work, request.runner.id);
-    delete request.runner;
+    request.endpoint?.onEnded(id, now);
+    request.endpoint?.onFailure(now, reach !== events.Reach.NeverSent);
+    if (request.endpoint) request.work = avoiding(request.work, request.endpoint.id);
+    delete request.endpoint;
     const ran = reach === events.Reach.MayHaveRun;
     if (request.abandoned) this.#live.delete(id);
     else if (ran && !request.idempotent) this.#giveUp(request, common.Outcome.Unknown, now);
@@ -229,7 +229,7 @@
   #lateProblem(request: liveRequest.LiveRequest, now: number): common.Problem | undefined {
     const { pool } = request;
     if (!pool.canServe(now)) {
-      return common.problem(common.ProblemKind.NoRunner, "no runner of the service takes work now", {
+      return common.problem(common.ProblemKind.NoEndpoint, "no endpoint of the service takes work now", {
         retryAfterMs: MODEL_RETRY_MS,
       });
     }
@@ -257,54 +257,58 @@
     };
   }
 
-  #start(request: liveRequest.LiveRequest, plan: runnerChoice.RunnerPlan, now: number): void {
+  #start(request: liveRequest.LiveRequest, plan: endpointChoice.EndpointPlan, now: number): void {
     if (plan.prefill) {
       request.phase = liveRequest.RequestPhase.Prefilling;
-      this.#dispatch(request, plan.prefill, runnerModel.RequestPart.Prefill, now);
+      this.#dispatch(request, plan.prefill, endpointModel.RequestPart.Prefill, now);
       return;
     }
     request.phase = liveRequest.RequestPhase.Answering;
-    this.#dispatch(request, plan.answer, runnerModel.RequestPart.Whole, now);
+    this.#dispatch(request, plan.answer, endpointModel.RequestPart.Whole, now);
   }
 
   #serveHandoffs(pool: servicePool.ServicePool, now: number): void {
     for (const request of this.#handingOff) {
       if (request.pool !== pool) continue;
-      const runner = pool.chooseDecode(request.work, now);
-      if (!runner) continue;
+      const endpoint = pool.chooseDecode(request.work, now);
+      if (!endpoint) continue;
       this.#handingOff.delete(request);
       request.phase = liveRequest.RequestPhase.Answering;
-      this.#dispatch(request, runner, runnerModel.RequestPart.Decode, now);
+      this.#dispatch(request, endpoint, endpointModel.RequestPart.Decode, now);
     }
   }
 
   #dispatch(
     request: liveRequest.LiveRequest,
-    runner: runnerModel.RunnerModel,
-    part: runnerModel.RequestPart,
+    endpoint: endpointModel.EndpointModel,
+    part: endpointModel.RequestPart,
     now: number,
   ): void {
     const { id, prefix } = request.description;
-    const url = this.#context.urlOf(runner.id) ?? "";
+    const url = this.#context.urlOf(endpoint.id) ?? "";
     request.attemptCount++;
     request.attempt = this.#context.random.identifier();
-    request.runner = runner;
+    request.endpoint = endpoint;
     request.dispatchedAt = now;
-    const cached = runner.cachedTokens(prefix);
+    const cached = endpoint.cachedTokens(prefix);
     const promptTokens = Math.max(1, request.work.promptTokens - cached);
-    runner.onDispatched(id, { part, promptTokens, outputTokens: request.work.outputTokens, dispatchedAt: now });
-    if (prefix !== undefined && part !== runnerModel.RequestPart.Decode)
-      runner.rememberPrefix(prefix, request.work.promptTokens);
-    this.#note(timeline.EventKind.RequestDispatched, request, { runner: runner.id, part, attempt: request.attempt });
+    endpoint.onDispatched(id, { part, promptTokens, outputTokens: request.work.outputTokens, dispatchedAt: now });
+    if (prefix !== undefined && part !== endpointModel.RequestPart.Decode)
+      endpoint.rememberPrefix(prefix, request.work.promptTokens);
+    this.#note(timeline.EventKind.RequestDispatched, request, {
+      endpoint: endpoint.id,
+      part,
+      attempt: request.attempt,
+    });
     this.#context.emit({
       type: actions.ActionType.Dispatch,
       request: id,
       attempt: request.attempt,
-      runner: runner.id,
+      endpoint: endpoint.id,
       url,
       part,
       timeoutMs: Math.max(1, request.deadline - now),
-      ...(part === runnerModel.RequestPart.Decode && request.handoff ? { handoff: request.handoff } : {}),
+      ...(part === endpointModel.RequestPart.Decode && request.handoff ? { handoff: request.handoff } : {}),
     });
   }
 
@@ -324,12 +328,12 @@
   #giveUp(request: liveRequest.LiveRequest, outcome: common.Outcome, now: number): void {
     const detail =
       outcome === common.Outcome.NotRun
-        ? "the runners refused the request"
-        : "the runner failed while it had the request";
+        ? "the endpoints refused the request"
+        : "the endpoint failed while it had the request";
     const retryAfterMs = outcome === common.Outcome.NotRun ? MODEL_RETRY_MS : undefined;
     this.#refuse(
       request,
-      common.problem(common.ProblemKind.RunnerFailed, detail, { outcome, ...(retryAfterMs ? { retryAfterMs } : {}) }),
+      common.problem(common.ProblemKind.EndpointFailed, detail, { outcome, ...(retryAfterMs ? { retryAfterMs } : {}) }),
       now,
     );
   }
@@ -338,7 +342,7 @@
     const request = this.#live.get(id);
     if (!request) return;
     const retryAfterMs = Math.max(MODEL_RETRY_MS, request.pool.serviceMs(request.work, now));
-    const detail = "waited for a runner and can no longer be in time";
+    const detail = "waited for an endpoint and can no longer be in time";
     this.#refuse(request, common.problem(common.ProblemKind.DeadlineUnreachable, detail, { retryAfterMs }), now);
   }
 
@@ -365,9 +369,9 @@
   }
 
   #cancel(request: liveRequest.LiveRequest, now: number): void {
-    if (!request.runner) return;
-    const url = this.#context.urlOf(request.runner.id) ?? "";
-    request.runner.onEnded(request.description.id, now);
+    if (!request.endpoint) return;
+    const url = this.#context.urlOf(request.endpoint.id) ?? "";
+    request.endpoint.onEnded(request.description.id, now);
     this.#context.emit({
       type: actions.ActionType.CancelAttempt,
       request: request.description.id,
@@ -390,6 +394,6 @@
   }
 }
 
-function avoiding(work: servicePool.Work, runner: string): servicePool.Work {
-  return { ...work, avoid: new Set([...(work.avoid ?? []), runner]) };
+function avoiding(work: servicePool.Work, endpoint: string): servicePool.Work {
+  return { ...work, avoid: new Set([...(work.avoid ?? []), endpoint]) };
 }
--- a/packages/core/src/retryBudget.ts
+++ b/packages/core/src/retryBudget.ts
@@ -2,7 +2,7 @@
 
 /**
  * A token bucket that ties retries to the requests served. Without it, every
- * runner that fails turns one request into several just when capacity is short,
+ * endpoint that fails turns one request into several just when capacity is short,
  * and the extra load fails further requests.
  */
 export class RetryBudget {
--- a/packages/core/src/rolePlanner.ts
+++ b/packages/core/src/rolePlanner.ts
@@ -9,9 +9,9 @@
 }
 
 /** An engine that the planner may change. */
-export interface PlannedRunner {
+export interface PlannedEndpoint {
   readonly id: string;
-  readonly role: configuration.RunnerRole;
+  readonly role: configuration.EndpointRole;
   /** Work that must be finished before it can change, in requests. */
   readonly inFlight: number;
   /** False for engines whose role the operator has fixed. */
@@ -20,8 +20,8 @@
 
 /** A change that is worth its cost. */
 export interface PlannedRoleChange {
-  readonly runner: string;
-  readonly role: configuration.RunnerRole;
+  readonly endpoint: string;
+  readonly role: configuration.EndpointRole;
   /** Answers in time gained over the horizon, less those lost meanwhile. */
   readonly gain: number;
 }
@@ -120,22 +120,27 @@
   }
 
   /**
-   * @param runners - the service's engines
+   * @param endpoints - the service's engines
    * @param awayMs - time that a change takes an engine away
    * @param weight - answers that a change must gain beyond its cost
    * @param now - current time
    * @returns a change that pays, if there is one
    */
-  plan(runners: readonly PlannedRunner[], awayMs: number, weight: number, now: number): PlannedRoleChange | undefined {
+  plan(
+    endpoints: readonly PlannedEndpoint[],
+    awayMs: number,
+    weight: number,
+    now: number,
+  ): PlannedRoleChange | undefined {
     if (this.#startedAt === undefined || now - this.#startedAt < this.#settings.shortMs) return undefined;
     if (now - this.#lastChangeAt < this.#settings.restMs) return undefined;
-    const present = countRoles(runners);
+    const present = countRoles(endpoints);
     let best: PlannedRoleChange | undefined;
-    for (const runner of leastBusyOfEachRole(runners)) {
-      for (const role of Object.values(configuration.RunnerRole)) {
-        if (role === runner.role) continue;
-        const gain = this.#gain(present, runner.role, role, awayMs, now) - weight;
-        if (gain > 0 && gain > (best?.gain ?? 0)) best = { runner: runner.id, role, gain };
+    for (const endpoint of leastBusyOfEachRole(endpoints)) {
+      for (const role of Object.values(configuration.EndpointRole)) {
+        if (role === endpoint.role) continue;
+        const gain = this.#gain(present, endpoint.role, role, awayMs, now) - weight;
+        if (gain > 0 && gain > (best?.gain ?? 0)) best = { endpoint: endpoint.id, role, gain };
       }
     }
     return best;
@@ -143,8 +148,8 @@
 
   #gain(
     present: RoleCounts,
-    from: configuration.RunnerRole,
-    to: configuration.RunnerRole,
+    from: configuration.EndpointRole,
+    to: configuration.EndpointRole,
     awayMs: number,
     now: number,
   ): number {
@@ -186,25 +191,26 @@
   return counts.mixed > 0 || (counts.prefill > 0 && counts.decode > 0);
 }
 
-function countRoles(runners: readonly PlannedRunner[]): RoleCounts {
-  const count = (role: configuration.RunnerRole): number => runners.filter((runner) => runner.role === role).length;
+function countRoles(endpoints: readonly PlannedEndpoint[]): RoleCounts {
+  const count = (role: configuration.EndpointRole): number =>
+    endpoints.filter((endpoint) => endpoint.role === role).length;
   return {
-    prefill: count(configuration.RunnerRole.Prefill),
-    decode: count(configuration.RunnerRole.Decode),
-    mixed: count(configuration.RunnerRole.Mixed),
+    prefill: count(configuration.EndpointRole.Prefill),
+    decode: count(configuration.EndpointRole.Decode),
+    mixed: count(configuration.EndpointRole.Mixed),
   };
 }
 
-function withChange(counts: RoleCounts, role: configuration.RunnerRole, by: number): RoleCounts {
+function withChange(counts: RoleCounts, role: configuration.EndpointRole, by: number): RoleCounts {
   return { ...counts, [role]: counts[role] + by };
 }
 
-function leastBusyOfEachRole(runners: readonly PlannedRunner[]): PlannedRunner[] {
-  const chosen = new Map<configuration.RunnerRole, PlannedRunner>();
-  for (const runner of runners) {
-    if (!runner.changeable) continue;
-    const present = chosen.get(runner.role);
-    if (!present || runner.inFlight < present.inFlight) chosen.set(runner.role, runner);
+function leastBusyOfEachRole(endpoints: readonly PlannedEndpoint[]): PlannedEndpoint[] {
+  const chosen = new Map<configuration.EndpointRole, PlannedEndpoint>();
+  for (const endpoint of endpoints) {
+    if (!endpoint.changeable) continue;
+    const present = chosen.get(endpoint.role);
+    if (!present || endpoint.inFlight < present.inFlight) chosen.set(endpoint.role, endpoint);
   }
   return [...chosen.values()];
 }
--- a/packages/core/src/servicePool.ts
+++ b/packages/core/src/servicePool.ts
@@ -4,17 +4,17 @@
 import * as engineCosts from "./engineCosts.js";
 import * as retryBudget from "./retryBudget.js";
 import * as rolePlanner from "./rolePlanner.js";
-import * as runnerChoice from "./runnerChoice.js";
-import * as model from "./runnerModel.js";
+import * as endpointChoice from "./endpointChoice.js";
+import * as model from "./endpointModel.js";
 
-/** What a request asks of a service's runners. */
-export interface Work extends runnerChoice.WorkSize {
+/** What a request asks of a service's endpoints. */
+export interface Work extends endpointChoice.WorkSize {
   readonly maximumOutputTokens: number;
 }
 
 /** Settings of a pool's decisions. */
 export interface PolicySettings {
-  readonly choice: runnerChoice.ChoiceSettings;
+  readonly choice: endpointChoice.ChoiceSettings;
   readonly planner: rolePlanner.PlannerSettings;
   readonly costs: engineCosts.EngineCosts;
   /** Whether a request that can't be in time is refused at once. */
@@ -23,7 +23,7 @@
 
 /** The settings that the replay measure found best. */
 export const POLICY_SETTINGS: PolicySettings = {
-  choice: runnerChoice.CHOICE_SETTINGS,
+  choice: endpointChoice.CHOICE_SETTINGS,
   planner: rolePlanner.PLANNER_SETTINGS,
   costs: engineCosts.PRIOR_COSTS,
   refusesLate: true,
@@ -35,16 +35,16 @@
 const PLAIN_CALL_PRIOR_MS = 20;
 const PLAIN_LEARNING_RATE = 0.1;
 
-/** One service at one daemon: its runners, its queue, and what was learned of its requests. */
+/** One service at one daemon: its endpoints, its queue, and what was learned of its requests. */
 export class ServicePool {
   readonly queue = new admission.AdmissionQueue();
   readonly retries = new retryBudget.RetryBudget();
   readonly planner: rolePlanner.RolePlanner;
   readonly refusesLate: boolean;
-  readonly #choice: runnerChoice.RunnerChoice;
+  readonly #choice: endpointChoice.EndpointChoice;
   readonly #costs: engineCosts.EngineCosts;
-  readonly #runners = new Map<string, model.RunnerModel>();
-  #runnerList: model.RunnerModel[] = [];
+  readonly #endpoints = new Map<string, model.EndpointModel>();
+  #endpointList: model.EndpointModel[] = [];
   #entry: configuration.ServiceEntry;
   #outputShare = 0.8;
   #answerMs = ANSWER_PRIOR_MS;
@@ -63,7 +63,7 @@
     this.#entry = entry;
     this.#costs = settings.costs;
     this.refusesLate = settings.refusesLate;
-    this.#choice = new runnerChoice.RunnerChoice(random, settings.choice);
+    this.#choice = new endpointChoice.EndpointChoice(random, settings.choice);
     this.planner = new rolePlanner.RolePlanner(settings.planner);
   }
 
@@ -87,37 +87,37 @@
     return this.#requests;
   }
 
-  /** @returns the runners */
-  get runners(): readonly model.RunnerModel[] {
-    return this.#runnerList;
+  /** @returns the endpoints */
+  get endpoints(): readonly model.EndpointModel[] {
+    return this.#endpointList;
   }
 
   /**
-   * Follows a change of configuration; runners that stay keep what was learned.
+   * Follows a change of configuration; endpoints that stay keep what was learned.
    *
    * @param entry - the service
-   * @param runners - its runners
+   * @param endpoints - its endpoints
    */
-  configure(entry: configuration.ServiceEntry, runners: readonly configuration.RunnerEntry[]): void {
+  configure(entry: configuration.ServiceEntry, endpoints: readonly configuration.EndpointEntry[]): void {
     this.#entry = entry;
-    const wanted = new Set(runners.map((runner) => runner.id));
-    for (const [id, runner] of this.#runners) {
-      if (!wanted.has(id) && runner.inFlight === 0) this.#runners.delete(id);
-      if (!wanted.has(id)) runner.accepting = false;
+    const wanted = new Set(endpoints.map((endpoint) => endpoint.id));
+    for (const [id, endpoint] of this.#endpoints) {
+      if (!wanted.has(id) && endpoint.inFlight === 0) this.#endpoints.delete(id);
+      if (!wanted.has(id)) endpoint.accepting = false;
     }
-    for (const runner of runners) {
-      if (this.#runners.has(runner.id)) continue;
-      this.#runners.set(runner.id, new model.RunnerModel(runner.id, runner.settings.place, this.#costs));
+    for (const endpoint of endpoints) {
+      if (this.#endpoints.has(endpoint.id)) continue;
+      this.#endpoints.set(endpoint.id, new model.EndpointModel(endpoint.id, endpoint.settings.dataCentre, this.#costs));
     }
-    this.#runnerList = [...this.#runners.values()];
+    this.#endpointList = [...this.#endpoints.values()];
   }
 
   /**
-   * @param id - `team/runner`
-   * @returns the runner
+   * @param id - `team/endpoint`
+   * @returns the endpoint
    */
-  runner(id: string): model.RunnerModel | undefined {
-    return this.#runners.get(id);
+  endpoint(id: string): model.EndpointModel | undefined {
+    return this.#endpoints.get(id);
   }
 
   /**
@@ -164,62 +164,64 @@
   /**
    * @param work - the request's work
    * @param now - current time
-   * @returns the runners that can begin now, if any
+   * @returns the endpoints that can begin now, if any
    */
-  choose(work: Work, now: number): runnerChoice.RunnerPlan | undefined {
-    if (!this.#isPlain()) return this.#choice.chooseWhole(this.#runnerList, work, now);
-    const runner = this.#choice.choosePlain(this.#runnerList, work, this.#entry.settings.limits.perRunner, now);
-    return runner && { answer: runner, finishMs: this.#plainMs };
+  choose(work: Work, now: number): endpointChoice.EndpointPlan | undefined {
+    if (!this.#isPlain()) return this.#choice.chooseWhole(this.#endpointList, work, now);
+    const endpoint = this.#choice.choosePlain(this.#endpointList, work, this.#entry.settings.limits.perEndpoint, now);
+    return endpoint && { answer: endpoint, finishMs: this.#plainMs };
   }
 
   /**
    * @param work - the request's work
    * @param now - current time
-   * @returns the runner that makes the answer from an imported KV cache
+   * @returns the endpoint that makes the answer from an imported KV cache
    */
-  chooseDecode(work: Work, now: number): model.RunnerModel | undefined {
-    return this.#choice.chooseDecode(this.#runnerList, work, now);
+  chooseDecode(work: Work, now: number): model.EndpointModel | undefined {
+    return this.#choice.chooseDecode(this.#endpointList, work, now);
   }
 
   /**
    * @param work - the request's work
    * @param now - current time
-   * @returns milliseconds from dispatch to the whole answer at a runner as busy as usual
+   * @returns milliseconds from dispatch to the whole answer at an endpoint as busy as usual
    */
   serviceMs(work: Work, now: number): number {
     if (this.#isPlain()) return this.#plainMs;
-    const usable = this.#runnerList.filter((runner) => runner.isUsable(now));
-    const prefill = usable.filter((runner) => runner.role !== configuration.RunnerRole.Decode);
-    const decode = usable.filter((runner) => runner.role !== configuration.RunnerRole.Prefill);
-    const prefillMs = work.promptTokens * lowest(prefill, (runner) => runner.prefillTokenMs());
-    return prefillMs + work.outputTokens * lowest(decode, (runner) => runner.tokenMs(now));
+    const usable = this.#endpointList.filter((endpoint) => endpoint.isUsable(now));
+    const prefill = usable.filter((endpoint) => endpoint.role !== configuration.EndpointRole.Decode);
+    const decode = usable.filter((endpoint) => endpoint.role !== configuration.EndpointRole.Prefill);
+    const prefillMs = work.promptTokens * lowest(prefill, (endpoint) => endpoint.prefillTokenMs());
+    return prefillMs + work.outputTokens * lowest(decode, (endpoint) => endpoint.tokenMs(now));
   }
 
   /**
    * @param now - current time
-   * @returns whether the usable runners can serve a request at all
+   * @returns whether the usable endpoints can serve a request at all
    */
   canServe(now: number): boolean {
-    const roles = new Set(this.#runnerList.filter((runner) => runner.isUsable(now)).map((runner) => runner.role));
-    const pairs = roles.has(configuration.RunnerRole.Prefill) && roles.has(configuration.RunnerRole.Decode);
-    return roles.has(configuration.RunnerRole.Mixed) || pairs;
+    const roles = new Set(
+      this.#endpointList.filter((endpoint) => endpoint.isUsable(now)).map((endpoint) => endpoint.role),
+    );
+    const pairs = roles.has(configuration.EndpointRole.Prefill) && roles.has(configuration.EndpointRole.Decode);
+    return roles.has(configuration.EndpointRole.Mixed) || pairs;
   }
 
   /**
    * @param now - current time
-   * @returns what the usable runners give and what is ahead of them
+   * @returns what the usable endpoints give and what is ahead of them
    */
   capacity(now: number): admission.PoolCapacity {
     let [tokensPerMs, waitingTokens, slots, busySlots] = [0, 0, 0, 0];
-    for (const runner of this.#runnerList) {
-      if (!runner.isUsable(now)) continue;
-      if (runner.role !== configuration.RunnerRole.Decode) {
-        tokensPerMs += 1 / runner.prefillTokenMs();
-        waitingTokens += runner.waitingTokens(now);
+    for (const endpoint of this.#endpointList) {
+      if (!endpoint.isUsable(now)) continue;
+      if (endpoint.role !== configuration.EndpointRole.Decode) {
+        tokensPerMs += 1 / endpoint.prefillTokenMs();
+        waitingTokens += endpoint.waitingTokens(now);
       }
-      if (runner.role === configuration.RunnerRole.Prefill) continue;
-      slots += this.#isPlain() ? this.#entry.settings.limits.perRunner : runner.slots;
-      busySlots += this.#isPlain() ? runner.totalInFlight : runner.streams;
+      if (endpoint.role === configuration.EndpointRole.Prefill) continue;
+      slots += this.#isPlain() ? this.#entry.settings.limits.perEndpoint : endpoint.slots;
+      busySlots += this.#isPlain() ? endpoint.totalInFlight : endpoint.streams;
     }
     const slotMs = this.#isPlain() ? this.#plainMs : this.#answerMs;
     const daemons = this.#peers + 1;
@@ -247,6 +249,6 @@
   }
 }
 
-function lowest(runners: readonly model.RunnerModel[], valueOf: (runner: model.RunnerModel) => number): number {
-  return runners.length === 0 ? 0 : Math.min(...runners.map(valueOf));
+function lowest(endpoints: readonly model.EndpointModel[], valueOf: (endpoint: model.EndpointModel) => number): number {
+  return endpoints.length === 0 ? 0 : Math.min(...endpoints.map(valueOf));
 }
--- a/packages/core/src/speedFactor.ts
+++ b/packages/core/src/speedFactor.ts
@@ -6,7 +6,7 @@
 const LARGEST_FACTOR = 5;
 
 /**
- * How much slower or faster a runner is than predicted. Observed and predicted
+ * How much slower or faster an endpoint is than predicted. Observed and predicted
  * times are summed apart, so that long requests weigh more than short ones: an
  * average of ratios would follow the short ones, whose time is mostly overhead.
  */
--- a/packages/core/src/succession.ts
+++ b/packages/core/src/succession.ts
@@ -40,7 +40,7 @@
   }
 
   /**
-   * @param records - the latest order of each runner
+   * @param records - the latest order of each endpoint
    * @param now - current time
    */
   watchReplacements(records: readonly orders.OrderRecord[], now: number): void {
@@ -54,11 +54,11 @@
   }
 
   /**
-   * @param checksFencing - whether the runner refuses old fencing numbers
+   * @param checksFencing - whether the endpoint refuses old fencing numbers
    * @param record - the unsettled order of another holder
    * @param lease - under which this daemon acts
    * @param now - current time
-   * @returns whether this daemon may order the runner; if not, the former holder is asked
+   * @returns whether this daemon may order the endpoint; if not, the former holder is asked
    */
   decide(
     checksFencing: boolean,
--- a/packages/core/src/timeline.ts
+++ b/packages/core/src/timeline.ts
@@ -42,7 +42,7 @@
 export interface TimelineQuery {
   readonly afterSequence: number;
   readonly request?: string;
-  readonly runner?: string;
+  readonly endpoint?: string;
 }
 
 /** A bounded ring of events. */
@@ -82,7 +82,7 @@
       (event) =>
         event.sequence > query.afterSequence &&
         (query.request === undefined || event.fields.request === query.request) &&
-        (query.runner === undefined || event.fields.runner === query.runner),
+        (query.endpoint === undefined || event.fields.endpoint === query.endpoint),
     );
   }
 }
--- a/packages/core/tests/atMostOnce.test.ts
+++ b/packages/core/tests/atMostOnce.test.ts
@@ -73,7 +73,7 @@
       ),
       (seed, steps) => {
         const harness = startDaemons(seed);
-        harness.faults = { lostReply: 0.1, lostWrite: 0.05, runnerLost: 0.1, runnerRefuses: 0.2, lateOrder: 0 };
+        harness.faults = { lostReply: 0.1, lostWrite: 0.05, endpointLost: 0.1, endpointRefuses: 0.2, lateOrder: 0 };
         steps.forEach((step, index) => {
           const vm = VMS[step.vm] ?? "vm-1";
           if (step.what === "send") harness.send(vm, documents.plainCall(`request-${index}`, `key-${step.key}`));
@@ -171,17 +171,17 @@
 });
 
 /*
- * The runners refuse a label print, and the caller is told "not run". It comes
+ * The endpoints refuse a label print, and the caller is told "not run". It comes
  * again at two other daemons at once. Both find the first daemon's claim and
  * ask there; one is let run the call, the other is sent to it for the answer.
  */
 atMostOnce("a key that never ran is ceded to one asker only", () => {
   const harness = startDaemons(13);
-  harness.faults = { ...harness.faults, runnerRefuses: 1 };
+  harness.faults = { ...harness.faults, endpointRefuses: 1 };
   harness.send("vm-1", documents.plainCall("first", "key"));
   harness.run(SETTLE_MS);
   assert.is(harness.words[0]?.outcome, "not-run");
-  harness.faults = { ...harness.faults, runnerRefuses: 0 };
+  harness.faults = { ...harness.faults, endpointRefuses: 0 };
   harness.send("vm-2", documents.plainCall("second", "key"));
   harness.send("vm-3", documents.plainCall("third", "key"));
   harness.run(SETTLE_MS);
--- a/packages/core/tests/configuration.test.ts
+++ b/packages/core/tests/configuration.test.ts
@@ -29,12 +29,12 @@
   assert.match(problem.detail, "lower-case letters");
 });
 
-parsing("a runner of an unknown service and another team's document are refused", () => {
+parsing("an endpoint of an unknown service and another team's document are refused", () => {
   const unknown = core.parseTeamDocument(
     documents.PLAIN_TEAM.replaceAll("service: yard-app", "service: gate"),
     "leoben",
   );
-  assert.match(unknown._unsafeUnwrapErr().detail, "runners.printer-1.service");
+  assert.match(unknown._unsafeUnwrapErr().detail, "endpoints.printer-1.service");
   const foreign = core.parseTeamDocument(documents.PLAIN_TEAM, "ishikari");
   assert.match(foreign._unsafeUnwrapErr().detail, "the path names 'ishikari'");
 });
--- a/packages/core/tests/helpers/coreHarness.ts
+++ b/packages/core/tests/helpers/coreHarness.ts
@@ -2,9 +2,9 @@
 import * as standIns from "@camphorcourse/stand-ins";
 import * as core from "../../src/index.js";
 
-/** What a runner carried out, in order. */
+/** What an endpoint carried out, in order. */
 export interface Execution {
-  readonly runner: string;
+  readonly endpoint: string;
   readonly request: string;
   readonly key: string;
   readonly attempt: string;
@@ -12,10 +12,10 @@
 
 /** What an engine was ordered, in order of arrival. */
 export interface ArrivedOrder {
-  readonly runner: string;
+  readonly endpoint: string;
   readonly number: number;
   readonly epoch: number;
-  readonly role: core.RunnerRole;
+  readonly role: core.EndpointRole;
   readonly obeyed: boolean;
   /** The highest epoch under which an order had been sent when this one arrived. */
   readonly newestEpoch: number;
@@ -33,8 +33,8 @@
 export interface FaultRates {
   readonly lostReply: number;
   readonly lostWrite: number;
-  readonly runnerLost: number;
-  readonly runnerRefuses: number;
+  readonly endpointLost: number;
+  readonly endpointRefuses: number;
   /** An order's bytes linger in a buffer for seconds. */
   readonly lateOrder: number;
 }
@@ -53,7 +53,7 @@
   readonly run: () => void;
 }
 
-const NO_FAULTS: FaultRates = { lostReply: 0, lostWrite: 0, runnerLost: 0, runnerRefuses: 0, lateOrder: 0 };
+const NO_FAULTS: FaultRates = { lostReply: 0, lostWrite: 0, endpointLost: 0, endpointRefuses: 0, lateOrder: 0 };
 const TICK_MS = 50;
 const EXCHANGE_MS = 500;
 const CALL_MS = 20;
@@ -62,7 +62,7 @@
 const ORDER_TIMEOUT_MS = 4000;
 const WALL_START = 1_700_000_000_000;
 
-/** Several cores, the stand-in's key-value store, and fakes of runners, in virtual time and seeded order. */
+/** Several cores, the stand-in's key-value store, and fakes of endpoints, in virtual time and seeded order. */
 export class CoreHarness {
   readonly store = new standIns.KeyValueStore();
   readonly random: common.SeededRandom;
@@ -71,7 +71,7 @@
   readonly words: FinalWord[] = [];
   readonly vmStates = new Map<string, core.VmState>();
   readonly checksFencing = new Map<string, boolean>();
-  readonly roles = new Map<string, core.RunnerRole>();
+  readonly roles = new Map<string, core.EndpointRole>();
   readonly inFlight = new Map<string, Set<string>>();
   readonly keys = new Map<string, string>();
   faults: FaultRates = NO_FAULTS;
@@ -123,7 +123,7 @@
     if (before) before.alive = false;
     const registration: core.Registration = {
       vm,
-      place: "halle-a",
+      dataCentre: "halle-a",
       incarnation: this.random.identifier(),
       callerUrl: vm,
       peerUrl: vm,
@@ -390,20 +390,20 @@
   }
 
   #dispatch(vm: string, action: core.DispatchAction, reply: (event: core.CoreEvent) => void): void {
-    const { request, attempt, runner } = action;
+    const { request, attempt, endpoint } = action;
     const draw = this.random.next();
     this.onDispatched(vm, action);
     this.after(this.#callMs(), () => {
-      if (draw < this.faults.runnerRefuses) {
+      if (draw < this.faults.endpointRefuses) {
         reply({ type: core.EventType.AttemptFailed, request, attempt, reach: core.Reach.NotRun });
         return;
       }
-      this.executions.push({ runner, request, key: this.keys.get(request) ?? "", attempt });
-      const here = this.inFlight.get(runner) ?? new Set<string>();
-      this.inFlight.set(runner, here.add(request));
+      this.executions.push({ endpoint, request, key: this.keys.get(request) ?? "", attempt });
+      const here = this.inFlight.get(endpoint) ?? new Set<string>();
+      this.inFlight.set(endpoint, here.add(request));
       this.after(this.#callMs() * 5, () => {
         here.delete(request);
-        if (draw > 1 - this.faults.runnerLost) {
+        if (draw > 1 - this.faults.endpointLost) {
           reply({ type: core.EventType.AttemptFailed, request, attempt, reach: core.Reach.MayHaveRun });
           return;
         }
@@ -416,11 +416,11 @@
 
   /** The check and the write are one step; the bytes arrive later, unless their connection is reset first. */
   #sendOrder(node: Node, action: core.SendOrderAction, reply: (event: core.CoreEvent) => void): void {
-    const { runner, number, epoch, role, shard } = action;
+    const { endpoint, number, epoch, role, shard } = action;
     this.after(this.#callMs(), () => {
       if (!node.alive || node.pausedUntil > this.now) return;
       if (!node.core.mayOrder(shard, epoch, this.now)) {
-        reply({ type: core.EventType.OrderAnswered, runner, number, outcome: core.OrderOutcome.NotSent });
+        reply({ type: core.EventType.OrderAnswered, endpoint, number, outcome: core.OrderOutcome.NotSent });
         return;
       }
       const token = { cancelled: false };
@@ -428,7 +428,7 @@
       const late = this.random.next() < this.faults.lateOrder;
       const delayMs = late ? this.random.integer(LATE_ORDER_MS) : this.#callMs();
       this.after(delayMs, () => {
-        if (!token.cancelled) this.#arrive(runner, number, epoch, role, reply);
+        if (!token.cancelled) this.#arrive(endpoint, number, epoch, role, reply);
       });
       if (delayMs >= ORDER_TIMEOUT_MS) this.#timeOutOrder(node, token, action, reply);
     });
@@ -448,29 +448,29 @@
         return;
       }
       token.cancelled = true;
-      const { runner, number } = action;
-      reply({ type: core.EventType.OrderAnswered, runner, number, outcome: core.OrderOutcome.Unknown });
+      const { endpoint, number } = action;
+      reply({ type: core.EventType.OrderAnswered, endpoint, number, outcome: core.OrderOutcome.Unknown });
     });
   }
 
   #arrive(
-    runner: string,
+    endpoint: string,
     number: number,
     epoch: number,
-    role: core.RunnerRole,
+    role: core.EndpointRole,
     reply: (event: core.CoreEvent) => void,
   ): void {
-    const last = this.#engineOrders.get(runner) ?? { number: 0, epoch: 0 };
-    const obeyed = !this.checksFencing.get(runner) || number >= last.number;
-    this.orders.push({ runner, number, epoch, role, obeyed, newestEpoch: Math.max(last.epoch, epoch) });
+    const last = this.#engineOrders.get(endpoint) ?? { number: 0, epoch: 0 };
+    const obeyed = !this.checksFencing.get(endpoint) || number >= last.number;
+    this.orders.push({ endpoint, number, epoch, role, obeyed, newestEpoch: Math.max(last.epoch, epoch) });
     if (!obeyed) {
-      reply({ type: core.EventType.OrderAnswered, runner, number, outcome: core.OrderOutcome.Stale });
+      reply({ type: core.EventType.OrderAnswered, endpoint, number, outcome: core.OrderOutcome.Stale });
       return;
     }
-    this.#engineOrders.set(runner, { number: Math.max(number, last.number), epoch: Math.max(epoch, last.epoch) });
-    this.roles.set(runner, role);
+    this.#engineOrders.set(endpoint, { number: Math.max(number, last.number), epoch: Math.max(epoch, last.epoch) });
+    this.roles.set(endpoint, role);
     this.after(ORDER_MS, () => {
-      reply({ type: core.EventType.OrderAnswered, runner, number, outcome: core.OrderOutcome.Confirmed });
+      reply({ type: core.EventType.OrderAnswered, endpoint, number, outcome: core.OrderOutcome.Confirmed });
     });
   }
 
@@ -499,12 +499,12 @@
       });
     }
     this.#deliver(vm, { type: core.EventType.VmsListed, vms: this.vmStates });
-    for (const runner of node.core.tree.runners()) {
-      const role = this.roles.get(runner.id) ?? core.RunnerRole.Mixed;
-      const running = this.inFlight.get(runner.id)?.size ?? 0;
+    for (const endpoint of node.core.tree.endpoints()) {
+      const role = this.roles.get(endpoint.id) ?? core.EndpointRole.Mixed;
+      const running = this.inFlight.get(endpoint.id)?.size ?? 0;
       this.#deliver(vm, {
         type: core.EventType.LoadReported,
-        report: { runner: runner.id, running, waiting: 0, role },
+        report: { endpoint: endpoint.id, running, waiting: 0, role },
       });
     }
     if (!this.#keyValueDown) this.#deliver(vm, { type: core.EventType.KeyValueHeard, revision: 0 });
--- a/packages/core/tests/helpers/documents.ts
+++ b/packages/core/tests/helpers/documents.ts
@@ -1,14 +1,14 @@
 import type * as core from "../../src/index.js";
 
-/** A team with three plain runners whose calls may not be repeated. */
+/** A team with three plain endpoints whose calls may not be repeated. */
 export const PLAIN_TEAM = `
 team: leoben
 services:
   yard-app: { kind: service, idempotent: false, deadlineMs: 8000 }
-runners:
-  printer-1: { service: yard-app, url: "http://10.0.0.1", place: halle-a }
-  printer-2: { service: yard-app, url: "http://10.0.0.2", place: halle-b }
-  printer-3: { service: yard-app, url: "http://10.0.0.3", place: halle-c }
+endpoints:
+  printer-1: { service: yard-app, url: "http://10.0.0.1", dataCentre: halle-a }
+  printer-2: { service: yard-app, url: "http://10.0.0.2", dataCentre: halle-b }
+  printer-3: { service: yard-app, url: "http://10.0.0.3", dataCentre: halle-c }
 `;
 
 /**
@@ -17,16 +17,16 @@
  * @returns a team document with engines
  */
 export function engineTeam(roles: readonly string[], checksFencing: boolean): string {
-  const runners = roles.map(
+  const endpoints = roles.map(
     (role, index) =>
-      `  engine-${index + 1}: { service: assist-llm, url: "http://10.0.1.${index + 1}", place: halle-a, role: ${role}, checksFencing: ${checksFencing} }`,
+      `  engine-${index + 1}: { service: assist-llm, url: "http://10.0.1.${index + 1}", dataCentre: halle-a, role: ${role}, checksFencing: ${checksFencing} }`,
   );
   return `
 team: leoben
 services:
   assist-llm: { kind: engine, deadlineMs: 20000 }
-runners:
-${runners.join("\n")}
+endpoints:
+${endpoints.join("\n")}
 `;
 }
 
--- a/packages/core/tests/orders.test.ts
+++ b/packages/core/tests/orders.test.ts
@@ -23,7 +23,7 @@
   for (const engine of ENGINES) {
     let newest = 0;
     for (const order of harness.orders) {
-      if (order.runner !== engine || !order.obeyed) continue;
+      if (order.endpoint !== engine || !order.obeyed) continue;
       assert.ok(order.number >= newest, `${engine} obeyed order ${order.number} after ${newest}`);
       newest = order.number;
     }
@@ -47,11 +47,14 @@
   harness.configure(documents.engineTeam(["prefill", "mixed"], true), "leoben");
   harness.run(8000);
   assert.is(harness.orders.length, 1);
-  assert.is(harness.orders[0]?.role, core.RunnerRole.Prefill);
+  assert.is(harness.orders[0]?.role, core.EndpointRole.Prefill);
   for (const vm of VMS) {
     const order = harness.core(vm).orderDesk.orderOf("leoben/engine-1");
     assert.is(order?.record.phase, core.OrderPhase.Settled);
-    assert.is(harness.core(vm).poolOf("leoben/assist-llm")?.runner("leoben/engine-1")?.role, core.RunnerRole.Prefill);
+    assert.is(
+      harness.core(vm).poolOf("leoben/assist-llm")?.endpoint("leoben/engine-1")?.role,
+      core.EndpointRole.Prefill,
+    );
   }
 });
 
@@ -78,7 +81,7 @@
     fastCheck.assert(
       fastCheck.property(fastCheck.integer({ min: 1, max: 1e9 }), steps, (seed, changes) => {
         const harness = startDaemons(seed, checksFencing);
-        harness.faults = { lostReply: 0.1, lostWrite: 0.05, runnerLost: 0, runnerRefuses: 0, lateOrder: 0.4 };
+        harness.faults = { lostReply: 0.1, lostWrite: 0.05, endpointLost: 0, endpointRefuses: 0, lateOrder: 0.4 };
         for (const change of changes) {
           const vm = change.what === "pause" ? holderOf(harness) || "vm-1" : (VMS[change.vm] ?? "vm-1");
           if (change.what === "roles") harness.configure(documents.engineTeam(change.roles, checksFencing), "leoben");
@@ -196,20 +199,20 @@
  * that role for its effect: a newer order would then be overtaken by it.
  */
 ordersSuite("a role that the engine had before proves nothing", () => {
-  const record = { fromRole: core.RunnerRole.Mixed, targetRole: core.RunnerRole.Prefill } as core.OrderRecord;
+  const record = { fromRole: core.EndpointRole.Mixed, targetRole: core.EndpointRole.Prefill } as core.OrderRecord;
   const deceived = new core.RoleWitness(1000);
-  deceived.onReport(record, core.RunnerRole.Mixed, 900);
-  deceived.onReport(record, core.RunnerRole.Prefill, 1100);
+  deceived.onReport(record, core.EndpointRole.Mixed, 900);
+  deceived.onReport(record, core.EndpointRole.Prefill, 1100);
   assert.not(deceived.sawChange);
   const sound = new core.RoleWitness(1000);
-  sound.onReport(record, core.RunnerRole.Mixed, 1100);
-  sound.onReport(record, core.RunnerRole.Prefill, 1200);
+  sound.onReport(record, core.EndpointRole.Mixed, 1100);
+  sound.onReport(record, core.EndpointRole.Prefill, 1200);
   assert.ok(sound.sawChange);
 });
 
 /*
  * The former holder's process was replaced on its VM. Its bytes may still sit
- * in a socket buffer there, so a runner that takes any order is left alone
+ * in a socket buffer there, so an endpoint that takes any order is left alone
  * until they must have run out.
  */
 ordersSuite("a replaced process's socket buffers are waited for", () => {
@@ -224,13 +227,13 @@
 const drainsSuite = uvu.suite("drains");
 
 /*
- * A runner is drained while a daemon has a long stream there. The change waits
+ * An endpoint is drained while a daemon has a long stream there. The change waits
  * for that daemon's word that nothing is left, so the stream is not cut.
  */
 drainsSuite("a role change waits for the streams of every daemon", () => {
   const harness = startDaemons(6, true);
   const other = VMS.find((vm) => vm !== holderOf(harness)) ?? "";
-  const model = harness.core(other).poolOf("leoben/assist-llm")?.runner("leoben/engine-1");
+  const model = harness.core(other).poolOf("leoben/assist-llm")?.endpoint("leoben/engine-1");
   model?.onDispatched("stream", { part: core.RequestPart.Whole, promptTokens: 1, outputTokens: 1, dispatchedAt: 0 });
   harness.configure(documents.engineTeam(["decode", "mixed"], true), "leoben");
   harness.run(10_000);
@@ -241,8 +244,8 @@
 });
 
 /*
- * A daemon with a stream at a runner is paused, and its registration ends. It
- * may wake up, so the drain of that runner waits until its VM is listed gone.
+ * A daemon with a stream at an endpoint is paused, and its registration ends. It
+ * may wake up, so the drain of that endpoint waits until its VM is listed gone.
  */
 drainsSuite("a role change waits for a daemon that is silent", () => {
   const harness = startDaemons(8, true);
@@ -273,16 +276,16 @@
 });
 
 /*
- * An operator drains a runner. Within three seconds every daemon has stopped
+ * An operator drains an endpoint. Within three seconds every daemon has stopped
  * giving it work, also one that has lost the key-value service: its peers tell.
  */
-drainsSuite("a draining runner gets no new work after 3 s, at any daemon", () => {
+drainsSuite("a draining endpoint gets no new work after 3 s, at any daemon", () => {
   const harness = startDaemons(10, true);
   const text = documents.engineTeam(["mixed", "mixed"], true).replace("role: mixed", "state: draining, role: mixed");
   harness.configure(text, "leoben");
   harness.run(3000);
   for (const vm of VMS) {
-    assert.not(harness.core(vm).poolOf("leoben/assist-llm")?.runner("leoben/engine-1")?.isUsable(harness.now));
+    assert.not(harness.core(vm).poolOf("leoben/assist-llm")?.endpoint("leoben/engine-1")?.isUsable(harness.now));
   }
 });
 
--- a/packages/core/tests/policy.test.ts
+++ b/packages/core/tests/policy.test.ts
@@ -18,8 +18,8 @@
   return { id, priority: 5, deadline: 10_000, promptTokens: 1000, serviceMs: 500, ...change };
 }
 
-function engine(id: string, role = core.RunnerRole.Mixed): core.RunnerModel {
-  const model = new core.RunnerModel(id, "halle-a", core.PRIOR_COSTS);
+function engine(id: string, role = core.EndpointRole.Mixed): core.EndpointModel {
+  const model = new core.EndpointModel(id, "halle-a", core.PRIOR_COSTS);
   model.role = role;
   return model;
 }
@@ -99,7 +99,7 @@
 
 admissionSuite.run();
 
-const choiceSuite = uvu.suite("runner choice");
+const choiceSuite = uvu.suite("endpoint choice");
 const work: core.WorkSize = { promptTokens: 1000, outputTokens: 50 };
 
 /*
@@ -107,7 +107,7 @@
  * so it looks least loaded; yet it gets no further request for a while.
  */
 choiceSuite("an engine out of reach rests, and a request avoids where it failed", () => {
-  const choice = new core.RunnerChoice(new common.SeededRandom(1));
+  const choice = new core.EndpointChoice(new common.SeededRandom(1));
   const [dead, loaded] = [engine("dead"), engine("loaded")];
   loaded.onDispatched("other", { part: core.RequestPart.Whole, promptTokens: 500, outputTokens: 50, dispatchedAt: 0 });
   assert.is(choice.chooseWhole([dead, loaded], work, 0)?.answer.id, "dead");
@@ -122,7 +122,7 @@
  * engine look slow for long ones: requests would be refused without need.
  */
 choiceSuite("short prompts don't make an engine look slow", () => {
-  const model = engine("engine", core.RunnerRole.Prefill);
+  const model = engine("engine", core.EndpointRole.Prefill);
   const before = model.prefillTokenMs();
   for (let index = 0; index < 500; index++) {
     const now = index * 100;
@@ -149,10 +149,10 @@
   return planner;
 }
 
-function fleetOf(prefill: number, decode: number): core.PlannedRunner[] {
+function fleetOf(prefill: number, decode: number): core.PlannedEndpoint[] {
   return Array.from({ length: prefill + decode }, (_, index) => ({
     id: `engine-${index}`,
-    role: index < prefill ? core.RunnerRole.Prefill : core.RunnerRole.Decode,
+    role: index < prefill ? core.EndpointRole.Prefill : core.EndpointRole.Decode,
     inFlight: 0,
     changeable: true,
   }));
@@ -163,7 +163,7 @@
 plannerSuite("a lasting shift moves an engine, a weight above the gain does not", () => {
   const planner = plannerAt(DECODE_HEAVY, 60);
   const change = planner.plan(fleetOf(3, 3), 5000, 0, 60_000);
-  assert.is(change?.role, core.RunnerRole.Decode);
+  assert.is(change?.role, core.EndpointRole.Decode);
   assert.is(planner.plan(fleetOf(3, 3), 5000, (change?.gain ?? 0) + 1, 60_000), undefined);
 });
 
@@ -181,15 +181,15 @@
   fastCheck.assert(
     fastCheck.property(mix, fastCheck.integer({ min: 1, max: 5 }), (demand, prefill) => {
       const planner = plannerAt({ ...demand, mixedMs: 1.25 * (demand.prefillMs + demand.decodeMs) }, 60);
-      const runners = fleetOf(prefill, 6 - prefill);
-      const change = planner.plan(runners, 5000, 0, 60_000);
+      const endpoints = fleetOf(prefill, 6 - prefill);
+      const change = planner.plan(endpoints, 5000, 0, 60_000);
       if (!change) return;
-      const from = runners.find((runner) => runner.id === change.runner)?.role;
-      const changed = runners.map((runner) =>
-        runner.id === change.runner ? { ...runner, role: change.role } : runner,
+      const from = endpoints.find((endpoint) => endpoint.id === change.endpoint)?.role;
+      const changed = endpoints.map((endpoint) =>
+        endpoint.id === change.endpoint ? { ...endpoint, role: change.role } : endpoint,
       );
       const next = planner.plan(changed, 5000, 0, 60_000);
-      assert.not(next?.runner === change.runner && next.role === from);
+      assert.not(next?.endpoint === change.endpoint && next.role === from);
     }),
     { seed: 7, numRuns: 300 },
   );
@@ -205,7 +205,7 @@
 const budgetSuite = uvu.suite("retry budget");
 
 /*
- * All runners fail. Were each request tried three times, the load would triple
+ * All endpoints fail. Were each request tried three times, the load would triple
  * just then; the budget keeps retries to a tenth of the requests.
  */
 budgetSuite("retries stay within a tenth of the requests", () => {
--- a/packages/daemon/src/adminServer.ts
+++ b/packages/daemon/src/adminServer.ts
@@ -32,7 +32,7 @@
     this.app.get("/admin/status", (context) => this.#asAnyone(context, () => this.#status()));
     this.app.get("/admin/vms", (context) => this.#asAnyone(context, () => this.#vms()));
     this.app.get("/admin/services", (context) => this.#asAnyone(context, (caller) => this.#services(caller)));
-    this.app.get("/admin/runners", (context) => this.#asAnyone(context, (caller) => this.#runners(caller)));
+    this.app.get("/admin/endpoints", (context) => this.#asAnyone(context, (caller) => this.#endpoints(caller)));
     this.app.get("/admin/timeline", (context) => this.#timeline(context));
     this.app.get("/admin/teams", (context) => this.#asOperator(context, () => this.#daemon.core.tree.teams()));
     this.app.get("/admin/teams/:team", (context) => this.#readTeam(context));
@@ -48,7 +48,7 @@
     const { core: decisions } = this.#daemon;
     return {
       vm: this.#daemon.settings.vm,
-      place: this.#daemon.settings.place,
+      dataCentre: this.#daemon.settings.dataCentre,
       leaving: decisions.registration.leaving,
       appliedRevision: decisions.appliedRevision,
       refuses: decisions.refusal(now)?.kind ?? null,
@@ -65,13 +65,16 @@
     const { roster, registration } = this.#daemon.core;
     const peers = roster.peers().map((peer) => ({
       vm: peer.registration.vm,
-      place: peer.registration.place,
+      dataCentre: peer.registration.dataCentre,
       state: peer.registration.leaving ? "leaving" : roster.isServing(peer.registration.vm, now) ? "serving" : "silent",
       registered: peer.registered,
       heardMsAgo: Math.round(now - peer.heardAt),
     }));
     const state = registration.leaving ? "leaving" : "serving";
-    return [{ vm: registration.vm, place: registration.place, state, registered: true, heardMsAgo: 0 }, ...peers];
+    return [
+      { vm: registration.vm, dataCentre: registration.dataCentre, state, registered: true, heardMsAgo: 0 },
+      ...peers,
+    ];
   }
 
   #services(caller: authority.Caller): object[] {
@@ -88,37 +91,37 @@
           idempotent: service.settings.idempotent,
           deadlineMs: service.settings.deadlineMs,
           priority: service.settings.priority,
-          runners: pool?.runners.length ?? 0,
+          endpoints: pool?.endpoints.length ?? 0,
           waiting: pool?.queue.length ?? 0,
           canServe: pool?.canServe(now) ?? false,
         };
       });
   }
 
-  #runners(caller: authority.Caller): object[] {
+  #endpoints(caller: authority.Caller): object[] {
     const { core: decisions } = this.#daemon;
     const waiting = decisions.orderDesk.waiting();
     return decisions.tree
-      .runners()
+      .endpoints()
       .filter(visibleTo(caller))
-      .map((runner) => this.#runner(runner, waiting));
+      .map((endpoint) => this.#endpoint(endpoint, waiting));
   }
 
-  #runner(runner: core.RunnerEntry, waiting: Map<string, string>): object {
+  #endpoint(endpoint: core.EndpointEntry, waiting: Map<string, string>): object {
     const now = this.#daemon.clock.now();
     const { core: decisions } = this.#daemon;
-    const model = decisions.poolOf(runner.serviceId)?.runner(runner.id);
-    const order = decisions.orderDesk.orderOf(runner.id)?.record;
+    const model = decisions.poolOf(endpoint.serviceId)?.endpoint(endpoint.id);
+    const order = decisions.orderDesk.orderOf(endpoint.id)?.record;
     return {
-      runner: runner.id,
-      service: runner.serviceId,
-      place: runner.settings.place,
-      state: runner.settings.state,
-      role: model?.role ?? runner.settings.role,
+      endpoint: endpoint.id,
+      service: endpoint.serviceId,
+      dataCentre: endpoint.settings.dataCentre,
+      state: endpoint.settings.state,
+      role: model?.role ?? endpoint.settings.role,
       takesWork: model?.isUsable(now) ?? false,
       inFlight: model?.totalInFlight ?? 0,
       order: order ? `${order.number} ${order.phase} ${order.targetRole}` : "",
-      waitsFor: waiting.get(runner.id) ?? "",
+      waitsFor: waiting.get(endpoint.id) ?? "",
     };
   }
 
@@ -128,12 +131,12 @@
     const query = {
       afterSequence: 0n,
       requestId: context.req.query("request") ?? "",
-      runner: context.req.query("runner") ?? "",
+      endpoint: context.req.query("endpoint") ?? "",
     };
     const own = this.#daemon.timeline.read({
       afterSequence: 0,
       ...(query.requestId === "" ? {} : { request: query.requestId }),
-      ...(query.runner === "" ? {} : { runner: query.runner }),
+      ...(query.endpoint === "" ? {} : { endpoint: query.endpoint }),
     });
     const asked = this.#daemon.core.roster.peers().map(async ({ registration }) => {
       const reply = await this.#daemon.peers.call(registration.peerUrl, (client) =>
--- a/packages/daemon/src/callerExchange.ts
+++ b/packages/daemon/src/callerExchange.ts
@@ -17,7 +17,7 @@
   readonly description: core.RequestDescription;
   readonly form: AnswerForm;
   readonly method: string;
-  /** Path at the runner. */
+  /** Path at the endpoint. */
   readonly path: string;
   readonly headers: Readonly<Record<string, string>>;
   readonly body: Uint8Array;
--- a/packages/daemon/src/callerRequest.ts
+++ b/packages/daemon/src/callerRequest.ts
@@ -68,7 +68,7 @@
 /**
  * @param raw - a call of a plain service
  * @param service - name of the service
- * @param path - path at the runner
+ * @param path - path at the endpoint
  * @param tree - the configuration in force
  * @returns the request, or what is wrong with it
  */
--- a/packages/daemon/src/callerServer.ts
+++ b/packages/daemon/src/callerServer.ts
@@ -3,7 +3,7 @@
 import * as sent from "@hono/node-server/utils/response";
 import * as common from "@camphorcourse/common";
 import * as core from "@camphorcourse/core";
-import * as runners from "@camphorcourse/runners";
+import * as endpoints from "@camphorcourse/endpoints";
 import * as hono from "hono";
 import * as authority from "./authority.js";
 import * as bodyReader from "./bodyReader.js";
@@ -85,50 +85,50 @@
     const caller = this.#authority.identify(context.req.header("authorization"));
     if (caller.isErr()) return this.#refuse(context, caller.error);
     const match = EVENT_ID.exec(context.req.header("last-event-id") ?? "");
-    const [, runnerId = "", attempt = "", index = "0"] = match ?? [];
+    const [, endpointId = "", attempt = "", index = "0"] = match ?? [];
     if (!match) {
       const detail = "Last-Event-ID is not one that a stream of ours carried";
       return this.#refuse(context, common.problem(common.ProblemKind.BadRequest, detail));
     }
-    const runner = this.#daemon.core.tree.runner(runnerId);
-    if (!runner) return this.#refuse(context, unknownRunner(runnerId));
-    if (caller.value.kind === "team" && caller.value.team !== runner.team) {
+    const endpoint = this.#daemon.core.tree.endpoint(endpointId);
+    if (!endpoint) return this.#refuse(context, unknownEndpoint(endpointId));
+    if (caller.value.kind === "team" && caller.value.team !== endpoint.team) {
       return this.#refuse(context, common.problem(common.ProblemKind.Forbidden, "the stream belongs to another team"));
     }
     const outgoing = context.env.outgoing as http.ServerResponse;
-    void this.#daemon.duringResume(runnerId, () =>
-      this.#readOn(outgoing, { runnerId, attempt, from: Number(index) + 1, url: runner.settings.url }),
+    void this.#daemon.duringResume(endpointId, () =>
+      this.#readOn(outgoing, { endpointId, attempt, from: Number(index) + 1, url: endpoint.settings.url }),
     );
     return sent.RESPONSE_ALREADY_SENT;
   }
 
   async #readOn(
     outgoing: http.ServerResponse,
-    stream: { runnerId: string; attempt: string; from: number; url: string },
+    stream: { endpointId: string; attempt: string; from: number; url: string },
   ): Promise<void> {
     const abort = new AbortController();
     outgoing.once("close", () => {
       abort.abort();
     });
     const assembly = new core.StreamAssembly();
-    const onPiece = (piece: runners.StreamPiece): boolean => {
+    const onPiece = (piece: endpoints.StreamPiece): boolean => {
       if (!outgoing.headersSent) outgoing.writeHead(200, { "content-type": "text/event-stream" });
       const step = assembly.onPiece(piece.index - stream.from, piece.content);
       if (step !== core.StreamStep.Forward) return step === core.StreamStep.Skip;
-      outgoing.write(`id: ${stream.runnerId}/${stream.attempt}/${piece.index}\ndata: ${piece.data}\n\n`);
+      outgoing.write(`id: ${stream.endpointId}/${stream.attempt}/${piece.index}\ndata: ${piece.data}\n\n`);
       return true;
     };
     const engine = this.#daemon.dispatcher.engine(stream.url);
-    let end: runners.StreamEnd;
+    let end: endpoints.StreamEnd;
     do {
       end = await engine.resume(stream.attempt, stream.from + assembly.nextIndex, onPiece, abort.signal);
-    } while (end === runners.StreamEnd.Broken && assembly.onBroken() === core.StreamStep.Resume);
-    if (end === runners.StreamEnd.Marker) {
+    } while (end === endpoints.StreamEnd.Broken && assembly.onBroken() === core.StreamStep.Resume);
+    if (end === endpoints.StreamEnd.Marker) {
       if (!outgoing.headersSent) outgoing.writeHead(200, { "content-type": "text/event-stream" });
       outgoing.end("data: [DONE]\n\n");
       return;
     }
-    const detail = "the runner no longer has the stream";
+    const detail = "the endpoint no longer has the stream";
     this.#writeProblem(
       outgoing,
       common.problem(common.ProblemKind.Interrupted, detail, { outcome: common.Outcome.Unknown }),
@@ -152,18 +152,22 @@
     return context.json({ ready: true, leaving: this.#daemon.core.registration.leaving });
   }
 
-  /** The VMs to use, the caller's place first, the rest in an order of its own for each service. */
+  /** The VMs to use, the caller's data centre first, the rest in an order of its own for each service. */
   #addresses(context: Context): Response {
     const service = context.req.query("service") ?? "";
-    const place = context.req.query("place") ?? this.#daemon.settings.place;
+    const dataCentre = context.req.query("dataCentre") ?? this.#daemon.settings.dataCentre;
     const members = this.#daemon.core.servingMembers(this.#daemon.clock.now());
     const byName = new Map(members.map((member) => [member.vm, member]));
     const seed = `${service}/${context.env.incoming.socket.remoteAddress}/${context.env.incoming.socket.remotePort}`;
     const ordered = common
       .rendezvousOrder(seed, [...byName.keys()])
       .flatMap((vm) => byName.get(vm) ?? [])
-      .sort((left, right) => Number(right.place === place) - Number(left.place === place));
-    const addresses = ordered.map((member) => ({ vm: member.vm, place: member.place, url: member.callerUrl }));
+      .sort((left, right) => Number(right.dataCentre === dataCentre) - Number(left.dataCentre === dataCentre));
+    const addresses = ordered.map((member) => ({
+      vm: member.vm,
+      dataCentre: member.dataCentre,
+      url: member.callerUrl,
+    }));
     return context.json({ addresses, ttl_ms: core.constants.ADDRESS_TTL_MS });
   }
 
@@ -210,6 +214,6 @@
   return common.problem(common.ProblemKind.Forbidden, "the platform operator's token serves no requests");
 }
 
-function unknownRunner(runner: string): common.Problem {
-  return common.problem(common.ProblemKind.UnknownRunner, `there is no runner '${runner}'`);
+function unknownEndpoint(endpoint: string): common.Problem {
+  return common.problem(common.ProblemKind.UnknownEndpoint, `there is no endpoint '${endpoint}'`);
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,8 +1,8 @@
 import * as crypto from "node:crypto";
 import * as common from "@camphorcourse/common";
 import * as core from "@camphorcourse/core";
-import * as platform from "@camphorcourse/platform";
-import * as runners from "@camphorcourse/runners";
+import * as platform from "@camphorcourse/fleet-state";
+import * as endpoints from "@camphorcourse/endpoints";
 import type * as callerExchange from "./callerExchange.js";
 import * as dispatcher from "./dispatcher.js";
 import * as keyValueShell from "./keyValueShell.js";
@@ -57,7 +57,7 @@
   readonly #random: common.SeededRandom;
   readonly #hybrid: common.HybridClock;
   readonly #vmList: platform.VmListClient;
-  readonly #orders = new runners.OrderSender();
+  readonly #orders = new endpoints.OrderSender();
   readonly #exchanges = new Map<string, callerExchange.CallerExchange>();
   readonly #claimWaiters = new Map<string, (answer: core.ClaimAnswer) => void>();
   readonly #joinWaiters = new Map<string, (reply: JoinReply) => void>();
@@ -156,18 +156,18 @@
   /**
    * A caller reads, through this daemon, a stream that another one began.
    *
-   * @param runner - `team/runner`
+   * @param endpoint - `team/endpoint`
    * @param read - reads it
    */
-  async duringResume(runner: string, read: () => Promise<void>): Promise<void> {
+  async duringResume(endpoint: string, read: () => Promise<void>): Promise<void> {
     const resume = `resume-${this.#random.identifier()}`;
     this.#openResumes.add(resume);
-    this.handle({ type: core.EventType.ResumeBegun, resume, runner });
+    this.handle({ type: core.EventType.ResumeBegun, resume, endpoint });
     try {
       await read();
     } finally {
       this.#openResumes.delete(resume);
-      this.handle({ type: core.EventType.ResumeEnded, resume, runner });
+      this.handle({ type: core.EventType.ResumeEnded, resume, endpoint });
     }
   }
 
@@ -311,31 +311,31 @@
   }
 
   async #sendOrder(action: core.SendOrderAction): Promise<void> {
-    const { runner, url, shard, epoch, number, role } = action;
+    const { endpoint, url, shard, epoch, number, role } = action;
     const mayStillSend = (): boolean => this.core.mayOrder(shard, epoch, this.clock.now());
     const reply = await this.#orders.send({ url, number, epoch, role }, mayStillSend);
-    const outcomes: Record<runners.OrderReply, core.OrderOutcome> = {
-      [runners.OrderReply.Confirmed]: core.OrderOutcome.Confirmed,
-      [runners.OrderReply.Stale]: core.OrderOutcome.Stale,
-      [runners.OrderReply.NotSent]: core.OrderOutcome.NotSent,
-      [runners.OrderReply.Unknown]: core.OrderOutcome.Unknown,
+    const outcomes: Record<endpoints.OrderReply, core.OrderOutcome> = {
+      [endpoints.OrderReply.Confirmed]: core.OrderOutcome.Confirmed,
+      [endpoints.OrderReply.Stale]: core.OrderOutcome.Stale,
+      [endpoints.OrderReply.NotSent]: core.OrderOutcome.NotSent,
+      [endpoints.OrderReply.Unknown]: core.OrderOutcome.Unknown,
     };
-    this.handle({ type: core.EventType.OrderAnswered, runner, number, outcome: outcomes[reply] });
+    this.handle({ type: core.EventType.OrderAnswered, endpoint, number, outcome: outcomes[reply] });
   }
 
   #pollLoads(): void {
-    for (const runner of this.core.tree.runners()) {
-      const kind = this.core.tree.service(runner.serviceId)?.settings.kind;
-      if (kind === core.ServiceKind.Engine) void this.#pollLoad(runner);
+    for (const endpoint of this.core.tree.endpoints()) {
+      const kind = this.core.tree.service(endpoint.serviceId)?.settings.kind;
+      if (kind === core.ServiceKind.Engine) void this.#pollLoad(endpoint);
     }
   }
 
-  async #pollLoad(runner: core.RunnerEntry): Promise<void> {
-    const text = await this.dispatcher.engine(runner.settings.url).metrics();
+  async #pollLoad(endpoint: core.EndpointEntry): Promise<void> {
+    const text = await this.dispatcher.engine(endpoint.settings.url).metrics();
     if (text === undefined) return;
-    const load = runners.parseLoad(text);
-    const role = Object.values(core.RunnerRole).find((candidate) => candidate.valueOf() === load.role);
-    const report = { runner: runner.id, running: load.running, waiting: load.waiting, ...(role ? { role } : {}) };
+    const load = endpoints.parseLoad(text);
+    const role = Object.values(core.EndpointRole).find((candidate) => candidate.valueOf() === load.role);
+    const report = { endpoint: endpoint.id, running: load.running, waiting: load.waiting, ...(role ? { role } : {}) };
     this.handle({ type: core.EventType.LoadReported, report });
   }
 
@@ -374,10 +374,10 @@
 }
 
 function registrationOf(settings: settingsModule.Settings, ports: ListenPorts): core.Registration {
-  const { vm, place, advertise } = settings;
+  const { vm, dataCentre, advertise } = settings;
   return {
     vm,
-    place,
+    dataCentre,
     incarnation: crypto.randomUUID(),
     callerUrl: `http://${advertise}:${ports.caller}`,
     peerUrl: `http://${advertise}:${ports.peer}`,
--- a/packages/daemon/src/dispatcher.ts
+++ b/packages/daemon/src/dispatcher.ts
@@ -1,20 +1,20 @@
 import * as common from "@camphorcourse/common";
 import * as core from "@camphorcourse/core";
-import * as platform from "@camphorcourse/platform";
-import * as runners from "@camphorcourse/runners";
+import * as platform from "@camphorcourse/fleet-state";
+import * as endpoints from "@camphorcourse/endpoints";
 import * as callerExchange from "./callerExchange.js";
 import type * as keyValueShell from "./keyValueShell.js";
 import * as metrics from "./metrics.js";
 
 const NOT_RUN_STATUSES = new Set([409, 429, 503]);
 
-/** Carries dispatches out: sends them to runners and passes the answers on to the callers. */
+/** Carries dispatches out: sends them to endpoints and passes the answers on to the callers. */
 export class Dispatcher {
   readonly #sink: keyValueShell.EventSink;
   readonly #metrics: metrics.Metrics;
   readonly #clock: common.Clock;
-  readonly #engines = new Map<string, runners.EngineClient>();
-  readonly #services = new Map<string, runners.ServiceClient>();
+  readonly #engines = new Map<string, endpoints.EngineClient>();
+  readonly #services = new Map<string, endpoints.ServiceClient>();
   readonly #aborts = new Map<string, AbortController>();
 
   /**
@@ -47,7 +47,7 @@
 
   /**
    * @param attempt - the attempt that is no longer wanted
-   * @param url - its runner
+   * @param url - its endpoint
    */
   async cancel(attempt: string, url: string): Promise<void> {
     this.#aborts.get(attempt)?.abort();
@@ -58,8 +58,8 @@
    * @param url - an engine's address
    * @returns its client
    */
-  engine(url: string): runners.EngineClient {
-    const client = this.#engines.get(url) ?? new runners.EngineClient(url);
+  engine(url: string): endpoints.EngineClient {
+    const client = this.#engines.get(url) ?? new endpoints.EngineClient(url);
     this.#engines.set(url, client);
     return client;
   }
@@ -76,7 +76,7 @@
     signal: AbortSignal,
   ): Promise<void> {
     const { path, method, headers, body } = exchange.request;
-    const client = this.#services.get(action.url) ?? new runners.ServiceClient(action.url);
+    const client = this.#services.get(action.url) ?? new endpoints.ServiceClient(action.url);
     this.#services.set(action.url, client);
     const { timeoutMs } = action;
     const passed = { ...headers, "x-request-id": action.attempt };
@@ -116,7 +116,7 @@
     const { path, document } = exchange.request;
     const request = { path, attempt: action.attempt, body: document ?? {} };
     const end = await this.engine(action.url).prefill(request, signal);
-    if (end !== runners.StreamEnd.Marker) {
+    if (end !== endpoints.StreamEnd.Marker) {
       this.#failed(action, reachOf(end));
       return;
     }
@@ -136,19 +136,19 @@
     const engine = this.engine(action.url);
     const first = await engine.stream(engineRequest(action, exchange), reader.read, signal);
     let end = first;
-    while (end === runners.StreamEnd.Broken || end === runners.StreamEnd.Crossed || reader.wantsResume) {
+    while (end === endpoints.StreamEnd.Broken || end === endpoints.StreamEnd.Crossed || reader.wantsResume) {
       if (signal.aborted || (!reader.wantsResume && assembly.onBroken() !== core.StreamStep.Resume)) break;
       reader.wantsResume = false;
       end = await engine.resume(action.attempt, assembly.nextIndex, reader.read, signal);
     }
-    const whole = end === runners.StreamEnd.Marker && assembly.onEnd() === core.StreamStep.Complete;
+    const whole = end === endpoints.StreamEnd.Marker && assembly.onEnd() === core.StreamStep.Complete;
     if (whole) this.#done(action, exchange, assembly.nextIndex, exchange.completeModelAnswer());
     else this.#failed(action, reachOf(first));
   }
 
-  #onPiece(action: core.DispatchAction, exchange: callerExchange.CallerExchange, piece: runners.StreamPiece): void {
+  #onPiece(action: core.DispatchAction, exchange: callerExchange.CallerExchange, piece: endpoints.StreamPiece): void {
     const now = this.#clock.now();
-    const eventId = `${action.runner}/${action.attempt}/${piece.index}`;
+    const eventId = `${action.endpoint}/${action.attempt}/${piece.index}`;
     const since = exchange.sendPiece(eventId, piece.content, piece.data, now);
     if (since !== undefined) {
       this.#metrics.record(metrics.Duration.BetweenTokens, since);
@@ -180,16 +180,16 @@
 /** Judges the pieces of one attempt and passes on those that the caller lacks. */
 class StreamReader {
   readonly #assembly: core.StreamAssembly;
-  readonly #forward: (piece: runners.StreamPiece) => void;
+  readonly #forward: (piece: endpoints.StreamPiece) => void;
   /** A piece was missing: the stream is to be taken up again on a new connection. */
   wantsResume = false;
 
-  constructor(assembly: core.StreamAssembly, forward: (piece: runners.StreamPiece) => void) {
+  constructor(assembly: core.StreamAssembly, forward: (piece: endpoints.StreamPiece) => void) {
     this.#assembly = assembly;
     this.#forward = forward;
   }
 
-  readonly read = (piece: runners.StreamPiece): boolean => {
+  readonly read = (piece: endpoints.StreamPiece): boolean => {
     const step = this.#assembly.onPiece(piece.index, piece.content);
     if (step === core.StreamStep.Forward) this.#forward(piece);
     this.wantsResume = step === core.StreamStep.Resume;
@@ -197,7 +197,7 @@
   };
 }
 
-function engineRequest(action: core.DispatchAction, exchange: callerExchange.CallerExchange): runners.EngineRequest {
+function engineRequest(action: core.DispatchAction, exchange: callerExchange.CallerExchange): endpoints.EngineRequest {
   const { path, document } = exchange.request;
   const transfer = action.handoff && {
     do_remote_prefill: true,
@@ -208,7 +208,7 @@
   return { path, attempt: action.attempt, body };
 }
 
-function reachOf(end: runners.StreamEnd): core.Reach {
-  if (end === runners.StreamEnd.NeverSent) return core.Reach.NeverSent;
-  return end === runners.StreamEnd.Refused ? core.Reach.NotRun : core.Reach.MayHaveRun;
+function reachOf(end: endpoints.StreamEnd): core.Reach {
+  if (end === endpoints.StreamEnd.NeverSent) return core.Reach.NeverSent;
+  return end === endpoints.StreamEnd.Refused ? core.Reach.NotRun : core.Reach.MayHaveRun;
 }
--- a/packages/daemon/src/keyValueShell.ts
+++ b/packages/daemon/src/keyValueShell.ts
@@ -1,5 +1,5 @@
 import * as core from "@camphorcourse/core";
-import * as platform from "@camphorcourse/platform";
+import * as platform from "@camphorcourse/fleet-state";
 
 /** Hands an event to the core. */
 export type EventSink = (event: core.CoreEvent) => void;
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -16,11 +16,11 @@
 class DaemonCommand extends clipanion.Command {
   static override paths = [clipanion.Command.Default];
   static override usage = clipanion.Command.Usage({
-    description: "serve callers, route to runners, and take part in control work",
+    description: "serve callers, route to endpoints, and take part in control work",
     details: "SIGTERM or SIGINT stops it as planned: nothing that runs is cut.",
   });
   vm = setting("vm");
-  place = setting("place");
+  dataCentre = setting("dataCentre");
   listen = setting("listen");
   peerListen = setting("peerListen");
   adminListen = setting("adminListen");
--- a/packages/daemon/src/peerMessages.ts
+++ b/packages/daemon/src/peerMessages.ts
@@ -92,7 +92,7 @@
     appliedRevision: Number(message.appliedRevision),
     keyValueReachable: message.keyValueReachable,
     shares: message.shares.map((share) => ({
-      runner: share.runner,
+      endpoint: share.endpoint,
       inFlight: share.inFlight,
       prefillTokens: share.prefillTokens,
       streams: share.streams,
--- a/packages/daemon/src/peerServer.ts
+++ b/packages/daemon/src/peerServer.ts
@@ -80,7 +80,7 @@
     const events = this.#daemon.timeline.read({
       afterSequence: Number(request.afterSequence),
       ...(request.requestId === "" ? {} : { request: request.requestId }),
-      ...(request.runner === "" ? {} : { runner: request.runner }),
+      ...(request.endpoint === "" ? {} : { endpoint: request.endpoint }),
     });
     return { events: events.map(messages.timelineEventToWire) };
   }
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -34,7 +34,7 @@
 
 const schema = zod.object({
   vm: NAME,
-  place: NAME,
+  dataCentre: NAME,
   listen: LISTEN,
   peerListen: LISTEN,
   adminListen: LISTEN,
@@ -56,7 +56,7 @@
 
 const DESCRIPTIONS: Record<SettingName, { description: string; defaultValue?: string }> = {
   vm: { description: "name of this VM" },
-  place: { description: "place (data centre) of this VM" },
+  dataCentre: { description: "data centre of this VM" },
   listen: { description: "host:port for callers; port 0 takes a free one" },
   peerListen: { description: "host:port for the other daemons; port 0 takes a free one" },
   adminListen: { description: "host:port for the administration API; port 0 takes a free one" },
--- a/packages/daemon/tests/crashedChange.test.ts
+++ b/packages/daemon/tests/crashedChange.test.ts
@@ -16,9 +16,9 @@
   return (await fleet.journal(url)).filter((entry) => entry.event === "order");
 }
 
-async function runnerRow(): Promise<{ order: string; takesWork: boolean } | undefined> {
-  const rows = await fleet.admin<{ runner: string; order: string; takesWork: boolean }[]>(0, "/admin/runners");
-  return rows.find((row) => row.runner === "leoben/engine-1");
+async function endpointRow(): Promise<{ order: string; takesWork: boolean } | undefined> {
+  const rows = await fleet.admin<{ endpoint: string; order: string; takesWork: boolean }[]>(0, "/admin/endpoints");
+  return rows.find((row) => row.endpoint === "leoben/engine-1");
 }
 
 /*
@@ -35,10 +35,12 @@
   crashing.child.kill("SIGKILL");
   const read = await standIns.readStream(await fleet.ask(1, "meanwhile", 10));
   assert.ok(read.complete);
-  assert.is((await runnerRow())?.takesWork, false);
+  assert.is((await endpointRow())?.takesWork, false);
   const listen = new URL(crashing.url).host;
   await fleet.launcher.standIn(["engine", "--listen", listen, ...ENGINE_FLAGS]);
-  assert.ok(await standIns.until(async () => (await runnerRow())?.order.endsWith("settled prefill") ?? false, 60_000));
+  assert.ok(
+    await standIns.until(async () => (await endpointRow())?.order.endsWith("settled prefill") ?? false, 60_000),
+  );
   for (const order of await ordersAt(crashing.url)) {
     assert.is(order.role, "prefill");
     assert.is(order.conflicting, false);
--- a/packages/daemon/tests/lateAnswers.test.ts
+++ b/packages/daemon/tests/lateAnswers.test.ts
@@ -4,8 +4,8 @@
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
 
-/** A runner that misbehaves as the call's body says. */
-const runner = http.createServer((request, response) => {
+/** An endpoint that misbehaves as the call's body says. */
+const endpoint = http.createServer((request, response) => {
   let body = "";
   request.on("data", (chunk: Buffer) => (body += chunk.toString()));
   request.on("end", () => {
@@ -24,17 +24,17 @@
 const suite = uvu.suite("late, crossed and cut answers, over sockets");
 
 suite.before(async () => {
-  await new Promise<void>((resolve) => runner.listen(0, "127.0.0.1", resolve));
+  await new Promise<void>((resolve) => endpoint.listen(0, "127.0.0.1", resolve));
   await fleet.startProcesses();
-  const { port } = runner.address() as net.AddressInfo;
+  const { port } = endpoint.address() as net.AddressInfo;
   const [replaced] = fleet.services;
   if (replaced) fleet.services[0] = { ...replaced, url: `http://127.0.0.1:${port}` };
   await fleet.configure();
   await fleet.meshed();
 });
 suite.after(() => {
-  runner.close();
-  runner.closeAllConnections();
+  endpoint.close();
+  endpoint.closeAllConnections();
   fleet.stop();
 });
 
@@ -44,7 +44,7 @@
 }
 
 /*
- * The runner answers a call with the answer to another one. The nonce tells;
+ * The endpoint answers a call with the answer to another one. The nonce tells;
  * the caller is told that the outcome is unknown, and nothing is sent again.
  */
 suite("an answer to another call is never passed on", async () => {
@@ -56,7 +56,7 @@
 });
 
 /*
- * The runner's answer breaks off. The caller gets no half answer but the word
+ * The endpoint's answer breaks off. The caller gets no half answer but the word
  * that the outcome is unknown, and the call is not sent again.
  */
 suite("half an answer is never passed on", async () => {
@@ -67,10 +67,10 @@
 });
 
 /*
- * The runner says itself that it did not run the call. It is tried again within
+ * The endpoint says itself that it did not run the call. It is tried again within
  * the budget, and the caller's final word is "not run".
  */
-suite("a runner's own refusal is passed on as not run", async () => {
+suite("an endpoint's own refusal is passed on as not run", async () => {
   const word = await send("refused");
   assert.is(word.outcome, "not-run");
   assert.ok(received.filter((body) => body === "refused").length >= 1);
@@ -88,7 +88,7 @@
   socket.pause();
   const read = await standIns.readStream(await fleet.ask(0, "meanwhile", 10));
   assert.ok(read.complete);
-  // The runner has failed three times above and rests for a while.
+  // The endpoint has failed three times above and rests for a while.
   assert.ok(await standIns.until(async () => (await send("fine")).text === "done fine"));
   socket.destroy();
 });
--- a/packages/daemon/tests/plannedChanges.test.ts
+++ b/packages/daemon/tests/plannedChanges.test.ts
@@ -31,9 +31,9 @@
   return journal.filter((entry) => entry.event === "started").length;
 }
 
-async function orderOf(runner: string): Promise<string> {
-  const runners = await fleet.admin<{ runner: string; order: string }[]>(0, "/admin/runners");
-  return runners.find((candidate) => candidate.runner === runner)?.order ?? "";
+async function orderOf(endpoint: string): Promise<string> {
+  const endpoints = await fleet.admin<{ endpoint: string; order: string }[]>(0, "/admin/endpoints");
+  return endpoints.find((candidate) => candidate.endpoint === endpoint)?.order ?? "";
 }
 
 async function journalOf(engine: number): Promise<standIns.JournalEntry[]> {
--- a/packages/daemon/tests/staleHolder.test.ts
+++ b/packages/daemon/tests/staleHolder.test.ts
@@ -49,8 +49,8 @@
   await new Promise((resolve) => setTimeout(resolve, LEASE_GONE_MS));
   fleet.daemon(paused).child.kill("SIGCONT");
   const settled = await standIns.until(async () => {
-    const runners = await fleet.admin<{ order: string }[]>(other, "/admin/runners");
-    return runners.every((runner) => /settled (prefill|decode)$/.test(runner.order));
+    const endpoints = await fleet.admin<{ order: string }[]>(other, "/admin/endpoints");
+    return endpoints.every((endpoint) => /settled (prefill|decode)$/.test(endpoint.order));
   }, 60_000);
   assert.ok(settled);
   for (const engine of [0, 1]) {
--- a/packages/runners/src/engineClient.ts
+++ b/packages/endpoints/src/engineClient.ts
@@ -1,4 +1,4 @@
-import * as platform from "@camphorcourse/platform";
+import * as platform from "@camphorcourse/fleet-state";
 import * as eventsource from "eventsource-parser";
 import * as zod from "zod";
 
--- a/packages/runners/src/index.ts
+++ b/packages/endpoints/src/index.ts
@@ -1,4 +1,4 @@
-/** Clients of the runners: engines, plain services, and orders to engines. */
+/** Clients of the endpoints: engines, plain services, and orders to engines. */
 export * from "./engineClient.js";
 export * from "./loadText.js";
 export * from "./orderConnection.js";
--- a/packages/runners/src/serviceClient.ts
+++ b/packages/endpoints/src/serviceClient.ts
@@ -1,5 +1,5 @@
 import type * as neverthrow from "neverthrow";
-import * as platform from "@camphorcourse/platform";
+import * as platform from "@camphorcourse/fleet-state";
 
 /** A call of a plain service. */
 export interface ServiceCall {
@@ -12,11 +12,11 @@
 
 const CONNECTIONS = 128;
 
-/** A client of one plain runner. It never sends a call twice. */
+/** A client of one plain endpoint. It never sends a call twice. */
 export class ServiceClient {
   readonly #origin: platform.Origin;
 
-  /** @param url - the runner's address */
+  /** @param url - the endpoint's address */
   constructor(url: string) {
     this.#origin = new platform.Origin(url, CONNECTIONS);
   }
--- a/packages/platform/src/vmListClient.ts
+++ b/packages/fleet-state/src/vmListClient.ts
@@ -3,7 +3,7 @@
 import * as origin from "./origin.js";
 
 const listSchema = zod.array(
-  zod.looseObject({ vm: zod.string(), place: zod.string(), state: zod.enum(["live", "leaving", "gone"]) }),
+  zod.looseObject({ vm: zod.string(), dataCentre: zod.string(), state: zod.enum(["live", "leaving", "gone"]) }),
 );
 
 /** One VM as the platform's list tells it. */
--- a/packages/measure/src/baselines.ts
+++ b/packages/measure/src/baselines.ts
@@ -116,7 +116,7 @@
   }
 
   #choose(part: core.RequestPart): number | undefined {
-    const wanted = part === core.RequestPart.Prefill ? core.RunnerRole.Prefill : core.RunnerRole.Decode;
+    const wanted = part === core.RequestPart.Prefill ? core.EndpointRole.Prefill : core.EndpointRole.Decode;
     const open = this.#connections
       .map((connections, engine) => ({ connections, engine }))
       .filter(({ engine }) => this.#fleet.roleOf(engine) === wanted)
@@ -142,18 +142,18 @@
     const decodeMs = this.#recent.reduce((sum, entry) => sum + entry.decodeMs, 0);
     if (this.#draining.size > 0 || prefillMs + decodeMs === 0) return;
     const engines = Array.from({ length: this.#fleet.size }, (_, engine) => engine);
-    const prefills = engines.filter((engine) => this.#fleet.roleOf(engine) === core.RunnerRole.Prefill);
-    const decodes = engines.filter((engine) => this.#fleet.roleOf(engine) === core.RunnerRole.Decode);
+    const prefills = engines.filter((engine) => this.#fleet.roleOf(engine) === core.EndpointRole.Prefill);
+    const decodes = engines.filter((engine) => this.#fleet.roleOf(engine) === core.EndpointRole.Decode);
     const wanted = (this.#fleet.size * prefillMs) / (prefillMs + decodeMs);
     const [candidate] = wanted > prefills.length ? decodes : prefills;
     const side = wanted > prefills.length ? decodes : prefills;
     if (Math.abs(wanted - prefills.length) < FOLLOW_THRESHOLD || side.length < 2 || candidate === undefined) return;
-    const role = wanted > prefills.length ? core.RunnerRole.Prefill : core.RunnerRole.Decode;
+    const role = wanted > prefills.length ? core.EndpointRole.Prefill : core.EndpointRole.Decode;
     this.#draining.add(candidate);
     this.#changeWhenEmpty(candidate, role);
   }
 
-  #changeWhenEmpty(engine: number, role: core.RunnerRole): void {
+  #changeWhenEmpty(engine: number, role: core.EndpointRole): void {
     this.#fleet.after(100, () => {
       if ((this.#connections[engine] ?? 0) > 0) {
         this.#changeWhenEmpty(engine, role);
--- a/packages/measure/src/coreRouter.ts
+++ b/packages/measure/src/coreRouter.ts
@@ -13,7 +13,7 @@
   readonly seed: number;
   /** Whether refused callers come back when they were told to. */
   readonly comeBack: boolean;
-  /** Whether daemons tell one another what they have at the runners. */
+  /** Whether daemons tell one another what they have at the endpoints. */
   readonly exchanges: boolean;
 }
 
@@ -119,7 +119,7 @@
     const vm = `vm-${index + 1}`;
     const registration: core.Registration = {
       vm,
-      place: "a",
+      dataCentre: "a",
       incarnation: `incarnation-${vm}`,
       callerUrl: vm,
       peerUrl: vm,
@@ -173,7 +173,7 @@
     this.#outcome.attempts++;
     const { request, attempt } = action;
     const job = { ...baselines.jobOf(pending.request, action.part), id: attempt };
-    this.#fleet.submit(engineIndex(action.runner), job, {
+    this.#fleet.submit(engineIndex(action.endpoint), job, {
       onFirstToken: () => {
         this.#outcome.firstToken.recordValue(Math.max(1, Math.round(this.#fleet.now - pending.arrivedAt)));
         this.#handle(target, { type: core.EventType.FirstToken, request, attempt });
@@ -262,14 +262,14 @@
   }
 
   #order(target: core.Core, action: core.SendOrderAction): void {
-    const { runner, number, role } = action;
-    const engine = engineIndex(runner);
+    const { endpoint, number, role } = action;
+    const engine = engineIndex(endpoint);
     this.#fleet.changeRole(engine, role);
     const finish = (): void => {
       if (this.#fleet.isAway(engine)) this.#fleet.after(100, finish);
       else {
         const outcome = core.OrderOutcome.Confirmed;
-        this.#handle(target, { type: core.EventType.OrderAnswered, runner, number, outcome });
+        this.#handle(target, { type: core.EventType.OrderAnswered, endpoint, number, outcome });
       }
     };
     finish();
@@ -290,7 +290,7 @@
 
   #report(target: core.Core, engine: number): void {
     const report = {
-      runner: `${this.#trace.team}/engine-${engine + 1}`,
+      endpoint: `${this.#trace.team}/engine-${engine + 1}`,
       ...this.#fleet.loadOf(engine),
       role: this.#fleet.roleOf(engine),
     };
@@ -300,15 +300,15 @@
   }
 
   #configure(): void {
-    const runners = this.#trace.roles.map((_, index) => {
+    const endpoints = this.#trace.roles.map((_, index) => {
       const state = this.#withdrawn.has(index) ? "draining" : "active";
-      return `  engine-${index + 1}: { service: assist, url: "http://10.0.0.${index + 1}", place: a, role: auto, state: ${state}, checksFencing: true }`;
+      return `  engine-${index + 1}: { service: assist, url: "http://10.0.0.${index + 1}", dataCentre: a, role: auto, state: ${state}, checksFencing: true }`;
     });
     const text = `team: ${this.#trace.team}
 services:
   assist: { kind: engine, deadlineMs: 60000, limits: { concurrent: 5000 }, roleChangeWeight: ${this.#trace.roleChangeWeight} }
-runners:
-${runners.join("\n")}
+endpoints:
+${endpoints.join("\n")}
 `;
     const version = ++this.#version;
     const record: core.TeamRecord = { text, version, author: "replay", attempt: "", acceptedAt: 0 };
@@ -344,11 +344,11 @@
   }
 }
 
-function engineIndex(runner: string): number {
-  return Number(/engine-(\d+)$/.exec(runner)?.[1] ?? "1") - 1;
+function engineIndex(endpoint: string): number {
+  return Number(/engine-(\d+)$/.exec(endpoint)?.[1] ?? "1") - 1;
 }
 
-function withoutUse(share: core.RunnerShare): core.RunnerShare {
+function withoutUse(share: core.EndpointShare): core.EndpointShare {
   return { ...share, prefillTokens: 0, streams: 0 };
 }
 
--- a/packages/measure/src/engineFleet.ts
+++ b/packages/measure/src/engineFleet.ts
@@ -47,7 +47,7 @@
    * @param roles - of the engines at the start
    * @param outcome - takes the times between tokens and the role changes
    */
-  constructor(roles: readonly core.RunnerRole[], outcome: outcomeModule.Outcome) {
+  constructor(roles: readonly core.EndpointRole[], outcome: outcomeModule.Outcome) {
     this.#engines = roles.map((role) => new standIns.EngineModel(toEngineRole(role), REPLAY_COSTS));
     this.#jobs = roles.map(() => new Map<string, JobListener>());
     this.#scheduled = roles.map(() => false);
@@ -81,11 +81,11 @@
    * @param engine - index of the engine
    * @returns its role
    */
-  roleOf(engine: number): core.RunnerRole {
+  roleOf(engine: number): core.EndpointRole {
     const role = this.#engine(engine).role;
     return (
-      Object.values(core.RunnerRole).find((candidate) => candidate.valueOf() === role.valueOf()) ??
-      core.RunnerRole.Mixed
+      Object.values(core.EndpointRole).find((candidate) => candidate.valueOf() === role.valueOf()) ??
+      core.EndpointRole.Mixed
     );
   }
 
@@ -128,7 +128,7 @@
    * @param engine - index of the engine
    * @param role - the new role
    */
-  changeRole(engine: number, role: core.RunnerRole): void {
+  changeRole(engine: number, role: core.EndpointRole): void {
     this.#outcome.roleChanges++;
     this.#engine(engine).changeRole(toEngineRole(role), this.now);
   }
@@ -177,11 +177,11 @@
   return parts[part];
 }
 
-function toEngineRole(role: core.RunnerRole): standIns.EngineRole {
-  const roles: Record<core.RunnerRole, standIns.EngineRole> = {
-    [core.RunnerRole.Prefill]: standIns.EngineRole.Prefill,
-    [core.RunnerRole.Decode]: standIns.EngineRole.Decode,
-    [core.RunnerRole.Mixed]: standIns.EngineRole.Mixed,
+function toEngineRole(role: core.EndpointRole): standIns.EngineRole {
+  const roles: Record<core.EndpointRole, standIns.EngineRole> = {
+    [core.EndpointRole.Prefill]: standIns.EngineRole.Prefill,
+    [core.EndpointRole.Decode]: standIns.EngineRole.Decode,
+    [core.EndpointRole.Mixed]: standIns.EngineRole.Mixed,
   };
   return roles[role];
 }
--- a/packages/measure/src/gatewayMeasure.ts
+++ b/packages/measure/src/gatewayMeasure.ts
@@ -15,7 +15,7 @@
 const SCALE = 1000;
 const CONNECTIONS = 256;
 
-/** Times through a daemon against times straight to the runner, side by side in one run. */
+/** Times through a daemon against times straight to the endpoint, side by side in one run. */
 export async function measureGateway(): Promise<Line[]> {
   const fleet = new standIns.Fleet({
     engines: 2,
@@ -26,7 +26,7 @@
   });
   const lines: Line[] = [];
   try {
-    await fleet.start({ perRunner: 512 });
+    await fleet.start({ perEndpoint: 512 });
     lines.push(...(await measureSmallCalls(fleet)));
     lines.push(...(await measureHighestRate(fleet)));
     lines.push(...(await measureStreams(fleet)));
--- a/packages/measure/src/replay.ts
+++ b/packages/measure/src/replay.ts
@@ -61,7 +61,7 @@
 }
 
 /** The same engines may stand in any order; a seed must not favour one. */
-function startRoles(trace: traceModule.Trace, seed: number): core.RunnerRole[] {
+function startRoles(trace: traceModule.Trace, seed: number): core.EndpointRole[] {
   const random = new common.SeededRandom(seed);
   return trace.roles
     .map((role) => ({ role, draw: random.next() }))
--- a/packages/measure/src/slopesMeasure.ts
+++ b/packages/measure/src/slopesMeasure.ts
@@ -13,7 +13,7 @@
   readonly callsPerSecond: number;
 }
 
-/** What idle daemons cost, and how it grows with peers, runners and teams. */
+/** What idle daemons cost, and how it grows with peers, endpoints and teams. */
 export async function measureSlopes(): Promise<gatewayMeasure.Line[]> {
   const lines: gatewayMeasure.Line[] = [];
   const idle = new Map<string, Idle>();
@@ -56,7 +56,7 @@
 }
 
 async function applyTeam(fleet: standIns.Fleet, team: string): Promise<void> {
-  const text = `team: ${team}\nservices:\n  desk: { kind: service }\nrunners:\n  desk-1: { service: desk, url: "http://127.0.0.1:9", place: halle-a }\n`;
+  const text = `team: ${team}\nservices:\n  desk: { kind: service }\nendpoints:\n  desk-1: { service: desk, url: "http://127.0.0.1:9", dataCentre: halle-a }\n`;
   await fetch(`${fleet.daemon(0).adminUrl}/admin/teams/${team}`, {
     method: "PUT",
     headers: { authorization: `Bearer ${standIns.OPERATOR_TOKEN}`, "content-type": "application/json" },
@@ -89,8 +89,8 @@
 /** @returns costs of the core by itself: a decision, a tick, a heartbeat, a team */
 export function measureCore(): gatewayMeasure.Line[] {
   const lines: gatewayMeasure.Line[] = [];
-  for (const runners of [9, 150]) {
-    const target = coreWith(runners, 1);
+  for (const endpoints of [9, 150]) {
+    const target = coreWith(endpoints, 1);
     const decision = timeOf(5000, (index) => {
       const at = 1000 + index;
       const id = `r-${index}`;
@@ -108,7 +108,7 @@
     });
     const heartbeat = JSON.stringify(target.heartbeat(10_000)).length;
     lines.push({
-      measure: `core: ${runners} engines`,
+      measure: `core: ${endpoints} engines`,
       "µs a request": decision.toFixed(1),
       "µs a tick": tick.toFixed(1),
       "heartbeat bytes, idle": heartbeat,
@@ -127,10 +127,10 @@
   return lines;
 }
 
-function coreWith(runners: number, teams: number): core.Core {
+function coreWith(endpoints: number, teams: number): core.Core {
   const registration = {
     vm: "vm-1",
-    place: "a",
+    dataCentre: "a",
     incarnation: "one",
     callerUrl: "",
     peerUrl: "",
@@ -140,10 +140,10 @@
   const target = new core.Core({ registration, seed: 1 });
   const records = Array.from({ length: teams }, (_, team) => {
     const list = Array.from(
-      { length: runners },
-      (__, index) => `  engine-${index}: { service: assist, url: "http://10.0.0.1:${index + 1}", place: a }`,
+      { length: endpoints },
+      (__, index) => `  engine-${index}: { service: assist, url: "http://10.0.0.1:${index + 1}", dataCentre: a }`,
     );
-    const text = `team: team-${team}\nservices:\n  assist: { kind: engine }\nrunners:\n${list.join("\n")}\n`;
+    const text = `team: team-${team}\nservices:\n  assist: { kind: engine }\nendpoints:\n${list.join("\n")}\n`;
     const value = JSON.stringify({ text, version: 1, author: "", attempt: "", acceptedAt: 0 });
     return {
       key: core.controlKey(core.ControlKind.Team, `team-${team}`),
--- a/packages/measure/src/trace.ts
+++ b/packages/measure/src/trace.ts
@@ -24,7 +24,7 @@
 const traceSchema = zod.strictObject({
   name: zod.string(),
   team: zod.string(),
-  roles: zod.array(zod.enum(core.RunnerRole)),
+  roles: zod.array(zod.enum(core.EndpointRole)),
   roleChangeWeight: zod.number(),
   reportLagMs: zod.number().default(0),
   phases: zod.array(zod.strictObject({ seconds: zod.number(), kinds: zod.array(kindSchema) })),
--- a/packages/stand-ins/src/fleet.ts
+++ b/packages/stand-ins/src/fleet.ts
@@ -10,7 +10,7 @@
 export const OPERATOR_TOKEN = "operator-token";
 
 const ADMIN_TIMEOUT_MS = 10_000;
-const PLACES = ["halle-a", "halle-b", "halle-c"];
+const DATA_CENTRES = ["halle-a", "halle-b", "halle-c"];
 
 /** A daemon that runs as a process of its own. */
 export interface DaemonProcess {
@@ -34,14 +34,14 @@
 export interface DocumentOptions {
   /** Wanted role of each engine; the rest is mixed. */
   readonly roles?: readonly string[];
-  /** Names of runners that are draining. */
+  /** Names of endpoints that are draining. */
   readonly draining?: readonly string[];
   readonly checksFencing?: boolean;
   readonly plainDeadlineMs?: number;
-  readonly perRunner?: number;
+  readonly perEndpoint?: number;
 }
 
-/** A fleet of daemons, the platform's stand-ins and runners, each a process of its own. */
+/** A fleet of daemons, the platform's stand-ins and endpoints, each a process of its own. */
 export class Fleet {
   readonly launcher = new launcher.Launcher();
   readonly engines: launcher.StandInProcess[] = [];
@@ -106,7 +106,7 @@
 
   #daemonArguments(index: number, vm: string): string[] {
     return [
-      ...["--vm", vm, "--place", PLACES[index % PLACES.length] ?? ""],
+      ...["--vm", vm, "--data-centre", DATA_CENTRES[index % DATA_CENTRES.length] ?? ""],
       ...["--listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0", "--admin-listen", "127.0.0.1:0"],
       ...["--key-value", this.keyValueUrl, "--vm-list", this.vmListUrl],
       ...["--operator-token-digest", common.sha256(OPERATOR_TOKEN)],
@@ -129,26 +129,26 @@
    * @returns the team's document for this fleet
    */
   document(options: DocumentOptions = {}): string {
-    const { roles = [], draining = [], checksFencing = true, plainDeadlineMs = 5000, perRunner = 64 } = options;
-    const runner = (name: string, index: number, rest: string): string =>
-      `  ${name}: { ${rest}, place: ${PLACES[index % PLACES.length]}, state: ${draining.includes(name) ? "draining" : "active"} }`;
+    const { roles = [], draining = [], checksFencing = true, plainDeadlineMs = 5000, perEndpoint = 64 } = options;
+    const endpoint = (name: string, index: number, rest: string): string =>
+      `  ${name}: { ${rest}, dataCentre: ${DATA_CENTRES[index % DATA_CENTRES.length]}, state: ${draining.includes(name) ? "draining" : "active"} }`;
     const engines = this.engines.map(({ url }, index) =>
-      runner(
+      endpoint(
         `engine-${index + 1}`,
         index,
         `service: assist-llm, url: "${url}", role: ${roles[index] ?? "mixed"}, checksFencing: ${checksFencing}`,
       ),
     );
     const services = this.services.map(({ url }, index) =>
-      runner(`printer-${index + 1}`, index, `service: yard-app, url: "${url}"`),
+      endpoint(`printer-${index + 1}`, index, `service: yard-app, url: "${url}"`),
     );
     return `# Stadtwerke Leoben: dossiers and labels
 team: leoben
 tokenDigests: ["${common.sha256(TEAM_TOKEN)}"]
 services:
   assist-llm: { kind: engine, model: assist, deadlineMs: 60000 }
-  yard-app: { kind: service, idempotent: false, deadlineMs: ${plainDeadlineMs}, limits: { perRunner: ${perRunner} } }
-runners:
+  yard-app: { kind: service, idempotent: false, deadlineMs: ${plainDeadlineMs}, limits: { perEndpoint: ${perEndpoint} } }
+endpoints:
 ${[...engines, ...services].join("\n")}
 `;
   }
@@ -235,7 +235,7 @@
    * @param states - the list of VMs as the platform is to show it
    */
   async listVms(states: Readonly<Record<string, "live" | "leaving" | "gone">>): Promise<void> {
-    const list = Object.entries(states).map(([vm, state]) => ({ vm, place: "halle-a", state }));
+    const list = Object.entries(states).map(([vm, state]) => ({ vm, dataCentre: "halle-a", state }));
     const headers = { "content-type": "application/json" };
     await fetch(`${this.vmListUrl}/vms`, { method: "POST", headers, body: JSON.stringify(list) });
   }
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,4 +1,4 @@
-/** Small processes in the place of the platform and the runners, with fault switches and journals. */
+/** Small processes in place of the platform and the endpoints, with fault switches and journals. */
 export * from "./answers.js";
 export * from "./engine.js";
 export * from "./engineModel.js";
--- a/packages/stand-ins/src/vmList.ts
+++ b/packages/stand-ins/src/vmList.ts
@@ -1,7 +1,11 @@
 import * as zod from "zod";
 import * as standIn from "./standIn.js";
 
-const vmSchema = zod.object({ vm: zod.string(), place: zod.string(), state: zod.enum(["live", "leaving", "gone"]) });
+const vmSchema = zod.object({
+  vm: zod.string(),
+  dataCentre: zod.string(),
+  state: zod.enum(["live", "leaving", "gone"]),
+});
 
 /** One VM as the list tells it. */
 export type ListedVm = zod.infer<typeof vmSchema>;
