Let a test wait until its first call has arrived

Cause of the failure beside load: the heartbeat was given up after 50 ms, before the wait had reached the server; the test answered an empty list and waited for a minute. It now answers once the wait is there; what it asserts is the same.

--- a/packages/daemon/tests/peerClients.test.ts
+++ b/packages/daemon/tests/peerClients.test.ts
@@ -24,6 +24,8 @@
   const joined = clients.call(url, (client) => client.joinAttempt({}, { timeoutMs: 60_000 }));
   const exchanged = await clients.call(url, (client) => client.exchange({}, { timeoutMs: 50 }));
   assert.is(exchanged, undefined);
+  // On a busy VM the wait may reach the server after the heartbeat was given up.
+  while (waiting.length === 0) await new Promise((resolve) => setTimeout(resolve, 5));
   for (const response of waiting) response.writeHead(200, { "content-type": "application/proto" }).end();
   assert.ok(await joined);
   clients.close();
