--- a/packages/gateway/src/beliefs.ts
+++ b/packages/gateway/src/beliefs.ts
@@ -18,8 +18,8 @@
   readonly log: decisionLogs.DecisionLog;
   /** Called for each change of a belief about an endpoint. */
   readonly onEndpoint: (news: serving.EndpointNews) => void;
-  /** Called when an engine's role was changed, with its service. */
-  readonly onRoleChange: (service: string) => void;
+  /** Called when an engine's role was changed, with its service and how long ago that was, in milliseconds. */
+  readonly onRoleChange: (service: string, agoMs: number) => void;
   /** Called when a configuration has come into force. */
   readonly onConfiguration: () => void;
 }
@@ -150,9 +150,11 @@
     if (item.revision <= this.#roleChangeRevision) return;
     this.#roleChangeRevision = item.revision;
     try {
-      const change = JSON.parse(Buffer.from(item.value).toString()) as { service: string };
-      this.#parts.log.info("role-change-known", { service: change.service, revision: item.revision });
-      this.#parts.onRoleChange(change.service);
+      const change = JSON.parse(Buffer.from(item.value).toString()) as { service: string; at: number };
+      // A daemon that has just started reads the last change however old it is, and need not rest after an old one.
+      const agoMs = Math.max(0, Date.now() - change.at);
+      this.#parts.log.info("role-change-known", { service: change.service, revision: item.revision, agoMs });
+      this.#parts.onRoleChange(change.service, agoMs);
     } catch (error) {
       this.#parts.log.warn("role-change-unreadable", { revision: item.revision, detail: String(error) });
     }
--- a/packages/gateway/src/fleetView.ts
+++ b/packages/gateway/src/fleetView.ts
@@ -49,6 +49,16 @@
     return false;
   }
 
+  /**
+   * @param endpoint - an engine
+   * @param now - current instant in milliseconds
+   * @returns the role that it has, or will have once an order is carried out
+   */
+  roleToCome(endpoint: serving.Endpoint, now: number): serving.EngineRole {
+    const change = this.changing.get(endpoint.id);
+    return change !== undefined && this.isChanging(endpoint, now) ? change.role : endpoint.role;
+  }
+
   /** @returns revision of the configuration in force, 0 if none is known */
   get configurationRevision(): number {
     return this.#configurationRevision;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,6 +11,7 @@
 import * as fleetViews from "./fleetView.js";
 import * as metricsModule from "./metrics.js";
 import * as orderAuthorities from "./orderAuthority.js";
+import * as peerBooks from "./peerBook.js";
 import * as peerLinks from "./peerLink.js";
 import type * as ports from "./ports.js";
 import * as registrations from "./registration.js";
@@ -103,7 +104,7 @@
       view: this.#view,
       log: this.#log,
       onEndpoint: (news) => this.#onEndpoint(news),
-      onRoleChange: (service) => this.#roles.changed(service),
+      onRoleChange: (service, agoMs) => this.#roles.changed(service, agoMs),
       onConfiguration: () => this.#listener.followLimits(),
     });
     this.#follower = new storeFollowers.StoreFollower({
@@ -228,10 +229,16 @@
     this.#log.info("reload", { detail });
   }
 
-  /** One daemon of those that live takes the orders on; another follows when it falls silent. */
+  /**
+   * One daemon of those that live and reach the key-value service takes the
+   * orders on; another follows when it falls silent or is cut off from the
+   * service, as it can't renew its lease then and nobody would give orders.
+   */
   #isFirst(): boolean {
-    if (!this.ready) return false;
-    const peers = this.#peers.book.live(performance.now()).filter((peer) => peer.ready);
+    if (!this.ready || this.#follower.silentMs > peerBooks.STORE_SILENT_MS) return false;
+    const peers = this.#peers.book
+      .live(performance.now())
+      .filter((peer) => peer.ready && peer.storeSilentMs <= peerBooks.STORE_SILENT_MS);
     const names = [this.#entry.vm, ...peers.map((peer) => peer.vm)];
     return common.rendezvousOrder(ORDERS_KEY, names)[0] === this.#entry.vm;
   }
--- a/packages/gateway/src/roleChanger.ts
+++ b/packages/gateway/src/roleChanger.ts
@@ -58,9 +58,12 @@
     clearInterval(this.#timer);
   }
 
-  /** @param service - a service of which a change became known */
-  changed(service: string): void {
-    this.#balance(service).changed(performance.now());
+  /**
+   * @param service - a service of which a change became known
+   * @param agoMs - how long ago it was made, in milliseconds
+   */
+  changed(service: string, agoMs: number): void {
+    this.#balance(service).changed(performance.now() - agoMs);
   }
 
   #look(): void {
@@ -83,7 +86,12 @@
     const now = performance.now();
     const engines = view.directory
       .serving(service)
-      .map((engine) => ({ id: engine.id, role: engine.role, running: board.running(engine.id, now) }));
+      .map((engine) => ({
+        id: engine.id,
+        role: view.roleToCome(engine, now),
+        running: board.running(engine.id, now),
+        slots: engine.slots,
+      }));
     return this.#balance(service).decide({ engines, readTokensPerMs: this.#parts.readTokensPerMs(), now });
   }
 
@@ -101,7 +109,7 @@
     const { format, log, view } = context;
     const engine = view.directory.serving(service).find((each) => each.id === change.endpointId);
     if (engine === undefined) return;
-    this.changed(service);
+    this.changed(service, 0);
     const asked = await this.#ask(engine, format.engineQuestion());
     const state = asked === undefined ? undefined : format.readEngineState(asked.body);
     if (state?.isOk() !== true || state.value.busy) {
@@ -136,7 +144,7 @@
 
   /** All daemons rest after a change, also those that may take the authority over. */
   async #tellChange(service: string, endpoint: string, role: serving.EngineRole): Promise<void> {
-    const value = Buffer.from(JSON.stringify({ service, endpoint, role }));
+    const value = Buffer.from(JSON.stringify({ service, endpoint, role, at: Date.now() }));
     const put = { key: this.#parts.changeKey, value, lease: 0 };
     const written = await this.#parts.store.write({ conditions: [], puts: [put], removals: [] });
     if (written.isErr()) this.#parts.context.log.warn("role-change-not-told", { detail: written.error.detail });
--- a/packages/serving/src/roleBalance.ts
+++ b/packages/serving/src/roleBalance.ts
@@ -16,6 +16,8 @@
   readonly role: directories.EngineRole;
   /** Requests under way there, from all daemons. */
   readonly running: number;
+  /** Requests that it serves at once. */
+  readonly slots: number;
 }
 
 /** What is known at one moment. */
@@ -26,44 +28,58 @@
   readonly now: number;
 }
 
-/** Tokens that a prefill engine reads in a millisecond. */
-const ENGINE_TOKENS_PER_MS = 92;
+/** Tokens that a prefill engine reads in a millisecond, as its maker states. */
+const PREFILL_TOKENS_PER_MS = 92;
 
-/** Load of the prefill engines beyond which waiting grows out of proportion. */
-const READING_TOO_HIGH = 0.72;
+/** Tokens that a decode engine reads at a stretch, between two tokens of its streams. */
+const DECODE_PIECE_TOKENS = 512;
 
-/** Load that the prefill engines may have after one of them has become a decode engine. */
-const READING_LOW_ENOUGH = 0.45;
+/** Tokens that a decode engine reads in a millisecond while it makes no tokens: half of a prefill engine's. */
+const DECODE_TOKENS_PER_MS = PREFILL_TOKENS_PER_MS / 2;
 
-/** Streams at each decode engine beyond which tokens come too slowly for long answers. */
-const STREAMS_TOO_MANY = 40;
+/** Time of a decode engine's step, and what each stream adds to it, in milliseconds, as its maker states. */
+const STEP_MS = { base: 3.03, perStream: 0.121 };
 
-/** Streams at each decode engine that leave room for one engine less. */
-const STREAMS_FEW_ENOUGH = 30;
+/** Share of a decode engine's time that reading may take: with more of it, long answers miss their deadline. */
+const READING_SHARE_OF_DECODE = 0.35;
+
+/** Strain of one more engine's role from which a change is worth an engine that is away for some seconds. */
+const WORTHWHILE = { strain: 0.35, share: 0.2 };
+
+/** Utilization above which strain no longer follows a queue's length but grows steeply and without bound. */
+const STEEP_FROM = 0.9;
+const STEEPNESS = 100;
+
+/** Streams at a lone decode engine from which it gets another beside it, as a share of its slots. */
+const LONE_FULL_SHARE = 0.6;
 
 /** Time for which a reason must hold before a change, in milliseconds: a burst of a second is no reason. */
 const REASON_HOLDS_MS = 1_500;
 
-/** Least time between two changes, in milliseconds: a change takes an engine away for some seconds and must pay. */
-const REST_MS = 20_000;
-
-/** Engines of a role that always remain. */
-const LEAST_OF_A_ROLE = 2;
+/**
+ * Least time between two changes in milliseconds: an engine that changes first finishes its streams and is then away
+ * for some seconds, and until then the load doesn't show what the change has brought. In a large fleet one engine is
+ * a small part, so the rest is as much shorter.
+ */
+const REST_MS = { ofFleet: 9_000, fleet: 6, least: 1_000 };
 
 /**
- * Decides when an engine's role no longer fits the mix of prompts and answers.
- * Few changes: a reason has to hold, both sides must be able to carry the load
- * after the change, and changes rest for long. A role that has no engine left is
- * filled at once, as nothing can be served without it.
+ * The load it answers: the mix swings between long prompts and long answers, and
+ * engines crash or are taken away, so that one role is short of engines while
+ * the other has some to spare. It compares the strain of the present split with
+ * those that one change would make, from the utilization of reading and of the
+ * streams' slots. Few changes: a reason has to hold, must pay, and changes rest.
+ * A role that has no engine left is filled at once, as nothing can be served
+ * without it.
  */
 export class RoleBalance {
   #reasonSince: number | undefined;
   #reasonRole = directories.EngineRole.None;
   #changedAt = Number.NEGATIVE_INFINITY;
 
-  /** @param now - instant at which a change, here or at another daemon, became known, in milliseconds */
+  /** @param now - instant at which a change, here or at another daemon, was made, in milliseconds */
   changed(now: number): void {
-    this.#changedAt = now;
+    this.#changedAt = Math.max(this.#changedAt, now);
     this.#reasonSince = undefined;
   }
 
@@ -81,7 +97,7 @@
     }
     if (wanted === directories.EngineRole.None) return undefined;
     const urgent = prefill.length === 0 || decode.length === 0;
-    if (!urgent && inputs.now - this.#changedAt < REST_MS) return undefined;
+    if (!urgent && inputs.now - this.#changedAt < restMs(inputs.engines.length)) return undefined;
     if (inputs.now - (this.#reasonSince ?? inputs.now) < REASON_HOLDS_MS) return undefined;
     const from = wanted === directories.EngineRole.Prefill ? decode : prefill;
     const idlest = [...from].sort((left, right) => left.running - right.running || (left.id < right.id ? -1 : 1))[0];
@@ -89,39 +105,90 @@
     return {
       endpointId: idlest.id,
       role: wanted,
-      readingLoad: readingLoad(prefill.length, inputs.readTokensPerMs),
+      readingLoad: inputs.readTokensPerMs / Math.max(1, prefill.length * PREFILL_TOKENS_PER_MS),
       streamsEach: streams(decode) / Math.max(1, decode.length),
     };
   }
 }
 
+function restMs(engines: number): number {
+  return Math.max(REST_MS.least, REST_MS.ofFleet * Math.min(1, REST_MS.fleet / Math.max(1, engines)));
+}
+
 function wantedRole(
   prefill: readonly BalancedEngine[],
   decode: readonly BalancedEngine[],
   readTokensPerMs: number,
 ): directories.EngineRole {
   if (decode.length === 0) return prefill.length > 1 ? directories.EngineRole.Decode : directories.EngineRole.None;
-  if (prefill.length === 0) return directories.EngineRole.None;
-  const load = readingLoad(prefill.length, readTokensPerMs);
-  const streamsAfter = streams(decode) / Math.max(1, decode.length - 1);
-  if (load > READING_TOO_HIGH && decode.length > LEAST_OF_A_ROLE && streamsAfter < STREAMS_FEW_ENOUGH) {
-    return directories.EngineRole.Prefill;
-  }
-  // A lone decode engine that is full holds everything up, and its kind can read prompts too.
-  const alone = decode.length < LEAST_OF_A_ROLE && prefill.length >= LEAST_OF_A_ROLE;
-  if (alone && streams(decode) > STREAMS_TOO_MANY) return directories.EngineRole.Decode;
-  const loadAfter = readingLoad(prefill.length - 1, readTokensPerMs);
-  const streamsEach = streams(decode) / decode.length;
-  if (streamsEach > STREAMS_TOO_MANY && prefill.length > 1 && loadAfter < READING_LOW_ENOUGH) {
-    return directories.EngineRole.Decode;
-  }
-  return directories.EngineRole.None;
+  const [lone] = decode;
+  // With it all streams would be lost, and while it is full nobody can go on with what prefill engines read.
+  const loneIsFull = decode.length === 1 && lone !== undefined && lone.running > lone.slots * LONE_FULL_SHARE;
+  if (loneIsFull && prefill.length > 1) return directories.EngineRole.Decode;
+  const load: Load = {
+    readTokensPerMs,
+    eventsPerMs: eventsPerMs(decode),
+    slots: Math.max(1, Math.min(...decode.map((engine) => engine.slots))),
+  };
+  const present = strain(load, prefill.length, decode.length);
+  const engines = prefill.length + decode.length;
+  const spared = decode.length - 1 >= Math.max(LEAST_DECODE.engines, engines * LEAST_DECODE.share);
+  const more = spared ? strain(load, prefill.length + 1, decode.length - 1) : present;
+  const less = prefill.length > 1 ? strain(load, prefill.length - 1, decode.length + 1) : present;
+  const best = Math.min(more, less);
+  if (present - best < Math.max(WORTHWHILE.strain, WORTHWHILE.share * present)) return directories.EngineRole.None;
+  return more <= less ? directories.EngineRole.Prefill : directories.EngineRole.Decode;
+}
+
+/**
+ * Decode engines that always remain, as a number and as a share of all. The next swing of the mix comes within
+ * seconds, and decode engines can read prompts in it while prefill engines can't make tokens: with a third of the
+ * engines left to decode, a burst of long answers put 128 streams on one engine.
+ */
+const LEAST_DECODE = { engines: 2, share: 0.5 };
+
+interface Load {
+  readonly readTokensPerMs: number;
+  /** Tokens of all streams that the decode engines make in a millisecond. */
+  readonly eventsPerMs: number;
+  readonly slots: number;
+}
+
+/** Tokens that the streams ask for, from how many run now and how fast an engine with that many makes tokens. */
+function eventsPerMs(decode: readonly BalancedEngine[]): number {
+  const running = streams(decode);
+  const each = running / decode.length;
+  return running / (STEP_MS.base + STEP_MS.perStream * each);
+}
+
+/** How hard a split of the engines is pressed by reading and by streams: the sum of both queues' expected lengths. */
+function strain(load: Load, prefill: number, decode: number): number {
+  const streamsEach = streamsAt(load, decode);
+  const decodeReads = DECODE_PIECE_TOKENS / (DECODE_PIECE_TOKENS / DECODE_TOKENS_PER_MS + stepMs(streamsEach));
+  const capacity = prefill * PREFILL_TOKENS_PER_MS + decode * decodeReads * READING_SHARE_OF_DECODE;
+  return queueLength(load.readTokensPerMs / capacity) + queueLength(streamsEach / load.slots);
 }
 
-function readingLoad(engines: number, readTokensPerMs: number): number {
-  return engines === 0 ? Number.POSITIVE_INFINITY : readTokensPerMs / (engines * ENGINE_TOKENS_PER_MS);
+/** Streams at each decode engine if there were so many: fewer engines make tokens more slowly, so streams last longer. */
+function streamsAt(load: Load, decode: number): number {
+  const each = load.eventsPerMs / decode;
+  const utilization = each * STEP_MS.perStream;
+  if (utilization >= 1) return Number.POSITIVE_INFINITY;
+  return (each * STEP_MS.base) / (1 - utilization);
 }
 
+function stepMs(streamsEach: number): number {
+  return STEP_MS.base + STEP_MS.perStream * streamsEach;
+}
+
+function queueLength(utilization: number): number {
+  const bounded = Math.min(utilization, STEEP_FROM);
+  return bounded / (1 - bounded) + Math.min(MOST_STEEP, Math.max(0, utilization - STEEP_FROM)) * STEEPNESS;
+}
+
+/** Utilization beyond which a split is as bad as it can be. */
+const MOST_STEEP = 4;
+
 function streams(engines: readonly BalancedEngine[]): number {
   return engines.reduce((sum, engine) => sum + engine.running, 0);
 }
@@ -129,27 +196,34 @@
 /** Time over which a rate is averaged, in milliseconds. */
 const RATE_TIME_MS = 3_000;
 
+/** Time for which a rate has to be watched before it is more than its first requests, in milliseconds. */
+const LEAST_WATCHED_MS = 500;
+
 /** A rate that fades: what came long ago counts less and less. */
 export class FadingRate {
   #sum = 0;
   #at = 0;
+  #firstAt: number | undefined;
 
   /**
    * @param amount - what came
    * @param now - when it came, in milliseconds
    */
   add(amount: number, now: number): void {
+    this.#firstAt ??= now;
     this.#fade(now);
     this.#sum += amount;
   }
 
   /**
    * @param now - current instant in milliseconds
-   * @returns the amount that comes in a millisecond
+   * @returns the amount that comes in a millisecond, from the first that came on
    */
   perMs(now: number): number {
+    if (this.#firstAt === undefined) return 0;
     this.#fade(now);
-    return this.#sum / RATE_TIME_MS;
+    const watchedMs = Math.max(LEAST_WATCHED_MS, now - this.#firstAt);
+    return this.#sum / (RATE_TIME_MS * (1 - Math.exp(-watchedMs / RATE_TIME_MS)));
   }
 
   #fade(now: number): void {
