A stopping daemon takes nothing more in its last second

Ruled out: the kill (the processes ended by themselves, code 0, 7.4 s after the signal, with one request open).

--- a/packages/gateway/src/callerListener.ts
+++ b/packages/gateway/src/callerListener.ts
@@ -17,6 +17,9 @@
 /** Time after which a caller may come back while no configuration is known, in seconds. */
 const NOT_CONFIGURED_RETRY_AFTER = "0.400";
 
+/** Time after which a caller may try another daemon, in seconds. */
+const STOPPING_RETRY_AFTER = "0.050";
+
 const NOT_FOUND = 404;
 const PAYLOAD_TOO_LARGE = 413;
 const UNAVAILABLE = 503;
@@ -26,6 +29,7 @@
   readonly #context: contexts.ServingContext;
   readonly #server: http.Server;
   #closing = false;
+  #refusing = false;
   #open = 0;
   #lastRequestAt = 0;
 
@@ -80,6 +84,14 @@
     this.#closing = true;
   }
 
+  /** From now on, no connection is taken, and each request that still comes is told that it has not run. */
+  refuseNew(): void {
+    if (this.#refusing) return;
+    this.#refusing = true;
+    this.#context.log.info("refusing", { open: this.#open });
+    this.close();
+  }
+
   /** Takes no new connections, and closes those that are idle. */
   close(): void {
     this.#server.close();
@@ -118,6 +130,12 @@
       return;
     }
     if (response.destroyed) return;
+    if (this.#refusing) {
+      log.info("refused-stopping", { id: request.headers.requestId });
+      const retry = [format.retryAfterHeader, STOPPING_RETRY_AFTER];
+      answer.refuse(UNAVAILABLE, "this daemon is stopping; come back to another one", retry);
+      return;
+    }
     const table = view.table;
     if (table === undefined) {
       log.info("no-configuration", { id: request.headers.requestId });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -30,6 +30,13 @@
 /** Margin before the forced end at which a stopping daemon ends by itself, in milliseconds. */
 const STOP_MARGIN_MS = 600;
 
+/**
+ * Time before its end from which a stopping daemon takes nothing more, in
+ * milliseconds. Callers that know no other address go on to the last moment, and
+ * what was taken then would be cut; a plain call ends within this time.
+ */
+const STOP_REFUSING_MS = 1_000;
+
 /** Interval at which a stopping daemon looks whether it is idle, in milliseconds. */
 const STOP_CHECK_MS = 100;
 
@@ -158,6 +165,11 @@
     return !this.#stopping && this.#view.table !== undefined;
   }
 
+  /** @returns requests of callers that have no final answer yet */
+  get openRequests(): number {
+    return this.#listener.openRequests;
+  }
+
   /** Begins to serve. */
   async start(): Promise<void> {
     this.#log.info("start", { incarnation: this.#entry.incarnation, dataCentre: this.#settings.dataCentre });
@@ -274,6 +286,10 @@
     for (;;) {
       const now = performance.now();
       if (now >= lastAt) return;
+      if (now >= lastAt - STOP_REFUSING_MS) {
+        this.#listener.refuseNew();
+        if (this.#listener.openRequests === 0) return;
+      }
       const quiet = now - this.#listener.lastRequestAt > STOP_QUIET_MS;
       if (now - startedAt > STOP_LINGER_MS && this.#listener.openRequests === 0 && quiet) return;
       await new Promise((resolve) => setTimeout(resolve, STOP_CHECK_MS));
