--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -5,6 +5,7 @@
 import type * as endpointClients from "./endpointClient.js";
 import * as eventSplitters from "./eventSplitter.js";
 import * as metricsModule from "./metrics.js";
+import * as streamProgresses from "./streamProgress.js";
 
 const HTTP_OK = 200;
 const CLIENT_ERRORS_FROM = 400;
@@ -19,6 +20,9 @@
 
 const MS_PER_SECOND = 1_000;
 
+/** Interval at which a send is looked at for silence, in milliseconds. */
+const SILENCE_CHECK_MS = 100;
+
 /** Where the request is on its way. */
 enum Stage {
   /** An engine reads the prompt for another. */
@@ -60,11 +64,7 @@
   #handedOver: HandedOver | undefined;
   #sends = 0;
   #mayHaveRun = false;
-  #lastEventId: string | undefined;
-  #firstEventAt: number | undefined;
-  #lastEventAt = 0;
-  #events = 0;
-  #longestGapMs = 0;
+  readonly #progress = new streamProgresses.StreamProgress();
   #over = false;
 
   /**
@@ -149,7 +149,15 @@
   }
 
   #sendPlain(definition: serving.Service | undefined): void {
-    const endpoint = this.#leastBusy(this.#candidates(definition));
+    const { board, health, random, settings } = this.#context;
+    const endpoint = serving.leastBusy({
+      endpoints: this.#candidates(definition),
+      board,
+      health,
+      dataCentre: settings.dataCentre,
+      draw: () => random.next(),
+      now: performance.now(),
+    });
     if (endpoint === undefined) {
       this.#reject("no-endpoint");
       return;
@@ -157,23 +165,6 @@
     this.#dispatch(endpoint, Stage.Answering, 0, undefined);
   }
 
-  #leastBusy(endpoints: readonly serving.Endpoint[]): serving.Endpoint | undefined {
-    const { board, health, random, settings } = this.#context;
-    const now = performance.now();
-    let chosen: serving.Endpoint | undefined;
-    let chosenCost = Number.POSITIVE_INFINITY;
-    for (const endpoint of endpoints) {
-      const running = board.running(endpoint.id, now) + 1;
-      const away = endpoint.dataCentre === settings.dataCentre ? 0 : OTHER_DATA_CENTRE_COST;
-      const cost = running * health.slowness(endpoint.id) + away + random.next() * TIE_SPREAD;
-      if (cost < chosenCost) {
-        chosen = endpoint;
-        chosenCost = cost;
-      }
-    }
-    return chosen;
-  }
-
   #sendPrompt(definition: serving.Service, engine: serving.EngineLimits, prompt: serving.Prompt): void {
     const { board, health, settings } = this.#context;
     const engines = this.#candidates(definition);
@@ -258,7 +249,7 @@
       ...(urgency === undefined ? {} : { urgency }),
       ...(stage === Stage.Reading ? { readOnly: true } : {}),
       ...(source === undefined ? {} : { source: { address: source.reader.address, handle: source.handle } }),
-      ...(this.#lastEventId === undefined ? {} : { lastEventId: this.#lastEventId }),
+      ...(this.#progress.lastEventId === undefined ? {} : { lastEventId: this.#progress.lastEventId }),
     });
     log.info("send", {
       id: this.#request.headers.requestId,
@@ -291,10 +282,10 @@
    * one that is merely busy is still heard on other connections.
    */
   #watchSilence(active: ActiveSend): void {
-    const limits = silenceLimits(this.#route, active);
+    const limits = serving.silenceLimits(this.#route, active.predictedMs);
     active.silence = setInterval(() => {
       const now = performance.now();
-      const ownAt = Math.max(active.sentAt, this.#lastEventAt);
+      const ownAt = Math.max(active.sentAt, this.#progress.lastEventAt);
       const heardAt = Math.max(ownAt, this.#context.client.heardAt(active.endpoint.id));
       const silent = now - heardAt > limits.endpointMs || now - ownAt > limits.requestMs;
       if (!silent || this.#active !== active) return;
@@ -419,18 +410,12 @@
       this.#learnTime(active);
       active.read = undefined;
     }
-    if (this.#firstEventAt === undefined) {
-      this.#firstEventAt = performance.now();
-      metrics.record(metricsModule.Duration.FirstEvent, this.#firstEventAt - this.#request.arrivedAt);
-    }
     const now = performance.now();
-    if (this.#events > 0) this.#longestGapMs = Math.max(this.#longestGapMs, now - this.#lastEventAt);
-    this.#events++;
-    this.#lastEventAt = now;
+    if (!this.#progress.begun) metrics.record(metricsModule.Duration.FirstEvent, now - this.#request.arrivedAt);
+    this.#progress.note(event.id, now);
     this.#mayHaveRun = true;
     this.#handedOver = undefined;
     this.#answer.beginStream(status, headers);
-    if (event.id !== undefined) this.#lastEventId = event.id;
     if (!this.#answer.write(event.bytes)) this.#holdBack(active);
   }
 
@@ -441,7 +426,7 @@
   }
 
   #onStreamEnd(active: ActiveSend, splitter: eventSplitters.EventSplitter): void {
-    if (splitter.unfinishedBytes > 0 || this.#firstEventAt === undefined) {
+    if (splitter.unfinishedBytes > 0 || !this.#progress.begun) {
       this.#sendFailed(active, serving.SendFate.Unknown, "the stream ended inside an event");
       return;
     }
@@ -630,11 +615,7 @@
       sends: this.#sends,
       mayHaveRun: this.#mayHaveRun,
       tookMs: Math.round(now - this.#request.arrivedAt),
-      firstEventMs:
-        this.#firstEventAt === undefined ? undefined : Math.round(this.#firstEventAt - this.#request.arrivedAt),
-      events: this.#events,
-      longestGapMs: Math.round(this.#longestGapMs),
-      sinceEventMs: this.#events === 0 ? undefined : Math.round(now - this.#lastEventAt),
+      ...this.#progress.logFields(this.#request.arrivedAt, now),
       configuration: this.#context.view.configurationRevision,
     });
   }
@@ -643,38 +624,3 @@
     return this.#deadlineAt - performance.now();
   }
 }
-
-/** Interval at which a send is looked at for silence, in milliseconds. */
-const SILENCE_CHECK_MS = 100;
-
-/** Silence of a whole endpoint, in multiples of the route's objective, after which a plain call goes elsewhere. */
-const PLAIN_ENDPOINT_SILENCE = 2;
-
-/** Silence on one connection, in multiples of the route's objective, after which a plain call goes elsewhere. */
-const PLAIN_REQUEST_SILENCE = 4;
-
-/** Silence of an engine in milliseconds: reading the longest prompts takes about as long. */
-const ENGINE_SILENCE_MS = 1_100;
-
-interface SilenceLimits {
-  /** Nothing from the endpoint on any connection, in milliseconds. */
-  readonly endpointMs: number;
-  /** Nothing on this request's own connection, in milliseconds. */
-  readonly requestMs: number;
-}
-
-function silenceLimits(route: serving.Route, active: ActiveSend): SilenceLimits {
-  if (route.requestClass === serving.RequestClass.Stream) {
-    return { endpointMs: Math.max(ENGINE_SILENCE_MS, 2 * active.predictedMs), requestMs: Number.POSITIVE_INFINITY };
-  }
-  return {
-    endpointMs: PLAIN_ENDPOINT_SILENCE * route.objectiveMs,
-    requestMs: PLAIN_REQUEST_SILENCE * route.objectiveMs,
-  };
-}
-
-/** Requests under way that an endpoint in another data centre has to be better by; bytes between them cost. */
-const OTHER_DATA_CENTRE_COST = 1;
-
-/** Spread by which equal endpoints are told apart, so that daemons don't all choose the same. */
-const TIE_SPREAD = 0.5;
