--- a/packages/serving/src/roleBalance.ts
+++ b/packages/serving/src/roleBalance.ts
@@ -28,7 +28,7 @@
   readonly now: number;
 }
 
-/** Tokens that a prefill engine reads in a millisecond, as its maker states. */
+/** Tokens that a prefill engine reads in a millisecond, by the sheet of the engines in use. */
 const PREFILL_TOKENS_PER_MS = 92;
 
 /** Tokens that a decode engine reads at a stretch, between two tokens of its streams. */
@@ -37,7 +37,7 @@
 /** Tokens that a decode engine reads in a millisecond while it makes no tokens: half of a prefill engine's. */
 const DECODE_TOKENS_PER_MS = PREFILL_TOKENS_PER_MS / 2;
 
-/** Time of a decode engine's step, and what each stream adds to it, in milliseconds, as its maker states. */
+/** Time of a decode engine's step, and what each stream adds to it, in milliseconds, by the same sheet. */
 const STEP_MS = { base: 3.03, perStream: 0.121 };
 
 /** Share of a decode engine's time that reading may take: with more of it, long answers miss their deadline. */
