Log what holds a role change up, and what a planned stop takes and cuts

No line was written until an order was tried, so a wish that never came and a rest that never ended looked the same; and `stopped open=2` did not say which requests were cut, nor that they had been taken during the stop. Added: `role-outlook` (one line each time that the wanted role or the split differs), `taken-while-stopping` and `cut-by-stop` with the request's id.

--- a/packages/gateway/src/callerListener.ts
+++ b/packages/gateway/src/callerListener.ts
@@ -1,4 +1,5 @@
 import * as http from "node:http";
+import type * as serving from "@camphorcourse/serving";
 import * as callerAnswers from "./callerAnswer.js";
 import * as callerRequests from "./callerRequest.js";
 import type * as contexts from "./context.js";
@@ -30,6 +31,8 @@
   readonly #server: http.Server;
   #closing = false;
   #refusing = false;
+  /** Requests that were taken and have no final answer yet. */
+  readonly #taken = new Set<callerRequests.CallerRequest>();
   #open = 0;
   #lastRequestAt = 0;
 
@@ -92,6 +95,14 @@
     this.close();
   }
 
+  /** The process ends: what is still open is cut, and the log tells which requests these are. */
+  logCut(): void {
+    const now = performance.now();
+    for (const { headers, arrivedAt } of this.#taken) {
+      this.#context.log.warn("cut-by-stop", { id: headers.requestId, tookMs: Math.round(now - arrivedAt) });
+    }
+  }
+
   /** Takes no new connections, and closes those that are idle. */
   close(): void {
     this.#server.close();
@@ -150,10 +161,20 @@
       answer.refuse(NOT_FOUND, "no route leads there; check the host and the path");
       return;
     }
+    this.#take(request, route, response);
     exchange.current = new exchanges.Exchange(this.#context, request, route, body, answer);
     exchange.current.start();
   }
 
+  #take(request: callerRequests.CallerRequest, route: serving.Route, response: http.ServerResponse): void {
+    this.#taken.add(request);
+    response.once("close", () => this.#taken.delete(request));
+    if (!this.#closing) return;
+    const { requestId: id, deadlineMs } = request.headers;
+    const patienceMs = Math.min(deadlineMs ?? route.timeoutMs, route.timeoutMs);
+    this.#context.log.info("taken-while-stopping", { id, route: route.name, patienceMs });
+  }
+
   /** A request that is not read to its end leaves bytes on the connection, which must not be taken for another. */
   #turnAway(incoming: http.IncomingMessage, answer: callerAnswers.CallerAnswer, status: number, detail: string): void {
     answer.refuse(status, detail, ["connection", "close"]);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -232,6 +232,7 @@
     void this.#authority.end();
     this.#roles.stop();
     await this.#untilIdle(startedAt);
+    this.#listener.logCut();
     this.#listener.close();
     this.#follower.stop();
     this.#peers.stop();
--- a/packages/gateway/src/roleChanger.ts
+++ b/packages/gateway/src/roleChanger.ts
@@ -40,6 +40,7 @@
 export class RoleChanger {
   readonly #parts: RoleChangerParts;
   readonly #balances = new Map<string, serving.RoleBalance>();
+  readonly #loggedOutlooks = new Map<string, string>();
   #busy = false;
   #timer: NodeJS.Timeout | undefined;
 
@@ -72,6 +73,7 @@
     for (const service of context.view.table?.configuration.services ?? []) {
       if (service.engine === undefined) continue;
       const change = this.#decide(service.name);
+      this.#logOutlook(service.name);
       if (change === undefined) continue;
       this.#busy = true;
       void this.#carryOut(service.name, change).finally(() => {
@@ -93,6 +95,26 @@
     return this.#balance(service).decide({ engines, readTokensPerMs: this.#parts.readTokensPerMs(), now });
   }
 
+  /** One line each time that another role is wanted or the split differs: without it nothing tells why no order came. */
+  #logOutlook(service: string): void {
+    const outlook = this.#balance(service).outlook;
+    if (outlook === undefined) return;
+    const { wanted, urgent, prefill, decode } = outlook;
+    const seen = `${wanted} ${urgent} ${prefill} ${decode}`;
+    if (this.#loggedOutlooks.get(service) === seen) return;
+    this.#loggedOutlooks.set(service, seen);
+    const { heldMs, restMs } = outlook;
+    this.#parts.context.log.info("role-outlook", {
+      service,
+      wanted,
+      urgent,
+      prefill,
+      decode,
+      heldMs: Math.round(heldMs),
+      restMs: Math.round(restMs),
+    });
+  }
+
   #balance(service: string): serving.RoleBalance {
     let balance = this.#balances.get(service);
     if (balance === undefined) {
--- a/packages/serving/src/roleBalance.ts
+++ b/packages/serving/src/roleBalance.ts
@@ -20,6 +20,20 @@
   readonly slots: number;
 }
 
+/** What the balance thinks of the present split, for the log. */
+export interface RoleOutlook {
+  /** Role of which one more engine is wanted; none if the split may stay. */
+  readonly wanted: directories.EngineRole;
+  /** Whether it can't wait for an ordinary rest. */
+  readonly urgent: boolean;
+  readonly prefill: number;
+  readonly decode: number;
+  /** Time for which the same role has been wanted, in milliseconds. */
+  readonly heldMs: number;
+  /** What is left of the rest after the last change, in milliseconds. */
+  readonly restMs: number;
+}
+
 /** What is known at one moment. */
 export interface BalanceInputs {
   readonly engines: readonly BalancedEngine[];
@@ -83,6 +97,12 @@
   #reasonSince: number | undefined;
   #reasonRole = directories.EngineRole.None;
   #changedAt = Number.NEGATIVE_INFINITY;
+  #outlook: RoleOutlook | undefined;
+
+  /** @returns what the last decision rested on, once there was one */
+  get outlook(): RoleOutlook | undefined {
+    return this.#outlook;
+  }
 
   /** @param now - instant at which a change, here or at another daemon, was made, in milliseconds */
   changed(now: number): void {
@@ -102,11 +122,13 @@
       this.#reasonRole = wanted;
       this.#reasonSince = inputs.now;
     }
-    if (wanted === directories.EngineRole.None) return undefined;
     const rest = Math.min(urgent ? URGENT_REST_MS : REST_MS.ofFleet, restMs(inputs.engines.length));
-    if (decode.length > 0 && inputs.now - this.#changedAt < rest) return undefined;
-    const held = inputs.now - (this.#reasonSince ?? inputs.now);
-    if (held < (urgent ? URGENT_HOLDS_MS : REASON_HOLDS_MS)) return undefined;
+    const restLeftMs = decode.length > 0 ? Math.max(0, this.#changedAt + rest - inputs.now) : 0;
+    const heldMs = inputs.now - (this.#reasonSince ?? inputs.now);
+    this.#outlook = { wanted, urgent, prefill: prefill.length, decode: decode.length, heldMs, restMs: restLeftMs };
+    if (wanted === directories.EngineRole.None) return undefined;
+    if (restLeftMs > 0) return undefined;
+    if (heldMs < (urgent ? URGENT_HOLDS_MS : REASON_HOLDS_MS)) return undefined;
     const from = wanted === directories.EngineRole.Prefill ? decode : prefill;
     const idlest = [...from].sort((left, right) => left.running - right.running || (left.id < right.id ? -1 : 1))[0];
     if (idlest === undefined) return undefined;
