Give the last engine the role without which nothing is served

Cause: the decision on roles asked for a decode engine only while more than one prefill engine was left, so that reading never lost its last engine. A lone prefill engine can answer no prompt at all, and every one was turned away from the moment on at which the last decode engine left: 18 s before the kill of all processes and 10 s after it, with the authority to give orders held all the while. The same bound would act at any start of the daemons, and in any service whose engines go one by one. Ruled out: no authority (its lease was renewed each second), no news (each daemon knew of the departures within 0.2 s). The change: without any decode engine, one prefill engine is enough to ask.

--- a/packages/serving/src/roleBalance.ts
+++ b/packages/serving/src/roleBalance.ts
@@ -159,7 +159,9 @@
   decode: readonly BalancedEngine[],
   readTokensPerMs: number,
 ): Wish {
-  if (decode.length === 0) return prefill.length > 1 ? DECODE_AT_ONCE : NO_WISH;
+  // Also the last engine that is left: a decode engine can read prompts, a prefill engine can answer none, and every
+  // prompt would be turned away for as long as no other engine joins.
+  if (decode.length === 0) return prefill.length > 0 ? DECODE_AT_ONCE : NO_WISH;
   const [lone] = decode;
   // With it all streams would be lost, and while it is full nobody can go on with what prefill engines read.
   const loneIsFull = decode.length === 1 && lone !== undefined && lone.running > lone.slots * LONE_FULL_SHARE;
