Try a change of a role again that came to nothing

(2) The idlest engine is asked, and one that answers nothing is the idlest for ever. (3) An order without an answer counted as carried out for 12.5 s. Class: a wait whose end nothing brings about. The change: the reason holds anew from the next look on; an engine that was busy or silent is asked last for 5 s; an order without an answer is read back, and given again if the engine has accepted none since (both name the number of orders before them). Calls to engines moved to a module of their own.

--- /dev/null
+++ b/packages/gateway/src/engineCalls.ts
@@ -0,0 +1,75 @@
+import type * as serving from "@camphorcourse/serving";
+import * as neverthrow from "neverthrow";
+import type * as contexts from "./context.js";
+import type * as ports from "./ports.js";
+
+/** Time for an engine's answer to an order or a question, in milliseconds. */
+const CALL_TIMEOUT_MS = 1_500;
+
+interface EngineAnswer {
+  readonly status: number;
+  readonly body: Buffer;
+}
+
+/** The gateway's own calls to engines: the question for their state, and orders. */
+export class EngineCalls {
+  readonly #context: contexts.ServingContext;
+
+  /** @param context - what serving needs */
+  constructor(context: contexts.ServingContext) {
+    this.#context = context;
+  }
+
+  /**
+   * @param engine - the engine
+   * @returns its state, or why it is not known
+   */
+  async askState(engine: serving.Endpoint): Promise<neverthrow.Result<ports.EngineState, string>> {
+    const { format } = this.#context;
+    const answer = await this.#call(engine, format.engineQuestion());
+    return answer === undefined ? neverthrow.err("no answer") : format.readEngineState(answer.body);
+  }
+
+  /**
+   * @param engine - the engine
+   * @param order - the order to take another role
+   * @returns status of the answer, or undefined if there was none
+   */
+  async order(engine: serving.Endpoint, order: ports.RoleOrder): Promise<number | undefined> {
+    const answer = await this.#call(engine, this.#context.format.roleOrder(order));
+    return answer?.status;
+  }
+
+  #call(engine: serving.Endpoint, call: ports.EngineCall): Promise<EngineAnswer | undefined> {
+    return new Promise((resolve) => {
+      const chunks: Buffer[] = [];
+      let status = 0;
+      const timer = setTimeout(() => {
+        sending.cancel();
+        resolve(undefined);
+      }, CALL_TIMEOUT_MS);
+      const done = (answer: EngineAnswer | undefined): void => {
+        clearTimeout(timer);
+        resolve(answer);
+      };
+      const sending = this.#context.client.send(
+        engine,
+        {
+          method: call.method,
+          path: call.path,
+          headers: call.headers(engine.id),
+          body: call.body === undefined ? undefined : Buffer.from(call.body),
+        },
+        {
+          onHead: (answerStatus) => {
+            status = answerStatus;
+            return true;
+          },
+          onData: (chunk) => chunks.push(chunk),
+          onEnd: () => done({ status, body: Buffer.concat(chunks) }),
+          onBroken: () => done(undefined),
+        },
+      );
+    });
+  }
+}
--- a/packages/gateway/src/roleChanger.ts
+++ b/packages/gateway/src/roleChanger.ts
@@ -1,30 +1,29 @@
 import * as serving from "@camphorcourse/serving";
 import type * as contexts from "./context.js";
+import * as engineCalls from "./engineCalls.js";
 import type * as orderAuthorities from "./orderAuthority.js";
 import type * as ports from "./ports.js";
 
 /** Interval at which the balance is looked at, in milliseconds. */
 const LOOK_EVERY_MS = 300;
 
-/** Time for an engine's answer to an order or a question, in milliseconds. */
-const CALL_TIMEOUT_MS = 1_500;
-
 /**
  * Time for which an engine gets no new work after an order, in milliseconds: it
  * finishes what runs and is away some seconds. Its registered role ends the wait
- * sooner; an order whose answer was lost may be carried out up to 12 s later.
+ * sooner.
  */
 const CHANGING_MS = 12_500;
 
+/**
+ * Time for which an engine that gave no answer, or was busy, is asked last, in
+ * milliseconds: as long as a silent engine's entry outlives it.
+ */
+const RELUCTANT_MS = 5_000;
+
 const OK = 200;
 const ACCEPTED = 202;
 const FENCED = 412;
 
-interface EngineAnswer {
-  readonly status: number;
-  readonly body: Buffer;
-}
-
 /** What changing roles needs. */
 export interface RoleChangerParts {
   readonly context: contexts.ServingContext;
@@ -39,7 +38,10 @@
 /** Gives engines another role when the mix of prompts and answers has shifted for good. */
 export class RoleChanger {
   readonly #parts: RoleChangerParts;
+  readonly #calls: engineCalls.EngineCalls;
   readonly #balances = new Map<string, serving.RoleBalance>();
+  /** Engines that gave no answer or were busy, with the instant until which others are asked first, in milliseconds. */
+  readonly #reluctantUntil = new Map<string, number>();
   readonly #loggedOutlooks = new Map<string, string>();
   #busy = false;
   #timer: NodeJS.Timeout | undefined;
@@ -47,6 +49,7 @@
   /** @param parts - what it needs */
   constructor(parts: RoleChangerParts) {
     this.#parts = parts;
+    this.#calls = new engineCalls.EngineCalls(parts.context);
   }
 
   /** Begins to look at the balance. */
@@ -91,6 +94,7 @@
       role: view.roleToCome(engine, now),
       running: board.running(engine.id, now),
       slots: engine.slots,
+      reluctant: (this.#reluctantUntil.get(engine.id) ?? 0) > now,
     }));
     return this.#balance(service).decide({ engines, readTokensPerMs: this.#parts.readTokensPerMs(), now });
   }
@@ -126,40 +130,70 @@
 
   async #carryOut(service: string, change: serving.RoleChange): Promise<void> {
     const { context, authority } = this.#parts;
-    const { format, log, view } = context;
-    const engine = view.directory.serving(service).find((each) => each.id === change.endpointId);
+    const engine = context.view.directory.serving(service).find((each) => each.id === change.endpointId);
     if (engine === undefined) return;
     this.changed(service, 0);
-    const asked = await this.#ask(engine, format.engineQuestion());
-    const state = asked === undefined ? undefined : format.readEngineState(asked.body);
-    if (state?.isOk() !== true || state.value.busy) {
-      log.info("role-change-put-off", { endpoint: engine.id, reason: state === undefined ? "no answer" : "busy" });
+    const state = await this.#calls.askState(engine);
+    if (state.isErr() || state.value.busy) {
+      this.#putOff(engine, state.isErr() ? state.error : "busy");
       return;
     }
     // Between question and order the authority may have ended; the last look is right before sending.
     const token = authority.token();
     if (token === undefined) return;
     const order = { role: change.role, holder: context.settings.vm, token, expectedOrders: state.value.ordersAccepted };
+    if (await this.#give(engine, change, order)) await this.#tellChange(service, engine.id, change.role);
+  }
+
+  /** @returns whether the engine carries the order out */
+  async #give(engine: serving.Endpoint, change: serving.RoleChange, order: ports.RoleOrder): Promise<boolean> {
+    const { context, authority } = this.#parts;
+    const { log, view } = context;
     view.changing.set(engine.id, { until: performance.now() + CHANGING_MS, role: change.role });
-    const answer = await this.#ask(engine, format.roleOrder(order));
+    const status = await this.#calls.order(engine, order);
     log.info("role-change", {
       endpoint: engine.id,
       from: engine.role,
       to: change.role,
-      token,
+      token: order.token,
       expectedOrders: order.expectedOrders,
       readingLoad: change.readingLoad.toFixed(2),
       streamsEach: change.streamsEach.toFixed(1),
-      status: answer?.status ?? "no answer",
+      status: status ?? "no answer",
     });
     context.metrics.count("role_orders");
-    if (answer?.status === FENCED) authority.refused();
-    const carriedOut = answer === undefined || answer.status === ACCEPTED || answer.status === OK;
-    if (!carriedOut) {
-      view.changing.delete(engine.id);
-      return;
+    if (status === FENCED) authority.refused();
+    const accepted = status === undefined ? await this.#wasAccepted(engine, order) : isAcceptance(status);
+    if (!accepted) view.changing.delete(engine.id);
+    return accepted;
+  }
+
+  /**
+   * An order without an answer is open until the engine has been asked again. One
+   * that was lost on the way would otherwise keep the engine out of use, and the
+   * service without its role, for the whole time of a change. If the engine has
+   * accepted none since, the order may be given again: both name the number of
+   * orders before them, so that only one of two that arrive is carried out.
+   */
+  async #wasAccepted(engine: serving.Endpoint, order: ports.RoleOrder): Promise<boolean> {
+    const state = await this.#calls.askState(engine);
+    if (state.isErr()) {
+      this.#putOff(engine, state.error);
+      return false;
     }
-    await this.#tellChange(service, engine.id, change.role);
+    const accepted = state.value.busy || state.value.ordersAccepted !== order.expectedOrders;
+    this.#parts.context.log.info("role-change-read-back", {
+      endpoint: engine.id,
+      accepted,
+      expectedOrders: order.expectedOrders,
+      ordersAccepted: state.value.ordersAccepted,
+    });
+    return accepted;
+  }
+
+  #putOff(engine: serving.Endpoint, reason: string): void {
+    this.#reluctantUntil.set(engine.id, performance.now() + RELUCTANT_MS);
+    this.#parts.context.log.info("role-change-put-off", { endpoint: engine.id, reason });
   }
 
   /** All daemons rest after a change, also those that may take the authority over. */
@@ -169,37 +203,8 @@
     const written = await this.#parts.store.write({ conditions: [], puts: [put], removals: [] });
     if (written.isErr()) this.#parts.context.log.warn("role-change-not-told", { detail: written.error.detail });
   }
+}
 
-  #ask(engine: serving.Endpoint, call: ports.EngineCall): Promise<EngineAnswer | undefined> {
-    return new Promise((resolve) => {
-      const chunks: Buffer[] = [];
-      let status = 0;
-      const timer = setTimeout(() => {
-        sending.cancel();
-        resolve(undefined);
-      }, CALL_TIMEOUT_MS);
-      const done = (answer: EngineAnswer | undefined): void => {
-        clearTimeout(timer);
-        resolve(answer);
-      };
-      const sending = this.#parts.context.client.send(
-        engine,
-        {
-          method: call.method,
-          path: call.path,
-          headers: call.headers(engine.id),
-          body: call.body === undefined ? undefined : Buffer.from(call.body),
-        },
-        {
-          onHead: (answerStatus) => {
-            status = answerStatus;
-            return true;
-          },
-          onData: (chunk) => chunks.push(chunk),
-          onEnd: () => done({ status, body: Buffer.concat(chunks) }),
-          onBroken: () => done(undefined),
-        },
-      );
-    });
-  }
+function isAcceptance(status: number): boolean {
+  return status === ACCEPTED || status === OK;
 }
--- a/packages/serving/src/roleBalance.ts
+++ b/packages/serving/src/roleBalance.ts
@@ -18,6 +18,8 @@
   readonly running: number;
   /** Requests that it serves at once. */
   readonly slots: number;
+  /** Whether it lately gave no answer, or was busy with an order, when it was asked. */
+  readonly reluctant: boolean;
 }
 
 /** What the balance thinks of the present split, for the log. */
@@ -94,7 +96,7 @@
  * without it.
  */
 export class RoleBalance {
-  #reasonSince: number | undefined;
+  #reasonSince = 0;
   #reasonRole = directories.EngineRole.None;
   #changedAt = Number.NEGATIVE_INFINITY;
   #outlook: RoleOutlook | undefined;
@@ -107,7 +109,8 @@
   /** @param now - instant at which a change, here or at another daemon, was made, in milliseconds */
   changed(now: number): void {
     this.#changedAt = Math.max(this.#changedAt, now);
-    this.#reasonSince = undefined;
+    // The reason has to hold anew, from the next look on: a change that came to nothing is tried again after it.
+    this.#reasonRole = directories.EngineRole.None;
   }
 
   /**
@@ -124,16 +127,16 @@
     }
     const rest = Math.min(urgent ? URGENT_REST_MS : REST_MS.ofFleet, restMs(inputs.engines.length));
     const restLeftMs = decode.length > 0 ? Math.max(0, this.#changedAt + rest - inputs.now) : 0;
-    const heldMs = inputs.now - (this.#reasonSince ?? inputs.now);
+    const heldMs = inputs.now - this.#reasonSince;
     this.#outlook = { wanted, urgent, prefill: prefill.length, decode: decode.length, heldMs, restMs: restLeftMs };
     if (wanted === directories.EngineRole.None) return undefined;
     if (restLeftMs > 0) return undefined;
     if (heldMs < (urgent ? URGENT_HOLDS_MS : REASON_HOLDS_MS)) return undefined;
     const from = wanted === directories.EngineRole.Prefill ? decode : prefill;
-    const idlest = [...from].sort((left, right) => left.running - right.running || (left.id < right.id ? -1 : 1))[0];
-    if (idlest === undefined) return undefined;
+    const chosen = [...from].sort(byReadiness)[0];
+    if (chosen === undefined) return undefined;
     return {
-      endpointId: idlest.id,
+      endpointId: chosen.id,
       role: wanted,
       readingLoad: inputs.readTokensPerMs / Math.max(1, prefill.length * PREFILL_TOKENS_PER_MS),
       streamsEach: streams(decode) / Math.max(1, decode.length),
@@ -141,6 +144,16 @@
   }
 }
 
+/**
+ * The idlest first, as it changes soonest. One that answered no question comes
+ * last: it gets no work, so it would be the idlest for ever, and every change
+ * would be tried there in vain.
+ */
+function byReadiness(left: BalancedEngine, right: BalancedEngine): number {
+  if (left.reluctant !== right.reluctant) return left.reluctant ? 1 : -1;
+  return left.running - right.running || (left.id < right.id ? -1 : 1);
+}
+
 function restMs(engines: number): number {
   return Math.max(REST_MS.least, REST_MS.ofFleet * Math.min(1, REST_MS.fleet / Math.max(1, engines)));
 }
--- a/packages/serving/tests/roleBalance.test.ts
+++ b/packages/serving/tests/roleBalance.test.ts
@@ -11,12 +11,14 @@
       role: serving.EngineRole.Prefill,
       running: 1,
       slots: 64,
+      reluctant: false,
     })),
     ...Array.from({ length: decode }, (_, index) => ({
       id: `d${index}`,
       role: serving.EngineRole.Decode,
       running,
       slots: 64,
+      reluctant: false,
     })),
   ];
 }
@@ -107,4 +109,21 @@
   assert.is(change?.role, serving.EngineRole.Decode);
 });
 
+// The order came to nothing: the engine was busy. The wish stays the same all the while, and has to lead to another
+// try once it has held again.
+suite("a change that came to nothing is tried again while the wish stays the same", () => {
+  const balance = new serving.RoleBalance();
+  const inputs = { engines: engines(2, 0, 0), readTokensPerMs: 10 };
+  assert.is(run(balance, inputs, 0, 2_000)?.endpointId, "p0");
+  balance.changed(2_000);
+  assert.is(run(balance, inputs, 2_000, 4_000)?.endpointId, "p0");
+});
+
+suite("an engine that gave no answer is asked after all others", () => {
+  const [deaf, ...others] = engines(2, 0, 0);
+  assert.ok(deaf);
+  const inputs = { engines: [{ ...deaf, reluctant: true, running: 0 }, ...others], readTokensPerMs: 10 };
+  assert.is(run(new serving.RoleBalance(), inputs, 0, 2_000)?.endpointId, "p1");
+});
+
 suite.run();
