Split the exchange by job

One class of 626 lines held the whole way of a request, so that every change to one part of it had to be read against all others.

- servedRequest: what is known of the request (route, service, tries, sends, whether it may have run) and what follows a send without an answer
- sendChooser: where it goes next (candidates, engines, admission)
- activeSend, silenceWatch: the send under way and its silence
- promptMemory: the handle of a prompt that an engine has read
- promptReceiver, answerReceiver, answerBody: the answers, whole or as a stream
- endpointLessons: what a send says of its endpoint
- requestEnd: the one end (pass, stream's end, reject, give) and its line
- sendCourse: the sends one after the other
- exchange: arrival, deadline, the caller's leaving; its surface is unchanged

Lines, headers and the order of random draws stay as they were. The mutation of the answer's request id now names answerReceiver.js; it is killed as before.

Checked: npm test 176 passed, 0 failed; lint clean; the bundle builds.

--- /dev/null
+++ b/packages/gateway/src/answerReceiver.ts
@@ -0,0 +1,69 @@
+import * as serving from "@camphorcourse/serving";
+import * as answerBodies from "./answerBody.js";
+import type * as endpointClients from "./endpointClient.js";
+import type * as exchangeParts from "./exchangeParts.js";
+
+const HTTP_OK = 200;
+const CLIENT_ERRORS_FROM = 400;
+
+/** Takes an endpoint's answer to a request, and judges whether it is this request's and whole. */
+export class AnswerReceiver implements endpointClients.AnswerReceiver {
+  readonly #send: exchangeParts.AnsweredSend;
+  readonly #isStream: boolean;
+  #body: answerBodies.AnswerBody | undefined;
+  #status = 0;
+  #notRun = false;
+  #sealed = false;
+
+  /** @param send - the send that is answered */
+  constructor(send: exchangeParts.AnsweredSend) {
+    this.#send = send;
+    this.#isStream = send.served.route.requestClass === serving.RequestClass.Stream;
+  }
+
+  /** {@inheritDoc endpointClients.AnswerReceiver.onHead} */
+  onHead(status: number, headers: endpointClients.AnswerHeaders): boolean {
+    const { active, context, served } = this.#send;
+    const head = context.format.readAnswer(status, headers);
+    this.#status = status;
+    this.#notRun = head.notRun;
+    this.#sealed = head.sealed;
+    this.#body = this.#openBody(status, headers);
+    if (head.misdirected) context.onMisdirected(active.endpoint, head.endpointId);
+    if (head.requestId !== undefined) return head.requestId === served.id;
+    return head.notRun || status >= CLIENT_ERRORS_FROM;
+  }
+
+  /** {@inheritDoc endpointClients.AnswerReceiver.onData} */
+  onData(chunk: Buffer): void {
+    this.#body?.onData(chunk);
+  }
+
+  /** {@inheritDoc endpointClients.AnswerReceiver.onEnd} */
+  onEnd(): void {
+    const { active, results } = this.#send;
+    if (!results.end(active)) return;
+    if (this.#notRun) {
+      results.failed(active, serving.SendFate.Declined, `status ${this.#status}`);
+    } else if (this.#status < CLIENT_ERRORS_FROM && !this.#sealed) {
+      results.failed(active, serving.SendFate.Unknown, "the answer bears no seal");
+    } else {
+      this.#body?.onEnd();
+    }
+  }
+
+  /** {@inheritDoc endpointClients.AnswerReceiver.onBroken} */
+  onBroken(fate: serving.SendFate, detail: string): void {
+    const { active, results } = this.#send;
+    if (!results.end(active)) return;
+    results.failed(active, this.#notRun ? serving.SendFate.Declined : fate, detail);
+  }
+
+  #openBody(status: number, headers: endpointClients.AnswerHeaders): answerBodies.AnswerBody {
+    const head = { status, headers };
+    if (this.#isStream && status === HTTP_OK) {
+      return new answerBodies.StreamBody(this.#send, head);
+    }
+    return new answerBodies.WholeBody(this.#send, head);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/promptMemory.ts
@@ -0,0 +1,48 @@
+import * as serving from "@camphorcourse/serving";
+import type * as contexts from "./context.js";
+
+/** A prompt read at one engine, to be gone on with at another. */
+export interface HandedOver {
+  readonly reader: serving.Endpoint;
+  readonly handle: string;
+}
+
+/** The memory that an engine keeps of a request's prompt, until another engine goes on with it. */
+export class PromptMemory {
+  readonly #context: contexts.ServingContext;
+  #handedOver: HandedOver | undefined;
+
+  /** @param context - what serving needs */
+  constructor(context: contexts.ServingContext) {
+    this.#context = context;
+  }
+
+  /** @returns the prompt that was read, as long as nobody has gone on with it */
+  get handedOver(): HandedOver | undefined {
+    return this.#handedOver;
+  }
+
+  /** @param handedOver - a prompt that was read */
+  keep(handedOver: HandedOver): void {
+    this.#handedOver = handedOver;
+  }
+
+  /** An engine has gone on with it, or may have. */
+  noteTaken(): void {
+    this.#handedOver = undefined;
+  }
+
+  /** Memory of a prompt that nobody goes on with is freed instead of being kept until it lapses. */
+  free(): void {
+    const handedOver = this.#handedOver;
+    this.#handedOver = undefined;
+    if (handedOver === undefined) return;
+    const call = this.#context.format.freeHandle(handedOver.handle);
+    const ignore = (): void => undefined;
+    this.#context.client.send(
+      handedOver.reader,
+      { method: call.method, path: call.path, headers: [], body: undefined },
+      { onHead: () => true, onData: ignore, onEnd: ignore, onBroken: ignore },
+    );
+  }
+}
