Let an exchange be ended at once with its true answer

A process that ends by force cuts what is open, and the callers learn nothing. Exchange.endNow(reason) gives an open request the answer that is true at that moment: the usual rejection with Retry-After if nothing of it can have run, 502 if a send may have run it (one that an endpoint is answering included), and a stream that has begun is broken off. Nothing calls it yet.

The tests drive an exchange over a client that keeps its sends.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -9,6 +9,7 @@
 import * as sendCourses from "./sendCourse.js";
 import * as servedRequests from "./servedRequest.js";
 
+const BAD_GATEWAY = 502;
 const GATEWAY_TIMEOUT = 504;
 
 /** One request of a caller, from its arrival to its one final answer. */
@@ -61,6 +62,18 @@
     this.#end.callerLeft();
   }
 
+  /**
+   * Gives the request its true final answer at once: to come back if nothing of
+   * it can have run, else that its answer is lost. A stream is broken off.
+   *
+   * @param reason - why, for the log
+   */
+  endNow(reason: string): void {
+    if (this.#end.over) return;
+    if (this.#mayHaveRun()) this.#end.give(BAD_GATEWAY, reason, "the request may have run and its answer is lost");
+    else this.#end.reject(reason);
+  }
+
   #onDeadline(): void {
     if (this.#end.over) return;
     const { active } = this.#course;
--- /dev/null
+++ b/packages/gateway/tests/helpers/exchangeStand.ts
@@ -0,0 +1,214 @@
+import * as http from "node:http";
+import * as net from "node:net";
+import * as common from "@camphorcourse/common";
+import * as serving from "@camphorcourse/serving";
+import * as neverthrow from "neverthrow";
+import * as callerAnswers from "../../src/callerAnswer.js";
+import * as contexts from "../../src/context.js";
+import * as decisionLogs from "../../src/decisionLog.js";
+import * as endpointClients from "../../src/endpointClient.js";
+import * as exchanges from "../../src/exchange.js";
+import * as fleetViews from "../../src/fleetView.js";
+import * as metricsModule from "../../src/metrics.js";
+import type * as ports from "../../src/ports.js";
+import type * as settingsModule from "../../src/settings.js";
+
+const SEED = 5;
+
+/** Age of the process in milliseconds: a young one has no repeats to spend. */
+const PROCESS_AGE_MS = 10_000;
+
+/** One send, as the test sees it: it answers by the receiver. */
+export interface SeenSend {
+  readonly endpoint: serving.Endpoint;
+  readonly path: string;
+  readonly receiver: endpointClients.AnswerReceiver;
+  cancelled: boolean;
+}
+
+/** Keeps sends instead of sending. */
+class KeepingClient extends endpointClients.EndpointClient {
+  readonly sends: SeenSend[] = [];
+
+  override send(
+    endpoint: serving.Endpoint,
+    request: endpointClients.OutgoingRequest,
+    receiver: endpointClients.AnswerReceiver,
+  ): endpointClients.Sending {
+    const seen: SeenSend = { endpoint, path: request.path, receiver, cancelled: false };
+    this.sends.push(seen);
+    return {
+      cancel: () => {
+        seen.cancelled = true;
+      },
+      pause: () => undefined,
+      resume: () => undefined,
+    };
+  }
+}
+
+/** An answer of the daemon's own. */
+export interface Refusal {
+  readonly status: number;
+  readonly headers: readonly string[];
+}
+
+/** Notes what the caller is told. */
+class NotingAnswer extends callerAnswers.CallerAnswer {
+  readonly refusals: Refusal[] = [];
+  brokenOff = 0;
+
+  constructor() {
+    super(new http.ServerResponse(new http.IncomingMessage(new net.Socket())), () => false);
+  }
+
+  override refuse(status: number, detail: string, headers: readonly string[] = []): void {
+    this.refusals.push({ status, headers });
+    super.refuse(status, detail, headers);
+  }
+
+  override breakOff(): void {
+    this.brokenOff++;
+    super.breakOff();
+  }
+}
+
+const unused = (): never => {
+  throw new Error("not used");
+};
+
+const FORMAT: ports.MessageFormat = {
+  retryAfterHeader: "retry",
+  readCaller: unused,
+  writeSend: () => [],
+  readAnswer: (status, headers) => ({
+    requestId: "request-1",
+    sealed: headers.sealed !== undefined,
+    notRun: status === 503,
+    misdirected: false,
+    endpointId: undefined,
+  }),
+  readHandle: (body) => neverthrow.ok({ handle: Buffer.from(body).toString() }),
+  freeHandle: (handle) => ({ method: "DELETE", path: `/free/${handle}` }),
+  engineQuestion: unused,
+  readEngineState: unused,
+  roleOrder: unused,
+};
+
+const SETTINGS: settingsModule.GatewaySettings = {
+  vm: "vm-1",
+  dataCentre: "a",
+  region: "r",
+  dataCentres: { a: "r" },
+  callers: { host: "127.0.0.1", port: 0 },
+  readiness: { host: "127.0.0.1", port: 0 },
+  addresses: { host: "127.0.0.1", port: 0 },
+  metrics: { host: "127.0.0.1", port: 0 },
+  peers: { host: "127.0.0.1", port: 0 },
+  retryBounds: { ratio: 0.2, extra: 50, windowMs: 1_000 },
+  stopGraceMs: 1_000,
+  addressTtlSeconds: 2,
+  orderLeaseMs: 600,
+  logLevel: "info",
+};
+
+const PROMPT: serving.Prompt = {
+  model: "m",
+  parts: [
+    { id: "shared", tokens: 4_000 },
+    { id: "own", tokens: 2_000 },
+  ],
+  promptTokens: 6_000,
+  outputTokens: 50,
+};
+
+const LIMITS = { headerBytes: 16_384, bodyBytes: 100_000, headerTimeoutMs: 1_000, idleTimeoutMs: 5_000 };
+const ENGINE = { slots: 8, memoryTokens: 100_000, handleMs: 5_000 };
+
+function route(requestClass: serving.RequestClass): serving.Route {
+  return {
+    name: "route",
+    host: "desk",
+    pathPrefix: "/",
+    requestClass,
+    resumable: true,
+    carriesPrompt: requestClass === serving.RequestClass.Stream,
+    timeoutMs: 60_000,
+    objectiveMs: 10_000,
+    pauseMs: 10_000,
+    priority: 0,
+    attempts: 2,
+    shares: [{ service: "service", weight: 1 }],
+  };
+}
+
+/** One request of a caller, with endpoints whose answers the test gives. */
+export class ExchangeStand {
+  readonly answer = new NotingAnswer();
+  readonly exchange: exchanges.Exchange;
+  readonly #lines: string[] = [];
+  readonly #client = new KeepingClient(() => undefined);
+  readonly #context: contexts.ServingContext;
+
+  /**
+   * @param requestClass - class of the request; a stream carries a prompt
+   * @param roles - roles of the endpoints that there are
+   */
+  constructor(requestClass: serving.RequestClass, roles: readonly serving.EngineRole[]) {
+    const view = new fleetViews.FleetView();
+    const ownRoute = route(requestClass);
+    const engine = requestClass === serving.RequestClass.Stream ? ENGINE : undefined;
+    const services = [{ name: "service", maxConnections: 100, engine }];
+    view.configure({ version: 1, routes: [ownRoute], services, limits: LIMITS }, new Uint8Array(), 1);
+    for (const [index, role] of roles.entries()) {
+      const address = `127.0.0.1:${index + 1}`;
+      const known = { service: "service", address, dataCentre: "a", slots: 8, role, leaving: false };
+      view.directory.put({ id: `e${index}`, ...known }, index + 1);
+    }
+    const sink = { writableLength: 0, write: (line: string) => this.#lines.push(line) > 0 };
+    this.#context = {
+      settings: SETTINGS,
+      log: new decisionLogs.DecisionLog("vm-1", "info", sink),
+      metrics: new metricsModule.Metrics(),
+      format: FORMAT,
+      view,
+      board: new serving.EngineBoard(),
+      health: new serving.EndpointHealth(),
+      readDemand: new serving.FadingRate(),
+      client: this.#client,
+      budgets: new contexts.RetryBudgets(SETTINGS.retryBounds, performance.now() - PROCESS_AGE_MS),
+      random: new common.SeededRandom(SEED),
+      onMisdirected: () => undefined,
+      liveDaemons: () => 1,
+    };
+    const prompt = engine === undefined ? undefined : PROMPT;
+    const headers = { requestId: "request-1", deadlineMs: undefined, lastEventId: undefined, prompt, passedOn: [] };
+    const request = { method: "POST", target: "/x", host: "desk", path: "/x", headers, arrivedAt: performance.now() };
+    this.exchange = new exchanges.Exchange(this.#context, request, ownRoute, Buffer.from("body"), this.answer);
+  }
+
+  /** @returns all sends so far, in their order */
+  get sends(): readonly SeenSend[] {
+    return this.#client.sends;
+  }
+
+  /** @returns the lines that tell of the request's end */
+  get endLines(): string[] {
+    return this.#lines.filter((line) => line.includes("event=request-end"));
+  }
+
+  /** @returns requests that the board takes for running, at all endpoints */
+  get running(): number {
+    return [...this.#context.board.ownWork().values()].reduce((sum, work) => sum + work.running, 0);
+  }
+
+  /**
+   * @param index - the send
+   * @returns the send
+   */
+  send(index: number): SeenSend {
+    const seen = this.#client.sends[index];
+    if (seen === undefined) throw new Error(`there is no send ${index}`);
+    return seen;
+  }
+}
