--- /dev/null
+++ b/packages/core/tests/helpers/actionCarrier.ts
@@ -0,0 +1,110 @@
+import * as core from "../../src/index.js";
+import type * as fakeControlStores from "./fakeControlStore.js";
+import type * as fakeEndpoints from "./fakeEndpoints.js";
+import type * as fakeEngineOrders from "./fakeEngineOrders.js";
+import * as peerQuestions from "./peerQuestions.js";
+import type * as surroundings from "./surroundings.js";
+
+/** What actions are carried out on. */
+export interface CarrierParts {
+  readonly round: surroundings.Surroundings;
+  readonly control: fakeControlStores.FakeControlStore;
+  readonly endpoints: fakeEndpoints.FakeEndpoints;
+  readonly engines: fakeEngineOrders.FakeEngineOrders;
+  readonly nodeOf: (vm: string) => surroundings.Node | undefined;
+  /** Hands a process an event, even if another runs on its VM by now. */
+  readonly handle: (vm: string, node: surroundings.Node, event: core.CoreEvent) => void;
+  readonly onDispatched: (vm: string, action: core.DispatchAction) => void;
+}
+
+/** Carries the cores' actions out on the fakes round them. */
+export class ActionCarrier {
+  readonly #parts: CarrierParts;
+  readonly #questions: peerQuestions.PeerQuestions;
+
+  /** @param parts - what actions are carried out on */
+  constructor(parts: CarrierParts) {
+    this.#parts = parts;
+    this.#questions = new peerQuestions.PeerQuestions(parts.round, (vm, event) => {
+      this.#deliver(vm, event);
+    });
+  }
+
+  /**
+   * @param vm - whose process acts
+   * @param node - the process
+   * @param action - what it wants done
+   */
+  carryOut(vm: string, node: surroundings.Node, action: core.Action): void {
+    const reply: surroundings.Reply = (event) => {
+      this.#parts.round.afterCall(() => {
+        this.#parts.handle(vm, node, event);
+      });
+    };
+    switch (action.type) {
+      case core.ActionType.Transact:
+        this.#parts.control.transact(node, action.transaction, (result) => {
+          reply({ type: core.EventType.Transacted, token: action.token, result });
+        });
+        break;
+      case core.ActionType.ReadKeys:
+        this.#parts.control.readKeys(action.prefix, action.token, reply);
+        break;
+      case core.ActionType.RenewLease:
+        this.#parts.control.renew(action.lease, reply);
+        break;
+      case core.ActionType.AskClaim:
+        this.#questions.askClaim(action, reply);
+        break;
+      case core.ActionType.AnswerClaims:
+        for (const answer of action.answers) this.#questions.settle(answer.claim.attempt, answer);
+        break;
+      case core.ActionType.AskJoin:
+        this.#questions.askJoin(action, reply);
+        break;
+      case core.ActionType.AnswerJoin:
+        this.#questions.settle(action.join, action);
+        break;
+      case core.ActionType.Dispatch:
+        this.#parts.endpoints.dispatch(action, () => this.#parts.onDispatched(vm, action), reply);
+        break;
+      case core.ActionType.Refuse:
+        this.#parts.endpoints.tellCaller(action.request, action.problem.outcome, action.problem);
+        break;
+      case core.ActionType.Relay:
+        this.#parts.endpoints.tellCaller(action.request, "answered");
+        break;
+      case core.ActionType.SendOrder:
+        this.#parts.engines.send(node, action, reply);
+        break;
+      case core.ActionType.AskDepose:
+        this.#askDepose(action, reply);
+        break;
+      case core.ActionType.PushRecords:
+        this.#parts.round.afterCall(() => {
+          const { records, completeRevision } = action;
+          this.#deliver(action.to.vm, { type: core.EventType.ControlChanges, records, completeRevision });
+        });
+        break;
+      default:
+        break;
+    }
+  }
+
+  #askDepose(action: Extract<core.Action, { type: core.ActionType.AskDepose }>, reply: surroundings.Reply): void {
+    const { vm, shard, epoch } = action;
+    this.#parts.round.afterCall(() => {
+      const node = this.#parts.nodeOf(vm);
+      if (!node?.alive || node.pausedUntil > this.#parts.round.time.now) return;
+      this.#parts.handle(vm, node, { type: core.EventType.DeposeAsked, shard, epoch });
+      for (const token of node.orderTokens) token.cancelled = true;
+      const { incarnation } = node.core.registration;
+      reply({ type: core.EventType.DeposeAnswered, vm, shard, epoch, incarnation, reset: true });
+    });
+  }
+
+  #deliver(vm: string, event: core.CoreEvent): void {
+    const node = this.#parts.nodeOf(vm);
+    if (node) this.#parts.handle(vm, node, event);
+  }
+}
