Take the control events out of the core's front door

core.ts told every event of the fleet's control to its desks besides the events of requests. controlEvents.ts now takes those of the key-value service, peers, VMs, reports and orders, and the lines that go with them; core.ts (449 lines, now 370) keeps what is asked of it, requests, ticks and the stop.

--- /dev/null
+++ b/packages/core/src/controlEvents.ts
@@ -0,0 +1,141 @@
+import * as actions from "./actions.js";
+import type * as claimDesk from "./claimDesk.js";
+import type * as controlFollower from "./controlFollower.js";
+import type * as controlStore from "./controlStore.js";
+import * as events from "./events.js";
+import type * as keyValue from "./keyValueTypes.js";
+import type * as leaseDesk from "./leaseDesk.js";
+import type * as leases from "./leases.js";
+import type * as membership from "./membership.js";
+import type * as orderContext from "./orderContext.js";
+import type * as orderDesk from "./orderDesk.js";
+import type * as peerView from "./peerView.js";
+import * as timeline from "./timeline.js";
+import type * as viewFreshness from "./viewFreshness.js";
+
+/** What events of the fleet's control change. */
+export interface ControlParts {
+  readonly store: controlStore.ControlStore;
+  readonly follower: controlFollower.ControlFollower;
+  readonly freshness: viewFreshness.ViewFreshness;
+  readonly leaseDesk: leaseDesk.LeaseDesk;
+  readonly claimDesk: claimDesk.ClaimDesk;
+  readonly orderDesk: orderDesk.OrderDesk;
+  readonly peerView: peerView.PeerView;
+  readonly roster: membership.Roster;
+  readonly shards: leases.ShardLeases;
+  readonly loads: Map<string, orderContext.SeenLoad>;
+  emit(action: actions.Action): void;
+}
+
+/** Takes the events that are of no single request: of the key-value service, peers, VMs, endpoints' reports, orders. */
+export class ControlEvents {
+  readonly #parts: ControlParts;
+
+  /** @param parts - what the events change */
+  constructor(parts: ControlParts) {
+    this.#parts = parts;
+  }
+
+  /**
+   * @param event - what happened; an event of a request has no effect
+   * @param now - current time
+   */
+  apply(event: events.CoreEvent, now: number): void {
+    switch (event.type) {
+      case events.EventType.ControlSnapshot:
+        this.#parts.freshness.onKeyValueHeard(now);
+        this.#parts.follower.apply(this.#parts.store.difference(event.records, event.revision), now);
+        this.#parts.store.completeUpTo(event.revision);
+        break;
+      case events.EventType.ControlChanges:
+        this.#parts.follower.apply(event.records, now);
+        if (event.completeRevision !== undefined) this.#parts.store.completeUpTo(event.completeRevision);
+        break;
+      case events.EventType.KeyValueHeard:
+        this.#onKeyValueHeard(event.revision, now);
+        break;
+      case events.EventType.KeyValueFailed:
+        this.#parts.leaseDesk.onFailed();
+        if (this.#parts.freshness.onKeyValueFailed(now)) this.#note(timeline.EventKind.KeyValueLost);
+        break;
+      case events.EventType.LeaseRenewed:
+        this.#parts.leaseDesk.onRenewed(event.lease, event.sentAt, event.ttlMs);
+        break;
+      case events.EventType.LeaseLost:
+        this.#parts.leaseDesk.onLost(now);
+        this.#note(timeline.EventKind.LeaseLost);
+        break;
+      case events.EventType.Transacted:
+        this.#onTransacted(event.token, event.result, now);
+        break;
+      case events.EventType.KeysRead:
+        this.#onKeysRead(event.token, event.records, now);
+        break;
+      case events.EventType.PeerHeard:
+        this.#onPeerHeard(event.report, now);
+        break;
+      case events.EventType.VmsListed:
+        this.#parts.roster.onVmList(event.vms);
+        break;
+      case events.EventType.LoadReported:
+        this.#parts.loads.set(event.report.endpoint, { report: event.report, at: now });
+        break;
+      case events.EventType.OrderAnswered:
+        this.#parts.orderDesk.onAnswered(event.endpoint, event.number, event.outcome, now);
+        break;
+      case events.EventType.DeposeAsked:
+        this.#parts.shards.depose(event.shard, event.epoch);
+        break;
+      case events.EventType.DeposeAnswered:
+        this.#parts.orderDesk.onDeposed(event.vm, event.incarnation, event.reset, event.shard);
+        break;
+      default:
+        break;
+    }
+  }
+
+  #onKeyValueHeard(revision: number, now: number): void {
+    if (this.#parts.freshness.onKeyValueHeard(now)) this.#note(timeline.EventKind.KeyValueBack);
+    if (this.#parts.store.appliedRevision > 0) this.#parts.store.completeUpTo(revision);
+  }
+
+  #onTransacted(token: string, result: keyValue.TransactionResult, now: number): void {
+    const [kind, ...rest] = token.split(":");
+    const name = rest.join(":");
+    if (kind === "claims") this.#parts.claimDesk.onWritten(result);
+    if (kind === "order") this.#parts.orderDesk.onWritten(name, result, now);
+    if (kind === "lease") this.#parts.leaseDesk.onShardWritten(name);
+    if (kind === "register") this.#parts.leaseDesk.onRegistered(result.outcome);
+  }
+
+  #onKeysRead(token: string, records: readonly keyValue.KeyRecord[] | undefined, now: number): void {
+    const [kind, ...rest] = token.split(":");
+    const name = rest.join(":");
+    if (kind === "claims") this.#parts.claimDesk.onRead(Number(name), records);
+    if (kind !== "order") return;
+    this.#parts.follower.apply(records ?? [], now);
+    this.#parts.orderDesk.onReadBack(name, records !== undefined, now);
+  }
+
+  #onPeerHeard(report: membership.PeerReport, now: number): void {
+    const peer = this.#parts.roster.get(report.vm);
+    this.#parts.peerView.learnDemand(peer?.report, report, now);
+    this.#parts.roster.onHeard(report, now);
+    this.#parts.freshness.onPeerHeard();
+    this.#parts.peerView.sumUp(now);
+    const behind = report.appliedRevision < this.#parts.store.appliedRevision;
+    if (!peer || report.keyValueReachable || !behind) return;
+    // The peer is cut off from the key-value service: it gets here what the watch would have told it.
+    this.#parts.emit({
+      type: actions.ActionType.PushRecords,
+      to: peer.registration,
+      records: this.#parts.store.changesSince(report.appliedRevision),
+      completeRevision: this.#parts.store.appliedRevision,
+    });
+  }
+
+  #note(kind: timeline.EventKind): void {
+    this.#parts.emit({ type: actions.ActionType.Note, note: { kind, fields: {} } });
+  }
+}
--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -5,6 +5,7 @@
 import type * as claims from "./claims.js";
 import * as configuration from "./configuration.js";
 import * as constants from "./constants.js";
+import * as controlEvents from "./controlEvents.js";
 import * as controlFollower from "./controlFollower.js";
 import * as controlStore from "./controlStore.js";
 import * as events from "./events.js";
@@ -63,6 +64,7 @@
   readonly #peerView: peerView.PeerView;
   readonly #freshness = new viewFreshness.ViewFreshness();
   readonly #claimDesk: claimDesk.ClaimDesk;
+  readonly #control: controlEvents.ControlEvents;
   readonly #random: common.SeededRandom;
   readonly #pools = new Map<string, servicePool.ServicePool>();
   readonly #loads = new Map<string, orderContext.SeenLoad>();
@@ -119,6 +121,19 @@
         this.requestDesk.duplicates.onClaimAnswered(request, verdict, standing, this.#instant.now);
       },
     });
+    this.#control = new controlEvents.ControlEvents({
+      store: this.#store,
+      follower: this.#follower,
+      freshness: this.#freshness,
+      leaseDesk: this.#leaseDesk,
+      claimDesk: this.#claimDesk,
+      orderDesk: this.orderDesk,
+      peerView: this.#peerView,
+      roster: this.roster,
+      shards: this.shards,
+      loads: this.#loads,
+      emit: context.emit,
+    });
   }
 
   /** @returns this daemon's registration as it should stand */
@@ -279,65 +294,11 @@
       case events.EventType.ResumeEnded:
         this.#poolOfEndpoint(event.endpoint)?.endpoint(event.endpoint)?.onEnded(event.resume, now);
         break;
-      default:
-        this.#applyControl(event, now);
-    }
-  }
-
-  #applyControl(event: events.CoreEvent, now: number): void {
-    switch (event.type) {
-      case events.EventType.ControlSnapshot:
-        this.#freshness.onKeyValueHeard(now);
-        this.#follower.apply(this.#store.difference(event.records, event.revision), now);
-        this.#store.completeUpTo(event.revision);
-        break;
-      case events.EventType.ControlChanges:
-        this.#follower.apply(event.records, now);
-        if (event.completeRevision !== undefined) this.#store.completeUpTo(event.completeRevision);
-        break;
-      case events.EventType.KeyValueHeard:
-        this.#onKeyValueHeard(event.revision, now);
-        break;
-      case events.EventType.KeyValueFailed:
-        this.#leaseDesk.onFailed();
-        if (this.#freshness.onKeyValueFailed(now)) this.#note(timeline.EventKind.KeyValueLost, {});
-        break;
-      case events.EventType.LeaseRenewed:
-        this.#leaseDesk.onRenewed(event.lease, event.sentAt, event.ttlMs);
-        break;
-      case events.EventType.LeaseLost:
-        this.#leaseDesk.onLost(now);
-        this.#note(timeline.EventKind.LeaseLost, {});
-        break;
-      case events.EventType.Transacted:
-        this.#onTransacted(event.token, event.result, now);
-        break;
-      case events.EventType.KeysRead:
-        this.#onKeysRead(event.token, event.records, now);
-        break;
-      case events.EventType.PeerHeard:
-        this.#onPeerHeard(event.report, now);
-        break;
-      case events.EventType.VmsListed:
-        this.roster.onVmList(event.vms);
-        break;
-      case events.EventType.LoadReported:
-        this.#loads.set(event.report.endpoint, { report: event.report, at: now });
-        break;
-      case events.EventType.OrderAnswered:
-        this.orderDesk.onAnswered(event.endpoint, event.number, event.outcome, now);
-        break;
-      case events.EventType.DeposeAsked:
-        this.shards.depose(event.shard, event.epoch);
-        break;
-      case events.EventType.DeposeAnswered:
-        this.orderDesk.onDeposed(event.vm, event.incarnation, event.reset, event.shard);
-        break;
       case events.EventType.StopAsked:
         this.#onStopAsked();
         break;
       default:
-        break;
+        this.#control.apply(event, now);
     }
   }
 
@@ -373,11 +334,6 @@
     this.#follower.refreshEndpoints(now);
   }
 
-  #onKeyValueHeard(revision: number, now: number): void {
-    if (this.#freshness.onKeyValueHeard(now)) this.#note(timeline.EventKind.KeyValueBack, {});
-    if (this.#store.appliedRevision > 0) this.#store.completeUpTo(revision);
-  }
-
   #onStopAsked(): void {
     if (this.registration.leaving) return;
     this.#note(timeline.EventKind.Leaving, {});
@@ -399,41 +355,6 @@
     return result;
   }
 
-  #onTransacted(token: string, result: keyValue.TransactionResult, now: number): void {
-    const [kind, ...rest] = token.split(":");
-    const name = rest.join(":");
-    if (kind === "claims") this.#claimDesk.onWritten(result);
-    if (kind === "order") this.orderDesk.onWritten(name, result, now);
-    if (kind === "lease") this.#leaseDesk.onShardWritten(name);
-    if (kind === "register") this.#leaseDesk.onRegistered(result.outcome);
-  }
-
-  #onKeysRead(token: string, records: readonly keyValue.KeyRecord[] | undefined, now: number): void {
-    const [kind, ...rest] = token.split(":");
-    const name = rest.join(":");
-    if (kind === "claims") this.#claimDesk.onRead(Number(name), records);
-    if (kind !== "order") return;
-    this.#follower.apply(records ?? [], now);
-    this.orderDesk.onReadBack(name, records !== undefined, now);
-  }
-
-  #onPeerHeard(report: membership.PeerReport, now: number): void {
-    const peer = this.roster.get(report.vm);
-    this.#peerView.learnDemand(peer?.report, report, now);
-    this.roster.onHeard(report, now);
-    this.#freshness.onPeerHeard();
-    this.#peerView.sumUp(now);
-    const behind = report.appliedRevision < this.#store.appliedRevision;
-    if (!peer || report.keyValueReachable || !behind) return;
-    // The peer is cut off from the key-value service: it gets here what the watch would have told it.
-    this.#actions.push({
-      type: actions.ActionType.PushRecords,
-      to: peer.registration,
-      records: this.#store.changesSince(report.appliedRevision),
-      completeRevision: this.#store.appliedRevision,
-    });
-  }
-
   #poolOfEndpoint(endpoint: string): servicePool.ServicePool | undefined {
     const service = this.tree.endpoint(endpoint)?.serviceId;
     return service === undefined ? undefined : this.#pools.get(service);
