A stopping daemon takes only what it can finish, and answers what is left

Cause: for 6.4 of its 8 s a stopping daemon took whatever came, whatever time it needed. Streams with 10 s of patience that came 3.1 and 4.3 s after the signal were cut after 7.4 s, in the middle of their answers. Class: work is taken by the clock alone, not by whether it can end. Ruled out: a signal heard late (`event=stop` came within a millisecond), an engine that hung (14 to 25 requests a second ended there). The change: a module of decisions for the planned stop. For 2.5 s whatever comes is taken, as callers still move; after it only what is over by its own deadline before the process ends; the rest is told at once that it has not run. At the end each request without an answer gets its true one (503, or 502 if it may have run) instead of a broken connection. Also of this class: a process that stood still when the signal came counted its time from when it heard it. The event loop's last trace shows the gap; what is taken goes by the earliest instant, begun streams by the latest.

--- a/packages/gateway/src/callerListener.ts
+++ b/packages/gateway/src/callerListener.ts
@@ -1,4 +1,5 @@
 import * as http from "node:http";
+import * as net from "node:net";
 import type * as serving from "@camphorcourse/serving";
 import * as callerAnswers from "./callerAnswer.js";
 import * as callerRequests from "./callerRequest.js";
@@ -21,6 +22,9 @@
 /** Time after which a caller may try another daemon, in seconds. */
 const STOPPING_RETRY_AFTER = "0.050";
 
+/** Outcome in the log of a request that was open when the process ended. */
+const ENDED_BY_STOP = "cut-by-stop";
+
 const NOT_FOUND = 404;
 const PAYLOAD_TOO_LARGE = 413;
 const UNAVAILABLE = 503;
@@ -29,10 +33,10 @@
 export class CallerListener {
   readonly #context: contexts.ServingContext;
   readonly #server: http.Server;
-  #closing = false;
-  #refusing = false;
   /** Requests that were taken and have no final answer yet. */
-  readonly #taken = new Set<callerRequests.CallerRequest>();
+  readonly #taken = new Set<exchanges.Exchange>();
+  #plannedStop: serving.PlannedStop | undefined;
+  #doorClosed = false;
   #open = 0;
   #lastRequestAt = 0;
 
@@ -82,25 +86,32 @@
     this.#server.keepAliveTimeout = limits.idleTimeoutMs;
   }
 
-  /** From now on, each connection is closed after the answer that is under way on it. */
-  closeAfterAnswers(): void {
-    this.#closing = true;
+  /**
+   * From now on each connection is closed after its answer, and what can't end in time is told that it has not run.
+   *
+   * @param plannedStop - what is still taken
+   */
+  beginStop(plannedStop: serving.PlannedStop): void {
+    this.#plannedStop = plannedStop;
   }
 
-  /** From now on, no connection is taken, and each request that still comes is told that it has not run. */
-  refuseNew(): void {
-    if (this.#refusing) return;
-    this.#refusing = true;
+  /** From now on no connection is taken. */
+  closeDoor(): void {
+    if (this.#doorClosed) return;
+    this.#doorClosed = true;
     this.#context.log.info("refusing", { open: this.#open });
-    this.close();
+    // Not the HTTP server's own close: it also breaks connections whose last answer is still on its way to a slow reader.
+    net.Server.prototype.close.call(this.#server);
   }
 
-  /** The process ends: what is still open is cut, and the log tells which requests these are. */
-  logCut(): void {
-    const now = performance.now();
-    for (const { headers, arrivedAt } of this.#taken) {
-      this.#context.log.warn("cut-by-stop", { id: headers.requestId, tookMs: Math.round(now - arrivedAt) });
-    }
+  /** There is no time left for an answer to begin: each request without one gets its true final answer. */
+  endUnbegun(): void {
+    for (const exchange of [...this.#taken]) if (!exchange.answerHasBegun) exchange.endNow(ENDED_BY_STOP);
+  }
+
+  /** The process ends: what is still open gets its true final answer, instead of a connection that breaks. */
+  endOpen(): void {
+    for (const exchange of [...this.#taken]) exchange.endNow(ENDED_BY_STOP);
   }
 
   /** Takes no new connections, and closes those that are idle. */
@@ -117,7 +128,7 @@
     response.once("close", () => {
       this.#open--;
     });
-    const answer = new callerAnswers.CallerAnswer(response, () => this.#closing);
+    const answer = new callerAnswers.CallerAnswer(response, () => this.#plannedStop !== undefined);
     const limits = view.table?.configuration.limits ?? FIRST_LIMITS;
     const read = callerRequests.readCallerRequest(incoming, format, limits.headerBytes, now);
     if (read.isErr()) {
@@ -141,12 +152,6 @@
       return;
     }
     if (response.destroyed) return;
-    if (this.#refusing) {
-      log.info("refused-stopping", { id: request.headers.requestId });
-      const retry = [format.retryAfterHeader, STOPPING_RETRY_AFTER];
-      answer.refuse(UNAVAILABLE, "this daemon is stopping; come back to another one", retry);
-      return;
-    }
     const table = view.table;
     if (table === undefined) {
       log.info("no-configuration", { id: request.headers.requestId });
@@ -161,18 +166,30 @@
       answer.refuse(NOT_FOUND, "no route leads there; check the host and the path");
       return;
     }
-    this.#take(request, route, response);
-    exchange.current = new exchanges.Exchange(this.#context, request, route, body, answer);
-    exchange.current.start();
+    if (this.#comesTooLate(request, route)) {
+      const retry = [format.retryAfterHeader, STOPPING_RETRY_AFTER];
+      answer.refuse(UNAVAILABLE, "this daemon is stopping; come back to another one", retry);
+      return;
+    }
+    const taken = new exchanges.Exchange(this.#context, request, route, body, answer);
+    exchange.current = taken;
+    this.#taken.add(taken);
+    response.once("close", () => this.#taken.delete(taken));
+    taken.start();
   }
 
-  #take(request: callerRequests.CallerRequest, route: serving.Route, response: http.ServerResponse): void {
-    this.#taken.add(request);
-    response.once("close", () => this.#taken.delete(request));
-    if (!this.#closing) return;
+  /** One line for each request that comes during a planned stop: whether it is taken, and how long it may last. */
+  #comesTooLate(request: callerRequests.CallerRequest, route: serving.Route): boolean {
+    if (this.#plannedStop === undefined) return false;
     const { requestId: id, deadlineMs } = request.headers;
     const patienceMs = Math.min(deadlineMs ?? route.timeoutMs, route.timeoutMs);
-    this.#context.log.info("taken-while-stopping", { id, route: route.name, patienceMs });
+    const isTaken = this.#plannedStop.takes(request.arrivedAt + patienceMs, performance.now());
+    this.#context.log.info(isTaken ? "taken-while-stopping" : "refused-stopping", {
+      id,
+      route: route.name,
+      patienceMs,
+    });
+    return !isTaken;
   }
 
   /** A request that is not read to its end leaves bytes on the connection, which must not be taken for another. */
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -49,6 +49,11 @@
     });
   }
 
+  /** @returns whether a part of the answer has left */
+  get answerHasBegun(): boolean {
+    return this.#end.hasBegun;
+  }
+
   /** Begins to serve the request. */
   start(): void {
     this.#deadlineTimer = setTimeout(() => this.#onDeadline(), Math.max(0, this.#served.remainingMs));
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,6 +9,7 @@
 import * as decisionLogs from "./decisionLog.js";
 import * as endpointClients from "./endpointClient.js";
 import * as fleetViews from "./fleetView.js";
+import * as loopWatches from "./loopWatch.js";
 import * as metricsModule from "./metrics.js";
 import * as orderAuthorities from "./orderAuthority.js";
 import * as peerBooks from "./peerBook.js";
@@ -21,25 +22,12 @@
 import * as storeFollowers from "./storeFollower.js";
 import * as watchDuties from "./watchDuty.js";
 
-/** Time for which a stopping daemon still takes callers that hold an older address answer, in milliseconds. */
-const STOP_LINGER_MS = 3_000;
-
-/** Time without a request after which a stopping daemon ends, in milliseconds. */
-const STOP_QUIET_MS = 700;
-
-/** Margin before the forced end at which a stopping daemon ends by itself, in milliseconds. */
-const STOP_MARGIN_MS = 600;
-
-/**
- * Time before its end from which a stopping daemon takes nothing more, in
- * milliseconds. Callers that know no other address go on to the last moment, and
- * what was taken then would be cut; a plain call ends within this time.
- */
-const STOP_REFUSING_MS = 1_000;
-
 /** Interval at which a stopping daemon looks whether it is idle, in milliseconds. */
 const STOP_CHECK_MS = 100;
 
+/** Time for the last answers to leave, in milliseconds: a third of what is left until the forced end. */
+const LAST_ANSWERS_MS = 200;
+
 /** Most addresses in one answer. */
 const MOST_ADDRESSES = 64;
 
@@ -74,6 +62,7 @@
   readonly #authority: orderAuthorities.OrderAuthority;
   readonly #roles: roleChangers.RoleChanger;
   readonly #servers: http.Server[] = [];
+  readonly #loopWatch = new loopWatches.LoopWatch();
   #stopping = false;
 
   /**
@@ -179,6 +168,7 @@
     await this.#peers.start();
     void this.#authority.run();
     this.#roles.start();
+    this.#loopWatch.start();
   }
 
   /**
@@ -224,22 +214,24 @@
   async stop(): Promise<void> {
     if (this.#stopping) return;
     this.#stopping = true;
-    const startedAt = performance.now();
-    this.#log.info("stop", { open: this.#listener.openRequests });
-    this.#listener.closeAfterAnswers();
+    const heardAt = performance.now();
+    const earliestAt = this.#loopWatch.signalledFrom();
+    this.#loopWatch.stop();
+    const plannedStop = new serving.PlannedStop({ earliestAt, heardAt, graceMs: this.#settings.stopGraceMs });
+    const heardLateMs = Math.round(heardAt - earliestAt);
+    this.#log.info("stop", { open: this.#listener.openRequests, heardLateMs });
+    this.#listener.beginStop(plannedStop);
     this.#peers.sayNow();
     void this.#registration.end();
     void this.#authority.end();
     this.#roles.stop();
-    await this.#untilIdle(startedAt);
-    this.#listener.logCut();
+    await this.#untilOver(plannedStop);
+    this.#listener.endOpen();
+    await this.#untilAnswered(performance.now() + LAST_ANSWERS_MS);
     this.#listener.close();
     this.#follower.stop();
     this.#peers.stop();
-    this.#log.info("stopped", {
-      open: this.#listener.openRequests,
-      tookMs: Math.round(performance.now() - startedAt),
-    });
+    this.#log.info("stopped", { open: this.#listener.openRequests, tookMs: Math.round(performance.now() - heardAt) });
   }
 
   /** @param detail - which settings changed */
@@ -282,21 +274,23 @@
     return peers.reduce((sum, peer) => sum + peer.readTokensPerMs, this.#context.readDemand.perMs(now));
   }
 
-  async #untilIdle(startedAt: number): Promise<void> {
-    const lastAt = startedAt + this.#settings.stopGraceMs - STOP_MARGIN_MS;
+  async #untilOver(plannedStop: serving.PlannedStop): Promise<void> {
     for (;;) {
       const now = performance.now();
-      if (now >= lastAt) return;
-      if (now >= lastAt - STOP_REFUSING_MS) {
-        this.#listener.refuseNew();
-        if (this.#listener.openRequests === 0) return;
-      }
-      const quiet = now - this.#listener.lastRequestAt > STOP_QUIET_MS;
-      if (now - startedAt > STOP_LINGER_MS && this.#listener.openRequests === 0 && quiet) return;
+      if (plannedStop.closesDoor(now)) this.#listener.closeDoor();
+      if (plannedStop.endsUnbegun(now)) this.#listener.endUnbegun();
+      const { openRequests: open, lastRequestAt } = this.#listener;
+      if (plannedStop.isOver({ open, lastRequestAt }, now)) return;
       await new Promise((resolve) => setTimeout(resolve, STOP_CHECK_MS));
     }
   }
 
+  async #untilAnswered(lastAt: number): Promise<void> {
+    while (this.#listener.openRequests > 0 && performance.now() < lastAt) {
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+  }
+
   #onEndpoint(news: serving.EndpointNews): void {
     const departed = news.change === serving.EndpointChange.Leaving || news.change === serving.EndpointChange.Gone;
     if (departed) this.#peers.noteDeparture(news.endpoint.id, news.revision);
--- /dev/null
+++ b/packages/gateway/src/loopWatch.ts
@@ -0,0 +1,61 @@
+/** Interval at which the event loop leaves a trace of its life, in milliseconds. */
+const TURN_EVERY_MS = 200;
+
+/** Gap between two traces above which the process stood still, in milliseconds. */
+const STOOD_STILL_MS = 2 * TURN_EVERY_MS;
+
+/** Reads the steady clock and the time of day, both in milliseconds. */
+export interface Clocks {
+  steady(): number;
+  timeOfDay(): number;
+}
+
+const SYSTEM_CLOCKS: Clocks = { steady: () => performance.now(), timeOfDay: () => Date.now() };
+
+/**
+ * Tells since when a signal may have been waiting. A process that stands still
+ * hears a signal only when it goes on, and counts the time until its forced end
+ * from then: it takes and keeps requests that are cut by force before it would
+ * have ended. Both clocks are compared, as the steady one may not count the time
+ * of a suspension.
+ */
+export class LoopWatch {
+  readonly #clocks: Clocks;
+  #steadyAt: number;
+  #timeOfDayAt: number;
+  #timer: NodeJS.Timeout | undefined;
+
+  /** @param clocks - the clocks; the system's unless a test gives others */
+  constructor(clocks: Clocks = SYSTEM_CLOCKS) {
+    this.#clocks = clocks;
+    this.#steadyAt = clocks.steady();
+    this.#timeOfDayAt = clocks.timeOfDay();
+  }
+
+  /**
+   * Begins to watch. After a stop the overdue timer runs before a signal that
+   * waits is heard, and would wipe out the trace of the gap; what is put off to
+   * the end of the loop's turn comes after it.
+   */
+  start(): void {
+    this.#timer = setInterval(() => setImmediate(() => this.turn()), TURN_EVERY_MS);
+  }
+
+  /** Ends watching. */
+  stop(): void {
+    clearInterval(this.#timer);
+  }
+
+  /** The event loop is alive. */
+  turn(): void {
+    this.#steadyAt = this.#clocks.steady();
+    this.#timeOfDayAt = this.#clocks.timeOfDay();
+  }
+
+  /** @returns earliest instant of the steady clock, in milliseconds, at which a signal heard now may have come */
+  signalledFrom(): number {
+    const now = this.#clocks.steady();
+    const stillMs = Math.max(now - this.#steadyAt, this.#clocks.timeOfDay() - this.#timeOfDayAt);
+    return stillMs > STOOD_STILL_MS ? now - stillMs : now;
+  }
+}
--- a/packages/gateway/src/requestEnd.ts
+++ b/packages/gateway/src/requestEnd.ts
@@ -47,6 +47,11 @@
     return this.#over;
   }
 
+  /** @returns whether a part of the answer has left */
+  get hasBegun(): boolean {
+    return this.#answer.state !== callerAnswers.AnswerState.Open;
+  }
+
   /** The caller has left. */
   callerLeft(): void {
     if (this.#over) return;
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -8,6 +8,7 @@
 export * from "./finalAnswer.js";
 export * from "./leastBusy.js";
 export * from "./placement.js";
+export * from "./plannedStop.js";
 export * from "./promptParts.js";
 export * from "./retryBudget.js";
 export * from "./roleBalance.js";
--- /dev/null
+++ b/packages/serving/src/plannedStop.ts
@@ -0,0 +1,99 @@
+/** What a daemon that stops as planned still takes, and when it ends. */
+
+/**
+ * Time for which a stopping daemon takes whatever comes, in milliseconds: callers
+ * keep an answer with addresses for two seconds, and need a little for the way.
+ */
+const CALLERS_MOVE_MS = 2_500;
+
+/** Margin before the forced end at which the daemon ends by itself, in milliseconds. */
+const MARGIN_MS = 600;
+
+/** Time before its end from which it takes no connection, in milliseconds; a plain call ends within it. */
+const LAST_MS = 1_000;
+
+/** Time for which it stays for callers that hold an older answer with addresses, in milliseconds. */
+const LINGER_MS = 3_000;
+
+/** Time without a request after which it ends, in milliseconds. */
+const QUIET_MS = 700;
+
+/** What a stopping daemon has open. */
+export interface StopProgress {
+  /** Requests without a final answer. */
+  readonly open: number;
+  /** Instant of the last request, in milliseconds. */
+  readonly lastRequestAt: number;
+}
+
+/** When a daemon was told to stop. */
+export interface StopSignal {
+  /** Earliest instant at which the signal may have come, in milliseconds: earlier if the process stood still then. */
+  readonly earliestAt: number;
+  /** Instant at which it was heard, in milliseconds. */
+  readonly heardAt: number;
+  /** Time from the signal until the process is ended by force, in milliseconds. */
+  readonly graceMs: number;
+}
+
+/**
+ * The load it answers: callers that hold an old address go on coming to the last
+ * moment, with streams that last seconds. What is taken and can't end before the
+ * process does is cut in the middle of its answer, though it ran; told at once
+ * that it has not run, it is served by another daemon. What is taken, and the
+ * last answers, go by the earliest instant of the signal; streams that have begun
+ * go on by the latest, as they gain nothing from an earlier end.
+ */
+export class PlannedStop {
+  readonly #beganAt: number;
+  readonly #answersBy: number;
+  readonly #endsAt: number;
+
+  /** @param signal - when the daemon was told to stop, and how much time it has */
+  constructor(signal: StopSignal) {
+    this.#beganAt = signal.earliestAt;
+    this.#answersBy = signal.earliestAt + signal.graceMs - MARGIN_MS;
+    this.#endsAt = signal.heardAt + signal.graceMs - MARGIN_MS;
+  }
+
+  /**
+   * Once callers have had the time to move, only what must be over by its own
+   * deadline before the process ends is taken.
+   *
+   * @param answerBy - instant by which the request has its final answer at the latest, in milliseconds
+   * @param now - current instant in milliseconds
+   * @returns whether the request is taken
+   */
+  takes(answerBy: number, now: number): boolean {
+    if (answerBy <= this.#answersBy) return true;
+    return now < this.#beganAt + CALLERS_MOVE_MS && now < this.#answersBy - LAST_MS;
+  }
+
+  /**
+   * @param now - current instant in milliseconds
+   * @returns whether no connection is taken any more
+   */
+  closesDoor(now: number): boolean {
+    return now >= this.#answersBy - LAST_MS;
+  }
+
+  /**
+   * @param now - current instant in milliseconds
+   * @returns whether requests whose answer has not begun get a final one now
+   */
+  endsUnbegun(now: number): boolean {
+    return now >= this.#answersBy;
+  }
+
+  /**
+   * @param progress - what is open
+   * @param now - current instant in milliseconds
+   * @returns whether the daemon ends now
+   */
+  isOver(progress: StopProgress, now: number): boolean {
+    if (now >= this.#endsAt) return true;
+    if (progress.open > 0) return false;
+    if (this.closesDoor(now)) return true;
+    return now - this.#beganAt > LINGER_MS && now - progress.lastRequestAt > QUIET_MS;
+  }
+}
