Keep speaking to a daemon that has left, for the time of a restart

A daemon's entry is gone after a planned stop, and with it the only place where the others have its address.

Ruled out: asking the VMs that the settings name (`seeds`). They are not decoded; the users' page says that they hold addresses only if a role serves `control`, and ours doesn't.

Change: - The entry of a daemon that has left is kept for 30 s, 64 at most. Three of the daemons that live and serve, chosen by hash, send a pulse there, every 0.35 s at the soonest. It answers whoever it hears, which existed. - The news for a daemon that has no configuration tell the live daemons too, so that it speaks to all and not to the three alone, shares out the retry budget by the true number of daemons, and sends callers to them. - A daemon whose entry is not in the store says in its pulses where callers reach it and its data centre; until now the others took it with an empty address and sent nobody there. One whose entry lapses while it lives keeps the address from before.

--- a/packages/gateway/src/beliefs.ts
+++ b/packages/gateway/src/beliefs.ts
@@ -137,18 +137,22 @@
    * A daemon was heard that has not been read of. One that starts while the
    * key-value service is away hears its peers but could answer none of them, so
    * nobody would tell it the configuration, and it would serve nobody until the
-   * service returns. It now answers to where it is spoken to from.
+   * service returns. It now answers to where it is spoken to from. Where callers
+   * reach it is known from its own word, or from before it left; without it no
+   * caller would be sent there until its entry can be written.
    *
-   * @param vm - the daemon
-   * @param incarnation - names its start
-   * @param peers - IP:PORT from which it speaks
+   * @param heard - the daemon, as it or another one says; what is not said is empty
    */
-  takeHeardDaemon(vm: string, incarnation: string, peers: string): void {
+  takeHeardDaemon(heard: fleetViews.DaemonEntry): void {
     const { layout, view, log } = this.#parts;
+    const { vm, incarnation, peers } = heard;
     const key = `${layout.daemonPrefix}${vm}`;
-    if (view.daemons.has(key)) return;
-    view.daemons.set(key, { vm, incarnation, dataCentre: "", callers: "", peers });
-    log.info("daemon-joined", { daemon: vm, address: peers, source: Source.Peer });
+    const known = view.daemons.get(key);
+    if (known !== undefined && (heard.callers === "" || heard.callers === known.callers)) return;
+    const before = view.former.take(vm);
+    const entry = heard.callers === "" && before !== undefined ? { ...before, incarnation, peers } : heard;
+    view.daemons.set(key, entry);
+    log.info("daemon-joined", { daemon: vm, address: peers, callers: entry.callers, source: Source.Peer });
   }
 
   #takeItem(item: ports.StoredItem): void {
@@ -191,6 +195,7 @@
       const entry = JSON.parse(Buffer.from(item.value).toString()) as fleetViews.DaemonEntry;
       if (!view.daemons.has(item.key)) log.info("daemon-joined", { daemon: entry.vm, revision: item.revision });
       view.daemons.set(item.key, entry);
+      view.former.take(entry.vm);
     } catch (error) {
       log.warn("daemon-entry-unreadable", { key: item.key, detail: String(error) });
     }
@@ -200,6 +205,7 @@
     const entry = this.#parts.view.daemons.get(key);
     if (entry === undefined) return;
     this.#parts.view.daemons.delete(key);
+    this.#parts.view.former.note(entry, performance.now());
     this.#parts.log.info("daemon-left", { daemon: entry.vm });
   }
 
--- a/packages/gateway/src/fleetView.ts
+++ b/packages/gateway/src/fleetView.ts
@@ -1,4 +1,5 @@
 import * as serving from "@camphorcourse/serving";
+import * as formerDaemons from "./formerDaemons.js";
 
 /** Another daemon, as it registered itself. */
 export interface DaemonEntry {
@@ -6,7 +7,7 @@
   /** Names one start of the daemon. */
   readonly incarnation: string;
   readonly dataCentre: string;
-  /** IP:PORT for callers; empty for a daemon that was heard and not yet read of. */
+  /** IP:PORT for callers; empty for a daemon that was heard, not yet read of, and has not said it. */
   readonly callers: string;
   /** IP:PORT for the other daemons. */
   readonly peers: string;
@@ -27,6 +28,8 @@
   /** Engines that were ordered to take another role and get no new work meanwhile. */
   readonly changing = new Map<string, EngineInChange>();
   readonly daemons = new Map<string, DaemonEntry>();
+  /** Daemons that have left a short time ago, and may start again. */
+  readonly former = new formerDaemons.FormerDaemons();
   #table: serving.RouteTable | undefined;
   #configurationRevision = 0;
   #configurationDocument: Uint8Array | undefined;
--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -45,8 +45,10 @@
   readonly storeSilentMs: () => number;
   /** Whether this daemon follows the key-value service closely. */
   readonly followsClosely: () => boolean;
-  /** Takes a daemon that was heard, with IP:PORT from which it speaks. */
-  readonly onDaemon: (vm: string, incarnation: string, peers: string) => void;
+  /** Whether this daemon's entry is in the key-value service. */
+  readonly registered: () => boolean;
+  /** Takes a daemon that was heard, or that a peer tells of. */
+  readonly onDaemon: (heard: fleetViews.DaemonEntry) => void;
   /** Takes a configuration document and its revision. */
   readonly onConfiguration: (document: Uint8Array, revision: number) => void;
   /** Takes an endpoint's entry and its revision. */
@@ -67,6 +69,7 @@
   #timer: NodeJS.Timeout | undefined;
   #workExpiryMs = serving.PEER_WORK_EXPIRY_MS;
   #saidAt = 0;
+  #saidToFormerAt = 0;
   #saidWork = "";
 
   /** @param parts - what it needs */
@@ -136,8 +139,22 @@
     return JSON.stringify([...this.#parts.board.ownWork()]);
   }
 
+  /** Where daemons were that have left: a pulse now and then, so that one that starts again hears it and answers. */
+  #formerAddresses(now: number): string[] {
+    const { entry, view, ready } = this.#parts;
+    if (!ready() || now - this.#saidToFormerAt < QUIET_PULSE_MS) return [];
+    this.#saidToFormerAt = now;
+    const able = this.book.live(now).filter((peer) => peer.ready && peer.vm !== entry.vm);
+    const former = view.former.spokenToBy(
+      entry.vm,
+      able.map((peer) => peer.vm),
+      now,
+    );
+    return former.map((daemon) => daemon.peers);
+  }
+
   #say(now: number): void {
-    const { entry, view, board } = this.#parts;
+    const { entry, view, board, registered } = this.#parts;
     this.#saidAt = now;
     this.#saidWork = this.#workText();
     for (const [id, departure] of this.#departures) if (departure.toldUntil < now) this.#departures.delete(id);
@@ -165,11 +182,10 @@
       changing: [...view.changing]
         .filter(([, change]) => change.until > now)
         .map(([endpoint, change]) => ({ endpoint, role: change.role, forMs: Math.round(change.until - now) })),
+      ...(registered() ? {} : { callers: entry.callers, dataCentre: entry.dataCentre }),
     });
-    this.#pulse.say(
-      pulse,
-      this.#others().map((daemon) => daemon.peers),
-    );
+    const others = this.#others().map((daemon) => daemon.peers);
+    this.#pulse.say(pulse, [...others, ...this.#formerAddresses(now)]);
   }
 
   #entryMessages(now: number): messages.EndpointEntry[] {
@@ -194,7 +210,8 @@
     const now = performance.now();
     // One that stops as planned goes on speaking for a while, but has left; one without a configuration has just started.
     const stays = pulse.ready || pulse.configurationRevision === 0n;
-    if (stays) this.#parts.onDaemon(pulse.vm, pulse.incarnation, sender);
+    const { vm, incarnation, dataCentre, callers } = pulse;
+    if (stays) this.#parts.onDaemon({ vm, incarnation, dataCentre, callers, peers: sender });
     const before = this.book.hear({
       vm: pulse.vm,
       incarnation: pulse.incarnation,
@@ -230,16 +247,16 @@
     for (const peer of this.book.toTell(view.configurationRevision, this.#parts.storeSilentMs(), now)) {
       const address = this.#others().find((daemon) => daemon.vm === peer.vm)?.peers;
       if (address === undefined) continue;
-      const behind = peer.configurationRevision < view.configurationRevision;
       log.info("tell-peer", { peer: peer.vm, has: peer.configurationRevision, tells: view.configurationRevision });
-      this.#teller.tell(address, this.#newsFor(behind)).catch((error: unknown) => {
+      this.#teller.tell(address, this.#newsFor(peer, now)).catch((error: unknown) => {
         log.warn("tell-peer-failed", { peer: peer.vm, detail: String(error) });
       });
     }
   }
 
-  #newsFor(behind: boolean): Omit<messages.News, "$typeName" | "$unknown"> {
+  #newsFor(peer: peerBooks.PeerState, now: number): Omit<messages.News, "$typeName" | "$unknown"> {
     const { view, entry } = this.#parts;
+    const behind = peer.configurationRevision < view.configurationRevision;
     return {
       vm: entry.vm,
       configurationRevision: BigInt(view.configurationRevision),
@@ -254,15 +271,31 @@
         $typeName: "camphorcourse.gateway.v1.Departure",
         ...departure,
       })),
+      daemons: peer.configurationRevision === 0 ? this.#liveDaemons(now) : [],
     };
   }
 
+  /** What a daemon that has just started would read of in the key-value service: where the others are. */
+  #liveDaemons(now: number): messages.DaemonAddress[] {
+    const { entry } = this.#parts;
+    const live = new Set(this.book.live(now).map((peer) => peer.vm)).add(entry.vm);
+    return [...this.#others(), entry]
+      .filter((daemon) => live.has(daemon.vm))
+      .map(({ vm, incarnation, dataCentre, callers, peers }) =>
+        protobuf.create(messages.DaemonAddressSchema, { vm, incarnation, dataCentre, callers, peers }),
+      );
+  }
+
   #takeNews(news: messages.News): number {
     if (news.configuration.length > 0) {
       this.#parts.onConfiguration(news.configuration, Number(news.configurationRevision));
     }
     for (const entry of news.endpoints) this.#parts.onEndpoint(entry.id, entry.value, Number(entry.revision));
     for (const departure of news.departures) this.#parts.onDeparture(departure.endpoint, Number(departure.revision));
+    const others = news.daemons.filter((daemon) => daemon.vm !== this.#parts.entry.vm);
+    for (const { vm, incarnation, dataCentre, callers, peers } of others) {
+      this.#parts.onDaemon({ vm, incarnation, dataCentre, callers, peers });
+    }
     return this.#parts.view.configurationRevision;
   }
 }
--- a/packages/gateway/src/registration.ts
+++ b/packages/gateway/src/registration.ts
@@ -33,6 +33,11 @@
     this.#log = log;
   }
 
+  /** @returns whether the entry was written and is not known to have lapsed */
+  get registered(): boolean {
+    return this.#lease !== undefined;
+  }
+
   /** Keeps the entry until {@link Registration.end}. */
   async run(): Promise<void> {
     while (!this.#stopped) {
