Tell a configuration at the first look, and by another peer if the first doesn't

Change: - One that reads the store seldom is told at the first look instead of the second. - If a daemon stays behind for a further interval (0.5 s at least), the next in the order by hash tells it too, three in all: one that can't be reached isn't told by a whole fleet. - Those that follow the store closely come first in the order. When all that have the configuration stood for the choice, it passed on to each that was just told, and waited for that one's next look. - A daemon says in a pulse at once that a configuration is in force, and one that follows closely looks at once who is behind. - Where the store answers nobody, those that have the configuration share the telling of a daemon that has just started; until now each that heard it told it everything. - What was noted of a daemon's earlier start no longer counts for the next.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -113,7 +113,10 @@
       log: this.#log,
       onEndpoint: (news) => this.#onEndpoint(news),
       onRoleChange: (service, agoMs) => this.#roles.changed(service, agoMs),
-      onConfiguration: () => this.#listener.followLimits(),
+      onConfiguration: () => {
+        this.#listener.followLimits();
+        this.#peers.noteConfiguration();
+      },
     });
     this.#follower = new storeFollowers.StoreFollower({
       store: surroundings.store,
--- a/packages/gateway/src/peerBook.ts
+++ b/packages/gateway/src/peerBook.ts
@@ -15,6 +15,16 @@
   readonly heardAt: number;
 }
 
+/** What a daemon knows that may tell others. */
+export interface Known {
+  /** Revision of the configuration in force. */
+  readonly configurationRevision: number;
+  /** Whether the key-value service answers it. */
+  readonly answered: boolean;
+  /** Whether it follows the key-value service closely. */
+  readonly followsClosely: boolean;
+}
+
 /** Least silence after which a daemon counts as dead, in milliseconds; it speaks several times in that time. */
 export const PEER_SILENT_MS = 1_300;
 
@@ -28,19 +38,29 @@
 const TELL_AGAIN_MS = 700;
 
 /**
- * Time for which a daemon may be behind before it is told, in milliseconds: it
- * usually reads the change itself within that time, and half a second is left
- * of the bound for telling it.
+ * Time for which a daemon that follows closely may be behind before it is told, in
+ * milliseconds: it usually reads the change itself within that time, and half a
+ * second is left of the bound for telling it. One that reads seldom is told at the
+ * first look: in a large fleet the next is a second later.
  */
 const OWN_READING_MS = 900;
 
-/** Time for which a daemon that reads seldom may be behind before it is told, in milliseconds. */
-const SELDOM_READING_MS = 100;
+/**
+ * Least time in which the telling of one daemon shows in a pulse of the other, in
+ * milliseconds; then the next in the order tells. Where pulses are further apart
+ * it is the time between two of them, a little less as timers don't run evenly.
+ */
+const NEXT_TELLER_MS = 500;
+const PULSES_UNTIL_NEXT_TELLER = 0.9;
+
+/** Daemons that tell one that stays behind: two may fail, and one that can't be reached isn't told by the whole fleet. */
+const MOST_TELLERS = 3;
 
 /** What the other daemons last said, and who needs to be told what. */
 export class PeerBook {
   /** Silence after which a daemon counts as dead, in milliseconds. */
   #silentAfterMs = PEER_SILENT_MS;
+  #nextTellerMs = NEXT_TELLER_MS;
   readonly #own: string;
   readonly #states = new Map<string, PeerState>();
   readonly #toldAt = new Map<string, number>();
@@ -54,6 +74,7 @@
   /** @param intervalMs - time between two pulses, and between two looks at who is to be told, in milliseconds */
   followInterval(intervalMs: number): void {
     this.#silentAfterMs = Math.max(PEER_SILENT_MS, PULSES_UNTIL_SILENT * intervalMs);
+    this.#nextTellerMs = Math.max(NEXT_TELLER_MS, PULSES_UNTIL_NEXT_TELLER * intervalMs);
   }
 
   /**
@@ -63,6 +84,10 @@
   hear(state: PeerState): PeerState | undefined {
     const before = this.#states.get(state.vm);
     this.#states.set(state.vm, state);
+    if (before !== undefined && before.incarnation !== state.incarnation) {
+      this.#behindSince.delete(state.vm);
+      this.#toldAt.delete(state.vm);
+    }
     return before;
   }
 
@@ -102,42 +127,55 @@
 
   /**
    * Daemons that this one has to tell what it knows. Each is told by one of
-   * those that reach the key-value service, chosen by hash, so that a change
-   * doesn't go out as many times as there are daemons.
+   * those that know it and reach the key-value service, in an order given by
+   * hash, so that a change doesn't go out as many times as there are daemons.
+   * If it is still behind after the time of a telling, the next in the order
+   * tells it: the first may be dead and not yet missed, or not hear it, and all
+   * others would leave the telling to it.
    *
-   * @param configurationRevision - revision of the configuration here
-   * @param storeSilentMs - milliseconds for which the service has not answered this daemon
+   * @param known - what this daemon knows
    * @param now - current instant in milliseconds
    * @returns daemons to tell, whose telling is noted
    */
-  toTell(configurationRevision: number, storeSilentMs: number, now: number): PeerState[] {
+  toTell(known: Known, now: number): PeerState[] {
     const live = this.live(now);
     return live.filter((state) => {
-      const behind = this.#isLongBehind(state, configurationRevision, now);
-      const cutOff = state.storeSilentMs > STORE_SILENT_MS && storeSilentMs < STORE_SILENT_MS;
-      if (!behind && !cutOff) return false;
+      const overdueMs = this.#overdueMs(state, known.configurationRevision, now);
+      const cutOff = state.storeSilentMs > STORE_SILENT_MS && known.answered;
+      if (overdueMs < 0 && !cutOff) return false;
       if (now - (this.#toldAt.get(state.vm) ?? Number.NEGATIVE_INFINITY) < TELL_AGAIN_MS) return false;
-      if (!this.#isTeller(state, live, configurationRevision)) return false;
+      const tellers = Math.min(MOST_TELLERS, 1 + Math.max(0, Math.floor(overdueMs / this.#nextTellerMs)));
+      if (this.#tellersBefore(state, live, known) >= tellers) return false;
       this.#toldAt.set(state.vm, now);
       return true;
     });
   }
 
-  #isLongBehind(state: PeerState, configurationRevision: number, now: number): boolean {
+  /** Time for which a daemon should have been told, in milliseconds; negative if it need not be. */
+  #overdueMs(state: PeerState, configurationRevision: number, now: number): number {
     if (state.configurationRevision >= configurationRevision) {
       this.#behindSince.delete(state.vm);
-      return false;
+      return Number.NEGATIVE_INFINITY;
     }
     const since = this.#behindSince.get(state.vm) ?? now;
     this.#behindSince.set(state.vm, since);
-    return now - since >= (state.followsClosely ? OWN_READING_MS : SELDOM_READING_MS);
+    return now - since - (state.followsClosely ? OWN_READING_MS : 0);
   }
 
-  #isTeller(of: PeerState, live: readonly PeerState[], configurationRevision: number): boolean {
+  /**
+   * How many are to tell a daemon before this one does: first those that follow
+   * closely, which know a change first. Were all that know it to share the
+   * telling out, it would pass on to each that was just told, and wait for its
+   * next look each time.
+   */
+  #tellersBefore(of: PeerState, live: readonly PeerState[], known: Known): number {
     const able = live
-      .filter((state) => state.vm !== of.vm && state.storeSilentMs < STORE_SILENT_MS)
-      .filter((state) => state.configurationRevision >= configurationRevision)
-      .map((state) => state.vm);
-    return common.rendezvousOrder(of.vm, [this.#own, ...able])[0] === this.#own;
+      // Where the service answers nobody, those that know the configuration share the telling out among themselves.
+      .filter((state) => state.vm !== of.vm && (!known.answered || state.storeSilentMs < STORE_SILENT_MS))
+      .filter((state) => state.configurationRevision >= known.configurationRevision);
+    const close = able.filter((state) => state.followsClosely).map((state) => state.vm);
+    if (known.followsClosely) return common.rendezvousOrder(of.vm, [this.#own, ...close]).indexOf(this.#own);
+    const others = able.filter((state) => !state.followsClosely).map((state) => state.vm);
+    return close.length + common.rendezvousOrder(of.vm, [this.#own, ...others]).indexOf(this.#own);
   }
 }
--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -68,6 +68,8 @@
   #server: http.Server | undefined;
   #timer: NodeJS.Timeout | undefined;
   #workExpiryMs = serving.PEER_WORK_EXPIRY_MS;
+  /** Whether the sockets are open: the key-value service is read before they are, and may be a moment after. */
+  #speaking = false;
   #saidAt = 0;
   #saidToFormerAt = 0;
   #saidWork = "";
@@ -86,11 +88,13 @@
   async start(): Promise<void> {
     await this.#pulse.listen(this.#parts.settings.peers);
     this.#server = await peerNews.serveNews(this.#parts.settings.peers, (news) => this.#takeNews(news));
+    this.#speaking = true;
     this.#beat();
   }
 
   /** Ends speaking. */
   stop(): void {
+    this.#speaking = false;
     clearTimeout(this.#timer);
     this.#pulse.close();
     this.#server?.close();
@@ -109,6 +113,19 @@
     if (this.#parts.followsClosely()) this.#entries.set(id, performance.now() + ENTRY_TOLD_MS);
   }
 
+  /**
+   * Another configuration is in force. The others hear at once who has it, so
+   * that few tell it and nobody tells it twice, and those that read the
+   * key-value service seldom are told at once by one that follows it closely.
+   * With the next look they would hear of it up to a second later each time.
+   */
+  noteConfiguration(): void {
+    if (!this.#speaking) return;
+    const now = performance.now();
+    this.#say(now);
+    if (this.#parts.followsClosely()) this.#tellNews(now);
+  }
+
   /** Says at once what has changed, such as that this daemon is leaving. */
   sayNow(): void {
     this.#say(performance.now());
@@ -244,7 +261,12 @@
 
   #tellNews(now: number): void {
     const { view, log } = this.#parts;
-    for (const peer of this.book.toTell(view.configurationRevision, this.#parts.storeSilentMs(), now)) {
+    const known: peerBooks.Known = {
+      configurationRevision: view.configurationRevision,
+      answered: this.#parts.storeSilentMs() < peerBooks.STORE_SILENT_MS,
+      followsClosely: this.#parts.followsClosely(),
+    };
+    for (const peer of this.book.toTell(known, now)) {
       const address = this.#others().find((daemon) => daemon.vm === peer.vm)?.peers;
       if (address === undefined) continue;
       log.info("tell-peer", { peer: peer.vm, has: peer.configurationRevision, tells: view.configurationRevision });
--- a/packages/gateway/tests/peerBook.test.ts
+++ b/packages/gateway/tests/peerBook.test.ts
@@ -18,6 +18,8 @@
   };
 }
 
+const KNOWN: peerBooks.Known = { configurationRevision: 5, answered: true, followsClosely: true };
+
 const NAMES = ["vm-1", "vm-2", "vm-3", "vm-4"];
 
 /** How daemons look after one that lags behind. */
@@ -28,23 +30,28 @@
   readonly mute?: readonly string[];
   /** Milliseconds for which the key-value service has not answered them. */
   readonly storeSilentMs?: number;
+  /** Daemons that know what vm-4 lacks. */
+  readonly tellers?: readonly string[];
+  /** Whether vm-4 stays behind though it is told. */
+  readonly deaf?: boolean;
 }
 
 /** What each daemon tells whom while vm-4 lags behind, over three seconds; once told, vm-4 says that it has it. */
 function tellings(
   lagging: Partial<peerBooks.PeerState>,
-  { lookEveryMs = 100, mute = [], storeSilentMs = 100 }: Watch = {},
+  { lookEveryMs = 100, mute = [], storeSilentMs = 100, tellers = NAMES.slice(0, 3), deaf = false }: Watch = {},
 ): { teller: string; told: string; at: number }[] {
   const told: { teller: string; told: string; at: number }[] = [];
-  const books = NAMES.slice(0, 3).map((vm) => ({ vm, book: new peerBooks.PeerBook(vm) }));
+  const books = tellers.map((vm) => ({ vm, book: new peerBooks.PeerBook(vm) }));
+  const known = { ...KNOWN, answered: storeSilentMs < peerBooks.STORE_SILENT_MS };
   for (const { book } of books) book.followInterval(lookEveryMs);
   for (let now = 0; now <= 3_000; now += lookEveryMs) {
-    const last = told.length === 0 ? lagging : { ...lagging, configurationRevision: 5 };
+    const last = told.length === 0 || deaf ? lagging : { ...lagging, configurationRevision: 5 };
     for (const { vm, book } of books) {
-      for (const peer of NAMES) {
+      for (const peer of [...tellers, "vm-4"]) {
         if (peer !== vm) book.hear(state(peer, now, peer === "vm-4" ? last : { storeSilentMs }));
       }
-      for (const each of book.toTell(5, storeSilentMs, now)) {
+      for (const each of book.toTell(known, now)) {
         if (!mute.includes(vm)) told.push({ teller: vm, told: each.vm, at: now });
       }
     }
@@ -93,6 +100,30 @@
   );
 });
 
+// A configuration spreads in a large fleet. Were each that was just told to stand for the choice too, the telling of the
+// others would pass on from one to the next, each time until that one's next look: over three seconds for all of them.
+suite("one that was told itself leaves the telling to those that follow closely", () => {
+  const behind = { configurationRevision: 4, followsClosely: false };
+  const own = { ...KNOWN, followsClosely: false };
+  for (const vm of ["vm-1", "vm-2", "vm-3"]) {
+    const book = new peerBooks.PeerBook(vm);
+    book.hear(state("vm-4", 0, behind));
+    book.hear(state("vm-close", 0));
+    assert.equal(book.toTell(own, 0), []);
+    const alone = new peerBooks.PeerBook(vm);
+    alone.hear(state("vm-4", 0, behind));
+    assert.is(alone.toTell(own, 0).length, 1);
+  }
+});
+
+// A daemon is heard and can't be reached. Were more and more to tell it, the whole fleet would send it documents for
+// as long as it is cut off.
+suite("few tell a daemon that can't be reached", () => {
+  const tellers = Array.from({ length: 20 }, (_, index) => `vm-${index + 10}`);
+  const told = tellings({ configurationRevision: 4, followsClosely: false }, { tellers, deaf: true });
+  assert.is(new Set(told.map((each) => each.teller)).size, 3);
+});
+
 // The service is away for all when a daemon starts and is heard by the whole fleet. One peer tells it; were all to do
 // so, as none is answered, it would take hundreds of whole documents while it starts.
 suite("one peer tells a daemon that starts while the service is away", () => {
@@ -105,11 +136,11 @@
 suite("a daemon that has started again is waited for anew", () => {
   const book = new peerBooks.PeerBook("vm-1");
   book.hear(state("vm-4", 0, { configurationRevision: 4 }));
-  assert.equal(book.toTell(5, 100, 0), []);
+  assert.equal(book.toTell(KNOWN, 0), []);
   book.hear(state("vm-4", 5_000, { configurationRevision: 0, incarnation: "after" }));
-  assert.equal(book.toTell(5, 100, 5_000), []);
+  assert.equal(book.toTell(KNOWN, 5_000), []);
   book.hear(state("vm-4", 6_000, { configurationRevision: 0, incarnation: "after" }));
-  assert.is(book.toTell(5, 100, 6_000).length, 1);
+  assert.is(book.toTell(KNOWN, 6_000).length, 1);
 });
 
 suite("a daemon that the key-value service doesn't answer is told what the endpoints are", () => {
--- /dev/null
+++ b/packages/gateway/tests/peerLink.test.ts
@@ -0,0 +1,146 @@
+import * as datagrams from "node:dgram";
+import * as net from "node:net";
+import * as protobuf from "@bufbuild/protobuf";
+import * as messages from "@camphorcourse/protocol/gateway";
+import * as serving from "@camphorcourse/serving";
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+import * as decisionLogs from "../src/decisionLog.js";
+import * as fleetViews from "../src/fleetView.js";
+import * as peerLinks from "../src/peerLink.js";
+import * as peerNews from "../src/peerNews.js";
+
+const HOST = "127.0.0.1";
+
+/** Daemons of a fleet in which a daemon speaks once a second. */
+const FLEET_SIZE = 150;
+
+/** Well within the second until it speaks again, in milliseconds. */
+const AT_ONCE_MS = 600;
+
+/** Ports below those that the system gives to outgoing connections, so that none of these takes one meanwhile. */
+const PORTS = { first: 30_000, count: 2_000 };
+
+const CONFIGURATION: serving.Configuration = {
+  version: 1,
+  routes: [],
+  services: [],
+  limits: { headerBytes: 1_000, bodyBytes: 1_000, headerTimeoutMs: 1_000, idleTimeoutMs: 1_000 },
+};
+
+const suite = uvu.suite("what a daemon tells its peers");
+
+async function within(holds: () => boolean, what: string): Promise<void> {
+  const until = performance.now() + AT_ONCE_MS;
+  while (!holds()) {
+    if (performance.now() > until) throw new Error(`not at once: ${what}`);
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+}
+
+// A configuration is accepted. Those that read of it tell those that read seldom; with their next pulse and their next
+// look, a second later each in a large fleet, callers would get 404 on an added route for longer than the bound.
+suite("a new configuration is said, and told to those that read seldom, at once", async () => {
+  const ignore = (): void => undefined;
+  const peer = datagrams.createSocket("udp4");
+  const port = await freePort();
+  await new Promise<void>((resolve) => peer.bind(port, HOST, resolve));
+  const heard: bigint[] = [];
+  peer.on("message", (bytes) => heard.push(protobuf.fromBinary(messages.PulseSchema, bytes).configurationRevision));
+  const told: bigint[] = [];
+  const server = await peerNews.serveNews({ host: HOST, port }, (news) => {
+    told.push(news.configurationRevision);
+    return Number(news.configurationRevision);
+  });
+
+  const view = new fleetViews.FleetView();
+  const entry = { vm: "vm-1", incarnation: "i", dataCentre: "a", callers: "", peers: "" };
+  const others = Array.from({ length: FLEET_SIZE }, (_, index) => `vm-${index + 2}`);
+  // Nobody listens on the others' address; only vm-2 is there.
+  for (const vm of others) view.daemons.set(vm, { ...entry, vm, peers: `${HOST}:${vm === "vm-2" ? port : 9}` });
+  view.configure(CONFIGURATION, new Uint8Array([1]), 1);
+  const link = new peerLinks.PeerLink({
+    settings: { peers: { host: HOST, port: await freePort() } } as never,
+    entry,
+    view,
+    board: new serving.EngineBoard(),
+    readDemand: new serving.FadingRate(),
+    log: new decisionLogs.DecisionLog("vm-1", "fatal", { writableLength: 0, write: () => true }),
+    ready: () => true,
+    storeSilentMs: () => 0,
+    followsClosely: () => true,
+    registered: () => true,
+    onDaemon: ignore,
+    onConfiguration: ignore,
+    onEndpoint: ignore,
+    onDeparture: ignore,
+  });
+  try {
+    // Read before the sockets are open: nothing is said, and nothing breaks.
+    link.noteConfiguration();
+    await link.start();
+    await within(() => heard.length === 1, "the first pulse");
+    link.book.hear({
+      vm: "vm-2",
+      incarnation: "i",
+      ready: true,
+      configurationRevision: 1,
+      storeSilentMs: 0,
+      followsClosely: false,
+      readTokensPerMs: 0,
+      heardAt: performance.now(),
+    });
+    view.configure(CONFIGURATION, new Uint8Array([2]), 2);
+    link.noteConfiguration();
+    await within(() => heard.includes(2n), "a pulse with the new revision");
+    await within(() => told.length > 0, "the telling of it");
+    assert.equal(told, [2n]);
+  } finally {
+    link.stop();
+    // And after they are closed.
+    link.noteConfiguration();
+    peer.close();
+    server.close();
+    server.closeAllConnections();
+  }
+});
+
+let nextPort = PORTS.first + (process.pid % PORTS.count);
+
+async function freePort(): Promise<number> {
+  for (;;) {
+    const port = nextPort;
+    nextPort = PORTS.first + ((nextPort + 1 - PORTS.first) % PORTS.count);
+    if ((await isFreeForCalls(port)) && (await isFreeForDatagrams(port))) return port;
+  }
+}
+
+function isFreeForCalls(port: number): Promise<boolean> {
+  const server = net.createServer();
+  return new Promise((resolve) => {
+    server.once("error", () => {
+      resolve(false);
+    });
+    server.listen(port, HOST, () => {
+      server.close(() => {
+        resolve(true);
+      });
+    });
+  });
+}
+
+function isFreeForDatagrams(port: number): Promise<boolean> {
+  const socket = datagrams.createSocket("udp4");
+  return new Promise((resolve) => {
+    socket.once("error", () => {
+      resolve(false);
+    });
+    socket.bind(port, HOST, () => {
+      socket.close(() => {
+        resolve(true);
+      });
+    });
+  });
+}
+
+suite.run();
