Keep only the entries that are believed for telling others

Ruled out: telling departures for longer, as an entry that is not believed would then still be told after that time.

Change: an entry is kept to be told once it is known that it is the believed one.

--- a/packages/gateway/src/beliefs.ts
+++ b/packages/gateway/src/beliefs.ts
@@ -37,23 +37,22 @@
   /** @param listing - everything that the key-value service holds */
   takeListing(listing: ports.StoreListing): void {
     const { layout, view } = this.#parts;
-    const endpoints: { endpoint: serving.Endpoint; revision: number }[] = [];
+    const endpoints: { endpoint: serving.Endpoint; revision: number; value: Uint8Array }[] = [];
     const daemons = new Set<string>();
     for (const item of listing.items) {
       if (item.key.startsWith(layout.endpointPrefix)) {
         const id = item.key.slice(layout.endpointPrefix.length);
         const endpoint = this.#decodeEndpoint(id, item.value, item.revision);
         if (endpoint === undefined) continue;
-        endpoints.push({ endpoint, revision: item.revision });
-        view.endpointDocuments.set(id, { value: item.value, revision: item.revision });
+        endpoints.push({ endpoint, revision: item.revision, value: item.value });
         continue;
       }
       if (item.key.startsWith(layout.daemonPrefix)) daemons.add(item.key);
       this.#takeItem(item);
     }
-    for (const news of view.directory.replace(endpoints, listing.revision, performance.now())) {
-      this.#tell(news, Source.Store);
-    }
+    const changes = view.directory.replace(endpoints, listing.revision, performance.now());
+    for (const { endpoint, value, revision } of endpoints) this.#keepDocument(endpoint.id, value, revision);
+    for (const news of changes) this.#tell(news, Source.Store);
     for (const key of [...view.daemons.keys()]) if (!daemons.has(key)) this.#removeDaemon(key);
   }
 
@@ -101,8 +100,8 @@
     const { view } = this.#parts;
     const endpoint = this.#decodeEndpoint(id, value, revision);
     if (endpoint === undefined) return;
-    if ((view.endpointDocuments.get(id)?.revision ?? 0) < revision) view.endpointDocuments.set(id, { value, revision });
     const news = view.directory.put(endpoint, revision);
+    this.#keepDocument(id, value, revision);
     if (news !== undefined) this.#tell(news, source);
   }
 
@@ -155,6 +154,17 @@
     log.info("daemon-joined", { daemon: vm, address: peers, callers: entry.callers, source: Source.Peer });
   }
 
+  /**
+   * Keeps an entry to be told to others if it is the one that is believed.
+   * The failure it answers: the departure is told for a few seconds only, and a
+   * daemon that starts later would be told the old entry alone, and send requests
+   * to an endpoint that has left.
+   */
+  #keepDocument(id: string, value: Uint8Array, revision: number): void {
+    const { directory, endpointDocuments } = this.#parts.view;
+    if (directory.revisionOf(id) === revision) endpointDocuments.set(id, { value, revision });
+  }
+
   #takeItem(item: ports.StoredItem): void {
     const { layout } = this.#parts;
     if (item.key === layout.configurationKey) {
