--- a/packages/gateway/src/beliefs.ts
+++ b/packages/gateway/src/beliefs.ts
@@ -37,23 +37,22 @@
   /** @param listing - everything that the key-value service holds */
   takeListing(listing: ports.StoreListing): void {
     const { layout, view } = this.#parts;
-    const endpoints: { endpoint: serving.Endpoint; revision: number }[] = [];
+    const endpoints: { endpoint: serving.Endpoint; revision: number; value: Uint8Array }[] = [];
     const daemons = new Set<string>();
     for (const item of listing.items) {
       if (item.key.startsWith(layout.endpointPrefix)) {
         const id = item.key.slice(layout.endpointPrefix.length);
         const endpoint = this.#decodeEndpoint(id, item.value, item.revision);
         if (endpoint === undefined) continue;
-        endpoints.push({ endpoint, revision: item.revision });
-        view.endpointDocuments.set(id, { value: item.value, revision: item.revision });
+        endpoints.push({ endpoint, revision: item.revision, value: item.value });
         continue;
       }
       if (item.key.startsWith(layout.daemonPrefix)) daemons.add(item.key);
       this.#takeItem(item);
     }
-    for (const news of view.directory.replace(endpoints, listing.revision, performance.now())) {
-      this.#tell(news, Source.Store);
-    }
+    const changes = view.directory.replace(endpoints, listing.revision, performance.now());
+    for (const { endpoint, value, revision } of endpoints) this.#keepDocument(endpoint.id, value, revision);
+    for (const news of changes) this.#tell(news, Source.Store);
     for (const key of [...view.daemons.keys()]) if (!daemons.has(key)) this.#removeDaemon(key);
   }
 
@@ -101,8 +100,8 @@
     const { view } = this.#parts;
     const endpoint = this.#decodeEndpoint(id, value, revision);
     if (endpoint === undefined) return;
-    if ((view.endpointDocuments.get(id)?.revision ?? 0) < revision) view.endpointDocuments.set(id, { value, revision });
     const news = view.directory.put(endpoint, revision);
+    this.#keepDocument(id, value, revision);
     if (news !== undefined) this.#tell(news, source);
   }
 
@@ -137,18 +136,33 @@
    * A daemon was heard that has not been read of. One that starts while the
    * key-value service is away hears its peers but could answer none of them, so
    * nobody would tell it the configuration, and it would serve nobody until the
-   * service returns. It now answers to where it is spoken to from.
+   * service returns. It now answers to where it is spoken to from. Where callers
+   * reach it is known from its own word, or from before it left; without it no
+   * caller would be sent there until its entry can be written.
    *
-   * @param vm - the daemon
-   * @param incarnation - names its start
-   * @param peers - IP:PORT from which it speaks
+   * @param heard - the daemon, as it or another one says; what is not said is empty
    */
-  takeHeardDaemon(vm: string, incarnation: string, peers: string): void {
+  takeHeardDaemon(heard: fleetViews.DaemonEntry): void {
     const { layout, view, log } = this.#parts;
+    const { vm, incarnation, peers } = heard;
     const key = `${layout.daemonPrefix}${vm}`;
-    if (view.daemons.has(key)) return;
-    view.daemons.set(key, { vm, incarnation, dataCentre: "", callers: "", peers });
-    log.info("daemon-joined", { daemon: vm, address: peers, source: Source.Peer });
+    const known = view.daemons.get(key);
+    if (known !== undefined && (heard.callers === "" || heard.callers === known.callers)) return;
+    const before = view.former.take(vm);
+    const entry = heard.callers === "" && before !== undefined ? { ...before, incarnation, peers } : heard;
+    view.daemons.set(key, entry);
+    log.info("daemon-joined", { daemon: vm, address: peers, callers: entry.callers, source: Source.Peer });
+  }
+
+  /**
+   * Keeps an entry to be told to others if it is the one that is believed.
+   * The failure it answers: the departure is told for a few seconds only, and a
+   * daemon that starts later would be told the old entry alone, and send requests
+   * to an endpoint that has left.
+   */
+  #keepDocument(id: string, value: Uint8Array, revision: number): void {
+    const { directory, endpointDocuments } = this.#parts.view;
+    if (directory.revisionOf(id) === revision) endpointDocuments.set(id, { value, revision });
   }
 
   #takeItem(item: ports.StoredItem): void {
@@ -191,6 +205,7 @@
       const entry = JSON.parse(Buffer.from(item.value).toString()) as fleetViews.DaemonEntry;
       if (!view.daemons.has(item.key)) log.info("daemon-joined", { daemon: entry.vm, revision: item.revision });
       view.daemons.set(item.key, entry);
+      view.former.take(entry.vm);
     } catch (error) {
       log.warn("daemon-entry-unreadable", { key: item.key, detail: String(error) });
     }
@@ -200,6 +215,7 @@
     const entry = this.#parts.view.daemons.get(key);
     if (entry === undefined) return;
     this.#parts.view.daemons.delete(key);
+    this.#parts.view.former.note(entry, performance.now());
     this.#parts.log.info("daemon-left", { daemon: entry.vm });
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -102,7 +102,10 @@
       log: this.#log,
       onEndpoint: (news) => this.#onEndpoint(news),
       onRoleChange: (service, agoMs) => this.#roles.changed(service, agoMs),
-      onConfiguration: () => this.#listener.followLimits(),
+      onConfiguration: () => {
+        this.#listener.followLimits();
+        this.#peers.noteConfiguration();
+      },
     });
     this.#follower = new storeFollowers.StoreFollower({
       store: surroundings.store,
@@ -125,7 +128,8 @@
       ready: () => this.ready,
       storeSilentMs: () => this.#follower.silentMs,
       followsClosely: () => this.#followsClosely(),
-      onDaemon: (vm, incarnation, peers) => beliefs.takeHeardDaemon(vm, incarnation, peers),
+      registered: () => this.#registration.registered,
+      onDaemon: (heard) => beliefs.takeHeardDaemon(heard),
       onConfiguration: (document, revision) => beliefs.takeConfiguration(document, revision, beliefsModule.Source.Peer),
       onEndpoint: (id, value, revision) => beliefs.takeEndpoint(id, value, revision, beliefsModule.Source.Peer),
       onDeparture: (id, revision) => beliefs.takeDeparture(id, revision, beliefsModule.Source.Peer),
