Keep the authority through a lost renewal; ask silent engines in turn, and rest only after a change

It goes on renewing now and is not believed meanwhile; only the service's word that the lease has ended drops it. (3) A try that came to nothing began the rest after a change. (4) The reason began to hold only once the right could be used, half a second late after each takeover. Not mended, listed: the holder is not judged by whether it reaches any engine.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -304,5 +304,6 @@
     this.#context.client.forget(news.endpoint.id);
     this.#context.board.forget(news.endpoint.id);
     this.#context.health.forget(news.endpoint.id);
+    this.#roles.forget(news.endpoint.id);
   }
 }
--- a/packages/gateway/src/orderAuthority.ts
+++ b/packages/gateway/src/orderAuthority.ts
@@ -64,6 +64,11 @@
     if (ended.isErr()) this.#parts.log.warn("authority-not-ended", { detail: ended.error.detail });
   }
 
+  /** @returns whether the key is this daemon's, as far as it knows; orders may have to wait all the same */
+  get held(): boolean {
+    return this.#lease !== undefined;
+  }
+
   /**
    * @returns the fencing token, if orders may be given now
    */
@@ -113,8 +118,9 @@
     const sentAt = performance.now();
     const renewed = await this.#parts.store.renewLease(lease);
     if (renewed.isOk()) this.#believe(sentAt, offset);
+    // Any other failure says nothing of the lease. The key may stand, and forgetting it would mean to wait for one's own
+    // key to lapse; that it is not believed in meanwhile is enough to keep orders back.
     else if (renewed.error.failure === ports.StoreFailure.LeaseEnded) this.#drop("the lease has ended");
-    else if (performance.now() > this.#believedUntil) this.#drop("the lease could not be renewed");
     return this.#parts.leaseMs / RENEWALS;
   }
 
--- a/packages/gateway/src/roleChanger.ts
+++ b/packages/gateway/src/roleChanger.ts
@@ -14,12 +14,6 @@
  */
 const CHANGING_MS = 12_500;
 
-/**
- * Time for which an engine that gave no answer, or was busy, is asked last, in
- * milliseconds: as long as a silent engine's entry outlives it.
- */
-const RELUCTANT_MS = 5_000;
-
 const OK = 200;
 const ACCEPTED = 202;
 const FENCED = 412;
@@ -40,8 +34,8 @@
   readonly #parts: RoleChangerParts;
   readonly #calls: engineCalls.EngineCalls;
   readonly #balances = new Map<string, serving.RoleBalance>();
-  /** Engines that gave no answer or were busy, with the instant until which others are asked first, in milliseconds. */
-  readonly #reluctantUntil = new Map<string, number>();
+  /** Engines that gave no answer or were busy, with the instant at which they were last asked, in milliseconds. */
+  readonly #failedAt = new Map<string, number>();
   readonly #loggedOutlooks = new Map<string, string>();
   #busy = false;
   #timer: NodeJS.Timeout | undefined;
@@ -70,14 +64,20 @@
     this.#balance(service).changed(performance.now() - agoMs);
   }
 
+  /** @param endpointId - an endpoint that is gone */
+  forget(endpointId: string): void {
+    this.#failedAt.delete(endpointId);
+  }
+
   #look(): void {
     const { context, authority } = this.#parts;
-    if (this.#busy || authority.token() === undefined) return;
+    if (this.#busy || !authority.held) return;
     for (const service of context.view.table?.configuration.services ?? []) {
       if (service.engine === undefined) continue;
       const change = this.#decide(service.name);
       this.#logOutlook(service.name);
-      if (change === undefined) continue;
+      // Looked at while the right is held and can't be used yet: by then the reason has held.
+      if (change === undefined || authority.token() === undefined) continue;
       this.#busy = true;
       void this.#carryOut(service.name, change).finally(() => {
         this.#busy = false;
@@ -94,7 +94,7 @@
       role: view.roleToCome(engine, now),
       running: board.running(engine.id, now),
       slots: engine.slots,
-      reluctant: (this.#reluctantUntil.get(engine.id) ?? 0) > now,
+      failedAt: this.#failedAt.get(engine.id),
     }));
     return this.#balance(service).decide({ engines, readTokensPerMs: this.#parts.readTokensPerMs(), now });
   }
@@ -132,17 +132,20 @@
     const { context, authority } = this.#parts;
     const engine = context.view.directory.serving(service).find((each) => each.id === change.endpointId);
     if (engine === undefined) return;
-    this.changed(service, 0);
+    this.#balance(service).putOff();
     const state = await this.#calls.askState(engine);
     if (state.isErr() || state.value.busy) {
       this.#putOff(engine, state.isErr() ? state.error : "busy");
       return;
     }
+    this.#failedAt.delete(engine.id);
     // Between question and order the authority may have ended; the last look is right before sending.
     const token = authority.token();
     if (token === undefined) return;
     const order = { role: change.role, holder: context.settings.vm, token, expectedOrders: state.value.ordersAccepted };
-    if (await this.#give(engine, change, order)) await this.#tellChange(service, engine.id, change.role);
+    if (!(await this.#give(engine, change, order))) return;
+    this.changed(service, 0);
+    await this.#tellChange(service, engine.id, change.role);
   }
 
   /** @returns whether the engine carries the order out */
@@ -192,7 +195,7 @@
   }
 
   #putOff(engine: serving.Endpoint, reason: string): void {
-    this.#reluctantUntil.set(engine.id, performance.now() + RELUCTANT_MS);
+    this.#failedAt.set(engine.id, performance.now());
     this.#parts.context.log.info("role-change-put-off", { endpoint: engine.id, reason });
   }
 
--- a/packages/gateway/tests/orderAuthority.test.ts
+++ b/packages/gateway/tests/orderAuthority.test.ts
@@ -16,6 +16,8 @@
 /** One key under leases that run out by themselves, and a switch that makes renewals go unanswered. */
 class LeaseStore implements ports.DurableStore {
   unanswered = false;
+  /** Time for which a lease stands after its renewal, in milliseconds; the service may end it late. */
+  leaseStandsMs = LEASE_MS;
   /** Instant of the last renewal that the service has granted. */
   renewedAt = 0;
   #revision = 10;
@@ -31,7 +33,7 @@
   write(): Promise<neverthrow.Result<number, ports.StoreProblem>> {
     if (this.#isHeld()) return this.#fail(ports.StoreFailure.Conflict);
     this.#revision++;
-    this.#holder = { lease: this.#leases, until: performance.now() + LEASE_MS };
+    this.#holder = { lease: this.#leases, until: performance.now() + this.leaseStandsMs };
     return Promise.resolve(neverthrow.ok(this.#revision));
   }
 
@@ -44,7 +46,7 @@
     if (this.unanswered) return this.#fail(ports.StoreFailure.Unanswered);
     if (!this.#isHeld() || this.#holder?.lease !== lease) return this.#fail(ports.StoreFailure.LeaseEnded);
     this.renewedAt = performance.now();
-    this.#holder.until = this.renewedAt + LEASE_MS;
+    this.#holder.until = this.renewedAt + this.leaseStandsMs;
     return Promise.resolve(neverthrow.ok(undefined));
   }
 
@@ -129,6 +131,24 @@
   await second.end();
 });
 
+// One answer of the service is lost, and the next comes after the holder has stopped believing. Its key still stands.
+// Were it forgotten, the holder would wait for its own key to lapse, take it anew and wait for a lease time again: for
+// almost six seconds no engine could be given another role, though nobody else held the right.
+suite("a holder whose renewal was lost goes on with the same token while its key stands", async () => {
+  const store = new LeaseStore();
+  store.leaseStandsMs = 4 * LEASE_MS;
+  const holder = authority(store, "vm-1");
+  const token = await tokenOf(holder);
+  store.unanswered = true;
+  await pass(LEASE_MS * 1.2);
+  assert.is(holder.token(), undefined);
+  store.unanswered = false;
+  const answeredAt = performance.now();
+  assert.is(await tokenOf(holder), token);
+  assert.ok(performance.now() - answeredAt < LEASE_MS, "without waiting for a lease time");
+  await holder.end();
+});
+
 suite("a holder that an engine refuses for a higher token gives no further order", async () => {
   const store = new LeaseStore();
   const holder = authority(store, "vm-1");
--- a/packages/serving/src/roleBalance.ts
+++ b/packages/serving/src/roleBalance.ts
@@ -18,8 +18,8 @@
   readonly running: number;
   /** Requests that it serves at once. */
   readonly slots: number;
-  /** Whether it lately gave no answer, or was busy with an order, when it was asked. */
-  readonly reluctant: boolean;
+  /** Instant in milliseconds at which it was last asked in vain, if it was and has not answered since. */
+  readonly failedAt?: number | undefined;
 }
 
 /** What the balance thinks of the present split, for the log. */
@@ -109,7 +109,11 @@
   /** @param now - instant at which a change, here or at another daemon, was made, in milliseconds */
   changed(now: number): void {
     this.#changedAt = Math.max(this.#changedAt, now);
-    // The reason has to hold anew, from the next look on: a change that came to nothing is tried again after it.
+    this.putOff();
+  }
+
+  /** A change was tried and came to nothing: it is tried again once the reason has held anew, from the next look on. */
+  putOff(): void {
     this.#reasonRole = directories.EngineRole.None;
   }
 
@@ -145,12 +149,14 @@
 }
 
 /**
- * The idlest first, as it changes soonest. One that answered no question comes
- * last: it gets no work, so it would be the idlest for ever, and every change
- * would be tried there in vain.
+ * Those that were not asked in vain first, then by how long ago that was: an
+ * engine that answers nothing gets no work, so it would be the idlest for ever,
+ * and every change would be tried there. Of the others the idlest, as it changes
+ * soonest.
  */
 function byReadiness(left: BalancedEngine, right: BalancedEngine): number {
-  if (left.reluctant !== right.reluctant) return left.reluctant ? 1 : -1;
+  const failed = (left.failedAt ?? Number.NEGATIVE_INFINITY) - (right.failedAt ?? Number.NEGATIVE_INFINITY);
+  if (left.failedAt !== right.failedAt) return failed;
   return left.running - right.running || (left.id < right.id ? -1 : 1);
 }
 
--- a/packages/serving/tests/roleBalance.test.ts
+++ b/packages/serving/tests/roleBalance.test.ts
@@ -11,14 +11,12 @@
       role: serving.EngineRole.Prefill,
       running: 1,
       slots: 64,
-      reluctant: false,
     })),
     ...Array.from({ length: decode }, (_, index) => ({
       id: `d${index}`,
       role: serving.EngineRole.Decode,
       running,
       slots: 64,
-      reluctant: false,
     })),
   ];
 }
@@ -115,15 +113,34 @@
   const balance = new serving.RoleBalance();
   const inputs = { engines: engines(2, 0, 0), readTokensPerMs: 10 };
   assert.is(run(balance, inputs, 0, 2_000)?.endpointId, "p0");
-  balance.changed(2_000);
+  balance.putOff();
   assert.is(run(balance, inputs, 2_000, 4_000)?.endpointId, "p0");
 });
 
-suite("an engine that gave no answer is asked after all others", () => {
-  const [deaf, ...others] = engines(2, 0, 0);
-  assert.ok(deaf);
-  const inputs = { engines: [{ ...deaf, reluctant: true, running: 0 }, ...others], readTokensPerMs: 10 };
-  assert.is(run(new serving.RoleBalance(), inputs, 0, 2_000)?.endpointId, "p1");
+// One decode engine is full, and the prefill engine that is asked to help is busy. Nothing has changed, so there is
+// nothing to rest from: resting for it would leave the streams on one engine for three seconds more.
+suite("a try that came to nothing asks for no rest", () => {
+  const balance = new serving.RoleBalance();
+  const inputs = { engines: engines(2, 1, 60), readTokensPerMs: 10 };
+  assert.ok(run(balance, inputs, 0, 2_000));
+  balance.putOff();
+  assert.ok(run(balance, inputs, 2_000, 3_000));
+});
+
+// Four of five engines answer nothing, though their entries stand. Each try takes some seconds, so that the first would
+// be asked again before the last has been, and the one that could help never is.
+suite("engines that give no answer are asked in turn, after all that were not tried", () => {
+  const balance = new serving.RoleBalance();
+  const failedAt = new Map<string, number>();
+  const tried: string[] = [];
+  for (let now = 0; tried.length < 5; now += 2_300) {
+    const group = engines(5, 0, 0).map((engine) => ({ ...engine, failedAt: failedAt.get(engine.id) }));
+    const change = run(balance, { engines: group, readTokensPerMs: 10 }, now, now + 2_000);
+    tried.push(change?.endpointId ?? "none");
+    failedAt.set(change?.endpointId ?? "", now);
+    balance.putOff();
+  }
+  assert.equal(tried, ["p0", "p1", "p2", "p3", "p4"]);
 });
 
 suite.run();
