Register under one lease; count daemons whose entries have just lapsed among those that share

(1) A write of the entry whose answer was lost may be carried out seconds later, under a lease that the daemon has forgotten: the entry ends with it while another lease is renewed, and the daemon stays out of all address answers for its life. All writes go under one lease now until the service says that it has ended. (2) After an outage in which entries lapsed, each daemon knew of itself alone for a moment and took the whole fleet's share of repeats.

--- a/packages/gateway/src/fleetView.ts
+++ b/packages/gateway/src/fleetView.ts
@@ -34,6 +34,18 @@
   #configurationRevision = 0;
   #configurationDocument: Uint8Array | undefined;
 
+  /**
+   * Daemons that may be sending now, this one included. Entries lapse while the
+   * key-value service is away, though the daemons live: were these not counted,
+   * each of the others would take a larger share of what they share without a
+   * word, such as repeats, and together they would exceed it.
+   *
+   * @returns a number that errs upwards
+   */
+  get daemonsAtMost(): number {
+    return Math.max(1, this.daemons.size + this.former.count);
+  }
+
   /** @returns the configuration in force, once one is known */
   get table(): serving.RouteTable | undefined {
     return this.#table;
--- a/packages/gateway/src/formerDaemons.ts
+++ b/packages/gateway/src/formerDaemons.ts
@@ -34,6 +34,11 @@
     if (this.#left.size > MOST_FORMER && oldest !== undefined) this.#left.delete(oldest);
   }
 
+  /** @returns how many are kept */
+  get count(): number {
+    return this.#left.size;
+  }
+
   /**
    * @param vm - a daemon that has joined
    * @returns its entry from before, if it has left a short time ago
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -93,7 +93,7 @@
       budgets: new contexts.RetryBudgets(settings.retryBounds, performance.now()),
       random,
       onMisdirected: (endpoint, answeredBy) => beliefs.takeMisdirected(endpoint, answeredBy),
-      liveDaemons: () => Math.max(1, this.#view.daemons.size),
+      liveDaemons: () => this.#view.daemonsAtMost,
     };
     this.#listener = new callerListeners.CallerListener(this.#context);
     const beliefs = new beliefsModule.Beliefs({
--- a/packages/gateway/src/registration.ts
+++ b/packages/gateway/src/registration.ts
@@ -1,3 +1,4 @@
+import * as neverthrow from "neverthrow";
 import type * as decisionLogs from "./decisionLog.js";
 import type * as fleetViews from "./fleetView.js";
 import * as ports from "./ports.js";
@@ -17,6 +18,9 @@
   readonly #key: string;
   readonly #entry: fleetViews.DaemonEntry;
   readonly #log: decisionLogs.DecisionLog;
+  /** The lease under which the entry is written, once it is granted. */
+  #granted: number | undefined;
+  /** The same lease once the entry is known to be written. */
   #lease: number | undefined;
   #stopped = false;
 
@@ -49,38 +53,52 @@
   /** Takes the entry away, so that callers and peers turn to others. */
   async end(): Promise<void> {
     this.#stopped = true;
-    if (this.#lease === undefined) return;
-    const ended = await this.#store.endLease(this.#lease);
+    if (this.#granted === undefined) return;
+    const ended = await this.#store.endLease(this.#granted);
     if (ended.isErr()) this.#log.warn("registration-not-ended", { detail: ended.error.detail });
   }
 
   async #register(): Promise<boolean> {
-    const lease = await this.#store.grantLease(ENTRY_TTL_MS);
+    const lease = await this.#grant();
     if (lease.isErr()) return this.#failed(lease.error);
     const value = Buffer.from(JSON.stringify(this.#entry));
     const written = await this.#store.write({
       conditions: [],
-      puts: [{ key: this.#key, value, lease: lease.value.id }],
+      puts: [{ key: this.#key, value, lease: lease.value }],
       removals: [],
     });
     if (written.isErr()) return this.#failed(written.error);
-    this.#lease = lease.value.id;
-    this.#log.info("registered", { key: this.#key, lease: lease.value.id, revision: written.value });
+    this.#lease = lease.value;
+    this.#log.info("registered", { key: this.#key, lease: lease.value, revision: written.value });
     return true;
   }
 
+  /**
+   * A write whose answer was lost may be carried out seconds later. Under a lease
+   * of its own it would replace the entry, which would end with that lease while
+   * another one is renewed, and the daemon would stay unlisted. So all writes go
+   * under one lease, until the service says that it has ended.
+   */
+  async #grant(): Promise<neverthrow.Result<number, ports.StoreProblem>> {
+    if (this.#granted !== undefined) return neverthrow.ok(this.#granted);
+    const lease = await this.#store.grantLease(ENTRY_TTL_MS);
+    if (lease.isErr()) return neverthrow.err(lease.error);
+    this.#granted = lease.value.id;
+    return neverthrow.ok(lease.value.id);
+  }
+
   async #renew(lease: number): Promise<boolean> {
     const renewed = await this.#store.renewLease(lease);
     if (renewed.isOk()) return true;
-    if (renewed.error.failure === ports.StoreFailure.LeaseEnded) {
-      this.#log.warn("registration-lapsed", { lease });
-      this.#lease = undefined;
-    }
     return this.#failed(renewed.error);
   }
 
   #failed(problem: ports.StoreProblem): boolean {
     this.#log.warn("registration-call-failed", { failure: problem.failure, detail: problem.detail });
+    if (problem.failure !== ports.StoreFailure.LeaseEnded) return false;
+    this.#log.warn("registration-lapsed", { lease: this.#granted });
+    this.#lease = undefined;
+    this.#granted = undefined;
     return false;
   }
 }
--- a/packages/gateway/tests/formerDaemons.test.ts
+++ b/packages/gateway/tests/formerDaemons.test.ts
@@ -1,4 +1,4 @@
-import type * as fleetViews from "../src/fleetView.js";
+import * as fleetViews from "../src/fleetView.js";
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
 import * as formerDaemons from "../src/formerDaemons.js";
@@ -63,4 +63,16 @@
   assert.equal(former.spokenToBy("vm-1", [], 1), []);
 });
 
+// The service comes back from an outage in which all entries have lapsed, and each daemon reads of itself alone. Were
+// the others not counted until they have written theirs again, each would spend the repeats of the whole fleet.
+suite("daemons whose entries have just lapsed still count among those that share", () => {
+  const view = new fleetViews.FleetView();
+  view.daemons.set("daemons/vm-1", entry("vm-1"));
+  for (const vm of ["vm-2", "vm-3", "vm-4"]) view.former.note(entry(vm), 0);
+  assert.is(view.daemonsAtMost, 4);
+  view.former.take("vm-2");
+  view.daemons.set("daemons/vm-2", entry("vm-2"));
+  assert.is(view.daemonsAtMost, 4);
+});
+
 suite.run();
