Tell an endpoint's lives apart, and set aside entries of another writer

An endpoint that starts again under its id kept the health, the parts read, the connections, the order under way and the service of its former life; a late word of that life took the new one out or brought the old one back. An entry that could not be decoded left the one before it in use; one with a port that doesn't exist, a state or a stage that isn't named was used. A daemon's entry without an address ended the process.

Ruled out: keying all that is known by id and start. Daemons tell each other work by id, so it would need a new form of every message; what belongs to one life is dropped at the news of the next instead, and what ends late is asked whether its life still holds.

Change: the directory orders the lives of an id by the start that the endpoint says and the words of one life by revision (EndpointLives). A removal, or another writer's entry, makes all entries up to its revision void. News of a start drops idle connections, guesses of the cache, peers' work, health and the order under way. A result of a former life counts for nothing; a handle of it is neither gone on with nor freed, and the prompt is read again as a send that counts. An order is put off unless entry and report are of one life. Departures, parts read and engines in change carry the start between daemons (0: not known, as from daemons of the older form; these pass the new fields over). An entry that can't be used is told to peers as a departure, which daemons of the older form take as well. Required of an entry: service, IP:PORT, zone, slots, state. Optional: start, stage, version, sequence and time to warm up, each of its type.

--- a/packages/gateway/src/beliefs.ts
+++ b/packages/gateway/src/beliefs.ts
@@ -1,4 +1,5 @@
-import type * as serving from "@camphorcourse/serving";
+import * as serving from "@camphorcourse/serving";
+import * as daemonEntries from "./daemonEntry.js";
 import type * as decisionLogs from "./decisionLog.js";
 import type * as fleetViews from "./fleetView.js";
 import type * as ports from "./ports.js";
@@ -37,23 +38,27 @@
   /** @param listing - everything that the key-value service holds */
   takeListing(listing: ports.StoreListing): void {
     const { layout, view } = this.#parts;
-    const endpoints: { endpoint: serving.Endpoint; revision: number }[] = [];
+    const endpoints: serving.ListedEntry[] = [];
+    const documents: ports.StoredItem[] = [];
+    const faults = new Map<string, string>();
     const daemons = new Set<string>();
     for (const item of listing.items) {
       if (item.key.startsWith(layout.endpointPrefix)) {
         const id = item.key.slice(layout.endpointPrefix.length);
-        const endpoint = this.#decodeEndpoint(id, item.value, item.revision);
-        if (endpoint === undefined) continue;
-        endpoints.push({ endpoint, revision: item.revision });
-        view.endpointDocuments.set(id, { value: item.value, revision: item.revision });
+        const decoded = layout.decodeEndpoint(id, item.value);
+        endpoints.push({ id, endpoint: decoded.unwrapOr(undefined), revision: item.revision });
+        documents.push(item);
+        if (decoded.isErr()) faults.set(id, decoded.error);
         continue;
       }
       if (item.key.startsWith(layout.daemonPrefix)) daemons.add(item.key);
       this.#takeItem(item);
     }
-    for (const news of view.directory.replace(endpoints, listing.revision, performance.now())) {
-      this.#tell(news, Source.Store);
+    const changes = view.directory.replace(endpoints, listing.revision, performance.now());
+    for (const { key, value, revision } of documents) {
+      this.#keepDocument(key.slice(layout.endpointPrefix.length), value, revision);
     }
+    for (const news of changes) this.#tell(news, Source.Store, faults.get(news.id));
     for (const key of [...view.daemons.keys()]) if (!daemons.has(key)) this.#removeDaemon(key);
   }
 
@@ -98,21 +103,21 @@
    * @param source - who says so
    */
   takeEndpoint(id: string, value: Uint8Array, revision: number, source: Source): void {
-    const { view } = this.#parts;
-    const endpoint = this.#decodeEndpoint(id, value, revision);
-    if (endpoint === undefined) return;
-    if ((view.endpointDocuments.get(id)?.revision ?? 0) < revision) view.endpointDocuments.set(id, { value, revision });
-    const news = view.directory.put(endpoint, revision);
-    if (news !== undefined) this.#tell(news, source);
+    const { layout, view } = this.#parts;
+    const decoded = layout.decodeEndpoint(id, value);
+    const news = decoded.isOk() ? view.directory.put(decoded.value, revision) : view.directory.setAside(id, revision);
+    this.#keepDocument(id, value, revision);
+    if (news !== undefined) this.#tell(news, source, decoded.isErr() ? decoded.error : undefined);
   }
 
   /**
    * @param id - an endpoint that is leaving or gone
    * @param revision - revision that said so
    * @param source - who says so
+   * @param bornAt - start of the life that is leaving, in Unix milliseconds; undefined where the entry is gone
    */
-  takeDeparture(id: string, revision: number, source: Source): void {
-    const news = this.#parts.view.directory.remove(id, revision);
+  takeDeparture(id: string, revision: number, source: Source, bornAt?: number): void {
+    const news = this.#parts.view.directory.remove(id, revision, bornAt);
     if (news !== undefined) this.#tell(news, source);
   }
 
@@ -127,9 +132,7 @@
   takeMisdirected(endpoint: serving.Endpoint, answeredBy: string | undefined): void {
     const { directory } = this.#parts.view;
     const replaced = answeredBy !== undefined && answeredBy !== endpoint.id;
-    // Word of its own time: a newer entry in the key-value service brings it back.
-    const revision = directory.revisionOf(endpoint.id);
-    const news = replaced ? directory.replaced(endpoint.id, revision) : directory.declinedRole(endpoint.id);
+    const news = replaced ? directory.replaced(endpoint) : directory.declinedRole(endpoint);
     if (news !== undefined) this.#tell(news, Source.Endpoint);
   }
 
@@ -167,33 +170,34 @@
   #takeRoleChange(item: ports.StoredItem): void {
     if (item.revision <= this.#roleChangeRevision) return;
     this.#roleChangeRevision = item.revision;
-    try {
-      const change = JSON.parse(Buffer.from(item.value).toString()) as { service: string; at: number };
-      // A daemon that has just started reads the last change however old it is, and need not rest after an old one.
-      const agoMs = Math.max(0, Date.now() - change.at);
-      this.#parts.log.info("role-change-known", { service: change.service, revision: item.revision, agoMs });
-      this.#parts.onRoleChange(change.service, agoMs);
-    } catch (error) {
-      this.#parts.log.warn("role-change-unreadable", { revision: item.revision, detail: String(error) });
+    const change = daemonEntries.readRoleChange(item.value);
+    if (change.isErr()) {
+      this.#parts.log.warn("role-change-unreadable", { revision: item.revision, detail: change.error });
+      return;
     }
+    const { service, at } = change.value;
+    // A daemon that has just started reads the last change however old it is, and need not rest after an old one.
+    const agoMs = Math.max(0, Date.now() - at);
+    this.#parts.log.info("role-change-known", { service, revision: item.revision, agoMs });
+    this.#parts.onRoleChange(service, agoMs);
   }
 
-  #decodeEndpoint(id: string, value: Uint8Array, revision: number): serving.Endpoint | undefined {
-    const endpoint = this.#parts.layout.decodeEndpoint(id, value);
-    if (endpoint.isOk()) return endpoint.value;
-    this.#parts.log.warn("endpoint-entry-unreadable", { endpoint: id, revision, detail: endpoint.error });
-    return undefined;
+  /** What is told to peers is the entry that is believed in, and nothing of one that names no endpoint to use. */
+  #keepDocument(id: string, value: Uint8Array, revision: number): void {
+    const { directory, endpointDocuments } = this.#parts.view;
+    if (directory.isSetAside(id)) endpointDocuments.delete(id);
+    else if (directory.revisionOf(id) === revision) endpointDocuments.set(id, { value, revision });
   }
 
   #takeDaemon(item: ports.StoredItem): void {
-    const { view, log } = this.#parts;
-    try {
-      const entry = JSON.parse(Buffer.from(item.value).toString()) as fleetViews.DaemonEntry;
-      if (!view.daemons.has(item.key)) log.info("daemon-joined", { daemon: entry.vm, revision: item.revision });
-      view.daemons.set(item.key, entry);
-    } catch (error) {
-      log.warn("daemon-entry-unreadable", { key: item.key, detail: String(error) });
+    const { layout, view, log } = this.#parts;
+    const entry = daemonEntries.readDaemonEntry(item.key.slice(layout.daemonPrefix.length), item.value);
+    if (entry.isErr()) {
+      log.warn("daemon-entry-unreadable", { key: item.key, revision: item.revision, detail: entry.error });
+      return;
     }
+    if (!view.daemons.has(item.key)) log.info("daemon-joined", { daemon: entry.value.vm, revision: item.revision });
+    view.daemons.set(item.key, entry.value);
   }
 
   #removeDaemon(key: string): void {
@@ -203,17 +207,24 @@
     this.#parts.log.info("daemon-left", { daemon: entry.vm });
   }
 
-  #tell(news: serving.EndpointNews, source: Source): void {
-    const { endpoint, change, revision } = news;
-    this.#parts.log.info("endpoint", {
-      change,
-      endpoint: endpoint.id,
-      service: endpoint.service,
-      address: endpoint.address,
-      role: endpoint.role,
-      revision,
-      source,
-    });
+  #tell(news: serving.EndpointNews, source: Source, fault = "it doesn't say when the endpoint started"): void {
+    const { id, endpoint, change, revision, formerBornAt } = news;
+    if (change === serving.EndpointChange.SetAside) {
+      const service = endpoint?.service;
+      this.#parts.log.warn("endpoint-entry-unreadable", { endpoint: id, service, revision, source, detail: fault });
+    } else {
+      this.#parts.log.info("endpoint", {
+        change,
+        endpoint: id,
+        service: endpoint?.service,
+        address: endpoint?.address,
+        role: endpoint?.role,
+        bornAt: endpoint?.bornAt,
+        formerBornAt,
+        revision,
+        source,
+      });
+    }
     this.#parts.onEndpoint(news);
   }
 }
--- /dev/null
+++ b/packages/gateway/src/daemonEntry.ts
@@ -0,0 +1,49 @@
+import * as neverthrow from "neverthrow";
+import * as addresses from "./address.js";
+import type * as fleetViews from "./fleetView.js";
+
+/** A change of an engine's role, as a daemon wrote it for the others. */
+export interface WrittenRoleChange {
+  readonly service: string;
+  /** Unix milliseconds. */
+  readonly at: number;
+}
+
+/**
+ * Another writer may have left anything under a daemon's key. An address that is
+ * none would be spoken to in the next pulse, which throws and ends the process
+ * with all that it serves; so what is read is checked before it is believed.
+ *
+ * @param name - the daemon that the key names
+ * @param value - what is written there
+ * @returns the entry, or what is wrong with it
+ */
+export function readDaemonEntry(name: string, value: Uint8Array): neverthrow.Result<fleetViews.DaemonEntry, string> {
+  return readObject(value).andThen(({ vm, incarnation, dataCentre, callers, peers }) => {
+    if (vm !== name) return neverthrow.err("it names another daemon");
+    if (typeof incarnation !== "string" || typeof dataCentre !== "string") return neverthrow.err("a field is no text");
+    if (!addresses.isAddress(callers) || !addresses.isAddress(peers)) return neverthrow.err("an address isn't IP:PORT");
+    return neverthrow.ok({ vm: name, incarnation, dataCentre, callers, peers });
+  });
+}
+
+/**
+ * @param value - what is written under the key of the last change of a role
+ * @returns the change, or what is wrong with it
+ */
+export function readRoleChange(value: Uint8Array): neverthrow.Result<WrittenRoleChange, string> {
+  return readObject(value).andThen(({ service, at }) => {
+    if (typeof service !== "string" || typeof at !== "number") return neverthrow.err("a field is of another type");
+    return neverthrow.ok({ service, at });
+  });
+}
+
+function readObject(value: Uint8Array): neverthrow.Result<Readonly<Record<string, unknown>>, string> {
+  try {
+    const read: unknown = JSON.parse(Buffer.from(value).toString());
+    if (typeof read !== "object" || read === null) return neverthrow.err("it is no object");
+    return neverthrow.ok(read as Record<string, unknown>);
+  } catch (error) {
+    return neverthrow.err(String(error));
+  }
+}
--- a/packages/gateway/src/endpointClient.ts
+++ b/packages/gateway/src/endpointClient.ts
@@ -90,7 +90,7 @@
   /** Instant at which anything last came from the endpoint, in milliseconds. */
   heardAt = 0;
 
-  constructor(address: string) {
+  constructor(readonly address: string) {
     this.#origin = `http://${address}`;
   }
 
@@ -225,7 +225,7 @@
     };
   }
 
-  /** @param endpointId - an endpoint that is gone: its idle connections are closed */
+  /** @param endpointId - an endpoint that is gone or has started again: its idle connections are closed */
   forget(endpointId: string): void {
     this.#lanes.get(endpointId)?.close();
     this.#lanes.delete(endpointId);
@@ -238,6 +238,11 @@
 
   #lanesOf(endpoint: serving.Endpoint): EndpointLanes {
     let lanes = this.#lanes.get(endpoint.id);
+    // One that has moved is no longer where its connections lead; another endpoint may be there.
+    if (lanes !== undefined && lanes.address !== endpoint.address) {
+      lanes.close();
+      lanes = undefined;
+    }
     if (lanes === undefined) {
       lanes = new EndpointLanes(endpoint.address);
       this.#lanes.set(endpoint.id, lanes);
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -178,7 +178,8 @@
       now: performance.now(),
     };
     if (this.#handedOver !== undefined) {
-      this.#goOn(serving.placeDecoder(inputs));
+      if (this.#isSameLife(this.#handedOver.reader)) this.#goOn(serving.placeDecoder(inputs));
+      else this.#readAgain(this.#handedOver.reader);
       return;
     }
     const plan = serving.placePrompt(inputs);
@@ -215,6 +216,25 @@
     return true;
   }
 
+  /**
+   * The reader has started again and keeps nothing of before. Its handle names
+   * nothing there, or what it has read since for another request, whose answer the
+   * caller would get. The prompt is read anew, which counts as a send.
+   */
+  #readAgain(reader: serving.Endpoint): void {
+    this.#handedOver = undefined;
+    this.#sends++;
+    const step = this.#decide(serving.SendFate.Declined);
+    this.#context.log.info("handle-lost", { id: this.#request.headers.requestId, endpoint: reader.id, step });
+    if (step === serving.NextStep.SendAgain) this.#sendNext();
+    else this.#reject("handle-lost");
+  }
+
+  /** @returns whether what is known of an endpoint as it was when it was sent to still holds */
+  #isSameLife(endpoint: serving.Endpoint): boolean {
+    return this.#context.view.directory.isSameLife(endpoint);
+  }
+
   #goOn(decoder: serving.Endpoint | undefined): void {
     if (decoder === undefined) {
       this.#reject("no-engine");
@@ -286,7 +306,9 @@
     active.silence = setInterval(() => {
       const now = performance.now();
       const ownAt = Math.max(active.sentAt, this.#progress.lastEventAt);
-      const heardAt = Math.max(ownAt, this.#context.client.heardAt(active.endpoint.id));
+      // What a later life says to others is no sign of the one that this request was sent to.
+      const heard = this.#isSameLife(active.endpoint) ? this.#context.client.heardAt(active.endpoint.id) : 0;
+      const heardAt = Math.max(ownAt, heard);
       const silent = now - heardAt > limits.endpointMs || now - ownAt > limits.requestMs;
       if (!silent || this.#active !== active) return;
       this.#leaveSilent(active, now - ownAt);
@@ -317,7 +339,7 @@
   }
 
   #handleReceiver(active: ActiveSend): endpointClients.AnswerReceiver {
-    const { format, health } = this.#context;
+    const { format } = this.#context;
     const chunks: Buffer[] = [];
     let status = 0;
     let notRun = false;
@@ -333,8 +355,12 @@
       onEnd: () => {
         if (!this.#endSend(active)) return;
         const handle = status === HTTP_OK ? format.readHandle(Buffer.concat(chunks)) : undefined;
+        if (handle?.isOk() === true && !this.#isSameLife(active.endpoint)) {
+          this.#sendFailed(active, serving.SendFate.Declined, "the engine has started again since");
+          return;
+        }
         if (handle?.isOk() === true) {
-          health.record(active.endpoint.id, serving.SendResult.Good, performance.now());
+          this.#recordHealth(active, serving.SendResult.Good);
           this.#learnTime(active);
           this.#handedOver = { reader: active.endpoint, handle: handle.value.handle };
           this.#tried.delete(active.endpoint.id);
@@ -430,7 +456,7 @@
       this.#sendFailed(active, serving.SendFate.Unknown, "the stream ended inside an event");
       return;
     }
-    this.#context.health.record(active.endpoint.id, serving.SendResult.Good, performance.now());
+    this.#recordHealth(active, serving.SendResult.Good);
     this.#answer.endStream();
     this.#logEnd("answered", HTTP_OK);
     this.#finish();
@@ -461,6 +487,7 @@
   }
 
   #learnTime(active: ActiveSend): void {
+    if (!this.#isSameLife(active.endpoint)) return;
     const tookMs = performance.now() - active.sentAt;
     this.#context.health.recordTime(active.endpoint.id, active.predictedMs, tookMs);
     this.#context.log.info("prompt-read", {
@@ -479,7 +506,9 @@
     });
   }
 
+  /** What a former life did doesn't count against the present one, also if it shows only now. */
   #recordHealth(active: ActiveSend, result: serving.SendResult): void {
+    if (!this.#isSameLife(active.endpoint)) return;
     const changed = this.#context.health.record(active.endpoint.id, result, performance.now());
     if (!changed) return;
     const bad = this.#context.health.isBad(active.endpoint.id);
@@ -581,7 +610,8 @@
   #dropHandle(): void {
     const handedOver = this.#handedOver;
     this.#handedOver = undefined;
-    if (handedOver === undefined) return;
+    // At a later life the handle would name what that has read for another request.
+    if (handedOver === undefined || !this.#isSameLife(handedOver.reader)) return;
     const call = this.#context.format.freeHandle(handedOver.handle);
     const ignore = (): void => undefined;
     this.#context.client.send(
--- a/packages/gateway/src/fleetView.ts
+++ b/packages/gateway/src/fleetView.ts
@@ -17,6 +17,8 @@
   /** Instant at which it is used again whatever became of the order, in milliseconds. */
   readonly until: number;
   readonly role: serving.EngineRole;
+  /** Start of the life that got the order, in Unix milliseconds, if it says one: a later life knows of no order. */
+  readonly bornAt: number | undefined;
 }
 
 /** What this daemon believes of the fleet, from the key-value service and its peers. */
@@ -44,7 +46,8 @@
   isChanging(endpoint: serving.Endpoint, now: number): boolean {
     const change = this.changing.get(endpoint.id);
     if (change === undefined) return false;
-    if (change.until > now && change.role !== endpoint.role) return true;
+    const ofThisLife = change.bornAt === undefined || change.bornAt === endpoint.bornAt;
+    if (ofThisLife && change.until > now && change.role !== endpoint.role) return true;
     this.changing.delete(endpoint.id);
     return false;
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -51,6 +51,13 @@
 
 const SEED_BYTES = 4;
 
+/** Changes after which nothing new may be sent to the endpoint. */
+const DEPARTURES: ReadonlySet<serving.EndpointChange> = new Set([
+  serving.EndpointChange.Leaving,
+  serving.EndpointChange.Gone,
+  serving.EndpointChange.SetAside,
+]);
+
 /** What the surroundings give a gateway. */
 export interface Surroundings {
   readonly store: ports.DurableStore;
@@ -139,7 +146,7 @@
       onDaemon: (vm, incarnation, peers) => beliefs.takeHeardDaemon(vm, incarnation, peers),
       onConfiguration: (document, revision) => beliefs.takeConfiguration(document, revision, beliefsModule.Source.Peer),
       onEndpoint: (id, value, revision) => beliefs.takeEndpoint(id, value, revision, beliefsModule.Source.Peer),
-      onDeparture: (id, revision) => beliefs.takeDeparture(id, revision, beliefsModule.Source.Peer),
+      onDeparture: (id, revision, bornAt) => beliefs.takeDeparture(id, revision, beliefsModule.Source.Peer, bornAt),
     });
     this.#authority = new orderAuthorities.OrderAuthority({
       store: surroundings.store,
@@ -297,13 +304,26 @@
   }
 
   #onEndpoint(news: serving.EndpointNews): void {
-    const departed = news.change === serving.EndpointChange.Leaving || news.change === serving.EndpointChange.Gone;
-    if (departed) this.#peers.noteDeparture(news.endpoint.id, news.revision);
-    else this.#peers.noteEntry(news.endpoint.id);
-    if (news.change !== serving.EndpointChange.Gone) return;
-    this.#view.endpointDocuments.delete(news.endpoint.id);
-    this.#context.client.forget(news.endpoint.id);
-    this.#context.board.forget(news.endpoint.id);
-    this.#context.health.forget(news.endpoint.id);
+    // Peers are told no entry that can't be used: it may be long, and those of an older form would only log it.
+    if (DEPARTURES.has(news.change)) this.#peers.noteDeparture(news.id, news.revision, news.leavingBornAt);
+    else this.#peers.noteEntry(news.id);
+    if (news.change === serving.EndpointChange.Gone) {
+      this.#view.endpointDocuments.delete(news.id);
+      this.#forget(news.id);
+    }
+    if (news.startedAgain !== true) return;
+    this.#view.changing.delete(news.id);
+    this.#forget(news.id);
+  }
+
+  /**
+   * What was known of one life of an endpoint doesn't hold for the next. Kept,
+   * callers would be kept from a sound endpoint by the failures before, and
+   * prompts sent to an engine for parts that it no longer has.
+   */
+  #forget(endpointId: string): void {
+    this.#context.client.forget(endpointId);
+    this.#context.board.forget(endpointId);
+    this.#context.health.forget(endpointId);
   }
 }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,4 +1,5 @@
 /** The gateway: sockets and timers round the decisions of serving, over the ports of its surroundings. */
+export * from "./address.js";
 export * from "./beliefs.js";
 export * from "./context.js";
 export * from "./decisionLog.js";
--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -27,6 +27,12 @@
 /** Time for which an entry that was read is told in each pulse, in milliseconds: several pulses, as some are lost. */
 const ENTRY_TOLD_MS = 1_500;
 
+/**
+ * Longest entry that is told in a pulse, in bytes, several times an endpoint's own. A pulse with another writer's entry
+ * of many kilobytes could not be sent, and this daemon would look dead; such an entry is read in the seldom readings.
+ */
+const LONGEST_TOLD_BYTES = 1_000;
+
 /** Time for which a departure is told in each pulse, in milliseconds. */
 const DEPARTURE_TOLD_MS = 4_000;
 
@@ -51,8 +57,14 @@
   readonly onConfiguration: (document: Uint8Array, revision: number) => void;
   /** Takes an endpoint's entry and its revision. */
   readonly onEndpoint: (id: string, value: Uint8Array, revision: number) => void;
-  /** Takes an endpoint that is leaving or gone. */
-  readonly onDeparture: (id: string, revision: number) => void;
+  /** Takes an endpoint that is leaving or gone, with the start of the life that is leaving, if it is told. */
+  readonly onDeparture: (id: string, revision: number, bornAt: number | undefined) => void;
+}
+
+interface ToldDeparture {
+  readonly revision: number;
+  readonly bornAt: number | undefined;
+  readonly toldUntil: number;
 }
 
 /** Speaks with the other daemons: work, departures, and news for those that the key-value service doesn't answer. */
@@ -61,7 +73,7 @@
   readonly #parts: PeerLinkParts;
   readonly #pulse: peerPulses.PeerPulse;
   readonly #teller = new peerNews.NewsTeller();
-  readonly #departures = new Map<string, { revision: number; toldUntil: number }>();
+  readonly #departures = new Map<string, ToldDeparture>();
   readonly #entries = new Map<string, number>();
   #server: http.Server | undefined;
   #timer: NodeJS.Timeout | undefined;
@@ -96,9 +108,10 @@
   /**
    * @param id - an endpoint that is leaving or gone
    * @param revision - revision that said so
+   * @param bornAt - start of the life that is leaving, in Unix milliseconds; undefined where the entry is gone
    */
-  noteDeparture(id: string, revision: number): void {
-    this.#departures.set(id, { revision, toldUntil: performance.now() + DEPARTURE_TOLD_MS });
+  noteDeparture(id: string, revision: number, bornAt: number | undefined): void {
+    this.#departures.set(id, { revision, bornAt, toldUntil: performance.now() + DEPARTURE_TOLD_MS });
   }
 
   /** @param id - an endpoint whose entry was read from the key-value service and has changed */
@@ -160,11 +173,17 @@
         model,
         part: part.id,
         tokens: part.tokens,
+        startedAtMs: toMessage(view.directory.bornAtOf(endpointId)),
       })),
       readTokensPerSecond: Math.round(this.#parts.readDemand.perMs(now) * MS_PER_SECOND),
       changing: [...view.changing]
         .filter(([, change]) => change.until > now)
-        .map(([endpoint, change]) => ({ endpoint, role: change.role, forMs: Math.round(change.until - now) })),
+        .map(([endpoint, change]) => ({
+          endpoint,
+          role: change.role,
+          forMs: Math.round(change.until - now),
+          startedAtMs: toMessage(change.bornAt),
+        })),
     });
     this.#pulse.say(
       pulse,
@@ -181,13 +200,18 @@
         continue;
       }
       const { value, revision } = document;
+      if (value.length > LONGEST_TOLD_BYTES) continue;
       told.push(protobuf.create(messages.EndpointEntrySchema, { id, value, revision: BigInt(revision) }));
     }
     return told;
   }
 
-  #departureMessages(): { endpoint: string; revision: bigint }[] {
-    return [...this.#departures].map(([endpoint, { revision }]) => ({ endpoint, revision: BigInt(revision) }));
+  #departureMessages(): { endpoint: string; revision: bigint; startedAtMs: bigint }[] {
+    return [...this.#departures].map(([endpoint, { revision, bornAt }]) => ({
+      endpoint,
+      revision: BigInt(revision),
+      startedAtMs: toMessage(bornAt),
+    }));
   }
 
   #hear(pulse: messages.Pulse, sender: string): void {
@@ -214,15 +238,34 @@
       now,
       this.#workExpiryMs,
     );
-    for (const { endpoint, role, forMs } of pulse.changing) {
-      if (this.#parts.view.changing.has(endpoint)) continue;
-      this.#parts.view.changing.set(endpoint, { until: now + forMs, role: role as serving.EngineRole });
+    for (const { endpoint, role, forMs, startedAtMs } of pulse.changing) {
+      const bornAt = fromMessage(startedAtMs);
+      if (this.#parts.view.changing.has(endpoint) || this.#isOfAnotherLife(endpoint, bornAt)) continue;
+      this.#parts.view.changing.set(endpoint, { until: now + forMs, role: role as serving.EngineRole, bornAt });
     }
-    for (const { endpoint, model, part, tokens } of pulse.reads) {
+    for (const { endpoint, model, part, tokens, startedAtMs } of pulse.reads) {
+      if (this.#isOfAnotherLife(endpoint, fromMessage(startedAtMs))) continue;
       this.#parts.board.hearRead({ endpointId: endpoint, model, part: { id: part, tokens } });
     }
     for (const entry of pulse.entries) this.#parts.onEndpoint(entry.id, entry.value, Number(entry.revision));
-    for (const departure of pulse.departures) this.#parts.onDeparture(departure.endpoint, Number(departure.revision));
+    this.#takeDepartures(pulse.departures);
+  }
+
+  /**
+   * A peer that hasn't heard of a start yet goes on speaking of the life before. An
+   * engine that has just come would get no work for an order that it knows nothing
+   * of, and prompts for parts that it doesn't have. Peers of an older form tell no
+   * life, and are believed as before.
+   */
+  #isOfAnotherLife(id: string, toldBornAt: number | undefined): boolean {
+    const bornAt = this.#parts.view.directory.bornAtOf(id);
+    return toldBornAt !== undefined && bornAt !== undefined && toldBornAt !== bornAt;
+  }
+
+  #takeDepartures(departures: readonly messages.Departure[]): void {
+    for (const { endpoint, revision, startedAtMs } of departures) {
+      this.#parts.onDeparture(endpoint, Number(revision), fromMessage(startedAtMs));
+    }
   }
 
   #tellNews(now: number): void {
@@ -262,11 +305,20 @@
       this.#parts.onConfiguration(news.configuration, Number(news.configurationRevision));
     }
     for (const entry of news.endpoints) this.#parts.onEndpoint(entry.id, entry.value, Number(entry.revision));
-    for (const departure of news.departures) this.#parts.onDeparture(departure.endpoint, Number(departure.revision));
+    this.#takeDepartures(news.departures);
     return this.#parts.view.configurationRevision;
   }
 }
 
+/** Messages have no missing number: 0 stands for a start that isn't known. */
+function toMessage(bornAt: number | undefined): bigint {
+  return BigInt(bornAt ?? 0);
+}
+
+function fromMessage(startedAtMs: bigint): number | undefined {
+  return startedAtMs === 0n ? undefined : Number(startedAtMs);
+}
+
 /**
  * @param peers - the other daemons
  * @returns time between two pulses, in milliseconds
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -100,7 +100,7 @@
   readonly roleChangeKey: string;
   /** @param value - the operators' document */
   decodeConfiguration(value: Uint8Array): neverthrow.Result<serving.Configuration, string>;
-  /** @param id - the endpoint's id; @param value - its entry */
+  /** @param id - the endpoint's id; @param value - its entry; @returns what it names, or why that can't be used */
   decodeEndpoint(id: string, value: Uint8Array): neverthrow.Result<serving.Endpoint, string>;
 }
 
@@ -161,6 +161,8 @@
   readonly busy: boolean;
   /** Orders that it has accepted since its start. */
   readonly ordersAccepted: number;
+  /** Its start, in Unix milliseconds, if it says it. */
+  readonly bornAt: number | undefined;
 }
 
 /** An order to take another role. */
--- a/packages/gateway/src/roleChanger.ts
+++ b/packages/gateway/src/roleChanger.ts
@@ -1,4 +1,5 @@
 import * as serving from "@camphorcourse/serving";
+import type * as neverthrow from "neverthrow";
 import type * as contexts from "./context.js";
 import type * as orderAuthorities from "./orderAuthority.js";
 import type * as ports from "./ports.js";
@@ -110,15 +111,17 @@
     this.changed(service, 0);
     const asked = await this.#ask(engine, format.engineQuestion());
     const state = asked === undefined ? undefined : format.readEngineState(asked.body);
-    if (state?.isOk() !== true || state.value.busy) {
-      log.info("role-change-put-off", { endpoint: engine.id, reason: state === undefined ? "no answer" : "busy" });
+    const hindrance = this.#hindranceOf(engine, state);
+    if (state?.isOk() !== true || hindrance !== undefined) {
+      log.info("role-change-put-off", { endpoint: engine.id, reason: hindrance });
       return;
     }
     // Between question and order the authority may have ended; the last look is right before sending.
     const token = authority.token();
     if (token === undefined) return;
     const order = { role: change.role, holder: context.settings.vm, token, expectedOrders: state.value.ordersAccepted };
-    view.changing.set(engine.id, { until: performance.now() + CHANGING_MS, role: change.role });
+    const until = performance.now() + CHANGING_MS;
+    view.changing.set(engine.id, { until, role: change.role, bornAt: engine.bornAt });
     const answer = await this.#ask(engine, format.roleOrder(order));
     log.info("role-change", {
       endpoint: engine.id,
@@ -140,6 +143,24 @@
     await this.#tellChange(service, engine.id, change.role);
   }
 
+  /**
+   * An engine's count of orders starts anew with each life. An order that rests on
+   * the entry of one life and the count of another could be carried out by an
+   * engine that has just come, whose role nobody has looked at.
+   */
+  #hindranceOf(
+    engine: serving.Endpoint,
+    state: neverthrow.Result<ports.EngineState, string> | undefined,
+  ): string | undefined {
+    if (state === undefined) return "no answer";
+    if (state.isErr()) return state.error;
+    if (state.value.busy) return "busy";
+    const { directory } = this.#parts.context.view;
+    const { bornAt } = state.value;
+    const otherLife = bornAt !== undefined && engine.bornAt !== undefined && bornAt !== engine.bornAt;
+    return otherLife || !directory.isSameLife(engine) ? "started again" : undefined;
+  }
+
   /** All daemons rest after a change, also those that may take the authority over. */
   async #tellChange(service: string, endpoint: string, role: serving.EngineRole): Promise<void> {
     const value = Buffer.from(JSON.stringify({ service, endpoint, role, at: Date.now() }));
--- a/packages/serving/src/engineBoard.ts
+++ b/packages/serving/src/engineBoard.ts
@@ -192,10 +192,22 @@
     this.#states.get(read.endpointId)?.cache?.readPart(read.model, read.part);
   }
 
-  /** @param endpointId - an endpoint that is gone */
+  /**
+   * Drops what is guessed or told of an endpoint. Own work stays: it is taken off
+   * as each request ends, and what was dropped would be taken off twice.
+   *
+   * @param endpointId - an endpoint that is gone, or has started again and keeps nothing of before
+   */
   forget(endpointId: string): void {
     const state = this.#states.get(endpointId);
     if (state !== undefined) state.cache = undefined;
+    this.#untoldReads = this.#untoldReads.filter((read) => read.endpointId !== endpointId);
+    this.#peerTotals.delete(endpointId);
+    for (const [peer, { work, validUntil }] of this.#peers) {
+      if (!work.has(endpointId)) continue;
+      const others = new Map([...work].filter(([id]) => id !== endpointId));
+      this.#peers.set(peer, { work: others, validUntil });
+    }
   }
 
   /** @returns own work by endpoint, without endpoints that have none */
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -4,6 +4,7 @@
 export * from "./routeTable.js";
 export * from "./endpointDirectory.js";
 export * from "./endpointHealth.js";
+export * from "./endpointLives.js";
 export * from "./engineBoard.js";
 export * from "./finalAnswer.js";
 export * from "./leastBusy.js";
