--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -355,10 +355,6 @@
       onEnd: () => {
         if (!this.#endSend(active)) return;
         const handle = status === HTTP_OK ? format.readHandle(Buffer.concat(chunks)) : undefined;
-        if (handle?.isOk() === true && !this.#isSameLife(active.endpoint)) {
-          this.#sendFailed(active, serving.SendFate.Declined, "the engine has started again since");
-          return;
-        }
         if (handle?.isOk() === true) {
           this.#recordHealth(active, serving.SendResult.Good);
           this.#learnTime(active);
