Tell peers that an entry is set aside, not that its endpoint is gone

Cause: most daemons of a large fleet are told by peers. A departure made them drop connections and the guess of the cache of an endpoint whose own entry is back with its next heartbeat.

Ruled out: telling the foreign entry itself. It may be long, and daemons of the older form would log it in each pulse and go on using the entry before.

Change: a departure says whether it is of another writer's entry; the daemon that hears it sets the id aside as if it had read it. Older daemons pass the field over and take the endpoint for gone until its next good entry.

--- a/packages/gateway/src/beliefs.ts
+++ b/packages/gateway/src/beliefs.ts
@@ -12,6 +12,16 @@
   Endpoint = "endpoint",
 }
 
+/** Why nothing new is sent to an endpoint any more, as it is told to other daemons. */
+export interface Departure {
+  /** Revision that said so. */
+  readonly revision: number;
+  /** Start of the life that is leaving, in Unix milliseconds; undefined where the entry is gone. */
+  readonly bornAt: number | undefined;
+  /** Whether another writer's entry stands there. */
+  readonly setAside: boolean;
+}
+
 /** What taking beliefs needs. */
 export interface BeliefParts {
   readonly layout: ports.StoreLayout;
@@ -73,7 +83,8 @@
     if (!event.key.startsWith(layout.endpointPrefix)) return;
     // A removal just after the service's return may be a lapse of the outage; the listing that follows tells.
     if (view.directory.lapsesDoubted(performance.now())) return;
-    this.takeDeparture(event.key.slice(layout.endpointPrefix.length), event.revision, Source.Store);
+    const departure = { revision: event.revision, bornAt: undefined, setAside: false };
+    this.takeDeparture(event.key.slice(layout.endpointPrefix.length), departure, Source.Store);
   }
 
   /**
@@ -111,14 +122,16 @@
   }
 
   /**
-   * @param id - an endpoint that is leaving or gone
-   * @param revision - revision that said so
+   * @param id - an endpoint that is leaving, gone or set aside
+   * @param departure - which of these, and since when
    * @param source - who says so
-   * @param bornAt - start of the life that is leaving, in Unix milliseconds; undefined where the entry is gone
    */
-  takeDeparture(id: string, revision: number, source: Source, bornAt?: number): void {
-    const news = this.#parts.view.directory.remove(id, revision, bornAt);
-    if (news !== undefined) this.#tell(news, source);
+  takeDeparture(id: string, departure: Departure, source: Source): void {
+    const { directory, endpointDocuments } = this.#parts.view;
+    const { revision, bornAt, setAside } = departure;
+    const news = setAside ? directory.setAside(id, revision) : directory.remove(id, revision, bornAt);
+    if (directory.isSetAside(id)) endpointDocuments.delete(id);
+    if (news !== undefined) this.#tell(news, source, setAside ? "another daemon has read it" : undefined);
   }
 
   /**
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -146,7 +146,7 @@
       onDaemon: (vm, incarnation, peers) => beliefs.takeHeardDaemon(vm, incarnation, peers),
       onConfiguration: (document, revision) => beliefs.takeConfiguration(document, revision, beliefsModule.Source.Peer),
       onEndpoint: (id, value, revision) => beliefs.takeEndpoint(id, value, revision, beliefsModule.Source.Peer),
-      onDeparture: (id, revision, bornAt) => beliefs.takeDeparture(id, revision, beliefsModule.Source.Peer, bornAt),
+      onDeparture: (id, departure) => beliefs.takeDeparture(id, departure, beliefsModule.Source.Peer),
     });
     this.#authority = new orderAuthorities.OrderAuthority({
       store: surroundings.store,
@@ -305,7 +305,9 @@
 
   #onEndpoint(news: serving.EndpointNews): void {
     // Peers are told no entry that can't be used: it may be long, and those of an older form would only log it.
-    if (DEPARTURES.has(news.change)) this.#peers.noteDeparture(news.id, news.revision, news.leavingBornAt);
+    const setAside = news.change === serving.EndpointChange.SetAside;
+    const { revision, leavingBornAt: bornAt } = news;
+    if (DEPARTURES.has(news.change)) this.#peers.noteDeparture(news.id, { revision, bornAt, setAside });
     else this.#peers.noteEntry(news.id);
     if (news.change === serving.EndpointChange.Gone) {
       this.#view.endpointDocuments.delete(news.id);
--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -2,6 +2,7 @@
 import * as protobuf from "@bufbuild/protobuf";
 import * as messages from "@camphorcourse/protocol/gateway";
 import * as serving from "@camphorcourse/serving";
+import type * as beliefsModule from "./beliefs.js";
 import type * as decisionLogs from "./decisionLog.js";
 import type * as fleetViews from "./fleetView.js";
 import * as peerBooks from "./peerBook.js";
@@ -57,13 +58,11 @@
   readonly onConfiguration: (document: Uint8Array, revision: number) => void;
   /** Takes an endpoint's entry and its revision. */
   readonly onEndpoint: (id: string, value: Uint8Array, revision: number) => void;
-  /** Takes an endpoint that is leaving or gone, with the start of the life that is leaving, if it is told. */
-  readonly onDeparture: (id: string, revision: number, bornAt: number | undefined) => void;
+  /** Takes an endpoint that is leaving, gone or set aside. */
+  readonly onDeparture: (id: string, departure: beliefsModule.Departure) => void;
 }
 
-interface ToldDeparture {
-  readonly revision: number;
-  readonly bornAt: number | undefined;
+interface ToldDeparture extends beliefsModule.Departure {
   readonly toldUntil: number;
 }
 
@@ -106,12 +105,11 @@
   }
 
   /**
-   * @param id - an endpoint that is leaving or gone
-   * @param revision - revision that said so
-   * @param bornAt - start of the life that is leaving, in Unix milliseconds; undefined where the entry is gone
+   * @param id - an endpoint that is leaving, gone or set aside
+   * @param departure - which of these, and since when
    */
-  noteDeparture(id: string, revision: number, bornAt: number | undefined): void {
-    this.#departures.set(id, { revision, bornAt, toldUntil: performance.now() + DEPARTURE_TOLD_MS });
+  noteDeparture(id: string, departure: beliefsModule.Departure): void {
+    this.#departures.set(id, { ...departure, toldUntil: performance.now() + DEPARTURE_TOLD_MS });
   }
 
   /** @param id - an endpoint whose entry was read from the key-value service and has changed */
@@ -206,11 +204,12 @@
     return told;
   }
 
-  #departureMessages(): { endpoint: string; revision: bigint; startedAtMs: bigint }[] {
-    return [...this.#departures].map(([endpoint, { revision, bornAt }]) => ({
+  #departureMessages(): { endpoint: string; revision: bigint; startedAtMs: bigint; setAside: boolean }[] {
+    return [...this.#departures].map(([endpoint, { revision, bornAt, setAside }]) => ({
       endpoint,
       revision: BigInt(revision),
       startedAtMs: toMessage(bornAt),
+      setAside,
     }));
   }
 
@@ -263,8 +262,8 @@
   }
 
   #takeDepartures(departures: readonly messages.Departure[]): void {
-    for (const { endpoint, revision, startedAtMs } of departures) {
-      this.#parts.onDeparture(endpoint, Number(revision), fromMessage(startedAtMs));
+    for (const { endpoint, revision, startedAtMs, setAside } of departures) {
+      this.#parts.onDeparture(endpoint, { revision: Number(revision), bornAt: fromMessage(startedAtMs), setAside });
     }
   }
 
