--- a/packages/gateway/src/roleChanger.ts
+++ b/packages/gateway/src/roleChanger.ts
@@ -1,31 +1,30 @@
 import * as serving from "@camphorcourse/serving";
-import type * as neverthrow from "neverthrow";
+import * as neverthrow from "neverthrow";
 import type * as contexts from "./context.js";
+import * as engineCalls from "./engineCalls.js";
 import type * as orderAuthorities from "./orderAuthority.js";
 import type * as ports from "./ports.js";
 
 /** Interval at which the balance is looked at, in milliseconds. */
 const LOOK_EVERY_MS = 300;
 
-/** Time for an engine's answer to an order or a question, in milliseconds. */
-const CALL_TIMEOUT_MS = 1_500;
-
 /**
  * Time for which an engine gets no new work after an order, in milliseconds: it
  * finishes what runs and is away some seconds. Its registered role ends the wait
- * sooner; an order whose answer was lost may be carried out up to 12 s later.
+ * sooner.
  */
 const CHANGING_MS = 12_500;
 
+/**
+ * Time for which an engine that gave no answer, or was busy, is asked last, in
+ * milliseconds: as long as a silent engine's entry outlives it.
+ */
+const RELUCTANT_MS = 5_000;
+
 const OK = 200;
 const ACCEPTED = 202;
 const FENCED = 412;
 
-interface EngineAnswer {
-  readonly status: number;
-  readonly body: Buffer;
-}
-
 /** What changing roles needs. */
 export interface RoleChangerParts {
   readonly context: contexts.ServingContext;
@@ -37,16 +36,28 @@
   readonly readTokensPerMs: () => number;
 }
 
+/** An engine that is asked last for some time. */
+interface ReluctantEngine {
+  readonly engine: serving.Endpoint;
+  /** Instant until which others are asked first, in milliseconds. */
+  readonly until: number;
+}
+
 /** Gives engines another role when the mix of prompts and answers has shifted for good. */
 export class RoleChanger {
   readonly #parts: RoleChangerParts;
+  readonly #calls: engineCalls.EngineCalls;
   readonly #balances = new Map<string, serving.RoleBalance>();
+  /** Engines that were asked and got no order, by id. */
+  readonly #reluctant = new Map<string, ReluctantEngine>();
+  readonly #loggedOutlooks = new Map<string, string>();
   #busy = false;
   #timer: NodeJS.Timeout | undefined;
 
   /** @param parts - what it needs */
   constructor(parts: RoleChangerParts) {
     this.#parts = parts;
+    this.#calls = new engineCalls.EngineCalls(parts.context);
   }
 
   /** Begins to look at the balance. */
@@ -70,9 +81,11 @@
   #look(): void {
     const { context, authority } = this.#parts;
     if (this.#busy || authority.token() === undefined) return;
+    this.#forgetReluctant();
     for (const service of context.view.table?.configuration.services ?? []) {
       if (service.engine === undefined) continue;
       const change = this.#decide(service.name);
+      this.#logOutlook(service.name);
       if (change === undefined) continue;
       this.#busy = true;
       void this.#carryOut(service.name, change).finally(() => {
@@ -90,10 +103,31 @@
       role: view.roleToCome(engine, now),
       running: board.running(engine.id, now),
       slots: engine.slots,
+      reluctant: this.#reluctant.has(engine.id),
     }));
     return this.#balance(service).decide({ engines, readTokensPerMs: this.#parts.readTokensPerMs(), now });
   }
 
+  /** One line each time that another role is wanted or the split differs: without it nothing tells why no order came. */
+  #logOutlook(service: string): void {
+    const outlook = this.#balance(service).outlook;
+    if (outlook === undefined) return;
+    const { wanted, urgent, prefill, decode } = outlook;
+    const seen = `${wanted} ${urgent} ${prefill} ${decode}`;
+    if (this.#loggedOutlooks.get(service) === seen) return;
+    this.#loggedOutlooks.set(service, seen);
+    const { heldMs, restMs } = outlook;
+    this.#parts.context.log.info("role-outlook", {
+      service,
+      wanted,
+      urgent,
+      prefill,
+      decode,
+      heldMs: Math.round(heldMs),
+      restMs: Math.round(restMs),
+    });
+  }
+
   #balance(service: string): serving.RoleBalance {
     let balance = this.#balances.get(service);
     if (balance === undefined) {
@@ -105,42 +139,77 @@
 
   async #carryOut(service: string, change: serving.RoleChange): Promise<void> {
     const { context, authority } = this.#parts;
-    const { format, log, view } = context;
-    const engine = view.directory.serving(service).find((each) => each.id === change.endpointId);
+    const engine = context.view.directory.serving(service).find((each) => each.id === change.endpointId);
     if (engine === undefined) return;
     this.changed(service, 0);
-    const asked = await this.#ask(engine, format.engineQuestion());
-    const state = asked === undefined ? undefined : format.readEngineState(asked.body);
-    const hindrance = this.#hindranceOf(engine, state);
-    if (state?.isOk() !== true || hindrance !== undefined) {
-      log.info("role-change-put-off", { endpoint: engine.id, reason: hindrance });
+    const asked = await this.#calls.askState(engine);
+    const state = asked.andThen((reported) => this.#checkState(engine, reported));
+    if (state.isErr()) {
+      this.#putOff(engine, state.error);
       return;
     }
     // Between question and order the authority may have ended; the last look is right before sending.
     const token = authority.token();
     if (token === undefined) return;
     const order = { role: change.role, holder: context.settings.vm, token, expectedOrders: state.value.ordersAccepted };
+    if (await this.#give(engine, change, order)) await this.#tellChange(service, engine.id, change.role);
+  }
+
+  /** @returns whether the engine carries the order out */
+  async #give(engine: serving.Endpoint, change: serving.RoleChange, order: ports.RoleOrder): Promise<boolean> {
+    const { context, authority } = this.#parts;
+    const { log, view } = context;
     const until = performance.now() + CHANGING_MS;
     view.changing.set(engine.id, { until, role: change.role, bornAt: engine.bornAt });
-    const answer = await this.#ask(engine, format.roleOrder(order));
+    const status = await this.#calls.order(engine, order);
     log.info("role-change", {
       endpoint: engine.id,
       from: engine.role,
       to: change.role,
-      token,
+      token: order.token,
       expectedOrders: order.expectedOrders,
       readingLoad: change.readingLoad.toFixed(2),
       streamsEach: change.streamsEach.toFixed(1),
-      status: answer?.status ?? "no answer",
+      status: status ?? "no answer",
     });
     context.metrics.count("role_orders");
-    if (answer?.status === FENCED) authority.refused();
-    const carriedOut = answer === undefined || answer.status === ACCEPTED || answer.status === OK;
-    if (!carriedOut) {
-      view.changing.delete(engine.id);
-      return;
+    if (status === FENCED) authority.refused();
+    const accepted = status === undefined ? await this.#wasAccepted(engine, order) : isAcceptance(status);
+    if (!accepted) view.changing.delete(engine.id);
+    return accepted;
+  }
+
+  /**
+   * An order without an answer is open until the engine has been asked again. One
+   * that was lost on the way would otherwise keep the engine out of use, and the
+   * service without its role, for the whole time of a change. If the engine has
+   * accepted none since, the order may be given again: both name the number of
+   * orders before them, so that only one of two that arrive is carried out. A later
+   * life has accepted nothing that was sent to the one before.
+   */
+  async #wasAccepted(engine: serving.Endpoint, order: ports.RoleOrder): Promise<boolean> {
+    const state = await this.#calls.askState(engine);
+    if (state.isErr()) {
+      this.#putOff(engine, state.error);
+      return false;
     }
-    await this.#tellChange(service, engine.id, change.role);
+    const startedAgain = this.#hasStartedAgain(engine, state.value);
+    const accepted = !startedAgain && (state.value.busy || state.value.ordersAccepted !== order.expectedOrders);
+    this.#parts.context.log.info("role-change-read-back", {
+      endpoint: engine.id,
+      accepted,
+      startedAgain,
+      expectedOrders: order.expectedOrders,
+      ordersAccepted: state.value.ordersAccepted,
+    });
+    return accepted;
+  }
+
+  /** @returns the state, or what keeps the engine from an order */
+  #checkState(engine: serving.Endpoint, state: ports.EngineState): neverthrow.Result<ports.EngineState, string> {
+    if (state.busy) return neverthrow.err("busy");
+    if (this.#hasStartedAgain(engine, state)) return neverthrow.err("started again");
+    return neverthrow.ok(state);
   }
 
   /**
@@ -148,17 +217,25 @@
    * the entry of one life and the count of another could be carried out by an
    * engine that has just come, whose role nobody has looked at.
    */
-  #hindranceOf(
-    engine: serving.Endpoint,
-    state: neverthrow.Result<ports.EngineState, string> | undefined,
-  ): string | undefined {
-    if (state === undefined) return "no answer";
-    if (state.isErr()) return state.error;
-    if (state.value.busy) return "busy";
+  #hasStartedAgain(engine: serving.Endpoint, state: ports.EngineState): boolean {
     const { directory } = this.#parts.context.view;
-    const { bornAt } = state.value;
+    const { bornAt } = state;
     const otherLife = bornAt !== undefined && engine.bornAt !== undefined && bornAt !== engine.bornAt;
-    return otherLife || !directory.isSameLife(engine) ? "started again" : undefined;
+    return otherLife || !directory.isSameLife(engine);
+  }
+
+  /** Only for so long is an engine asked last, and a life that follows is asked like any other. */
+  #forgetReluctant(): void {
+    const { directory } = this.#parts.context.view;
+    const now = performance.now();
+    for (const [id, { engine, until }] of this.#reluctant) {
+      if (until <= now || !directory.isSameLife(engine)) this.#reluctant.delete(id);
+    }
+  }
+
+  #putOff(engine: serving.Endpoint, reason: string): void {
+    this.#reluctant.set(engine.id, { engine, until: performance.now() + RELUCTANT_MS });
+    this.#parts.context.log.info("role-change-put-off", { endpoint: engine.id, reason });
   }
 
   /** All daemons rest after a change, also those that may take the authority over. */
@@ -168,37 +245,8 @@
     const written = await this.#parts.store.write({ conditions: [], puts: [put], removals: [] });
     if (written.isErr()) this.#parts.context.log.warn("role-change-not-told", { detail: written.error.detail });
   }
+}
 
-  #ask(engine: serving.Endpoint, call: ports.EngineCall): Promise<EngineAnswer | undefined> {
-    return new Promise((resolve) => {
-      const chunks: Buffer[] = [];
-      let status = 0;
-      const timer = setTimeout(() => {
-        sending.cancel();
-        resolve(undefined);
-      }, CALL_TIMEOUT_MS);
-      const done = (answer: EngineAnswer | undefined): void => {
-        clearTimeout(timer);
-        resolve(answer);
-      };
-      const sending = this.#parts.context.client.send(
-        engine,
-        {
-          method: call.method,
-          path: call.path,
-          headers: call.headers(engine.id),
-          body: call.body === undefined ? undefined : Buffer.from(call.body),
-        },
-        {
-          onHead: (answerStatus) => {
-            status = answerStatus;
-            return true;
-          },
-          onData: (chunk) => chunks.push(chunk),
-          onEnd: () => done({ status, body: Buffer.concat(chunks) }),
-          onBroken: () => done(undefined),
-        },
-      );
-    });
-  }
+function isAcceptance(status: number): boolean {
+  return status === ACCEPTED || status === OK;
 }
