--- a/packages/gateway/src/answerBody.ts
+++ b/packages/gateway/src/answerBody.ts
@@ -93,7 +93,7 @@
       results.failed(active, serving.SendFate.Unknown, "the stream ended inside an event");
       return;
     }
-    lessons.noteGood(active);
+    lessons.judge(active, serving.SendResult.Good);
     end.endStream();
   }
 
--- a/packages/gateway/src/endpointLessons.ts
+++ b/packages/gateway/src/endpointLessons.ts
@@ -1,4 +1,4 @@
-import * as serving from "@camphorcourse/serving";
+import type * as serving from "@camphorcourse/serving";
 import type * as activeSends from "./activeSend.js";
 import type * as contexts from "./context.js";
 import type * as servedRequests from "./servedRequest.js";
@@ -18,23 +18,22 @@
   }
 
   /**
+   * What a former life did doesn't count against the present one, also if it shows only now.
+   *
    * @param active - a send
    * @param result - what it says of its endpoint; a change of what is thought of it is logged
    */
   judge(active: activeSends.ActiveSend, result: serving.SendResult): void {
+    if (!this.#isOfThisLife(active)) return;
     const changed = this.#context.health.record(active.endpoint.id, result, performance.now());
     if (!changed) return;
     const bad = this.#context.health.isBad(active.endpoint.id);
     this.#context.log.warn(bad ? "endpoint-bad" : "endpoint-good", { endpoint: active.endpoint.id, result });
   }
 
-  /** @param active - a send that an engine has done well; nothing is logged */
-  noteGood(active: activeSends.ActiveSend): void {
-    this.#context.health.record(active.endpoint.id, serving.SendResult.Good, performance.now());
-  }
-
   /** @param active - a send whose prompt has been read: the time that it took corrects later predictions */
   learnTime(active: activeSends.ActiveSend): void {
+    if (!this.#isOfThisLife(active)) return;
     const tookMs = performance.now() - active.sentAt;
     this.#context.health.recordTime(active.endpoint.id, active.predictedMs, tookMs);
     this.#context.log.info("prompt-read", {
@@ -52,4 +51,8 @@
       slowness: this.#context.health.slowness(active.endpoint.id).toFixed(2),
     });
   }
+
+  #isOfThisLife(active: activeSends.ActiveSend): boolean {
+    return this.#context.view.directory.isSameLife(active.endpoint);
+  }
 }
--- a/packages/gateway/src/promptMemory.ts
+++ b/packages/gateway/src/promptMemory.ts
@@ -1,4 +1,4 @@
-import * as serving from "@camphorcourse/serving";
+import type * as serving from "@camphorcourse/serving";
 import type * as contexts from "./context.js";
 
 /** A prompt read at one engine, to be gone on with at another. */
@@ -32,11 +32,26 @@
     this.#handedOver = undefined;
   }
 
+  /**
+   * A reader that has started again keeps nothing of before. Its handle names nothing
+   * there, or what it has read since for another request, whose answer the caller
+   * would get: a handle of its former life is forgotten.
+   *
+   * @returns the reader, if it has started again since it read the prompt
+   */
+  dropLost(): serving.Endpoint | undefined {
+    const handedOver = this.#handedOver;
+    if (handedOver === undefined || this.#isKept(handedOver)) return undefined;
+    this.#handedOver = undefined;
+    return handedOver.reader;
+  }
+
   /** Memory of a prompt that nobody goes on with is freed instead of being kept until it lapses. */
   free(): void {
     const handedOver = this.#handedOver;
     this.#handedOver = undefined;
-    if (handedOver === undefined) return;
+    // At a later life the handle would name what that has read for another request.
+    if (handedOver === undefined || !this.#isKept(handedOver)) return;
     const call = this.#context.format.freeHandle(handedOver.handle);
     const ignore = (): void => undefined;
     this.#context.client.send(
@@ -45,4 +60,8 @@
       { onHead: () => true, onData: ignore, onEnd: ignore, onBroken: ignore },
     );
   }
+
+  #isKept(handedOver: HandedOver): boolean {
+    return this.#context.view.directory.isSameLife(handedOver.reader);
+  }
 }
--- a/packages/gateway/src/roleChanger.ts
+++ b/packages/gateway/src/roleChanger.ts
@@ -1,4 +1,5 @@
 import * as serving from "@camphorcourse/serving";
+import * as neverthrow from "neverthrow";
 import type * as contexts from "./context.js";
 import * as engineCalls from "./engineCalls.js";
 import type * as orderAuthorities from "./orderAuthority.js";
@@ -133,9 +134,10 @@
     const engine = context.view.directory.serving(service).find((each) => each.id === change.endpointId);
     if (engine === undefined) return;
     this.#balance(service).putOff();
-    const state = await this.#calls.askState(engine);
-    if (state.isErr() || state.value.busy) {
-      this.#putOff(engine, state.isErr() ? state.error : "busy");
+    const asked = await this.#calls.askState(engine);
+    const state = asked.andThen((reported) => this.#checkState(engine, reported));
+    if (state.isErr()) {
+      this.#putOff(engine, state.error);
       return;
     }
     this.#failedAt.delete(engine.id);
@@ -152,7 +154,8 @@
   async #give(engine: serving.Endpoint, change: serving.RoleChange, order: ports.RoleOrder): Promise<boolean> {
     const { context, authority } = this.#parts;
     const { log, view } = context;
-    view.changing.set(engine.id, { until: performance.now() + CHANGING_MS, role: change.role });
+    const until = performance.now() + CHANGING_MS;
+    view.changing.set(engine.id, { until, role: change.role, bornAt: engine.bornAt });
     const status = await this.#calls.order(engine, order);
     log.info("role-change", {
       endpoint: engine.id,
@@ -176,7 +179,8 @@
    * that was lost on the way would otherwise keep the engine out of use, and the
    * service without its role, for the whole time of a change. If the engine has
    * accepted none since, the order may be given again: both name the number of
-   * orders before them, so that only one of two that arrive is carried out.
+   * orders before them, so that only one of two that arrive is carried out. A later
+   * life has accepted nothing that was sent to the one before.
    */
   async #wasAccepted(engine: serving.Endpoint, order: ports.RoleOrder): Promise<boolean> {
     const state = await this.#calls.askState(engine);
@@ -184,16 +188,37 @@
       this.#putOff(engine, state.error);
       return false;
     }
-    const accepted = state.value.busy || state.value.ordersAccepted !== order.expectedOrders;
+    const startedAgain = this.#hasStartedAgain(engine, state.value);
+    const accepted = !startedAgain && (state.value.busy || state.value.ordersAccepted !== order.expectedOrders);
     this.#parts.context.log.info("role-change-read-back", {
       endpoint: engine.id,
       accepted,
+      startedAgain,
       expectedOrders: order.expectedOrders,
       ordersAccepted: state.value.ordersAccepted,
     });
     return accepted;
   }
 
+  /** @returns the state, or what keeps the engine from an order */
+  #checkState(engine: serving.Endpoint, state: ports.EngineState): neverthrow.Result<ports.EngineState, string> {
+    if (state.busy) return neverthrow.err("busy");
+    if (this.#hasStartedAgain(engine, state)) return neverthrow.err("started again");
+    return neverthrow.ok(state);
+  }
+
+  /**
+   * An engine's count of orders starts anew with each life. An order that rests on
+   * the entry of one life and the count of another could be carried out by an
+   * engine that has just come, whose role nobody has looked at.
+   */
+  #hasStartedAgain(engine: serving.Endpoint, state: ports.EngineState): boolean {
+    const { directory } = this.#parts.context.view;
+    const { bornAt } = state;
+    const otherLife = bornAt !== undefined && engine.bornAt !== undefined && bornAt !== engine.bornAt;
+    return otherLife || !directory.isSameLife(engine);
+  }
+
   #putOff(engine: serving.Endpoint, reason: string): void {
     this.#failedAt.set(engine.id, performance.now());
     this.#parts.context.log.info("role-change-put-off", { endpoint: engine.id, reason });
--- a/packages/gateway/src/sendCourse.ts
+++ b/packages/gateway/src/sendCourse.ts
@@ -35,6 +35,11 @@
       end.give(NOT_FOUND, "route-removed", "no route leads there any more");
       return;
     }
+    const lostReader = memory.dropLost();
+    if (lostReader !== undefined) {
+      this.#readAgain(lostReader);
+      return;
+    }
     const choice = this.#chooser.choose(memory.handedOver !== undefined);
     if (choice.isErr()) end.reject(choice.error.reason, choice.error.returnAfterMs);
     else this.#dispatch(choice.value);
@@ -84,6 +89,16 @@
     this.#parts.memory.free();
   }
 
+  /** What the reader kept of the prompt is lost: the prompt is read anew, which counts as a send. */
+  #readAgain(reader: serving.Endpoint): void {
+    const { context, end, served } = this.#parts;
+    served.countSend();
+    const step = served.decide(serving.SendFate.Declined);
+    context.log.info("handle-lost", { id: served.id, endpoint: reader.id, step });
+    if (step === serving.NextStep.SendAgain) this.sendNext();
+    else end.reject("handle-lost");
+  }
+
   #dispatch(planned: sendChoosers.PlannedSend): void {
     const { context, served } = this.#parts;
     const remainingMs = Math.floor(served.remainingMs);
--- a/packages/gateway/src/silenceWatch.ts
+++ b/packages/gateway/src/silenceWatch.ts
@@ -44,7 +44,7 @@
     this.#timer = setInterval(() => {
       const now = performance.now();
       const ownAt = Math.max(this.#sentAt, this.#served.progress.lastEventAt);
-      const heardAt = Math.max(ownAt, this.#context.client.heardAt(this.#planned.endpoint.id));
+      const heardAt = Math.max(ownAt, this.#endpointHeardAt());
       const silent = now - heardAt > this.#limits.endpointMs || now - ownAt > this.#limits.requestMs;
       if (silent) onSilent(now - ownAt);
     }, SILENCE_CHECK_MS);
@@ -54,4 +54,11 @@
   stop(): void {
     clearInterval(this.#timer);
   }
+
+  /** What a later life says to others is no sign of the one that this request was sent to. */
+  #endpointHeardAt(): number {
+    const { client, view } = this.#context;
+    const { endpoint } = this.#planned;
+    return view.directory.isSameLife(endpoint) ? client.heardAt(endpoint.id) : 0;
+  }
 }
--- a/packages/gateway/tests/beliefs.test.ts
+++ b/packages/gateway/tests/beliefs.test.ts
@@ -24,7 +24,7 @@
   const view = new fleetViews.FleetView();
   const log = new decisionLogs.DecisionLog("vm-1", "fatal", { writableLength: 0, write: () => true });
   const onEndpoint = (news: serving.EndpointNews): void => {
-    if (news.change === serving.EndpointChange.Gone) view.endpointDocuments.delete(news.endpoint.id);
+    if (news.change === serving.EndpointChange.Gone) view.endpointDocuments.delete(news.id);
   };
   const ignore = (): void => undefined;
   const parts = { layout, view, log, onEndpoint, onRoleChange: ignore, onConfiguration: ignore };
@@ -37,7 +37,7 @@
   const { beliefs, view } = believing();
   beliefs.takeEndpoint("e1", ENTRY, 3, beliefsModule.Source.Peer);
   assert.ok(view.endpointDocuments.has("e1"));
-  beliefs.takeDeparture("e1", 5, beliefsModule.Source.Peer);
+  beliefs.takeDeparture("e1", { revision: 5, bornAt: undefined, setAside: false }, beliefsModule.Source.Peer);
   beliefs.takeEndpoint("e1", ENTRY, 3, beliefsModule.Source.Peer);
   assert.not.ok(view.endpointDocuments.has("e1"));
   beliefs.takeEndpoint("e1", ENTRY, 6, beliefsModule.Source.Peer);
@@ -48,7 +48,7 @@
 suite("nor is one of a listing that is older than the departure", () => {
   const { beliefs, view } = believing();
   beliefs.takeEndpoint("e1", ENTRY, 3, beliefsModule.Source.Peer);
-  beliefs.takeDeparture("e1", 5, beliefsModule.Source.Peer);
+  beliefs.takeDeparture("e1", { revision: 5, bornAt: undefined, setAside: false }, beliefsModule.Source.Peer);
   const item = { key: `${PREFIX}e1`, value: ENTRY, revision: 3, createdRevision: 3 };
   beliefs.takeListing({ items: [item], revision: 4 });
   assert.not.ok(view.endpointDocuments.has("e1"));
