--- a/packages/gateway/tests/helpers/exchangeStand.ts
+++ b/packages/gateway/tests/helpers/exchangeStand.ts
@@ -153,8 +153,9 @@
   /**
    * @param requestClass - class of the request; a stream carries a prompt
    * @param roles - roles of the endpoints that there are
+   * @param deadlineMs - time for which the caller waits in milliseconds, if it says so
    */
-  constructor(requestClass: serving.RequestClass, roles: readonly serving.EngineRole[]) {
+  constructor(requestClass: serving.RequestClass, roles: readonly serving.EngineRole[], deadlineMs?: number) {
     const view = new fleetViews.FleetView();
     const ownRoute = route(requestClass);
     const engine = requestClass === serving.RequestClass.Stream ? ENGINE : undefined;
@@ -182,7 +183,7 @@
       liveDaemons: () => 1,
     };
     const prompt = engine === undefined ? undefined : PROMPT;
-    const headers = { requestId: "request-1", deadlineMs: undefined, lastEventId: undefined, prompt, passedOn: [] };
+    const headers = { requestId: "request-1", deadlineMs, lastEventId: undefined, prompt, passedOn: [] };
     const request = { method: "POST", target: "/x", host: "desk", path: "/x", headers, arrivedAt: performance.now() };
     this.exchange = new exchanges.Exchange(this.#context, request, ownRoute, Buffer.from("body"), this.answer);
   }
