End a request whose time is up before it is sent on

Cause: between the answer of the engine that read a prompt and the next send nothing looked at the time that is left; the deadline's own timer does, and has its turn only after what the loop has already to hear. The time is looked at before each send now, with the same final answer as the timer's (503 if nothing has run, else 504).

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -10,7 +10,6 @@
 import * as servedRequests from "./servedRequest.js";
 
 const BAD_GATEWAY = 502;
-const GATEWAY_TIMEOUT = 504;
 
 /** One request of a caller, from its arrival to its one final answer. */
 export class Exchange {
@@ -84,8 +83,7 @@
     const { active } = this.#course;
     const ran = this.#mayHaveRun();
     if (active !== undefined) this.#lessons.judge(active, serving.SendResult.Silent);
-    if (ran) this.#end.give(GATEWAY_TIMEOUT, "timed-out", "the time is up; the request may have run");
-    else this.#end.reject("timed-out");
+    this.#end.timeUp(ran);
   }
 
   /** @returns whether a send may have run the request, the one under way included */
--- a/packages/gateway/src/requestEnd.ts
+++ b/packages/gateway/src/requestEnd.ts
@@ -7,6 +7,10 @@
 const HTTP_OK = 200;
 const BAD_GATEWAY = 502;
 const UNAVAILABLE = 503;
+const GATEWAY_TIMEOUT = 504;
+
+/** Outcome in the log of a request whose time is up. */
+const TIMED_OUT = "timed-out";
 
 /** Status in the log of a request whose caller left without an answer. */
 const NO_STATUS = 0;
@@ -99,6 +103,16 @@
     ]);
   }
 
+  /**
+   * The time is up.
+   *
+   * @param mayHaveRun - whether a send may have run the request
+   */
+  timeUp(mayHaveRun: boolean): void {
+    if (mayHaveRun) this.give(GATEWAY_TIMEOUT, TIMED_OUT, "the time is up; the request may have run");
+    else this.reject(TIMED_OUT);
+  }
+
   /**
    * Gives an answer of the daemon's own; a stream that has begun is broken off instead.
    *
--- a/packages/gateway/src/sendCourse.ts
+++ b/packages/gateway/src/sendCourse.ts
@@ -31,6 +31,12 @@
   sendNext(): void {
     const { end, memory, served } = this.#parts;
     if (end.over) return;
+    // A loop that has fallen behind hears an endpoint before the deadline's own timer: sent on, the request would run
+    // for a caller that has gone.
+    if (served.remainingMs <= 0) {
+      end.timeUp(served.mayHaveRun);
+      return;
+    }
     if (!served.followConfiguration()) {
       end.give(NOT_FOUND, "route-removed", "no route leads there any more");
       return;
