--- a/scripts/playDays.mjs
+++ b/scripts/playDays.mjs
@@ -1,27 +1,40 @@
-// Plays the days in platform/days on the given sites and prints a line for each:
-//   node scripts/playDays.mjs BENCH SITE...
+// Plays the days in deploy/days on the given sites and prints a line for each, with what fell short:
+//   node scripts/playDays.mjs BENCH [--days NAME,...] SITE...
 import * as childProcess from "node:child_process";
 import * as fs from "node:fs";
 import * as path from "node:path";
+import * as util from "node:util";
 
-const FOLDER = "platform/days";
-const [bench, ...sites] = process.argv.slice(2);
+const FOLDER = "deploy/days";
+const { values, positionals } = util.parseArgs({ options: { days: { type: "string" } }, allowPositionals: true });
+const [bench, ...sites] = positionals;
 if (bench === undefined || sites.length === 0) {
-  console.error("usage: node scripts/playDays.mjs BENCH SITE...; give the program and at least one site file");
+  console.error("usage: node scripts/playDays.mjs BENCH [--days NAME,...] SITE...; give the program and a site file");
+  process.exit(2);
+}
+const names = fs
+  .readdirSync(FOLDER)
+  .filter((file) => file.endsWith(".toml"))
+  .map((file) => path.basename(file, ".toml"))
+  .sort();
+const wanted = values.days?.split(",") ?? names;
+const unknown = wanted.filter((name) => !names.includes(name));
+if (unknown.length > 0) {
+  console.error(`no such day in ${FOLDER}: ${unknown.join(", ")}; there are ${names.join(", ")}`);
   process.exit(2);
 }
 let failed = 0;
 for (const site of sites) {
-  for (const file of fs.readdirSync(FOLDER).sort()) {
-    const day = path.join(FOLDER, file);
-    const run = childProcess.spawnSync(bench, ["run", site, day, "--why", `own day ${file}`], { encoding: "utf8" });
+  for (const name of wanted) {
+    const day = path.join(FOLDER, `${name}.toml`);
+    const run = childProcess.spawnSync(bench, ["run", site, day, "--why", `own day ${name}`], { encoding: "utf8" });
     const lines = run.stdout.split("\n");
-    const result = lines.findIndex((line) => line.startsWith("day ")) + 1;
-    console.log(`${path.basename(site, ".toml").padEnd(24)} ${lines[result] ?? run.stdout + run.stderr}`);
-    for (const line of lines.filter((each) => /BROKEN|short of the gate/.test(each)).slice(0, 3)) {
-      console.log(`    ${line}`);
-      failed++;
-    }
+    const heading = lines.findIndex((line) => line.startsWith("day "));
+    console.log(`${path.basename(site, ".toml").padEnd(24)} ${lines[heading + 1] ?? run.stdout + run.stderr}`);
+    const short = lines.filter((each) => /BROKEN|short of the gate/.test(each));
+    for (const line of short.slice(0, 3)) console.log(`    ${line}`);
+    // A day without a result was not played to its end.
+    if (heading < 0 || short.length > 0) failed++;
   }
 }
 process.exitCode = failed === 0 ? 0 : 1;
