Place prompts by speeds that are learned, not by one fleet's figures

Cause: placement carried the first customers' engines as constants (85 and 32 tokens in a millisecond, 62 ms to a first token). On Kandy's engines (61 and 21, about 10 ms) small prompts took half of the predicted time and long ones at decode engines 2.4 times as long. Ruled out: that the engines were short of speed; with nothing waiting, 2,000 to 4,000 tokens took 80 ms as the sheet says.

Change: a recursive least squares estimate for each role learns the fixed time, the time of a token, of a million pairs and of each stream beside it from the readings that are seen anyway; what waited makes an observation less certain. Handovers and pauses between events are learned alike.

--- a/packages/gateway/src/activeSend.ts
+++ b/packages/gateway/src/activeSend.ts
@@ -18,6 +18,7 @@
   readonly #silence: silenceWatches.SilenceWatch;
   #read: serving.PendingRead | undefined;
   #sending: endpointClients.Sending | undefined;
+  #begun = false;
 
   /**
    * @param context - what serving needs
@@ -36,7 +37,7 @@
     this.plan = planned.plan;
     this.sentAt = performance.now();
     const { plan, endpoint } = planned;
-    this.#read = plan === undefined ? undefined : context.board.beginRead(endpoint.id, plan.unreadTokens, plan.level);
+    this.#read = plan === undefined ? undefined : context.board.beginRead(endpoint.id, plan.workTokens, plan.level);
     this.#silence = new silenceWatches.SilenceWatch(context, served, planned, this.sentAt);
   }
 
@@ -66,9 +67,17 @@
     if (this.#read === undefined) return false;
     this.#context.board.endRead(this.#read);
     this.#read = undefined;
+    this.#begun = true;
     return true;
   }
 
+  /** @returns whether this is the first event of the send */
+  noteBegun(): boolean {
+    const first = !this.#begun;
+    this.#begun = true;
+    return first;
+  }
+
   /**
    * A caller that reads slowly holds the endpoint back, instead of filling memory here.
    *
--- a/packages/gateway/src/answerBody.ts
+++ b/packages/gateway/src/answerBody.ts
@@ -94,12 +94,14 @@
       return;
     }
     lessons.judge(active, serving.SendResult.Good);
+    lessons.learnPause(active);
     end.endStream();
   }
 
   #onEvent(event: eventSplitters.StreamEvent): void {
     const { active, answer, context, lessons, memory, served } = this.#send;
     if (active.endRead()) lessons.learnTime(active);
+    else if (active.noteBegun()) lessons.learnHandover(active);
     const now = performance.now();
     if (!served.progress.begun) {
       context.metrics.record(metricsModule.Duration.FirstEvent, now - served.caller.arrivedAt);
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -16,6 +16,8 @@
   readonly view: fleetViews.FleetView;
   readonly board: serving.EngineBoard;
   readonly health: serving.EndpointHealth;
+  /** What is known of the speed of each service's engines. */
+  readonly speeds: serving.ServiceSpeeds;
   /** Tokens that own requests' prompts need read. */
   readonly readDemand: serving.FadingRate;
   readonly client: endpointClients.EndpointClient;
--- a/packages/gateway/src/endpointLessons.ts
+++ b/packages/gateway/src/endpointLessons.ts
@@ -34,7 +34,9 @@
   /** @param active - a send whose prompt has been read: the time that it took corrects later predictions */
   learnTime(active: activeSends.ActiveSend): void {
     if (!this.#isOfThisLife(active)) return;
-    const tookMs = performance.now() - active.sentAt;
+    const now = performance.now();
+    const tookMs = now - active.sentAt;
+    this.#learnReading(active, tookMs, now);
     this.#context.health.recordTime(active.endpoint.id, active.predictedMs, tookMs);
     this.#context.log.info("prompt-read", {
       id: this.#served.id,
@@ -45,13 +47,54 @@
       waiting: active.plan?.tokensWaiting,
       prompt: this.#served.caller.headers.prompt?.promptTokens,
       urgency: active.plan?.level,
-      running: this.#context.board.running(active.endpoint.id, performance.now()),
+      running: this.#context.board.running(active.endpoint.id, now),
       predictedMs: Math.round(active.predictedMs),
       tookMs: Math.round(tookMs),
       slowness: this.#context.health.slowness(active.endpoint.id).toFixed(2),
     });
   }
 
+  /** @param active - a send that goes on from a prompt which another engine has read, at its first event */
+  learnHandover(active: activeSends.ActiveSend): void {
+    const { prompt } = this.#served.caller.headers;
+    if (prompt === undefined || !this.#isOfThisLife(active)) return;
+    const tookMs = performance.now() - active.sentAt;
+    const speeds = this.#speeds();
+    this.#context.log.info("handed-over", {
+      id: this.#served.id,
+      endpoint: active.endpoint.id,
+      prompt: prompt.promptTokens,
+      expectedMs: Math.round(speeds.handoverMs(prompt.promptTokens)),
+      tookMs: Math.round(tookMs),
+    });
+    speeds.learnHandover(prompt.promptTokens, tookMs);
+  }
+
+  /** @param active - a send whose whole stream has come from its endpoint */
+  learnPause(active: activeSends.ActiveSend): void {
+    const { meanPauseMs } = this.#served.progress;
+    if (meanPauseMs === undefined || this.#served.sends > 1 || !this.#isOfThisLife(active)) return;
+    const streams = this.#context.board.running(active.endpoint.id, performance.now());
+    this.#speeds().learnPause(streams, meanPauseMs);
+  }
+
+  #learnReading(active: activeSends.ActiveSend, tookMs: number, now: number): void {
+    const { plan, endpoint } = active;
+    const { prompt } = this.#served.caller.headers;
+    if (plan === undefined || prompt === undefined) return;
+    this.#speeds().learnReading(endpoint.role, {
+      unreadTokens: plan.unreadTokens,
+      cachedTokens: Math.max(0, prompt.promptTokens - plan.unreadTokens),
+      tokensWaiting: plan.tokensWaiting,
+      streams: this.#context.board.running(endpoint.id, now),
+      tookMs,
+    });
+  }
+
+  #speeds(): serving.EngineSpeeds {
+    return this.#context.speeds.of(this.#served.service);
+  }
+
   #isOfThisLife(active: activeSends.ActiveSend): boolean {
     return this.#context.view.directory.isSameLife(active.endpoint);
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -95,6 +95,7 @@
       view: this.#view,
       board: new serving.EngineBoard(),
       health: new serving.EndpointHealth(),
+      speeds: new serving.ServiceSpeeds(),
       readDemand: new serving.FadingRate(),
       client: new endpointClients.EndpointClient((name) => this.#metrics.count(name)),
       budgets: new contexts.RetryBudgets(settings.retryBounds, performance.now()),
--- a/packages/gateway/src/sendChooser.ts
+++ b/packages/gateway/src/sendChooser.ts
@@ -90,13 +90,14 @@
     prompt: serving.Prompt,
     promptIsRead: boolean,
   ): Choice {
-    const { board, health, settings } = this.#context;
+    const { board, health, settings, speeds } = this.#context;
     const engines = this.#candidates(definition);
     const inputs: serving.PlacementInputs = {
       prompt,
       engines,
       board,
       memoryTokens: engine.memoryTokens,
+      speeds: speeds.of(definition.name),
       slowness: (id) => health.slowness(id),
       dataCentre: settings.dataCentre,
       now: performance.now(),
@@ -110,7 +111,7 @@
     }
     const reader = plan.reader ?? plan.decoder;
     board.noteRead(reader.id, engine.memoryTokens, prompt);
-    this.#context.readDemand.add(plan.readingTokens, performance.now());
+    this.#context.readDemand.add(plan.workTokens, performance.now());
     const stage = plan.reader === undefined ? Stage.Answering : Stage.Reading;
     return neverthrow.ok({ endpoint: reader, stage, predictedMs: plan.predictedMs, plan });
   }
--- a/packages/gateway/src/streamProgress.ts
+++ b/packages/gateway/src/streamProgress.ts
@@ -21,6 +21,12 @@
     return this.#lastEventId;
   }
 
+  /** @returns mean pause between two events in milliseconds, once there were two */
+  get meanPauseMs(): number | undefined {
+    if (this.#firstEventAt === undefined || this.#events < 2) return undefined;
+    return (this.#lastEventAt - this.#firstEventAt) / (this.#events - 1);
+  }
+
   /**
    * @param id - the event's id, if it has one
    * @param now - current instant in milliseconds
--- a/packages/gateway/tests/helpers/exchangeStand.ts
+++ b/packages/gateway/tests/helpers/exchangeStand.ts
@@ -175,6 +175,7 @@
       view,
       board: new serving.EngineBoard(),
       health: new serving.EndpointHealth(),
+      speeds: new serving.ServiceSpeeds(),
       readDemand: new serving.FadingRate(),
       client: this.#client,
       budgets: new contexts.RetryBudgets(SETTINGS.retryBounds, performance.now() - PROCESS_AGE_MS),
--- a/packages/serving/src/placement.ts
+++ b/packages/serving/src/placement.ts
@@ -1,6 +1,7 @@
 import * as common from "@camphorcourse/common";
 import * as directories from "./endpointDirectory.js";
 import * as boards from "./engineBoard.js";
+import type * as engineSpeeds from "./engineSpeeds.js";
 import * as promptParts from "./promptParts.js";
 import * as urgencies from "./urgency.js";
 
@@ -13,7 +14,7 @@
   /** Tokens that have to be read. */
   readonly unreadTokens: number;
   /** The reading's work, attention included, as tokens of a short prompt. */
-  readonly readingTokens: number;
+  readonly workTokens: number;
   readonly level: number;
   /** Tokens that the engine has to read before. */
   readonly tokensAhead: number;
@@ -29,41 +30,17 @@
   readonly engines: readonly directories.Endpoint[];
   readonly board: boards.EngineBoard;
   readonly memoryTokens: number;
+  /** What is known of the speed of the service's engines. */
+  readonly speeds: engineSpeeds.EngineSpeeds;
   /** Factor by which an endpoint is slower than expected, 1 for a sound one. */
   readonly slowness: (endpointId: string) => number;
   readonly dataCentre: string;
   readonly now: number;
 }
 
-/** Tokens that a prefill engine reads in a millisecond; the learned slowness corrects it. */
-const PREFILL_TOKENS_PER_MS = 85;
-
-/** Tokens that a decode engine reads in a millisecond between the tokens that it makes. */
-const DECODE_TOKENS_PER_MS = 32;
-
-/** Attention's share of reading: milliseconds for a million pairs of tokens. */
-const PAIRS_MS_PER_MILLION = 0.35;
-
-/** Time of a second call and of moving the prompt's memory, in milliseconds. */
-const HANDOVER_MS = 14;
-
-/** Time to the first token of an idle engine with nothing to read, in milliseconds; measured 61 to 68. */
-const FIRST_TOKEN_MS = 62;
-
-/** Time that each request under way at a prefill engine adds, in milliseconds. */
-const PREFILL_RUNNING_MS = 0.5;
-
-/** Time that each request under way at a decode engine adds to the first token, in milliseconds. */
-const DECODE_RUNNING_MS = 0.8;
-
-/** Tokens that an engine reads at a stretch, which a more urgent prompt has to wait for. */
-const PIECE_TOKENS = { prefill: 2_048, decode: 512 };
-
-/** Time that an endpoint in another data centre adds, in milliseconds. */
+/** Time that an endpoint in another data centre adds, in milliseconds: a way there and back. */
 const OTHER_DATA_CENTRE_MS = 2;
 
-const PAIRS_IN_A_MILLION = 1_000_000;
-
 /**
  * Places a prompt by the predicted time to its first event: tokens ahead of it,
  * parts already cached, both ways of reading it. Its parts' home engine comes
@@ -76,13 +53,14 @@
 export function placePrompt(inputs: PlacementInputs): EnginePlan | undefined {
   const decoders = inputs.engines.filter((engine) => engine.role !== directories.EngineRole.Prefill);
   const readers = inputs.engines.filter((engine) => engine.role === directories.EngineRole.Prefill);
-  const direct = best(inputs, decoders, DECODING);
-  const apart = best(inputs, readers, READING);
+  const direct = best(inputs, decoders);
+  const apart = best(inputs, readers);
   const target = placeDecoder(inputs);
   if (direct === undefined || target === undefined) return undefined;
   const directMs = direct.predictedMs + strainMs(inputs, direct);
   const slotMs = slotWaitMs(target, inputs.board.running(target.id, inputs.now));
-  const apartMs = apart === undefined ? Number.POSITIVE_INFINITY : apart.predictedMs + HANDOVER_MS + slotMs;
+  const handoverMs = inputs.speeds.handoverMs(inputs.prompt.promptTokens);
+  const apartMs = apart === undefined ? Number.POSITIVE_INFINITY : apart.predictedMs + handoverMs + slotMs;
   if (apart === undefined || directMs <= apartMs) {
     return { ...direct, decoder: direct.engine, reader: undefined, predictedMs: direct.predictedMs };
   }
@@ -99,50 +77,28 @@
 
 function strainMs(inputs: PlacementInputs, direct: Candidate): number {
   const streams = inputs.board.running(direct.engine.id, inputs.now);
-  return (direct.unreadTokens / DECODE_TOKENS_PER_MS) * streams * STREAM_STRAIN;
-}
-
-interface RoleSpeed {
-  readonly tokensPerMs: number;
-  readonly runningMs: number;
-  readonly pieceTokens: number;
+  return inputs.speeds.readMs(direct.engine.role, direct.workTokens) * streams * STREAM_STRAIN;
 }
 
-const READING: RoleSpeed = {
-  tokensPerMs: PREFILL_TOKENS_PER_MS,
-  runningMs: PREFILL_RUNNING_MS,
-  pieceTokens: PIECE_TOKENS.prefill,
-};
-
-const DECODING: RoleSpeed = {
-  tokensPerMs: DECODE_TOKENS_PER_MS,
-  runningMs: DECODE_RUNNING_MS,
-  pieceTokens: PIECE_TOKENS.decode,
-};
-
 interface Candidate {
   readonly engine: directories.Endpoint;
   readonly unreadTokens: number;
-  readonly readingTokens: number;
+  readonly workTokens: number;
   readonly level: number;
   readonly tokensAhead: number;
   readonly tokensWaiting: number;
   readonly predictedMs: number;
 }
 
-function best(
-  inputs: PlacementInputs,
-  engines: readonly directories.Endpoint[],
-  speed: RoleSpeed,
-): Candidate | undefined {
+function best(inputs: PlacementInputs, engines: readonly directories.Endpoint[]): Candidate | undefined {
   const group = promptParts.sharedGroup(inputs.prompt);
   const home = group === undefined ? undefined : homeOf(group, engines);
   let chosen: Candidate | undefined;
   let chosenCost = Number.POSITIVE_INFINITY;
   for (const engine of engines) {
-    const candidate = candidateAt(inputs, engine, speed);
+    const candidate = candidateAt(inputs, engine);
     // Leaving home costs the shared parts' reading again there, and room in two caches.
-    const cost = candidate.predictedMs + (engine.id === home ? 0 : homeLeavingMs(inputs, speed.tokensPerMs));
+    const cost = candidate.predictedMs + (engine.id === home ? 0 : homeLeavingMs(inputs, engine.role));
     if (cost < chosenCost) {
       chosen = candidate;
       chosenCost = cost;
@@ -157,10 +113,10 @@
  */
 const HOME_LEAVING_WEIGHT = 6;
 
-function homeLeavingMs(inputs: PlacementInputs, tokensPerMs: number): number {
+function homeLeavingMs(inputs: PlacementInputs, role: directories.EngineRole): number {
   const own = inputs.prompt.parts.at(-1)?.tokens ?? 0;
   const shared = Math.max(0, inputs.prompt.promptTokens - own);
-  return (HOME_LEAVING_WEIGHT * shared) / tokensPerMs;
+  return HOME_LEAVING_WEIGHT * inputs.speeds.readMs(role, shared);
 }
 
 function homeOf(group: string, engines: readonly directories.Endpoint[]): string | undefined {
@@ -170,23 +126,23 @@
   )[0];
 }
 
-function candidateAt(inputs: PlacementInputs, engine: directories.Endpoint, speed: RoleSpeed): Candidate {
-  const cached = inputs.board.cache(engine.id, inputs.memoryTokens).cachedTokens(inputs.prompt);
-  const unreadTokens = Math.max(1, inputs.prompt.promptTokens - cached);
+function candidateAt(inputs: PlacementInputs, engine: directories.Endpoint): Candidate {
+  const { board, now, prompt, speeds } = inputs;
+  const cachedTokens = board.cache(engine.id, inputs.memoryTokens).cachedTokens(prompt);
+  const unreadTokens = Math.max(1, prompt.promptTokens - cachedTokens);
   const level = urgencies.urgencyOf(unreadTokens);
-  const ahead = inputs.board.tokensAhead(engine.id, level, inputs.now);
-  const waiting = inputs.board.tokensAhead(engine.id, urgencies.LEAST_URGENT, inputs.now);
-  const pairs = unreadTokens * (cached + unreadTokens / 2);
-  const pieceWait = Math.min(waiting - ahead, speed.pieceTokens);
-  const tokensMs = (ahead + unreadTokens + pieceWait) / speed.tokensPerMs;
-  const pairsMs = (pairs / PAIRS_IN_A_MILLION) * PAIRS_MS_PER_MILLION;
-  const readMs = tokensMs + pairsMs;
-  const running = inputs.board.running(engine.id, inputs.now);
-  const runningMs = running * speed.runningMs + slotWaitMs(engine, running);
-  const wayMs = engine.dataCentre === inputs.dataCentre ? 0 : OTHER_DATA_CENTRE_MS;
-  const predictedMs = FIRST_TOKEN_MS + readMs * inputs.slowness(engine.id) + runningMs + wayMs;
-  const readingTokens = unreadTokens + pairsMs * PREFILL_TOKENS_PER_MS;
-  return { engine, unreadTokens, readingTokens, level, tokensAhead: ahead, tokensWaiting: waiting, predictedMs };
+  const tokensAhead = board.tokensAhead(engine.id, level, now);
+  const tokensWaiting = board.tokensAhead(engine.id, urgencies.LEAST_URGENT, now);
+  const workTokens = speeds.workTokens(engine.role, { unreadTokens, cachedTokens });
+  const running = board.running(engine.id, now);
+  const readMs = speeds.readMs(engine.role, tokensAhead + workTokens);
+  const busyMs = (speeds.fixedMs(engine.role, running) + readMs) * inputs.slowness(engine.id);
+  const predictedMs = busyMs + slotWaitMs(engine, running) + wayMs(inputs, engine);
+  return { engine, unreadTokens, workTokens, level, tokensAhead, tokensWaiting, predictedMs };
+}
+
+function wayMs(inputs: PlacementInputs, engine: directories.Endpoint): number {
+  return engine.dataCentre === inputs.dataCentre ? 0 : OTHER_DATA_CENTRE_MS;
 }
 
 /**
@@ -205,12 +161,13 @@
   let chosenCost = Number.POSITIVE_INFINITY;
   for (const engine of decoders) {
     const running = inputs.board.running(engine.id, inputs.now);
-    const runningMs = (1 + running) * DECODE_RUNNING_MS + slotWaitMs(engine, running);
-    const aheadMs = inputs.board.tokensAhead(engine.id, urgencies.LEAST_URGENT, inputs.now) / DECODE_TOKENS_PER_MS;
-    const wayMs = engine.dataCentre === inputs.dataCentre ? 0 : OTHER_DATA_CENTRE_MS;
+    const fullMs = ((1 + running) / engine.slots) * FULL_ENGINE_MS + slotWaitMs(engine, running);
+    const aheadTokens = inputs.board.tokensAhead(engine.id, urgencies.LEAST_URGENT, inputs.now);
+    const aheadMs = inputs.speeds.readMs(engine.role, aheadTokens);
     const homeMs = engine.id === home ? 0 : DECODER_HOME_MS;
     // Waiting prompts slow the tokens of the streams beside them, though not the start of one whose prompt is read.
-    const cost = (runningMs + aheadMs * WAITING_READS_WEIGHT) * inputs.slowness(engine.id) + wayMs + homeMs;
+    const busyMs = (fullMs + aheadMs * WAITING_READS_WEIGHT) * inputs.slowness(engine.id);
+    const cost = busyMs + wayMs(inputs, engine) + homeMs;
     if (cost < chosenCost) {
       chosen = engine;
       chosenCost = cost;
@@ -219,6 +176,9 @@
   return chosen;
 }
 
+/** Weight of a decode engine's taken slots in the choice, in milliseconds when all are taken: it spreads streams evenly. */
+const FULL_ENGINE_MS = 50;
+
 /** Share of a decode engine's waiting reads that a handed-over prompt feels. */
 const WAITING_READS_WEIGHT = 0.3;
 
--- a/packages/serving/tests/placement.test.ts
+++ b/packages/serving/tests/placement.test.ts
@@ -31,6 +31,7 @@
     engines,
     board,
     memoryTokens: MEMORY_TOKENS,
+    speeds: new serving.EngineSpeeds(),
     slowness: () => 1,
     dataCentre: "a",
     now: 0,
@@ -77,7 +78,7 @@
 
 suite("no plan without an engine that makes tokens", () => {
   const inputs = { prompt: prompt("g", "o", 10), engines: FLEET.slice(0, 2), board: new serving.EngineBoard() };
-  const rest = { memoryTokens: MEMORY_TOKENS, slowness: () => 1, dataCentre: "a", now: 0 };
+  const rest = { memoryTokens: MEMORY_TOKENS, speeds: new serving.EngineSpeeds(), slowness: () => 1, dataCentre: "a", now: 0 };
   assert.is(serving.placePrompt({ ...inputs, ...rest }), undefined);
 });
 
