Split roles by what reading and streams need, several changes in a row

Cause: half of the engines always had to decode, the balance reckoned with one fleet's reading and step times, and each change rested for seconds.

Change: the balance compares every split by learned figures; what has to decode follows from the streams of late, their memory, the next swing and the loss of one engine. Changes to the same role follow each other, a third of the engines away at most. The load that daemons tell is in engines kept busy.

--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -18,8 +18,8 @@
   readonly health: serving.EndpointHealth;
   /** What is known of the speed of each service's engines. */
   readonly speeds: serving.ServiceSpeeds;
-  /** Tokens that own requests' prompts need read. */
-  readonly readDemand: serving.FadingRate;
+  /** What own requests' prompts ask of the engines. */
+  readonly demand: serving.Demand;
   readonly client: endpointClients.EndpointClient;
   readonly budgets: RetryBudgets;
   readonly random: common.SeededRandom;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -96,7 +96,7 @@
       board: new serving.EngineBoard(),
       health: new serving.EndpointHealth(),
       speeds: new serving.ServiceSpeeds(),
-      readDemand: new serving.FadingRate(),
+      demand: new serving.Demand(),
       client: new endpointClients.EndpointClient((name) => this.#metrics.count(name)),
       budgets: new contexts.RetryBudgets(settings.retryBounds, performance.now()),
       random,
@@ -131,7 +131,7 @@
       entry: this.#entry,
       view: this.#view,
       board: this.#context.board,
-      readDemand: this.#context.readDemand,
+      demand: this.#context.demand,
       log: this.#log,
       ready: () => this.ready,
       storeSilentMs: () => this.#follower.silentMs,
@@ -155,7 +155,7 @@
       authority: this.#authority,
       store: surroundings.store,
       changeKey: surroundings.layout.roleChangeKey,
-      readTokensPerMs: () => this.#readTokensPerMs(),
+      readingLoad: () => this.#readingLoad(),
     });
     const key = `${surroundings.layout.daemonPrefix}${settings.vm}`;
     this.#registration = new registrations.Registration(surroundings.store, key, this.#entry, this.#log);
@@ -280,10 +280,10 @@
     return watchDuties.followsClosely(this.#entry.vm, followers);
   }
 
-  #readTokensPerMs(): number {
+  #readingLoad(): number {
     const now = performance.now();
     const peers = this.#peers.book.live(now);
-    return peers.reduce((sum, peer) => sum + peer.readTokensPerMs, this.#context.readDemand.perMs(now));
+    return peers.reduce((sum, peer) => sum + peer.readingLoad, this.#context.demand.readingLoad(now));
   }
 
   async #untilOver(plannedStop: serving.PlannedStop): Promise<void> {
--- a/packages/gateway/src/peerBook.ts
+++ b/packages/gateway/src/peerBook.ts
@@ -10,8 +10,8 @@
   readonly storeSilentMs: number;
   /** Whether it follows the key-value service closely, and need not be told what is there. */
   readonly followsClosely: boolean;
-  /** Tokens that its prompts need read in a millisecond. */
-  readonly readTokensPerMs: number;
+  /** Prefill engines that reading its prompts keeps busy. */
+  readonly readingLoad: number;
   readonly heardAt: number;
 }
 
--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -37,7 +37,8 @@
 /** Time for which a departure is told in each pulse, in milliseconds. */
 const DEPARTURE_TOLD_MS = 4_000;
 
-const MS_PER_SECOND = 1_000;
+/** Messages tell a load in whole thousandths. */
+const THOUSANDTHS = 1_000;
 
 /** What the link needs. */
 export interface PeerLinkParts {
@@ -45,7 +46,7 @@
   readonly entry: fleetViews.DaemonEntry;
   readonly view: fleetViews.FleetView;
   readonly board: serving.EngineBoard;
-  readonly readDemand: serving.FadingRate;
+  readonly demand: serving.Demand;
   readonly log: decisionLogs.DecisionLog;
   readonly ready: () => boolean;
   /** Milliseconds for which the key-value service has not answered. */
@@ -207,7 +208,7 @@
         tokens: part.tokens,
         startedAtMs: toMessage(view.directory.bornAtOf(endpointId)),
       })),
-      readTokensPerSecond: Math.round(this.#parts.readDemand.perMs(now) * MS_PER_SECOND),
+      readingLoadThousandths: Math.round(this.#parts.demand.readingLoad(now) * THOUSANDTHS),
       changing: [...view.changing]
         .filter(([, change]) => change.until > now)
         .map(([endpoint, change]) => ({
@@ -259,7 +260,7 @@
       configurationRevision: Number(pulse.configurationRevision),
       storeSilentMs: pulse.storeSilentMs,
       followsClosely: pulse.followsClosely,
-      readTokensPerMs: pulse.readTokensPerSecond / MS_PER_SECOND,
+      readingLoad: pulse.readingLoadThousandths / THOUSANDTHS,
       heardAt: now,
     });
     if (before === undefined || before.incarnation !== pulse.incarnation || before.ready !== pulse.ready) {
--- a/packages/gateway/src/roleChanger.ts
+++ b/packages/gateway/src/roleChanger.ts
@@ -26,8 +26,8 @@
   readonly store: ports.DurableStore;
   /** Key under which the last change is told to all daemons. */
   readonly changeKey: string;
-  /** Tokens that all daemons' prompts need read in a millisecond. */
-  readonly readTokensPerMs: () => number;
+  /** Prefill engines that reading all daemons' prompts keeps busy. */
+  readonly readingLoad: () => number;
 }
 
 /** Gives engines another role when the mix of prompts and answers has shifted for good. */
@@ -75,7 +75,7 @@
     if (this.#busy || !authority.held) return;
     for (const service of context.view.table?.configuration.services ?? []) {
       if (service.engine === undefined) continue;
-      const change = this.#decide(service.name);
+      const change = this.#decide(service.name, service.engine);
       this.#logOutlook(service.name);
       // Looked at while the right is held and can't be used yet: by then the reason has held.
       if (change === undefined || authority.token() === undefined) continue;
@@ -87,17 +87,24 @@
     }
   }
 
-  #decide(service: string): serving.RoleChange | undefined {
-    const { view, board } = this.#parts.context;
+  #decide(service: string, limits: serving.EngineLimits): serving.RoleChange | undefined {
+    const { board, demand, speeds, view } = this.#parts.context;
     const now = performance.now();
     const engines = view.directory.serving(service).map((engine) => ({
       id: engine.id,
       role: view.roleToCome(engine, now),
       running: board.running(engine.id, now),
       slots: engine.slots,
+      changing: view.isChanging(engine, now),
       failedAt: this.#failedAt.get(engine.id),
     }));
-    return this.#balance(service).decide({ engines, readTokensPerMs: this.#parts.readTokensPerMs(), now });
+    return this.#balance(service).decide({
+      engines,
+      readingLoad: this.#parts.readingLoad(),
+      speeds: speeds.of(service),
+      streamsInMemory: limits.memoryTokens / Math.max(1, demand.meanPromptTokens(now) ?? 1),
+      now,
+    });
   }
 
   /** One line each time that another role is wanted or the split differs: without it nothing tells why no order came. */
@@ -146,7 +153,7 @@
     if (token === undefined) return;
     const order = { role: change.role, holder: context.settings.vm, token, expectedOrders: state.value.ordersAccepted };
     if (!(await this.#give(engine, change, order))) return;
-    this.changed(service, 0);
+    this.#balance(service).changed(performance.now(), change.role);
     await this.#tellChange(service, engine.id, change.role);
   }
 
--- a/packages/gateway/src/sendChooser.ts
+++ b/packages/gateway/src/sendChooser.ts
@@ -111,11 +111,17 @@
     }
     const reader = plan.reader ?? plan.decoder;
     board.noteRead(reader.id, engine.memoryTokens, prompt);
-    this.#context.readDemand.add(plan.workTokens, performance.now());
+    this.#noteDemand(plan, prompt);
     const stage = plan.reader === undefined ? Stage.Answering : Stage.Reading;
     return neverthrow.ok({ endpoint: reader, stage, predictedMs: plan.predictedMs, plan });
   }
 
+  #noteDemand(plan: serving.EnginePlan, prompt: serving.Prompt): void {
+    const { demand, speeds } = this.#context;
+    const readingMs = speeds.of(this.#served.service).readMs(serving.EngineRole.Prefill, plan.workTokens);
+    demand.add(readingMs, prompt.promptTokens, performance.now());
+  }
+
   #judgeAdmission(plan: serving.EnginePlan): serving.Rejection | undefined {
     const { route, sends, mayHaveRun, remainingMs, id } = this.#served;
     // What has begun is finished, and what was sent before gets its other chance.
--- a/packages/gateway/tests/helpers/exchangeStand.ts
+++ b/packages/gateway/tests/helpers/exchangeStand.ts
@@ -176,7 +176,7 @@
       board: new serving.EngineBoard(),
       health: new serving.EndpointHealth(),
       speeds: new serving.ServiceSpeeds(),
-      readDemand: new serving.FadingRate(),
+      demand: new serving.Demand(),
       client: this.#client,
       budgets: new contexts.RetryBudgets(SETTINGS.retryBounds, performance.now() - PROCESS_AGE_MS),
       random: new common.SeededRandom(SEED),
--- a/packages/gateway/tests/peerBook.test.ts
+++ b/packages/gateway/tests/peerBook.test.ts
@@ -12,7 +12,7 @@
     configurationRevision: 5,
     storeSilentMs: 100,
     followsClosely: true,
-    readTokensPerMs: 0,
+    readingLoad: 0,
     heardAt,
     ...options,
   };
--- a/packages/gateway/tests/peerLink.test.ts
+++ b/packages/gateway/tests/peerLink.test.ts
@@ -64,7 +64,7 @@
     entry,
     view,
     board: new serving.EngineBoard(),
-    readDemand: new serving.FadingRate(),
+    demand: new serving.Demand(),
     log: new decisionLogs.DecisionLog("vm-1", "fatal", { writableLength: 0, write: () => true }),
     ready: () => true,
     storeSilentMs: () => 0,
@@ -87,7 +87,7 @@
       configurationRevision: 1,
       storeSilentMs: 0,
       followsClosely: false,
-      readTokensPerMs: 0,
+      readingLoad: 0,
       heardAt: performance.now(),
     });
     view.configure(CONFIGURATION, new Uint8Array([2]), 2);
--- a/packages/gateway/tests/peerLives.test.ts
+++ b/packages/gateway/tests/peerLives.test.ts
@@ -55,7 +55,7 @@
       entry: { ...other, vm: "vm-1", peers: `127.0.0.1:${this.#port}` },
       view: this.view,
       board: this.board,
-      readDemand: new serving.FadingRate(),
+      demand: new serving.Demand(),
       log: new decisionLogs.DecisionLog("vm-1", "info", sink),
       ready: () => true,
       storeSilentMs: () => 0,
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -2,6 +2,7 @@
 export * from "./admission.js";
 export * from "./configuration.js";
 export * from "./routeTable.js";
+export * from "./demand.js";
 export * from "./endpointDirectory.js";
 export * from "./endpointHealth.js";
 export * from "./endpointLives.js";
--- a/packages/serving/src/roleBalance.ts
+++ b/packages/serving/src/roleBalance.ts
@@ -1,10 +1,11 @@
 import * as directories from "./endpointDirectory.js";
+import type * as engineSpeeds from "./engineSpeeds.js";
 
 /** A change of one engine's role. */
 export interface RoleChange {
   readonly endpointId: string;
   readonly role: directories.EngineRole;
-  /** Share of the prefill engines' time that reading takes now. */
+  /** Prefill engines that reading keeps busy now. */
   readonly readingLoad: number;
   /** Streams for each decode engine now. */
   readonly streamsEach: number;
@@ -18,6 +19,8 @@
   readonly running: number;
   /** Requests that it serves at once. */
   readonly slots: number;
+  /** Whether it is away for a change of its role; {@link BalancedEngine.role} is the one to come. */
+  readonly changing?: boolean;
   /** Instant in milliseconds at which it was last asked in vain, if it was and has not answered since. */
   readonly failedAt?: number | undefined;
 }
@@ -39,27 +42,19 @@
 /** What is known at one moment. */
 export interface BalanceInputs {
   readonly engines: readonly BalancedEngine[];
-  /** Tokens that all callers' prompts need read in a millisecond, the cost of attention included. */
-  readonly readTokensPerMs: number;
+  /** Prefill engines that reading all callers' prompts keeps busy. */
+  readonly readingLoad: number;
+  /** How fast the engines work. */
+  readonly speeds: Pick<engineSpeeds.EngineSpeeds, "pause" | "decodeReadingShare">;
+  /** Streams for which one engine has memory. */
+  readonly streamsInMemory: number;
   readonly now: number;
 }
 
-/** Tokens that a prefill engine reads in a millisecond, by the sheet of the engines in use. */
-const PREFILL_TOKENS_PER_MS = 92;
-
-/** Tokens that a decode engine reads at a stretch, between two tokens of its streams. */
-const DECODE_PIECE_TOKENS = 512;
-
-/** Tokens that a decode engine reads in a millisecond while it makes no tokens: half of a prefill engine's. */
-const DECODE_TOKENS_PER_MS = PREFILL_TOKENS_PER_MS / 2;
-
-/** Time of a decode engine's step, and what each stream adds to it, in milliseconds, by the same sheet. */
-const STEP_MS = { base: 3.03, perStream: 0.121 };
-
 /** Share of a decode engine's time that reading may take: with more of it, long answers miss their deadline. */
 const READING_SHARE_OF_DECODE = 0.35;
 
-/** Strain of one more engine's role from which a change is worth an engine that is away for some seconds. */
+/** Strain that another split must save for its changes to be worth engines that are away for some seconds. */
 const WORTHWHILE = { strain: 0.35, share: 0.2 };
 
 /** Utilization above which strain no longer follows a queue's length but grows steeply and without bound. */
@@ -86,28 +81,41 @@
  */
 const REST_MS = { ofFleet: 9_000, fleet: 6, least: 1_000 };
 
+/**
+ * Rest between two changes to the same role, in milliseconds, and the share of the engines that may be away at once.
+ * The first split after a start may be wrong by half of the engines; one change in several seconds would leave prompts
+ * queueing for most of a minute.
+ */
+const SERIES = { restMs: 250, awayShare: 0.35 };
+
 /**
  * The load it answers: the mix swings between long prompts and long answers, and
  * engines crash or are taken away, so that one role is short of engines while
  * the other has some to spare. It compares the strain of the present split with
- * those that one change would make, from the utilization of reading and of the
- * streams' slots. Few changes: a reason has to hold, must pay, and changes rest.
- * A role that has no engine left is filled at once, as nothing can be served
- * without it.
+ * that of every other, from the utilization of reading and of the streams'
+ * slots, and goes there one engine after the other. Few changes: a reason has to
+ * hold, must pay, and changes of mind rest. A role that has no engine left is
+ * filled at once, as nothing can be served without it.
  */
 export class RoleBalance {
   #reasonSince = 0;
   #reasonRole = directories.EngineRole.None;
   #changedAt = Number.NEGATIVE_INFINITY;
+  #changedTo = directories.EngineRole.None;
   #outlook: RoleOutlook | undefined;
+  readonly #peak = new EventPeak();
 
   /** @returns what the last decision rested on, once there was one */
   get outlook(): RoleOutlook | undefined {
     return this.#outlook;
   }
 
-  /** @param now - instant at which a change, here or at another daemon, was made, in milliseconds */
-  changed(now: number): void {
+  /**
+   * @param now - instant at which a change, here or at another daemon, was made, in milliseconds
+   * @param role - the engine's role to come, if it is known
+   */
+  changed(now: number, role = directories.EngineRole.None): void {
+    if (now >= this.#changedAt) this.#changedTo = role;
     this.#changedAt = Math.max(this.#changedAt, now);
     this.putOff();
   }
@@ -122,30 +130,44 @@
    * @returns a change that is due, or undefined
    */
   decide(inputs: BalanceInputs): RoleChange | undefined {
-    const prefill = inputs.engines.filter((engine) => engine.role === directories.EngineRole.Prefill);
-    const decode = inputs.engines.filter((engine) => engine.role === directories.EngineRole.Decode);
-    const { role: wanted, urgent } = wantedRole(prefill, decode, inputs.readTokensPerMs);
+    const { engines, now } = inputs;
+    const prefill = engines.filter((engine) => engine.role === directories.EngineRole.Prefill);
+    const decode = engines.filter((engine) => engine.role === directories.EngineRole.Decode);
+    const load = this.#load(inputs, decode);
+    const { role: wanted, urgent } = wantedRole(prefill, decode, load);
     if (wanted !== this.#reasonRole || wanted === directories.EngineRole.None) {
       this.#reasonRole = wanted;
-      this.#reasonSince = inputs.now;
+      this.#reasonSince = now;
     }
-    const rest = Math.min(urgent ? URGENT_REST_MS : REST_MS.ofFleet, restMs(inputs.engines.length));
-    const restLeftMs = decode.length > 0 ? Math.max(0, this.#changedAt + rest - inputs.now) : 0;
-    const heldMs = inputs.now - this.#reasonSince;
+    const goesOn = wanted !== directories.EngineRole.None && wanted === this.#changedTo;
+    const rest = goesOn ? SERIES.restMs : Math.min(urgent ? URGENT_REST_MS : REST_MS.ofFleet, restMs(engines.length));
+    const restLeftMs = decode.length > 0 ? Math.max(0, this.#changedAt + rest - now) : 0;
+    const heldMs = now - this.#reasonSince;
     this.#outlook = { wanted, urgent, prefill: prefill.length, decode: decode.length, heldMs, restMs: restLeftMs };
     if (wanted === directories.EngineRole.None) return undefined;
     if (restLeftMs > 0) return undefined;
-    if (heldMs < (urgent ? URGENT_HOLDS_MS : REASON_HOLDS_MS)) return undefined;
+    const holdsMs = urgent ? URGENT_HOLDS_MS : REASON_HOLDS_MS;
+    if (heldMs < (goesOn ? Math.min(SERIES.restMs, holdsMs) : holdsMs)) return undefined;
+    const away = engines.filter((engine) => engine.changing === true).length;
+    if (decode.length > 0 && away >= Math.max(1, engines.length * SERIES.awayShare)) return undefined;
     const from = wanted === directories.EngineRole.Prefill ? decode : prefill;
-    const chosen = [...from].sort(byReadiness)[0];
+    const chosen = from.filter((engine) => engine.changing !== true).sort(byReadiness)[0];
     if (chosen === undefined) return undefined;
     return {
       endpointId: chosen.id,
       role: wanted,
-      readingLoad: inputs.readTokensPerMs / Math.max(1, prefill.length * PREFILL_TOKENS_PER_MS),
+      readingLoad: inputs.readingLoad,
       streamsEach: streams(decode) / Math.max(1, decode.length),
     };
   }
+
+  #load(inputs: BalanceInputs, decode: readonly BalancedEngine[]): Load {
+    const { readingLoad, speeds, streamsInMemory, now } = inputs;
+    const slots = Math.max(1, Math.min(streamsInMemory, ...decode.map((engine) => engine.slots)));
+    const { pause, decodeReadingShare } = speeds;
+    const eventsPerMs = decode.length === 0 ? 0 : eventRate(decode, pause);
+    return { readingLoad, eventsPerMs, peakEventsPerMs: this.#peak.follow(eventsPerMs, now), slots, pause, decodeReadingShare };
+  }
 }
 
 /**
@@ -173,11 +195,7 @@
 const NO_WISH: Wish = { role: directories.EngineRole.None, urgent: false };
 const DECODE_AT_ONCE: Wish = { role: directories.EngineRole.Decode, urgent: true };
 
-function wantedRole(
-  prefill: readonly BalancedEngine[],
-  decode: readonly BalancedEngine[],
-  readTokensPerMs: number,
-): Wish {
+function wantedRole(prefill: readonly BalancedEngine[], decode: readonly BalancedEngine[], load: Load): Wish {
   // Also the last engine that is left: a decode engine can read prompts, a prefill engine can answer none, and every
   // prompt would be turned away for as long as no other engine joins.
   if (decode.length === 0) return prefill.length > 0 ? DECODE_AT_ONCE : NO_WISH;
@@ -185,62 +203,96 @@
   // With it all streams would be lost, and while it is full nobody can go on with what prefill engines read.
   const loneIsFull = decode.length === 1 && lone !== undefined && lone.running > lone.slots * LONE_FULL_SHARE;
   if (loneIsFull && prefill.length > 1) return DECODE_AT_ONCE;
-  const load: Load = {
-    readTokensPerMs,
-    eventsPerMs: eventsPerMs(decode),
-    slots: Math.max(1, Math.min(...decode.map((engine) => engine.slots))),
-  };
-  const present = strain(load, prefill.length, decode.length);
   const engines = prefill.length + decode.length;
-  const spared = decode.length - 1 >= Math.max(LEAST_DECODE.engines, engines * LEAST_DECODE.share);
-  const more = spared ? strain(load, prefill.length + 1, decode.length - 1) : present;
-  const less = prefill.length > 1 ? strain(load, prefill.length - 1, decode.length + 1) : present;
-  const best = Math.min(more, less);
-  if (present - best < Math.max(WORTHWHILE.strain, WORTHWHILE.share * present)) return NO_WISH;
-  if (more <= less) return { role: directories.EngineRole.Prefill, urgent: false };
-  const full = streamsAt(load, decode.length) > load.slots * STEEP_FROM;
+  const present = strain(load, prefill.length, decode.length);
+  const best = leastStrained(load, engines, decode.length);
+  if (present - best.strain < Math.max(WORTHWHILE.strain, WORTHWHILE.share * present)) return NO_WISH;
+  if (best.decode < decode.length) return { role: directories.EngineRole.Prefill, urgent: false };
+  const full = streamsAt(load.eventsPerMs, load, decode.length) > load.slots * STEEP_FROM;
   return { role: directories.EngineRole.Decode, urgent: full };
 }
 
+interface Split {
+  readonly decode: number;
+  readonly strain: number;
+}
+
+/** The split with the least strain; one with fewer decode engines than now must leave enough of them. */
+function leastStrained(load: Load, engines: number, presentDecode: number): Split {
+  let best: Split = { decode: presentDecode, strain: strain(load, engines - presentDecode, presentDecode) };
+  for (let decode = 1; decode < engines; decode++) {
+    if (decode < presentDecode && !leavesEnough(load, decode)) continue;
+    const split = { decode, strain: strain(load, engines - decode, decode) };
+    if (split.strain < best.strain) best = split;
+  }
+  return best;
+}
+
 /**
- * Decode engines that always remain, as a number and as a share of all. The next swing of the mix comes within
- * seconds, and decode engines can read prompts in it while prefill engines can't make tokens: with a third of the
- * engines left to decode, a burst of long answers put 128 streams on one engine.
+ * Whether so many decode engines carry the next swing of the mix, which comes
+ * within seconds, or the loss of one of them. With a third of six engines left to
+ * decode, a burst of long answers put 128 streams on one engine; a change back
+ * takes seconds, and prefill engines can't make tokens in the meantime.
  */
-const LEAST_DECODE = { engines: 2, share: 0.5 };
+function leavesEnough(load: Load, decode: number): boolean {
+  if (decode < LEAST_DECODE) return false;
+  const swung = streamsAt(load.peakEventsPerMs * SWING, load, decode);
+  const afterLoss = streamsAt(load.peakEventsPerMs, load, decode - 1);
+  return Math.max(swung, afterLoss) <= load.slots * STEEP_FROM;
+}
+
+/** Decode engines that always remain: with one, its loss would be that of all streams. */
+const LEAST_DECODE = 2;
 
+/** Multiple of the most streams of late that the decode engines should carry: bursts of one kind of request reach 1.9. */
+const SWING = 1.5;
+
+/** The load on the engines, and what they can do. */
 interface Load {
-  readonly readTokensPerMs: number;
-  /** Tokens of all streams that the decode engines make in a millisecond. */
+  readonly readingLoad: number;
+  /** Events of all streams that the decode engines make in a millisecond. */
   readonly eventsPerMs: number;
+  /** The same, the most of late. */
+  readonly peakEventsPerMs: number;
   readonly slots: number;
+  readonly pause: engineSpeeds.EngineSpeeds["pause"];
+  readonly decodeReadingShare: number;
 }
 
-/** Tokens that the streams ask for, from how many run now and how fast an engine with that many makes tokens. */
-function eventsPerMs(decode: readonly BalancedEngine[]): number {
+/** Time in which a peak fades, in milliseconds: several swings of the mix. */
+const PEAK_TIME_MS = 12_000;
+
+/** The most events of late: a quiet moment between two bursts is no reason to give decode engines away. */
+class EventPeak {
+  #peak = 0;
+  #at = 0;
+
+  follow(eventsPerMs: number, now: number): number {
+    this.#peak = Math.max(eventsPerMs, this.#peak * Math.exp(-Math.max(0, now - this.#at) / PEAK_TIME_MS));
+    this.#at = now;
+    return this.#peak;
+  }
+}
+
+/** Events that the streams ask for, from how many run now and how fast an engine with that many makes events. */
+function eventRate(decode: readonly BalancedEngine[], pause: Load["pause"]): number {
   const running = streams(decode);
-  const each = running / decode.length;
-  return running / (STEP_MS.base + STEP_MS.perStream * each);
+  return running / (pause.baseMs + pause.perStreamMs * (running / decode.length));
 }
 
 /** How hard a split of the engines is pressed by reading and by streams: the sum of both queues' expected lengths. */
 function strain(load: Load, prefill: number, decode: number): number {
-  const streamsEach = streamsAt(load, decode);
-  const decodeReads = DECODE_PIECE_TOKENS / (DECODE_PIECE_TOKENS / DECODE_TOKENS_PER_MS + stepMs(streamsEach));
-  const capacity = prefill * PREFILL_TOKENS_PER_MS + decode * decodeReads * READING_SHARE_OF_DECODE;
-  return queueLength(load.readTokensPerMs / capacity) + queueLength(streamsEach / load.slots);
+  const streamsEach = streamsAt(load.eventsPerMs, load, decode);
+  const capacity = prefill + decode * load.decodeReadingShare * READING_SHARE_OF_DECODE;
+  return queueLength(load.readingLoad / capacity) + queueLength(streamsEach / load.slots);
 }
 
-/** Streams at each decode engine if there were so many: fewer engines make tokens more slowly, so streams last longer. */
-function streamsAt(load: Load, decode: number): number {
-  const each = load.eventsPerMs / decode;
-  const utilization = each * STEP_MS.perStream;
+/** Streams at each decode engine if there were so many: fewer engines make events more slowly, so streams last longer. */
+function streamsAt(eventsPerMs: number, load: Load, decode: number): number {
+  const each = eventsPerMs / decode;
+  const utilization = each * load.pause.perStreamMs;
   if (utilization >= 1) return Number.POSITIVE_INFINITY;
-  return (each * STEP_MS.base) / (1 - utilization);
-}
-
-function stepMs(streamsEach: number): number {
-  return STEP_MS.base + STEP_MS.perStream * streamsEach;
+  return (each * load.pause.baseMs) / (1 - utilization);
 }
 
 function queueLength(utilization: number): number {
@@ -254,42 +306,3 @@
 function streams(engines: readonly BalancedEngine[]): number {
   return engines.reduce((sum, engine) => sum + engine.running, 0);
 }
-
-/** Time over which a rate is averaged, in milliseconds. */
-const RATE_TIME_MS = 3_000;
-
-/** Time for which a rate has to be watched before it is more than its first requests, in milliseconds. */
-const LEAST_WATCHED_MS = 500;
-
-/** A rate that fades: what came long ago counts less and less. */
-export class FadingRate {
-  #sum = 0;
-  #at = 0;
-  #firstAt: number | undefined;
-
-  /**
-   * @param amount - what came
-   * @param now - when it came, in milliseconds
-   */
-  add(amount: number, now: number): void {
-    this.#firstAt ??= now;
-    this.#fade(now);
-    this.#sum += amount;
-  }
-
-  /**
-   * @param now - current instant in milliseconds
-   * @returns the amount that comes in a millisecond, from the first that came on
-   */
-  perMs(now: number): number {
-    if (this.#firstAt === undefined) return 0;
-    this.#fade(now);
-    const watchedMs = Math.max(LEAST_WATCHED_MS, now - this.#firstAt);
-    return this.#sum / (RATE_TIME_MS * (1 - Math.exp(-watchedMs / RATE_TIME_MS)));
-  }
-
-  #fade(now: number): void {
-    this.#sum *= Math.exp(-Math.max(0, now - this.#at) / RATE_TIME_MS);
-    this.#at = now;
-  }
-}
--- a/packages/serving/tests/roleBalance.test.ts
+++ b/packages/serving/tests/roleBalance.test.ts
@@ -21,14 +21,26 @@
   ];
 }
 
+/** Tokens that the prefill engines of these tests read in a millisecond. */
+const PREFILL_TOKENS_PER_MS = 92;
+
+const SPEEDS = { pause: { baseMs: 30.3, perStreamMs: 1.21 }, decodeReadingShare: 0.35 };
+
+interface RunInputs {
+  readonly engines: serving.BalancedEngine[];
+  readonly readTokensPerMs: number;
+}
+
 function run(
   balance: serving.RoleBalance,
-  inputs: { engines: serving.BalancedEngine[]; readTokensPerMs: number },
+  inputs: RunInputs,
   fromMs: number,
   toMs: number,
 ): serving.RoleChange | undefined {
+  const readingLoad = inputs.readTokensPerMs / PREFILL_TOKENS_PER_MS;
   for (let now = fromMs; now < toMs; now += 250) {
-    const change = balance.decide({ ...inputs, now });
+    const known = { engines: inputs.engines, readingLoad, speeds: SPEEDS, streamsInMemory: 100 };
+    const change = balance.decide({ ...known, now });
     if (change !== undefined) return change;
   }
   return undefined;
