Keep shared parts at their home, copy them from there, and replay the load

Short prompts took 140 to 190 ms where 45 were predicted: an engine finishes the prompt that it has begun. The rest between changes was lost when the change came back from the store without its role.

Change: leaving home costs 30 times the copying or reading; a part is copied from an engine that is known to have read it (daemons tell when); daemons tell own parts too, so that guesses of evictions hold; what an engine has begun is counted; daemons tell each other the readings that they learn from. A line tells why a daemon ends by itself.

--- /dev/null
+++ b/packages/experiment/src/emulatedDaemon.ts
@@ -0,0 +1,237 @@
+import * as common from "@camphorcourse/common";
+import * as serving from "@camphorcourse/serving";
+import type * as descriptions from "./description.js";
+import type * as emulatedEngines from "./emulatedEngine.js";
+import type * as loads from "./load.js";
+import * as outcomes from "./outcome.js";
+import type * as virtualTimes from "./virtualTime.js";
+
+/** What daemons know of the fleet at once. */
+export interface Fleet {
+  readonly engines: readonly emulatedEngines.EmulatedEngine[];
+  /** @returns the engines as endpoints in their present roles, without those that are away */
+  endpoints(): serving.Endpoint[];
+}
+
+/** What a daemon's parts share. */
+export interface DaemonParts {
+  readonly description: descriptions.Description;
+  readonly time: virtualTimes.VirtualTime;
+  readonly fleet: Fleet;
+  readonly outcome: outcomes.Outcome;
+}
+
+/** Prompts from which a daemon knows the engines' figures closely. */
+const TAUGHT_PROMPTS = 2_000;
+
+/** Time of a network's way there and back, in milliseconds. */
+const WAY_MS = 3;
+
+/** A daemon's decisions as they serve, driven in virtual time. */
+export class EmulatedDaemon {
+  readonly name: string;
+  readonly board = new serving.EngineBoard();
+  readonly speeds = new serving.EngineSpeeds();
+  readonly demand = new serving.Demand();
+  readonly #health = new serving.EndpointHealth();
+  readonly #parts: DaemonParts;
+  readonly #random: common.SeededRandom;
+
+  /**
+   * @param name - its name among the daemons
+   * @param parts - what it works with
+   * @param seed - of what it draws
+   */
+  constructor(name: string, parts: DaemonParts, seed: number) {
+    this.name = name;
+    this.#parts = parts;
+    this.#random = new common.SeededRandom(seed);
+  }
+
+  /** The daemon knows the engines' figures from the start, as one that has served for long. */
+  learnFigures(): void {
+    const { engines } = this.#parts.description;
+    for (const role of [serving.EngineRole.Prefill, serving.EngineRole.Decode]) {
+      const multiple = role === serving.EngineRole.Prefill ? 1 : engines.decodeReadingMultiple;
+      for (let index = 0; index < TAUGHT_PROMPTS; index++) {
+        const unreadTokens = 100 + 37 * (index % 400);
+        const cachedTokens = 211 * (index % 50);
+        const pairs = (unreadTokens * (cachedTokens + unreadTokens / 2)) / 1e6;
+        const readMs = unreadTokens / engines.tokensPerMs + pairs * engines.pairsMsPerMillion;
+        const tookMs = engines.fixedMs + readMs * multiple + 2 * WAY_MS;
+        this.speeds.learnReading(role, { unreadTokens, cachedTokens, tokensWaiting: 0, streams: 0, tookMs });
+      }
+    }
+    for (let index = 0; index < TAUGHT_PROMPTS; index++) {
+      const tokens = 100 * (index % 200);
+      this.speeds.learnHandover(tokens, (tokens / 1_000) * engines.copyMsPerThousand + 2 * WAY_MS);
+      this.speeds.learnPause(index % 40, engines.pauseMs + engines.pausePerStreamMs * (index % 40));
+    }
+  }
+
+  /** @param request - a request that has come */
+  take(request: loads.LoadRequest): void {
+    const { time, outcome } = this.#parts;
+    const course = new RequestCourse(request, time, outcome);
+    const plan = serving.placePrompt(this.#inputs(request.prompt));
+    if (plan === undefined) {
+      course.end(outcomes.Ending.Refused);
+      return;
+    }
+    const { kind } = request;
+    const rejection = serving.judgeAdmission({
+      predictedMs: plan.predictedMs,
+      patienceMs: serving.streamPatienceMs(kind.objectiveMs, kind.pauseMs),
+      remainingMs: kind.deadlineMs,
+      draw: this.#random.next(),
+    });
+    if (rejection !== undefined) {
+      course.end(outcomes.Ending.Refused);
+      return;
+    }
+    this.#read(request, plan, course);
+  }
+
+  #read(request: loads.LoadRequest, plan: serving.EnginePlan, course: RequestCourse): void {
+    const { time, description } = this.#parts;
+    const { prompt } = request;
+    const endpoint = plan.reader ?? plan.decoder;
+    const engine = this.#engine(endpoint.id);
+    const { memoryTokens } = description.engines;
+    this.board.noteRead(endpoint.id, memoryTokens, prompt);
+    this.demand.add(this.speeds.readMs(serving.EngineRole.Prefill, plan.workTokens), prompt.promptTokens, time.now);
+    const pending = this.board.beginRead(endpoint.id, plan.workTokens, plan.level);
+    this.board.beginRun(endpoint.id);
+    const sentAt = time.now;
+    const finish = (): void => {
+      this.board.endRead(pending);
+      this.board.endRun(endpoint.id);
+    };
+    const onRead = (): void => {
+      finish();
+      this.board.noteRead(endpoint.id, memoryTokens, prompt, true);
+      this.#learnRead(plan, endpoint, prompt, time.now - sentAt);
+      if (course.over) return;
+      if (plan.reader === undefined) this.#stream(engine, request, course);
+      else this.#handOver(request, course);
+    };
+    const copySource = plan.copySource === undefined ? undefined : this.#engine(plan.copySource.id);
+    const job = { prompt, urgency: plan.level, copySource, onRead };
+    course.onLeft = () => {
+      if (engine.cancel(job)) finish();
+    };
+    time.after(WAY_MS, () => engine.read(job));
+  }
+
+  #handOver(request: loads.LoadRequest, course: RequestCourse): void {
+    const { time } = this.#parts;
+    const decoder = serving.placeDecoder(this.#inputs(request.prompt));
+    if (decoder === undefined) {
+      course.end(outcomes.Ending.Refused);
+      return;
+    }
+    const engine = this.#engine(decoder.id);
+    const sentAt = time.now;
+    engine.takeOver(request.prompt, () => {
+      this.speeds.learnHandover(request.prompt.promptTokens, time.now - sentAt + WAY_MS);
+      if (!course.over) this.#stream(engine, request, course);
+    });
+  }
+
+  #stream(engine: emulatedEngines.EmulatedEngine, request: loads.LoadRequest, course: RequestCourse): void {
+    this.board.beginRun(engine.id);
+    engine.stream({
+      events: request.events,
+      onEvent: (pauseMs) => course.noteEvent(pauseMs),
+      onEnd: () => {
+        if (course.meanPauseMs !== undefined) this.speeds.learnPause(engine.streams, course.meanPauseMs);
+        this.board.endRun(engine.id);
+        course.end(outcomes.Ending.Answered);
+      },
+    });
+  }
+
+  #learnRead(plan: serving.EnginePlan, endpoint: serving.Endpoint, prompt: serving.Prompt, tookMs: number): void {
+    this.#health.recordTime(endpoint.id, plan.predictedMs, tookMs);
+    if (plan.copySource !== undefined) return;
+    this.speeds.observeReading(endpoint.role, {
+      unreadTokens: plan.unreadTokens,
+      cachedTokens: Math.max(0, prompt.promptTokens - plan.unreadTokens),
+      tokensWaiting: plan.tokensWaiting,
+      streams: this.board.running(endpoint.id, this.#parts.time.now),
+      tookMs,
+    });
+  }
+
+  #inputs(prompt: serving.Prompt): serving.PlacementInputs {
+    const { description, fleet, time } = this.#parts;
+    return {
+      prompt,
+      engines: fleet.endpoints(),
+      board: this.board,
+      memoryTokens: description.engines.memoryTokens,
+      speeds: this.speeds,
+      slowness: (id) => this.#health.slowness(id),
+      dataCentre: "a",
+      now: time.now,
+    };
+  }
+
+  #engine(id: string): emulatedEngines.EmulatedEngine {
+    const engine = this.#parts.fleet.engines.find((each) => each.id === id);
+    if (engine === undefined) throw new Error(`there is no engine ${id}; the fleet's list must hold all of them`);
+    return engine;
+  }
+}
+
+/** One request from its arrival to its end, as its caller sees it. */
+class RequestCourse {
+  /** Called when the caller leaves before anything has come. */
+  onLeft: () => void = () => undefined;
+  readonly #request: loads.LoadRequest;
+  readonly #time: virtualTimes.VirtualTime;
+  readonly #outcome: outcomes.Outcome;
+  readonly #startedAt: number;
+  #firstMs: number | undefined;
+  #longestPauseMs = 0;
+  #pausesMs = 0;
+  #events = 0;
+  #over = false;
+
+  constructor(request: loads.LoadRequest, time: virtualTimes.VirtualTime, outcome: outcomes.Outcome) {
+    this.#request = request;
+    this.#time = time;
+    this.#outcome = outcome;
+    this.#startedAt = time.now;
+    const { objectiveMs, pauseMs, deadlineMs } = request.kind;
+    const patienceMs = Math.min(deadlineMs, serving.streamPatienceMs(objectiveMs, pauseMs));
+    time.after(patienceMs, () => {
+      if (this.#over || this.#firstMs !== undefined) return;
+      this.onLeft();
+      this.end(outcomes.Ending.Failed);
+    });
+  }
+
+  get over(): boolean {
+    return this.#over;
+  }
+
+  get meanPauseMs(): number | undefined {
+    return this.#events < 2 ? undefined : this.#pausesMs / (this.#events - 1);
+  }
+
+  noteEvent(pauseMs: number): void {
+    this.#firstMs ??= this.#time.now - this.#startedAt + WAY_MS;
+    this.#longestPauseMs = Math.max(this.#longestPauseMs, pauseMs);
+    this.#pausesMs += pauseMs;
+    this.#events++;
+  }
+
+  end(ending: outcomes.Ending): void {
+    if (this.#over) return;
+    this.#over = true;
+    const { kind, atMs, prompt } = this.#request;
+    const inTime = (this.#firstMs ?? 0) <= kind.objectiveMs && this.#longestPauseMs <= kind.pauseMs;
+    this.#outcome.note({ kind, atMs, promptTokens: prompt.promptTokens, ending, inTime });
+  }
+}
--- a/packages/gateway/src/beliefs.ts
+++ b/packages/gateway/src/beliefs.ts
@@ -29,8 +29,8 @@
   readonly log: decisionLogs.DecisionLog;
   /** Called for each change of a belief about an endpoint. */
   readonly onEndpoint: (news: serving.EndpointNews) => void;
-  /** Called when an engine's role was changed, with its service and how long ago that was, in milliseconds. */
-  readonly onRoleChange: (service: string, agoMs: number) => void;
+  /** Called when an engine's role was changed, with its service, its role, and how long ago that was, in milliseconds. */
+  readonly onRoleChange: (service: string, role: serving.EngineRole, agoMs: number) => void;
   /** Called when a configuration has come into force. */
   readonly onConfiguration: () => void;
 }
@@ -204,11 +204,11 @@
       this.#parts.log.warn("role-change-unreadable", { revision: item.revision, detail: change.error });
       return;
     }
-    const { service, at } = change.value;
+    const { service, role, at } = change.value;
     // A daemon that has just started reads the last change however old it is, and need not rest after an old one.
     const agoMs = Math.max(0, Date.now() - at);
     this.#parts.log.info("role-change-known", { service, revision: item.revision, agoMs });
-    this.#parts.onRoleChange(service, agoMs);
+    this.#parts.onRoleChange(service, role, agoMs);
   }
 
   #takeDaemon(item: ports.StoredItem): void {
--- a/packages/gateway/src/daemonEntry.ts
+++ b/packages/gateway/src/daemonEntry.ts
@@ -1,3 +1,4 @@
+import * as serving from "@camphorcourse/serving";
 import * as neverthrow from "neverthrow";
 import * as addresses from "./address.js";
 import type * as fleetViews from "./fleetView.js";
@@ -5,6 +6,8 @@
 /** A change of an engine's role, as a daemon wrote it for the others. */
 export interface WrittenRoleChange {
   readonly service: string;
+  /** The engine's role to come, or none if it isn't told. */
+  readonly role: serving.EngineRole;
   /** Unix milliseconds. */
   readonly at: number;
 }
@@ -32,9 +35,10 @@
  * @returns the change, or what is wrong with it
  */
 export function readRoleChange(value: Uint8Array): neverthrow.Result<WrittenRoleChange, string> {
-  return readObject(value).andThen(({ service, at }) => {
+  return readObject(value).andThen(({ service, at, role }) => {
     if (typeof service !== "string" || typeof at !== "number") return neverthrow.err("a field is of another type");
-    return neverthrow.ok({ service, at });
+    const known = Object.values(serving.EngineRole).find((each) => each === role);
+    return neverthrow.ok({ service, at, role: known ?? serving.EngineRole.None });
   });
 }
 
--- a/packages/gateway/src/endpointLessons.ts
+++ b/packages/gateway/src/endpointLessons.ts
@@ -36,6 +36,7 @@
     if (!this.#isOfThisLife(active)) return;
     const now = performance.now();
     const tookMs = now - active.sentAt;
+    this.#noteRead(active);
     this.#learnReading(active, tookMs, now);
     this.#context.health.recordTime(active.endpoint.id, active.predictedMs, tookMs);
     this.#context.log.info("prompt-read", {
@@ -78,11 +79,21 @@
     this.#speeds().learnPause(streams, meanPauseMs);
   }
 
+  /** The engine keeps the prompt's parts now, and others can copy them from there. */
+  #noteRead(active: activeSends.ActiveSend): void {
+    const { prompt } = this.#served.caller.headers;
+    const memoryTokens = this.#context.view.table?.service(this.#served.service)?.engine?.memoryTokens;
+    if (prompt === undefined || memoryTokens === undefined) return;
+    this.#context.board.noteRead(active.endpoint.id, memoryTokens, prompt, true);
+  }
+
   #learnReading(active: activeSends.ActiveSend, tookMs: number, now: number): void {
     const { plan, endpoint } = active;
     const { prompt } = this.#served.caller.headers;
     if (plan === undefined || prompt === undefined) return;
-    this.#speeds().learnReading(endpoint.role, {
+    // How much a copy brought isn't known: the engine may have had to read all of it.
+    if (plan.copySource !== undefined) return;
+    this.#speeds().observeReading(endpoint.role, {
       unreadTokens: plan.unreadTokens,
       cachedTokens: Math.max(0, prompt.promptTokens - plan.unreadTokens),
       tokensWaiting: plan.tokensWaiting,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -109,7 +109,7 @@
       view: this.#view,
       log: this.#log,
       onEndpoint: (news) => this.#onEndpoint(news),
-      onRoleChange: (service, agoMs) => this.#roles.changed(service, agoMs),
+      onRoleChange: (service, role, agoMs) => this.#roles.changed(service, role, agoMs),
       onConfiguration: () => {
         this.#listener.followLimits();
         this.#peers.noteConfiguration();
@@ -132,6 +132,7 @@
       view: this.#view,
       board: this.#context.board,
       demand: this.#context.demand,
+      speeds: this.#context.speeds,
       log: this.#log,
       ready: () => this.ready,
       storeSilentMs: () => this.#follower.silentMs,
@@ -246,6 +247,16 @@
     this.#log.info("stopped", { open: this.#listener.openRequests, tookMs: Math.round(performance.now() - heardAt) });
   }
 
+  /**
+   * A fault that nothing caught is about to end the process. Without this line only its last output tells of it, which
+   * the bundled program's long lines crowd out.
+   *
+   * @param error - the fault
+   */
+  noteFatal(error: Error): void {
+    this.#log.warn("daemon-failed", { detail: error.message, stack: error.stack });
+  }
+
   /** @param detail - which settings changed */
   reloaded(detail: string): void {
     this.#log.info("reload", { detail });
--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -47,6 +47,7 @@
   readonly view: fleetViews.FleetView;
   readonly board: serving.EngineBoard;
   readonly demand: serving.Demand;
+  readonly speeds: serving.ServiceSpeeds;
   readonly log: decisionLogs.DecisionLog;
   readonly ready: () => boolean;
   /** Milliseconds for which the key-value service has not answered. */
@@ -201,14 +202,16 @@
       departures: this.#departureMessages(),
       followsClosely: this.#parts.followsClosely(),
       entries: this.#entryMessages(now),
-      reads: board.takeUntoldReads().map(({ endpointId, model, part }) => ({
+      reads: board.takeUntoldReads().map(({ endpointId, model, part, isRead }) => ({
         endpoint: endpointId,
         model,
         part: part.id,
         tokens: part.tokens,
+        isRead,
         startedAtMs: toMessage(view.directory.bornAtOf(endpointId)),
       })),
       readingLoadThousandths: Math.round(this.#parts.demand.readingLoad(now) * THOUSANDTHS),
+      observations: this.#observationMessages(),
       changing: [...view.changing]
         .filter(([, change]) => change.until > now)
         .map(([endpoint, change]) => ({
@@ -223,6 +226,22 @@
     this.#pulse.say(pulse, [...others, ...this.#formerAddresses(now)]);
   }
 
+  #observationMessages(): messages.ReadObservation[] {
+    return [...this.#parts.speeds.all()].flatMap(([service, speeds]) =>
+      speeds.takeUntold().map(({ role, observation }) =>
+        protobuf.create(messages.ReadObservationSchema, {
+          service,
+          role,
+          unreadTokens: Math.round(observation.unreadTokens),
+          cachedTokens: Math.round(observation.cachedTokens),
+          tokensWaiting: Math.round(observation.tokensWaiting),
+          streams: observation.streams,
+          tookMs: Math.round(observation.tookMs),
+        }),
+      ),
+    );
+  }
+
   #entryMessages(now: number): messages.EndpointEntry[] {
     const told: messages.EndpointEntry[] = [];
     for (const [id, until] of this.#entries) {
@@ -277,14 +296,22 @@
       if (this.#parts.view.changing.has(endpoint) || this.#isOfAnotherLife(endpoint, bornAt)) continue;
       this.#parts.view.changing.set(endpoint, { until: now + forMs, role: role as serving.EngineRole, bornAt });
     }
-    for (const { endpoint, model, part, tokens, startedAtMs } of pulse.reads) {
+    for (const { endpoint, model, part, tokens, startedAtMs, isRead } of pulse.reads) {
       if (this.#isOfAnotherLife(endpoint, fromMessage(startedAtMs))) continue;
-      this.#parts.board.hearRead({ endpointId: endpoint, model, part: { id: part, tokens } });
+      this.#parts.board.hearRead({ endpointId: endpoint, model, part: { id: part, tokens }, isRead });
     }
+    this.#learn(pulse.observations);
     for (const entry of pulse.entries) this.#parts.onEndpoint(entry.id, entry.value, Number(entry.revision));
     this.#takeDepartures(pulse.departures);
   }
 
+  #learn(observations: readonly messages.ReadObservation[]): void {
+    for (const { service, role, ...observation } of observations) {
+      const known = Object.values(serving.EngineRole).find((each) => each === role);
+      if (known !== undefined) this.#parts.speeds.of(service).learnReading(known, observation);
+    }
+  }
+
   /**
    * A peer that hasn't heard of a start yet goes on speaking of the life before. An
    * engine that has just come would get no work for an order that it knows nothing
--- a/packages/gateway/src/peerPulse.ts
+++ b/packages/gateway/src/peerPulse.ts
@@ -51,6 +51,7 @@
         ...pulse,
         work: [],
         reads: [],
+        observations: [],
         entries: pulse.entries.slice(-MOST_ENTRIES_WHEN_FULL),
         departures: pulse.departures.slice(-8),
       });
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -125,6 +125,8 @@
   readonly readOnly?: boolean;
   /** Go on from the prompt that this engine has read. */
   readonly source?: { readonly address: string; readonly handle: string };
+  /** Copy what this engine keeps of the prompt before reading the rest. */
+  readonly copyFrom?: string;
   /** Go on after this event instead of the caller's own. */
   readonly lastEventId?: string;
 }
--- a/packages/gateway/src/roleChanger.ts
+++ b/packages/gateway/src/roleChanger.ts
@@ -59,10 +59,11 @@
 
   /**
    * @param service - a service of which a change became known
+   * @param role - the engine's role to come
    * @param agoMs - how long ago it was made, in milliseconds
    */
-  changed(service: string, agoMs: number): void {
-    this.#balance(service).changed(performance.now() - agoMs);
+  changed(service: string, role: serving.EngineRole, agoMs: number): void {
+    this.#balance(service).changed(performance.now() - agoMs, role);
   }
 
   /** @param endpointId - an endpoint that is gone */
@@ -153,7 +154,7 @@
     if (token === undefined) return;
     const order = { role: change.role, holder: context.settings.vm, token, expectedOrders: state.value.ordersAccepted };
     if (!(await this.#give(engine, change, order))) return;
-    this.#balance(service).changed(performance.now(), change.role);
+    this.changed(service, change.role, 0);
     await this.#tellChange(service, engine.id, change.role);
   }
 
--- a/packages/gateway/src/sendCourse.ts
+++ b/packages/gateway/src/sendCourse.ts
@@ -123,6 +123,7 @@
       leftMs: remainingMs,
       predictedMs: Math.round(planned.predictedMs),
       unread: planned.plan?.unreadTokens,
+      copyFrom: planned.plan?.copySource?.id,
       urgency,
       entryRevision: context.view.directory.revision,
       configuration: context.view.configurationRevision,
@@ -146,6 +147,7 @@
       ...(urgency === undefined ? {} : { urgency }),
       ...(planned.stage === sendChoosers.Stage.Reading ? { readOnly: true } : {}),
       ...(source === undefined ? {} : { source: { address: source.reader.address, handle: source.handle } }),
+      ...(planned.plan?.copySource === undefined ? {} : { copyFrom: planned.plan.copySource.address }),
       ...(lastEventId === undefined ? {} : { lastEventId }),
     });
     const body = served.body.length === 0 ? undefined : served.body;
--- a/packages/gateway/tests/peerLink.test.ts
+++ b/packages/gateway/tests/peerLink.test.ts
@@ -65,6 +65,7 @@
     view,
     board: new serving.EngineBoard(),
     demand: new serving.Demand(),
+    speeds: new serving.ServiceSpeeds(),
     log: new decisionLogs.DecisionLog("vm-1", "fatal", { writableLength: 0, write: () => true }),
     ready: () => true,
     storeSilentMs: () => 0,
--- a/packages/gateway/tests/peerLives.test.ts
+++ b/packages/gateway/tests/peerLives.test.ts
@@ -56,6 +56,7 @@
       view: this.view,
       board: this.board,
       demand: new serving.Demand(),
+      speeds: new serving.ServiceSpeeds(),
       log: new decisionLogs.DecisionLog("vm-1", "info", sink),
       ready: () => true,
       storeSilentMs: () => 0,
--- a/packages/serving/src/engineBoard.ts
+++ b/packages/serving/src/engineBoard.ts
@@ -28,6 +28,8 @@
   readonly endpointId: string;
   readonly model: string;
   readonly part: promptParts.PromptPart;
+  /** Whether it has read the part, so that others can copy it from there. */
+  readonly isRead: boolean;
 }
 
 interface PeerWord {
@@ -45,7 +47,7 @@
 const EXPIRY_CHECK_MS = 50;
 
 /** Most reads kept to be told in the next pulse. */
-const MOST_UNTOLD_READS = 64;
+const MOST_UNTOLD_READS = 128;
 
 interface EndpointState {
   readonly unread: number[];
@@ -131,6 +133,24 @@
     return own + sumUpTo(this.#peerTotals.get(endpointId)?.unread, level);
   }
 
+  /**
+   * @param endpointId - the engine
+   * @param level - urgency of a request that is to be placed
+   * @param now - current instant in milliseconds
+   * @returns unread tokens of a less urgent prompt that the engine is likely to have begun, and finishes first
+   */
+  tokensBegun(endpointId: string, level: number, now: number): number {
+    this.#expire(now);
+    const own = this.#states.get(endpointId)?.unread;
+    const peers = this.#peerTotals.get(endpointId)?.unread;
+    for (let less = level + 1; less < urgencies.URGENCY_LEVELS; less++) {
+      const tokens = (own?.[less] ?? 0) + (peers?.[less] ?? 0);
+      // Half of one prompt: on average half of the one that is being read is left.
+      if (tokens > 0) return Math.min(tokens, urgencies.typicalTokens(less)) / 2;
+    }
+    return 0;
+  }
+
   /**
    * @param endpointId - the endpoint
    * @param now - current instant in milliseconds
@@ -168,10 +188,12 @@
    * @param endpointId - the engine
    * @param memoryTokens - tokens that it can keep
    * @param prompt - the prompt
+   * @param isRead - whether it has read it already
    */
-  noteRead(endpointId: string, memoryTokens: number, prompt: promptParts.Prompt): void {
-    this.cache(endpointId, memoryTokens).read(prompt);
-    for (const part of prompt.parts.slice(0, -1)) this.#untoldReads.push({ endpointId, model: prompt.model, part });
+  noteRead(endpointId: string, memoryTokens: number, prompt: promptParts.Prompt, isRead = false): void {
+    this.cache(endpointId, memoryTokens).read(prompt, isRead);
+    const { model, parts } = prompt;
+    for (const part of parts) this.#untoldReads.push({ endpointId, model, part, isRead });
     if (this.#untoldReads.length > MOST_UNTOLD_READS) this.#untoldReads = this.#untoldReads.slice(-MOST_UNTOLD_READS);
   }
 
@@ -187,9 +209,11 @@
     return this.#untoldReads.length > 0;
   }
 
-  /** @param read - a part that an engine was given by a peer */
+  /**
+   * @param read - a part that an engine was given by a peer
+   */
   hearRead(read: PartRead): void {
-    this.#states.get(read.endpointId)?.cache?.readPart(read.model, read.part);
+    this.#states.get(read.endpointId)?.cache?.readPart(read.model, read.part, read.isRead);
   }
 
   /**
--- a/packages/serving/src/engineSpeeds.ts
+++ b/packages/serving/src/engineSpeeds.ts
@@ -18,6 +18,12 @@
   readonly tookMs: number;
 }
 
+/** A prompt that was read, as daemons tell each other of it. */
+export interface ToldObservation {
+  readonly role: directories.EngineRole;
+  readonly observation: ReadObservation;
+}
+
 /** The figures of one role's reading, for the log and the metrics. */
 export interface ReadingFigures {
   readonly fixedMs: number;
@@ -45,6 +51,12 @@
 const TOKENS_IN_UNIT = 1_000;
 const PAIRS_IN_UNIT = 1_000_000;
 
+/** Time of a copy of few tokens between two engines, in milliseconds: a call and its set-up. Engines take 2 to 3. */
+const COPY_FIXED_MS = 5;
+
+/** Most observations told at once: a few a second from each daemon teach as much as all. */
+const MOST_UNTOLD = 3;
+
 /** Observations from which a decode engine's own reading speed is more than its prior. */
 const ENOUGH_OBSERVATIONS = 12;
 
@@ -66,6 +78,27 @@
   readonly #decode = new linearEstimates.LinearEstimate(PRIORS.decode);
   readonly #handover = new linearEstimates.LinearEstimate(PRIORS.handover);
   readonly #pause = new linearEstimates.LinearEstimate(PRIORS.pause);
+  #untold: ToldObservation[] = [];
+
+  /**
+   * An observation of this daemon's own, which its peers are to learn from too. Each of them sees only its share of the
+   * prompts: alone, a daemon that has just started sends its first dozens by the prior.
+   *
+   * @param role - the engine's role
+   * @param observation - a prompt that was read there
+   */
+  observeReading(role: directories.EngineRole, observation: ReadObservation): void {
+    this.learnReading(role, observation);
+    this.#untold.push({ role, observation });
+    if (this.#untold.length > MOST_UNTOLD) this.#untold.shift();
+  }
+
+  /** @returns the newest own observations that the peers have not been told of; they are then forgotten */
+  takeUntold(): ToldObservation[] {
+    const untold = this.#untold;
+    this.#untold = [];
+    return untold;
+  }
 
   /**
    * @param role - the engine's role
@@ -137,6 +170,14 @@
     return this.#handover.predict([1, promptTokens / TOKENS_IN_UNIT]);
   }
 
+  /**
+   * @param tokens - tokens that an engine copies from another
+   * @returns time that it takes, in milliseconds, as the moves of handovers show it
+   */
+  copyMs(tokens: number): number {
+    return COPY_FIXED_MS + (tokens / TOKENS_IN_UNIT) * (this.#handover.coefficients[1] ?? 0);
+  }
+
   /** @returns pause between two events of a lone stream, and what each further stream adds, in milliseconds */
   get pause(): { readonly baseMs: number; readonly perStreamMs: number } {
     const [baseMs = 0, perStreamMs = 0] = this.#pause.coefficients;
@@ -186,6 +227,11 @@
 export class ServiceSpeeds {
   readonly #services = new Map<string, EngineSpeeds>();
 
+  /** @returns the speeds that are known, by service */
+  all(): IterableIterator<[service: string, speeds: EngineSpeeds]> {
+    return this.#services.entries();
+  }
+
   /**
    * @param service - the service
    * @returns what is known of its engines
--- a/packages/serving/src/linearEstimate.ts
+++ b/packages/serving/src/linearEstimate.ts
@@ -63,14 +63,18 @@
   learn(features: readonly number[], observed: number, deviation: number): void {
     if (!Number.isFinite(observed) || !(deviation > 0)) return;
     const spread = this.#covariance.map((row) => dot(row, features));
-    const total = dot(spread, features) + deviation * deviation;
-    const error = clampError(observed - this.predict(features), Math.sqrt(total));
+    const expectedSpread = Math.max(0, dot(spread, features)) + deviation * deviation;
+    const error = observed - this.predict(features);
+    const deviations = error / Math.sqrt(expectedSpread);
+    const most = error > 0 ? MOST_DEVIATION.longer : MOST_DEVIATION.shorter;
+    // One that is further off counts as less certain, so that it moves the estimate no more than one at the limit.
+    const total = expectedSpread * Math.max(1, Math.abs(deviations) / most);
     for (const [row, value] of spread.entries()) {
       const least = (this.#prior[row] ?? 0) * LEAST_PART_OF_PRIOR;
       this.#means[row] = Math.max(least, (this.#means[row] ?? 0) + (value / total) * error);
     }
     this.#tighten(spread, total);
-    this.#noteSide(error / Math.sqrt(total));
+    this.#noteSide(deviations);
     this.#observations++;
   }
 
@@ -97,9 +101,9 @@
         variances[column] = value - ((spread[row] ?? 0) * (spread[column] ?? 0)) / total;
       }
       const drift = ((this.#means[row] ?? 0) * DRIFT) ** 2;
-      const widest = Math.max(variance(this.#prior[row] ?? 0), variance(this.#means[row] ?? 0));
-      this.#setVariance(row, Math.min(widest, Math.max(0, variances[row] ?? 0) + drift));
+      this.#setVariance(row, Math.max(0, variances[row] ?? 0) + drift);
     }
+    this.#bound();
   }
 
   /**
@@ -110,11 +114,34 @@
     const bounded = Math.max(-1, Math.min(1, deviations));
     this.#oneSided += (bounded - this.#oneSided) * ONE_SIDED.newestWeight;
     if (Math.abs(this.#oneSided) < ONE_SIDED.from) return;
+    for (const variances of this.#covariance) {
+      for (const [column, value] of variances.entries()) variances[column] = value * ONE_SIDED.wideningBy;
+    }
+    this.#bound();
+  }
+
+  /**
+   * Keeps each variance within that of a prior. Covariances shrink with their variances: a matrix that is no
+   * covariance any more gives negative variances, and then coefficients that are no numbers.
+   */
+  #bound(): void {
     for (const [row, variances] of this.#covariance.entries()) {
-      this.#setVariance(row, Math.min(variance(this.#means[row] ?? 0), (variances[row] ?? 0) * ONE_SIDED.wideningBy));
+      const widest = Math.max(variance(this.#prior[row] ?? 0), variance(this.#means[row] ?? 0));
+      const present = variances[row] ?? 0;
+      if (present <= widest) continue;
+      const factor = Math.sqrt(widest / present);
+      for (const column of variances.keys()) {
+        this.#scale(row, column, factor);
+        this.#scale(column, row, factor);
+      }
     }
   }
 
+  #scale(row: number, column: number, factor: number): void {
+    const variances = this.#covariance[row];
+    if (variances !== undefined) variances[column] = (variances[column] ?? 0) * factor;
+  }
+
   #setVariance(row: number, value: number): void {
     const variances = this.#covariance[row];
     if (variances !== undefined) variances[row] = value;
@@ -128,10 +155,6 @@
   return (mean * PRIOR_SPREAD) ** 2;
 }
 
-function clampError(error: number, deviation: number): number {
-  return Math.max(-MOST_DEVIATION.shorter * deviation, Math.min(MOST_DEVIATION.longer * deviation, error));
-}
-
 function dot(left: readonly number[], right: readonly number[]): number {
   let sum = 0;
   for (const [index, value] of left.entries()) sum += value * (right[index] ?? 0);
--- a/packages/serving/src/placement.ts
+++ b/packages/serving/src/placement.ts
@@ -11,6 +11,8 @@
   readonly decoder: directories.Endpoint;
   /** Engine that reads the prompt first, or undefined where the decoder reads it. */
   readonly reader: directories.Endpoint | undefined;
+  /** Engine from which the one that reads copies the shared parts that it doesn't keep, if that is faster. */
+  readonly copySource: directories.Endpoint | undefined;
   /** Tokens that have to be read. */
   readonly unreadTokens: number;
   /** The reading's work, attention included, as tokens of a short prompt. */
@@ -53,8 +55,9 @@
 export function placePrompt(inputs: PlacementInputs): EnginePlan | undefined {
   const decoders = inputs.engines.filter((engine) => engine.role !== directories.EngineRole.Prefill);
   const readers = inputs.engines.filter((engine) => engine.role === directories.EngineRole.Prefill);
-  const direct = best(inputs, decoders);
-  const apart = best(inputs, readers);
+  const sources = copySources(inputs);
+  const direct = best(inputs, decoders, sources);
+  const apart = best(inputs, readers, sources);
   const target = placeDecoder(inputs);
   if (direct === undefined || target === undefined) return undefined;
   const directMs = direct.predictedMs + strainMs(inputs, direct);
@@ -82,6 +85,7 @@
 
 interface Candidate {
   readonly engine: directories.Endpoint;
+  readonly copySource: directories.Endpoint | undefined;
   readonly unreadTokens: number;
   readonly workTokens: number;
   readonly level: number;
@@ -90,35 +94,64 @@
   readonly predictedMs: number;
 }
 
-function best(inputs: PlacementInputs, engines: readonly directories.Endpoint[]): Candidate | undefined {
+function best(
+  inputs: PlacementInputs,
+  engines: readonly directories.Endpoint[],
+  sources: readonly CopySource[],
+): Candidate | undefined {
   const group = promptParts.sharedGroup(inputs.prompt);
   const home = group === undefined ? undefined : homeOf(group, engines);
   let chosen: Candidate | undefined;
   let chosenCost = Number.POSITIVE_INFINITY;
   for (const engine of engines) {
-    const candidate = candidateAt(inputs, engine);
-    // Leaving home costs the shared parts' reading again there, and room in two caches.
-    const cost = candidate.predictedMs + (engine.id === home ? 0 : homeLeavingMs(inputs, engine.role));
-    if (cost < chosenCost) {
-      chosen = candidate;
-      chosenCost = cost;
+    for (const candidate of candidatesAt(inputs, engine, sources)) {
+      const cost = candidate.predictedMs + (engine.id === home ? 0 : homeLeavingMs(inputs, candidate));
+      if (cost < chosenCost) {
+        chosen = candidate;
+        chosenCost = cost;
+      }
     }
   }
   return chosen;
 }
 
 /**
- * Weight of the shared parts' reading that leaving their home costs, in multiples of that reading: the copy also
- * pushes other parts out of a second cache. Mean worth over six days: 0.603 at 1.5, 0.612 at 3, 0.618 at 6.
+ * Weight of reading shared parts at another engine than their home, in multiples of that reading: the copy also pushes
+ * other parts out of a second cache.
  */
-const HOME_LEAVING_WEIGHT = 6;
+const READ_ELSEWHERE_WEIGHT = 30;
 
-function homeLeavingMs(inputs: PlacementInputs, role: directories.EngineRole): number {
+/** The same for shared parts that are copied from the engine that keeps them. */
+const COPY_ELSEWHERE_WEIGHT = 30;
+
+function homeLeavingMs(inputs: PlacementInputs, candidate: Candidate): number {
   const own = inputs.prompt.parts.at(-1)?.tokens ?? 0;
   const shared = Math.max(0, inputs.prompt.promptTokens - own);
-  return HOME_LEAVING_WEIGHT * inputs.speeds.readMs(role, shared);
+  const { speeds } = inputs;
+  if (candidate.copySource !== undefined) return COPY_ELSEWHERE_WEIGHT * speeds.copyMs(shared);
+  return READ_ELSEWHERE_WEIGHT * speeds.readMs(candidate.engine.role, shared);
 }
 
+/** An engine that keeps the beginning of the prompt. */
+interface CopySource {
+  readonly engine: directories.Endpoint;
+  readonly tokens: number;
+}
+
+/** The engines that keep most of the prompt: the first in each data centre. */
+function copySources(inputs: PlacementInputs): CopySource[] {
+  const { board, memoryTokens, prompt } = inputs;
+  const best = new Map<string, CopySource>();
+  for (const engine of inputs.engines) {
+    const tokens = board.cache(engine.id, memoryTokens).copyableTokens(prompt);
+    if (tokens > (best.get(engine.dataCentre)?.tokens ?? 0)) best.set(engine.dataCentre, { engine, tokens });
+  }
+  return [...best.values()];
+}
+
+/** Copies between data centres take twice as long. */
+const FAR_COPY_MULTIPLE = 2;
+
 function homeOf(group: string, engines: readonly directories.Endpoint[]): string | undefined {
   return common.rendezvousOrder(
     group,
@@ -126,19 +159,42 @@
   )[0];
 }
 
-function candidateAt(inputs: PlacementInputs, engine: directories.Endpoint): Candidate {
+/** What an engine would do with the prompt: read all that it doesn't keep, or copy a part of that from another first. */
+function candidatesAt(
+  inputs: PlacementInputs,
+  engine: directories.Endpoint,
+  sources: readonly CopySource[],
+): Candidate[] {
+  const { prompt, speeds } = inputs;
+  const cached = inputs.board.cache(engine.id, inputs.memoryTokens).cachedTokens(prompt);
+  const candidates = [candidateAt(inputs, engine, cached, undefined, 0)];
+  for (const source of sources) {
+    const copied = Math.min(source.tokens, prompt.promptTokens - 1) - cached;
+    if (copied <= 0 || source.engine.id === engine.id) continue;
+    const far = source.engine.dataCentre === engine.dataCentre ? 1 : FAR_COPY_MULTIPLE;
+    candidates.push(candidateAt(inputs, engine, cached + copied, source.engine, speeds.copyMs(copied) * far));
+  }
+  return candidates;
+}
+
+function candidateAt(
+  inputs: PlacementInputs,
+  engine: directories.Endpoint,
+  cachedTokens: number,
+  copySource: directories.Endpoint | undefined,
+  copyMs: number,
+): Candidate {
   const { board, now, prompt, speeds } = inputs;
-  const cachedTokens = board.cache(engine.id, inputs.memoryTokens).cachedTokens(prompt);
   const unreadTokens = Math.max(1, prompt.promptTokens - cachedTokens);
   const level = urgencies.urgencyOf(unreadTokens);
   const tokensAhead = board.tokensAhead(engine.id, level, now);
   const tokensWaiting = board.tokensAhead(engine.id, urgencies.LEAST_URGENT, now);
   const workTokens = speeds.workTokens(engine.role, { unreadTokens, cachedTokens });
   const running = board.running(engine.id, now);
-  const readMs = speeds.readMs(engine.role, tokensAhead + workTokens);
-  const busyMs = (speeds.fixedMs(engine.role, running) + readMs) * inputs.slowness(engine.id);
+  const readMs = speeds.readMs(engine.role, tokensAhead + board.tokensBegun(engine.id, level, now) + workTokens);
+  const busyMs = (speeds.fixedMs(engine.role, running) + copyMs + readMs) * inputs.slowness(engine.id);
   const predictedMs = busyMs + slotWaitMs(engine, running) + wayMs(inputs, engine);
-  return { engine, unreadTokens, workTokens, level, tokensAhead, tokensWaiting, predictedMs };
+  return { engine, copySource, unreadTokens, workTokens, level, tokensAhead, tokensWaiting, predictedMs };
 }
 
 function wayMs(inputs: PlacementInputs, engine: directories.Endpoint): number {
--- a/packages/serving/src/promptParts.ts
+++ b/packages/serving/src/promptParts.ts
@@ -20,31 +20,56 @@
   return prompt.parts.at(-2)?.id;
 }
 
+interface KeptPart {
+  readonly tokens: number;
+  /** Whether it has been read: before, there is nothing to copy. */
+  readonly isRead: boolean;
+}
+
 /**
  * Guess of what one engine keeps of prompts' parts, from the requests sent
  * there: the least recently used parts yield when its memory is full.
  */
 export class PromptCacheView {
-  readonly #parts: lru.LRUCache<string, number>;
+  readonly #parts: lru.LRUCache<string, KeptPart>;
 
   /** @param memoryTokens - tokens that the engine can keep */
   constructor(memoryTokens: number) {
-    this.#parts = new lru.LRUCache({ maxSize: Math.max(1, memoryTokens), sizeCalculation: (tokens) => tokens });
+    this.#parts = new lru.LRUCache({ maxSize: Math.max(1, memoryTokens), sizeCalculation: ({ tokens }) => tokens });
   }
 
   /**
    * @param prompt - a prompt that the engine reads
+   * @param isRead - whether it has read it already
    */
-  read(prompt: Prompt): void {
-    for (const part of prompt.parts) this.readPart(prompt.model, part);
+  read(prompt: Prompt, isRead = true): void {
+    for (const part of prompt.parts) this.readPart(prompt.model, part, isRead);
   }
 
   /**
    * @param model - the model
    * @param part - a part that the engine reads for it
+   * @param isRead - whether it has read it already
+   */
+  readPart(model: string, part: PromptPart, isRead = true): void {
+    if (part.tokens <= 0) return;
+    const key = cacheKey(model, part.id);
+    const wasRead = this.#parts.get(key)?.isRead === true;
+    this.#parts.set(key, { tokens: part.tokens, isRead: isRead || wasRead });
+  }
+
+  /**
+   * @param prompt - a prompt
+   * @returns tokens at its beginning that another engine can copy from here: those that have been read
    */
-  readPart(model: string, part: PromptPart): void {
-    if (part.tokens > 0) this.#parts.set(cacheKey(model, part.id), part.tokens);
+  copyableTokens(prompt: Prompt): number {
+    let copyable = 0;
+    for (const part of prompt.parts) {
+      const kept = this.#parts.get(cacheKey(prompt.model, part.id));
+      if (kept?.isRead !== true) break;
+      copyable += part.tokens;
+    }
+    return copyable;
   }
 
   /**
--- a/packages/serving/src/roleBalance.ts
+++ b/packages/serving/src/roleBalance.ts
@@ -68,8 +68,10 @@
 const REASON_HOLDS_MS = 1_500;
 
 /**
- * The same two times where streams have outgrown the decode engines, in
- * milliseconds: until another one helps, nothing that is read can be gone on with.
+ * The same two times in milliseconds where streams have outgrown the decode
+ * engines, as nothing that is read can be gone on with until another one helps,
+ * and where prompts come faster than all engines read them, as each second of
+ * waiting makes a second's prompts late.
  */
 const URGENT_HOLDS_MS = 500;
 const URGENT_REST_MS = 3_000;
@@ -166,7 +168,14 @@
     const slots = Math.max(1, Math.min(streamsInMemory, ...decode.map((engine) => engine.slots)));
     const { pause, decodeReadingShare } = speeds;
     const eventsPerMs = decode.length === 0 ? 0 : eventRate(decode, pause);
-    return { readingLoad, eventsPerMs, peakEventsPerMs: this.#peak.follow(eventsPerMs, now), slots, pause, decodeReadingShare };
+    return {
+      readingLoad,
+      eventsPerMs,
+      peakEventsPerMs: this.#peak.follow(eventsPerMs, now),
+      slots,
+      pause,
+      decodeReadingShare,
+    };
   }
 }
 
@@ -188,7 +197,7 @@
 
 interface Wish {
   readonly role: directories.EngineRole;
-  /** Whether streams have outgrown the decode engines. */
+  /** Whether streams have outgrown the decode engines, or reading all engines. */
   readonly urgent: boolean;
 }
 
@@ -207,7 +216,10 @@
   const present = strain(load, prefill.length, decode.length);
   const best = leastStrained(load, engines, decode.length);
   if (present - best.strain < Math.max(WORTHWHILE.strain, WORTHWHILE.share * present)) return NO_WISH;
-  if (best.decode < decode.length) return { role: directories.EngineRole.Prefill, urgent: false };
+  if (best.decode < decode.length) {
+    const urgent = load.readingLoad > readingCapacity(load, prefill.length, decode.length);
+    return { role: directories.EngineRole.Prefill, urgent };
+  }
   const full = streamsAt(load.eventsPerMs, load, decode.length) > load.slots * STEEP_FROM;
   return { role: directories.EngineRole.Decode, urgent: full };
 }
@@ -283,10 +295,15 @@
 /** How hard a split of the engines is pressed by reading and by streams: the sum of both queues' expected lengths. */
 function strain(load: Load, prefill: number, decode: number): number {
   const streamsEach = streamsAt(load.eventsPerMs, load, decode);
-  const capacity = prefill + decode * load.decodeReadingShare * READING_SHARE_OF_DECODE;
+  const capacity = readingCapacity(load, prefill, decode);
   return queueLength(load.readingLoad / capacity) + queueLength(streamsEach / load.slots);
 }
 
+/** Prefill engines that would read as much as this split does. */
+function readingCapacity(load: Load, prefill: number, decode: number): number {
+  return prefill + decode * load.decodeReadingShare * READING_SHARE_OF_DECODE;
+}
+
 /** Streams at each decode engine if there were so many: fewer engines make events more slowly, so streams last longer. */
 function streamsAt(eventsPerMs: number, load: Load, decode: number): number {
   const each = eventsPerMs / decode;
--- a/packages/serving/src/urgency.ts
+++ b/packages/serving/src/urgency.ts
@@ -9,6 +9,17 @@
 /** Unread tokens up to which a prompt has the most urgent level; each level above holds twice as many. */
 const SMALLEST_LEVEL_TOKENS = 256;
 
+/** Tokens of a typical prompt of a level, as a share of the most that the level holds. */
+const TYPICAL_SHARE = 0.75;
+
+/**
+ * @param level - an urgency level
+ * @returns unread tokens of a typical prompt that has it
+ */
+export function typicalTokens(level: number): number {
+  return SMALLEST_LEVEL_TOKENS * 2 ** level * TYPICAL_SHARE;
+}
+
 /**
  * Least unread work first: under a load of short and long prompts it keeps most
  * of them within their objective, as a short one delays a long one by little
--- a/packages/serving/tests/placement.test.ts
+++ b/packages/serving/tests/placement.test.ts
@@ -78,7 +78,13 @@
 
 suite("no plan without an engine that makes tokens", () => {
   const inputs = { prompt: prompt("g", "o", 10), engines: FLEET.slice(0, 2), board: new serving.EngineBoard() };
-  const rest = { memoryTokens: MEMORY_TOKENS, speeds: new serving.EngineSpeeds(), slowness: () => 1, dataCentre: "a", now: 0 };
+  const rest = {
+    memoryTokens: MEMORY_TOKENS,
+    speeds: new serving.EngineSpeeds(),
+    slowness: () => 1,
+    dataCentre: "a",
+    now: 0,
+  };
   assert.is(serving.placePrompt({ ...inputs, ...rest }), undefined);
 });
 
@@ -99,4 +105,40 @@
   assert.ok((levels.at(-1) ?? 10) <= serving.LEAST_URGENT);
 });
 
+// The load: one dossier is asked about so often that its home engine falls behind while the others are idle. Reading it
+// there again takes an engine away from others for hundreds of milliseconds; its memory can be copied in a few.
+suite("a dossier whose home has fallen behind is copied, not read again", () => {
+  const board = new serving.EngineBoard();
+  const first = place(board, prompt("dossier", "first", 1_000));
+  const home = (first.reader ?? first.decoder).id;
+  board.noteRead(home, MEMORY_TOKENS, prompt("dossier", "first", 1_000), true);
+  board.beginRead(home, 400_000, 0);
+  const plan = place(board, prompt("dossier", "second", 1_000));
+  assert.is(plan.copySource?.id, home);
+  assert.is.not((plan.reader ?? plan.decoder).id, home);
+  assert.is(plan.unreadTokens, 1_000);
+});
+
+// A copy of what its home has not read yet brings nothing: the engine reads all of it, and the answer comes seconds
+// later than predicted.
+suite("a dossier that its home is still reading is not copied from there", () => {
+  const board = new serving.EngineBoard();
+  const first = place(board, prompt("dossier", "first", 1_000));
+  const home = (first.reader ?? first.decoder).id;
+  board.noteRead(home, MEMORY_TOKENS, prompt("dossier", "first", 1_000));
+  board.beginRead(home, 400_000, 0);
+  assert.is(place(board, prompt("dossier", "second", 1_000)).copySource, undefined);
+});
+
+// An engine finishes the prompt that it has begun before it turns to a more urgent one. Short prompts beside long ones
+// took 140 to 190 ms where 45 had been predicted.
+suite("a short prompt waits for the long one that its engine has begun", () => {
+  const board = new serving.EngineBoard();
+  assert.is(board.tokensBegun("p1", 2, 0), 0);
+  board.beginRead("p1", 30_000, 7);
+  const begun = board.tokensBegun("p1", 2, 0);
+  assert.ok(begun > 5_000 && begun <= 15_000, `${begun}`);
+  assert.is(board.tokensBegun("p1", 7, 0), 0);
+});
+
 suite.run();
--- a/packages/serving/tests/roleBalance.test.ts
+++ b/packages/serving/tests/roleBalance.test.ts
@@ -119,6 +119,37 @@
   assert.is(change?.role, serving.EngineRole.Decode);
 });
 
+// The first split after a start has five engines to read and eight to decode, where the load needs ten to read. One
+// change in several seconds would leave prompts queueing for most of a minute.
+suite("a split that is wrong by half is mended within seconds, never with too many engines away", () => {
+  const balance = new serving.RoleBalance();
+  const fleet = engines(5, 8, 4).map((engine) => ({ ...engine, changing: false, backAt: 0 }));
+  const away: number[] = [];
+  for (let now = 0; now < 6_000; now += 300) {
+    for (const engine of fleet) engine.changing = engine.backAt > now;
+    away.push(fleet.filter((engine) => engine.changing).length);
+    const change = balance.decide({ engines: fleet, readingLoad: 8.5, speeds: SPEEDS, streamsInMemory: 100, now });
+    const changed = fleet.find((engine) => engine.id === change?.endpointId);
+    if (change === undefined || changed === undefined) continue;
+    Object.assign(changed, { role: change.role, backAt: now + 3_000, running: 0 });
+    balance.changed(now, change.role);
+  }
+  const prefill = fleet.filter((engine) => engine.role === serving.EngineRole.Prefill).length;
+  assert.ok(prefill >= 9, `${prefill} prefill engines`);
+  assert.ok(Math.max(...away) <= 5, `${Math.max(...away)} away at once`);
+});
+
+// The mix swings back a second after a change. Following it at once would take engines away for nothing at each swing.
+suite("a change of mind rests though changes to the same role don't", () => {
+  const inputs = { engines: engines(2, 4, 10), readTokensPerMs: 166 };
+  const again = new serving.RoleBalance();
+  again.changed(0, serving.EngineRole.Prefill);
+  assert.is(run(again, inputs, 0, 2_000)?.role, serving.EngineRole.Prefill);
+  const back = new serving.RoleBalance();
+  back.changed(0, serving.EngineRole.Decode);
+  assert.is(run(back, inputs, 0, 8_900), undefined);
+});
+
 // The order came to nothing: the engine was busy. The wish stays the same all the while, and has to lead to another
 // try once it has held again.
 suite("a change that came to nothing is tried again while the wish stays the same", () => {
