Turn away by waits that are predicted well now, and split roles by streams to come

Change: a prompt is turned away when it would start after half of its caller's patience; a long one may wait a tenth of it however long it takes itself; who has been turned away before may wait 0.65. The balance takes the streams to come from the output asked for, and begins with a cautious prior of what each stream adds. A prompt that was read is moved within its data centre where that is no worse.

--- a/packages/experiment/src/description.ts
+++ b/packages/experiment/src/description.ts
@@ -35,6 +35,8 @@
   priority: zod.int().check(zod.nonnegative()),
   worth: positive,
   worthLate: notNegative,
+  /** How often a caller comes back after it was turned away. */
+  returns: zod.int().check(zod.nonnegative()),
 });
 
 const enginesSchema = zod.object({
--- a/packages/experiment/src/experiment.ts
+++ b/packages/experiment/src/experiment.ts
@@ -34,6 +34,7 @@
   readonly #rolesToCome = new Map<string, serving.EngineRole>();
   readonly #daemons: emulatedDaemons.EmulatedDaemon[];
   #roleChanges = 0;
+  #returned = 0;
 
   /**
    * @param description - what to play
@@ -49,7 +50,7 @@
       return new emulatedEngines.EmulatedEngine(`engine-${index}`, role, this.#time, figures, everRead);
     });
     const fleet = { engines: this.#engines, endpoints: () => this.#endpoints() };
-    const parts = { description, time: this.#time, fleet, outcome: this.#outcome };
+    const parts = { description, time: this.#time, fleet, outcome: this.#outcome, comeBack: this.#comeBack };
     this.#daemons = Array.from(
       { length: description.daemons },
       (_, index) => new emulatedDaemons.EmulatedDaemon(`daemon-${index}`, parts, seed + index),
@@ -97,6 +98,11 @@
     return this.#daemons[0]?.speeds;
   }
 
+  readonly #comeBack = (course: emulatedDaemons.RequestCourse): void => {
+    course.cameBack();
+    this.#daemons[this.#returned++ % this.#daemons.length]?.serve(course);
+  };
+
   #endpoints(): serving.Endpoint[] {
     const { slots } = this.#description.engines;
     return this.#engines
@@ -145,6 +151,7 @@
           changing: engine.away,
         })),
         readingLoad: this.#daemons.reduce((sum, daemon) => sum + daemon.demand.readingLoad(now), 0),
+        eventsPerMs: this.#daemons.reduce((sum, daemon) => sum + daemon.demand.eventsPerMs(now), 0),
         speeds: first.speeds,
         streamsInMemory: this.#description.engines.memoryTokens / (first.demand.meanPromptTokens(now) ?? 1),
         now,
--- a/packages/gateway/src/endpointLessons.ts
+++ b/packages/gateway/src/endpointLessons.ts
@@ -73,7 +73,9 @@
 
   /** @param active - a send whose whole stream has come from its endpoint */
   learnPause(active: activeSends.ActiveSend): void {
-    const { meanPauseMs } = this.#served.progress;
+    const { events, meanPauseMs } = this.#served.progress;
+    const { prompt } = this.#served.caller.headers;
+    if (prompt !== undefined) this.#context.demand.learnEvents(prompt.outputTokens, events);
     if (meanPauseMs === undefined || this.#served.sends > 1 || !this.#isOfThisLife(active)) return;
     const streams = this.#context.board.running(active.endpoint.id, performance.now());
     this.#speeds().learnPause(streams, meanPauseMs);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -156,7 +156,10 @@
       authority: this.#authority,
       store: surroundings.store,
       changeKey: surroundings.layout.roleChangeKey,
-      readingLoad: () => this.#readingLoad(),
+      readingLoad: () =>
+        this.#fromAll((peer) => peer.readingLoad) + this.#context.demand.readingLoad(performance.now()),
+      eventsPerMs: () =>
+        this.#fromAll((peer) => peer.eventsPerMs) + this.#context.demand.eventsPerMs(performance.now()),
     });
     const key = `${surroundings.layout.daemonPrefix}${settings.vm}`;
     this.#registration = new registrations.Registration(surroundings.store, key, this.#entry, this.#log);
@@ -291,10 +294,8 @@
     return watchDuties.followsClosely(this.#entry.vm, followers);
   }
 
-  #readingLoad(): number {
-    const now = performance.now();
-    const peers = this.#peers.book.live(now);
-    return peers.reduce((sum, peer) => sum + peer.readingLoad, this.#context.demand.readingLoad(now));
+  #fromAll(told: (peer: peerBooks.PeerState) => number): number {
+    return this.#peers.book.live(performance.now()).reduce((sum, peer) => sum + told(peer), 0);
   }
 
   async #untilOver(plannedStop: serving.PlannedStop): Promise<void> {
--- a/packages/gateway/src/peerBook.ts
+++ b/packages/gateway/src/peerBook.ts
@@ -12,6 +12,8 @@
   readonly followsClosely: boolean;
   /** Prefill engines that reading its prompts keeps busy. */
   readonly readingLoad: number;
+  /** Events that its callers' streams ask for in a millisecond. */
+  readonly eventsPerMs: number;
   readonly heardAt: number;
 }
 
--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -40,6 +40,8 @@
 /** Messages tell a load in whole thousandths. */
 const THOUSANDTHS = 1_000;
 
+const MS_PER_SECOND = 1_000;
+
 /** What the link needs. */
 export interface PeerLinkParts {
   readonly settings: settingsModule.GatewaySettings;
@@ -211,6 +213,7 @@
         startedAtMs: toMessage(view.directory.bornAtOf(endpointId)),
       })),
       readingLoadThousandths: Math.round(this.#parts.demand.readingLoad(now) * THOUSANDTHS),
+      eventsPerSecond: Math.round(this.#parts.demand.eventsPerMs(now) * MS_PER_SECOND),
       observations: this.#observationMessages(),
       changing: [...view.changing]
         .filter(([, change]) => change.until > now)
@@ -279,6 +282,7 @@
       configurationRevision: Number(pulse.configurationRevision),
       storeSilentMs: pulse.storeSilentMs,
       followsClosely: pulse.followsClosely,
+      eventsPerMs: pulse.eventsPerSecond / MS_PER_SECOND,
       readingLoad: pulse.readingLoadThousandths / THOUSANDTHS,
       heardAt: now,
     });
--- a/packages/gateway/src/roleChanger.ts
+++ b/packages/gateway/src/roleChanger.ts
@@ -28,6 +28,8 @@
   readonly changeKey: string;
   /** Prefill engines that reading all daemons' prompts keeps busy. */
   readonly readingLoad: () => number;
+  /** Events that all daemons' streams ask for in a millisecond. */
+  readonly eventsPerMs: () => number;
 }
 
 /** Gives engines another role when the mix of prompts and answers has shifted for good. */
@@ -102,6 +104,7 @@
     return this.#balance(service).decide({
       engines,
       readingLoad: this.#parts.readingLoad(),
+      eventsPerMs: this.#parts.eventsPerMs(),
       speeds: speeds.of(service),
       streamsInMemory: limits.memoryTokens / Math.max(1, demand.meanPromptTokens(now) ?? 1),
       now,
--- a/packages/gateway/src/sendChooser.ts
+++ b/packages/gateway/src/sendChooser.ts
@@ -47,14 +47,14 @@
   /**
    * Chooses for a send that follows at once: a prompt's reading is noted with the engine.
    *
-   * @param promptIsRead - whether an engine has read the prompt, so that another may go on from there
+   * @param reader - the engine that has read the prompt, if one has, so that another may go on from there
    * @returns the send, or why there is none
    */
-  choose(promptIsRead: boolean): Choice {
+  choose(reader: serving.Endpoint | undefined): Choice {
     const definition = this.#context.view.table?.service(this.#served.service);
     const prompt = this.#served.caller.headers.prompt;
     if (definition?.engine === undefined || prompt === undefined) return this.#choosePlain(definition);
-    return this.#chooseEngine(definition, definition.engine, prompt, promptIsRead);
+    return this.#chooseEngine(definition, definition.engine, prompt, reader);
   }
 
   #candidates(definition: serving.Service | undefined): serving.Endpoint[] {
@@ -88,7 +88,7 @@
     definition: serving.Service,
     engine: serving.EngineLimits,
     prompt: serving.Prompt,
-    promptIsRead: boolean,
+    promptReader: serving.Endpoint | undefined,
   ): Choice {
     const { board, health, settings, speeds } = this.#context;
     const engines = this.#candidates(definition);
@@ -102,16 +102,17 @@
       dataCentre: settings.dataCentre,
       now: performance.now(),
     };
-    if (promptIsRead) return answeringAt(serving.placeDecoder(inputs), "no-engine");
+    if (promptReader !== undefined) return answeringAt(serving.placeDecoder(inputs, promptReader), "no-engine");
     const plan = serving.placePrompt(inputs);
     if (plan === undefined) return neverthrow.err({ reason: "no-engine" });
+    this.#noteDemand(plan, prompt);
     const rejection = this.#judgeAdmission(plan);
     if (rejection !== undefined) {
       return neverthrow.err({ reason: "overloaded", returnAfterMs: rejection.returnAfterMs });
     }
     const reader = plan.reader ?? plan.decoder;
     board.noteRead(reader.id, engine.memoryTokens, prompt);
-    this.#noteDemand(plan, prompt);
+
     const stage = plan.reader === undefined ? Stage.Answering : Stage.Reading;
     return neverthrow.ok({ endpoint: reader, stage, predictedMs: plan.predictedMs, plan });
   }
@@ -119,7 +120,7 @@
   #noteDemand(plan: serving.EnginePlan, prompt: serving.Prompt): void {
     const { demand, speeds } = this.#context;
     const readingMs = speeds.of(this.#served.service).readMs(serving.EngineRole.Prefill, plan.workTokens);
-    demand.add(readingMs, prompt.promptTokens, performance.now());
+    demand.add(readingMs, prompt, performance.now());
   }
 
   #judgeAdmission(plan: serving.EnginePlan): serving.Rejection | undefined {
@@ -128,8 +129,10 @@
     if (sends > 0 || mayHaveRun) return undefined;
     const rejection = serving.judgeAdmission({
       predictedMs: plan.predictedMs,
+      aloneMs: plan.aloneMs,
       patienceMs: serving.streamPatienceMs(route.objectiveMs, route.pauseMs),
       remainingMs,
+      routeMs: route.timeoutMs,
       draw: this.#context.random.next(),
     });
     if (rejection === undefined) return undefined;
--- a/packages/gateway/src/sendCourse.ts
+++ b/packages/gateway/src/sendCourse.ts
@@ -46,7 +46,7 @@
       this.#readAgain(lostReader);
       return;
     }
-    const choice = this.#chooser.choose(memory.handedOver !== undefined);
+    const choice = this.#chooser.choose(memory.handedOver?.reader);
     if (choice.isErr()) end.reject(choice.error.reason, choice.error.returnAfterMs);
     else this.#dispatch(choice.value);
   }
--- a/packages/gateway/src/streamProgress.ts
+++ b/packages/gateway/src/streamProgress.ts
@@ -21,6 +21,11 @@
     return this.#lastEventId;
   }
 
+  /** @returns events so far */
+  get events(): number {
+    return this.#events;
+  }
+
   /** @returns mean pause between two events in milliseconds, once there were two */
   get meanPauseMs(): number | undefined {
     if (this.#firstEventAt === undefined || this.#events < 2) return undefined;
--- a/packages/gateway/tests/peerBook.test.ts
+++ b/packages/gateway/tests/peerBook.test.ts
@@ -13,6 +13,7 @@
     storeSilentMs: 100,
     followsClosely: true,
     readingLoad: 0,
+    eventsPerMs: 0,
     heardAt,
     ...options,
   };
--- a/packages/gateway/tests/peerLink.test.ts
+++ b/packages/gateway/tests/peerLink.test.ts
@@ -89,6 +89,7 @@
       storeSilentMs: 0,
       followsClosely: false,
       readingLoad: 0,
+      eventsPerMs: 0,
       heardAt: performance.now(),
     });
     view.configure(CONFIGURATION, new Uint8Array([2]), 2);
--- a/packages/serving/src/admission.ts
+++ b/packages/serving/src/admission.ts
@@ -4,10 +4,14 @@
 export interface AdmissionInputs {
   /** Predicted time to the first event. */
   readonly predictedMs: number;
+  /** The part of it that it would take if nothing else were under way. */
+  readonly aloneMs: number;
   /** Time after which the caller gives a stream up that has not begun. */
   readonly patienceMs: number;
   /** What is left of the caller's deadline and the route's timeout. */
   readonly remainingMs: number;
+  /** Longest time that the route lets a caller wait. */
+  readonly routeMs: number;
   /** A uniform number in [0, 1). */
   readonly draw: number;
 }
@@ -19,12 +23,26 @@
 }
 
 /**
- * Multiple of the caller's patience that the prediction may reach. Under load a
- * prediction can be more than twice what the first event then takes, and a caller
- * that is sent away in vain loses more than an engine that reads one prompt in
- * vain: mean worth of seven days 0.591 at 0.9, 0.587 at 1.05, 0.627 without limit.
+ * Part of the caller's patience that the prediction may reach. An answer that comes after it is late anyway, and
+ * reading its prompt makes those behind it late too. Mean worth of five days with trouble: 0.496 when predictions could
+ * reach 2.5 times the patience, 0.553 at this part.
  */
-const PATIENCE_MULTIPLE = 2.5;
+const PATIENCE_PART = 0.5;
+
+/**
+ * The same for a caller that has been turned away before: sent away again it would get nothing at all, after it has
+ * waited as it was told to.
+ */
+const RETURNED_PART = 0.65;
+
+/** Time left, as a share of the route's, below which a caller counts as one that has come back. */
+const RETURNED_TIME_SHARE = 0.97;
+
+/**
+ * Wait that a prompt may have however long it takes by itself, as a part of the patience: the largest would otherwise
+ * be turned away by an idle fleet, as their own reading takes more than half of the patience.
+ */
+const LONG_WAIT_PART = 0.1;
 
 /** Part of the patience that should be left for the caller's next try. */
 const COMFORTABLE_PART = 0.5;
@@ -46,7 +64,10 @@
  * @returns the rejection, or undefined if the request is taken
  */
 export function judgeAdmission(inputs: AdmissionInputs): Rejection | undefined {
-  const limitMs = Math.min(inputs.patienceMs * PATIENCE_MULTIPLE, inputs.remainingMs);
+  const longMs = inputs.aloneMs + inputs.patienceMs * LONG_WAIT_PART;
+  const returned = inputs.remainingMs < inputs.routeMs * RETURNED_TIME_SHARE;
+  const usualMs = inputs.patienceMs * (returned ? RETURNED_PART : PATIENCE_PART);
+  const limitMs = Math.min(Math.max(usualMs, longMs), inputs.patienceMs, inputs.remainingMs);
   if (inputs.predictedMs <= limitMs) return undefined;
   const excessMs = inputs.predictedMs - inputs.patienceMs * COMFORTABLE_PART;
   const baseMs = Math.max(RETURN_MS.least, Math.min(RETURN_MS.most, excessMs));
--- a/packages/serving/src/demand.ts
+++ b/packages/serving/src/demand.ts
@@ -1,3 +1,5 @@
+import type * as promptParts from "./promptParts.js";
+
 /** What callers ask of the engines of late. */
 
 /** Time over which a rate is averaged, in milliseconds. */
@@ -39,21 +41,45 @@
   }
 }
 
+/** Streams from which on the ratio is used, and those over which it is averaged. */
+const RATIO_STREAMS = { least: 6, most: 200 };
+
+/** How many events a token of the most that was asked for brings, as streams that have ended show it. */
+class EventRatio {
+  #streams = 0;
+  #tokens = 0;
+  #events = 0;
+
+  get ratio(): number {
+    return this.#streams < RATIO_STREAMS.least || this.#tokens === 0 ? 0 : this.#events / this.#tokens;
+  }
+
+  learn(outputTokens: number, events: number): void {
+    const kept = 1 - 1 / RATIO_STREAMS.most;
+    this.#tokens = this.#tokens * kept + outputTokens;
+    this.#events = this.#events * kept + events;
+    this.#streams++;
+  }
+}
+
 /** What this daemon's callers ask of the engines of one or more model services. */
 export class Demand {
   readonly #readingMs = new FadingRate();
   readonly #prompts = new FadingRate();
   readonly #promptTokens = new FadingRate();
+  readonly #outputTokens = new FadingRate();
+  readonly #eventsOfToken = new EventRatio();
 
   /**
    * @param readingMs - time that a prefill engine takes to read the prompt, in milliseconds
-   * @param promptTokens - tokens of the prompt, also those that need not be read
+   * @param prompt - the prompt
    * @param now - when it came, in milliseconds
    */
-  add(readingMs: number, promptTokens: number, now: number): void {
+  add(readingMs: number, prompt: promptParts.Prompt, now: number): void {
     this.#readingMs.add(readingMs, now);
     this.#prompts.add(1, now);
-    this.#promptTokens.add(promptTokens, now);
+    this.#promptTokens.add(prompt.promptTokens, now);
+    this.#outputTokens.add(prompt.outputTokens, now);
   }
 
   /**
@@ -64,6 +90,25 @@
     return this.#readingMs.perMs(now);
   }
 
+  /**
+   * @param outputTokens - most tokens that a request asked for
+   * @param events - events that its whole stream had
+   */
+  learnEvents(outputTokens: number, events: number): void {
+    this.#eventsOfToken.learn(outputTokens, events);
+  }
+
+  /**
+   * What streams are to come is known before they begin: just after a start, and while long answers pile up, those
+   * that run now are a small part of them.
+   *
+   * @param now - current instant in milliseconds
+   * @returns events that the streams ask for in a millisecond, 0 as long as too few streams have ended
+   */
+  eventsPerMs(now: number): number {
+    return this.#outputTokens.perMs(now) * this.#eventsOfToken.ratio;
+  }
+
   /**
    * @param now - current instant in milliseconds
    * @returns mean tokens of a prompt, or undefined if none has come
--- a/packages/serving/src/engineSpeeds.ts
+++ b/packages/serving/src/engineSpeeds.ts
@@ -44,8 +44,11 @@
   decode: [30, 40, 0.7, 0.5],
   /** Fixed time of going on with a prompt that was read, and 1,000 of its tokens to be moved; in milliseconds. */
   handover: [30, 1],
-  /** Pause between two events of a stream, and what each stream at the engine adds; in milliseconds. */
-  pause: [30, 0.3],
+  /**
+   * Pause between two events of a stream, and what each stream at the engine adds; in milliseconds. The latter is on the
+   * cautious side: taken for too little, decode engines are given away before the first long answers have ended.
+   */
+  pause: [30, 1],
 };
 
 const TOKENS_IN_UNIT = 1_000;
--- a/packages/serving/src/placement.ts
+++ b/packages/serving/src/placement.ts
@@ -24,6 +24,8 @@
   readonly tokensWaiting: number;
   /** Predicted time to the first event, in milliseconds. */
   readonly predictedMs: number;
+  /** The part of it that it would take if nothing else were under way, in milliseconds. */
+  readonly aloneMs: number;
 }
 
 /** What the choice rests on. */
@@ -58,7 +60,7 @@
   const sources = copySources(inputs);
   const direct = best(inputs, decoders, sources);
   const apart = best(inputs, readers, sources);
-  const target = placeDecoder(inputs);
+  const target = placeDecoder(inputs, apart?.engine);
   if (direct === undefined || target === undefined) return undefined;
   const directMs = direct.predictedMs + strainMs(inputs, direct);
   const slotMs = slotWaitMs(target, inputs.board.running(target.id, inputs.now));
@@ -67,7 +69,8 @@
   if (apart === undefined || directMs <= apartMs) {
     return { ...direct, decoder: direct.engine, reader: undefined, predictedMs: direct.predictedMs };
   }
-  return { ...apart, decoder: target, reader: apart.engine, predictedMs: apartMs };
+  const aloneMs = apart.aloneMs + handoverMs;
+  return { ...apart, decoder: target, reader: apart.engine, predictedMs: apartMs, aloneMs };
 }
 
 /**
@@ -92,6 +95,7 @@
   readonly tokensAhead: number;
   readonly tokensWaiting: number;
   readonly predictedMs: number;
+  readonly aloneMs: number;
 }
 
 function best(
@@ -191,10 +195,12 @@
   const tokensWaiting = board.tokensAhead(engine.id, urgencies.LEAST_URGENT, now);
   const workTokens = speeds.workTokens(engine.role, { unreadTokens, cachedTokens });
   const running = board.running(engine.id, now);
-  const readMs = speeds.readMs(engine.role, tokensAhead + board.tokensBegun(engine.id, level, now) + workTokens);
-  const busyMs = (speeds.fixedMs(engine.role, running) + copyMs + readMs) * inputs.slowness(engine.id);
-  const predictedMs = busyMs + slotWaitMs(engine, running) + wayMs(inputs, engine);
-  return { engine, copySource, unreadTokens, workTokens, level, tokensAhead, tokensWaiting, predictedMs };
+  const slowness = inputs.slowness(engine.id);
+  const ownMs = speeds.fixedMs(engine.role, running) + copyMs + speeds.readMs(engine.role, workTokens);
+  const aloneMs = ownMs * slowness + wayMs(inputs, engine);
+  const queueMs = speeds.readMs(engine.role, tokensAhead + board.tokensBegun(engine.id, level, now)) * slowness;
+  const predictedMs = aloneMs + queueMs + slotWaitMs(engine, running);
+  return { engine, copySource, unreadTokens, workTokens, level, tokensAhead, tokensWaiting, predictedMs, aloneMs };
 }
 
 function wayMs(inputs: PlacementInputs, engine: directories.Endpoint): number {
@@ -207,9 +213,13 @@
  * home if that is no worse.
  *
  * @param inputs - the prompt, the engines and what is known of them
+ * @param reader - the engine that reads the prompt, if one is known
  * @returns the engine, or undefined if none can make tokens
  */
-export function placeDecoder(inputs: PlacementInputs): directories.Endpoint | undefined {
+export function placeDecoder(
+  inputs: PlacementInputs,
+  reader: directories.Endpoint | undefined,
+): directories.Endpoint | undefined {
   const decoders = inputs.engines.filter((engine) => engine.role !== directories.EngineRole.Prefill);
   const group = promptParts.sharedGroup(inputs.prompt);
   const home = group === undefined ? undefined : homeOf(group, decoders);
@@ -223,7 +233,7 @@
     const homeMs = engine.id === home ? 0 : DECODER_HOME_MS;
     // Waiting prompts slow the tokens of the streams beside them, though not the start of one whose prompt is read.
     const busyMs = (fullMs + aheadMs * WAITING_READS_WEIGHT) * inputs.slowness(engine.id);
-    const cost = busyMs + wayMs(inputs, engine) + homeMs;
+    const cost = busyMs + wayMs(inputs, engine) + homeMs + farMoveMs(inputs, reader, engine);
     if (cost < chosenCost) {
       chosen = engine;
       chosenCost = cost;
@@ -232,6 +242,22 @@
   return chosen;
 }
 
+/**
+ * What moving the prompt's memory to another data centre costs beside a move within one: it takes twice as long, and
+ * fills links that carry more than this service's moves.
+ */
+function farMoveMs(
+  inputs: PlacementInputs,
+  reader: directories.Endpoint | undefined,
+  engine: directories.Endpoint,
+): number {
+  if (reader === undefined || reader.dataCentre === engine.dataCentre) return 0;
+  return FAR_MOVE_WEIGHT * inputs.speeds.copyMs(inputs.prompt.promptTokens);
+}
+
+/** Weight of a move between data centres, in multiples of the time of one within. */
+const FAR_MOVE_WEIGHT = 3;
+
 /** Weight of a decode engine's taken slots in the choice, in milliseconds when all are taken: it spreads streams evenly. */
 const FULL_ENGINE_MS = 50;
 
--- a/packages/serving/src/roleBalance.ts
+++ b/packages/serving/src/roleBalance.ts
@@ -44,6 +44,8 @@
   readonly engines: readonly BalancedEngine[];
   /** Prefill engines that reading all callers' prompts keeps busy. */
   readonly readingLoad: number;
+  /** Events that all callers' streams ask for in a millisecond, as far as it is known before they begin. */
+  readonly eventsPerMs: number;
   /** How fast the engines work. */
   readonly speeds: Pick<engineSpeeds.EngineSpeeds, "pause" | "decodeReadingShare">;
   /** Streams for which one engine has memory. */
@@ -167,7 +169,8 @@
     const { readingLoad, speeds, streamsInMemory, now } = inputs;
     const slots = Math.max(1, Math.min(streamsInMemory, ...decode.map((engine) => engine.slots)));
     const { pause, decodeReadingShare } = speeds;
-    const eventsPerMs = decode.length === 0 ? 0 : eventRate(decode, pause);
+    const running = decode.length === 0 ? 0 : eventRate(decode, pause);
+    const eventsPerMs = Math.max(running, inputs.eventsPerMs);
     return {
       readingLoad,
       eventsPerMs,
