Part the pulses' word of the engines' work from the link; tell what was learned in the log

What it tells and hears of the engines' work (under way, kept, asked for, learned) is a module of its own, as is which life of an endpoint a peer speaks of. No change of behaviour but for the log: prompt-read names the speed learned and from how many readings, turned-away what its prediction rests on. The tests of the link stand as they are.

--- a/packages/gateway/src/endpointLessons.ts
+++ b/packages/gateway/src/endpointLessons.ts
@@ -52,6 +52,8 @@
       predictedMs: Math.round(active.predictedMs),
       tookMs: Math.round(tookMs),
       slowness: this.#context.health.slowness(active.endpoint.id).toFixed(2),
+      tokensPerMs: this.#speeds().figures(active.endpoint.role).tokensPerMs.toFixed(1),
+      learnedFrom: this.#speeds().figures(active.endpoint.role).observations,
     });
   }
 
--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -8,7 +8,9 @@
 import * as peerBooks from "./peerBook.js";
 import * as peerNews from "./peerNews.js";
 import * as peerPulses from "./peerPulse.js";
+import * as peerWorks from "./peerWork.js";
 import type * as settingsModule from "./settings.js";
+import * as toldLives from "./toldLives.js";
 
 /**
  * Shortest and longest interval between two pulses, in milliseconds, and the time
@@ -37,11 +39,6 @@
 /** Time for which a departure is told in each pulse, in milliseconds. */
 const DEPARTURE_TOLD_MS = 4_000;
 
-/** Messages tell a load in whole thousandths. */
-const THOUSANDTHS = 1_000;
-
-const MS_PER_SECOND = 1_000;
-
 /** What the link needs. */
 export interface PeerLinkParts {
   readonly settings: settingsModule.GatewaySettings;
@@ -78,6 +75,7 @@
   readonly #parts: PeerLinkParts;
   readonly #pulse: peerPulses.PeerPulse;
   readonly #teller = new peerNews.NewsTeller();
+  readonly #work: peerWorks.PeerWork;
   readonly #departures = new Map<string, ToldDeparture>();
   readonly #entries = new Map<string, number>();
   #server: http.Server | undefined;
@@ -93,6 +91,7 @@
   constructor(parts: PeerLinkParts) {
     this.#parts = parts;
     this.book = new peerBooks.PeerBook(parts.entry.vm);
+    this.#work = new peerWorks.PeerWork(parts);
     this.#pulse = new peerPulses.PeerPulse(
       (pulse, sender) => this.#hear(pulse, sender),
       (detail) => parts.log.warn("peer-datagram-failed", { detail }),
@@ -186,7 +185,7 @@
   }
 
   #say(now: number): void {
-    const { entry, view, board, registered } = this.#parts;
+    const { entry, view, registered } = this.#parts;
     this.#saidAt = now;
     this.#saidWork = this.#workText();
     for (const [id, departure] of this.#departures) if (departure.toldUntil < now) this.#departures.delete(id);
@@ -196,32 +195,17 @@
       ready: this.#parts.ready(),
       configurationRevision: BigInt(view.configurationRevision),
       storeSilentMs: Math.round(this.#parts.storeSilentMs()),
-      work: [...board.ownWork()].map(([endpoint, work]) => ({
-        endpoint,
-        running: work.running,
-        unread: work.unread.map((tokens) => Math.round(tokens)),
-      })),
+      ...this.#work.tell(now),
       departures: this.#departureMessages(),
       followsClosely: this.#parts.followsClosely(),
       entries: this.#entryMessages(now),
-      reads: board.takeUntoldReads().map(({ endpointId, model, part, isRead }) => ({
-        endpoint: endpointId,
-        model,
-        part: part.id,
-        tokens: part.tokens,
-        isRead,
-        startedAtMs: toMessage(view.directory.bornAtOf(endpointId)),
-      })),
-      readingLoadThousandths: Math.round(this.#parts.demand.readingLoad(now) * THOUSANDTHS),
-      eventsPerSecond: Math.round(this.#parts.demand.eventsPerMs(now) * MS_PER_SECOND),
-      observations: this.#observationMessages(),
       changing: [...view.changing]
         .filter(([, change]) => change.until > now)
         .map(([endpoint, change]) => ({
           endpoint,
           role: change.role,
           forMs: Math.round(change.until - now),
-          startedAtMs: toMessage(change.bornAt),
+          startedAtMs: toldLives.toMessage(change.bornAt),
         })),
       ...(registered() ? {} : { callers: entry.callers, dataCentre: entry.dataCentre }),
     });
@@ -229,22 +213,6 @@
     this.#pulse.say(pulse, [...others, ...this.#formerAddresses(now)]);
   }
 
-  #observationMessages(): messages.ReadObservation[] {
-    return [...this.#parts.speeds.all()].flatMap(([service, speeds]) =>
-      speeds.takeUntold().map(({ role, observation }) =>
-        protobuf.create(messages.ReadObservationSchema, {
-          service,
-          role,
-          unreadTokens: Math.round(observation.unreadTokens),
-          cachedTokens: Math.round(observation.cachedTokens),
-          tokensWaiting: Math.round(observation.tokensWaiting),
-          streams: observation.streams,
-          tookMs: Math.round(observation.tookMs),
-        }),
-      ),
-    );
-  }
-
   #entryMessages(now: number): messages.EndpointEntry[] {
     const told: messages.EndpointEntry[] = [];
     for (const [id, until] of this.#entries) {
@@ -264,7 +232,7 @@
     return [...this.#departures].map(([endpoint, { revision, bornAt, setAside }]) => ({
       endpoint,
       revision: BigInt(revision),
-      startedAtMs: toMessage(bornAt),
+      startedAtMs: toldLives.toMessage(bornAt),
       setAside,
     }));
   }
@@ -282,54 +250,30 @@
       configurationRevision: Number(pulse.configurationRevision),
       storeSilentMs: pulse.storeSilentMs,
       followsClosely: pulse.followsClosely,
-      eventsPerMs: pulse.eventsPerSecond / MS_PER_SECOND,
-      readingLoad: pulse.readingLoadThousandths / THOUSANDTHS,
+      ...peerWorks.toldDemand(pulse),
       heardAt: now,
     });
     if (before === undefined || before.incarnation !== pulse.incarnation || before.ready !== pulse.ready) {
       this.#parts.log.info("peer", { peer: pulse.vm, incarnation: pulse.incarnation, ready: pulse.ready });
     }
-    this.#parts.board.hear(
-      pulse.vm,
-      new Map(pulse.work.map((work) => [work.endpoint, { unread: work.unread, running: work.running }])),
-      now,
-      this.#workExpiryMs,
-    );
+    this.#work.hear(pulse, now, this.#workExpiryMs);
     for (const { endpoint, role, forMs, startedAtMs } of pulse.changing) {
-      const bornAt = fromMessage(startedAtMs);
-      if (this.#parts.view.changing.has(endpoint) || this.#isOfAnotherLife(endpoint, bornAt)) continue;
+      const bornAt = toldLives.fromMessage(startedAtMs);
+      if (this.#parts.view.changing.has(endpoint) || toldLives.isOfAnotherLife(this.#parts.view, endpoint, bornAt))
+        continue;
       this.#parts.view.changing.set(endpoint, { until: now + forMs, role: role as serving.EngineRole, bornAt });
     }
-    for (const { endpoint, model, part, tokens, startedAtMs, isRead } of pulse.reads) {
-      if (this.#isOfAnotherLife(endpoint, fromMessage(startedAtMs))) continue;
-      this.#parts.board.hearRead({ endpointId: endpoint, model, part: { id: part, tokens }, isRead });
-    }
-    this.#learn(pulse.observations);
     for (const entry of pulse.entries) this.#parts.onEndpoint(entry.id, entry.value, Number(entry.revision));
     this.#takeDepartures(pulse.departures);
   }
 
-  #learn(observations: readonly messages.ReadObservation[]): void {
-    for (const { service, role, ...observation } of observations) {
-      const known = Object.values(serving.EngineRole).find((each) => each === role);
-      if (known !== undefined) this.#parts.speeds.of(service).learnReading(known, observation);
-    }
-  }
-
-  /**
-   * A peer that hasn't heard of a start yet goes on speaking of the life before. An
-   * engine that has just come would get no work for an order that it knows nothing
-   * of, and prompts for parts that it doesn't have. Peers of an older form tell no
-   * life, and are believed as before.
-   */
-  #isOfAnotherLife(id: string, toldBornAt: number | undefined): boolean {
-    const bornAt = this.#parts.view.directory.bornAtOf(id);
-    return toldBornAt !== undefined && bornAt !== undefined && toldBornAt !== bornAt;
-  }
-
   #takeDepartures(departures: readonly messages.Departure[]): void {
     for (const { endpoint, revision, startedAtMs, setAside } of departures) {
-      this.#parts.onDeparture(endpoint, { revision: Number(revision), bornAt: fromMessage(startedAtMs), setAside });
+      this.#parts.onDeparture(endpoint, {
+        revision: Number(revision),
+        bornAt: toldLives.fromMessage(startedAtMs),
+        setAside,
+      });
     }
   }
 
@@ -396,15 +340,6 @@
   }
 }
 
-/** Messages have no missing number: 0 stands for a start that isn't known. */
-function toMessage(bornAt: number | undefined): bigint {
-  return BigInt(bornAt ?? 0);
-}
-
-function fromMessage(startedAtMs: bigint): number | undefined {
-  return startedAtMs === 0n ? undefined : Number(startedAtMs);
-}
-
 /**
  * @param peers - the other daemons
  * @returns time between two pulses, in milliseconds
--- /dev/null
+++ b/packages/gateway/src/peerWork.ts
@@ -0,0 +1,113 @@
+import * as protobuf from "@bufbuild/protobuf";
+import * as messages from "@camphorcourse/protocol/gateway";
+import * as serving from "@camphorcourse/serving";
+import type * as fleetViews from "./fleetView.js";
+import type * as peerBooks from "./peerBook.js";
+import * as toldLives from "./toldLives.js";
+
+/** Messages tell a load in whole thousandths. */
+const THOUSANDTHS = 1_000;
+
+const MS_PER_SECOND = 1_000;
+
+/** What daemons tell each other about is kept in. */
+export interface PeerWorkParts {
+  readonly view: fleetViews.FleetView;
+  readonly board: serving.EngineBoard;
+  readonly demand: serving.Demand;
+  readonly speeds: serving.ServiceSpeeds;
+}
+
+/** The fields of a pulse that are about the engines' work. */
+type ToldWork = Pick<messages.Pulse, "work" | "reads" | "observations" | "readingLoadThousandths" | "eventsPerSecond">;
+
+/**
+ * @param pulse - what a daemon says
+ * @returns what its callers ask of the engines
+ */
+export function toldDemand(pulse: messages.Pulse): Pick<peerBooks.PeerState, "readingLoad" | "eventsPerMs"> {
+  return {
+    readingLoad: pulse.readingLoadThousandths / THOUSANDTHS,
+    eventsPerMs: pulse.eventsPerSecond / MS_PER_SECOND,
+  };
+}
+
+/** The part of the daemons' pulses that is about the engines' work: what is under way, kept, asked for and learned. */
+export class PeerWork {
+  readonly #parts: PeerWorkParts;
+
+  /** @param parts - where it is kept */
+  constructor(parts: PeerWorkParts) {
+    this.#parts = parts;
+  }
+
+  /**
+   * @param now - current instant in milliseconds
+   * @returns what is new since the last pulse, and what is under way
+   */
+  tell(now: number): ToldWork {
+    const { board, demand } = this.#parts;
+    return {
+      work: [...board.ownWork()].map(([endpoint, { running, unread }]) =>
+        protobuf.create(messages.EndpointWorkSchema, { endpoint, running, unread: unread.map(Math.round) }),
+      ),
+      reads: this.#readMessages(),
+      observations: this.#observationMessages(),
+      readingLoadThousandths: Math.round(demand.readingLoad(now) * THOUSANDTHS),
+      eventsPerSecond: Math.round(demand.eventsPerMs(now) * MS_PER_SECOND),
+    };
+  }
+
+  /**
+   * @param pulse - what a daemon says
+   * @param now - current instant in milliseconds
+   * @param validMs - time for which its word of its work counts, in milliseconds
+   */
+  hear(pulse: messages.Pulse, now: number, validMs: number): void {
+    const { board, view } = this.#parts;
+    const work = pulse.work.map(({ endpoint, unread, running }) => [endpoint, { unread, running }] as const);
+    board.hear(pulse.vm, new Map(work), now, validMs);
+    for (const { endpoint, model, part, tokens, startedAtMs, isRead } of pulse.reads) {
+      if (toldLives.isOfAnotherLife(view, endpoint, toldLives.fromMessage(startedAtMs))) continue;
+      board.hearRead({ endpointId: endpoint, model, part: { id: part, tokens }, isRead });
+    }
+    this.#learn(pulse.observations);
+  }
+
+  #readMessages(): messages.PartRead[] {
+    const { board, view } = this.#parts;
+    return board.takeUntoldReads().map(({ endpointId, model, part, isRead }) =>
+      protobuf.create(messages.PartReadSchema, {
+        endpoint: endpointId,
+        model,
+        part: part.id,
+        tokens: part.tokens,
+        isRead,
+        startedAtMs: toldLives.toMessage(view.directory.bornAtOf(endpointId)),
+      }),
+    );
+  }
+
+  #observationMessages(): messages.ReadObservation[] {
+    return [...this.#parts.speeds.all()].flatMap(([service, speeds]) =>
+      speeds.takeUntold().map(({ role, observation }) =>
+        protobuf.create(messages.ReadObservationSchema, {
+          service,
+          role,
+          unreadTokens: Math.round(observation.unreadTokens),
+          cachedTokens: Math.round(observation.cachedTokens),
+          tokensWaiting: Math.round(observation.tokensWaiting),
+          streams: observation.streams,
+          tookMs: Math.round(observation.tookMs),
+        }),
+      ),
+    );
+  }
+
+  #learn(observations: readonly messages.ReadObservation[]): void {
+    for (const { service, role, ...observation } of observations) {
+      const known = Object.values(serving.EngineRole).find((each) => each === role);
+      if (known !== undefined) this.#parts.speeds.of(service).learnReading(known, observation);
+    }
+  }
+}
--- a/packages/gateway/src/sendChooser.ts
+++ b/packages/gateway/src/sendChooser.ts
@@ -128,10 +128,11 @@
     const { route, sends, mayHaveRun, remainingMs, id } = this.#served;
     // What has begun is finished, and what was sent before gets its other chance.
     if (sends > 0 || mayHaveRun) return undefined;
+    const isLearned = speeds.of(this.#served.service).isLearned((plan.reader ?? plan.decoder).role);
     const rejection = serving.judgeAdmission({
       predictedMs: plan.predictedMs,
       aloneMs: plan.aloneMs,
-      isLearned: speeds.of(this.#served.service).isLearned((plan.reader ?? plan.decoder).role),
+      isLearned,
       patienceMs: serving.streamPatienceMs(route.objectiveMs, route.pauseMs),
       remainingMs,
       routeMs: route.timeoutMs,
@@ -141,6 +142,9 @@
     this.#context.log.info("turned-away", {
       id,
       predictedMs: Math.round(plan.predictedMs),
+      aloneMs: Math.round(plan.aloneMs),
+      isLearned,
+      remainingMs: Math.round(remainingMs),
       unread: plan.unreadTokens,
       ahead: plan.tokensAhead,
       returnAfterMs: Math.round(rejection.returnAfterMs),
