Let a reason hold anew once changes of a series are past

Cause, from reading the code: a wish for the role of the last change held only 250 ms, however long ago that change was, so that a burst of a second changed a role. Only changes within 5 s of each other are a series. Comments of the admission stand by the constants that they tell of.

--- a/packages/serving/src/admission.ts
+++ b/packages/serving/src/admission.ts
@@ -31,11 +31,8 @@
  */
 const PATIENCE_PART = 0.5;
 
-/** Multiple of the patience that a prediction may reach which nothing was learned for yet. */
-const UNSURE_MULTIPLE = 2.5;
-
 /**
- * The same for a caller that has been turned away before: sent away again it would get nothing at all, after it has
+ * Part of the patience for a caller that has been turned away before: sent away again it would get nothing at all, after it has
  * waited as it was told to.
  */
 const RETURNED_PART = 0.65;
@@ -49,6 +46,12 @@
  */
 const LONG_WAIT_PART = 0.1;
 
+/**
+ * Multiple of the patience that a prediction may reach which nothing was learned for yet: it rests on a prior, and a
+ * daemon that turned all long prompts away by it would learn nothing.
+ */
+const UNSURE_MULTIPLE = 2.5;
+
 /** Part of the patience that should be left for the caller's next try. */
 const COMFORTABLE_PART = 0.5;
 
@@ -61,9 +64,10 @@
 /**
  * The load it answers: prompts come faster than the engines read them, for
  * longer than the queues can carry. Each prompt that is read after its caller
- * has left delays all behind it. Those that certainly can't be served in time
- * are turned away at once and keep their time for another try. The time to come back is when the queue will have shrunk to half the caller's
- * patience, spread so that those turned away together don't return together.
+ * has left, or will hardly wait for it, delays all behind it. Those are turned away
+ * at once and keep their time for another try. The time to come back is when the
+ * queue will have shrunk to half the caller's patience, spread so that those
+ * turned away together don't return together.
  *
  * @param inputs - prediction and limits
  * @returns the rejection, or undefined if the request is taken
--- a/packages/serving/src/roleBalance.ts
+++ b/packages/serving/src/roleBalance.ts
@@ -86,11 +86,11 @@
 const REST_MS = { ofFleet: 9_000, fleet: 6, least: 1_000 };
 
 /**
- * Rest between two changes to the same role, in milliseconds, and the share of the engines that may be away at once.
- * The first split after a start may be wrong by half of the engines; one change in several seconds would leave prompts
+ * Changes to the same role that follow each other: the rest between two of them and the time within which the next one
+ * belongs to them, in milliseconds, and the share of the engines that may be away at once. The first split after a start may be wrong by half of the engines; one change in several seconds would leave prompts
  * queueing for most of a minute.
  */
-const SERIES = { restMs: 250, awayShare: 0.35 };
+const SERIES = { restMs: 250, withinMs: 5_000, awayShare: 0.35 };
 
 /**
  * The load it answers: the mix swings between long prompts and long answers, and
@@ -143,17 +143,17 @@
       this.#reasonRole = wanted;
       this.#reasonSince = now;
     }
-    const goesOn = wanted !== directories.EngineRole.None && wanted === this.#changedTo;
-    const rest = goesOn ? SERIES.restMs : Math.min(urgent ? URGENT_REST_MS : REST_MS.ofFleet, restMs(engines.length));
-    const restLeftMs = decode.length > 0 ? Math.max(0, this.#changedAt + rest - now) : 0;
+    const goesOn = wanted === this.#changedTo && now - this.#changedAt < SERIES.withinMs;
+    const usualRestMs = Math.min(urgent ? URGENT_REST_MS : REST_MS.ofFleet, restMs(engines.length));
+    const restUntil = this.#changedAt + (goesOn ? SERIES.restMs : usualRestMs);
+    const restLeftMs = decode.length > 0 ? Math.max(0, restUntil - now) : 0;
     const heldMs = now - this.#reasonSince;
     this.#outlook = { wanted, urgent, prefill: prefill.length, decode: decode.length, heldMs, restMs: restLeftMs };
     if (wanted === directories.EngineRole.None) return undefined;
     if (restLeftMs > 0) return undefined;
     const holdsMs = urgent ? URGENT_HOLDS_MS : REASON_HOLDS_MS;
-    if (heldMs < (goesOn ? Math.min(SERIES.restMs, holdsMs) : holdsMs)) return undefined;
-    const away = engines.filter((engine) => engine.changing === true).length;
-    if (decode.length > 0 && away >= Math.max(1, engines.length * SERIES.awayShare)) return undefined;
+    if (heldMs < (goesOn ? SERIES.restMs : holdsMs)) return undefined;
+    if (decode.length > 0 && tooManyAway(engines)) return undefined;
     const from = wanted === directories.EngineRole.Prefill ? decode : prefill;
     const chosen = from.filter((engine) => engine.changing !== true).sort(byReadiness)[0];
     if (chosen === undefined) return undefined;
@@ -182,6 +182,11 @@
   }
 }
 
+function tooManyAway(engines: readonly BalancedEngine[]): boolean {
+  const away = engines.filter((engine) => engine.changing === true).length;
+  return away >= Math.max(1, engines.length * SERIES.awayShare);
+}
+
 /**
  * Those that were not asked in vain first, then by how long ago that was: an
  * engine that answers nothing gets no work, so it would be the idlest for ever,
--- a/packages/serving/tests/roleBalance.test.ts
+++ b/packages/serving/tests/roleBalance.test.ts
@@ -149,6 +149,14 @@
   assert.ok(Math.max(...away) > 3 && Math.max(...away) <= 5, `${Math.max(...away)} away at once`);
 });
 
+// Half a minute after a change, a burst of a second wants another of the same kind. The reason has to hold anew: the
+// first change was for a mix that is long past.
+suite("a burst changes nothing either if the last change was to the same role, long ago", () => {
+  const balance = new serving.RoleBalance();
+  balance.changed(0, serving.EngineRole.Prefill);
+  assert.is(run(balance, { engines: engines(2, 4, 10), readTokensPerMs: 166 }, 30_000, 31_000), undefined);
+});
+
 // The mix swings back a second after a change. Following it at once would take engines away for nothing at each swing.
 suite("a change of mind rests though changes to the same role don't", () => {
   const inputs = { engines: engines(2, 4, 10), readTokensPerMs: 166 };
