Let a stopping daemon read its sockets after a standstill before it ends open calls

Symptom: calls that ran got 502 (cut-by-stop) though their answers lay in the daemon's sockets; the known failure of plannedStop has this shape. Cause: a process that stands still past the instant by which its answers leave has the stop's timer run before its sockets are read, and the timer ended whatever was open. Change: a look at the stop that comes over 150 ms late tells of a standstill; open calls and streams then have until the next look at least, 250 ms at most, and no longer than 350 ms past the regular end, so that true final answers still leave before the forced end. Looks are 25 ms apart instead of 100.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -22,8 +22,8 @@
 import * as storeFollowers from "./storeFollower.js";
 import * as watchDuties from "./watchDuty.js";
 
-/** Interval at which a stopping daemon looks whether it is idle, in milliseconds. */
-const STOP_CHECK_MS = 100;
+/** Interval at which a stopping daemon looks how far it is, in milliseconds; after a standstill one look is waited for. */
+const STOP_CHECK_MS = 25;
 
 /** Time for the last answers to leave, in milliseconds: a third of what is left until the forced end. */
 const LAST_ANSWERS_MS = 200;
@@ -301,6 +301,7 @@
   async #untilOver(plannedStop: serving.PlannedStop): Promise<void> {
     for (;;) {
       const now = performance.now();
+      plannedStop.look(now);
       if (plannedStop.closesDoor(now)) this.#listener.closeDoor();
       if (plannedStop.endsUnbegun(now)) this.#listener.endUnbegun();
       const { openRequests: open, lastRequestAt } = this.#listener;
--- a/packages/serving/src/plannedStop.ts
+++ b/packages/serving/src/plannedStop.ts
@@ -18,6 +18,21 @@
 /** Time without a request after which it ends, in milliseconds. */
 const QUIET_MS = 700;
 
+/** Time between two looks from which the daemon stood still between them, in milliseconds: several looks are missing. */
+const STOOD_STILL_MS = 150;
+
+/**
+ * Time for answers after the daemon stood still, in milliseconds: those that came meanwhile take a turn of the event
+ * loop, those of plain calls that an endpoint was about to finish a little longer.
+ */
+const CATCH_UP_MS = 250;
+
+/**
+ * Time after the regular end up to which such answers are waited for, in milliseconds: the rest of the margin is for
+ * the last answers to leave.
+ */
+const LATEST_MS = 350;
+
 /** What a stopping daemon has open. */
 export interface StopProgress {
   /** Requests without a final answer. */
@@ -48,12 +63,27 @@
   readonly #beganAt: number;
   readonly #answersBy: number;
   readonly #endsAt: number;
+  #lookedAt: number;
+  #wentOnAt = -Infinity;
 
   /** @param signal - when the daemon was told to stop, and how much time it has */
   constructor(signal: StopSignal) {
     this.#beganAt = signal.earliestAt;
     this.#answersBy = signal.earliestAt + signal.graceMs - MARGIN_MS;
     this.#endsAt = signal.heardAt + signal.graceMs - MARGIN_MS;
+    this.#lookedAt = signal.earliestAt;
+  }
+
+  /**
+   * The daemon looks at its stop, as it does several times a second. A look that comes late tells that it stood still.
+   * Timers have their turn before sockets then: without this, each open call was told that its answer is lost, though
+   * it ran and its answer lay in the socket.
+   *
+   * @param now - current instant in milliseconds
+   */
+  look(now: number): void {
+    if (now - this.#lookedAt > STOOD_STILL_MS) this.#wentOnAt = now;
+    this.#lookedAt = now;
   }
 
   /**
@@ -82,7 +112,7 @@
    * @returns whether requests whose answer has not begun get a final one now
    */
   endsUnbegun(now: number): boolean {
-    return now >= this.#answersBy;
+    return now >= this.#answersBy && !this.#catchesUp(this.#answersBy, now);
   }
 
   /**
@@ -91,9 +121,20 @@
    * @returns whether the daemon ends now
    */
   isOver(progress: StopProgress, now: number): boolean {
-    if (now >= this.#endsAt) return true;
+    if (now >= this.#endsAt && !(progress.open > 0 && this.#catchesUp(this.#endsAt, now))) return true;
     if (progress.open > 0) return false;
     if (this.closesDoor(now)) return true;
     return now - this.#beganAt > LINGER_MS && now - progress.lastRequestAt > QUIET_MS;
   }
+
+  /**
+   * At least until the next look, so that the sockets have had their turn; longer while the margin lasts. One that is
+   * still alive after its forced end was not the only one to stand still, and takes the time that it needs.
+   */
+  #catchesUp(regularEnd: number, now: number): boolean {
+    if (now === this.#wentOnAt) return true;
+    const pastForcedEnd = this.#wentOnAt >= regularEnd + MARGIN_MS;
+    const latest = pastForcedEnd ? Infinity : regularEnd + LATEST_MS;
+    return now < Math.min(this.#wentOnAt + CATCH_UP_MS, latest);
+  }
 }
--- a/packages/serving/tests/plannedStop.test.ts
+++ b/packages/serving/tests/plannedStop.test.ts
@@ -82,4 +82,58 @@
   assert.is(stop.isOver({ open: 1, lastRequestAt: 0 }, 10_400), true);
 });
 
+// A daemon stood still past the instant by which its answers leave. The answers of its open calls lie in its sockets,
+// and timers have their turn before these: ended at the first look, each call is told that its answer is lost.
+suite("after a standstill, open calls wait until the sockets have had their turn", () => {
+  const stop = stopAt(0);
+  stop.look(5_000);
+  stop.look(7_410);
+  assert.is(stop.endsUnbegun(7_410), false);
+  assert.is(stop.isOver({ open: 1, lastRequestAt: 0 }, 7_410), false);
+  stop.look(7_540);
+  assert.is(stop.endsUnbegun(7_540), false);
+  stop.look(7_660);
+  assert.is(stop.endsUnbegun(7_660), true);
+  assert.is(stop.isOver({ open: 1, lastRequestAt: 0 }, 7_660), true);
+});
+
+// The signal itself is heard only after a standstill that may have begun before it.
+suite("a signal that is heard after the last answers should have left still leaves the sockets a turn", () => {
+  const stop = stopAt(8_100, GRACE_MS, 0);
+  stop.look(8_100);
+  assert.is(stop.endsUnbegun(8_100), false);
+  stop.look(8_230);
+  stop.look(8_360);
+  assert.is(stop.endsUnbegun(8_360), true);
+});
+
+// Answers are waited for only as long as there is time for the others' true final answers before the forced end.
+suite("whatever stands still before its forced end, open calls are ended before it or at the second look", () => {
+  const lookEveryMs = 25;
+  const leavesMs = 200;
+  fastCheck.assert(
+    fastCheck.property(
+      fastCheck.array(fastCheck.tuple(fastCheck.integer({ min: 0, max: 7_900 }), fastCheck.integer({ max: 4_000 }))),
+      (standstills) => {
+        const stop = stopAt(0);
+        let now = 0;
+        let wentOnAt = 0;
+        const pending = [...standstills].sort(([left], [right]) => left - right);
+        for (;;) {
+          stop.look(now);
+          if (stop.endsUnbegun(now)) break;
+          const next = now + lookEveryMs;
+          const [at = Infinity, forMs = 0] = pending[0] ?? [];
+          if (at <= now) pending.shift();
+          now = at <= now && forMs > 0 ? next + forMs : next;
+          if (at <= now && forMs > 0) wentOnAt = now;
+          if (now >= FORCED_AT_MS) return true;
+        }
+        return now <= Math.max(FORCED_AT_MS - leavesMs, wentOnAt + lookEveryMs);
+      },
+    ),
+    { seed: 20_262, numRuns: 500 },
+  );
+});
+
 suite.run();
