Judge by time only after the sockets have had their turn

Symptom: after a standstill of the process, callers whose answers had come got 504, calls that may be repeated ran twice and sound endpoints were judged silent, requests that lay unread were answered 400. Cause: after a standstill overdue timers run before the sockets are read. Ruled out: that the limits are too short (each test stands still for 1.7 s, the answer is there from the start). Change: the end of a request's time, the look for silence and the end of a call to an engine are put off to the end of the loop's turn, as the watch of the loop does already; the HTTP library's word of a slow head is taken only if the connection's request has not been read in that turn, and is 408 then instead of 400.

--- a/packages/gateway/src/callerListener.ts
+++ b/packages/gateway/src/callerListener.ts
@@ -1,5 +1,6 @@
 import * as http from "node:http";
 import * as net from "node:net";
+import type * as stream from "node:stream";
 import type * as serving from "@camphorcourse/serving";
 import * as callerAnswers from "./callerAnswer.js";
 import * as callerRequests from "./callerRequest.js";
@@ -25,7 +26,12 @@
 /** Outcome in the log of a request that was open when the process ended. */
 const ENDED_BY_STOP = "cut-by-stop";
 
+/** What the HTTP library calls a head that came too slowly. */
+const SLOW_HEAD = "ERR_HTTP_REQUEST_TIMEOUT";
+
+const BAD_REQUEST = 400;
 const NOT_FOUND = 404;
+const REQUEST_TIMEOUT = 408;
 const PAYLOAD_TOO_LARGE = 413;
 const UNAVAILABLE = 503;
 
@@ -35,6 +41,8 @@
   readonly #server: http.Server;
   /** Requests that were taken and have no final answer yet. */
   readonly #taken = new Set<exchanges.Exchange>();
+  /** Instant of the last request of each connection, in milliseconds. */
+  readonly #readAt = new WeakMap<stream.Duplex, number>();
   #plannedStop: serving.PlannedStop | undefined;
   #doorClosed = false;
   #open = 0;
@@ -54,11 +62,7 @@
       joinDuplicateHeaders: false,
     });
     this.#server.on("request", (incoming, response) => void this.#onRequest(incoming, response));
-    this.#server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
-      context.log.info("bad-request", { detail: error.code ?? error.message });
-      if (socket.writable) socket.end("HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
-      else socket.destroy();
-    });
+    this.#server.on("clientError", (error: NodeJS.ErrnoException, socket) => this.#onClientError(error, socket));
   }
 
   /** @returns requests that have no final answer yet */
@@ -120,10 +124,34 @@
     this.#server.closeIdleConnections();
   }
 
+  /**
+   * Bytes that are no request, or a head that comes too slowly. After a standstill the look for slow heads comes before
+   * the sockets are read, and a request that lies there would be told that it is wrong: it has its turn first. Only
+   * what is still slow then is turned away, with the status that lets the caller come again.
+   */
+  #onClientError(error: NodeJS.ErrnoException, socket: stream.Duplex): void {
+    if (error.code !== SLOW_HEAD) {
+      this.#closeConnection(socket, BAD_REQUEST, error);
+      return;
+    }
+    const readAt = this.#readAt.get(socket);
+    setImmediate(() => {
+      if (this.#readAt.get(socket) === readAt) this.#closeConnection(socket, REQUEST_TIMEOUT, error);
+    });
+  }
+
+  #closeConnection(socket: stream.Duplex, status: number, error: NodeJS.ErrnoException): void {
+    this.#context.log.info("bad-request", { detail: error.code ?? error.message, status });
+    const head = `HTTP/1.1 ${status} ${http.STATUS_CODES[status] ?? ""}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
+    if (socket.writable) socket.end(head);
+    else socket.destroy();
+  }
+
   async #onRequest(incoming: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     const { view, format, log } = this.#context;
     const now = performance.now();
     this.#lastRequestAt = now;
+    this.#readAt.set(incoming.socket, now);
     this.#open++;
     response.once("close", () => {
       this.#open--;
--- a/packages/gateway/src/engineCalls.ts
+++ b/packages/gateway/src/engineCalls.ts
@@ -44,10 +44,12 @@
     return new Promise((resolve) => {
       const chunks: Buffer[] = [];
       let status = 0;
-      const timer = setTimeout(() => {
+      // Put off to the end of the loop's turn: after a standstill an answer may lie in the socket.
+      const timer = setTimeout(() => setImmediate(giveUp), CALL_TIMEOUT_MS);
+      const giveUp = (): void => {
         sending.cancel();
         resolve(undefined);
-      }, CALL_TIMEOUT_MS);
+      };
       const done = (answer: EngineAnswer | undefined): void => {
         clearTimeout(timer);
         resolve(answer);
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -55,7 +55,10 @@
 
   /** Begins to serve the request. */
   start(): void {
-    this.#deadlineTimer = setTimeout(() => this.#onDeadline(), Math.max(0, this.#served.remainingMs));
+    // After a standstill timers have their turn before sockets: an answer that came in time would be thrown away for 504.
+    // What is put off to the end of the loop's turn comes after the sockets.
+    const onTime = (): unknown => setImmediate(() => this.#onDeadline());
+    this.#deadlineTimer = setTimeout(onTime, Math.max(0, this.#served.remainingMs));
     this.#served.chooseService();
     this.#context.budgets.of(this.#served.service).request(performance.now());
     this.#course.sendNext();
--- a/packages/gateway/src/silenceWatch.ts
+++ b/packages/gateway/src/silenceWatch.ts
@@ -19,6 +19,7 @@
   readonly #sentAt: number;
   readonly #limits: serving.SilenceLimits;
   #timer: NodeJS.Timeout | undefined;
+  #stopped = false;
 
   /**
    * @param context - what serving needs
@@ -41,20 +42,26 @@
 
   /** @param onSilent - called at each look that finds silence, with how long the send itself has been silent, in milliseconds */
   start(onSilent: (silentMs: number) => void): void {
-    this.#timer = setInterval(() => {
-      const now = performance.now();
-      const ownAt = Math.max(this.#sentAt, this.#served.progress.lastEventAt);
-      const heardAt = Math.max(ownAt, this.#endpointHeardAt());
-      const silent = now - heardAt > this.#limits.endpointMs || now - ownAt > this.#limits.requestMs;
-      if (silent) onSilent(now - ownAt);
-    }, SILENCE_CHECK_MS);
+    // After a standstill timers have their turn before sockets: an endpoint that has answered would be taken for silent,
+    // and the request run twice. What is put off to the end of the loop's turn comes after the sockets.
+    this.#timer = setInterval(() => setImmediate(() => this.#look(onSilent)), SILENCE_CHECK_MS);
   }
 
   /** Looks no more. */
   stop(): void {
+    this.#stopped = true;
     clearInterval(this.#timer);
   }
 
+  #look(onSilent: (silentMs: number) => void): void {
+    if (this.#stopped) return;
+    const now = performance.now();
+    const ownAt = Math.max(this.#sentAt, this.#served.progress.lastEventAt);
+    const heardAt = Math.max(ownAt, this.#endpointHeardAt());
+    const silent = now - heardAt > this.#limits.endpointMs || now - ownAt > this.#limits.requestMs;
+    if (silent) onSilent(now - ownAt);
+  }
+
   /** What a later life says to others is no sign of the one that this request was sent to. */
   #endpointHeardAt(): number {
     const { client, view } = this.#context;
