Send nothing whose time is up, and tell what has not left that it has not run

Symptom: one call more at the endpoint than answers (the shape of the known failure: 13 of 14), 504 or 502. Cause: a request whose connection to its endpoint is being opened counted as one that may have run, and was sent when the connection came, also after its time or while its daemon was ending: after a standstill the connection is there before any timer's decision. Ruled out: a repeat by the HTTP library (each id is at the endpoint once). Change: a send is not begun once the request's time is up; what has not left counts as not run, so that the caller gets 503 and may come again; a stopping daemon ends what has not left as soon as answers should have left.

--- a/packages/gateway/src/activeSend.ts
+++ b/packages/gateway/src/activeSend.ts
@@ -41,6 +41,11 @@
     this.#silence = new silenceWatches.SilenceWatch(context, served, planned, this.sentAt);
   }
 
+  /** @returns whether a part of the request may have left for the endpoint */
+  get hasLeft(): boolean {
+    return this.#sending?.hasLeft === true;
+  }
+
   /**
    * Sends; the answer may come before this returns.
    *
--- a/packages/gateway/src/callerListener.ts
+++ b/packages/gateway/src/callerListener.ts
@@ -108,6 +108,11 @@
     net.Server.prototype.close.call(this.#server);
   }
 
+  /** There is no time left to run anything: what has not left for an endpoint is told so, and never leaves. */
+  endUnsent(): void {
+    for (const exchange of [...this.#taken]) if (exchange.isUnsent) exchange.endNow(ENDED_BY_STOP);
+  }
+
   /** There is no time left for an answer to begin: each request without one gets its true final answer. */
   endUnbegun(): void {
     for (const exchange of [...this.#taken]) if (!exchange.answerHasBegun) exchange.endNow(ENDED_BY_STOP);
--- a/packages/gateway/src/endpointClient.ts
+++ b/packages/gateway/src/endpointClient.ts
@@ -20,6 +20,8 @@
   /** Names and values by turns. */
   readonly headers: string[];
   readonly body: Buffer | undefined;
+  /** Instant from which it is not sent any more, in milliseconds, where there is one. */
+  readonly sendBefore?: number;
 }
 
 /** Takes an answer as it comes. */
@@ -38,6 +40,8 @@
 
 /** A send that is under way. */
 export interface Sending {
+  /** Whether a part of the request may have left; before, its connection is being opened. */
+  readonly hasLeft: boolean;
   /** Closes the connection; the endpoint drops the request. */
   cancel(): void;
   /** Reads no more of the answer until {@link Sending.resume}. */
@@ -186,8 +190,10 @@
       },
       {
         onRequestStart: (started_) => {
-          started = true;
           controller = started_;
+          // After a standstill a connection may be there only once the time is up: what is sent then runs for nobody.
+          if (performance.now() < (request.sendBefore ?? Infinity)) started = true;
+          else started_.abort(new Error("the connection came too late"));
         },
         onResponseStart: (_controller, status, headers) => {
           if (over || status < 200) return;
@@ -214,6 +220,9 @@
       },
     );
     return {
+      get hasLeft() {
+        return started;
+      },
       cancel: () => {
         if (over) return;
         // First: the abort reports an error at once, which is no result of the endpoint's.
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -53,6 +53,11 @@
     return this.#end.hasBegun;
   }
 
+  /** @returns whether nothing has run yet and nothing that may is on its way */
+  get isUnsent(): boolean {
+    return !this.#mayHaveRun();
+  }
+
   /** Begins to serve the request. */
   start(): void {
     // After a standstill timers have their turn before sockets: an answer that came in time would be thrown away for 504.
@@ -91,7 +96,9 @@
 
   /** @returns whether a send may have run the request, the one under way included */
   #mayHaveRun(): boolean {
-    return this.#served.mayHaveRun || this.#course.active?.stage === sendChoosers.Stage.Answering;
+    const { active } = this.#course;
+    const runs = active?.stage === sendChoosers.Stage.Answering && active.hasLeft;
+    return this.#served.mayHaveRun || runs;
   }
 
   #onOver(): void {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -303,6 +303,7 @@
       const now = performance.now();
       plannedStop.look(now);
       if (plannedStop.closesDoor(now)) this.#listener.closeDoor();
+      if (plannedStop.endsUnsent(now)) this.#listener.endUnsent();
       if (plannedStop.endsUnbegun(now)) this.#listener.endUnbegun();
       const { openRequests: open, lastRequestAt } = this.#listener;
       if (plannedStop.isOver({ open, lastRequestAt }, now)) return;
--- a/packages/gateway/src/sendCourse.ts
+++ b/packages/gateway/src/sendCourse.ts
@@ -151,7 +151,8 @@
       ...(lastEventId === undefined ? {} : { lastEventId }),
     });
     const body = served.body.length === 0 ? undefined : served.body;
-    return { method: served.caller.method, path: served.caller.target, headers, body };
+    const { method, target: path } = served.caller;
+    return { method, path, headers, body, sendBefore: served.deadlineAt };
   }
 
   #receiver(active: activeSends.ActiveSend): endpointClients.AnswerReceiver {
--- a/packages/gateway/src/servedRequest.ts
+++ b/packages/gateway/src/servedRequest.ts
@@ -76,6 +76,11 @@
     return this.#mayHaveRun;
   }
 
+  /** @returns instant at which its time is up, in milliseconds */
+  get deadlineAt(): number {
+    return this.#deadlineAt;
+  }
+
   /** @returns time that is left, in milliseconds */
   get remainingMs(): number {
     return this.#deadlineAt - performance.now();
--- a/packages/gateway/tests/helpers/exchangeStand.ts
+++ b/packages/gateway/tests/helpers/exchangeStand.ts
@@ -38,6 +38,7 @@
     const seen: SeenSend = { endpoint, path: request.path, receiver, cancelled: false };
     this.sends.push(seen);
     return {
+      hasLeft: true,
       cancel: () => {
         seen.cancelled = true;
       },
--- a/packages/serving/src/plannedStop.ts
+++ b/packages/serving/src/plannedStop.ts
@@ -107,6 +107,14 @@
     return now >= this.#answersBy - LAST_MS;
   }
 
+  /**
+   * @param now - current instant in milliseconds
+   * @returns whether requests that have not left for an endpoint get their final answer now
+   */
+  endsUnsent(now: number): boolean {
+    return now >= this.#answersBy;
+  }
+
   /**
    * @param now - current instant in milliseconds
    * @returns whether requests whose answer has not begun get a final one now
