Let no caller's odd count and no figure end a daemon

Cause: the message library throws for a number that its field can't hold (invalid uint32), the cache's library for a size that is not whole, in timers where nothing catches it. Ruled out: memory (no line of the collector).

--- a/packages/gateway/src/peerPulse.ts
+++ b/packages/gateway/src/peerPulse.ts
@@ -45,9 +45,9 @@
    * @param addresses - IP:PORT of the daemons to say it to
    */
   say(pulse: messages.Pulse, addresses: readonly string[]): void {
-    let bytes = protobuf.toBinary(messages.PulseSchema, pulse);
+    let bytes = this.#encode(pulse);
     if (bytes.length > LARGEST_BYTES) {
-      bytes = protobuf.toBinary(messages.PulseSchema, {
+      bytes = this.#encode({
         ...pulse,
         work: [],
         reads: [],
@@ -64,6 +64,20 @@
     }
   }
 
+  /**
+   * A figure that the message can't hold makes the library throw, in a timer: one daemon's wrong figure would end it
+   * with all its callers. Told without its figures, the pulse still says that it lives and what has left.
+   */
+  #encode(pulse: messages.Pulse): Uint8Array {
+    try {
+      return protobuf.toBinary(messages.PulseSchema, pulse);
+    } catch (error) {
+      this.#onProblem(`a pulse is told without its figures: ${String(error)}`);
+      const withoutFigures = { work: [], reads: [], observations: [], readingLoadThousandths: 0, eventsPerSecond: 0 };
+      return protobuf.toBinary(messages.PulseSchema, { ...pulse, ...withoutFigures });
+    }
+  }
+
   /** Ends speaking and hearing. */
   close(): void {
     this.#socket.close();
--- a/packages/gateway/src/peerWork.ts
+++ b/packages/gateway/src/peerWork.ts
@@ -10,6 +10,9 @@
 
 const MS_PER_SECOND = 1_000;
 
+/** Largest number that the messages' fields hold. */
+const MOST_IN_FIELD = 0xffff_ffff;
+
 /** What daemons tell each other about is kept in. */
 export interface PeerWorkParts {
   readonly view: fleetViews.FleetView;
@@ -49,12 +52,12 @@
     const { board, demand } = this.#parts;
     return {
       work: [...board.ownWork()].map(([endpoint, { running, unread }]) =>
-        protobuf.create(messages.EndpointWorkSchema, { endpoint, running, unread: unread.map(Math.round) }),
+        protobuf.create(messages.EndpointWorkSchema, { endpoint, running, unread: unread.map(wholeNumber) }),
       ),
       reads: this.#readMessages(),
       observations: this.#observationMessages(),
-      readingLoadThousandths: Math.round(demand.readingLoad(now) * THOUSANDTHS),
-      eventsPerSecond: Math.round(demand.eventsPerMs(now) * MS_PER_SECOND),
+      readingLoadThousandths: wholeNumber(demand.readingLoad(now) * THOUSANDTHS),
+      eventsPerSecond: wholeNumber(demand.eventsPerMs(now) * MS_PER_SECOND),
     };
   }
 
@@ -94,11 +97,11 @@
         protobuf.create(messages.ReadObservationSchema, {
           service,
           role,
-          unreadTokens: Math.round(observation.unreadTokens),
-          cachedTokens: Math.round(observation.cachedTokens),
-          tokensWaiting: Math.round(observation.tokensWaiting),
+          unreadTokens: wholeNumber(observation.unreadTokens),
+          cachedTokens: wholeNumber(observation.cachedTokens),
+          tokensWaiting: wholeNumber(observation.tokensWaiting),
           streams: observation.streams,
-          tookMs: Math.round(observation.tookMs),
+          tookMs: wholeNumber(observation.tookMs),
         }),
       ),
     );
@@ -111,3 +114,8 @@
     }
   }
 }
+
+/** A sum may grow beyond what a field holds, which the library answers by throwing; that much is as good as the most. */
+function wholeNumber(value: number): number {
+  return Math.min(MOST_IN_FIELD, Math.max(0, Math.round(value)));
+}
--- a/packages/gateway/src/sendCourse.ts
+++ b/packages/gateway/src/sendCourse.ts
@@ -27,8 +27,26 @@
     return this.#active;
   }
 
-  /** {@inheritDoc exchangeParts.SendResults.sendNext} */
+  /**
+   * {@inheritDoc exchangeParts.SendResults.sendNext}
+   *
+   * A fault in a decision costs this request only: uncaught, it would end the daemon with all its callers, or leave
+   * this one without an answer where the HTTP library catches it.
+   */
   sendNext(): void {
+    const { context, end, served } = this.#parts;
+    try {
+      this.#goOn();
+    } catch (error) {
+      const { message, stack } = error as Error;
+      context.log.warn("request-fault", { id: served.id, detail: message, stack });
+      if (this.#active?.hasLeft === true && this.#active.stage === sendChoosers.Stage.Answering)
+        served.noteMayHaveRun();
+      end.reject("request-fault");
+    }
+  }
+
+  #goOn(): void {
     const { end, memory, served } = this.#parts;
     if (end.over) return;
     // A loop that has fallen behind hears an endpoint before the deadline's own timer: sent on, the request would run
--- a/packages/gateway/tests/exchange.test.ts
+++ b/packages/gateway/tests/exchange.test.ts
@@ -99,4 +99,15 @@
   assert.is(stand.endLines.length, 1);
 });
 
+// A decision or a library throws while one request is served: uncaught, it ended the daemon with all its callers ("ended
+// by itself: code 1"), as a caller's odd token counts did. It costs this request only, which has not run and is told so.
+suite("a fault while it is served costs one request, and no daemon", () => {
+  const stand = new stands.ExchangeStand(NonIdempotent, [None]);
+  stand.failNextSend(new TypeError("sizeCalculation return invalid"));
+  stand.exchange.start();
+  assert.is(stand.answer.refusals[0]?.status, 503);
+  assert.is(stand.running, 0);
+  assert.match(stand.endLines[0] ?? "", /outcome=request-fault status=503/);
+});
+
 suite.run();
--- a/packages/gateway/tests/helpers/exchangeStand.ts
+++ b/packages/gateway/tests/helpers/exchangeStand.ts
@@ -29,12 +29,17 @@
 /** Keeps sends instead of sending. */
 class KeepingClient extends endpointClients.EndpointClient {
   readonly sends: SeenSend[] = [];
+  /** Thrown instead of the next send. */
+  fault: Error | undefined;
 
   override send(
     endpoint: serving.Endpoint,
     request: endpointClients.OutgoingRequest,
     receiver: endpointClients.AnswerReceiver,
   ): endpointClients.Sending {
+    const { fault } = this;
+    this.fault = undefined;
+    if (fault !== undefined) throw fault;
     const seen: SeenSend = { endpoint, path: request.path, receiver, cancelled: false };
     this.sends.push(seen);
     return {
@@ -201,6 +206,11 @@
     }
   }
 
+  /** @param fault - thrown instead of the next send */
+  failNextSend(fault: Error): void {
+    this.#client.fault = fault;
+  }
+
   /** @returns all sends so far, in their order */
   get sends(): readonly SeenSend[] {
     return this.#client.sends;
--- /dev/null
+++ b/packages/gateway/tests/peerPulse.test.ts
@@ -0,0 +1,40 @@
+import * as protobuf from "@bufbuild/protobuf";
+import * as messages from "@camphorcourse/protocol/gateway";
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+import * as peerPulses from "../src/peerPulse.js";
+
+const PORT = 31_700 + (process.pid % 1_000);
+
+const suite = uvu.suite("a pulse that can't be written as it is");
+
+// An estimate that had become no number was told as a load. The message library throws for it ("invalid uint32: NaN"),
+// in the timer of the pulses, and the daemon ended by itself with code 1: four requests on kept connections were cut.
+// The others must still hear that it lives and what has left; its figures they do without.
+suite("is told without its figures, and ends nothing", async () => {
+  const problems: string[] = [];
+  const heard: messages.Pulse[] = [];
+  const note = (detail: string): unknown => problems.push(detail);
+  const speaker = new peerPulses.PeerPulse(() => undefined, note);
+  const hearer = new peerPulses.PeerPulse((pulse) => heard.push(pulse), note);
+  await hearer.listen({ host: "127.0.0.1", port: PORT });
+  const departures = [{ endpoint: "e1", revision: 7n, startedAtMs: 0n, setAside: false }];
+  const pulse = protobuf.create(messages.PulseSchema, {
+    vm: "vm-1",
+    ready: true,
+    departures,
+    readingLoadThousandths: Number.NaN,
+    eventsPerSecond: 12,
+  });
+  speaker.say(pulse, [`127.0.0.1:${PORT}`]);
+  for (let turn = 0; turn < 100 && heard.length === 0; turn++) await new Promise((resolve) => setTimeout(resolve, 10));
+  speaker.close();
+  hearer.close();
+  assert.is(heard[0]?.vm, "vm-1");
+  assert.is(heard[0]?.departures[0]?.endpoint, "e1");
+  assert.is(heard[0]?.eventsPerSecond, 0);
+  assert.is(problems.length, 1);
+  assert.match(problems[0] ?? "", /without its figures.*NaN/);
+});
+
+suite.run();
--- a/packages/serving/src/linearEstimate.ts
+++ b/packages/serving/src/linearEstimate.ts
@@ -61,7 +61,8 @@
    * @param deviation - standard deviation of the observation by itself, above 0
    */
   learn(features: readonly number[], observed: number, deviation: number): void {
-    if (!Number.isFinite(observed) || !(deviation > 0)) return;
+    // One observation that is no number would make all coefficients none, for good.
+    if (![observed, deviation, ...features].every(Number.isFinite) || deviation <= 0) return;
     const spread = this.#covariance.map((row) => dot(row, features));
     const expectedSpread = Math.max(0, dot(spread, features)) + deviation * deviation;
     const error = observed - this.predict(features);
--- a/packages/serving/src/promptParts.ts
+++ b/packages/serving/src/promptParts.ts
@@ -35,7 +35,10 @@
 
   /** @param memoryTokens - tokens that the engine can keep */
   constructor(memoryTokens: number) {
-    this.#parts = new lru.LRUCache({ maxSize: Math.max(1, memoryTokens), sizeCalculation: ({ tokens }) => tokens });
+    this.#parts = new lru.LRUCache({
+      maxSize: Math.max(1, Math.floor(memoryTokens)),
+      sizeCalculation: ({ tokens }) => tokens,
+    });
   }
 
   /**
