Answer what is still being read when a stopping daemon ends

Symptom: no answer at all to a caller that sends its body slowly while its daemon stops. Cause: such a request is not yet among those that are taken, which get a final answer at the end; it only counts as open. Ruled out: that the end comes too early for it (the daemon waits for it until its last moment, 'stopped open=1'). Change: it gets 503 with Retry-After when what has not left for an endpoint does.

--- a/packages/gateway/src/callerListener.ts
+++ b/packages/gateway/src/callerListener.ts
@@ -41,6 +41,8 @@
   readonly #server: http.Server;
   /** Requests that were taken and have no final answer yet. */
   readonly #taken = new Set<exchanges.Exchange>();
+  /** Answers to requests whose body is still being read. */
+  readonly #unread = new Set<callerAnswers.CallerAnswer>();
   /** Instant of the last request of each connection, in milliseconds. */
   readonly #readAt = new WeakMap<stream.Duplex, number>();
   #plannedStop: serving.PlannedStop | undefined;
@@ -108,8 +110,12 @@
     net.Server.prototype.close.call(this.#server);
   }
 
-  /** There is no time left to run anything: what has not left for an endpoint is told so, and never leaves. */
+  /**
+   * There is no time left to run anything: what has not left for an endpoint is told so, and never leaves. So is what
+   * is still being read; its connection would break without a word when the process ends.
+   */
   endUnsent(): void {
+    for (const answer of this.#unread) this.#refuseStopping(answer);
     for (const exchange of [...this.#taken]) if (exchange.isUnsent) exchange.endNow(ENDED_BY_STOP);
   }
 
@@ -174,7 +180,13 @@
     response.once("close", () => {
       if (!response.writableFinished) exchange.current?.callerLeft();
     });
+    this.#unread.add(answer);
     const body = await callerRequests.readBody(incoming, limits.bodyBytes);
+    this.#unread.delete(answer);
+    if (answer.state === callerAnswers.AnswerState.Ended) {
+      log.info("refused-stopping", { id: request.headers.requestId, detail: "before its request was read" });
+      return;
+    }
     if (body === undefined) {
       log.info("caller-left", { id: request.headers.requestId, detail: "before its request was read" });
       return;
@@ -200,8 +212,7 @@
       return;
     }
     if (this.#comesTooLate(request, route)) {
-      const retry = [format.retryAfterHeader, STOPPING_RETRY_AFTER];
-      answer.refuse(UNAVAILABLE, "this daemon is stopping; come back to another one", retry);
+      this.#refuseStopping(answer);
       return;
     }
     const taken = new exchanges.Exchange(this.#context, request, route, body, answer);
@@ -225,6 +236,11 @@
     return !isTaken;
   }
 
+  #refuseStopping(answer: callerAnswers.CallerAnswer): void {
+    const retry = [this.#context.format.retryAfterHeader, STOPPING_RETRY_AFTER];
+    answer.refuse(UNAVAILABLE, "this daemon is stopping; come back to another one", retry);
+  }
+
   /** A request that is not read to its end leaves bytes on the connection, which must not be taken for another. */
   #turnAway(incoming: http.IncomingMessage, answer: callerAnswers.CallerAnswer, status: number, detail: string): void {
     answer.refuse(status, detail, ["connection", "close"]);
