Add a failing test for a port that can't be had

The error of the socket for the other daemons is logged as a lost datagram, and the start waits for ever: the process is up and never ready, and nothing starts it again.

--- a/packages/gateway/tests/peerPulse.test.ts
+++ b/packages/gateway/tests/peerPulse.test.ts
@@ -1,3 +1,4 @@
+import * as datagrams from "node:dgram";
 import * as protobuf from "@bufbuild/protobuf";
 import * as messages from "@camphorcourse/protocol/gateway";
 import * as uvu from "uvu";
@@ -37,4 +38,19 @@
   assert.match(problems[0] ?? "", /without its figures.*NaN/);
 });
 
+// Another process has the port. The socket's error was only logged, and the daemon waited for ever for its port: it was
+// up, took no part in the fleet and was never ready, and nothing started it again. Its start fails instead.
+suite("a port that can't be had fails the start", async () => {
+  const ignore = (): void => undefined;
+  const first = datagrams.createSocket("udp4");
+  await new Promise<void>((resolve) => first.bind(PORT, "127.0.0.1", resolve));
+  const pulse = new peerPulses.PeerPulse(ignore, ignore);
+  const failed = pulse.listen({ host: "127.0.0.1", port: PORT }).catch((error: unknown) => String(error));
+  const waited = new Promise((resolve) => setTimeout(resolve, 500, "waits for ever"));
+  const outcome = await Promise.race([failed, waited]);
+  first.close();
+  pulse.close();
+  assert.match(String(outcome), /EADDRINUSE/);
+});
+
 suite.run();
