Fail a start whose port for the other daemons can't be had

Symptom: a daemon that is up, answers no question on whether it is ready, and takes no part in the fleet. Cause: the socket's error went to the log of lost datagrams, and the start waited for the bind. The callers' port ends the process already (its server has no listener for errors), with a line daemon-failed. Change: listening fails with the socket's error, so that the process ends and is started again.

--- a/packages/gateway/src/peerPulse.ts
+++ b/packages/gateway/src/peerPulse.ts
@@ -35,9 +35,18 @@
     this.#socket.on("error", (error) => onProblem(error.message));
   }
 
-  /** @param address - where to listen */
+  /**
+   * @param address - where to listen
+   * @returns once it listens; it fails if the address can't be had, as a daemon that waits for it would never be ready
+   */
   listen(address: settingsModule.SocketAddress): Promise<void> {
-    return new Promise((resolve) => this.#socket.bind(address.port, address.host, resolve));
+    return new Promise((resolve, reject) => {
+      this.#socket.once("error", reject);
+      this.#socket.bind(address.port, address.host, () => {
+        this.#socket.off("error", reject);
+        resolve();
+      });
+    });
   }
 
   /**
