Add a failing test for a configuration that several daemons read at once

At that change each daemon that follows closely has heard of nobody else who has the configuration, and tells all others: 13 of 14 pass, the new test fails (8 times 71 and more tellings instead of 71).

--- a/packages/gateway/tests/peerBook.test.ts
+++ b/packages/gateway/tests/peerBook.test.ts
@@ -117,6 +117,24 @@
   }
 });
 
+// A configuration changes in a fleet of 79. Those that follow closely read it in the same moment and have heard of nobody
+// else who has it: each of the eight told all others, 71 each and their own kind too, with the whole list of
+// endpoints. Each daemon read the same document up to eight times, and the tellers' links (10 Mbit/s) and processors
+// (a third of a core) were busy with it for seconds while requests waited behind: sixteen reached an engine 0.9 s after
+// their callers' time was up (rule GONE on five of seven days). They share the telling out from the start.
+suite("a configuration that several read at once is told to each daemon once", () => {
+  const close = Array.from({ length: 8 }, (_, index) => `vm-close-${index}`);
+  const seldom = Array.from({ length: 71 }, (_, index) => `vm-${index}`);
+  const told = close.flatMap((own) => {
+    const book = new peerBooks.PeerBook(own);
+    const others = close.filter((vm) => vm !== own);
+    for (const vm of others) book.hear(state(vm, 0, { configurationRevision: 4 }));
+    for (const vm of seldom) book.hear(state(vm, 0, { configurationRevision: 4, followsClosely: false }));
+    return book.toTell(KNOWN, 0).map((each) => each.vm);
+  });
+  assert.equal([...told].sort(), [...seldom].sort());
+});
+
 // A daemon is heard and can't be reached. Were more and more to tell it, the whole fleet would send it documents for
 // as long as it is cut off.
 suite("few tell a daemon that can't be reached", () => {
