Share out the telling of a configuration that several daemons read at once

Cause shown by test: each of eight daemons that follow the store closely has heard of nobody else who has the new configuration, and tells all others. Change: those that follow closely and reach the store count in the order before they are heard to have the change.

--- a/packages/gateway/src/peerBook.ts
+++ b/packages/gateway/src/peerBook.ts
@@ -168,15 +168,22 @@
    * How many are to tell a daemon before this one does: first those that follow
    * closely, which know a change first. Were all that know it to share the
    * telling out, it would pass on to each that was just told, and wait for its
-   * next look each time.
+   * next look each time. Those that follow closely read a change in the same
+   * moment, and count before they are heard to have it: each of them would
+   * otherwise tell the whole fleet.
    */
   #tellersBefore(of: PeerState, live: readonly PeerState[], known: Known): number {
-    const able = live
-      // Where the service answers nobody, those that know the configuration share the telling out among themselves.
-      .filter((state) => state.vm !== of.vm && (!known.answered || state.storeSilentMs < STORE_SILENT_MS))
+    // Where the service answers nobody, those that know the configuration share the telling out among themselves.
+    const answered = live.filter((state) => !known.answered || state.storeSilentMs < STORE_SILENT_MS);
+    const able = answered
+      .filter((state) => state.vm !== of.vm)
       .filter((state) => state.configurationRevision >= known.configurationRevision);
     const close = able.filter((state) => state.followsClosely).map((state) => state.vm);
-    if (known.followsClosely) return common.rendezvousOrder(of.vm, [this.#own, ...close]).indexOf(this.#own);
+    if (known.followsClosely) {
+      const reading = answered.filter((state) => state.followsClosely && state.vm !== of.vm).map((state) => state.vm);
+      const sharing = known.answered ? reading : close;
+      return common.rendezvousOrder(of.vm, [this.#own, ...sharing]).indexOf(this.#own);
+    }
     const others = able.filter((state) => !state.followsClosely).map((state) => state.vm);
     return close.length + common.rendezvousOrder(of.vm, [this.#own, ...others]).indexOf(this.#own);
   }
