--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -297,16 +297,14 @@
   #newsFor(peer: peerBooks.PeerState, now: number): Omit<messages.News, "$typeName" | "$unknown"> {
     const { view, entry } = this.#parts;
     const behind = peer.configurationRevision < view.configurationRevision;
+    // The list is many times the configuration's size; whom the key-value service answers reads it there, and hears of
+    // changes in the pulses.
+    const needsList = peer.configurationRevision === 0 || peer.storeSilentMs > peerBooks.STORE_SILENT_MS;
     return {
       vm: entry.vm,
       configurationRevision: BigInt(view.configurationRevision),
       configuration: behind ? (view.configurationDocument ?? new Uint8Array()) : new Uint8Array(),
-      endpoints: [...view.endpointDocuments].map(([id, { value, revision }]) => ({
-        $typeName: "camphorcourse.gateway.v1.EndpointEntry",
-        id,
-        value,
-        revision: BigInt(revision),
-      })),
+      endpoints: needsList ? this.#allEntries() : [],
       departures: this.#departureMessages().map((departure) => ({
         $typeName: "camphorcourse.gateway.v1.Departure",
         ...departure,
@@ -315,6 +313,12 @@
     };
   }
 
+  #allEntries(): messages.EndpointEntry[] {
+    return [...this.#parts.view.endpointDocuments].map(([id, { value, revision }]) =>
+      protobuf.create(messages.EndpointEntrySchema, { id, value, revision: BigInt(revision) }),
+    );
+  }
+
   /** What a daemon that has just started would read of in the key-value service: where the others are. */
   #liveDaemons(now: number): messages.DaemonAddress[] {
     const { entry } = this.#parts;
--- a/packages/gateway/tests/peerLink.test.ts
+++ b/packages/gateway/tests/peerLink.test.ts
@@ -48,7 +48,9 @@
   const heard: bigint[] = [];
   peer.on("message", (bytes) => heard.push(protobuf.fromBinary(messages.PulseSchema, bytes).configurationRevision));
   const told: bigint[] = [];
+  let endpointsTold = 0;
   const server = await peerNews.serveNews({ host: HOST, port }, (news) => {
+    endpointsTold += news.endpoints.length;
     told.push(news.configurationRevision);
     return Number(news.configurationRevision);
   });
@@ -59,6 +61,7 @@
   // Nobody listens on the others' address; only vm-2 is there.
   for (const vm of others) view.daemons.set(vm, { ...entry, vm, peers: `${HOST}:${vm === "vm-2" ? port : 9}` });
   view.configure(CONFIGURATION, new Uint8Array([1]), 1);
+  view.endpointDocuments.set("e1", { value: new Uint8Array([1]), revision: 1 });
   const link = new peerLinks.PeerLink({
     settings: { peers: { host: HOST, port: await freePort() } } as never,
     entry,
@@ -97,6 +100,7 @@
     await within(() => heard.includes(2n), "a pulse with the new revision");
     await within(() => told.length > 0, "the telling of it");
     assert.equal(told, [2n]);
+    assert.is(endpointsTold, 0, "whom the key-value service answers needs no list of endpoints");
   } finally {
     link.stop();
     // And after they are closed.
