--- a/packages/gateway/src/activeSend.ts
+++ b/packages/gateway/src/activeSend.ts
@@ -6,6 +6,14 @@
 import type * as servedRequests from "./servedRequest.js";
 import * as silenceWatches from "./silenceWatch.js";
 
+/** When the bytes of a send left, as log lines tell it. */
+export interface Departure {
+  /** Time from the decision until the request was handed to its connection in milliseconds, if it was. */
+  readonly leftAfterMs: number | undefined;
+  /** Bytes of it that are still here. */
+  readonly unsentBytes: number;
+}
+
 /** One send to an endpoint, while it is under way. */
 export class ActiveSend implements sendChoosers.PlannedSend {
   readonly endpoint: serving.Endpoint;
@@ -46,6 +54,15 @@
     return this.#sending?.hasLeft === true;
   }
 
+  /** @returns when its bytes left, for the log */
+  get departure(): Departure {
+    const { leftAt, unsentBytes } = this.#sending ?? {};
+    return {
+      leftAfterMs: leftAt === undefined ? undefined : Math.round(leftAt - this.sentAt),
+      unsentBytes: unsentBytes ?? 0,
+    };
+  }
+
   /**
    * Sends; the answer may come before this returns.
    *
--- a/packages/gateway/src/callerListener.ts
+++ b/packages/gateway/src/callerListener.ts
@@ -43,6 +43,7 @@
   readonly #taken = new Set<exchanges.Exchange>();
   /** Answers to requests whose body is still being read. */
   readonly #unread = new Set<callerAnswers.CallerAnswer>();
+  readonly #connections = new Set<stream.Duplex>();
   /** Instant of the last request of each connection, in milliseconds. */
   readonly #readAt = new WeakMap<stream.Duplex, number>();
   #plannedStop: serving.PlannedStop | undefined;
@@ -63,6 +64,10 @@
       insecureHTTPParser: false,
       joinDuplicateHeaders: false,
     });
+    this.#server.on("connection", (socket: stream.Duplex) => {
+      this.#connections.add(socket);
+      socket.once("close", () => this.#connections.delete(socket));
+    });
     this.#server.on("request", (incoming, response) => void this.#onRequest(incoming, response));
     this.#server.on("clientError", (error: NodeJS.ErrnoException, socket) => this.#onClientError(error, socket));
   }
@@ -72,6 +77,11 @@
     return this.#open;
   }
 
+  /** @returns bytes of answers that callers' connections have been given and have not taken yet */
+  get unsentBytes(): number {
+    return [...this.#connections].reduce((sum, socket) => sum + socket.writableLength, 0);
+  }
+
   /** @returns instant of the last request, in milliseconds */
   get lastRequestAt(): number {
     return this.#lastRequestAt;
--- a/packages/gateway/src/endpointClient.ts
+++ b/packages/gateway/src/endpointClient.ts
@@ -1,3 +1,4 @@
+import type * as net from "node:net";
 import * as serving from "@camphorcourse/serving";
 import * as undici from "undici";
 
@@ -42,6 +43,10 @@
 export interface Sending {
   /** Whether a part of the request may have left; before, its connection is being opened. */
   readonly hasLeft: boolean;
+  /** Instant at which the request was handed to its connection, in milliseconds, once it was. */
+  readonly leftAt: number | undefined;
+  /** Bytes that the connection has been given and has not taken yet: its link or the endpoint is slow. */
+  readonly unsentBytes: number;
   /** Closes the connection; the endpoint drops the request. */
   cancel(): void;
   /** Reads no more of the answer until {@link Sending.resume}. */
@@ -51,6 +56,7 @@
 
 interface Lane {
   readonly client: undici.Client;
+  socket: net.Socket | undefined;
   usedAt: number;
   /** Whether the connection ended with an error instead of a proper close. */
   reset: boolean;
@@ -65,6 +71,7 @@
  */
 function openLane(origin: string): Lane {
   const lane: Lane = {
+    socket: undefined,
     usedAt: 0,
     reset: false,
     client: new undici.Client(origin, {
@@ -75,6 +82,7 @@
       connect: (options, callback) => {
         lane.reset = false;
         connect(options, (...result) => {
+          lane.socket = result[1] ?? undefined;
           result[1]?.on("error", () => {
             lane.reset = true;
           });
@@ -90,7 +98,7 @@
 class EndpointLanes {
   readonly #origin: string;
   readonly #idle: Lane[] = [];
-  #busy = 0;
+  readonly #busy = new Set<Lane>();
   /** Instant at which anything last came from the endpoint, in milliseconds. */
   heardAt = 0;
 
@@ -99,29 +107,32 @@
   }
 
   get open(): number {
-    return this.#idle.length + this.#busy;
+    return this.#idle.length + this.#busy.size;
   }
 
   get busy(): number {
-    return this.#busy;
+    return this.#busy.size;
+  }
+
+  get unsentBytes(): number {
+    return [...this.#busy].reduce((sum, lane) => sum + (lane.socket?.writableLength ?? 0), 0);
   }
 
   take(): Lane {
-    this.#busy++;
-    const idle = this.#idle.pop();
-    if (idle !== undefined) return idle;
-    return openLane(this.#origin);
+    const lane = this.#idle.pop() ?? openLane(this.#origin);
+    this.#busy.add(lane);
+    return lane;
   }
 
   giveBack(lane: Lane, now: number): void {
-    this.#busy--;
+    this.#busy.delete(lane);
     lane.usedAt = now;
     this.#idle.push(lane);
   }
 
   /** A connection on which anything was odd may carry bytes of an earlier request: it is never used again. */
   discard(lane: Lane): void {
-    this.#busy--;
+    this.#busy.delete(lane);
     lane.client.destroy().catch(() => undefined);
   }
 
@@ -159,6 +170,11 @@
     return (this.#lanes.get(endpointId)?.busy ?? 0) < share;
   }
 
+  /** @returns bytes of requests that connections to endpoints have been given and have not taken yet */
+  get unsentBytes(): number {
+    return [...this.#lanes.values()].reduce((sum, lanes) => sum + lanes.unsentBytes, 0);
+  }
+
   /**
    * @param endpoint - where to send
    * @param request - what to send
@@ -168,7 +184,7 @@
   send(endpoint: serving.Endpoint, request: OutgoingRequest, receiver: AnswerReceiver): Sending {
     const lanes = this.#lanesOf(endpoint);
     const lane = lanes.take();
-    let started = false;
+    let leftAt: number | undefined;
     let over = false;
     let controller: undici.Dispatcher.DispatchController | undefined;
     const discard = (): void => {
@@ -192,7 +208,8 @@
         onRequestStart: (started_) => {
           controller = started_;
           // After a standstill a connection may be there only once the time is up: what is sent then runs for nobody.
-          if (performance.now() < (request.sendBefore ?? Infinity)) started = true;
+          const now = performance.now();
+          if (now < (request.sendBefore ?? Infinity)) leftAt = now;
           else started_.abort(new Error("the connection came too late"));
         },
         onResponseStart: (_controller, status, headers) => {
@@ -215,13 +232,19 @@
         },
         onResponseError: (_controller, error) => {
           this.#count("endpoint_connections_broken");
-          broken(started ? serving.SendFate.Unknown : serving.SendFate.NotSent, error.message);
+          broken(leftAt !== undefined ? serving.SendFate.Unknown : serving.SendFate.NotSent, error.message);
         },
       },
     );
     return {
       get hasLeft() {
-        return started;
+        return leftAt !== undefined;
+      },
+      get leftAt() {
+        return leftAt;
+      },
+      get unsentBytes() {
+        return lane.socket?.writableLength ?? 0;
       },
       cancel: () => {
         if (over) return;
--- a/packages/gateway/src/endpointLessons.ts
+++ b/packages/gateway/src/endpointLessons.ts
@@ -50,6 +50,7 @@
       urgency: active.plan?.level,
       running: this.#context.board.running(active.endpoint.id, now),
       predictedMs: Math.round(active.predictedMs),
+      leftAfterMs: active.departure.leftAfterMs,
       tookMs: Math.round(tookMs),
       slowness: this.#context.health.slowness(active.endpoint.id).toFixed(2),
       tokensPerMs: this.#speeds().figures(active.endpoint.role).tokensPerMs.toFixed(1),
@@ -68,6 +69,7 @@
       endpoint: active.endpoint.id,
       prompt: prompt.promptTokens,
       expectedMs: Math.round(speeds.handoverMs(prompt.promptTokens)),
+      leftAfterMs: active.departure.leftAfterMs,
       tookMs: Math.round(tookMs),
     });
     speeds.learnHandover(prompt.promptTokens, tookMs);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -25,6 +25,9 @@
 /** Interval at which a stopping daemon looks how far it is, in milliseconds; after a standstill one look is waited for. */
 const STOP_CHECK_MS = 25;
 
+/** Lateness of the event loop that gets a line in the log, in milliseconds: callers with tight objectives feel it. */
+const LOOP_LATE_MS = 100;
+
 /** Time for the last answers to leave, in milliseconds: a third of what is left until the forced end. */
 const LAST_ANSWERS_MS = 200;
 
@@ -69,8 +72,9 @@
   readonly #authority: orderAuthorities.OrderAuthority;
   readonly #roles: roleChangers.RoleChanger;
   readonly #servers: http.Server[] = [];
-  readonly #loopWatch = new loopWatches.LoopWatch();
+  readonly #loopWatch = new loopWatches.LoopWatch(undefined, (lateMs) => this.#noteTurn(lateMs));
   #stopping = false;
+  #loopUse = performance.eventLoopUtilization();
 
   /**
    * @param settings - checked settings
@@ -220,6 +224,9 @@
       store_revision: this.#view.directory.revision,
       daemons_known: this.#view.daemons.size,
       heap_bytes: process.memoryUsage().heapUsed,
+      event_loop_utilization: performance.eventLoopUtilization().utilization,
+      unsent_bytes_to_callers: this.#listener.unsentBytes,
+      unsent_bytes_to_endpoints: this.#context.client.unsentBytes,
     });
   }
 
@@ -294,6 +301,24 @@
     return watchDuties.followsClosely(this.#entry.vm, followers);
   }
 
+  /**
+   * A daemon short of processor time, a full link and a busy engine all look like answers that come late. Only this
+   * line tells the first from the others.
+   */
+  #noteTurn(lateMs: number): void {
+    this.#metrics.record(metricsModule.Duration.LoopLate, lateMs);
+    const before = this.#loopUse;
+    this.#loopUse = performance.eventLoopUtilization();
+    if (lateMs < LOOP_LATE_MS) return;
+    this.#log.warn("loop-late", {
+      lateMs: Math.round(lateMs),
+      utilization: performance.eventLoopUtilization(this.#loopUse, before).utilization.toFixed(2),
+      open: this.#listener.openRequests,
+      unsentToCallers: this.#listener.unsentBytes,
+      unsentToEndpoints: this.#context.client.unsentBytes,
+    });
+  }
+
   #fromAll(told: (peer: peerBooks.PeerState) => number): number {
     return this.#peers.book.live(performance.now()).reduce((sum, peer) => sum + told(peer), 0);
   }
--- a/packages/gateway/src/loopWatch.ts
+++ b/packages/gateway/src/loopWatch.ts
@@ -10,6 +10,9 @@
   timeOfDay(): number;
 }
 
+/** Takes how late the event loop was, in milliseconds. */
+export type LatenessListener = (lateMs: number) => void;
+
 const SYSTEM_CLOCKS: Clocks = { steady: () => performance.now(), timeOfDay: () => Date.now() };
 
 /**
@@ -21,13 +24,18 @@
  */
 export class LoopWatch {
   readonly #clocks: Clocks;
+  readonly #onTurn: LatenessListener;
   #steadyAt: number;
   #timeOfDayAt: number;
   #timer: NodeJS.Timeout | undefined;
 
-  /** @param clocks - the clocks; the system's unless a test gives others */
-  constructor(clocks: Clocks = SYSTEM_CLOCKS) {
+  /**
+   * @param clocks - the clocks; the system's unless a test gives others
+   * @param onTurn - called at each trace, with how much later it was left than it should have been
+   */
+  constructor(clocks: Clocks = SYSTEM_CLOCKS, onTurn: LatenessListener = () => undefined) {
     this.#clocks = clocks;
+    this.#onTurn = onTurn;
     this.#steadyAt = clocks.steady();
     this.#timeOfDayAt = clocks.timeOfDay();
   }
@@ -48,7 +56,9 @@
 
   /** The event loop is alive. */
   turn(): void {
-    this.#steadyAt = this.#clocks.steady();
+    const now = this.#clocks.steady();
+    this.#onTurn(Math.max(0, now - this.#steadyAt - TURN_EVERY_MS));
+    this.#steadyAt = now;
     this.#timeOfDayAt = this.#clocks.timeOfDay();
   }
 
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -5,6 +5,8 @@
   Request = "request_milliseconds",
   FirstEvent = "first_event_milliseconds",
   StoreCall = "store_call_milliseconds",
+  /** How much later than it should the event loop had its turn, several times a second. */
+  LoopLate = "event_loop_late_milliseconds",
 }
 
 /** Largest duration, in milliseconds, and digits. */
--- a/packages/gateway/src/sendCourse.ts
+++ b/packages/gateway/src/sendCourse.ts
@@ -94,6 +94,7 @@
       detail,
       sends: served.sends,
       step,
+      ...active.departure,
       tookMs: Math.round(performance.now() - active.sentAt),
     });
     if (step === serving.NextStep.SendAgain) this.sendNext();
@@ -107,12 +108,24 @@
     const active = this.#active;
     this.#active = undefined;
     if (active !== undefined) {
+      this.#logCancelled(active);
       active.cancel();
       active.release();
     }
     this.#parts.memory.free();
   }
 
+  #logCancelled(active: activeSends.ActiveSend): void {
+    const { context, served } = this.#parts;
+    context.log.info("send-cancelled", {
+      id: served.id,
+      endpoint: active.endpoint.id,
+      stage: active.stage,
+      ...active.departure,
+      tookMs: Math.round(performance.now() - active.sentAt),
+    });
+  }
+
   /** What the reader kept of the prompt is lost: the prompt is read anew, which counts as a send. */
   #readAgain(reader: serving.Endpoint): void {
     const { context, end, served } = this.#parts;
--- a/packages/gateway/tests/helpers/exchangeStand.ts
+++ b/packages/gateway/tests/helpers/exchangeStand.ts
@@ -44,6 +44,8 @@
     this.sends.push(seen);
     return {
       hasLeft: true,
+      leftAt: performance.now(),
+      unsentBytes: 0,
       cancel: () => {
         seen.cancelled = true;
       },
--- a/packages/gateway/tests/loopWatch.test.ts
+++ b/packages/gateway/tests/loopWatch.test.ts
@@ -72,4 +72,18 @@
   assert.ok(gapMs >= 1_000, `the gap was ${gapMs} ms`);
 });
 
+// A late loop looks like a busy engine or a full link to everybody outside: only its own traces tell.
+suite("each trace tells how much later it came than it should have", () => {
+  const clocks = new FakeClocks();
+  const late: number[] = [];
+  const watch = new loopWatches.LoopWatch(clocks, (lateMs) => late.push(lateMs));
+  clocks.pass(200);
+  watch.turn();
+  clocks.pass(1_700);
+  watch.turn();
+  clocks.pass(150);
+  watch.turn();
+  assert.equal(late, [0, 1_500, 0]);
+});
+
 suite.run();
