--- a/packages/experiment/src/main.ts
+++ b/packages/experiment/src/main.ts
@@ -27,6 +27,10 @@
       const { outcome, ...figures } = new experiments.Experiment(description.value, seed).run();
       console.log({ seed, ...rounded(outcome.all()), worstWindow: outcome.worstWindow(WINDOW_MS), ...figures });
       console.table(Object.fromEntries([...outcome.byKind()].map(([name, kind]) => [name, rounded(kind)])));
+      for (const name of outcome.byKind().keys()) {
+        const tenths = outcome.answeredByTenth(name).map((share) => share.toFixed(2));
+        console.log(`${name}: answered by tenth of size, smallest first: ${tenths.join(" ")}`);
+      }
     }
     return Promise.resolve(0);
   }
--- a/packages/experiment/src/outcome.ts
+++ b/packages/experiment/src/outcome.ts
@@ -30,6 +30,8 @@
   readonly goodput: number;
 }
 
+const TENTHS = 10;
+
 /** What became of the requests of an experiment. */
 export class Outcome {
   readonly #ended: EndedRequest[] = [];
@@ -50,6 +52,23 @@
     return new Map([...names].map((name) => [name, figuresOf(this.#ended.filter(({ kind }) => kind.name === name))]));
   }
 
+  /**
+   * @param name - a kind of request
+   * @returns share of its requests that were answered, by tenth of their prompts' size, the smallest first
+   */
+  answeredByTenth(name: string): number[] {
+    const bySize = this.#ended
+      .filter(({ kind }) => kind.name === name)
+      .sort((left, right) => left.promptTokens - right.promptTokens);
+    return Array.from({ length: TENTHS }, (_, index) => {
+      const tenth = bySize.slice(
+        Math.floor((bySize.length * index) / TENTHS),
+        Math.floor((bySize.length * (index + 1)) / TENTHS),
+      );
+      return tenth.filter(({ ending }) => ending === Ending.Answered).length / Math.max(1, tenth.length);
+    });
+  }
+
   /**
    * @param windowMs - length of a window in milliseconds
    * @returns the least goodput of any window
