--- a/packages/gateway/src/callerListener.ts
+++ b/packages/gateway/src/callerListener.ts
@@ -187,8 +187,12 @@
     }
     const request = read.value;
     const exchange = { current: undefined as exchanges.Exchange | undefined };
+    const leave = (): void => exchange.current?.callerLeft();
+    // The end of the connection is heard before the response closes, and before a request behind it is sent.
+    incoming.socket.once("end", leave);
     response.once("close", () => {
-      if (!response.writableFinished) exchange.current?.callerLeft();
+      incoming.socket.off("end", leave);
+      if (!response.writableFinished) leave();
     });
     this.#unread.add(answer);
     const body = await callerRequests.readBody(incoming, limits.bodyBytes);
