--- a/packages/gateway/src/endpointClient.ts
+++ b/packages/gateway/src/endpointClient.ts
@@ -52,10 +52,15 @@
 export class EndpointClient {
   readonly #lanes = new Map<string, endpointLanes.EndpointLanes>();
   readonly #count: (name: string) => void;
+  readonly #isLate: () => boolean;
 
-  /** @param count - counts an event by its name */
-  constructor(count: (name: string) => void) {
+  /**
+   * @param count - counts an event by its name
+   * @param isLate - whether the event loop is late, so that what it hears may be old
+   */
+  constructor(count: (name: string) => void, isLate: () => boolean) {
     this.#count = count;
+    this.#isLate = isLate;
   }
 
   /**
@@ -89,7 +94,13 @@
    * @returns the send
    */
   send(endpoint: serving.Endpoint, request: OutgoingRequest, receiver: AnswerReceiver): Sending {
-    const parts = { lanes: this.#lanesOf(endpoint), request, receiver, onBroken: () => this.#countBroken() };
+    const parts = {
+      lanes: this.#lanesOf(endpoint),
+      request,
+      receiver,
+      isLate: this.#isLate,
+      onBroken: () => this.#countBroken(),
+    };
     return new endpointSends.EndpointSend(parts);
   }
 
@@ -116,7 +127,7 @@
       lanes = undefined;
     }
     if (lanes === undefined) {
-      lanes = new endpointLanes.EndpointLanes(endpoint.address);
+      lanes = new endpointLanes.EndpointLanes(endpoint.address, this.#isLate);
       this.#lanes.set(endpoint.id, lanes);
     }
     return lanes;
--- a/packages/gateway/src/endpointLanes.ts
+++ b/packages/gateway/src/endpointLanes.ts
@@ -24,7 +24,7 @@
  * on the way isn't whole. The HTTP client takes a reset for the end of such an
  * answer, so the lane notes the socket's own error before the client hears of it.
  */
-function openLane(origin: string): Lane {
+function openLane(origin: string, isLate: () => boolean): Lane {
   const lane: Lane = {
     socket: undefined,
     usedAt: 0,
@@ -46,11 +46,13 @@
           socket.on("error", () => {
             lane.reset = true;
           });
-          // The request leaves with the callback: its caller may have left while the connection was being opened.
-          new socketTurns.WaitingStep(() => {
+          const goOn = (): void => {
             if (socket.destroyed) callback(new Error("the connection broke as it was opened"), null);
             else callback(null, socket);
-          });
+          };
+          // The request leaves with it. A late event loop may hear only after it that the caller has left meanwhile.
+          if (isLate()) new socketTurns.WaitingStep(goOn);
+          else goOn();
         });
       },
     }),
@@ -66,8 +68,17 @@
   /** Instant at which anything last came from the endpoint, in milliseconds. */
   heardAt = 0;
 
-  /** @param address - where the endpoint is, IP:PORT */
-  constructor(readonly address: string) {
+  readonly #isLate: () => boolean;
+
+  /**
+   * @param address - where the endpoint is, IP:PORT
+   * @param isLate - whether the event loop is late, so that what it hears may be old
+   */
+  constructor(
+    readonly address: string,
+    isLate: () => boolean,
+  ) {
+    this.#isLate = isLate;
     this.#origin = `http://${address}`;
   }
 
@@ -88,7 +99,7 @@
 
   /** @returns a connection for one request, to be given back or discarded */
   take(): Lane {
-    const lane = this.#idle.pop() ?? openLane(this.#origin);
+    const lane = this.#idle.pop() ?? openLane(this.#origin, this.#isLate);
     this.#busy.add(lane);
     return lane;
   }
--- a/packages/gateway/src/endpointSend.ts
+++ b/packages/gateway/src/endpointSend.ts
@@ -9,6 +9,8 @@
   readonly lanes: endpointLanes.EndpointLanes;
   readonly request: endpointClients.OutgoingRequest;
   readonly receiver: endpointClients.AnswerReceiver;
+  /** Whether the event loop is late, so that what it hears may be old. */
+  readonly isLate: () => boolean;
   /** Called when its connection breaks. */
   readonly onBroken: () => void;
 }
@@ -28,16 +30,18 @@
   /**
    * Takes a connection and sends.
    *
-   * What is sent for a caller waits for the sockets' turn: a late event loop hears of an endpoint's answer, or of the
+   * What a late event loop sends for a caller waits for the sockets' turn: it hears of an endpoint's answer, or of the
    * request itself, before it hears that the caller has left, and the endpoint would work for nobody. Whoever learns
-   * that the caller has left cancels this send, and nothing of it leaves.
+   * that the caller has left cancels this send, and nothing of it leaves. A loop that is on time sends at once: each
+   * turn that a request waits for makes its answer later.
    *
    * @param parts - what it works with
    */
   constructor(parts: SendParts) {
     this.#parts = parts;
     this.#lane = parts.lanes.take();
-    if (parts.request.sendBefore === undefined) this.#dispatch();
+    const isForCaller = parts.request.sendBefore !== undefined;
+    if (!isForCaller || !parts.isLate()) this.#dispatch();
     else this.#waiting = new socketTurns.WaitingStep(() => this.#dispatch());
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -25,7 +25,7 @@
 /** Interval at which a stopping daemon looks how far it is, in milliseconds; after a standstill one look is waited for. */
 const STOP_CHECK_MS = 25;
 
-/** Lateness of the event loop that gets a line in the log, in milliseconds: callers with tight objectives feel it. */
+/** Lateness from which the event loop counts as late, in milliseconds: callers with tight objectives feel it. */
 const LOOP_LATE_MS = 100;
 
 /** Time for the last answers to leave, in milliseconds: a third of what is left until the forced end. */
@@ -101,7 +101,10 @@
       health: new serving.EndpointHealth(),
       speeds: new serving.ServiceSpeeds(),
       demand: new serving.Demand(),
-      client: new endpointClients.EndpointClient((name) => this.#metrics.count(name)),
+      client: new endpointClients.EndpointClient(
+        (name) => this.#metrics.count(name),
+        () => this.#loopWatch.lateMs >= LOOP_LATE_MS,
+      ),
       budgets: new contexts.RetryBudgets(settings.retryBounds, performance.now()),
       random,
       onMisdirected: (endpoint, answeredBy) => beliefs.takeMisdirected(endpoint, answeredBy),
@@ -239,7 +242,6 @@
     this.#stopping = true;
     const heardAt = performance.now();
     const earliestAt = this.#loopWatch.signalledFrom();
-    this.#loopWatch.stop();
     const plannedStop = new serving.PlannedStop({ earliestAt, heardAt, graceMs: this.#settings.stopGraceMs });
     const heardLateMs = Math.round(heardAt - earliestAt);
     this.#log.info("stop", { open: this.#listener.openRequests, heardLateMs });
@@ -254,6 +256,7 @@
     this.#listener.close();
     this.#follower.stop();
     this.#peers.stop();
+    this.#loopWatch.stop();
     this.#log.info("stopped", { open: this.#listener.openRequests, tookMs: Math.round(performance.now() - heardAt) });
   }
 
--- a/packages/gateway/src/loopWatch.ts
+++ b/packages/gateway/src/loopWatch.ts
@@ -27,6 +27,7 @@
   readonly #onTurn: LatenessListener;
   #steadyAt: number;
   #timeOfDayAt: number;
+  #lastLateMs = 0;
   #timer: NodeJS.Timeout | undefined;
 
   /**
@@ -57,11 +58,21 @@
   /** The event loop is alive. */
   turn(): void {
     const now = this.#clocks.steady();
-    this.#onTurn(Math.max(0, now - this.#steadyAt - TURN_EVERY_MS));
+    this.#lastLateMs = Math.max(0, now - this.#steadyAt - TURN_EVERY_MS);
+    this.#onTurn(this.#lastLateMs);
     this.#steadyAt = now;
     this.#timeOfDayAt = this.#clocks.timeOfDay();
   }
 
+  /**
+   * What is heard now may have lain in its socket for the last turn of the event loop and this one.
+   *
+   * @returns how late either is, whichever is later, in milliseconds
+   */
+  get lateMs(): number {
+    return Math.max(this.#lastLateMs, this.#clocks.steady() - this.#steadyAt - TURN_EVERY_MS);
+  }
+
   /** @returns earliest instant of the steady clock, in milliseconds, at which a signal heard now may have come */
   signalledFrom(): number {
     const now = this.#clocks.steady();
--- a/packages/gateway/tests/helpers/exchangeStand.ts
+++ b/packages/gateway/tests/helpers/exchangeStand.ts
@@ -158,7 +158,10 @@
   readonly answer = new NotingAnswer();
   readonly exchange: exchanges.Exchange;
   readonly #lines: string[] = [];
-  readonly #client = new KeepingClient(() => undefined);
+  readonly #client = new KeepingClient(
+    () => undefined,
+    () => false,
+  );
   readonly #context: contexts.ServingContext;
 
   /**
