--- a/packages/gateway/src/callerListener.ts
+++ b/packages/gateway/src/callerListener.ts
@@ -111,6 +111,11 @@
     this.#plannedStop = plannedStop;
   }
 
+  /** @returns whether no connection is taken any more */
+  get doorIsClosed(): boolean {
+    return this.#doorClosed;
+  }
+
   /** From now on no connection is taken. */
   closeDoor(): void {
     if (this.#doorClosed) return;
