--- a/packages/gateway/src/callerListener.ts
+++ b/packages/gateway/src/callerListener.ts
@@ -2,11 +2,13 @@
 import * as net from "node:net";
 import type * as stream from "node:stream";
 import type * as serving from "@camphorcourse/serving";
+import * as acceptQueues from "./acceptQueue.js";
 import * as callerAnswers from "./callerAnswer.js";
 import * as callerRequests from "./callerRequest.js";
 import type * as contexts from "./context.js";
 import * as exchanges from "./exchange.js";
 import type * as settingsModule from "./settings.js";
+import * as socketTurns from "./socketTurn.js";
 
 /** Head size that the parser takes, in bytes; the configuration's own limit is checked after it. */
 const PARSER_HEADER_BYTES = 131_072;
@@ -14,6 +16,9 @@
 /** Limits until a configuration is known. */
 const FIRST_LIMITS = { headerBytes: 16_384, bodyBytes: 4_194_304, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 };
 
+/** Time for which a connection may have waited from which its caller may have left, in milliseconds. */
+const LONG_WAIT_MS = 100;
+
 /** Interval at which slow heads are looked for, in milliseconds. */
 const HEAD_CHECK_MS = 500;
 
@@ -35,6 +40,12 @@
 const PAYLOAD_TOO_LARGE = 413;
 const UNAVAILABLE = 503;
 
+/** What is known of a caller while its request is read and served. */
+interface Caller {
+  exchange: exchanges.Exchange | undefined;
+  hasLeft: boolean;
+}
+
 /** Takes callers' connections and requests. */
 export class CallerListener {
   readonly #context: contexts.ServingContext;
@@ -44,6 +55,9 @@
   /** Answers to requests whose body is still being read. */
   readonly #unread = new Set<callerAnswers.CallerAnswer>();
   readonly #connections = new Set<stream.Duplex>();
+  readonly #acceptQueue = new acceptQueues.AcceptQueue();
+  /** Connections that may have waited long and have not brought a request yet. */
+  readonly #longWaiting = new WeakSet<stream.Duplex>();
   /** Instant of the last request of each connection, in milliseconds. */
   readonly #readAt = new WeakMap<stream.Duplex, number>();
   #plannedStop: serving.PlannedStop | undefined;
@@ -66,6 +80,7 @@
     });
     this.#server.on("connection", (socket: stream.Duplex) => {
       this.#connections.add(socket);
+      if (this.#acceptQueue.noteAccepted(performance.now()) >= LONG_WAIT_MS) this.#longWaiting.add(socket);
       socket.once("close", () => this.#connections.delete(socket));
     });
     this.#server.on("request", (incoming, response) => void this.#onRequest(incoming, response));
@@ -191,8 +206,11 @@
       return;
     }
     const request = read.value;
-    const exchange = { current: undefined as exchanges.Exchange | undefined };
-    const leave = (): void => exchange.current?.callerLeft();
+    const caller: Caller = { exchange: undefined, hasLeft: false };
+    const leave = (): void => {
+      caller.hasLeft = true;
+      caller.exchange?.callerLeft();
+    };
     // The end of the connection is heard before the response closes, and before a request behind it is sent.
     incoming.socket.once("end", leave);
     response.once("close", () => {
@@ -201,44 +219,54 @@
     });
     this.#unread.add(answer);
     const body = await callerRequests.readBody(incoming, limits.bodyBytes);
+    // What a caller sent before it left lies before its leaving: heard first, it would be sent for nobody.
+    if (this.#longWaiting.delete(incoming.socket)) await socketTurns.passed();
     this.#unread.delete(answer);
+    const { requestId: id } = request.headers;
     if (answer.state === callerAnswers.AnswerState.Ended) {
-      log.info("refused-stopping", { id: request.headers.requestId, detail: "before its request was read" });
-      return;
-    }
-    if (body === undefined) {
-      log.info("caller-left", { id: request.headers.requestId, detail: "before its request was read" });
-      return;
-    }
-    if (body === "too-large") {
-      log.info("body-too-large", { id: request.headers.requestId, limit: limits.bodyBytes });
+      log.info("refused-stopping", { id, detail: "before its request was read" });
+    } else if (body === undefined || caller.hasLeft || response.destroyed) {
+      log.info("caller-left", { id, detail: "before its request was read" });
+    } else if (body === "too-large") {
+      log.info("body-too-large", { id, limit: limits.bodyBytes });
       this.#turnAway(incoming, answer, PAYLOAD_TOO_LARGE, "the body is over the limit");
-      return;
+    } else {
+      const exchange = this.#take(request, body, answer);
+      if (exchange === undefined) return;
+      caller.exchange = exchange;
+      response.once("close", () => this.#taken.delete(exchange));
+      exchange.start();
     }
-    if (response.destroyed) return;
+  }
+
+  /** @returns the request's exchange, not yet started, or undefined if it has its answer already */
+  #take(
+    request: callerRequests.CallerRequest,
+    body: Buffer,
+    answer: callerAnswers.CallerAnswer,
+  ): exchanges.Exchange | undefined {
+    const { view, format, log } = this.#context;
+    const { requestId: id } = request.headers;
     const table = view.table;
     if (table === undefined) {
-      log.info("no-configuration", { id: request.headers.requestId });
+      log.info("no-configuration", { id });
       const retry = [format.retryAfterHeader, NOT_CONFIGURED_RETRY_AFTER];
       answer.refuse(UNAVAILABLE, "no configuration is known yet; come back after Retry-After", retry);
-      return;
+      return undefined;
     }
     const route = table.find(request.host, request.path);
     if (route === undefined) {
-      const { requestId: id } = request.headers;
       log.info("no-route", { id, host: request.host, path: request.path, configuration: view.configurationRevision });
       answer.refuse(NOT_FOUND, "no route leads there; check the host and the path");
-      return;
+      return undefined;
     }
     if (this.#comesTooLate(request, route)) {
       this.#refuseStopping(answer);
-      return;
+      return undefined;
     }
     const taken = new exchanges.Exchange(this.#context, request, route, body, answer);
-    exchange.current = taken;
     this.#taken.add(taken);
-    response.once("close", () => this.#taken.delete(taken));
-    taken.start();
+    return taken;
   }
 
   /** One line for each request that comes during a planned stop: whether it is taken, and how long it may last. */
--- a/packages/gateway/src/socketTurn.ts
+++ b/packages/gateway/src/socketTurn.ts
@@ -26,3 +26,10 @@
     return true;
   }
 }
+
+/** @returns settles once all that lay in the sockets has been heard */
+export function passed(): Promise<void> {
+  return new Promise((resolve) => {
+    new WaitingStep(resolve);
+  });
+}
