--- a/packages/experiment/src/emulatedDaemon.ts
+++ b/packages/experiment/src/emulatedDaemon.ts
@@ -38,6 +38,7 @@
   readonly board = new serving.EngineBoard();
   readonly speeds = new serving.EngineSpeeds();
   readonly demand = new serving.Demand();
+  readonly sizeShares = new serving.SizeShares();
   readonly #health = new serving.EndpointHealth();
   readonly #parts: DaemonParts;
   readonly #random: common.SeededRandom;
@@ -84,24 +85,25 @@
   serve(course: RequestCourse): void {
     const { request } = course;
     const { kind } = request;
-    const plan = serving.placePrompt(this.#inputs(request.prompt));
+    const placement = this.#inputs(request.prompt);
+    const plan = serving.placePrompt(placement);
     if (plan === undefined) {
       course.end(outcomes.Ending.Refused);
       return;
     }
-    const rejection = serving.judgeAdmission({
-      predictedMs: plan.predictedMs,
-      aloneMs: plan.aloneMs,
+    const limits = {
+      kind: kind.name,
       isLearned: this.speeds.isLearned((plan.reader ?? plan.decoder).role),
       patienceMs: serving.streamPatienceMs(kind.objectiveMs, kind.pauseMs),
       remainingMs: course.remainingMs,
       routeMs: kind.deadlineMs,
       draw: this.#random.next(),
-    });
+    };
     const readingMs = this.speeds.readMs(serving.EngineRole.Prefill, plan.workTokens);
     this.demand.add(readingMs, request.prompt, this.#parts.time.now);
-    if (rejection === undefined) this.#read(request, plan, course);
-    else this.#turnAway(course, rejection);
+    const admitted = serving.admitPrompt(plan, placement, limits, this.sizeShares);
+    if (admitted.isOk()) this.#read(request, admitted.value, course);
+    else this.#turnAway(course, admitted.error);
   }
 
   #turnAway(course: RequestCourse, rejection: serving.Rejection): void {
--- a/packages/experiment/src/experiment.ts
+++ b/packages/experiment/src/experiment.ts
@@ -121,17 +121,19 @@
   /** Daemons hear each other's work late, and of the parts that engines were given. */
   #tell(): void {
     const { now } = this.#time;
-    const said = this.#daemons.map(({ name, board, speeds }) => ({
+    const said = this.#daemons.map(({ name, board, sizeShares, speeds }) => ({
       name,
       work: board.ownWork(),
       reads: board.takeUntoldReads(),
       observations: speeds.takeUntold(),
+      sizes: sizeShares.takeUntold(),
     }));
     for (const daemon of this.#daemons) {
-      for (const { name, work, reads, observations } of said) {
+      for (const { name, work, reads, observations, sizes } of said) {
         if (name === daemon.name) continue;
         daemon.board.hear(name, work, now);
         for (const read of reads) daemon.board.hearRead(read);
+        for (const count of sizes) daemon.sizeShares.hear(count, now);
         for (const { role, observation } of observations) daemon.speeds.learnReading(role, observation);
       }
     }
--- a/packages/experiment/tests/sharedShortage.test.ts
+++ b/packages/experiment/tests/sharedShortage.test.ts
@@ -31,6 +31,7 @@
 // The load: prompts come faster than engines read them. Engines read the fewest unread tokens first, and each prompt is
 // judged by what goes before it: all that is turned away are the largest. At 1.7 times the load 0.37 of the largest tenth
 // were answered, of all 0.80; at 2.2 times 0.14 of 0.64.
+// A size that is taken much less often than its kind is moved up in its engine's queue now.
 for (const [sheet, kind] of [
   ["long-shared-prompts.json", "audit"],
   ["long-answers.json", "dossier"],
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -20,6 +20,8 @@
   readonly speeds: serving.ServiceSpeeds;
   /** What own requests' prompts ask of the engines. */
   readonly demand: serving.Demand;
+  /** How often prompts are taken, by their size. */
+  readonly sizeShares: serving.SizeShares;
   readonly client: endpointClients.EndpointClient;
   readonly budgets: RetryBudgets;
   readonly random: common.SeededRandom;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -101,6 +101,7 @@
       health: new serving.EndpointHealth(),
       speeds: new serving.ServiceSpeeds(),
       demand: new serving.Demand(),
+      sizeShares: new serving.SizeShares(),
       client: new endpointClients.EndpointClient(
         (name) => this.#metrics.count(name),
         () => this.#loopWatch.lateMs >= LOOP_LATE_MS,
@@ -140,6 +141,7 @@
       board: this.#context.board,
       demand: this.#context.demand,
       speeds: this.#context.speeds,
+      sizeShares: this.#context.sizeShares,
       log: this.#log,
       ready: () => this.ready,
       storeSilentMs: () => this.#follower.silentMs,
--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -47,6 +47,7 @@
   readonly board: serving.EngineBoard;
   readonly demand: serving.Demand;
   readonly speeds: serving.ServiceSpeeds;
+  readonly sizeShares: serving.SizeShares;
   readonly log: decisionLogs.DecisionLog;
   readonly ready: () => boolean;
   /** Milliseconds for which the key-value service has not answered. */
--- a/packages/gateway/src/peerPulse.ts
+++ b/packages/gateway/src/peerPulse.ts
@@ -61,6 +61,7 @@
         work: [],
         reads: [],
         observations: [],
+        sizes: [],
         entries: pulse.entries.slice(-MOST_ENTRIES_WHEN_FULL),
         departures: pulse.departures.slice(-8),
       });
@@ -82,7 +83,14 @@
       return protobuf.toBinary(messages.PulseSchema, pulse);
     } catch (error) {
       this.#onProblem(`a pulse is told without its figures: ${String(error)}`);
-      const withoutFigures = { work: [], reads: [], observations: [], readingLoadThousandths: 0, eventsPerSecond: 0 };
+      const withoutFigures = {
+        work: [],
+        reads: [],
+        observations: [],
+        sizes: [],
+        readingLoadThousandths: 0,
+        eventsPerSecond: 0,
+      };
       return protobuf.toBinary(messages.PulseSchema, { ...pulse, ...withoutFigures });
     }
   }
--- a/packages/gateway/src/peerWork.ts
+++ b/packages/gateway/src/peerWork.ts
@@ -19,10 +19,14 @@
   readonly board: serving.EngineBoard;
   readonly demand: serving.Demand;
   readonly speeds: serving.ServiceSpeeds;
+  readonly sizeShares: serving.SizeShares;
 }
 
 /** The fields of a pulse that are about the engines' work. */
-type ToldWork = Pick<messages.Pulse, "work" | "reads" | "observations" | "readingLoadThousandths" | "eventsPerSecond">;
+type ToldWork = Pick<
+  messages.Pulse,
+  "work" | "reads" | "observations" | "sizes" | "readingLoadThousandths" | "eventsPerSecond"
+>;
 
 /**
  * @param pulse - what a daemon says
@@ -56,6 +60,7 @@
       ),
       reads: this.#readMessages(),
       observations: this.#observationMessages(),
+      sizes: this.#parts.sizeShares.takeUntold().map((count) => protobuf.create(messages.SizeCountSchema, count)),
       readingLoadThousandths: wholeNumber(demand.readingLoad(now) * THOUSANDTHS),
       eventsPerSecond: wholeNumber(demand.eventsPerMs(now) * MS_PER_SECOND),
     };
@@ -75,6 +80,7 @@
       board.hearRead({ endpointId: endpoint, model, part: { id: part, tokens }, isRead });
     }
     this.#learn(pulse.observations);
+    for (const count of pulse.sizes) this.#parts.sizeShares.hear(count, now);
   }
 
   #readMessages(): messages.PartRead[] {
--- a/packages/gateway/src/sendChooser.ts
+++ b/packages/gateway/src/sendChooser.ts
@@ -103,13 +103,14 @@
       now: performance.now(),
     };
     if (promptReader !== undefined) return answeringAt(serving.placeDecoder(inputs, promptReader), "no-engine");
-    const plan = serving.placePrompt(inputs);
-    if (plan === undefined) return neverthrow.err({ reason: "no-engine" });
-    this.#noteDemand(plan, prompt);
-    const rejection = this.#judgeAdmission(plan);
-    if (rejection !== undefined) {
-      return neverthrow.err({ reason: "overloaded", returnAfterMs: rejection.returnAfterMs });
+    const placed = serving.placePrompt(inputs);
+    if (placed === undefined) return neverthrow.err({ reason: "no-engine" });
+    this.#noteDemand(placed, prompt);
+    const admitted = this.#admit(placed, inputs);
+    if (admitted.isErr()) {
+      return neverthrow.err({ reason: "overloaded", returnAfterMs: admitted.error.returnAfterMs });
     }
+    const plan = admitted.value;
     const reader = plan.reader ?? plan.decoder;
     board.noteRead(reader.id, engine.memoryTokens, prompt);
 
@@ -123,33 +124,54 @@
     demand.add(readingMs, prompt, performance.now());
   }
 
-  #judgeAdmission(plan: serving.EnginePlan): serving.Rejection | undefined {
-    const { speeds } = this.#context;
-    const { route, sends, mayHaveRun, remainingMs, id } = this.#served;
+  #admit(
+    plan: serving.EnginePlan,
+    placement: serving.PlacementInputs,
+  ): neverthrow.Result<serving.EnginePlan, serving.Rejection> {
+    const { random, sizeShares, speeds } = this.#context;
+    const { route, sends, mayHaveRun, remainingMs } = this.#served;
     // What has begun is finished, and what was sent before gets its other chance.
-    if (sends > 0 || mayHaveRun) return undefined;
-    const isLearned = speeds.of(this.#served.service).isLearned((plan.reader ?? plan.decoder).role);
-    const rejection = serving.judgeAdmission({
-      predictedMs: plan.predictedMs,
-      aloneMs: plan.aloneMs,
-      isLearned,
+    if (sends > 0 || mayHaveRun) return neverthrow.ok(plan);
+    const limits: serving.PromptLimits = {
+      kind: route.name,
+      isLearned: speeds.of(this.#served.service).isLearned((plan.reader ?? plan.decoder).role),
       patienceMs: serving.streamPatienceMs(route.objectiveMs, route.pauseMs),
       remainingMs,
       routeMs: route.timeoutMs,
-      draw: this.#context.random.next(),
-    });
-    if (rejection === undefined) return undefined;
+      draw: random.next(),
+    };
+    const admitted = serving.admitPrompt(plan, placement, limits, sizeShares);
+    if (admitted.isErr()) this.#logTurnedAway(plan, limits, admitted.error);
+    else if (admitted.value.level !== plan.level) this.#logMovedUp(plan, admitted.value);
+    return admitted;
+  }
+
+  #logTurnedAway(plan: serving.EnginePlan, limits: serving.PromptLimits, rejection: serving.Rejection): void {
+    const tokens = this.#served.caller.headers.prompt?.promptTokens ?? 0;
+    const shares = this.#context.sizeShares.taken(limits.kind, tokens, performance.now());
     this.#context.log.info("turned-away", {
-      id,
+      id: this.#served.id,
       predictedMs: Math.round(plan.predictedMs),
       aloneMs: Math.round(plan.aloneMs),
-      isLearned,
-      remainingMs: Math.round(remainingMs),
+      isLearned: limits.isLearned,
+      remainingMs: Math.round(limits.remainingMs),
       unread: plan.unreadTokens,
-      ahead: plan.tokensAhead,
+      ahead: Math.round(plan.tokensAhead),
+      takenOfSize: shares.ofSize.toFixed(2),
+      takenOfAll: shares.ofAll.toFixed(2),
       returnAfterMs: Math.round(rejection.returnAfterMs),
     });
-    return rejection;
+  }
+
+  #logMovedUp(from: serving.EnginePlan, to: serving.EnginePlan): void {
+    this.#context.log.info("moved-up", {
+      id: this.#served.id,
+      unread: from.unreadTokens,
+      urgency: from.level,
+      toUrgency: to.level,
+      predictedMs: Math.round(from.predictedMs),
+      thenMs: Math.round(to.predictedMs),
+    });
   }
 }
 
--- a/packages/gateway/tests/helpers/exchangeStand.ts
+++ b/packages/gateway/tests/helpers/exchangeStand.ts
@@ -191,6 +191,7 @@
       health: new serving.EndpointHealth(),
       speeds: new serving.ServiceSpeeds(),
       demand: new serving.Demand(),
+      sizeShares: new serving.SizeShares(),
       client: this.#client,
       budgets: new contexts.RetryBudgets(SETTINGS.retryBounds, performance.now() - PROCESS_AGE_MS),
       random: new common.SeededRandom(SEED),
--- a/packages/serving/src/admission.ts
+++ b/packages/serving/src/admission.ts
@@ -79,12 +79,19 @@
     return inputs.predictedMs <= unsureMs ? undefined : rejectionOf(inputs);
   }
   const longMs = inputs.aloneMs + inputs.patienceMs * LONG_WAIT_PART;
-  const returned = inputs.remainingMs < inputs.routeMs * RETURNED_TIME_SHARE;
-  const usualMs = inputs.patienceMs * (returned ? RETURNED_PART : PATIENCE_PART);
+  const usualMs = inputs.patienceMs * (hasComeBack(inputs) ? RETURNED_PART : PATIENCE_PART);
   const limitMs = Math.min(Math.max(usualMs, longMs), inputs.patienceMs, inputs.remainingMs);
   return inputs.predictedMs <= limitMs ? undefined : rejectionOf(inputs);
 }
 
+/**
+ * @param inputs - what is left of the caller's time, and what its route gives it
+ * @returns whether the caller has been here before, and was told to come back
+ */
+export function hasComeBack(inputs: Pick<AdmissionInputs, "remainingMs" | "routeMs">): boolean {
+  return inputs.remainingMs < inputs.routeMs * RETURNED_TIME_SHARE;
+}
+
 function rejectionOf(inputs: AdmissionInputs): Rejection {
   const excessMs = inputs.predictedMs - inputs.patienceMs * COMFORTABLE_PART;
   const baseMs = Math.max(RETURN_MS.least, Math.min(RETURN_MS.most, excessMs));
--- a/packages/serving/src/placement.ts
+++ b/packages/serving/src/placement.ts
@@ -199,11 +199,30 @@
   const slowness = inputs.slowness(engine.id);
   const ownMs = speeds.fixedMs(engine.role, running) + copyMs + speeds.readMs(engine.role, workTokens);
   const aloneMs = ownMs * slowness + wayMs(inputs, engine);
-  const queueMs = speeds.readMs(engine.role, tokensAhead + board.tokensBegun(engine.id, level, now)) * slowness;
-  const predictedMs = aloneMs + queueMs + slotWaitMs(engine, running);
+  const predictedMs = aloneMs + queueMs(inputs, engine, level) + slotWaitMs(engine, running);
   return { engine, copySource, unreadTokens, workTokens, level, tokensAhead, tokensWaiting, predictedMs, aloneMs };
 }
 
+/** Time until an engine begins with a prompt of that level, in milliseconds. */
+function queueMs(inputs: PlacementInputs, engine: directories.Endpoint, level: number): number {
+  const { board, now, speeds } = inputs;
+  const tokens = board.tokensAhead(engine.id, level, now) + board.tokensBegun(engine.id, level, now);
+  return speeds.readMs(engine.role, tokens) * inputs.slowness(engine.id);
+}
+
+/**
+ * @param plan - where a prompt is to be read
+ * @param inputs - what that rests on
+ * @param level - another urgency level
+ * @returns the same plan with that level
+ */
+export function atLevel(plan: EnginePlan, inputs: PlacementInputs, level: number): EnginePlan {
+  const engine = plan.reader ?? plan.decoder;
+  const savedMs = queueMs(inputs, engine, plan.level) - queueMs(inputs, engine, level);
+  const tokensAhead = inputs.board.tokensAhead(engine.id, level, inputs.now);
+  return { ...plan, level, tokensAhead, predictedMs: plan.predictedMs - savedMs };
+}
+
 function wayMs(inputs: PlacementInputs, engine: directories.Endpoint): number {
   return engine.dataCentre === inputs.dataCentre ? 0 : OTHER_DATA_CENTRE_MS;
 }
--- /dev/null
+++ b/packages/serving/tests/promptAdmission.test.ts
@@ -0,0 +1,111 @@
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+import * as serving from "../src/index.js";
+
+const suite = uvu.suite("prompts that a shortage would fall on");
+
+const KIND = "audit";
+/** How often one prompt of each length comes. */
+const ROUNDS = 40;
+
+const LONG_TOKENS = 40_000;
+const SHORT_TOKENS = 4_000;
+
+/** Unread tokens of short prompts at the engine, enough for several seconds. */
+const QUEUE_TOKENS = 200_000;
+
+const LIMITS: serving.PromptLimits = {
+  kind: KIND,
+  isLearned: true,
+  patienceMs: 2_400,
+  remainingMs: 5_000,
+  routeMs: 5_000,
+  draw: 0,
+};
+
+const ENGINE: serving.Endpoint = {
+  id: "p1",
+  service: "s",
+  address: "p1:1",
+  dataCentre: "a",
+  slots: 64,
+  role: serving.EngineRole.Prefill,
+  leaving: false,
+};
+
+function placement(board: serving.EngineBoard, tokens: number): serving.PlacementInputs {
+  return {
+    prompt: { model: "m", parts: [{ id: `own-${tokens}`, tokens }], promptTokens: tokens, outputTokens: 10 },
+    engines: [ENGINE, { ...ENGINE, id: "d1", role: serving.EngineRole.Decode }],
+    board,
+    memoryTokens: 500_000,
+    speeds: new serving.EngineSpeeds(),
+    slowness: () => 1,
+    dataCentre: "a",
+    now: 0,
+  };
+}
+
+function admit(
+  board: serving.EngineBoard,
+  tokens: number,
+  shares: serving.SizeShares,
+  limits = LIMITS,
+): ReturnType<typeof serving.admitPrompt> {
+  const inputs = placement(board, tokens);
+  const plan = serving.placePrompt(inputs);
+  if (plan === undefined) throw new Error("no plan");
+  return serving.admitPrompt(plan, inputs, limits, shares);
+}
+
+/** Both engines have prompts of medium length to read, for longer than callers wait. */
+function busyBoard(): serving.EngineBoard {
+  const board = new serving.EngineBoard();
+  for (const id of ["p1", "d1"]) board.beginRead(id, QUEUE_TOKENS, serving.urgencyOf(10_000));
+  return board;
+}
+
+// The load: engines have more to read than callers wait for, and what is read first is what is short. Every long prompt
+// was turned away, and no short one, whatever their part in the shortage.
+suite("long prompts are moved up once they are turned away much more often than their kind", () => {
+  const board = busyBoard();
+  const shares = new serving.SizeShares();
+  const taken = Array.from({ length: ROUNDS }, () => {
+    admit(board, SHORT_TOKENS, shares);
+    return admit(board, LONG_TOKENS, shares);
+  });
+  const levels = taken.flatMap((result) => (result.isOk() ? [result.value.level] : []));
+  // Users ask that a size is served half as often as its kind at least.
+  const ofLong = levels.length / ROUNDS;
+  const ofAll = (1 + ofLong) / 2;
+  assert.ok(ofLong >= ofAll / 2 && ofLong < 1, `${levels.length} of ${ROUNDS}`);
+  assert.ok(levels.every((level) => level < serving.urgencyOf(LONG_TOKENS)));
+});
+
+suite("a fleet that keeps up moves nothing up", () => {
+  const shares = new serving.SizeShares();
+  for (let index = 0; index < 20; index++) {
+    const admitted = admit(new serving.EngineBoard(), LONG_TOKENS / 4, shares);
+    assert.is(admitted._unsafeUnwrap().level, serving.urgencyOf(LONG_TOKENS / 4));
+  }
+});
+
+suite("what no level brings in time is turned away", () => {
+  const board = new serving.EngineBoard();
+  for (const id of ["p1", "d1"]) board.beginRead(id, QUEUE_TOKENS, 0);
+  const shares = new serving.SizeShares();
+  for (let index = 0; index < 20; index++) assert.ok(admit(board, LONG_TOKENS, shares).isErr());
+});
+
+suite("what was seen long ago counts for little", () => {
+  const shares = new serving.SizeShares();
+  for (let index = 0; index < 10; index++) {
+    shares.noteOffered(KIND, LONG_TOKENS, 0);
+    shares.noteOffered(KIND, SHORT_TOKENS, 0);
+    shares.noteTaken(KIND, SHORT_TOKENS, 0);
+  }
+  assert.is(shares.isBehind(KIND, LONG_TOKENS, 0), true);
+  assert.is(shares.isBehind(KIND, LONG_TOKENS, 60_000), false);
+});
+
+suite.run();
