--- a/packages/gateway/tests/peerLink.test.ts
+++ b/packages/gateway/tests/peerLink.test.ts
@@ -1,5 +1,4 @@
 import * as datagrams from "node:dgram";
-import * as net from "node:net";
 import * as protobuf from "@bufbuild/protobuf";
 import * as messages from "@camphorcourse/protocol/gateway";
 import * as serving from "@camphorcourse/serving";
@@ -9,6 +8,7 @@
 import * as fleetViews from "../src/fleetView.js";
 import * as peerLinks from "../src/peerLink.js";
 import * as peerNews from "../src/peerNews.js";
+import * as freePorts from "./helpers/freePort.js";
 
 const HOST = "127.0.0.1";
 
@@ -18,9 +18,6 @@
 /** Well within the second until it speaks again, in milliseconds. */
 const AT_ONCE_MS = 600;
 
-/** Ports below those that the system gives to outgoing connections, so that none of these takes one meanwhile. */
-const PORTS = { first: 30_000, count: 2_000 };
-
 const CONFIGURATION: serving.Configuration = {
   version: 1,
   routes: [],
@@ -43,7 +40,7 @@
 suite("a new configuration is said, and told to those that read seldom, at once", async () => {
   const ignore = (): void => undefined;
   const peer = datagrams.createSocket("udp4");
-  const port = await freePort();
+  const port = await freePorts.freePort();
   await new Promise<void>((resolve) => peer.bind(port, HOST, resolve));
   const heard: bigint[] = [];
   peer.on("message", (bytes) => heard.push(protobuf.fromBinary(messages.PulseSchema, bytes).configurationRevision));
@@ -63,7 +60,7 @@
   view.configure(CONFIGURATION, new Uint8Array([1]), 1);
   view.endpointDocuments.set("e1", { value: new Uint8Array([1]), revision: 1 });
   const link = new peerLinks.PeerLink({
-    settings: { peers: { host: HOST, port: await freePort() } } as never,
+    settings: { peers: { host: HOST, port: await freePorts.freePort() } } as never,
     entry,
     view,
     board: new serving.EngineBoard(),
@@ -112,42 +109,4 @@
   }
 });
 
-let nextPort = PORTS.first + (process.pid % PORTS.count);
-
-async function freePort(): Promise<number> {
-  for (;;) {
-    const port = nextPort;
-    nextPort = PORTS.first + ((nextPort + 1 - PORTS.first) % PORTS.count);
-    if ((await isFreeForCalls(port)) && (await isFreeForDatagrams(port))) return port;
-  }
-}
-
-function isFreeForCalls(port: number): Promise<boolean> {
-  const server = net.createServer();
-  return new Promise((resolve) => {
-    server.once("error", () => {
-      resolve(false);
-    });
-    server.listen(port, HOST, () => {
-      server.close(() => {
-        resolve(true);
-      });
-    });
-  });
-}
-
-function isFreeForDatagrams(port: number): Promise<boolean> {
-  const socket = datagrams.createSocket("udp4");
-  return new Promise((resolve) => {
-    socket.once("error", () => {
-      resolve(false);
-    });
-    socket.bind(port, HOST, () => {
-      socket.close(() => {
-        resolve(true);
-      });
-    });
-  });
-}
-
 suite.run();
--- a/packages/gateway/tests/peerLives.test.ts
+++ b/packages/gateway/tests/peerLives.test.ts
@@ -1,5 +1,4 @@
 import * as datagrams from "node:dgram";
-import * as net from "node:net";
 import * as protobuf from "@bufbuild/protobuf";
 import * as messages from "@camphorcourse/protocol/gateway";
 import * as serving from "@camphorcourse/serving";
@@ -9,6 +8,7 @@
 import * as decisionLogs from "../src/decisionLog.js";
 import * as fleetViews from "../src/fleetView.js";
 import * as peerLinks from "../src/peerLink.js";
+import * as freePorts from "./helpers/freePort.js";
 
 /** Starts of one endpoint, in Unix milliseconds. */
 const FIRST = 1_790_000_000_000;
@@ -42,7 +42,7 @@
   }
 
   async start(): Promise<void> {
-    this.#port = await freePort();
+    this.#port = await freePorts.freePort();
     const address = { host: "127.0.0.1", port: this.#port };
     await new Promise<void>((resolve) => this.#peer.bind(0, "127.0.0.1", resolve));
     this.#peer.on("message", (bytes) => this.heard.push(protobuf.fromBinary(messages.PulseSchema, bytes)));
@@ -94,18 +94,6 @@
   throw new Error("not reached");
 }
 
-function freePort(): Promise<number> {
-  const server = net.createServer();
-  return new Promise((resolve) => {
-    server.listen(0, "127.0.0.1", () => {
-      const { port } = server.address() as net.AddressInfo;
-      server.close(() => {
-        resolve(port);
-      });
-    });
-  });
-}
-
 function engine(bornAt: number | undefined): serving.Endpoint {
   const place = { service: "s", address: "10.0.0.1:80", dataCentre: "a", slots: 6 };
   return { id: "e1", ...place, role: serving.EngineRole.Decode, leaving: false, bornAt };
