Replay a load by several numbers of daemons, and tell the result as a table

Cause: how many decide, and on what age of knowledge, is to be weighed at the size of hundreds before anything is built; each case took a file of its own. Change: 'table' plays a sheet by numbers of daemons, ages and loads; a sheet may give each daemon a part of the engines.

--- a/packages/experiment/src/description.ts
+++ b/packages/experiment/src/description.ts
@@ -73,6 +73,8 @@
   daemons: count,
   /** Age of what daemons know of each other's work, in milliseconds. */
   viewAgeMs: notNegative,
+  /** Part of the engines of each role that a daemon uses; all of them if it is left out. */
+  engineShare: zod.optional(positive.check(zod.lte(1))),
   engines: enginesSchema,
   requests: zod.array(requestSchema),
   swings: zod.array(swingSchema),
--- a/packages/experiment/src/emulatedDaemon.ts
+++ b/packages/experiment/src/emulatedDaemon.ts
@@ -192,7 +192,7 @@
     const { description, fleet, time } = this.#parts;
     return {
       prompt,
-      engines: fleet.endpoints(),
+      engines: this.#ownEngines(fleet.endpoints()),
       board: this.board,
       memoryTokens: description.engines.memoryTokens,
       speeds: this.speeds,
@@ -202,6 +202,18 @@
     };
   }
 
+  /** The engines that this daemon uses where each uses a part of them only. */
+  #ownEngines(endpoints: readonly serving.Endpoint[]): readonly serving.Endpoint[] {
+    const { engineShare = 1 } = this.#parts.description;
+    if (engineShare === 1) return endpoints;
+    return [serving.EngineRole.Prefill, serving.EngineRole.Decode].flatMap((role) => {
+      const ofRole = new Map(endpoints.filter((each) => each.role === role).map((each) => [each.id, each]));
+      const order = common.rendezvousOrder(this.name, [...ofRole.keys()]);
+      const own = order.slice(0, Math.ceil(order.length * engineShare));
+      return own.map((id) => ofRole.get(id)).filter((each) => each !== undefined);
+    });
+  }
+
   #engine(id: string): emulatedEngines.EmulatedEngine {
     const engine = this.#parts.fleet.engines.find((each) => each.id === id);
     if (engine === undefined) throw new Error(`there is no engine ${id}; the fleet's list must hold all of them`);
--- a/packages/experiment/src/index.ts
+++ b/packages/experiment/src/index.ts
@@ -5,4 +5,5 @@
 export * from "./experiment.js";
 export * from "./load.js";
 export * from "./outcome.js";
+export * from "./table.js";
 export * from "./virtualTime.js";
