Let a few able daemons of each data centre take callers, and tell their work among these

Change: in each data centre of more than six daemons the most able ones take callers, as many as the load needs (activeSet.ts); they tell each other their work, three of them tell those that stand by that they live and what has changed (audience.ts). Address answers name them. Two of them read the key-value service for the data centre; data centres of a few daemons share two; the others are told, and read for themselves when nobody reads for them or when they hear of a configuration that isn't told. Orders are given by one that takes callers. Each pulse says when the next comes at the latest. A daemon's entry lives 12 s instead of 6 s, as pulses tell who lives.

--- a/packages/gateway/src/daemonEntry.ts
+++ b/packages/gateway/src/daemonEntry.ts
@@ -3,6 +3,9 @@
 import * as addresses from "./address.js";
 import type * as fleetViews from "./fleetView.js";
 
+/** Capacity of a daemon's VM where its entry doesn't say it, in cores. */
+export const USUAL_CAPACITY = 1;
+
 /** A change of an engine's role, as a daemon wrote it for the others. */
 export interface WrittenRoleChange {
   readonly service: string;
@@ -22,11 +25,12 @@
  * @returns the entry, or what is wrong with it
  */
 export function readDaemonEntry(name: string, value: Uint8Array): neverthrow.Result<fleetViews.DaemonEntry, string> {
-  return readObject(value).andThen(({ vm, incarnation, dataCentre, callers, peers }) => {
+  return readObject(value).andThen(({ vm, incarnation, dataCentre, callers, peers, capacity = USUAL_CAPACITY }) => {
     if (vm !== name) return neverthrow.err("it names another daemon");
     if (typeof incarnation !== "string" || typeof dataCentre !== "string") return neverthrow.err("a field is no text");
     if (!addresses.isAddress(callers) || !addresses.isAddress(peers)) return neverthrow.err("an address isn't IP:PORT");
-    return neverthrow.ok({ vm: name, incarnation, dataCentre, callers, peers });
+    if (typeof capacity !== "number" || !(capacity > 0)) return neverthrow.err("the capacity is no number above 0");
+    return neverthrow.ok({ vm: name, incarnation, dataCentre, callers, peers, capacity });
   });
 }
 
--- a/packages/gateway/src/fleetView.ts
+++ b/packages/gateway/src/fleetView.ts
@@ -11,6 +11,8 @@
   readonly callers: string;
   /** IP:PORT for the other daemons. */
   readonly peers: string;
+  /** Processor capacity of its VM, in cores. */
+  readonly capacity: number;
 }
 
 /** An engine that was ordered to take another role. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -31,6 +31,12 @@
 /** Time for the last answers to leave, in milliseconds: a third of what is left until the forced end. */
 const LAST_ANSWERS_MS = 200;
 
+/** Weight of the last turn of the loop in what counts as busy: half a second of load shows. */
+const BUSY_WEIGHT = 0.4;
+
+/** Time within which a configuration that others have in force is told, in milliseconds. */
+const TOLD_WITHIN_MS = 400;
+
 /** Most addresses in one answer. */
 const MOST_ADDRESSES = 64;
 
@@ -75,6 +81,9 @@
   readonly #loopWatch = new loopWatches.LoopWatch(undefined, (lateMs) => this.#noteTurn(lateMs));
   #stopping = false;
   #loopUse = performance.eventLoopUtilization();
+  /** Part of the VM's capacity that the event loop keeps busy, smoothed. */
+  #busyShare = 0;
+  #aheadSince: number | undefined;
 
   /**
    * @param settings - checked settings
@@ -90,6 +99,7 @@
       dataCentre: settings.dataCentre,
       callers: `${settings.callers.host}:${settings.callers.port}`,
       peers: `${settings.peers.host}:${settings.peers.port}`,
+      capacity: settings.capacity,
     };
     this.#context = {
       settings,
@@ -132,6 +142,8 @@
       metrics: this.#metrics,
       draw: () => random.next(),
       followsClosely: () => this.#followsClosely(),
+      isTold: () => !this.#followsClosely() && this.#isTold(),
+      standsBy: () => !this.#peers.standing.active,
       peersMissStore: () => this.#peers.book.storeIsAway(performance.now()),
     });
     this.#peers = new peerLinks.PeerLink({
@@ -146,7 +158,7 @@
       ready: () => this.ready,
       storeSilentMs: () => this.#follower.silentMs,
       followsClosely: () => this.#followsClosely(),
-      registered: () => this.#registration.registered,
+      busyCores: () => this.#busyShare * settings.capacity,
       onDaemon: (heard) => beliefs.takeHeardDaemon(heard),
       onConfiguration: (document, revision) => beliefs.takeConfiguration(document, revision, beliefsModule.Source.Peer),
       onEndpoint: (id, value, revision) => beliefs.takeEndpoint(id, value, revision, beliefsModule.Source.Peer),
@@ -212,15 +224,23 @@
    */
   addressesFor(dataCentre: string): string[] {
     const now = performance.now();
-    const all = [...this.#view.daemons.values()]
-      .filter((daemon) => daemon.vm !== this.#entry.vm && daemon.callers !== "")
-      .filter((daemon) => this.#peers.book.mayTakeCallers(daemon.vm, now));
-    if (this.ready) all.push(this.#entry);
-    const near = all.filter((daemon) => daemon.dataCentre === dataCentre);
-    const chosen = near.length >= ENOUGH_NEAR ? near : all;
+    const others = [...this.#view.daemons.values()].filter(
+      (daemon) => daemon.vm !== this.#entry.vm && daemon.callers !== "",
+    );
+    const { names } = this.#peers.standing;
+    const able = others.filter(({ vm }) => names.includes(vm) || this.#peers.book.mayTakeCallers(vm, now));
+    if (this.ready) able.push(this.#entry);
+    const active = able.filter((daemon) => this.#isActive(daemon.vm, now));
+    const choices = [active, able].map((daemons) => daemons.filter((daemon) => daemon.dataCentre === dataCentre));
+    const chosen = choices.find((near) => near.length >= ENOUGH_NEAR) ?? able;
     return chosen.map((daemon) => daemon.callers).slice(0, MOST_ADDRESSES);
   }
 
+  #isActive(vm: string, now: number): boolean {
+    if (this.#peers.standing.names.includes(vm)) return true;
+    return this.#peers.book.heard(vm, now)?.active ?? false;
+  }
+
   /** @returns the metrics as text */
   metricsText(): string {
     return this.#metrics.text({
@@ -228,6 +248,9 @@
       configuration_revision: this.#view.configurationRevision,
       store_revision: this.#view.directory.revision,
       daemons_known: this.#view.daemons.size,
+      daemons_heard: this.#peers.book.live(performance.now()).length,
+      takes_callers: Number(this.#peers.standing.active),
+      busy_cores: this.#busyShare * this.#settings.capacity,
       heap_bytes: process.memoryUsage().heapUsed,
       event_loop_utilization: performance.eventLoopUtilization().utilization,
       unsent_bytes_to_callers: this.#listener.unsentBytes,
@@ -284,9 +307,11 @@
    */
   #isFirst(): boolean {
     if (!this.ready || this.#follower.silentMs > peerBooks.STORE_SILENT_MS) return false;
+    // One that stands by hears only a part of the fleet, and would take itself for the first of it.
+    if (!this.#peers.standing.active) return false;
     const peers = this.#peers.book
       .live(performance.now())
-      .filter((peer) => peer.ready && peer.storeSilentMs <= peerBooks.STORE_SILENT_MS);
+      .filter((peer) => peer.ready && peer.active && peer.storeSilentMs <= peerBooks.STORE_SILENT_MS);
     const names = [this.#entry.vm, ...peers.map((peer) => peer.vm)];
     return common.rendezvousOrder(ORDERS_KEY, names)[0] === this.#entry.vm;
   }
@@ -294,18 +319,39 @@
   /** @returns whether this daemon reads the key-value service for others too, or seldom and is told by others */
   #followsClosely(): boolean {
     const now = performance.now();
-    const able = new Set(
+    // One that stands by hears a few only, and can't tell who else reads.
+    if (!this.#peers.standing.active && this.#isTold()) return false;
+    const able = new Map(
       this.#peers.book
         .live(now)
         .filter((peer) => peer.ready && peer.storeSilentMs <= peerBooks.STORE_SILENT_MS)
-        .map((peer) => peer.vm),
+        .map((peer) => [peer.vm, peer.active] as const),
     );
-    if (this.ready) able.add(this.#entry.vm);
+    if (this.ready) able.set(this.#entry.vm, this.#peers.standing.active);
     const others = [...this.#view.daemons.values()].filter((daemon) => daemon.vm !== this.#entry.vm);
-    const followers = [this.#entry, ...others].map(({ vm, dataCentre }) => ({ vm, dataCentre, able: able.has(vm) }));
+    const followers = [this.#entry, ...others].map(({ vm, dataCentre, capacity }) => ({
+      vm,
+      dataCentre,
+      capacity,
+      able: able.has(vm),
+      active: able.get(vm) ?? false,
+    }));
     return watchDuties.followsClosely(this.#entry.vm, followers);
   }
 
+  /**
+   * Most daemons are told what is in the key-value service, and need not read it. If what it hears of is not told in
+   * time, a daemon reads for itself: the datagrams may reach it one way only.
+   */
+  #isTold(): boolean {
+    const now = performance.now();
+    const live = this.#peers.book.live(now);
+    const isAhead = live.some((peer) => peer.configurationRevision > this.#view.configurationRevision);
+    this.#aheadSince = isAhead ? (this.#aheadSince ?? now) : undefined;
+    if (!this.ready || now - (this.#aheadSince ?? now) > TOLD_WITHIN_MS) return false;
+    return watchDuties.isTold(this.#entry, this.#peers.standing.active, live);
+  }
+
   /**
    * A daemon short of processor time, a full link and a busy engine all look like answers that come late. Only this
    * line tells the first from the others.
@@ -314,10 +360,12 @@
     this.#metrics.record(metricsModule.Duration.LoopLate, lateMs);
     const before = this.#loopUse;
     this.#loopUse = performance.eventLoopUtilization();
+    const { utilization } = performance.eventLoopUtilization(this.#loopUse, before);
+    this.#busyShare += BUSY_WEIGHT * (utilization - this.#busyShare);
     if (lateMs < LOOP_LATE_MS) return;
     this.#log.warn("loop-late", {
       lateMs: Math.round(lateMs),
-      utilization: performance.eventLoopUtilization(this.#loopUse, before).utilization.toFixed(2),
+      utilization: utilization.toFixed(2),
       open: this.#listener.openRequests,
       unsentToCallers: this.#listener.unsentBytes,
       unsentToEndpoints: this.#context.client.unsentBytes,
--- a/packages/gateway/src/peerBook.ts
+++ b/packages/gateway/src/peerBook.ts
@@ -1,10 +1,23 @@
 import * as common from "@camphorcourse/common";
+import * as serving from "@camphorcourse/serving";
 
 /** What a daemon last said of itself. */
 export interface PeerState {
   readonly vm: string;
   readonly incarnation: string;
+  readonly dataCentre: string;
   readonly ready: boolean;
+  /** Whether callers of its data centre are sent to it. */
+  readonly active: boolean;
+  /** Whether it takes callers, or has work of theirs. */
+  readonly deciding: boolean;
+  /** Daemons of its data centre that callers are sent to, as it knows them. */
+  readonly names: readonly string[];
+  /** Processor capacity of its VM, and how much of it is busy, in cores. */
+  readonly capacity: number;
+  readonly busyCores: number;
+  /** Longest time until it is heard again, in milliseconds. */
+  readonly nextWithinMs: number;
   readonly configurationRevision: number;
   /** Milliseconds for which the key-value service has not answered it. */
   readonly storeSilentMs: number;
@@ -60,8 +73,6 @@
 
 /** What the other daemons last said, and who needs to be told what. */
 export class PeerBook {
-  /** Silence after which a daemon counts as dead, in milliseconds. */
-  #silentAfterMs = PEER_SILENT_MS;
   #nextTellerMs = NEXT_TELLER_MS;
   readonly #own: string;
   readonly #states = new Map<string, PeerState>();
@@ -73,9 +84,8 @@
     this.#own = own;
   }
 
-  /** @param intervalMs - time between two pulses, and between two looks at who is to be told, in milliseconds */
+  /** @param intervalMs - time between two looks at who is to be told, in milliseconds */
   followInterval(intervalMs: number): void {
-    this.#silentAfterMs = Math.max(PEER_SILENT_MS, PULSES_UNTIL_SILENT * intervalMs);
     this.#nextTellerMs = Math.max(NEXT_TELLER_MS, PULSES_UNTIL_NEXT_TELLER * intervalMs);
   }
 
@@ -98,7 +108,17 @@
    * @returns daemons that speak
    */
   live(now: number): PeerState[] {
-    return [...this.#states.values()].filter((state) => now - state.heardAt <= this.#silentAfterMs);
+    return [...this.#states.values()].filter((state) => isLive(state, now));
+  }
+
+  /**
+   * @param vm - a daemon
+   * @param now - current instant in milliseconds
+   * @returns what it last said, if it speaks
+   */
+  heard(vm: string, now: number): PeerState | undefined {
+    const state = this.#states.get(vm);
+    return state !== undefined && isLive(state, now) ? state : undefined;
   }
 
   /**
@@ -106,9 +126,10 @@
    * @returns whether the key-value service answers none or few of those that speak: it is away, not one daemon
    */
   storeIsAway(now: number): boolean {
-    const live = this.live(now);
-    const silent = live.filter((state) => state.storeSilentMs > STORE_SILENT_MS);
-    return silent.length > 0 && silent.length * 2 > live.length;
+    // Those that stand by don't ask it.
+    const asking = this.live(now).filter((state) => state.deciding);
+    const silent = asking.filter((state) => state.storeSilentMs > STORE_SILENT_MS);
+    return silent.length > 0 && silent.length * 2 > asking.length;
   }
 
   /**
@@ -122,7 +143,7 @@
   mayTakeCallers(vm: string, now: number): boolean {
     const state = this.#states.get(vm);
     if (state === undefined) return true;
-    if (now - state.heardAt <= this.#silentAfterMs) return state.ready;
+    if (isLive(state, now)) return state.ready;
     // Nobody is heard: it is this daemon that is cut off, and its silence says nothing of the others.
     return this.live(now).length === 0 && state.ready;
   }
@@ -166,7 +187,8 @@
 
   /**
    * How many are to tell a daemon before this one does: first those that follow
-   * closely, which know a change first. Were all that know it to share the
+   * closely, which know a change first. Only those that decide hear it, a few of its own data centre if it stands by.
+   * Were all that know it to share the
    * telling out, it would pass on to each that was just told, and wait for its
    * next look each time. Those that follow closely read a change in the same
    * moment, and count before they are heard to have it: each of them would
@@ -174,7 +196,10 @@
    */
   #tellersBefore(of: PeerState, live: readonly PeerState[], known: Known): number {
     // Where the service answers nobody, those that know the configuration share the telling out among themselves.
-    const answered = live.filter((state) => !known.answered || state.storeSilentMs < STORE_SILENT_MS);
+    const answered = live
+      .filter((state) => of.deciding || (serving.isHost(state.vm, state.names) && state.dataCentre === of.dataCentre))
+      .filter((state) => state.deciding)
+      .filter((state) => !known.answered || state.storeSilentMs < STORE_SILENT_MS);
     const able = answered
       .filter((state) => state.vm !== of.vm)
       .filter((state) => state.configurationRevision >= known.configurationRevision);
@@ -188,3 +213,7 @@
     return close.length + common.rendezvousOrder(of.vm, [this.#own, ...others]).indexOf(this.#own);
   }
 }
+
+function isLive(state: PeerState, now: number): boolean {
+  return now - state.heardAt <= Math.max(PEER_SILENT_MS, PULSES_UNTIL_SILENT * state.nextWithinMs);
+}
--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -3,30 +3,36 @@
 import * as messages from "@camphorcourse/protocol/gateway";
 import * as serving from "@camphorcourse/serving";
 import type * as beliefsModule from "./beliefs.js";
+import * as daemonEntries from "./daemonEntry.js";
 import type * as decisionLogs from "./decisionLog.js";
 import type * as fleetViews from "./fleetView.js";
 import * as peerBooks from "./peerBook.js";
 import * as peerNews from "./peerNews.js";
 import * as peerPulses from "./peerPulse.js";
 import * as peerWorks from "./peerWork.js";
+import * as audiences from "./peers/audience.js";
+import * as standings from "./peers/standing.js";
 import type * as settingsModule from "./settings.js";
 import * as toldLives from "./toldLives.js";
 
-/**
- * Shortest and longest interval between two pulses, in milliseconds, and the time
- * by which each daemon that hears them lengthens it. From so many daemons on it
- * grows faster than their number, so that the datagrams of a large fleet cost
- * each daemon less. At 62 daemons a whole day took 339 s of processor time with it,
- * and over 447 s without it before it was given up (one run each).
- */
-const PULSE_MS = { shortest: 40, longest: 1_000, perDaemon: 6, steeperFrom: 30 };
-
 /** Pulses in the time after which a daemon's word of its work has expired. */
 const PULSES_UNTIL_EXPIRED = 2.2;
 
 /** Longest interval between two pulses when nothing has changed, in milliseconds. */
 const QUIET_PULSE_MS = 350;
 
+/**
+ * Interval of the pulses to daemons that need not know the work, in milliseconds: shorter for those that stand by, as
+ * callers wait until they notice that the daemons that took them are dead.
+ */
+const SELDOM_PULSE_MS = { deciding: 450, standingBy: 1_000 };
+
+/** Interval at which a daemon that stands by looks at what it has heard, in milliseconds. */
+const STANDBY_LOOK_MS = 300;
+
+/** Messages tell capacity in whole thousandths of a core. */
+const THOUSANDTHS = 1_000;
+
 /** Time for which an entry that was read is told in each pulse, in milliseconds: several pulses, as some are lost. */
 const ENTRY_TOLD_MS = 1_500;
 
@@ -54,8 +60,8 @@
   readonly storeSilentMs: () => number;
   /** Whether this daemon follows the key-value service closely. */
   readonly followsClosely: () => boolean;
-  /** Whether this daemon's entry is in the key-value service. */
-  readonly registered: () => boolean;
+  /** Part of the VM's capacity that is busy, in cores. */
+  readonly busyCores: () => number;
   /** Takes a daemon that was heard, or that a peer tells of. */
   readonly onDaemon: (heard: fleetViews.DaemonEntry) => void;
   /** Takes a configuration document and its revision. */
@@ -73,6 +79,8 @@
 /** Speaks with the other daemons: work, departures, and news for those that the key-value service doesn't answer. */
 export class PeerLink {
   readonly book: peerBooks.PeerBook;
+  /** Whether this daemon takes callers, and who does. */
+  readonly standing: standings.Standing;
   readonly #parts: PeerLinkParts;
   readonly #pulse: peerPulses.PeerPulse;
   readonly #teller = new peerNews.NewsTeller();
@@ -81,17 +89,18 @@
   readonly #entries = new Map<string, number>();
   #server: http.Server | undefined;
   #timer: NodeJS.Timeout | undefined;
-  #workExpiryMs = serving.PEER_WORK_EXPIRY_MS;
   /** Whether the sockets are open: the key-value service is read before they are, and may be a moment after. */
   #speaking = false;
-  #saidAt = 0;
-  #saidToFormerAt = 0;
+  /** When the daemons that are spoken to often, and those that are spoken to seldom, were last spoken to. */
+  #saidAt = { often: 0, seldom: 0 };
   #saidWork = "";
+  #turn = 0;
 
   /** @param parts - what it needs */
   constructor(parts: PeerLinkParts) {
     this.#parts = parts;
     this.book = new peerBooks.PeerBook(parts.entry.vm);
+    this.standing = new standings.Standing({ ...parts, book: this.book });
     this.#work = new peerWorks.PeerWork(parts);
     this.#pulse = new peerPulses.PeerPulse(
       (pulse, sender) => this.#hear(pulse, sender),
@@ -136,33 +145,61 @@
    */
   noteConfiguration(): void {
     if (!this.#speaking) return;
-    const now = performance.now();
-    this.#say(now);
-    if (this.#parts.followsClosely()) this.#tellNews(now);
+    this.sayNow();
+    if (this.#parts.followsClosely()) this.#tellNews(performance.now());
   }
 
   /** Says at once what has changed, such as that this daemon is leaving. */
   sayNow(): void {
-    this.#say(performance.now());
+    const now = performance.now();
+    this.standing.look(now);
+    this.#say(now, this.#audience(now), { often: true, seldom: true });
+  }
+
+  /** @returns whether this daemon takes callers, or has work of theirs */
+  get #deciding(): boolean {
+    return this.standing.active || this.#parts.board.ownWork().size > 0;
   }
 
   #beat(): void {
     const now = performance.now();
-    const peers = this.#others().length;
-    const due =
-      now - this.#saidAt >= QUIET_PULSE_MS || this.#parts.board.hasUntoldReads || this.#workText() !== this.#saidWork;
-    if (due) this.#say(now);
-    this.#tellNews(now);
-    this.#timer = setTimeout(() => this.#beat(), this.#followFleetSize(peers));
+    const hasChanged = this.standing.look(now);
+    const audience = this.#audience(now);
+    const news = this.#parts.board.hasUntoldReads || this.#workText() !== this.#saidWork;
+    this.#say(now, audience, {
+      often: hasChanged || news || now - this.#saidAt.often >= QUIET_PULSE_MS,
+      seldom: hasChanged || now - this.#saidAt.seldom >= this.#seldomPulseMs,
+    });
+    if (this.#isTeller(now)) this.#tellNews(now);
+    this.#timer = setTimeout(() => this.#beat(), this.#followFleetSize(audience));
+  }
+
+  get #seldomPulseMs(): number {
+    return this.#deciding ? SELDOM_PULSE_MS.deciding : SELDOM_PULSE_MS.standingBy;
   }
 
-  #followFleetSize(peers: number): number {
-    const intervalMs = pulseIntervalMs(peers);
+  #followFleetSize({ often }: audiences.Audience): number {
+    const intervalMs = this.#deciding ? serving.pulseIntervalMs(often.length) : STANDBY_LOOK_MS;
     this.book.followInterval(intervalMs);
-    this.#workExpiryMs = Math.max(serving.PEER_WORK_EXPIRY_MS, PULSES_UNTIL_EXPIRED * intervalMs);
     return intervalMs;
   }
 
+  /** One that stands by is not heard by others of its kind, and leaves the telling to those that decide. */
+  #isTeller(now: number): boolean {
+    return this.#deciding || !this.book.live(now).some((peer) => peer.active);
+  }
+
+  #audience(now: number): audiences.Audience {
+    const named = new Set(this.book.live(now).flatMap((peer) => peer.names));
+    const known = this.#others().map((entry) => {
+      const heard = this.book.heard(entry.vm, now);
+      return { entry, live: heard !== undefined, deciding: heard?.deciding ?? false, named: named.has(entry.vm) };
+    });
+    const { dataCentre } = this.#parts.entry;
+    const own = { dataCentre, deciding: this.#deciding, host: this.standing.host };
+    return audiences.audienceOf(own, known, this.#turn);
+  }
+
   #others(): fleetViews.DaemonEntry[] {
     return [...this.#parts.view.daemons.values()].filter((daemon) => daemon.vm !== this.#parts.entry.vm);
   }
@@ -174,9 +211,8 @@
   /** Where daemons were that have left: a pulse now and then, so that one that starts again hears it and answers. */
   #formerAddresses(now: number): string[] {
     const { entry, view, ready } = this.#parts;
-    if (!ready() || now - this.#saidToFormerAt < QUIET_PULSE_MS) return [];
-    this.#saidToFormerAt = now;
-    const able = this.book.live(now).filter((peer) => peer.ready && peer.vm !== entry.vm);
+    if (!ready() || !this.#deciding) return [];
+    const able = this.book.live(now).filter((peer) => peer.ready && peer.deciding && peer.vm !== entry.vm);
     const former = view.former.spokenToBy(
       entry.vm,
       able.map((peer) => peer.vm),
@@ -185,18 +221,41 @@
     return former.map((daemon) => daemon.peers);
   }
 
-  #say(now: number): void {
-    const { entry, view, registered } = this.#parts;
-    this.#saidAt = now;
-    this.#saidWork = this.#workText();
+  #say(now: number, audience: audiences.Audience, due: { readonly often: boolean; readonly seldom: boolean }): void {
+    if (!due.often && !due.seldom) return;
     for (const [id, departure] of this.#departures) if (departure.toldUntil < now) this.#departures.delete(id);
-    const pulse = protobuf.create(messages.PulseSchema, {
+    const state = this.#stateMessage(now);
+    if (due.often) {
+      this.#saidAt.often = now;
+      this.#saidWork = this.#workText();
+      const nextWithinMs = Math.max(QUIET_PULSE_MS, serving.pulseIntervalMs(audience.often.length));
+      const pulse = protobuf.create(messages.PulseSchema, { ...state, ...this.#work.tell(now), nextWithinMs });
+      this.#pulse.say(
+        pulse,
+        audience.often.map(({ peers }) => peers),
+      );
+    }
+    if (!due.seldom) return;
+    this.#saidAt.seldom = now;
+    this.#turn++;
+    const pulse = protobuf.create(messages.PulseSchema, { ...state, nextWithinMs: this.#seldomPulseMs });
+    this.#pulse.say(pulse, [...audience.seldom.map(({ peers }) => peers), ...this.#formerAddresses(now)]);
+  }
+
+  #stateMessage(now: number): protobuf.MessageInitShape<typeof messages.PulseSchema> {
+    const { entry, view } = this.#parts;
+    return {
       vm: entry.vm,
       incarnation: entry.incarnation,
+      dataCentre: entry.dataCentre,
+      callers: entry.callers,
+      capacityThousandths: Math.round(entry.capacity * THOUSANDTHS),
+      busyThousandths: Math.round(this.#parts.busyCores() * THOUSANDTHS),
+      active: this.standing.active,
+      activeVms: [...this.standing.names],
       ready: this.#parts.ready(),
       configurationRevision: BigInt(view.configurationRevision),
       storeSilentMs: Math.round(this.#parts.storeSilentMs()),
-      ...this.#work.tell(now),
       departures: this.#departureMessages(),
       followsClosely: this.#parts.followsClosely(),
       entries: this.#entryMessages(now),
@@ -208,10 +267,7 @@
           forMs: Math.round(change.until - now),
           startedAtMs: toldLives.toMessage(change.bornAt),
         })),
-      ...(registered() ? {} : { callers: entry.callers, dataCentre: entry.dataCentre }),
-    });
-    const others = this.#others().map((daemon) => daemon.peers);
-    this.#pulse.say(pulse, [...others, ...this.#formerAddresses(now)]);
+    };
   }
 
   #entryMessages(now: number): messages.EndpointEntry[] {
@@ -243,10 +299,18 @@
     // One that stops as planned goes on speaking for a while, but has left; one without a configuration has just started.
     const stays = pulse.ready || pulse.configurationRevision === 0n;
     const { vm, incarnation, dataCentre, callers } = pulse;
-    if (stays) this.#parts.onDaemon({ vm, incarnation, dataCentre, callers, peers: sender });
+    const capacity = capacityOf(pulse);
+    if (stays) this.#parts.onDaemon({ vm, incarnation, dataCentre, callers, peers: sender, capacity });
     const before = this.book.hear({
-      vm: pulse.vm,
-      incarnation: pulse.incarnation,
+      vm,
+      incarnation,
+      dataCentre,
+      capacity,
+      busyCores: pulse.busyThousandths / THOUSANDTHS,
+      active: pulse.active,
+      deciding: pulse.active || pulse.work.length > 0,
+      names: pulse.activeVms,
+      nextWithinMs: pulse.nextWithinMs,
       ready: pulse.ready,
       configurationRevision: Number(pulse.configurationRevision),
       storeSilentMs: pulse.storeSilentMs,
@@ -257,7 +321,8 @@
     if (before === undefined || before.incarnation !== pulse.incarnation || before.ready !== pulse.ready) {
       this.#parts.log.info("peer", { peer: pulse.vm, incarnation: pulse.incarnation, ready: pulse.ready });
     }
-    this.#work.hear(pulse, now, this.#workExpiryMs);
+    const expiryMs = Math.max(serving.PEER_WORK_EXPIRY_MS, PULSES_UNTIL_EXPIRED * pulse.nextWithinMs);
+    this.#work.hear(pulse, now, expiryMs);
     for (const { endpoint, role, forMs, startedAtMs } of pulse.changing) {
       const bornAt = toldLives.fromMessage(startedAtMs);
       if (this.#parts.view.changing.has(endpoint) || toldLives.isOfAnotherLife(this.#parts.view, endpoint, bornAt))
@@ -326,9 +391,10 @@
     const live = new Set(this.book.live(now).map((peer) => peer.vm)).add(entry.vm);
     return [...this.#others(), entry]
       .filter((daemon) => live.has(daemon.vm))
-      .map(({ vm, incarnation, dataCentre, callers, peers }) =>
-        protobuf.create(messages.DaemonAddressSchema, { vm, incarnation, dataCentre, callers, peers }),
-      );
+      .map(({ capacity, ...daemon }) => {
+        const capacityThousandths = Math.round(capacity * THOUSANDTHS);
+        return protobuf.create(messages.DaemonAddressSchema, { ...daemon, capacityThousandths });
+      });
   }
 
   #takeNews(news: messages.News): number {
@@ -338,18 +404,15 @@
     for (const entry of news.endpoints) this.#parts.onEndpoint(entry.id, entry.value, Number(entry.revision));
     this.#takeDepartures(news.departures);
     const others = news.daemons.filter((daemon) => daemon.vm !== this.#parts.entry.vm);
-    for (const { vm, incarnation, dataCentre, callers, peers } of others) {
-      this.#parts.onDaemon({ vm, incarnation, dataCentre, callers, peers });
+    for (const daemon of others) {
+      const { vm, incarnation, dataCentre, callers, peers } = daemon;
+      this.#parts.onDaemon({ vm, incarnation, dataCentre, callers, peers, capacity: capacityOf(daemon) });
     }
     return this.#parts.view.configurationRevision;
   }
 }
 
-/**
- * @param peers - the other daemons
- * @returns time between two pulses, in milliseconds
- */
-export function pulseIntervalMs(peers: number): number {
-  const steeper = Math.max(1, peers / PULSE_MS.steeperFrom);
-  return Math.min(PULSE_MS.longest, Math.max(PULSE_MS.shortest, PULSE_MS.perDaemon * peers * steeper));
+/** One that doesn't say its capacity is an older daemon. */
+function capacityOf({ capacityThousandths }: { readonly capacityThousandths: number }): number {
+  return capacityThousandths === 0 ? daemonEntries.USUAL_CAPACITY : capacityThousandths / THOUSANDTHS;
 }
--- a/packages/gateway/src/registration.ts
+++ b/packages/gateway/src/registration.ts
@@ -3,11 +3,14 @@
 import type * as fleetViews from "./fleetView.js";
 import * as ports from "./ports.js";
 
-/** Time to live of a daemon's entry, in milliseconds: long enough to outlast a few lost renewals. */
-const ENTRY_TTL_MS = 6_000;
+/**
+ * Time to live of a daemon's entry, in milliseconds: long enough to outlast a few lost renewals. Whether a daemon lives
+ * is told by its pulses, so an entry may outlive it.
+ */
+const ENTRY_TTL_MS = 12_000;
 
 /** Interval of renewals, in milliseconds: three fit into the time to live. */
-const RENEW_EVERY_MS = 1_900;
+const RENEW_EVERY_MS = 3_800;
 
 /** Pause after a failed call, in milliseconds. */
 const RETRY_PAUSE_MS = 500;
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -12,6 +12,8 @@
   readonly dataCentre: string;
   readonly region: string;
   readonly dataCentres: Readonly<Record<string, string>>;
+  /** Processor capacity of the VM, in cores. */
+  readonly capacity: number;
   readonly callers: SocketAddress;
   readonly readiness: SocketAddress;
   readonly addresses: SocketAddress;
--- a/packages/gateway/src/storeFollower.ts
+++ b/packages/gateway/src/storeFollower.ts
@@ -15,20 +15,26 @@
  */
 const WATCH_PAUSE_MS = 650;
 
+/** Pause between two watches of a daemon that does not read for others, while nobody reads for it, in milliseconds. */
+const SELDOM_PAUSE_MS = 1_500;
+
 /**
- * Pause between two watches of a daemon that is told by others, in milliseconds.
- * Being told is sooner but not certain: the one that tells may be dead, cut off
- * or not yet known. With 4 s between its own readings a daemon refused an added
- * route for more than 3 s; with this, its own reading keeps the bound of two
- * seconds in which a configuration is in force.
+ * Time without reading for a daemon that takes callers and is told what has changed, in milliseconds: what was lost on
+ * the way is made good by then.
  */
-const SELDOM_PAUSE_MS = 1_500;
+const TOLD_PAUSE_MS = 4_000;
 
 /** Interval at which a pausing daemon looks whether it is to follow closely now, in milliseconds. */
 const PAUSE_CHECK_MS = 250;
 
-/** First and longest pause after a failed call, in milliseconds; doubled each time, with half of it drawn. */
-const RETRY_PAUSE_MS = { first: 120, longest: 900 };
+/**
+ * First and longest pause after a failed call, in milliseconds; doubled each time, with half of it drawn. A daemon that
+ * stands by is told what those that take callers read, and leaves an ailing service to them.
+ */
+const RETRY_PAUSE_MS = { first: 120, longest: 900, standingBy: 3_000 };
+
+/** Time without reading after which everything is listed anew instead of what has changed since, in milliseconds. */
+const LIST_AFTER_MS = 5_000;
 
 /** Time without an answer from which the service counts as away, in milliseconds. */
 const AWAY_AFTER_MS = 1_000;
@@ -45,6 +51,10 @@
   readonly draw: () => number;
   /** @returns whether this daemon follows closely, for others too */
   readonly followsClosely: () => boolean;
+  /** @returns whether others read for this daemon and tell it what has changed */
+  readonly isTold: () => boolean;
+  /** @returns whether this daemon takes no callers, and needs no reading of its own while it is told */
+  readonly standsBy: () => boolean;
   /** @returns whether the other daemons say that the service is away */
   readonly peersMissStore: () => boolean;
 }
@@ -74,6 +84,7 @@
   /** Follows until it is stopped. */
   async run(): Promise<void> {
     while (!this.#stopped) {
+      await this.#whileTold();
       this.#askedSince ??= performance.now();
       const pause = await this.#step();
       if (pause > 0) await sleep(pause);
@@ -81,6 +92,18 @@
     }
   }
 
+  /**
+   * A daemon that is told reads as seldom as it may. The changes of a long time are mostly endpoints' heartbeats, many
+   * times what a listing holds.
+   */
+  async #whileTold(): Promise<void> {
+    const since = performance.now();
+    const { isTold, standsBy } = this.#parts;
+    const rests = (): boolean => isTold() && (standsBy() || performance.now() - since < TOLD_PAUSE_MS);
+    while (!this.#stopped && this.#revision !== undefined && !this.#away && rests()) await sleep(PAUSE_CHECK_MS);
+    if (performance.now() - since > LIST_AFTER_MS) this.#revision = undefined;
+  }
+
   /**
    * A daemon that is told by others may sleep through an outage. Entries that
    * lapse in it look removed afterwards, so the others' word of it counts.
@@ -164,7 +187,9 @@
       this.#away = true;
       log.warn("store-lost", { failure: problem.failure, detail: problem.detail, silentMs: Math.round(awayFor) });
     }
-    const pause = Math.min(RETRY_PAUSE_MS.longest, RETRY_PAUSE_MS.first * 2 ** (this.#failures - 1));
+    const isIdle = this.#revision !== undefined && this.#parts.standsBy();
+    const doubled = Math.min(RETRY_PAUSE_MS.longest, RETRY_PAUSE_MS.first * 2 ** (this.#failures - 1));
+    const pause = isIdle ? RETRY_PAUSE_MS.standingBy : doubled;
     return pause * (0.5 + this.#parts.draw() / 2);
   }
 }
--- a/packages/gateway/tests/formerDaemons.test.ts
+++ b/packages/gateway/tests/formerDaemons.test.ts
@@ -8,7 +8,7 @@
 const FLEET = Array.from({ length: 300 }, (_, index) => `vm-${index}`);
 
 function entry(vm: string): fleetViews.DaemonEntry {
-  return { vm, incarnation: "before", dataCentre: "a", callers: `${vm}:1`, peers: `${vm}:2` };
+  return { vm, incarnation: "before", dataCentre: "a", callers: `${vm}:1`, peers: `${vm}:2`, capacity: 1 };
 }
 
 /** Who of a fleet speaks to one that has left, if these live. */
--- a/packages/gateway/tests/helpers/exchangeStand.ts
+++ b/packages/gateway/tests/helpers/exchangeStand.ts
@@ -108,6 +108,7 @@
   dataCentre: "a",
   region: "r",
   dataCentres: { a: "r" },
+  capacity: 1,
   callers: { host: "127.0.0.1", port: 0 },
   readiness: { host: "127.0.0.1", port: 0 },
   addresses: { host: "127.0.0.1", port: 0 },
--- a/packages/gateway/tests/peerLink.test.ts
+++ b/packages/gateway/tests/peerLink.test.ts
@@ -53,7 +53,7 @@
   });
 
   const view = new fleetViews.FleetView();
-  const entry = { vm: "vm-1", incarnation: "i", dataCentre: "a", callers: "", peers: "" };
+  const entry = { vm: "vm-1", incarnation: "i", dataCentre: "a", callers: "", peers: "", capacity: 1 };
   const others = Array.from({ length: FLEET_SIZE }, (_, index) => `vm-${index + 2}`);
   // Nobody listens on the others' address; only vm-2 is there.
   for (const vm of others) view.daemons.set(vm, { ...entry, vm, peers: `${HOST}:${vm === "vm-2" ? port : 9}` });
@@ -71,7 +71,7 @@
     ready: () => true,
     storeSilentMs: () => 0,
     followsClosely: () => true,
-    registered: () => true,
+    busyCores: () => 0,
     onDaemon: ignore,
     onConfiguration: ignore,
     onEndpoint: ignore,
@@ -85,6 +85,13 @@
     link.book.hear({
       vm: "vm-2",
       incarnation: "i",
+      dataCentre: "a",
+      active: true,
+      deciding: true,
+      names: [],
+      capacity: 1,
+      busyCores: 0,
+      nextWithinMs: 1_000,
       ready: true,
       configurationRevision: 1,
       storeSilentMs: 0,
--- a/packages/gateway/tests/peerLives.test.ts
+++ b/packages/gateway/tests/peerLives.test.ts
@@ -47,7 +47,7 @@
     await new Promise<void>((resolve) => this.#peer.bind(0, "127.0.0.1", resolve));
     this.#peer.on("message", (bytes) => this.heard.push(protobuf.fromBinary(messages.PulseSchema, bytes)));
     const peers = `127.0.0.1:${this.#peer.address().port}`;
-    const other = { vm: "vm-2", incarnation: "i", dataCentre: "a", callers: "127.0.0.1:1", peers };
+    const other = { vm: "vm-2", incarnation: "i", dataCentre: "a", callers: "127.0.0.1:1", peers, capacity: 1 };
     this.view.daemons.set("vm-2", other);
     const sink = { writableLength: 0, write: (line: string) => this.lines.push(line) > 0 };
     this.#link = new peerLinks.PeerLink({
@@ -62,7 +62,7 @@
       ready: () => true,
       storeSilentMs: () => 0,
       followsClosely: () => true,
-      registered: () => true,
+      busyCores: () => 0,
       onDaemon: () => undefined,
       onConfiguration: () => undefined,
       onEndpoint: () => undefined,
--- a/packages/gateway/tests/registration.test.ts
+++ b/packages/gateway/tests/registration.test.ts
@@ -7,7 +7,14 @@
 
 const log = new decisionLogs.DecisionLog("vm-1", "fatal", { writableLength: 0, write: () => true });
 
-const ENTRY = { vm: "vm-1", incarnation: "i", dataCentre: "a", callers: "127.0.0.1:1", peers: "127.0.0.1:2" };
+const ENTRY = {
+  vm: "vm-1",
+  incarnation: "i",
+  dataCentre: "a",
+  callers: "127.0.0.1:1",
+  peers: "127.0.0.1:2",
+  capacity: 1,
+};
 
 const pass = (milliseconds: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, milliseconds));
 
--- a/packages/gateway/tests/watchDuty.test.ts
+++ b/packages/gateway/tests/watchDuty.test.ts
@@ -5,7 +5,13 @@
 const suite = uvu.suite("who follows the key-value service closely");
 
 function daemons(count: number, dataCentre: string): watchDuties.Follower[] {
-  return Array.from({ length: count }, (_, index) => ({ vm: `${dataCentre}-${index}`, dataCentre, able: true }));
+  return Array.from({ length: count }, (_, index) => ({
+    vm: `${dataCentre}-${index}`,
+    dataCentre,
+    capacity: 1,
+    able: true,
+    active: true,
+  }));
 }
 
 function closely(followers: readonly watchDuties.Follower[]): string[] {
@@ -30,6 +36,21 @@
   assert.not(chosen.includes(first ?? ""));
 });
 
+// The load: data centres of three or four daemons. Were each of them to read for itself, calls to the service would cost
+// more than all else that is priced.
+suite("data centres of a few daemons share two that follow closely", () => {
+  const followers = ["a", "b", "c", "d", "e"].flatMap((dataCentre) => daemons(3, dataCentre));
+  assert.is(closely(followers).length, 2);
+});
+
+// Those that stand by are heard by those that take callers alone: what they read would reach nobody else.
+suite("daemons that take callers follow closely, not those that stand by", () => {
+  const followers = daemons(20, "a").map((follower, index) => ({ ...follower, active: index < 3 }));
+  const chosen = closely(followers);
+  assert.is(chosen.length, 2);
+  assert.ok(chosen.every((vm) => ["a-0", "a-1", "a-2"].includes(vm)));
+});
+
 suite("each of a few daemons reads for itself, and so does one that hears nobody", () => {
   assert.is(closely(daemons(5, "a")).length, 5);
   const alone = daemons(20, "a").map((follower) => ({ ...follower, able: follower.vm === "a-7" }));
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -1,4 +1,5 @@
 /** Decisions of serving, without input or output: routes, endpoints, placement, repeats. */
+export * from "./activeSet.js";
 export * from "./admission.js";
 export * from "./configuration.js";
 export * from "./routeTable.js";
@@ -15,6 +16,7 @@
 export * from "./plannedStop.js";
 export * from "./promptAdmission.js";
 export * from "./promptParts.js";
+export * from "./pulseInterval.js";
 export * from "./retryBudget.js";
 export * from "./roleBalance.js";
 export * from "./silence.js";
