Let three daemons read the key-value service for the fleet, and tell only figures that a pulse holds

Cause: the time until the next pulse, 6 ms times 61 peers times 61 thirtieths, is no whole number where more than thirty daemons take callers, as all do when they start. The message library throws, the pulse without its figures held it too, and the throw ended the daemon from its timer. Change: told figures are rounded where they are made, and a pulse that can't be written is told without any of them. The test fails before (and hangs, as its sockets stay open). Now three for the fleet, in different data centres: those that take callers hear each other, and hosts pass on to those that stand by; a safety listing every 10 s.

--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -132,9 +132,9 @@
     this.#departures.set(id, { ...departure, toldUntil: performance.now() + DEPARTURE_TOLD_MS });
   }
 
-  /** @param id - an endpoint whose entry was read from the key-value service and has changed */
+  /** @param id - an endpoint whose entry has changed: those that read for others tell it, and hosts pass it on */
   noteEntry(id: string): void {
-    if (this.#parts.followsClosely()) this.#entries.set(id, performance.now() + ENTRY_TOLD_MS);
+    if (this.#parts.followsClosely() || this.standing.host) this.#entries.set(id, performance.now() + ENTRY_TOLD_MS);
   }
 
   /**
@@ -228,7 +228,8 @@
     if (due.often) {
       this.#saidAt.often = now;
       this.#saidWork = this.#workText();
-      const nextWithinMs = Math.max(QUIET_PULSE_MS, serving.pulseIntervalMs(audience.often.length));
+      const nextMs = Math.max(QUIET_PULSE_MS, serving.pulseIntervalMs(audience.often.length));
+      const nextWithinMs = peerWorks.wholeNumber(nextMs);
       const pulse = protobuf.create(messages.PulseSchema, { ...state, ...this.#work.tell(now), nextWithinMs });
       this.#pulse.say(
         pulse,
@@ -249,8 +250,8 @@
       incarnation: entry.incarnation,
       dataCentre: entry.dataCentre,
       callers: entry.callers,
-      capacityThousandths: Math.round(entry.capacity * THOUSANDTHS),
-      busyThousandths: Math.round(this.#parts.busyCores() * THOUSANDTHS),
+      capacityThousandths: peerWorks.wholeNumber(entry.capacity * THOUSANDTHS),
+      busyThousandths: peerWorks.wholeNumber(this.#parts.busyCores() * THOUSANDTHS),
       active: this.standing.active,
       activeVms: [...this.standing.names],
       ready: this.#parts.ready(),
@@ -392,7 +393,7 @@
     return [...this.#others(), entry]
       .filter((daemon) => live.has(daemon.vm))
       .map(({ capacity, ...daemon }) => {
-        const capacityThousandths = Math.round(capacity * THOUSANDTHS);
+        const capacityThousandths = peerWorks.wholeNumber(capacity * THOUSANDTHS);
         return protobuf.create(messages.DaemonAddressSchema, { ...daemon, capacityThousandths });
       });
   }
--- a/packages/gateway/src/peerPulse.ts
+++ b/packages/gateway/src/peerPulse.ts
@@ -90,8 +90,13 @@
         reads: [],
         observations: [],
         sizes: [],
+        changing: [],
         readingLoadThousandths: 0,
         eventsPerSecond: 0,
+        storeSilentMs: 0,
+        capacityThousandths: 0,
+        busyThousandths: 0,
+        nextWithinMs: 0,
       };
       return protobuf.toBinary(messages.PulseSchema, { ...pulse, ...withoutFigures });
     }
--- a/packages/gateway/src/peerWork.ts
+++ b/packages/gateway/src/peerWork.ts
@@ -121,7 +121,12 @@
   }
 }
 
-/** A sum may grow beyond what a field holds, which the library answers by throwing; that much is as good as the most. */
-function wholeNumber(value: number): number {
+/**
+ * A sum may grow beyond what a field holds, which the library answers by throwing; that much is as good as the most.
+ *
+ * @param value - a figure to be told
+ * @returns a whole number that a field holds
+ */
+export function wholeNumber(value: number): number {
   return Math.min(MOST_IN_FIELD, Math.max(0, Math.round(value)));
 }
--- a/packages/gateway/src/storeFollower.ts
+++ b/packages/gateway/src/storeFollower.ts
@@ -22,7 +22,7 @@
  * Time without reading for a daemon that takes callers and is told what has changed, in milliseconds: what was lost on
  * the way is made good by then.
  */
-const TOLD_PAUSE_MS = 4_000;
+const TOLD_PAUSE_MS = 10_000;
 
 /** Interval at which a pausing daemon looks whether it is to follow closely now, in milliseconds. */
 const PAUSE_CHECK_MS = 250;
--- a/packages/gateway/src/watchDuty.ts
+++ b/packages/gateway/src/watchDuty.ts
@@ -1,7 +1,7 @@
 import * as serving from "@camphorcourse/serving";
 
-/** Daemons of a group that follow the key-value service closely; a second one covers the loss of the first. */
-const CLOSE_FOLLOWERS = 2;
+/** Daemons that follow the key-value service closely for all others; two of them may be lost or cut off. */
+const CLOSE_FOLLOWERS = 3;
 
 /** Daemons from which sharing pays; fewer read for themselves. */
 const SHARED_FROM = 6;
@@ -22,8 +22,9 @@
  * Decides who follows the key-value service closely; the others are told by
  * these. The load it answers: each call to the service costs, and endpoints'
  * heartbeats end every watch at once, so that calls grow with the number of
- * daemons though all read the same. Two daemons of a data centre read for it;
- * data centres of a few daemons read together, as all of them speak with each other.
+ * daemons though all read the same. A few daemons read for the fleet, in
+ * different data centres if they can: those that take callers hear each other,
+ * and tell those that stand by.
  *
  * Each daemon decides by itself, from what it hears. Where views differ for a
  * moment, more than enough follow closely.
@@ -33,19 +34,21 @@
  * @returns whether this daemon follows closely
  */
 export function followsClosely(own: string, followers: readonly Follower[]): boolean {
-  const self = followers.find((follower) => follower.vm === own);
-  if (self === undefined) return true;
   const able = followers.filter((follower) => follower.able);
-  const isLarge = (dataCentre: string): boolean =>
-    able.filter((follower) => follower.dataCentre === dataCentre).length >= SHARED_FROM;
-  const group = isLarge(self.dataCentre)
-    ? able.filter((follower) => follower.dataCentre === self.dataCentre)
-    : able.filter((follower) => !isLarge(follower.dataCentre));
-  if (group.length < SHARED_FROM) return true;
+  if (able.length < SHARED_FROM) return true;
   // Those that stand by are heard by few, and are the first to be short of processor time.
-  const active = group.filter((follower) => follower.active);
-  const ranked = serving.rankByCapacity(active.length > 0 ? active : group);
-  return ranked.slice(0, CLOSE_FOLLOWERS).some((follower) => follower.vm === own);
+  const active = able.filter((follower) => follower.active);
+  const ranked = serving.rankByCapacity(active.length > 0 ? active : able);
+  return spreadOut(ranked)
+    .slice(0, CLOSE_FOLLOWERS)
+    .some(({ vm }) => vm === own);
+}
+
+/** The first of each data centre first, then the others. */
+function spreadOut(ranked: readonly Follower[]): Follower[] {
+  const seen = new Set<string>();
+  const isFirst = ranked.map(({ dataCentre }) => !seen.has(dataCentre) && seen.add(dataCentre).size > 0);
+  return [...ranked.filter((_, index) => isFirst[index]), ...ranked.filter((_, index) => !isFirst[index])];
 }
 
 /** A peer that may tell what it reads. */
@@ -64,10 +67,11 @@
  * @param own - a daemon
  * @param active - whether it takes callers
  * @param live - the daemons that it hears
- * @returns whether some of these read the key-value service for it; one that stands by counts on its data centre alone
+ * @returns whether some of these tell it what is in the key-value service: those that read it closely, and to one that
+ *   stands by those of its data centre that take callers
  */
 export function isTold(own: { readonly dataCentre: string }, active: boolean, live: readonly Reader[]): boolean {
   return live
-    .filter((peer) => peer.followsClosely && peer.storeSilentMs <= READER_SILENT_MS)
-    .some((peer) => active || (peer.active && peer.dataCentre === own.dataCentre));
+    .filter((peer) => peer.storeSilentMs <= READER_SILENT_MS)
+    .some((peer) => (active ? peer.followsClosely : peer.active && peer.dataCentre === own.dataCentre));
 }
--- a/packages/gateway/tests/peerPulse.test.ts
+++ b/packages/gateway/tests/peerPulse.test.ts
@@ -38,6 +38,32 @@
   assert.match(problems[0] ?? "", /without its figures.*NaN/);
 });
 
+// The time until the next pulse was no whole number in a fleet of sixty. The pulse without its figures still held it, so
+// the library threw again, in a timer, and daemons ended by themselves all day long.
+suite("is told whichever of its figures is none", async () => {
+  const problems: string[] = [];
+  const heard: messages.Pulse[] = [];
+  const note = (detail: string): unknown => problems.push(detail);
+  const speaker = new peerPulses.PeerPulse(() => undefined, note);
+  const hearer = new peerPulses.PeerPulse((pulse) => heard.push(pulse), note);
+  await hearer.listen({ host: "127.0.0.1", port: PORT });
+  const wrong = [
+    { nextWithinMs: 744.2 },
+    { busyThousandths: Number.NaN },
+    { capacityThousandths: -1 },
+    { storeSilentMs: 0.5 },
+  ];
+  for (const figures of wrong) {
+    speaker.say(protobuf.create(messages.PulseSchema, { vm: "vm-1", ...figures }), [`127.0.0.1:${PORT}`]);
+  }
+  const all = wrong.length;
+  for (let turn = 0; turn < 100 && heard.length < all; turn++) await new Promise((resolve) => setTimeout(resolve, 10));
+  speaker.close();
+  hearer.close();
+  assert.is(heard.length, all);
+  assert.is(problems.length, all);
+});
+
 // Another process has the port. The socket's error was only logged, and the daemon waited for ever for its port: it was
 // up, took no part in the fleet and was never ready, and nothing started it again. Its start fails instead.
 suite("a port that can't be had fails the start", async () => {
