Untie the two circles of files in the gateway

fleetView and formerDaemons, endpointClient and endpointSend imported each other for types alone. A daemon's entry stands with its reading (daemonEntry.ts), what a send is in sending.ts.

--- a/packages/gateway/src/activeSend.ts
+++ b/packages/gateway/src/activeSend.ts
@@ -1,7 +1,7 @@
 import * as serving from "@camphorcourse/serving";
 import type * as callerAnswers from "./callerAnswer.js";
 import type * as contexts from "./context.js";
-import type * as endpointClients from "./endpointClient.js";
+import type * as sendings from "./sending.js";
 import type * as sendChoosers from "./sendChooser.js";
 import type * as servedRequests from "./servedRequest.js";
 import * as silenceWatches from "./silenceWatch.js";
@@ -25,7 +25,7 @@
   readonly #context: contexts.ServingContext;
   readonly #silence: silenceWatches.SilenceWatch;
   #read: serving.PendingRead | undefined;
-  #sending: endpointClients.Sending | undefined;
+  #sending: sendings.Sending | undefined;
   #begun = false;
 
   /**
@@ -71,8 +71,8 @@
    * @param onSilent - called while the endpoint is silent, with how long the send has been, in milliseconds
    */
   begin(
-    message: endpointClients.OutgoingRequest,
-    receiver: endpointClients.AnswerReceiver,
+    message: sendings.OutgoingRequest,
+    receiver: sendings.AnswerReceiver,
     onSilent: (silentMs: number) => void,
   ): void {
     this.#context.board.beginRun(this.endpoint.id);
--- a/packages/gateway/src/answerBody.ts
+++ b/packages/gateway/src/answerBody.ts
@@ -1,6 +1,6 @@
 import * as serving from "@camphorcourse/serving";
 import * as callerAnswers from "./callerAnswer.js";
-import type * as endpointClients from "./endpointClient.js";
+import type * as sendings from "./sending.js";
 import * as eventSplitters from "./eventSplitter.js";
 import type * as exchangeParts from "./exchangeParts.js";
 import * as metricsModule from "./metrics.js";
@@ -10,7 +10,7 @@
 /** Status and headers of an endpoint's answer. */
 export interface ReceivedHead {
   readonly status: number;
-  readonly headers: endpointClients.AnswerHeaders;
+  readonly headers: sendings.AnswerHeaders;
 }
 
 /** Takes the body of an endpoint's answer. */
--- a/packages/gateway/src/answerReceiver.ts
+++ b/packages/gateway/src/answerReceiver.ts
@@ -1,13 +1,13 @@
 import * as serving from "@camphorcourse/serving";
 import * as answerBodies from "./answerBody.js";
-import type * as endpointClients from "./endpointClient.js";
+import type * as sendings from "./sending.js";
 import type * as exchangeParts from "./exchangeParts.js";
 
 const HTTP_OK = 200;
 const CLIENT_ERRORS_FROM = 400;
 
 /** Takes an endpoint's answer to a request, and judges whether it is this request's and whole. */
-export class AnswerReceiver implements endpointClients.AnswerReceiver {
+export class AnswerReceiver implements sendings.AnswerReceiver {
   readonly #send: exchangeParts.AnsweredSend;
   readonly #isStream: boolean;
   #body: answerBodies.AnswerBody | undefined;
@@ -21,8 +21,8 @@
     this.#isStream = send.served.route.requestClass === serving.RequestClass.Stream;
   }
 
-  /** {@inheritDoc endpointClients.AnswerReceiver.onHead} */
-  onHead(status: number, headers: endpointClients.AnswerHeaders): boolean {
+  /** {@inheritDoc sendings.AnswerReceiver.onHead} */
+  onHead(status: number, headers: sendings.AnswerHeaders): boolean {
     const { active, context, served } = this.#send;
     const head = context.format.readAnswer(status, headers);
     this.#status = status;
@@ -34,12 +34,12 @@
     return head.notRun || status >= CLIENT_ERRORS_FROM;
   }
 
-  /** {@inheritDoc endpointClients.AnswerReceiver.onData} */
+  /** {@inheritDoc sendings.AnswerReceiver.onData} */
   onData(chunk: Buffer): void {
     this.#body?.onData(chunk);
   }
 
-  /** {@inheritDoc endpointClients.AnswerReceiver.onEnd} */
+  /** {@inheritDoc sendings.AnswerReceiver.onEnd} */
   onEnd(): void {
     const { active, results } = this.#send;
     if (!results.end(active)) return;
@@ -52,14 +52,14 @@
     }
   }
 
-  /** {@inheritDoc endpointClients.AnswerReceiver.onBroken} */
+  /** {@inheritDoc sendings.AnswerReceiver.onBroken} */
   onBroken(fate: serving.SendFate, detail: string): void {
     const { active, results } = this.#send;
     if (!results.end(active)) return;
     results.failed(active, this.#notRun ? serving.SendFate.Declined : fate, detail);
   }
 
-  #openBody(status: number, headers: endpointClients.AnswerHeaders): answerBodies.AnswerBody {
+  #openBody(status: number, headers: sendings.AnswerHeaders): answerBodies.AnswerBody {
     const head = { status, headers };
     if (this.#isStream && status === HTTP_OK) {
       return new answerBodies.StreamBody(this.#send, head);
--- a/packages/gateway/src/beliefs.ts
+++ b/packages/gateway/src/beliefs.ts
@@ -159,7 +159,7 @@
    *
    * @param heard - the daemon, as it or another one says; what is not said is empty
    */
-  takeHeardDaemon(heard: fleetViews.DaemonEntry): void {
+  takeHeardDaemon(heard: daemonEntries.DaemonEntry): void {
     const { layout, view, log } = this.#parts;
     const { vm, incarnation, peers } = heard;
     const key = `${layout.daemonPrefix}${vm}`;
--- a/packages/gateway/src/callerAnswer.ts
+++ b/packages/gateway/src/callerAnswer.ts
@@ -1,5 +1,5 @@
 import type * as http from "node:http";
-import type * as endpointClients from "./endpointClient.js";
+import type * as sendings from "./sending.js";
 
 /** Headers that concern one connection only, and those that are set anew here. */
 const NOT_PASSED_ON = new Set([
@@ -53,7 +53,7 @@
    * @param headers - its headers
    * @param body - its whole body
    */
-  pass(status: number, headers: endpointClients.AnswerHeaders, body: Buffer): void {
+  pass(status: number, headers: sendings.AnswerHeaders, body: Buffer): void {
     if (this.#state !== AnswerState.Open) return;
     this.#state = AnswerState.Ended;
     const passed = passedHeaders(headers);
@@ -67,7 +67,7 @@
    * @param status - the stream's status
    * @param headers - the stream's headers
    */
-  beginStream(status: number, headers: endpointClients.AnswerHeaders): void {
+  beginStream(status: number, headers: sendings.AnswerHeaders): void {
     if (this.#state !== AnswerState.Open) return;
     this.#state = AnswerState.Streaming;
     if (!isFramed(headers)) this.#endByClosing();
@@ -131,7 +131,7 @@
   }
 }
 
-function passedHeaders(headers: endpointClients.AnswerHeaders): string[] {
+function passedHeaders(headers: sendings.AnswerHeaders): string[] {
   const passed: string[] = [];
   for (const [name, value] of Object.entries(headers)) {
     if (value === undefined || NOT_PASSED_ON.has(name)) continue;
@@ -140,6 +140,6 @@
   return passed;
 }
 
-function isFramed(headers: endpointClients.AnswerHeaders): boolean {
+function isFramed(headers: sendings.AnswerHeaders): boolean {
   return headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
 }
--- a/packages/gateway/src/daemonEntry.ts
+++ b/packages/gateway/src/daemonEntry.ts
@@ -1,7 +1,20 @@
 import * as serving from "@camphorcourse/serving";
 import * as neverthrow from "neverthrow";
 import * as addresses from "./address.js";
-import type * as fleetViews from "./fleetView.js";
+
+/** Another daemon, as it registered itself. */
+export interface DaemonEntry {
+  readonly vm: string;
+  /** Names one start of the daemon. */
+  readonly incarnation: string;
+  readonly dataCentre: string;
+  /** IP:PORT for callers; empty for a daemon that was heard, not yet read of, and has not said it. */
+  readonly callers: string;
+  /** IP:PORT for the other daemons. */
+  readonly peers: string;
+  /** Processor capacity of its VM, in cores. */
+  readonly capacity: number;
+}
 
 /** Capacity of a daemon's VM where its entry doesn't say it, in cores. */
 export const USUAL_CAPACITY = 1;
@@ -24,7 +37,7 @@
  * @param value - what is written there
  * @returns the entry, or what is wrong with it
  */
-export function readDaemonEntry(name: string, value: Uint8Array): neverthrow.Result<fleetViews.DaemonEntry, string> {
+export function readDaemonEntry(name: string, value: Uint8Array): neverthrow.Result<DaemonEntry, string> {
   return readObject(value).andThen(({ vm, incarnation, dataCentre, callers, peers, capacity = USUAL_CAPACITY }) => {
     if (vm !== name) return neverthrow.err("it names another daemon");
     if (typeof incarnation !== "string" || typeof dataCentre !== "string") return neverthrow.err("a field is no text");
--- a/packages/gateway/src/endpointClient.ts
+++ b/packages/gateway/src/endpointClient.ts
@@ -1,53 +1,11 @@
 import type * as serving from "@camphorcourse/serving";
 import * as endpointLanes from "./endpointLanes.js";
 import * as endpointSends from "./endpointSend.js";
+import type * as sendings from "./sending.js";
 
 /** Part of an endpoint's connections that all daemons together use, so that checks and restarts find room. */
 const USED_CONNECTIONS_PART = 0.8;
 
-/** Headers of an answer by lower-case name. */
-export type AnswerHeaders = Readonly<Record<string, string | string[] | undefined>>;
-
-/** A request to an endpoint. */
-export interface OutgoingRequest {
-  readonly method: string;
-  readonly path: string;
-  /** Names and values by turns. */
-  readonly headers: string[];
-  readonly body: Buffer | undefined;
-  /** Instant from which it is not sent any more, in milliseconds, where there is one. */
-  readonly sendBefore?: number;
-}
-
-/** Takes an answer as it comes. */
-export interface AnswerReceiver {
-  /** @returns false to break the connection: the answer isn't for this request */
-  onHead(status: number, headers: AnswerHeaders): boolean;
-  onData(chunk: Buffer): void;
-  /** The whole answer has come. */
-  onEnd(): void;
-  /**
-   * @param fate - whether the request may have run
-   * @param detail - what went wrong
-   */
-  onBroken(fate: serving.SendFate, detail: string): void;
-}
-
-/** A send that is under way. */
-export interface Sending {
-  /** Whether a part of the request may have left; before, its connection is being opened. */
-  readonly hasLeft: boolean;
-  /** Instant at which the request was handed to its connection, in milliseconds, once it was. */
-  readonly leftAt: number | undefined;
-  /** Bytes that the connection has been given and has not taken yet: its link or the endpoint is slow. */
-  readonly unsentBytes: number;
-  /** Closes the connection; the endpoint drops the request. */
-  cancel(): void;
-  /** Reads no more of the answer until {@link Sending.resume}. */
-  pause(): void;
-  resume(): void;
-}
-
 /** Sends requests to endpoints over connections that are kept between requests. */
 export class EndpointClient {
   readonly #lanes = new Map<string, endpointLanes.EndpointLanes>();
@@ -93,7 +51,11 @@
    * @param receiver - takes the answer
    * @returns the send
    */
-  send(endpoint: serving.Endpoint, request: OutgoingRequest, receiver: AnswerReceiver): Sending {
+  send(
+    endpoint: serving.Endpoint,
+    request: sendings.OutgoingRequest,
+    receiver: sendings.AnswerReceiver,
+  ): sendings.Sending {
     const parts = {
       lanes: this.#lanesOf(endpoint),
       request,
--- a/packages/gateway/src/endpointSend.ts
+++ b/packages/gateway/src/endpointSend.ts
@@ -1,14 +1,14 @@
 import * as serving from "@camphorcourse/serving";
 import type * as undici from "undici";
-import type * as endpointClients from "./endpointClient.js";
+import type * as sendings from "./sending.js";
 import type * as endpointLanes from "./endpointLanes.js";
 import * as socketTurns from "./socketTurn.js";
 
 /** What one send works with. */
 export interface SendParts {
   readonly lanes: endpointLanes.EndpointLanes;
-  readonly request: endpointClients.OutgoingRequest;
-  readonly receiver: endpointClients.AnswerReceiver;
+  readonly request: sendings.OutgoingRequest;
+  readonly receiver: sendings.AnswerReceiver;
   /** Whether the event loop is late, so that what it hears may be old. */
   readonly isLate: () => boolean;
   /** Called when its connection breaks. */
@@ -19,7 +19,7 @@
 const FINAL_FROM = 200;
 
 /** One request on its way to an endpoint, and its answer on the way back. */
-export class EndpointSend implements endpointClients.Sending {
+export class EndpointSend implements sendings.Sending {
   readonly #parts: SendParts;
   readonly #lane: endpointLanes.Lane;
   #waiting: socketTurns.WaitingStep | undefined;
@@ -45,22 +45,22 @@
     else this.#waiting = new socketTurns.WaitingStep(() => this.#dispatch());
   }
 
-  /** {@inheritDoc endpointClients.Sending.hasLeft} */
+  /** {@inheritDoc sendings.Sending.hasLeft} */
   get hasLeft(): boolean {
     return this.#leftAt !== undefined;
   }
 
-  /** {@inheritDoc endpointClients.Sending.leftAt} */
+  /** {@inheritDoc sendings.Sending.leftAt} */
   get leftAt(): number | undefined {
     return this.#leftAt;
   }
 
-  /** {@inheritDoc endpointClients.Sending.unsentBytes} */
+  /** {@inheritDoc sendings.Sending.unsentBytes} */
   get unsentBytes(): number {
     return this.#lane.socket?.writableLength ?? 0;
   }
 
-  /** {@inheritDoc endpointClients.Sending.cancel} */
+  /** {@inheritDoc sendings.Sending.cancel} */
   cancel(): void {
     if (this.#over) return;
     if (this.#waiting?.drop() === true) {
@@ -73,12 +73,12 @@
     this.#controller?.abort(new Error("cancelled"));
   }
 
-  /** {@inheritDoc endpointClients.Sending.pause} */
+  /** {@inheritDoc sendings.Sending.pause} */
   pause(): void {
     this.#controller?.pause();
   }
 
-  /** {@inheritDoc endpointClients.Sending.resume} */
+  /** {@inheritDoc sendings.Sending.resume} */
   resume(): void {
     this.#controller?.resume();
   }
@@ -103,7 +103,7 @@
     else controller.abort(new Error("the connection came too late"));
   }
 
-  #onHead(status: number, headers: endpointClients.AnswerHeaders): void {
+  #onHead(status: number, headers: sendings.AnswerHeaders): void {
     if (this.#over || status < FINAL_FROM) return;
     this.#noteHeard();
     if (!this.#parts.receiver.onHead(status, headers)) {
--- a/packages/gateway/src/fleetView.ts
+++ b/packages/gateway/src/fleetView.ts
@@ -1,20 +1,7 @@
 import * as serving from "@camphorcourse/serving";
+import type * as daemonEntries from "./daemonEntry.js";
 import * as formerDaemons from "./formerDaemons.js";
 
-/** Another daemon, as it registered itself. */
-export interface DaemonEntry {
-  readonly vm: string;
-  /** Names one start of the daemon. */
-  readonly incarnation: string;
-  readonly dataCentre: string;
-  /** IP:PORT for callers; empty for a daemon that was heard, not yet read of, and has not said it. */
-  readonly callers: string;
-  /** IP:PORT for the other daemons. */
-  readonly peers: string;
-  /** Processor capacity of its VM, in cores. */
-  readonly capacity: number;
-}
-
 /** An engine that was ordered to take another role. */
 export interface EngineInChange {
   /** Instant at which it is used again whatever became of the order, in milliseconds. */
@@ -31,7 +18,7 @@
   readonly endpointDocuments = new Map<string, { readonly value: Uint8Array; readonly revision: number }>();
   /** Engines that were ordered to take another role and get no new work meanwhile. */
   readonly changing = new Map<string, EngineInChange>();
-  readonly daemons = new Map<string, DaemonEntry>();
+  readonly daemons = new Map<string, daemonEntries.DaemonEntry>();
   /** Daemons that have left a short time ago, and may start again. */
   readonly former = new formerDaemons.FormerDaemons();
   #table: serving.RouteTable | undefined;
--- a/packages/gateway/src/formerDaemons.ts
+++ b/packages/gateway/src/formerDaemons.ts
@@ -1,5 +1,5 @@
 import * as common from "@camphorcourse/common";
-import type * as fleetViews from "./fleetView.js";
+import type * as daemonEntries from "./daemonEntry.js";
 
 /**
  * Time for which the address of a daemon that has left is kept, in milliseconds:
@@ -21,13 +21,13 @@
  * restart: it answers whoever it hears, and is told the rest.
  */
 export class FormerDaemons {
-  readonly #left = new Map<string, { readonly entry: fleetViews.DaemonEntry; readonly until: number }>();
+  readonly #left = new Map<string, { readonly entry: daemonEntries.DaemonEntry; readonly until: number }>();
 
   /**
    * @param entry - a daemon that has left
    * @param now - current instant in milliseconds
    */
-  note(entry: fleetViews.DaemonEntry, now: number): void {
+  note(entry: daemonEntries.DaemonEntry, now: number): void {
     this.#left.delete(entry.vm);
     this.#left.set(entry.vm, { entry, until: now + FORMER_KEPT_MS });
     const [oldest] = this.#left.keys();
@@ -43,7 +43,7 @@
    * @param vm - a daemon that has joined
    * @returns its entry from before, if it has left a short time ago
    */
-  take(vm: string): fleetViews.DaemonEntry | undefined {
+  take(vm: string): daemonEntries.DaemonEntry | undefined {
     const entry = this.#left.get(vm)?.entry;
     this.#left.delete(vm);
     return entry;
@@ -58,7 +58,7 @@
    * @param now - current instant in milliseconds
    * @returns where they were
    */
-  spokenToBy(own: string, able: readonly string[], now: number): fleetViews.DaemonEntry[] {
+  spokenToBy(own: string, able: readonly string[], now: number): daemonEntries.DaemonEntry[] {
     for (const [vm, { until }] of this.#left) if (until <= now) this.#left.delete(vm);
     return [...this.#left.values()]
       .map(({ entry }) => entry)
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -8,6 +8,7 @@
 import * as contexts from "./context.js";
 import * as decisionLogs from "./decisionLog.js";
 import * as endpointClients from "./endpointClient.js";
+import type * as daemonEntries from "./daemonEntry.js";
 import * as fleetViews from "./fleetView.js";
 import * as loopWatches from "./loopWatch.js";
 import * as metricsModule from "./metrics.js";
@@ -73,7 +74,7 @@
   readonly #listener: callerListeners.CallerListener;
   readonly #follower: storeFollowers.StoreFollower;
   readonly #registration: registrations.Registration;
-  readonly #entry: fleetViews.DaemonEntry;
+  readonly #entry: daemonEntries.DaemonEntry;
   readonly #peers: peerLinks.PeerLink;
   readonly #authority: orderAuthorities.OrderAuthority;
   readonly #roles: roleChangers.RoleChanger;
--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -48,7 +48,7 @@
 /** What the link needs. */
 export interface PeerLinkParts {
   readonly settings: settingsModule.GatewaySettings;
-  readonly entry: fleetViews.DaemonEntry;
+  readonly entry: daemonEntries.DaemonEntry;
   readonly view: fleetViews.FleetView;
   readonly board: serving.EngineBoard;
   readonly demand: serving.Demand;
@@ -63,7 +63,7 @@
   /** Part of the VM's capacity that is busy, in cores. */
   readonly busyCores: () => number;
   /** Takes a daemon that was heard, or that a peer tells of. */
-  readonly onDaemon: (heard: fleetViews.DaemonEntry) => void;
+  readonly onDaemon: (heard: daemonEntries.DaemonEntry) => void;
   /** Takes a configuration document and its revision. */
   readonly onConfiguration: (document: Uint8Array, revision: number) => void;
   /** Takes an endpoint's entry and its revision. */
@@ -200,7 +200,7 @@
     return audiences.audienceOf(own, known, this.#turn);
   }
 
-  #others(): fleetViews.DaemonEntry[] {
+  #others(): daemonEntries.DaemonEntry[] {
     return [...this.#parts.view.daemons.values()].filter((daemon) => daemon.vm !== this.#parts.entry.vm);
   }
 
--- a/packages/gateway/src/peers/audience.ts
+++ b/packages/gateway/src/peers/audience.ts
@@ -1,12 +1,12 @@
 import * as serving from "@camphorcourse/serving";
-import type * as fleetViews from "../fleetView.js";
+import type * as daemonEntries from "../daemonEntry.js";
 
 /** Daemons of a data centre of which nobody is heard that are spoken to at a time; the next time it is others. */
 const TRIED_AT_ONCE = 4;
 
 /** Another daemon, and what was heard of it. */
 export interface KnownDaemon {
-  readonly entry: fleetViews.DaemonEntry;
+  readonly entry: daemonEntries.DaemonEntry;
   /** Whether it was heard a short time ago. */
   readonly live: boolean;
   /** Whether it was heard to take callers, or to have work of theirs. */
@@ -18,9 +18,9 @@
 /** Whom a daemon speaks to. */
 export interface Audience {
   /** Daemons that have to know its work: several times a second. */
-  readonly often: readonly fleetViews.DaemonEntry[];
+  readonly often: readonly daemonEntries.DaemonEntry[];
   /** Daemons that have to know that it lives, and what has changed: once or twice a second. */
-  readonly seldom: readonly fleetViews.DaemonEntry[];
+  readonly seldom: readonly daemonEntries.DaemonEntry[];
 }
 
 /** What a daemon is, for the choice of whom it speaks to. */
@@ -85,6 +85,6 @@
     .filter((daemon) => daemon !== undefined);
 }
 
-function entriesOf(daemons: readonly KnownDaemon[]): fleetViews.DaemonEntry[] {
+function entriesOf(daemons: readonly KnownDaemon[]): daemonEntries.DaemonEntry[] {
   return daemons.map(({ entry }) => entry);
 }
--- a/packages/gateway/src/peers/standing.ts
+++ b/packages/gateway/src/peers/standing.ts
@@ -1,11 +1,11 @@
 import * as serving from "@camphorcourse/serving";
 import type * as decisionLogs from "../decisionLog.js";
-import type * as fleetViews from "../fleetView.js";
+import type * as daemonEntries from "../daemonEntry.js";
 import type * as peerBooks from "../peerBook.js";
 
 /** What the standing is decided by. */
 export interface StandingParts {
-  readonly entry: fleetViews.DaemonEntry;
+  readonly entry: daemonEntries.DaemonEntry;
   readonly book: peerBooks.PeerBook;
   readonly log: decisionLogs.DecisionLog;
   /** Whether this daemon can serve callers. */
--- a/packages/gateway/src/promptReceiver.ts
+++ b/packages/gateway/src/promptReceiver.ts
@@ -1,11 +1,11 @@
 import * as serving from "@camphorcourse/serving";
-import type * as endpointClients from "./endpointClient.js";
+import type * as sendings from "./sending.js";
 import type * as exchangeParts from "./exchangeParts.js";
 
 const HTTP_OK = 200;
 
 /** Takes the answer to a prompt that an engine only reads: a handle for another engine to go on with. */
-export class PromptReceiver implements endpointClients.AnswerReceiver {
+export class PromptReceiver implements sendings.AnswerReceiver {
   readonly #send: exchangeParts.AnsweredSend;
   readonly #chunks: Buffer[] = [];
   #status = 0;
@@ -16,8 +16,8 @@
     this.#send = send;
   }
 
-  /** {@inheritDoc endpointClients.AnswerReceiver.onHead} */
-  onHead(status: number, headers: endpointClients.AnswerHeaders): boolean {
+  /** {@inheritDoc sendings.AnswerReceiver.onHead} */
+  onHead(status: number, headers: sendings.AnswerHeaders): boolean {
     const { active, context, served } = this.#send;
     const head = context.format.readAnswer(status, headers);
     this.#status = status;
@@ -26,12 +26,12 @@
     return head.requestId === undefined || head.requestId === served.id;
   }
 
-  /** {@inheritDoc endpointClients.AnswerReceiver.onData} */
+  /** {@inheritDoc sendings.AnswerReceiver.onData} */
   onData(chunk: Buffer): void {
     this.#chunks.push(chunk);
   }
 
-  /** {@inheritDoc endpointClients.AnswerReceiver.onEnd} */
+  /** {@inheritDoc sendings.AnswerReceiver.onEnd} */
   onEnd(): void {
     const { active, results, context, served, memory, lessons } = this.#send;
     if (!results.end(active)) return;
@@ -50,7 +50,7 @@
   }
 
   /**
-   * {@inheritDoc endpointClients.AnswerReceiver.onBroken}
+   * {@inheritDoc sendings.AnswerReceiver.onBroken}
    *
    * Reading a prompt runs nothing, so a lost answer to it leaves the request not run.
    */
--- a/packages/gateway/src/registration.ts
+++ b/packages/gateway/src/registration.ts
@@ -1,6 +1,6 @@
 import * as neverthrow from "neverthrow";
 import type * as decisionLogs from "./decisionLog.js";
-import type * as fleetViews from "./fleetView.js";
+import type * as daemonEntries from "./daemonEntry.js";
 import * as ports from "./ports.js";
 
 /**
@@ -19,7 +19,7 @@
 export class Registration {
   readonly #store: ports.DurableStore;
   readonly #key: string;
-  readonly #entry: fleetViews.DaemonEntry;
+  readonly #entry: daemonEntries.DaemonEntry;
   readonly #log: decisionLogs.DecisionLog;
   /** The lease under which the entry is written, once it is granted. */
   #granted: number | undefined;
@@ -33,7 +33,7 @@
    * @param entry - the entry
    * @param log - takes what is decided
    */
-  constructor(store: ports.DurableStore, key: string, entry: fleetViews.DaemonEntry, log: decisionLogs.DecisionLog) {
+  constructor(store: ports.DurableStore, key: string, entry: daemonEntries.DaemonEntry, log: decisionLogs.DecisionLog) {
     this.#store = store;
     this.#key = key;
     this.#entry = entry;
--- a/packages/gateway/src/requestEnd.ts
+++ b/packages/gateway/src/requestEnd.ts
@@ -1,6 +1,6 @@
 import * as callerAnswers from "./callerAnswer.js";
 import type * as contexts from "./context.js";
-import type * as endpointClients from "./endpointClient.js";
+import type * as sendings from "./sending.js";
 import * as metricsModule from "./metrics.js";
 import type * as servedRequests from "./servedRequest.js";
 
@@ -70,7 +70,7 @@
    * @param body - its whole body
    * @param now - when it came, in milliseconds
    */
-  pass(status: number, headers: endpointClients.AnswerHeaders, body: Buffer, now: number): void {
+  pass(status: number, headers: sendings.AnswerHeaders, body: Buffer, now: number): void {
     this.#context.metrics.record(metricsModule.Duration.Request, now - this.#served.caller.arrivedAt);
     this.#answer.pass(status, headers, body);
     this.#finish("answered", status);
--- a/packages/gateway/src/sendCourse.ts
+++ b/packages/gateway/src/sendCourse.ts
@@ -1,7 +1,7 @@
 import * as serving from "@camphorcourse/serving";
 import * as activeSends from "./activeSend.js";
 import * as answerReceivers from "./answerReceiver.js";
-import type * as endpointClients from "./endpointClient.js";
+import type * as sendings from "./sending.js";
 import type * as exchangeParts from "./exchangeParts.js";
 import * as promptReceivers from "./promptReceiver.js";
 import * as sendChoosers from "./sendChooser.js";
@@ -168,7 +168,7 @@
     planned: sendChoosers.PlannedSend,
     remainingMs: number,
     urgency: number | undefined,
-  ): endpointClients.OutgoingRequest {
+  ): sendings.OutgoingRequest {
     const { context, memory, served } = this.#parts;
     const source = memory.handedOver;
     const { lastEventId } = served.progress;
@@ -186,7 +186,7 @@
     return { method, path, headers, body, sendBefore: served.deadlineAt };
   }
 
-  #receiver(active: activeSends.ActiveSend): endpointClients.AnswerReceiver {
+  #receiver(active: activeSends.ActiveSend): sendings.AnswerReceiver {
     const send: exchangeParts.AnsweredSend = { ...this.#parts, active, results: this };
     if (active.stage === sendChoosers.Stage.Reading) return new promptReceivers.PromptReceiver(send);
     return new answerReceivers.AnswerReceiver(send);
--- a/packages/gateway/tests/activeDaemons.test.ts
+++ b/packages/gateway/tests/activeDaemons.test.ts
@@ -1,6 +1,6 @@
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
-import type * as fleetViews from "../src/fleetView.js";
+import type * as daemonEntries from "../src/daemonEntry.js";
 import * as talkingFleets from "./helpers/talkingFleet.js";
 
 const suite = uvu.suite("daemons that take callers, as they hear each other");
@@ -16,7 +16,7 @@
 /** Time for a fleet that starts, or that has lost daemons, to know who takes callers, in milliseconds. */
 const SETTLED_MS = 6_000;
 
-function entry(dataCentre: string, name: string, capacity: number): fleetViews.DaemonEntry {
+function entry(dataCentre: string, name: string, capacity: number): daemonEntries.DaemonEntry {
   const vm = `${dataCentre}-${name}`;
   return { vm, incarnation: vm, dataCentre, callers: `${vm}:1`, peers: `${vm}:2`, capacity };
 }
--- a/packages/gateway/tests/formerDaemons.test.ts
+++ b/packages/gateway/tests/formerDaemons.test.ts
@@ -1,3 +1,4 @@
+import type * as daemonEntries from "../src/daemonEntry.js";
 import * as fleetViews from "../src/fleetView.js";
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
@@ -7,7 +8,7 @@
 
 const FLEET = Array.from({ length: 300 }, (_, index) => `vm-${index}`);
 
-function entry(vm: string): fleetViews.DaemonEntry {
+function entry(vm: string): daemonEntries.DaemonEntry {
   return { vm, incarnation: "before", dataCentre: "a", callers: `${vm}:1`, peers: `${vm}:2`, capacity: 1 };
 }
 
--- a/packages/gateway/tests/helpers/exchangeStand.ts
+++ b/packages/gateway/tests/helpers/exchangeStand.ts
@@ -6,6 +6,7 @@
 import * as callerAnswers from "../../src/callerAnswer.js";
 import * as contexts from "../../src/context.js";
 import * as decisionLogs from "../../src/decisionLog.js";
+import type * as sendings from "../../src/sending.js";
 import * as endpointClients from "../../src/endpointClient.js";
 import * as exchanges from "../../src/exchange.js";
 import * as fleetViews from "../../src/fleetView.js";
@@ -22,7 +23,7 @@
 export interface SeenSend {
   readonly endpoint: serving.Endpoint;
   readonly path: string;
-  readonly receiver: endpointClients.AnswerReceiver;
+  readonly receiver: sendings.AnswerReceiver;
   cancelled: boolean;
 }
 
@@ -34,9 +35,9 @@
 
   override send(
     endpoint: serving.Endpoint,
-    request: endpointClients.OutgoingRequest,
-    receiver: endpointClients.AnswerReceiver,
-  ): endpointClients.Sending {
+    request: sendings.OutgoingRequest,
+    receiver: sendings.AnswerReceiver,
+  ): sendings.Sending {
     const { fault } = this;
     this.fault = undefined;
     if (fault !== undefined) throw fault;
--- a/packages/gateway/tests/helpers/talkingFleet.ts
+++ b/packages/gateway/tests/helpers/talkingFleet.ts
@@ -1,6 +1,6 @@
 import * as common from "@camphorcourse/common";
 import * as decisionLogs from "../../src/decisionLog.js";
-import type * as fleetViews from "../../src/fleetView.js";
+import type * as daemonEntries from "../../src/daemonEntry.js";
 import * as peerBooks from "../../src/peerBook.js";
 import * as audiences from "../../src/peers/audience.js";
 import * as standings from "../../src/peers/standing.js";
@@ -13,7 +13,7 @@
 
 /** One daemon of the fleet: what it hears decides whom it speaks to. */
 export class TalkingDaemon {
-  readonly entry: fleetViews.DaemonEntry;
+  readonly entry: daemonEntries.DaemonEntry;
   readonly book: peerBooks.PeerBook;
   readonly standing: standings.Standing;
   up = true;
@@ -25,7 +25,7 @@
   #saidSeldomAt = Number.NEGATIVE_INFINITY;
   #turn = 0;
 
-  constructor(entry: fleetViews.DaemonEntry) {
+  constructor(entry: daemonEntries.DaemonEntry) {
     this.entry = entry;
     this.book = new peerBooks.PeerBook(entry.vm);
     this.standing = new standings.Standing({
@@ -38,7 +38,7 @@
   }
 
   /** @returns whom it speaks to now, and when it speaks to them again */
-  look(now: number, others: readonly fleetViews.DaemonEntry[]): [to: string, nextWithinMs: number][] {
+  look(now: number, others: readonly daemonEntries.DaemonEntry[]): [to: string, nextWithinMs: number][] {
     const hasChanged = this.standing.look(now);
     const named = new Set(this.book.live(now).flatMap(({ names }) => names));
     const known = others.map((entry) => {
@@ -92,7 +92,7 @@
    * @param seed - of what is lost
    * @param lostShare - part of what is said that is lost
    */
-  constructor(entries: readonly fleetViews.DaemonEntry[], seed: number, lostShare = 0) {
+  constructor(entries: readonly daemonEntries.DaemonEntry[], seed: number, lostShare = 0) {
     this.daemons = entries.map((entry) => new TalkingDaemon(entry));
     this.#random = new common.SeededRandom(seed);
     this.#lostShare = lostShare;
