--- a/packages/serving/src/activeSet.ts
+++ b/packages/serving/src/activeSet.ts
@@ -10,7 +10,7 @@
 const LEAST_CAPACITY_SHARE = 0.2;
 
 /** Capacity of those that take callers, in multiples of what their work keeps busy: a burst doubles it within a second. */
-const CAPACITY_PER_BUSY = 3;
+const CAPACITY_PER_BUSY = 2;
 
 /** Time for which the highest need counts, in milliseconds: callers come back to a daemon's address for some seconds. */
 const NEED_KEPT_MS = 15_000;
