Split what a daemon tells of endpoints and its duty to read from two long files

What is told of endpoints is in peers/toldChanges.ts, whether this daemon reads the key-value service in storeDuty.ts; nothing that is decided has changed.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -20,8 +20,8 @@
 import * as roleChangers from "./roleChanger.js";
 import type * as settingsModule from "./settings.js";
 import * as sideServers from "./sideServers.js";
+import * as storeDuties from "./storeDuty.js";
 import * as storeFollowers from "./storeFollower.js";
-import * as watchDuties from "./watchDuty.js";
 
 /** Interval at which a stopping daemon looks how far it is, in milliseconds; after a standstill one look is waited for. */
 const STOP_CHECK_MS = 25;
@@ -35,9 +35,6 @@
 /** Weight of the last turn of the loop in what counts as busy: half a second of load shows. */
 const BUSY_WEIGHT = 0.4;
 
-/** Time within which a configuration that others have in force is told, in milliseconds. */
-const TOLD_WITHIN_MS = 400;
-
 /** Most addresses in one answer. */
 const MOST_ADDRESSES = 64;
 
@@ -76,6 +73,7 @@
   readonly #registration: registrations.Registration;
   readonly #entry: daemonEntries.DaemonEntry;
   readonly #peers: peerLinks.PeerLink;
+  readonly #storeDuty: storeDuties.StoreDuty;
   readonly #authority: orderAuthorities.OrderAuthority;
   readonly #roles: roleChangers.RoleChanger;
   readonly #servers: http.Server[] = [];
@@ -84,7 +82,6 @@
   #loopUse = performance.eventLoopUtilization();
   /** Part of the VM's capacity that the event loop keeps busy, smoothed. */
   #busyShare = 0;
-  #aheadSince: number | undefined;
 
   /**
    * @param settings - checked settings
@@ -142,8 +139,8 @@
       log: this.#log,
       metrics: this.#metrics,
       draw: () => random.next(),
-      followsClosely: () => this.#followsClosely(),
-      isTold: () => !this.#followsClosely() && this.#isTold(),
+      followsClosely: () => this.#storeDuty.followsClosely(performance.now()),
+      isTold: () => this.#storeDuty.isTold(performance.now()),
       standsBy: () => !this.#peers.standing.active,
       peersMissStore: () => this.#peers.book.storeIsAway(performance.now()),
     });
@@ -158,13 +155,20 @@
       log: this.#log,
       ready: () => this.ready,
       storeSilentMs: () => this.#follower.silentMs,
-      followsClosely: () => this.#followsClosely(),
+      followsClosely: () => this.#storeDuty.followsClosely(performance.now()),
       busyCores: () => this.#busyShare * settings.capacity,
       onDaemon: (heard) => beliefs.takeHeardDaemon(heard),
       onConfiguration: (document, revision) => beliefs.takeConfiguration(document, revision, beliefsModule.Source.Peer),
       onEndpoint: (id, value, revision) => beliefs.takeEndpoint(id, value, revision, beliefsModule.Source.Peer),
       onDeparture: (id, departure) => beliefs.takeDeparture(id, departure, beliefsModule.Source.Peer),
     });
+    this.#storeDuty = new storeDuties.StoreDuty({
+      entry: this.#entry,
+      view: this.#view,
+      book: this.#peers.book,
+      standing: this.#peers.standing,
+      ready: () => this.ready,
+    });
     this.#authority = new orderAuthorities.OrderAuthority({
       store: surroundings.store,
       key: surroundings.layout.authorityKey,
@@ -317,42 +321,6 @@
     return common.rendezvousOrder(ORDERS_KEY, names)[0] === this.#entry.vm;
   }
 
-  /** @returns whether this daemon reads the key-value service for others too, or seldom and is told by others */
-  #followsClosely(): boolean {
-    const now = performance.now();
-    // One that stands by hears a few only, and can't tell who else reads.
-    if (!this.#peers.standing.active && this.#isTold()) return false;
-    const able = new Map(
-      this.#peers.book
-        .live(now)
-        .filter((peer) => peer.ready && peer.storeSilentMs <= peerBooks.STORE_SILENT_MS)
-        .map((peer) => [peer.vm, peer.active] as const),
-    );
-    if (this.ready) able.set(this.#entry.vm, this.#peers.standing.active);
-    const others = [...this.#view.daemons.values()].filter((daemon) => daemon.vm !== this.#entry.vm);
-    const followers = [this.#entry, ...others].map(({ vm, dataCentre, capacity }) => ({
-      vm,
-      dataCentre,
-      capacity,
-      able: able.has(vm),
-      active: able.get(vm) ?? false,
-    }));
-    return watchDuties.followsClosely(this.#entry.vm, followers);
-  }
-
-  /**
-   * Most daemons are told what is in the key-value service, and need not read it. If what it hears of is not told in
-   * time, a daemon reads for itself: the datagrams may reach it one way only.
-   */
-  #isTold(): boolean {
-    const now = performance.now();
-    const live = this.#peers.book.live(now);
-    const isAhead = live.some((peer) => peer.configurationRevision > this.#view.configurationRevision);
-    this.#aheadSince = isAhead ? (this.#aheadSince ?? now) : undefined;
-    if (!this.ready || now - (this.#aheadSince ?? now) > TOLD_WITHIN_MS) return false;
-    return watchDuties.isTold(this.#entry, this.#peers.standing.active, live);
-  }
-
   /**
    * A daemon short of processor time, a full link and a busy engine all look like answers that come late. Only this
    * line tells the first from the others.
--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -12,6 +12,7 @@
 import * as peerWorks from "./peerWork.js";
 import * as audiences from "./peers/audience.js";
 import * as standings from "./peers/standing.js";
+import * as toldChanges from "./peers/toldChanges.js";
 import type * as settingsModule from "./settings.js";
 import * as toldLives from "./toldLives.js";
 
@@ -33,18 +34,6 @@
 /** Messages tell capacity in whole thousandths of a core. */
 const THOUSANDTHS = 1_000;
 
-/** Time for which an entry that was read is told in each pulse, in milliseconds: several pulses, as some are lost. */
-const ENTRY_TOLD_MS = 1_500;
-
-/**
- * Longest entry that is told in a pulse, in bytes, several times an endpoint's own. A pulse with another writer's entry
- * of many kilobytes could not be sent, and this daemon would look dead; such an entry is read in the seldom readings.
- */
-const LONGEST_TOLD_BYTES = 1_000;
-
-/** Time for which a departure is told in each pulse, in milliseconds. */
-const DEPARTURE_TOLD_MS = 4_000;
-
 /** What the link needs. */
 export interface PeerLinkParts {
   readonly settings: settingsModule.GatewaySettings;
@@ -72,10 +61,6 @@
   readonly onDeparture: (id: string, departure: beliefsModule.Departure) => void;
 }
 
-interface ToldDeparture extends beliefsModule.Departure {
-  readonly toldUntil: number;
-}
-
 /** Speaks with the other daemons: work, departures, and news for those that the key-value service doesn't answer. */
 export class PeerLink {
   readonly book: peerBooks.PeerBook;
@@ -85,8 +70,7 @@
   readonly #pulse: peerPulses.PeerPulse;
   readonly #teller = new peerNews.NewsTeller();
   readonly #work: peerWorks.PeerWork;
-  readonly #departures = new Map<string, ToldDeparture>();
-  readonly #entries = new Map<string, number>();
+  readonly #changes: toldChanges.ToldChanges;
   #server: http.Server | undefined;
   #timer: NodeJS.Timeout | undefined;
   /** Whether the sockets are open: the key-value service is read before they are, and may be a moment after. */
@@ -102,6 +86,7 @@
     this.book = new peerBooks.PeerBook(parts.entry.vm);
     this.standing = new standings.Standing({ ...parts, book: this.book });
     this.#work = new peerWorks.PeerWork(parts);
+    this.#changes = new toldChanges.ToldChanges(parts.view);
     this.#pulse = new peerPulses.PeerPulse(
       (pulse, sender) => this.#hear(pulse, sender),
       (detail) => parts.log.warn("peer-datagram-failed", { detail }),
@@ -129,12 +114,12 @@
    * @param departure - which of these, and since when
    */
   noteDeparture(id: string, departure: beliefsModule.Departure): void {
-    this.#departures.set(id, { ...departure, toldUntil: performance.now() + DEPARTURE_TOLD_MS });
+    this.#changes.noteDeparture(id, departure, performance.now());
   }
 
   /** @param id - an endpoint whose entry has changed: those that read for others tell it, and hosts pass it on */
   noteEntry(id: string): void {
-    if (this.#parts.followsClosely() || this.standing.host) this.#entries.set(id, performance.now() + ENTRY_TOLD_MS);
+    if (this.#parts.followsClosely() || this.standing.host) this.#changes.noteEntry(id, performance.now());
   }
 
   /**
@@ -223,7 +208,6 @@
 
   #say(now: number, audience: audiences.Audience, due: { readonly often: boolean; readonly seldom: boolean }): void {
     if (!due.often && !due.seldom) return;
-    for (const [id, departure] of this.#departures) if (departure.toldUntil < now) this.#departures.delete(id);
     const state = this.#stateMessage(now);
     if (due.often) {
       this.#saidAt.often = now;
@@ -257,9 +241,9 @@
       ready: this.#parts.ready(),
       configurationRevision: BigInt(view.configurationRevision),
       storeSilentMs: Math.round(this.#parts.storeSilentMs()),
-      departures: this.#departureMessages(),
+      departures: this.#changes.departures(now),
       followsClosely: this.#parts.followsClosely(),
-      entries: this.#entryMessages(now),
+      entries: this.#changes.entries(now),
       changing: [...view.changing]
         .filter(([, change]) => change.until > now)
         .map(([endpoint, change]) => ({
@@ -271,30 +255,6 @@
     };
   }
 
-  #entryMessages(now: number): messages.EndpointEntry[] {
-    const told: messages.EndpointEntry[] = [];
-    for (const [id, until] of this.#entries) {
-      const document = this.#parts.view.endpointDocuments.get(id);
-      if (until < now || document === undefined) {
-        this.#entries.delete(id);
-        continue;
-      }
-      const { value, revision } = document;
-      if (value.length > LONGEST_TOLD_BYTES) continue;
-      told.push(protobuf.create(messages.EndpointEntrySchema, { id, value, revision: BigInt(revision) }));
-    }
-    return told;
-  }
-
-  #departureMessages(): { endpoint: string; revision: bigint; startedAtMs: bigint; setAside: boolean }[] {
-    return [...this.#departures].map(([endpoint, { revision, bornAt, setAside }]) => ({
-      endpoint,
-      revision: BigInt(revision),
-      startedAtMs: toldLives.toMessage(bornAt),
-      setAside,
-    }));
-  }
-
   #hear(pulse: messages.Pulse, sender: string): void {
     const now = performance.now();
     // One that stops as planned goes on speaking for a while, but has left; one without a configuration has just started.
@@ -372,10 +332,7 @@
       configurationRevision: BigInt(view.configurationRevision),
       configuration: behind ? (view.configurationDocument ?? new Uint8Array()) : new Uint8Array(),
       endpoints: needsList ? this.#allEntries() : [],
-      departures: this.#departureMessages().map((departure) => ({
-        $typeName: "camphorcourse.gateway.v1.Departure",
-        ...departure,
-      })),
+      departures: this.#changes.departures(now),
       daemons: peer.configurationRevision === 0 ? this.#liveDaemons(now) : [],
     };
   }
