Tell where most of the work is in a pulse that is over the size

Cause: a pulse over 1,400 bytes was told without any work. With few deciders one of them has work at dozens of engines (some 30 bytes each), most of all in a burst, and the others would send their prompts to the engines that it has filled. Change: shares go first, then what was read and learned, then all but the 24 engines with the most work. Test: peerPulse, none of 82 was told before.

--- a/packages/gateway/src/peerPulse.ts
+++ b/packages/gateway/src/peerPulse.ts
@@ -11,6 +11,9 @@
 /** Entries that a pulse still tells when it is over the size; the seldom readings make good what is left out. */
 const MOST_ENTRIES_WHEN_FULL = 2;
 
+/** Engines of which a pulse that is over the size still tells the work. */
+const MOST_WORK_WHEN_FULL = 24;
+
 /** Sends and hears the daemons' pulses. Lost ones are made good by the next. */
 export class PeerPulse {
   // Addresses are IP numbers already, and looking each up took a turn of the loop for every datagram.
@@ -54,20 +57,7 @@
    * @param addresses - IP:PORT of the daemons to say it to
    */
   say(pulse: messages.Pulse, addresses: readonly string[]): void {
-    let bytes = this.#encode(pulse);
-    // What is under way counts more than shares, which the next pulses go on with.
-    if (bytes.length > LARGEST_BYTES) bytes = this.#encode({ ...pulse, sizes: [] });
-    if (bytes.length > LARGEST_BYTES) {
-      bytes = this.#encode({
-        ...pulse,
-        work: [],
-        reads: [],
-        observations: [],
-        sizes: [],
-        entries: pulse.entries.slice(-MOST_ENTRIES_WHEN_FULL),
-        departures: pulse.departures.slice(-8),
-      });
-    }
+    const bytes = this.#encodeWithin(pulse);
     for (const address of addresses) {
       const colon = address.lastIndexOf(":");
       this.#socket.send(bytes, Number(address.slice(colon + 1)), address.slice(0, colon), (error) => {
@@ -76,6 +66,26 @@
     }
   }
 
+  /**
+   * What is under way counts more than shares, which the next pulses go on with, and than what was learned. Of a daemon
+   * that has work at many engines the others must still hear where most of it is: they would send their own there.
+   */
+  #encodeWithin(pulse: messages.Pulse): Uint8Array {
+    const withoutShares = { ...pulse, sizes: [] };
+    const withWorkAlone = { ...withoutShares, reads: [], observations: [] };
+    const withMostWork = { ...withWorkAlone, work: mostWork(pulse.work) };
+    for (const told of [pulse, withoutShares, withWorkAlone, withMostWork]) {
+      const bytes = this.#encode(told);
+      if (bytes.length <= LARGEST_BYTES) return bytes;
+    }
+    return this.#encode({
+      ...withMostWork,
+      work: [],
+      entries: pulse.entries.slice(-MOST_ENTRIES_WHEN_FULL),
+      departures: pulse.departures.slice(-8),
+    });
+  }
+
   /**
    * A figure that the message can't hold makes the library throw, in a timer: one daemon's wrong figure would end it
    * with all its callers. Told without its figures, the pulse still says that it lives and what has left.
@@ -115,3 +125,11 @@
     }
   }
 }
+
+/** The engines with the most unread tokens, then with the most requests. */
+function mostWork(work: readonly messages.EndpointWork[]): messages.EndpointWork[] {
+  const unreadOf = ({ unread }: messages.EndpointWork): number => unread.reduce((sum, tokens) => sum + tokens, 0);
+  return [...work]
+    .sort((left, right) => unreadOf(right) - unreadOf(left) || right.running - left.running)
+    .slice(0, MOST_WORK_WHEN_FULL);
+}
--- a/packages/gateway/tests/peerPulse.test.ts
+++ b/packages/gateway/tests/peerPulse.test.ts
@@ -64,6 +64,29 @@
   assert.is(problems.length, all);
 });
 
+// A daemon that takes the callers of forty VMs has work at most engines. Told without any of it, as a pulse over the size
+// was, the others would send their own prompts to the engines that it has filled.
+suite("over the size tells where most of the work is", async () => {
+  const heard: messages.Pulse[] = [];
+  const ignore = (): void => undefined;
+  const speaker = new peerPulses.PeerPulse(ignore, ignore);
+  const hearer = new peerPulses.PeerPulse((pulse) => heard.push(pulse), ignore);
+  await hearer.listen({ host: "127.0.0.1", port: PORT });
+  const work = Array.from({ length: 82 }, (_, index) => ({
+    $typeName: "camphorcourse.gateway.v1.EndpointWork" as const,
+    endpoint: `i-0123456789${index}`,
+    running: 3,
+    unread: [0, 0, 0, index * 100],
+  }));
+  speaker.say(protobuf.create(messages.PulseSchema, { vm: "vm-1", work }), [`127.0.0.1:${PORT}`]);
+  for (let turn = 0; turn < 100 && heard.length === 0; turn++) await new Promise((resolve) => setTimeout(resolve, 10));
+  speaker.close();
+  hearer.close();
+  const told = heard[0]?.work.map(({ endpoint }) => endpoint) ?? [];
+  assert.ok(told.length >= 20, `${told.length}`);
+  assert.ok(told.includes("i-012345678981"));
+});
+
 // Another process has the port. The socket's error was only logged, and the daemon waited for ever for its port: it was
 // up, took no part in the fleet and was never ready, and nothing started it again. Its start fails instead.
 suite("a port that can't be had fails the start", async () => {
