Drive a planned stop by one step without input or output

No change of logic. What a stopping daemon does at each look stood in the gateway, beside its sockets, so that no test could try it in other orders than those that a socket test brings about.

--- a/packages/gateway/src/callerListener.ts
+++ b/packages/gateway/src/callerListener.ts
@@ -47,7 +47,7 @@
 }
 
 /** Takes callers' connections and requests. */
-export class CallerListener {
+export class CallerListener implements serving.StoppableListener {
   readonly #context: contexts.ServingContext;
   readonly #server: http.Server;
   /** Requests that were taken and have no final answer yet. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -346,18 +346,7 @@
   }
 
   async #untilOver(plannedStop: serving.PlannedStop): Promise<void> {
-    for (;;) {
-      const now = performance.now();
-      plannedStop.look(now);
-      // A request may lie unread in a connection that was taken before the door closed, and would be cut without a word.
-      // By the next look the sockets have had their turn, and what lay in them is open.
-      const mayEnd = this.#listener.doorIsClosed;
-      if (plannedStop.endsUnsent(now)) this.#listener.endUnsent();
-      if (plannedStop.endsUnbegun(now)) this.#listener.endUnbegun();
-      const { openRequests: open, lastRequestAt } = this.#listener;
-      const isOver = plannedStop.isOver({ open, lastRequestAt }, now);
-      if (isOver && mayEnd) return;
-      if (isOver || plannedStop.closesDoor(now)) this.#listener.closeDoor();
+    while (!plannedStop.step(this.#listener, performance.now())) {
       await new Promise((resolve) => setTimeout(resolve, STOP_CHECK_MS));
     }
   }
--- a/packages/serving/src/plannedStop.ts
+++ b/packages/serving/src/plannedStop.ts
@@ -41,6 +41,22 @@
   readonly lastRequestAt: number;
 }
 
+/** The side of a daemon that faces callers, as a planned stop drives it. */
+export interface StoppableListener {
+  /** Requests without a final answer. */
+  readonly openRequests: number;
+  /** Instant of the last request, in milliseconds. */
+  readonly lastRequestAt: number;
+  /** Whether no connection is accepted any more. */
+  readonly doorIsClosed: boolean;
+  /** Accepts no connection from now on. */
+  closeDoor(): void;
+  /** Gives what has not left for an endpoint its final answer. */
+  endUnsent(): void;
+  /** Gives each request whose answer has not begun its final answer. */
+  endUnbegun(): void;
+}
+
 /** When a daemon was told to stop. */
 export interface StopSignal {
   /** Earliest instant at which the signal may have come, in milliseconds: earlier if the process stood still then. */
@@ -86,6 +102,26 @@
     this.#lookedAt = now;
   }
 
+  /**
+   * One step of the stop, to be taken several times a second. A daemon that may end does so one step after it has closed
+   * its door: between two steps the sockets have their turn, and what lay unread in a connection is open then.
+   *
+   * @param listener - the side that faces callers
+   * @param now - current instant in milliseconds
+   * @returns whether the daemon ends now
+   */
+  step(listener: StoppableListener, now: number): boolean {
+    this.look(now);
+    const mayEnd = listener.doorIsClosed;
+    if (this.endsUnsent(now)) listener.endUnsent();
+    if (this.endsUnbegun(now)) listener.endUnbegun();
+    const { openRequests: open, lastRequestAt } = listener;
+    const isOver = this.isOver({ open, lastRequestAt }, now);
+    if (isOver && mayEnd) return true;
+    if (isOver || this.closesDoor(now)) listener.closeDoor();
+    return false;
+  }
+
   /**
    * Once callers have had the time to move, only what must be over by its own
    * deadline before the process ends is taken.
