Let the largest prompts pay less of a deep shortage

Cause: a size is moved up once it is taken less than 0.65 times as often as its kind, however few are taken. A size holds lengths from one to twice another, and of the admitted the smaller ones the more, the fewer are admitted; so 0.65 of the size is less than half of the largest tenth in a deep shortage.

Change: the part rises from 0.65 to 0.77 as the kind's share falls from 0.8 to 0.6.

--- a/packages/serving/src/sizeShares.ts
+++ b/packages/serving/src/sizeShares.ts
@@ -3,8 +3,14 @@
 /** Time in which what was seen counts half as much, in milliseconds: a shortage lasts for some seconds. */
 const HALF_LIFE_MS = 8_000;
 
-/** Part of the whole kind's share that each size should be taken at least: users ask for half of it. */
-const LEAST_PART = 0.65;
+/**
+ * Part of the whole kind's share that each size should be taken at least. Users ask for half of it for the largest tenth;
+ * the fewer are taken, the more the prompts of one size differ among each other, so it rises with the shortage.
+ */
+const LEAST_PART = { usual: 0.65, deep: 0.77 };
+
+/** Shares of the whole kind taken between which that part rises. */
+const SHORTAGE = { begins: 0.8, deep: 0.6 };
 
 /** Weight of the whole kind's share beside what was seen of a size, in requests: of a few, chance decides. */
 const PRIOR_REQUESTS = 3;
@@ -102,7 +108,7 @@
    */
   isBehind(kind: string, promptTokens: number, now: number): boolean {
     const { ofSize, ofAll } = this.taken(kind, promptTokens, now);
-    return ofSize < LEAST_PART * ofAll;
+    return ofSize < leastPart(ofAll) * ofAll;
   }
 
   /**
@@ -150,6 +156,11 @@
   }
 }
 
+function leastPart(ofAll: number): number {
+  const depth = (SHORTAGE.begins - ofAll) / (SHORTAGE.begins - SHORTAGE.deep);
+  return LEAST_PART.usual + (LEAST_PART.deep - LEAST_PART.usual) * Math.max(0, Math.min(1, depth));
+}
+
 /** Sizes double from one to the next. */
 function sizeOf(promptTokens: number): number {
   return Math.round(Math.log2(Math.max(1, promptTokens)));
