Name requests alike over their retries, and log when an endpoint has ended under them

Missing for the hypotheses of the crashing request: ids differ from retry to retry, and a lost answer looks like an endpoint that has ended. A connection that breaks while no idle one to its endpoint is open makes one further connection: refused, the endpoint has ended (event=endpoint-ended). Nothing is decided by either yet. Weighed: a key of the fleet in the hash; daemons that start without the store would have none.

--- a/packages/gateway/src/address.ts
+++ b/packages/gateway/src/address.ts
@@ -1,5 +1,11 @@
 import * as net from "node:net";
 
+/** Where something listens. */
+export interface HostAndPort {
+  readonly host: string;
+  readonly port: number;
+}
+
 /** Highest number of a port. */
 const HIGHEST_PORT = 65_535;
 
@@ -14,3 +20,12 @@
   if (!/^\d{1,5}$/.test(port) || Number(port) < 1 || Number(port) > HIGHEST_PORT) return false;
   return net.isIPv4(value.slice(0, colon));
 }
+
+/**
+ * @param address - IP:PORT
+ * @returns its two parts
+ */
+export function hostAndPort(address: string): HostAndPort {
+  const colon = address.lastIndexOf(":");
+  return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
+}
--- a/packages/gateway/src/answerReceiver.ts
+++ b/packages/gateway/src/answerReceiver.ts
@@ -56,7 +56,8 @@
   onBroken(fate: serving.SendFate, detail: string): void {
     const { active, results } = this.#send;
     if (!results.end(active)) return;
-    results.failed(active, this.#notRun ? serving.SendFate.Declined : fate, detail);
+    if (this.#notRun) results.failed(active, serving.SendFate.Declined, detail);
+    else results.broken(active, fate, detail);
   }
 
   #openBody(status: number, headers: sendings.AnswerHeaders): answerBodies.AnswerBody {
--- a/packages/gateway/src/callerRequest.ts
+++ b/packages/gateway/src/callerRequest.ts
@@ -10,6 +10,8 @@
   readonly host: string;
   readonly path: string;
   readonly headers: ports.CallerHeaders;
+  /** IP address of the caller's end of the connection; empty if the connection is gone. */
+  readonly callerAddress: string;
   readonly arrivedAt: number;
 }
 
@@ -51,6 +53,7 @@
     host: host.toLowerCase().replace(/:\d+$/, ""),
     path: query < 0 ? target : target.slice(0, query),
     headers: headers.value,
+    callerAddress: incoming.socket.remoteAddress ?? "",
     arrivedAt: now,
   });
 }
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -1,6 +1,7 @@
 import * as common from "@camphorcourse/common";
 import * as serving from "@camphorcourse/serving";
 import type * as decisionLogs from "./decisionLog.js";
+import type * as endpointEnds from "./endpointEnds.js";
 import type * as endpointClients from "./endpointClient.js";
 import type * as fleetViews from "./fleetView.js";
 import type * as metricsModule from "./metrics.js";
@@ -23,6 +24,8 @@
   /** How often prompts are taken, by their size. */
   readonly sizeShares: serving.SizeShares;
   readonly client: endpointClients.EndpointClient;
+  /** Tells which endpoints have ended, and under what. */
+  readonly ends: endpointEnds.EndpointEnds;
   readonly budgets: RetryBudgets;
   readonly random: common.SeededRandom;
   /**
--- a/packages/gateway/src/endpointClient.ts
+++ b/packages/gateway/src/endpointClient.ts
@@ -40,6 +40,14 @@
     return (this.#lanes.get(endpointId)?.busy ?? 0) < share;
   }
 
+  /**
+   * @param endpointId - the endpoint
+   * @returns whether an idle connection to it is open
+   */
+  hasLiveConnection(endpointId: string): boolean {
+    return this.#lanes.get(endpointId)?.hasLiveIdle ?? false;
+  }
+
   /** @returns bytes of requests that connections to endpoints have been given and have not taken yet */
   get unsentBytes(): number {
     return [...this.#lanes.values()].reduce((sum, lanes) => sum + lanes.unsentBytes, 0);
--- a/packages/gateway/src/endpointLanes.ts
+++ b/packages/gateway/src/endpointLanes.ts
@@ -92,6 +92,11 @@
     return this.#busy.size;
   }
 
+  /** @returns whether a connection that carries no request is still open */
+  get hasLiveIdle(): boolean {
+    return this.#idle.some(({ socket }) => socket !== undefined && !socket.destroyed && !socket.readableEnded);
+  }
+
   /** @returns bytes of requests that the connections have not taken yet */
   get unsentBytes(): number {
     return [...this.#busy].reduce((sum, lane) => sum + (lane.socket?.writableLength ?? 0), 0);
--- a/packages/gateway/src/exchangeParts.ts
+++ b/packages/gateway/src/exchangeParts.ts
@@ -32,6 +32,14 @@
    * @param detail - what went wrong
    */
   failed(active: activeSends.ActiveSend, fate: serving.SendFate, detail: string): void;
+  /**
+   * The connection of a send broke: its endpoint may have ended.
+   *
+   * @param active - the send
+   * @param fate - whether the request may have run
+   * @param detail - what went wrong
+   */
+  broken(active: activeSends.ActiveSend, fate: serving.SendFate, detail: string): void;
   /** The request goes on with another send. */
   sendNext(): void;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,6 +7,7 @@
 import * as callerListeners from "./callerListener.js";
 import * as contexts from "./context.js";
 import * as decisionLogs from "./decisionLog.js";
+import * as endpointEnds from "./endpointEnds.js";
 import * as endpointClients from "./endpointClient.js";
 import type * as daemonEntries from "./daemonEntry.js";
 import * as fleetViews from "./fleetView.js";
@@ -99,6 +100,10 @@
       peers: `${settings.peers.host}:${settings.peers.port}`,
       capacity: settings.capacity,
     };
+    const client = new endpointClients.EndpointClient(
+      (name) => this.#metrics.count(name),
+      () => this.#loopWatch.lateMs >= LOOP_LATE_MS,
+    );
     this.#context = {
       settings,
       log: this.#log,
@@ -110,10 +115,13 @@
       speeds: new serving.ServiceSpeeds(),
       demand: new serving.Demand(),
       sizeShares: new serving.SizeShares(),
-      client: new endpointClients.EndpointClient(
-        (name) => this.#metrics.count(name),
-        () => this.#loopWatch.lateMs >= LOOP_LATE_MS,
-      ),
+      client,
+      ends: new endpointEnds.EndpointEnds({
+        log: this.#log,
+        hasLiveConnection: (endpointId) => client.hasLiveConnection(endpointId),
+        isLeaving: ({ id }) => !this.#view.directory.mayServe(id),
+        onEnded: () => this.#metrics.count("endpoints_ended"),
+      }),
       budgets: new contexts.RetryBudgets(settings.retryBounds, performance.now()),
       random,
       onMisdirected: (endpoint, answeredBy) => beliefs.takeMisdirected(endpoint, answeredBy),
--- a/packages/gateway/src/peerPulse.ts
+++ b/packages/gateway/src/peerPulse.ts
@@ -1,6 +1,7 @@
 import * as datagrams from "node:dgram";
 import * as protobuf from "@bufbuild/protobuf";
 import * as messages from "@camphorcourse/protocol/gateway";
+import * as socketAddresses from "./address.js";
 import type * as settingsModule from "./settings.js";
 
 /** Largest datagram in bytes that crosses usual links in one piece. */
@@ -59,8 +60,8 @@
   say(pulse: messages.Pulse, addresses: readonly string[]): void {
     const bytes = this.#encodeWithin(pulse);
     for (const address of addresses) {
-      const colon = address.lastIndexOf(":");
-      this.#socket.send(bytes, Number(address.slice(colon + 1)), address.slice(0, colon), (error) => {
+      const { host, port } = socketAddresses.hostAndPort(address);
+      this.#socket.send(bytes, port, host, (error) => {
         if (error !== null) this.#onProblem(error.message);
       });
     }
--- a/packages/gateway/src/promptReceiver.ts
+++ b/packages/gateway/src/promptReceiver.ts
@@ -58,6 +58,6 @@
     const { active, results } = this.#send;
     if (!results.end(active)) return;
     const known = fate === serving.SendFate.NotSent ? fate : serving.SendFate.Declined;
-    results.failed(active, known, detail);
+    results.broken(active, known, detail);
   }
 }
--- a/packages/gateway/src/sendCourse.ts
+++ b/packages/gateway/src/sendCourse.ts
@@ -103,6 +103,15 @@
     else end.give(BAD_GATEWAY, "endpoint-failed", "the request may have run and its answer is lost");
   }
 
+  /** {@inheritDoc exchangeParts.SendResults.broken} */
+  broken(active: activeSends.ActiveSend, fate: serving.SendFate, detail: string): void {
+    const { context, served } = this.#parts;
+    if (active.hasLeft) {
+      context.ends.noteBroken(active.endpoint, { fingerprints: served.fingerprints, brokeAt: performance.now() });
+    }
+    this.failed(active, fate, detail);
+  }
+
   /** The request is over: what runs for it is cancelled. */
   stop(): void {
     const active = this.#active;
--- a/packages/gateway/src/servedRequest.ts
+++ b/packages/gateway/src/servedRequest.ts
@@ -13,6 +13,7 @@
   readonly #tried = new Set<string>();
   #route: serving.Route;
   #service = "";
+  #fingerprints: serving.Fingerprints | undefined;
   #sends = 0;
   #mayHaveRun = false;
 
@@ -51,6 +52,13 @@
     return this.#caller.headers.requestId;
   }
 
+  /** @returns what it is called wherever its retries are compared */
+  get fingerprints(): serving.Fingerprints {
+    const { method, host, target, callerAddress } = this.#caller;
+    this.#fingerprints ??= serving.fingerprintsOf({ method, host, target, callerAddress, body: this.#body });
+    return this.#fingerprints;
+  }
+
   /** @returns how far its stream has come */
   get progress(): streamProgresses.StreamProgress {
     return this.#progress;
--- a/packages/gateway/tests/helpers/exchangeStand.ts
+++ b/packages/gateway/tests/helpers/exchangeStand.ts
@@ -7,6 +7,7 @@
 import * as contexts from "../../src/context.js";
 import * as decisionLogs from "../../src/decisionLog.js";
 import type * as sendings from "../../src/sending.js";
+import * as endpointEnds from "../../src/endpointEnds.js";
 import * as endpointClients from "../../src/endpointClient.js";
 import * as exchanges from "../../src/exchange.js";
 import * as fleetViews from "../../src/fleetView.js";
@@ -195,6 +196,12 @@
       demand: new serving.Demand(),
       sizeShares: new serving.SizeShares(),
       client: this.#client,
+      ends: new endpointEnds.EndpointEnds({
+        log: new decisionLogs.DecisionLog("vm-1", "info", sink),
+        hasLiveConnection: () => true,
+        isLeaving: () => false,
+        onEnded: () => undefined,
+      }),
       budgets: new contexts.RetryBudgets(SETTINGS.retryBounds, performance.now() - PROCESS_AGE_MS),
       random: new common.SeededRandom(SEED),
       onMisdirected: () => undefined,
@@ -202,7 +209,15 @@
     };
     const prompt = engine === undefined ? undefined : PROMPT;
     const headers = { requestId: "request-1", deadlineMs, lastEventId: undefined, prompt, passedOn: [] };
-    const request = { method: "POST", target: "/x", host: "desk", path: "/x", headers, arrivedAt: performance.now() };
+    const request = {
+      method: "POST",
+      target: "/x",
+      host: "desk",
+      path: "/x",
+      headers,
+      callerAddress: "127.0.0.1",
+      arrivedAt: performance.now(),
+    };
     this.exchange = new exchanges.Exchange(this.#context, request, ownRoute, Buffer.from("body"), this.answer);
   }
 
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -17,6 +17,7 @@
 export * from "./promptAdmission.js";
 export * from "./promptParts.js";
 export * from "./pulseInterval.js";
+export * from "./requestFingerprint.js";
 export * from "./retryBudget.js";
 export * from "./roleBalance.js";
 export * from "./silence.js";
