Isolate requests under which two endpoints ended, and reject those under which three did

Cause: no decision looks at what was running when an endpoint ended; each daemon repeats by the route's attempts, and each retry of the caller begins anew at any daemon. Class: a fault that follows the request is treated as one of the endpoint. Ruled out: ends of another cause (each 50 to 110 ms after the request reached the engine), too wide a budget (two first sends and two repeats in half a second keep every budget).

Change: endpoints that ended under a request since a run of it last ended well are counted by fingerprint, fleet-wide, as daemons tell each other in their heartbeats. One says little; with two the request runs alone in the fleet, at the endpoint with the least beside it, never at the last one, and is not repeated; with three it is rejected (503) for ten minutes, twice as long after each further end, and kept in the key-value service for daemons that start when nobody is left to tell them. Ends that a rejected request accounts for don't isolate those that ran beside it; a word of an end is refuted by a life that goes on answering; planned ends and lost answers don't count. A request whose second send broke, or that is suspected already, is not sent again.

--- a/packages/gateway/src/beliefs.ts
+++ b/packages/gateway/src/beliefs.ts
@@ -3,6 +3,7 @@
 import type * as decisionLogs from "./decisionLog.js";
 import type * as fleetViews from "./fleetView.js";
 import type * as ports from "./ports.js";
+import * as suspectWords from "./suspects/suspectWords.js";
 
 /** Where a belief comes from. */
 export enum Source {
@@ -31,6 +32,8 @@
   readonly onEndpoint: (news: serving.EndpointNews) => void;
   /** Called when an engine's role was changed, with its service, its role, and how long ago that was, in milliseconds. */
   readonly onRoleChange: (service: string, role: serving.EngineRole, agoMs: number) => void;
+  /** Takes what the key-value service keeps of a request that is rejected. */
+  readonly onSuspect: (word: serving.SuspectWord) => void;
   /** Called when a configuration has come into force. */
   readonly onConfiguration: () => void;
 }
@@ -193,9 +196,17 @@
       this.#takeDaemon(item);
     } else if (item.key === layout.roleChangeKey) {
       this.#takeRoleChange(item);
+    } else if (item.key.startsWith(layout.suspectPrefix)) {
+      this.#takeSuspect(item);
     }
   }
 
+  #takeSuspect(item: ports.StoredItem): void {
+    const word = suspectWords.fromStored(item.value, Date.now());
+    if (word.isOk()) this.#parts.onSuspect(word.value);
+    else this.#parts.log.warn("suspect-unreadable", { key: item.key, revision: item.revision, detail: word.error });
+  }
+
   #takeRoleChange(item: ports.StoredItem): void {
     if (item.revision <= this.#roleChangeRevision) return;
     this.#roleChangeRevision = item.revision;
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -7,6 +7,7 @@
 import type * as metricsModule from "./metrics.js";
 import type * as ports from "./ports.js";
 import type * as settingsModule from "./settings.js";
+import type * as suspectGates from "./suspects/suspectGate.js";
 
 /** What serving a request needs. */
 export interface ServingContext {
@@ -26,6 +27,8 @@
   readonly client: endpointClients.EndpointClient;
   /** Tells which endpoints have ended, and under what. */
   readonly ends: endpointEnds.EndpointEnds;
+  /** Keeps requests that crash endpoints from them. */
+  readonly suspects: suspectGates.SuspectGate;
   readonly budgets: RetryBudgets;
   readonly random: common.SeededRandom;
   /**
--- a/packages/gateway/src/endpointEnds.ts
+++ b/packages/gateway/src/endpointEnds.ts
@@ -15,6 +15,12 @@
 /** Fingerprints that one log line names. */
 const MOST_LOGGED = 8;
 
+/** Time for which an endpoint counts as ended in milliseconds: its entry lapses in it, or it has started again. */
+const ENDED_MS = 5_000;
+
+/** Endpoints that are remembered as ended. */
+const MOST_ENDED = 1_024;
+
 const REFUSED = "ECONNREFUSED";
 
 /** A run whose connection broke. */
@@ -47,6 +53,8 @@
 export class EndpointEnds {
   readonly #parts: EndpointEndsParts;
   readonly #checks = new Map<string, Check>();
+  /** Endpoints that have ended, with their lives' starts and when that was seen. */
+  readonly #ended = new Map<string, { readonly bornAt: number | undefined; readonly until: number }>();
 
   /** @param parts - what it needs */
   constructor(parts: EndpointEndsParts) {
@@ -67,12 +75,27 @@
     setTimeout(() => void this.#check(endpoint), SETTLE_MS);
   }
 
+  /**
+   * @param endpoint - an endpoint that is listed
+   * @param now - current instant in milliseconds
+   * @returns whether this life of it was seen to have ended a short time ago, before its entry lapses
+   */
+  hasEnded(endpoint: serving.Endpoint, now: number): boolean {
+    const seen = this.#ended.get(endpoint.id);
+    if (seen === undefined) return false;
+    if (seen.until > now && seen.bornAt === endpoint.bornAt) return true;
+    this.#ended.delete(endpoint.id);
+    return false;
+  }
+
   async #check(endpoint: serving.Endpoint): Promise<void> {
     const isAlive = this.#parts.hasLiveConnection(endpoint.id);
     const hasEnded = !isAlive && !this.#parts.isLeaving(endpoint) && (await refusesConnections(endpoint.address));
     const runs = this.#checks.get(endpoint.id)?.runs ?? [];
     this.#checks.delete(endpoint.id);
     if (!hasEnded) return;
+    if (this.#ended.size >= MOST_ENDED) this.#ended.clear();
+    this.#ended.set(endpoint.id, { bornAt: endpoint.bornAt, until: performance.now() + ENDED_MS });
     const fingerprints = runs.slice(0, MOST_LOGGED).map((run) => run.fingerprints.content);
     this.#parts.log.warn("endpoint-ended", {
       endpoint: endpoint.id,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -23,6 +23,8 @@
 import * as sideServers from "./sideServers.js";
 import * as storeDuties from "./storeDuty.js";
 import * as storeFollowers from "./storeFollower.js";
+import * as suspectGates from "./suspects/suspectGate.js";
+import * as suspectStores from "./suspects/suspectStore.js";
 
 /** Interval at which a stopping daemon looks how far it is, in milliseconds; after a standstill one look is waited for. */
 const STOP_CHECK_MS = 25;
@@ -75,6 +77,7 @@
   readonly #entry: daemonEntries.DaemonEntry;
   readonly #peers: peerLinks.PeerLink;
   readonly #storeDuty: storeDuties.StoreDuty;
+  readonly #suspectStore: suspectStores.SuspectStore;
   readonly #authority: orderAuthorities.OrderAuthority;
   readonly #roles: roleChangers.RoleChanger;
   readonly #servers: http.Server[] = [];
@@ -104,6 +107,18 @@
       (name) => this.#metrics.count(name),
       () => this.#loopWatch.lateMs >= LOOP_LATE_MS,
     );
+    const suspects = new suspectGates.SuspectGate({
+      log: this.#log,
+      heardAt: (endpointId) => client.heardAt(endpointId),
+      onGrave: () => this.#peers.sayNow(),
+      onQuarantined: (fingerprint) => this.#suspectStore.keep(fingerprint),
+    });
+    this.#suspectStore = new suspectStores.SuspectStore({
+      store: surroundings.store,
+      prefix: surroundings.layout.suspectPrefix,
+      log: this.#log,
+      wordOf: (fingerprint) => suspects.table.wordOf(fingerprint, performance.now()),
+    });
     this.#context = {
       settings,
       log: this.#log,
@@ -120,8 +135,12 @@
         log: this.#log,
         hasLiveConnection: (endpointId) => client.hasLiveConnection(endpointId),
         isLeaving: ({ id }) => !this.#view.directory.mayServe(id),
-        onEnded: () => this.#metrics.count("endpoints_ended"),
+        onEnded: (endpoint, runs) => {
+          this.#metrics.count("endpoints_ended");
+          suspects.noteEnded(endpoint, runs);
+        },
       }),
+      suspects,
       budgets: new contexts.RetryBudgets(settings.retryBounds, performance.now()),
       random,
       onMisdirected: (endpoint, answeredBy) => beliefs.takeMisdirected(endpoint, answeredBy),
@@ -133,6 +152,7 @@
       view: this.#view,
       log: this.#log,
       onEndpoint: (news) => this.#onEndpoint(news),
+      onSuspect: (word) => suspects.table.hear(word, performance.now()),
       onRoleChange: (service, role, agoMs) => this.#roles.changed(service, role, agoMs),
       onConfiguration: () => {
         this.#listener.followLimits();
@@ -160,6 +180,7 @@
       demand: this.#context.demand,
       speeds: this.#context.speeds,
       sizeShares: this.#context.sizeShares,
+      suspects: suspects.table,
       log: this.#log,
       ready: () => this.ready,
       storeSilentMs: () => this.#follower.silentMs,
@@ -262,6 +283,7 @@
       store_revision: this.#view.directory.revision,
       daemons_known: this.#view.daemons.size,
       daemons_heard: this.#peers.book.live(performance.now()).length,
+      suspects: this.#context.suspects.table.reports(performance.now()).length,
       takes_callers: Number(this.#peers.standing.active),
       busy_cores: this.#busyShare * this.#settings.capacity,
       heap_bytes: process.memoryUsage().heapUsed,
@@ -293,6 +315,7 @@
     await this.#untilAnswered(performance.now() + LAST_ANSWERS_MS);
     this.#listener.close();
     this.#follower.stop();
+    this.#suspectStore.stop();
     this.#peers.stop();
     this.#loopWatch.stop();
     this.#log.info("stopped", { open: this.#listener.openRequests, tookMs: Math.round(performance.now() - heardAt) });
@@ -371,6 +394,7 @@
     const { revision, leavingBornAt: bornAt } = news;
     if (DEPARTURES.has(news.change)) this.#peers.noteDeparture(news.id, { revision, bornAt, setAside });
     else this.#peers.noteEntry(news.id);
+    if (news.endpoint !== undefined) this.#context.suspects.noteListed(news.endpoint);
     if (news.change === serving.EndpointChange.Gone) {
       this.#view.endpointDocuments.delete(news.id);
       this.#forget(news.id);
@@ -389,6 +413,7 @@
     this.#context.client.forget(endpointId);
     this.#context.board.forget(endpointId);
     this.#context.health.forget(endpointId);
+    this.#context.suspects.forget(endpointId);
     this.#roles.forget(endpointId);
   }
 }
--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -12,6 +12,7 @@
 import * as peerWorks from "./peerWork.js";
 import * as audiences from "./peers/audience.js";
 import * as standings from "./peers/standing.js";
+import * as suspectWords from "./suspects/suspectWords.js";
 import * as toldChanges from "./peers/toldChanges.js";
 import type * as settingsModule from "./settings.js";
 import * as toldLives from "./toldLives.js";
@@ -43,6 +44,7 @@
   readonly demand: serving.Demand;
   readonly speeds: serving.ServiceSpeeds;
   readonly sizeShares: serving.SizeShares;
+  readonly suspects: serving.SuspectTable;
   readonly log: decisionLogs.DecisionLog;
   readonly ready: () => boolean;
   /** Milliseconds for which the key-value service has not answered. */
@@ -244,6 +246,8 @@
       departures: this.#changes.departures(now),
       followsClosely: this.#parts.followsClosely(),
       entries: this.#changes.entries(now),
+      suspects: this.#parts.suspects.words(now).map(suspectWords.toMessage),
+      tryingSuspect: this.#parts.suspects.isTrying,
       changing: [...view.changing]
         .filter(([, change]) => change.until > now)
         .map(([endpoint, change]) => ({
@@ -292,6 +296,12 @@
     }
     for (const entry of pulse.entries) this.#parts.onEndpoint(entry.id, entry.value, Number(entry.revision));
     this.#takeDepartures(pulse.departures);
+    this.#takeSuspects(pulse.suspects, now);
+    this.#parts.suspects.hearTrial(pulse.vm, pulse.tryingSuspect, now);
+  }
+
+  #takeSuspects(suspects: readonly messages.Suspect[], now: number): void {
+    for (const suspect of suspects) this.#parts.suspects.hear(suspectWords.fromMessage(suspect), now);
   }
 
   #takeDepartures(departures: readonly messages.Departure[]): void {
@@ -334,6 +344,7 @@
       endpoints: needsList ? this.#allEntries() : [],
       departures: this.#changes.departures(now),
       daemons: peer.configurationRevision === 0 ? this.#liveDaemons(now) : [],
+      suspects: this.#parts.suspects.lastingWords(now).map(suspectWords.toMessage),
     };
   }
 
@@ -361,6 +372,7 @@
     }
     for (const entry of news.endpoints) this.#parts.onEndpoint(entry.id, entry.value, Number(entry.revision));
     this.#takeDepartures(news.departures);
+    this.#takeSuspects(news.suspects, performance.now());
     const others = news.daemons.filter((daemon) => daemon.vm !== this.#parts.entry.vm);
     for (const daemon of others) {
       const { vm, incarnation, dataCentre, callers, peers } = daemon;
--- a/packages/gateway/src/peerPulse.ts
+++ b/packages/gateway/src/peerPulse.ts
@@ -12,6 +12,9 @@
 /** Entries that a pulse still tells when it is over the size; the seldom readings make good what is left out. */
 const MOST_ENTRIES_WHEN_FULL = 2;
 
+/** Suspects that a pulse over the size still tells, the most suspected. */
+const MOST_SUSPECTS_WHEN_FULL = 3;
+
 /** Engines of which a pulse that is over the size still tells the work. */
 const MOST_WORK_WHEN_FULL = 24;
 
@@ -84,6 +87,7 @@
       work: [],
       entries: pulse.entries.slice(-MOST_ENTRIES_WHEN_FULL),
       departures: pulse.departures.slice(-8),
+      suspects: pulse.suspects.slice(0, MOST_SUSPECTS_WHEN_FULL),
     });
   }
 
@@ -102,6 +106,7 @@
         observations: [],
         sizes: [],
         changing: [],
+        suspects: [],
         readingLoadThousandths: 0,
         eventsPerSecond: 0,
         storeSilentMs: 0,
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -98,6 +98,8 @@
   readonly authorityKey: string;
   /** Key of the last change of an engine's role. */
   readonly roleChangeKey: string;
+  /** Prefix of the requests that are rejected because endpoints ended under them. */
+  readonly suspectPrefix: string;
   /** @param value - the operators' document */
   decodeConfiguration(value: Uint8Array): neverthrow.Result<serving.Configuration, string>;
   /** @param id - the endpoint's id; @param value - its entry; @returns what it names, or why that can't be used */
--- a/packages/gateway/src/sendChooser.ts
+++ b/packages/gateway/src/sendChooser.ts
@@ -57,6 +57,26 @@
     return this.#chooseEngine(definition, definition.engine, prompt, reader);
   }
 
+  /**
+   * Chooses for a request under which endpoints have ended: the endpoint with the least beside it, as long as it is not
+   * the service's last one. Its prompt is read there too, so that no second engine is at risk.
+   *
+   * @returns the send, or why there is none
+   */
+  chooseAlone(): Choice {
+    const { board, ends, view } = this.#context;
+    const definition = view.table?.service(this.#served.service);
+    const prompt = this.#served.caller.headers.prompt;
+    const now = performance.now();
+    const able = this.#candidates(definition)
+      .filter((endpoint) => endpoint.role !== serving.EngineRole.Prefill && !ends.hasEnded(endpoint, now))
+      .sort((left, right) => board.running(left.id, now) - board.running(right.id, now));
+    const [emptiest, another] = able;
+    if (emptiest === undefined || another === undefined) return neverthrow.err({ reason: "no-spare-endpoint" });
+    if (definition?.engine === undefined || prompt === undefined) return answeringAt(emptiest, "no-endpoint");
+    return this.#placeOn([emptiest], definition, definition.engine, prompt);
+  }
+
   #candidates(definition: serving.Service | undefined): serving.Endpoint[] {
     const { view, client, health } = this.#context;
     const daemons = this.#context.liveDaemons();
@@ -90,9 +110,20 @@
     prompt: serving.Prompt,
     promptReader: serving.Endpoint | undefined,
   ): Choice {
-    const { board, health, settings, speeds } = this.#context;
     const engines = this.#candidates(definition);
-    const inputs: serving.PlacementInputs = {
+    if (promptReader === undefined) return this.#placeOn(engines, definition, engine, prompt);
+    const inputs = this.#placementInputs(engines, definition, engine, prompt);
+    return answeringAt(serving.placeDecoder(inputs, promptReader), "no-engine");
+  }
+
+  #placementInputs(
+    engines: readonly serving.Endpoint[],
+    definition: serving.Service,
+    engine: serving.EngineLimits,
+    prompt: serving.Prompt,
+  ): serving.PlacementInputs {
+    const { board, health, settings, speeds } = this.#context;
+    return {
       prompt,
       engines,
       board,
@@ -103,7 +134,15 @@
       pauseAimMs: this.#served.route.pauseMs,
       now: performance.now(),
     };
-    if (promptReader !== undefined) return answeringAt(serving.placeDecoder(inputs, promptReader), "no-engine");
+  }
+
+  #placeOn(
+    engines: readonly serving.Endpoint[],
+    definition: serving.Service,
+    engine: serving.EngineLimits,
+    prompt: serving.Prompt,
+  ): Choice {
+    const inputs = this.#placementInputs(engines, definition, engine, prompt);
     const placed = serving.placePrompt(inputs);
     if (placed === undefined) return neverthrow.err({ reason: "no-engine" });
     this.#noteDemand(placed, prompt);
@@ -113,8 +152,7 @@
     }
     const plan = admitted.value;
     const reader = plan.reader ?? plan.decoder;
-    board.noteRead(reader.id, engine.memoryTokens, prompt);
-
+    this.#context.board.noteRead(reader.id, engine.memoryTokens, prompt);
     const stage = plan.reader === undefined ? Stage.Answering : Stage.Reading;
     return neverthrow.ok({ endpoint: reader, stage, predictedMs: plan.predictedMs, plan });
   }
--- a/packages/gateway/src/sendCourse.ts
+++ b/packages/gateway/src/sendCourse.ts
@@ -64,7 +64,13 @@
       this.#readAgain(lostReader);
       return;
     }
-    const choice = this.#chooser.choose(memory.handedOver?.reader);
+    const admitted = this.#parts.context.suspects.admit(served);
+    if (admitted.isErr()) {
+      end.reject(admitted.error.reason, admitted.error.returnAfterMs);
+      return;
+    }
+    if (admitted.value) memory.free();
+    const choice = admitted.value ? this.#chooser.chooseAlone() : this.#chooser.choose(memory.handedOver?.reader);
     if (choice.isErr()) end.reject(choice.error.reason, choice.error.returnAfterMs);
     else this.#dispatch(choice.value);
   }
@@ -107,6 +113,7 @@
   broken(active: activeSends.ActiveSend, fate: serving.SendFate, detail: string): void {
     const { context, served } = this.#parts;
     if (active.hasLeft) {
+      served.noteBroken(context.suspects.isSuspected(served));
       context.ends.noteBroken(active.endpoint, { fingerprints: served.fingerprints, brokeAt: performance.now() });
     }
     this.failed(active, fate, detail);
@@ -122,6 +129,7 @@
       active.release();
     }
     this.#parts.memory.free();
+    this.#parts.context.suspects.release(this.#parts.served);
   }
 
   #logCancelled(active: activeSends.ActiveSend): void {
--- a/packages/gateway/src/servedRequest.ts
+++ b/packages/gateway/src/servedRequest.ts
@@ -3,6 +3,9 @@
 import type * as contexts from "./context.js";
 import * as streamProgresses from "./streamProgress.js";
 
+/** Sends of one request whose connection breaks before it is given up. */
+const MOST_BROKEN_SENDS = 2;
+
 /** What is known of one request while it is served: where it belongs, what was tried, and whether it may have run. */
 export class ServedRequest {
   readonly #context: contexts.ServingContext;
@@ -14,6 +17,8 @@
   #route: serving.Route;
   #service = "";
   #fingerprints: serving.Fingerprints | undefined;
+  #brokenSends = 0;
+  #mayBeSentAgain = true;
   #sends = 0;
   #mayHaveRun = false;
 
@@ -146,6 +151,17 @@
     this.#mayHaveRun = true;
   }
 
+  /**
+   * A send broke, and its endpoint may have ended under it. Each further send risks another endpoint with all that runs
+   * there, so a request that is suspected already, or whose second send broke, is not sent again.
+   *
+   * @param isSuspected - whether an endpoint has ended under it before
+   */
+  noteBroken(isSuspected: boolean): void {
+    this.#brokenSends++;
+    if (isSuspected || this.#brokenSends >= MOST_BROKEN_SENDS) this.#mayBeSentAgain = false;
+  }
+
   /**
    * @param fate - what became of a send that gave no answer to pass on
    * @returns what follows
@@ -159,7 +175,7 @@
       requestClass: this.#route.requestClass,
       resumable: this.#route.resumable,
       sends: this.#sends,
-      attempts: this.#route.attempts,
+      attempts: this.#mayBeSentAgain ? this.#route.attempts : 0,
       remainingMs: this.remainingMs,
       otherEndpoint: others,
       spendRepeat: () => budgets.of(this.#service).spend(performance.now(), this.#context.liveDaemons()),
--- /dev/null
+++ b/packages/gateway/src/suspects/suspectStore.ts
@@ -0,0 +1,65 @@
+import type * as serving from "@camphorcourse/serving";
+import type * as decisionLogs from "../decisionLog.js";
+import type * as ports from "../ports.js";
+import * as suspectWords from "./suspectWords.js";
+
+/** Time to live of what is kept, in milliseconds, the longest that the platform grants: without it keys would pile up. */
+const KEPT_MS = 600_000;
+
+/** Pause after a failed write, and how often it is tried: through an outage of some minutes. */
+const RETRY_PAUSE_MS = 2_000;
+const MOST_TRIES = 150;
+
+/** What keeping suspects needs. */
+export interface SuspectStoreParts {
+  readonly store: ports.DurableStore;
+  /** Prefix of the keys; a fingerprint follows. */
+  readonly prefix: string;
+  readonly log: decisionLogs.DecisionLog;
+  /** @returns what is known of a suspect now */
+  readonly wordOf: (fingerprint: string) => serving.SuspectWord | undefined;
+}
+
+/** Keeps rejected requests in the key-value service, for daemons that start when no peer is left to tell them. */
+export class SuspectStore {
+  readonly #parts: SuspectStoreParts;
+  readonly #writing = new Set<string>();
+  #stopped = false;
+
+  /** @param parts - what it needs */
+  constructor(parts: SuspectStoreParts) {
+    this.#parts = parts;
+  }
+
+  /** @param fingerprint - a request that is rejected from now on, or no longer */
+  keep(fingerprint: string): void {
+    if (this.#writing.has(fingerprint)) return;
+    this.#writing.add(fingerprint);
+    void this.#write(fingerprint).finally(() => this.#writing.delete(fingerprint));
+  }
+
+  /** Ends trying. */
+  stop(): void {
+    this.#stopped = true;
+  }
+
+  async #write(fingerprint: string): Promise<void> {
+    const { store, prefix, log, wordOf } = this.#parts;
+    for (let tries = 1; tries <= MOST_TRIES && !this.#stopped; tries++) {
+      const lease = await store.grantLease(KEPT_MS);
+      const word = wordOf(fingerprint);
+      if (word === undefined) return;
+      if (lease.isOk()) {
+        const value = suspectWords.toStored(word, Date.now());
+        const put = { key: `${prefix}${fingerprint}`, value, lease: lease.value.id };
+        const written = await store.write({ conditions: [], puts: [put], removals: [] });
+        if (written.isOk()) {
+          log.info("suspect-kept", { fingerprint, ends: word.ends.length, revision: written.value, tries });
+          return;
+        }
+      }
+      await new Promise((resolve) => setTimeout(resolve, RETRY_PAUSE_MS).unref());
+    }
+    log.warn("suspect-not-kept", { fingerprint, tries: MOST_TRIES });
+  }
+}
--- a/packages/gateway/tests/beliefs.test.ts
+++ b/packages/gateway/tests/beliefs.test.ts
@@ -27,7 +27,15 @@
     if (news.change === serving.EndpointChange.Gone) view.endpointDocuments.delete(news.id);
   };
   const ignore = (): void => undefined;
-  const parts = { layout, view, log, onEndpoint, onRoleChange: ignore, onConfiguration: ignore };
+  const parts = {
+    layout,
+    view,
+    log,
+    onEndpoint,
+    onSuspect: () => undefined,
+    onRoleChange: ignore,
+    onConfiguration: ignore,
+  };
   return { beliefs: new beliefsModule.Beliefs(parts), view };
 }
 
--- a/packages/gateway/tests/helpers/exchangeStand.ts
+++ b/packages/gateway/tests/helpers/exchangeStand.ts
@@ -13,6 +13,7 @@
 import * as fleetViews from "../../src/fleetView.js";
 import * as metricsModule from "../../src/metrics.js";
 import type * as ports from "../../src/ports.js";
+import * as suspectGates from "../../src/suspects/suspectGate.js";
 import type * as settingsModule from "../../src/settings.js";
 
 const SEED = 5;
@@ -202,6 +203,12 @@
         isLeaving: () => false,
         onEnded: () => undefined,
       }),
+      suspects: new suspectGates.SuspectGate({
+        log: new decisionLogs.DecisionLog("vm-1", "info", sink),
+        heardAt: () => 0,
+        onGrave: () => undefined,
+        onQuarantined: () => undefined,
+      }),
       budgets: new contexts.RetryBudgets(SETTINGS.retryBounds, performance.now() - PROCESS_AGE_MS),
       random: new common.SeededRandom(SEED),
       onMisdirected: () => undefined,
--- a/packages/gateway/tests/peerLives.test.ts
+++ b/packages/gateway/tests/peerLives.test.ts
@@ -57,6 +57,7 @@
       board: this.board,
       demand: new serving.Demand(),
       speeds: new serving.ServiceSpeeds(),
+      suspects: new serving.SuspectTable({ isRefuted: () => false, onChange: () => undefined }),
       sizeShares: new serving.SizeShares(),
       log: new decisionLogs.DecisionLog("vm-1", "info", sink),
       ready: () => true,
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -22,4 +22,5 @@
 export * from "./roleBalance.js";
 export * from "./silence.js";
 export * from "./sizeShares.js";
+export * from "./suspectTable.js";
 export * from "./urgency.js";
