Close the server of a test before it may fail, so that the failure is told

A mutation that the test kills hung it for as long as the run may take, as its server still listened. Killed now (endpoint ends: a lost answer counts as an end).

--- a/packages/gateway/tests/endpointEnds.test.ts
+++ b/packages/gateway/tests/endpointEnds.test.ts
@@ -69,8 +69,8 @@
   const server = await listening();
   ends.noteBroken(endpointAt(portOf(server)), run());
   await pause(LOOKED_MS);
-  assert.equal(ended, []);
   server.close();
+  assert.equal(ended, []);
 });
 
 suite("one with an open connection has not, and no further connection is made", async () => {
