--- a/packages/serving/src/suspectTable.ts
+++ b/packages/serving/src/suspectTable.ts
@@ -203,8 +203,10 @@
       if (this.#parts.isRefuted(life, endedAt)) continue;
       hasChanged = addEnd(suspect, life, endedAt) || hasChanged;
     }
-    if (word.clearedAgoMs !== undefined) {
-      hasChanged = clear(suspect, now - Math.max(0, word.clearedAgoMs)) || hasChanged;
+    // Told on, as daemons that don't read the key-value service hear of what an operator lifts there from those that do.
+    if (word.clearedAgoMs !== undefined && clear(suspect, now - Math.max(0, word.clearedAgoMs))) {
+      suspect.changedAt = now;
+      hasChanged = true;
     }
     if (hasChanged) this.#review(word.fingerprint, suspect, now);
     else if (suspect.ends.size === 0 && suspect.clearedAt === -Infinity) this.#drop(word.fingerprint);
