Split the protection from crashes and the measure of busy time from the gateway

What notices ended endpoints, counts requests under them and keeps them is put together in suspects/crashProtection.ts; the smoothed use of the event loop is busyShare.ts.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,10 +4,10 @@
 import * as serving from "@camphorcourse/serving";
 import type * as hono from "hono";
 import * as beliefsModule from "./beliefs.js";
+import * as busyShares from "./busyShare.js";
 import * as callerListeners from "./callerListener.js";
 import * as contexts from "./context.js";
 import * as decisionLogs from "./decisionLog.js";
-import * as endpointEnds from "./endpointEnds.js";
 import * as endpointClients from "./endpointClient.js";
 import type * as daemonEntries from "./daemonEntry.js";
 import * as fleetViews from "./fleetView.js";
@@ -23,8 +23,7 @@
 import * as sideServers from "./sideServers.js";
 import * as storeDuties from "./storeDuty.js";
 import * as storeFollowers from "./storeFollower.js";
-import * as suspectGates from "./suspects/suspectGate.js";
-import * as suspectStores from "./suspects/suspectStore.js";
+import * as crashProtections from "./suspects/crashProtection.js";
 
 /** Interval at which a stopping daemon looks how far it is, in milliseconds; after a standstill one look is waited for. */
 const STOP_CHECK_MS = 25;
@@ -35,9 +34,6 @@
 /** Time for the last answers to leave, in milliseconds: a third of what is left until the forced end. */
 const LAST_ANSWERS_MS = 200;
 
-/** Weight of the last turn of the loop in what counts as busy: half a second of load shows. */
-const BUSY_WEIGHT = 0.4;
-
 /** Most addresses in one answer. */
 const MOST_ADDRESSES = 64;
 
@@ -77,15 +73,13 @@
   readonly #entry: daemonEntries.DaemonEntry;
   readonly #peers: peerLinks.PeerLink;
   readonly #storeDuty: storeDuties.StoreDuty;
-  readonly #suspectStore: suspectStores.SuspectStore;
+  readonly #protection: crashProtections.CrashProtection;
   readonly #authority: orderAuthorities.OrderAuthority;
   readonly #roles: roleChangers.RoleChanger;
   readonly #servers: http.Server[] = [];
   readonly #loopWatch = new loopWatches.LoopWatch(undefined, (lateMs) => this.#noteTurn(lateMs));
   #stopping = false;
-  #loopUse = performance.eventLoopUtilization();
-  /** Part of the VM's capacity that the event loop keeps busy, smoothed. */
-  #busyShare = 0;
+  readonly #busy = new busyShares.BusyShare();
 
   /**
    * @param settings - checked settings
@@ -107,18 +101,16 @@
       (name) => this.#metrics.count(name),
       () => this.#loopWatch.lateMs >= LOOP_LATE_MS,
     );
-    const suspects = new suspectGates.SuspectGate({
-      log: this.#log,
-      heardAt: (endpointId) => client.heardAt(endpointId),
-      onGrave: () => this.#peers.sayNow(),
-      onQuarantined: (fingerprint) => this.#suspectStore.keep(fingerprint),
-    });
-    this.#suspectStore = new suspectStores.SuspectStore({
+    this.#protection = new crashProtections.CrashProtection({
       store: surroundings.store,
       prefix: surroundings.layout.suspectPrefix,
       log: this.#log,
-      wordOf: (fingerprint) => suspects.table.wordOf(fingerprint, performance.now()),
+      client,
+      directory: this.#view.directory,
+      onEnded: () => this.#metrics.count("endpoints_ended"),
+      onGrave: () => this.#peers.sayNow(),
     });
+    const { ends, gate: suspects } = this.#protection;
     this.#context = {
       settings,
       log: this.#log,
@@ -131,15 +123,7 @@
       demand: new serving.Demand(),
       sizeShares: new serving.SizeShares(),
       client,
-      ends: new endpointEnds.EndpointEnds({
-        log: this.#log,
-        hasLiveConnection: (endpointId) => client.hasLiveConnection(endpointId),
-        isLeaving: ({ id }) => !this.#view.directory.mayServe(id),
-        onEnded: (endpoint, runs) => {
-          this.#metrics.count("endpoints_ended");
-          suspects.noteEnded(endpoint, runs);
-        },
-      }),
+      ends,
       suspects,
       budgets: new contexts.RetryBudgets(settings.retryBounds, performance.now()),
       random,
@@ -185,7 +169,7 @@
       ready: () => this.ready,
       storeSilentMs: () => this.#follower.silentMs,
       followsClosely: () => this.#storeDuty.followsClosely(performance.now()),
-      busyCores: () => this.#busyShare * settings.capacity,
+      busyCores: () => this.#busy.share * settings.capacity,
       onDaemon: (heard) => beliefs.takeHeardDaemon(heard),
       onConfiguration: (document, revision) => beliefs.takeConfiguration(document, revision, beliefsModule.Source.Peer),
       onEndpoint: (id, value, revision) => beliefs.takeEndpoint(id, value, revision, beliefsModule.Source.Peer),
@@ -285,7 +269,7 @@
       daemons_heard: this.#peers.book.live(performance.now()).length,
       suspects: this.#context.suspects.table.reports(performance.now()).length,
       takes_callers: Number(this.#peers.standing.active),
-      busy_cores: this.#busyShare * this.#settings.capacity,
+      busy_cores: this.#busy.share * this.#settings.capacity,
       heap_bytes: process.memoryUsage().heapUsed,
       event_loop_utilization: performance.eventLoopUtilization().utilization,
       unsent_bytes_to_callers: this.#listener.unsentBytes,
@@ -315,7 +299,7 @@
     await this.#untilAnswered(performance.now() + LAST_ANSWERS_MS);
     this.#listener.close();
     this.#follower.stop();
-    this.#suspectStore.stop();
+    this.#protection.stop();
     this.#peers.stop();
     this.#loopWatch.stop();
     this.#log.info("stopped", { open: this.#listener.openRequests, tookMs: Math.round(performance.now() - heardAt) });
@@ -358,10 +342,7 @@
    */
   #noteTurn(lateMs: number): void {
     this.#metrics.record(metricsModule.Duration.LoopLate, lateMs);
-    const before = this.#loopUse;
-    this.#loopUse = performance.eventLoopUtilization();
-    const { utilization } = performance.eventLoopUtilization(this.#loopUse, before);
-    this.#busyShare += BUSY_WEIGHT * (utilization - this.#busyShare);
+    const utilization = this.#busy.noteTurn();
     if (lateMs < LOOP_LATE_MS) return;
     this.#log.warn("loop-late", {
       lateMs: Math.round(lateMs),
--- /dev/null
+++ b/packages/gateway/src/suspects/crashProtection.ts
@@ -0,0 +1,59 @@
+import type * as serving from "@camphorcourse/serving";
+import type * as decisionLogs from "../decisionLog.js";
+import type * as endpointClients from "../endpointClient.js";
+import * as endpointEnds from "../endpointEnds.js";
+import type * as ports from "../ports.js";
+import * as suspectGates from "./suspectGate.js";
+import * as suspectStores from "./suspectStore.js";
+
+/** What protecting endpoints needs. */
+export interface CrashProtectionParts {
+  readonly store: ports.DurableStore;
+  /** Prefix of the keys under which rejected requests are kept. */
+  readonly prefix: string;
+  readonly log: decisionLogs.DecisionLog;
+  readonly client: endpointClients.EndpointClient;
+  readonly directory: serving.EndpointDirectory;
+  /** Called for each endpoint that has ended. */
+  readonly onEnded: () => void;
+  /** Called when the peers are to hear of a suspect at once. */
+  readonly onGrave: () => void;
+}
+
+/** Notices endpoints that end, counts the requests under which they did, and keeps those from the others. */
+export class CrashProtection {
+  readonly ends: endpointEnds.EndpointEnds;
+  readonly gate: suspectGates.SuspectGate;
+  readonly #store: suspectStores.SuspectStore;
+
+  /** @param parts - what it needs */
+  constructor(parts: CrashProtectionParts) {
+    const { store, prefix, log, client, directory, onEnded, onGrave } = parts;
+    this.gate = new suspectGates.SuspectGate({
+      log,
+      heardAt: (endpointId) => client.heardAt(endpointId),
+      onGrave,
+      onQuarantined: (fingerprint) => this.#store.keep(fingerprint),
+    });
+    this.#store = new suspectStores.SuspectStore({
+      store,
+      prefix,
+      log,
+      wordOf: (fingerprint) => this.gate.table.wordOf(fingerprint, performance.now()),
+    });
+    this.ends = new endpointEnds.EndpointEnds({
+      log,
+      hasLiveConnection: (endpointId) => client.hasLiveConnection(endpointId),
+      isLeaving: ({ id }) => !directory.mayServe(id),
+      onEnded: (endpoint, runs) => {
+        onEnded();
+        this.gate.noteEnded(endpoint, runs);
+      },
+    });
+  }
+
+  /** Ends what is still under way. */
+  stop(): void {
+    this.#store.stop();
+  }
+}
