Name suspects and what detects ended endpoints in the field's terms

No change of logic: records are merged and published instead of words heard and told, a detector instead of 'ends', a count instead of a report that only a gauge used.

--- a/packages/gateway/src/beliefs.ts
+++ b/packages/gateway/src/beliefs.ts
@@ -3,7 +3,7 @@
 import type * as decisionLogs from "./decisionLog.js";
 import type * as fleetViews from "./fleetView.js";
 import type * as ports from "./ports.js";
-import * as suspectWords from "./suspects/suspectWords.js";
+import * as suspectCodec from "./suspects/suspectCodec.js";
 
 /** Where a belief comes from. */
 export enum Source {
@@ -33,7 +33,7 @@
   /** Called when an engine's role was changed, with its service, its role, and how long ago that was, in milliseconds. */
   readonly onRoleChange: (service: string, role: serving.EngineRole, agoMs: number) => void;
   /** Takes what the key-value service keeps of a request that is rejected. */
-  readonly onSuspect: (word: serving.SuspectWord) => void;
+  readonly onSuspect: (record: serving.SuspectRecord) => void;
   /** Called when a configuration has come into force. */
   readonly onConfiguration: () => void;
 }
@@ -202,7 +202,7 @@
   }
 
   #takeSuspect(item: ports.StoredItem): void {
-    const word = suspectWords.fromStored(item.value, Date.now());
+    const word = suspectCodec.fromStored(item.value, Date.now());
     if (word.isOk()) this.#parts.onSuspect(word.value);
     else this.#parts.log.warn("suspect-unreadable", { key: item.key, revision: item.revision, detail: word.error });
   }
--- a/packages/gateway/src/endpointEnds.ts
+++ b/packages/gateway/src/endpointEndDetector.ts
@@ -31,7 +31,7 @@
 }
 
 /** What looking at endpoints needs. */
-export interface EndpointEndsParts {
+export interface EndpointEndDetectorParts {
   readonly log: decisionLogs.DecisionLog;
   /** @returns whether an idle connection to the endpoint is open */
   readonly hasLiveConnection: (endpointId: string) => boolean;
@@ -50,14 +50,14 @@
  * Tells an endpoint that has ended from one that lost an answer. Both look the same on the connection that broke; one that
  * has ended refuses further ones. A silent VM is neither, and proves nothing.
  */
-export class EndpointEnds {
-  readonly #parts: EndpointEndsParts;
+export class EndpointEndDetector {
+  readonly #parts: EndpointEndDetectorParts;
   readonly #checks = new Map<string, Check>();
   /** Endpoints that have ended, with their lives' starts and when that was seen. */
   readonly #ended = new Map<string, { readonly bornAt: number | undefined; readonly until: number }>();
 
   /** @param parts - what it needs */
-  constructor(parts: EndpointEndsParts) {
+  constructor(parts: EndpointEndDetectorParts) {
     this.#parts = parts;
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -108,9 +108,9 @@
       client,
       directory: this.#view.directory,
       onEnded: () => this.#metrics.count("endpoints_ended"),
-      onGrave: () => this.#peers.sayNow(),
+      onEscalated: () => this.#peers.sayNow(),
     });
-    const { ends, gate: suspects } = this.#protection;
+    const { endDetector, gate: suspects } = this.#protection;
     this.#context = {
       settings,
       log: this.#log,
@@ -123,7 +123,7 @@
       demand: new serving.Demand(),
       sizeShares: new serving.SizeShares(),
       client,
-      ends,
+      endDetector,
       suspects,
       budgets: new contexts.RetryBudgets(settings.retryBounds, performance.now()),
       random,
@@ -136,7 +136,7 @@
       view: this.#view,
       log: this.#log,
       onEndpoint: (news) => this.#onEndpoint(news),
-      onSuspect: (word) => suspects.table.hear(word, performance.now()),
+      onSuspect: (record) => suspects.table.merge(record, performance.now()),
       onRoleChange: (service, role, agoMs) => this.#roles.changed(service, role, agoMs),
       onConfiguration: () => {
         this.#listener.followLimits();
@@ -267,7 +267,7 @@
       store_revision: this.#view.directory.revision,
       daemons_known: this.#view.daemons.size,
       daemons_heard: this.#peers.book.live(performance.now()).length,
-      suspects: this.#context.suspects.table.reports(performance.now()).length,
+      suspects: this.#context.suspects.table.count(performance.now()),
       takes_callers: Number(this.#peers.standing.active),
       busy_cores: this.#busy.share * this.#settings.capacity,
       heap_bytes: process.memoryUsage().heapUsed,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -11,4 +11,4 @@
 export * from "./ports.js";
 export * from "./settings.js";
 export * from "./storeFollower.js";
-export * as suspectWords from "./suspects/suspectWords.js";
+export * as suspectCodec from "./suspects/suspectCodec.js";
--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -12,7 +12,7 @@
 import * as peerWorks from "./peerWork.js";
 import * as audiences from "./peers/audience.js";
 import * as standings from "./peers/standing.js";
-import * as suspectWords from "./suspects/suspectWords.js";
+import * as suspectCodec from "./suspects/suspectCodec.js";
 import * as toldChanges from "./peers/toldChanges.js";
 import type * as settingsModule from "./settings.js";
 import * as toldLives from "./toldLives.js";
@@ -246,7 +246,7 @@
       departures: this.#changes.departures(now),
       followsClosely: this.#parts.followsClosely(),
       entries: this.#changes.entries(now),
-      suspects: this.#parts.suspects.words(now).map(suspectWords.toMessage),
+      suspects: this.#parts.suspects.recordsToPublish(now).map(suspectCodec.toMessage),
       tryingSuspect: this.#parts.suspects.isTrying,
       changing: [...view.changing]
         .filter(([, change]) => change.until > now)
@@ -297,11 +297,11 @@
     for (const entry of pulse.entries) this.#parts.onEndpoint(entry.id, entry.value, Number(entry.revision));
     this.#takeDepartures(pulse.departures);
     this.#takeSuspects(pulse.suspects, now);
-    this.#parts.suspects.hearTrial(pulse.vm, pulse.tryingSuspect, now);
+    this.#parts.suspects.notePeerTrial(pulse.vm, pulse.tryingSuspect, now);
   }
 
   #takeSuspects(suspects: readonly messages.Suspect[], now: number): void {
-    for (const suspect of suspects) this.#parts.suspects.hear(suspectWords.fromMessage(suspect), now);
+    for (const suspect of suspects) this.#parts.suspects.merge(suspectCodec.fromMessage(suspect), now);
   }
 
   #takeDepartures(departures: readonly messages.Departure[]): void {
@@ -344,7 +344,7 @@
       endpoints: needsList ? this.#allEntries() : [],
       departures: this.#changes.departures(now),
       daemons: peer.configurationRevision === 0 ? this.#liveDaemons(now) : [],
-      suspects: this.#parts.suspects.lastingWords(now).map(suspectWords.toMessage),
+      suspects: this.#parts.suspects.lastingRecords(now).map(suspectCodec.toMessage),
     };
   }
 
--- a/packages/gateway/src/sendChooser.ts
+++ b/packages/gateway/src/sendChooser.ts
@@ -64,12 +64,12 @@
    * @returns the send, or why there is none
    */
   chooseAlone(): Choice {
-    const { board, ends, view } = this.#context;
+    const { board, endDetector, view } = this.#context;
     const definition = view.table?.service(this.#served.service);
     const prompt = this.#served.caller.headers.prompt;
     const now = performance.now();
     const able = this.#candidates(definition)
-      .filter((endpoint) => endpoint.role !== serving.EngineRole.Prefill && !ends.hasEnded(endpoint, now))
+      .filter((endpoint) => endpoint.role !== serving.EngineRole.Prefill && !endDetector.hasEnded(endpoint, now))
       .sort((left, right) => board.running(left.id, now) - board.running(right.id, now));
     const [emptiest, another] = able;
     if (emptiest === undefined || another === undefined) return neverthrow.err({ reason: "no-spare-endpoint" });
--- a/packages/gateway/src/sendCourse.ts
+++ b/packages/gateway/src/sendCourse.ts
@@ -114,7 +114,10 @@
     const { context, served } = this.#parts;
     if (active.hasLeft) {
       served.noteBroken(context.suspects.isSuspected(served));
-      context.ends.noteBroken(active.endpoint, { fingerprints: served.fingerprints, brokeAt: performance.now() });
+      context.endDetector.noteBroken(active.endpoint, {
+        fingerprints: served.fingerprints,
+        brokeAt: performance.now(),
+      });
     }
     this.failed(active, fate, detail);
   }
--- a/packages/gateway/src/suspects/crashProtection.ts
+++ b/packages/gateway/src/suspects/crashProtection.ts
@@ -1,7 +1,7 @@
 import type * as serving from "@camphorcourse/serving";
 import type * as decisionLogs from "../decisionLog.js";
 import type * as endpointClients from "../endpointClient.js";
-import * as endpointEnds from "../endpointEnds.js";
+import * as endpointEndDetectors from "../endpointEndDetector.js";
 import type * as ports from "../ports.js";
 import * as suspectGates from "./suspectGate.js";
 import * as suspectStores from "./suspectStore.js";
@@ -17,31 +17,31 @@
   /** Called for each endpoint that has ended. */
   readonly onEnded: () => void;
   /** Called when the peers are to hear of a suspect at once. */
-  readonly onGrave: () => void;
+  readonly onEscalated: () => void;
 }
 
 /** Notices endpoints that end, counts the requests under which they did, and keeps those from the others. */
 export class CrashProtection {
-  readonly ends: endpointEnds.EndpointEnds;
+  readonly endDetector: endpointEndDetectors.EndpointEndDetector;
   readonly gate: suspectGates.SuspectGate;
   readonly #store: suspectStores.SuspectStore;
 
   /** @param parts - what it needs */
   constructor(parts: CrashProtectionParts) {
-    const { store, prefix, log, client, directory, onEnded, onGrave } = parts;
+    const { store, prefix, log, client, directory, onEnded, onEscalated } = parts;
     this.gate = new suspectGates.SuspectGate({
       log,
       heardAt: (endpointId) => client.heardAt(endpointId),
-      onGrave,
+      onEscalated,
       onQuarantined: (fingerprint) => this.#store.keep(fingerprint),
     });
     this.#store = new suspectStores.SuspectStore({
       store,
       prefix,
       log,
-      wordOf: (fingerprint) => this.gate.table.wordOf(fingerprint, performance.now()),
+      recordOf: (fingerprint) => this.gate.table.recordOf(fingerprint, performance.now()),
     });
-    this.ends = new endpointEnds.EndpointEnds({
+    this.endDetector = new endpointEndDetectors.EndpointEndDetector({
       log,
       hasLiveConnection: (endpointId) => client.hasLiveConnection(endpointId),
       isLeaving: ({ id }) => !directory.mayServe(id),
--- a/packages/gateway/src/suspects/suspectWords.ts
+++ b/packages/gateway/src/suspects/suspectCodec.ts
@@ -21,11 +21,11 @@
 });
 
 /**
- * @param word - what is known of a suspect
+ * @param record - what is known of a suspect
  * @returns the same as a message
  */
-export function toMessage(word: serving.SuspectWord): messages.Suspect {
-  const { fingerprint, ends, clearedAgoMs } = word;
+export function toMessage(record: serving.SuspectRecord): messages.Suspect {
+  const { fingerprint, ends, clearedAgoMs } = record;
   return protobuf.create(messages.SuspectSchema, {
     fingerprint: BigInt(`0x${fingerprint}`),
     lives: ends.map(({ life }) => life),
@@ -38,7 +38,7 @@
  * @param message - what a peer says
  * @returns what it knows of a suspect
  */
-export function fromMessage(message: messages.Suspect): serving.SuspectWord {
+export function fromMessage(message: messages.Suspect): serving.SuspectRecord {
   const { fingerprint, lives, endedAgoMs, clearedAgoMs } = message;
   return {
     fingerprint: fingerprint.toString(16).padStart(DIGITS, "0"),
@@ -51,12 +51,12 @@
 }
 
 /**
- * @param word - what is known of a suspect
+ * @param record - what is known of a suspect
  * @param timeOfDay - current Unix milliseconds
  * @returns the same as it is kept in the key-value service
  */
-export function toStored(word: serving.SuspectWord, timeOfDay: number): Buffer {
-  const { fingerprint, ends, clearedAgoMs } = word;
+export function toStored(record: serving.SuspectRecord, timeOfDay: number): Buffer {
+  const { fingerprint, ends, clearedAgoMs } = record;
   const instantOf = (agoMs: number): number => Math.max(0, Math.round(timeOfDay - agoMs));
   return Buffer.from(
     JSON.stringify({
@@ -72,7 +72,7 @@
  * @param timeOfDay - current Unix milliseconds
  * @returns what it says of a suspect, or why that can't be read
  */
-export function fromStored(value: Uint8Array, timeOfDay: number): neverthrow.Result<serving.SuspectWord, string> {
+export function fromStored(value: Uint8Array, timeOfDay: number): neverthrow.Result<serving.SuspectRecord, string> {
   try {
     const parsed = zod.safeParse(storedSchema, JSON.parse(Buffer.from(value).toString()));
     if (!parsed.success) return neverthrow.err(zod.prettifyError(parsed.error));
--- a/packages/gateway/src/suspects/suspectGate.ts
+++ b/packages/gateway/src/suspects/suspectGate.ts
@@ -2,7 +2,7 @@
 import * as serving from "@camphorcourse/serving";
 import * as neverthrow from "neverthrow";
 import type * as decisionLogs from "../decisionLog.js";
-import type * as endpointEnds from "../endpointEnds.js";
+import type * as endpointEndDetectors from "../endpointEndDetector.js";
 import type * as sendChoosers from "../sendChooser.js";
 import type * as servedRequests from "../servedRequest.js";
 
@@ -10,7 +10,7 @@
 const REFUTED_AFTER_MS = 1_000;
 
 /** Requests that this daemon saw endpoints end under, as many as it remembers. */
-const MOST_WITNESSED = 1_024;
+const MOST_OBSERVED = 1_024;
 
 /** What the gate needs. */
 export interface SuspectGateParts {
@@ -18,7 +18,7 @@
   /** @returns instant at which anything last came from an endpoint, in milliseconds */
   readonly heardAt: (endpointId: string) => number;
   /** Called when a request is isolated or rejected from now on: the peers hear of it at once. */
-  readonly onGrave: () => void;
+  readonly onEscalated: () => void;
   /** Takes a request that is rejected from now on, of which this daemon saw an end. */
   readonly onQuarantined: (fingerprint: string) => void;
 }
@@ -29,7 +29,7 @@
   readonly #parts: SuspectGateParts;
   /** Endpoints that are listed now, by their lives. */
   readonly #listed = new Map<number, string>();
-  readonly #witnessed = new Set<string>();
+  readonly #observed = new Set<string>();
   readonly #trials = new Map<servedRequests.ServedRequest, string>();
 
   /** @param parts - what it needs */
@@ -93,13 +93,13 @@
    * @param endpoint - an endpoint that has ended
    * @param runs - what was running there for this daemon's callers
    */
-  noteEnded(endpoint: serving.Endpoint, runs: readonly endpointEnds.BrokenRun[]): void {
+  noteEnded(endpoint: serving.Endpoint, runs: readonly endpointEndDetectors.BrokenRun[]): void {
     const now = performance.now();
     const life = lifeOf(endpoint);
     for (const { fingerprints, brokeAt } of runs) {
       for (const fingerprint of [fingerprints.content, fingerprints.ofCaller]) {
-        if (this.#witnessed.size >= MOST_WITNESSED) this.#witnessed.clear();
-        this.#witnessed.add(fingerprint);
+        if (this.#observed.size >= MOST_OBSERVED) this.#observed.clear();
+        this.#observed.add(fingerprint);
         this.table.noteEnd(fingerprint, life, brokeAt, now);
       }
     }
@@ -136,12 +136,12 @@
 
   #onChange(fingerprint: string, suspicion: serving.Suspicion, ends: number): void {
     const isQuarantined = suspicion === serving.Suspicion.Quarantined;
-    const isGrave = isQuarantined || suspicion === serving.Suspicion.Isolated;
-    if (isGrave) this.#parts.log.warn("suspect", { fingerprint, suspicion, ends });
+    const isEscalated = isQuarantined || suspicion === serving.Suspicion.Isolated;
+    if (isEscalated) this.#parts.log.warn("suspect", { fingerprint, suspicion, ends });
     else this.#parts.log.info("suspect", { fingerprint, suspicion, ends });
-    const isWitness = this.#witnessed.has(fingerprint);
-    if (isGrave && isWitness) this.#parts.onGrave();
-    if (isQuarantined && isWitness) this.#parts.onQuarantined(fingerprint);
+    const isObserved = this.#observed.has(fingerprint);
+    if (isEscalated && isObserved) this.#parts.onEscalated();
+    if (isQuarantined && isObserved) this.#parts.onQuarantined(fingerprint);
   }
 }
 
--- a/packages/gateway/src/suspects/suspectStore.ts
+++ b/packages/gateway/src/suspects/suspectStore.ts
@@ -1,7 +1,7 @@
 import type * as serving from "@camphorcourse/serving";
 import type * as decisionLogs from "../decisionLog.js";
 import type * as ports from "../ports.js";
-import * as suspectWords from "./suspectWords.js";
+import * as suspectCodec from "./suspectCodec.js";
 
 /** Time to live of what is kept, in milliseconds, the longest that the platform grants: without it keys would pile up. */
 const KEPT_MS = 600_000;
@@ -17,7 +17,7 @@
   readonly prefix: string;
   readonly log: decisionLogs.DecisionLog;
   /** @returns what is known of a suspect now */
-  readonly wordOf: (fingerprint: string) => serving.SuspectWord | undefined;
+  readonly recordOf: (fingerprint: string) => serving.SuspectRecord | undefined;
 }
 
 /** Keeps rejected requests in the key-value service, for daemons that start when no peer is left to tell them. */
@@ -44,17 +44,17 @@
   }
 
   async #write(fingerprint: string): Promise<void> {
-    const { store, prefix, log, wordOf } = this.#parts;
+    const { store, prefix, log, recordOf } = this.#parts;
     for (let tries = 1; tries <= MOST_TRIES && !this.#stopped; tries++) {
       const lease = await store.grantLease(KEPT_MS);
-      const word = wordOf(fingerprint);
-      if (word === undefined) return;
+      const record = recordOf(fingerprint);
+      if (record === undefined) return;
       if (lease.isOk()) {
-        const value = suspectWords.toStored(word, Date.now());
+        const value = suspectCodec.toStored(record, Date.now());
         const put = { key: `${prefix}${fingerprint}`, value, lease: lease.value.id };
         const written = await store.write({ conditions: [], puts: [put], removals: [] });
         if (written.isOk()) {
-          log.info("suspect-kept", { fingerprint, ends: word.ends.length, revision: written.value, tries });
+          log.info("suspect-kept", { fingerprint, ends: record.ends.length, revision: written.value, tries });
           return;
         }
       }
--- a/packages/gateway/tests/endpointEnds.test.ts
+++ b/packages/gateway/tests/endpointEndDetector.test.ts
@@ -3,7 +3,7 @@
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
 import * as decisionLogs from "../src/decisionLog.js";
-import * as endpointEnds from "../src/endpointEnds.js";
+import * as endpointEndDetectors from "../src/endpointEndDetector.js";
 
 const FINGERPRINTS: serving.Fingerprints = { content: "c1", ofCaller: "o1" };
 
@@ -13,7 +13,7 @@
 const pause = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
 
 interface Stand {
-  readonly ends: endpointEnds.EndpointEnds;
+  readonly ends: endpointEndDetectors.EndpointEndDetector;
   readonly ended: [id: string, runs: number][];
   readonly lines: string[];
 }
@@ -21,7 +21,7 @@
 function stand(options: { readonly isLeaving?: boolean; readonly hasLiveConnection?: boolean } = {}): Stand {
   const ended: [string, number][] = [];
   const lines: string[] = [];
-  const ends = new endpointEnds.EndpointEnds({
+  const ends = new endpointEndDetectors.EndpointEndDetector({
     log: new decisionLogs.DecisionLog("vm-1", "info", { writableLength: 0, write: (line) => lines.push(line) > 0 }),
     hasLiveConnection: () => options.hasLiveConnection ?? false,
     isLeaving: () => options.isLeaving ?? false,
@@ -50,7 +50,7 @@
   return port;
 }
 
-const run = (): endpointEnds.BrokenRun => ({ fingerprints: FINGERPRINTS, brokeAt: performance.now() });
+const run = (): endpointEndDetectors.BrokenRun => ({ fingerprints: FINGERPRINTS, brokeAt: performance.now() });
 
 const suite = uvu.suite("whether an endpoint has ended");
 
--- a/packages/gateway/tests/suspectWords.test.ts
+++ b/packages/gateway/tests/suspectCodec.test.ts
@@ -3,7 +3,7 @@
 import * as messages from "@camphorcourse/protocol/gateway";
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
-import * as suspectWords from "../src/suspects/suspectWords.js";
+import * as suspectCodec from "../src/suspects/suspectCodec.js";
 
 const MOST_32 = 0xffff_ffff;
 const age = fastCheck.integer({ min: 0, max: 100_000_000 });
@@ -21,13 +21,13 @@
   PLAIN,
 );
 
-const suite = uvu.suite("words of suspects");
+const suite = uvu.suite("suspect records");
 
 suite("survive a message", () => {
   fastCheck.assert(
-    fastCheck.property(WORDS, (word) => {
-      const bytes = protobuf.toBinary(messages.SuspectSchema, suspectWords.toMessage(word));
-      assert.equal(suspectWords.fromMessage(protobuf.fromBinary(messages.SuspectSchema, bytes)), word);
+    fastCheck.property(WORDS, (record) => {
+      const bytes = protobuf.toBinary(messages.SuspectSchema, suspectCodec.toMessage(record));
+      assert.equal(suspectCodec.fromMessage(protobuf.fromBinary(messages.SuspectSchema, bytes)), record);
     }),
     { seed: 31, numRuns: 200 },
   );
@@ -35,13 +35,15 @@
 
 suite("survive the key-value service, and grow older there", () => {
   fastCheck.assert(
-    fastCheck.property(WORDS, age, (word, laterMs) => {
+    fastCheck.property(WORDS, age, (record, laterMs) => {
       const writtenAt = 1_000_000_000;
-      const read = suspectWords.fromStored(suspectWords.toStored(word, writtenAt), writtenAt + laterMs)._unsafeUnwrap();
-      assert.is(read.fingerprint, word.fingerprint);
+      const read = suspectCodec
+        .fromStored(suspectCodec.toStored(record, writtenAt), writtenAt + laterMs)
+        ._unsafeUnwrap();
+      assert.is(read.fingerprint, record.fingerprint);
       assert.equal(
         read.ends,
-        word.ends.map(({ life, agoMs }) => ({ life, agoMs: agoMs + laterMs })),
+        record.ends.map(({ life, agoMs }) => ({ life, agoMs: agoMs + laterMs })),
       );
     }),
     { seed: 31, numRuns: 200 },
@@ -56,12 +58,12 @@
     '{"fingerprint":"x","ends":[]}',
     '{"fingerprint":"0011223344556677","ends":[{"life":-1,"at":1}]}',
   ];
-  for (const text of texts) assert.ok(suspectWords.fromStored(Buffer.from(text), 0).isErr(), text);
+  for (const text of texts) assert.ok(suspectCodec.fromStored(Buffer.from(text), 0).isErr(), text);
 });
 
 suite("with ages missing count the ends that have one", () => {
   const message = protobuf.create(messages.SuspectSchema, { fingerprint: 1n, lives: [1, 2], endedAgoMs: [5] });
-  assert.equal(suspectWords.fromMessage(message).ends, [{ life: 1, agoMs: 5 }]);
+  assert.equal(suspectCodec.fromMessage(message).ends, [{ life: 1, agoMs: 5 }]);
 });
 
 suite.run();
--- a/packages/serving/src/suspectTable.ts
+++ b/packages/serving/src/suspectTable.ts
@@ -18,29 +18,18 @@
   readonly agoMs: number;
 }
 
-/** What daemons tell each other of a suspect; as ages, since their clocks differ. */
-export interface SuspectWord {
+/** State of a suspect as daemons publish it; in ages, since their clocks differ. */
+export interface SuspectRecord {
   readonly fingerprint: string;
   readonly ends: readonly FatalEnd[];
   /** Time since a run of it ended well, if one did. */
   readonly clearedAgoMs: number | undefined;
 }
 
-/** A suspect as operators see it. */
-export interface SuspectReport {
-  readonly fingerprint: string;
-  readonly suspicion: Suspicion;
-  readonly ends: number;
-  /** Time since the last endpoint ended under it, in milliseconds. */
-  readonly endedAgoMs: number;
-  /** Time until it is tried again, in milliseconds; 0 if it is not rejected. */
-  readonly rejectedForMs: number;
-}
-
 /** What the table needs. */
 export interface SuspectTableParts {
   /**
-   * @param life - a life of an endpoint that is said to have ended
+   * @param life - a life of an endpoint that is reported to have ended
    * @param endedAt - when, in milliseconds
    * @returns whether it is known to have gone on after that
    */
@@ -65,16 +54,16 @@
 /** Time for which a request is rejected after the third end; it doubles with each further one, in milliseconds. */
 const TERM_MS = { first: 600_000, longest: 14_400_000 };
 
-/** Time for which a change is told in each message, and interval at which what is isolated or rejected is told again. */
-const TOLD_MS = { change: 4_000, again: 1_000 };
+/** Time for which a change is in each heartbeat, and interval at which what is isolated or rejected is repeated. */
+const PUBLISHED_MS = { change: 4_000, again: 1_000 };
 
-/** Suspects in one message. */
-const MOST_WORDS = 10;
+/** Suspects in one heartbeat. */
+const MOST_PUBLISHED = 10;
 
-/** Suspects that a daemon that has just started is told of. */
-const MOST_LASTING_WORDS = 64;
+/** Suspects that a daemon receives when it starts. */
+const MOST_LASTING = 64;
 
-/** Time for which a peer's word that it tries a suspect holds, in milliseconds: several messages may be lost. */
+/** Validity of a peer's trial without a further heartbeat, in milliseconds: several may be lost. */
 const PEER_TRIAL_MS = 1_000;
 
 interface Suspect {
@@ -82,7 +71,7 @@
   readonly ends: Map<number, number>;
   clearedAt: number;
   changedAt: number;
-  toldAt: number;
+  publishedAt: number;
   suspicion: Suspicion;
 }
 
@@ -184,57 +173,57 @@
    * @param isTrying - whether it runs a suspect on trial
    * @param now - current instant in milliseconds
    */
-  hearTrial(daemon: string, isTrying: boolean, now: number): void {
+  notePeerTrial(daemon: string, isTrying: boolean, now: number): void {
     if (isTrying) this.#peerTrials.set(daemon, now + PEER_TRIAL_MS);
     else this.#peerTrials.delete(daemon);
   }
 
   /**
-   * @param word - what a peer or the key-value service says of a suspect
+   * @param record - what a peer or the key-value service holds on a suspect
    * @param now - current instant in milliseconds
    */
-  hear(word: SuspectWord, now: number): void {
-    const known = this.#suspects.get(word.fingerprint);
-    if (known === undefined && word.ends.length === 0) return;
-    const suspect = this.#suspect(word.fingerprint, now);
+  merge(record: SuspectRecord, now: number): void {
+    const known = this.#suspects.get(record.fingerprint);
+    if (known === undefined && record.ends.length === 0) return;
+    const suspect = this.#suspect(record.fingerprint, now);
     let hasChanged = false;
-    for (const { life, agoMs } of word.ends.slice(0, MOST_ENDS)) {
+    for (const { life, agoMs } of record.ends.slice(0, MOST_ENDS)) {
       const endedAt = now - Math.max(0, agoMs);
       if (this.#parts.isRefuted(life, endedAt)) continue;
       hasChanged = addEnd(suspect, life, endedAt) || hasChanged;
     }
-    // Told on, as daemons that don't read the key-value service hear of what an operator lifts there from those that do.
-    if (word.clearedAgoMs !== undefined && clear(suspect, now - Math.max(0, word.clearedAgoMs))) {
+    // Published again: daemons that don't read the key-value service learn so what an operator has lifted there.
+    if (record.clearedAgoMs !== undefined && clear(suspect, now - Math.max(0, record.clearedAgoMs))) {
       suspect.changedAt = now;
       hasChanged = true;
     }
-    if (hasChanged) this.#review(word.fingerprint, suspect, now);
-    else if (suspect.ends.size === 0 && suspect.clearedAt === -Infinity) this.#drop(word.fingerprint);
+    if (hasChanged) this.#review(record.fingerprint, suspect, now);
+    else if (suspect.ends.size === 0 && suspect.clearedAt === -Infinity) this.#drop(record.fingerprint);
   }
 
   /**
    * @param now - current instant in milliseconds
-   * @returns what the next message tells: what has changed, the most suspected first, and in turn what lasts
+   * @returns records for the next heartbeat: recent changes, the most suspected first, and by turns what is isolated or rejected
    */
-  words(now: number): SuspectWord[] {
+  recordsToPublish(now: number): SuspectRecord[] {
     const due = [...this.#suspects].filter(([, suspect]) => isDue(suspect, now));
-    due.sort(([, left], [, right]) => right.ends.size - left.ends.size || left.toldAt - right.toldAt);
-    return due.slice(0, MOST_WORDS).map(([fingerprint, suspect]) => {
-      suspect.toldAt = now;
-      return wordOf(fingerprint, suspect, now);
+    due.sort(([, left], [, right]) => right.ends.size - left.ends.size || left.publishedAt - right.publishedAt);
+    return due.slice(0, MOST_PUBLISHED).map(([fingerprint, suspect]) => {
+      suspect.publishedAt = now;
+      return recordOf(fingerprint, suspect, now);
     });
   }
 
   /**
    * @param now - current instant in milliseconds
-   * @returns what a daemon that has just started needs to know
+   * @returns records that a daemon needs when it starts
    */
-  lastingWords(now: number): SuspectWord[] {
+  lastingRecords(now: number): SuspectRecord[] {
     return [...this.#suspects]
       .filter(([, suspect]) => suspect.ends.size >= ISOLATED_FROM && !isFaded(suspect, now))
       .sort(([, left], [, right]) => right.ends.size - left.ends.size)
-      .slice(0, MOST_LASTING_WORDS)
-      .map(([fingerprint, suspect]) => wordOf(fingerprint, suspect, now));
+      .slice(0, MOST_LASTING)
+      .map(([fingerprint, suspect]) => recordOf(fingerprint, suspect, now));
   }
 
   /**
@@ -242,26 +231,17 @@
    * @param now - current instant in milliseconds
    * @returns what is known of it, if anything is
    */
-  wordOf(fingerprint: string, now: number): SuspectWord | undefined {
+  recordOf(fingerprint: string, now: number): SuspectRecord | undefined {
     const suspect = this.#suspects.get(fingerprint);
-    return suspect === undefined ? undefined : wordOf(fingerprint, suspect, now);
+    return suspect === undefined ? undefined : recordOf(fingerprint, suspect, now);
   }
 
   /**
    * @param now - current instant in milliseconds
-   * @returns all suspects, the most suspected first
+   * @returns requests that are suspected in any way
    */
-  reports(now: number): SuspectReport[] {
-    return [...this.#suspects]
-      .filter(([, suspect]) => suspect.ends.size > 0 && !isFaded(suspect, now))
-      .sort(([, left], [, right]) => right.ends.size - left.ends.size || lastEnd(right) - lastEnd(left))
-      .map(([fingerprint, suspect]) => ({
-        fingerprint,
-        suspicion: this.#judge(fingerprint, suspect, now),
-        ends: suspect.ends.size,
-        endedAgoMs: now - lastEnd(suspect),
-        rejectedForMs: this.rejectedForMs(fingerprint, now),
-      }));
+  count(now: number): number {
+    return [...this.#suspects.values()].filter((suspect) => suspect.ends.size > 0 && !isFaded(suspect, now)).length;
   }
 
   #suspect(fingerprint: string, now: number): Suspect {
@@ -272,7 +252,7 @@
         ends: new Map(),
         clearedAt: -Infinity,
         changedAt: -Infinity,
-        toldAt: -Infinity,
+        publishedAt: -Infinity,
         suspicion: Suspicion.None,
       };
       this.#suspects.set(fingerprint, suspect);
@@ -363,11 +343,13 @@
 }
 
 function isDue(suspect: Suspect, now: number): boolean {
-  if (now - suspect.changedAt <= TOLD_MS.change) return true;
-  return suspect.ends.size >= ISOLATED_FROM && !isFaded(suspect, now) && now - suspect.toldAt >= TOLD_MS.again;
+  if (now - suspect.changedAt <= PUBLISHED_MS.change) return true;
+  return (
+    suspect.ends.size >= ISOLATED_FROM && !isFaded(suspect, now) && now - suspect.publishedAt >= PUBLISHED_MS.again
+  );
 }
 
-function wordOf(fingerprint: string, suspect: Suspect, now: number): SuspectWord {
+function recordOf(fingerprint: string, suspect: Suspect, now: number): SuspectRecord {
   const ends = [...suspect.ends].map(([life, endedAt]) => ({ life, agoMs: Math.max(0, now - endedAt) }));
   const clearedAgoMs = suspect.clearedAt === -Infinity ? undefined : Math.max(0, now - suspect.clearedAt);
   return { fingerprint, ends, clearedAgoMs };
--- a/packages/serving/tests/suspectTable.test.ts
+++ b/packages/serving/tests/suspectTable.test.ts
@@ -68,31 +68,31 @@
   assert.is(table.beginTrial("f", 0), true);
   assert.is(table.beginTrial("g", 0), false);
   table.endTrial("f");
-  table.hearTrial("vm-2", true, 0);
+  table.notePeerTrial("vm-2", true, 0);
   assert.is(table.beginTrial("g", 500), false);
   assert.is(table.beginTrial("g", 1_500), true, "a peer that fell silent does not hold the others up");
   table.endTrial("g");
-  table.hearTrial("vm-2", true, 1_500);
-  table.hearTrial("vm-2", false, 1_600);
+  table.notePeerTrial("vm-2", true, 1_500);
+  table.notePeerTrial("vm-2", false, 1_600);
   assert.is(table.beginTrial("g", 1_600), true);
 });
 
-suite("an old word does not bring back what has been cleared since", () => {
+suite("an old record does not bring back what has been cleared since", () => {
   const table = tableOf();
   ended(table, "f", [1, 2, 3]);
-  const old = table.words(10);
+  const old = table.recordsToPublish(10);
   table.noteCleanRun("f", 100);
-  for (const word of old) {
-    table.hear({ ...word, ends: word.ends.map(({ life, agoMs }) => ({ life, agoMs: agoMs + 190 })) }, 200);
+  for (const record of old) {
+    table.merge({ ...record, ends: record.ends.map(({ life, agoMs }) => ({ life, agoMs: agoMs + 190 })) }, 200);
   }
   assert.is(table.suspicionOf("f", 200), serving.Suspicion.None);
 });
 
-// Guards against a forged word: a life that goes on answering cannot have ended.
-suite("a word of ends that are refuted does nothing", () => {
+// Guards against a forged record: a life that goes on answering cannot have ended.
+suite("a record of ends that are refuted does nothing", () => {
   const table = tableOf((life) => life < 10);
-  const word = { fingerprint: "f", ends: [1, 2, 3].map((life) => ({ life, agoMs: 5 })), clearedAgoMs: undefined };
-  table.hear(word, 100);
+  const record = { fingerprint: "f", ends: [1, 2, 3].map((life) => ({ life, agoMs: 5 })), clearedAgoMs: undefined };
+  table.merge(record, 100);
   assert.is(table.suspicionOf("f", 100), serving.Suspicion.None);
   assert.is(table.isEmpty, true);
 });
@@ -119,9 +119,9 @@
       }
       for (let round = 0; round < 3; round++) {
         now += 10;
-        const words = daemons.map((table) => table.words(now));
+        const records = daemons.map((table) => table.recordsToPublish(now));
         for (const [index, table] of daemons.entries())
-          for (const word of words[1 - index] ?? []) table.hear(word, now);
+          for (const record of records[1 - index] ?? []) table.merge(record, now);
       }
       const seen = daemons.map((table) => ["f", "g"].map((each) => table.suspicionOf(each, now)));
       assert.equal(seen[0], seen[1]);
@@ -134,15 +134,15 @@
   const table = tableOf();
   ended(table, "slight", [1]);
   ended(table, "grave", [1, 2]);
-  assert.is(table.words(100).length, 2);
-  table.words(3_900);
+  assert.is(table.recordsToPublish(100).length, 2);
+  table.recordsToPublish(3_900);
   assert.equal(
-    table.words(5_000).map(({ fingerprint }) => fingerprint),
+    table.recordsToPublish(5_000).map(({ fingerprint }) => fingerprint),
     ["grave"],
   );
-  assert.equal(table.words(5_100), []);
+  assert.equal(table.recordsToPublish(5_100), []);
   assert.equal(
-    table.lastingWords(5_100).map(({ fingerprint }) => fingerprint),
+    table.lastingRecords(5_100).map(({ fingerprint }) => fingerprint),
     ["grave"],
   );
 });
@@ -151,11 +151,11 @@
   const table = tableOf();
   ended(table, "grave", [1, 2, 3]);
   for (let index = 0; index < 5_000; index++) table.noteEnd(`f${index}`, index, index, index);
-  assert.ok(table.reports(5_000).length <= 1_024);
+  assert.ok(table.count(5_000) <= 1_024);
   assert.is(table.suspicionOf("grave", 5_000), serving.Suspicion.Quarantined);
-  const words = table.words(5_000);
-  assert.ok(words.length <= 10);
-  assert.is(words[0]?.fingerprint, "grave");
+  const records = table.recordsToPublish(5_000);
+  assert.ok(records.length <= 10);
+  assert.is(records[0]?.fingerprint, "grave");
 });
 
 suite.run();
