Admit requests by the API keys of organisations

Cause: the header list of a caller was forwarded whole and no key was ever checked.

Change: the adapter turns the credential into a digest while it reads the headers; `serving` looks the digest up in the configuration in force and decides whether, and on whose behalf, a request is served. Endpoints get the organisation's name on every send and none of the caller's identity headers. A key that is unknown while a newer configuration may exist is rejected for now (503 with Retry-After) instead of for good (401). A key presented on a public route must be valid. Fingerprints of crashing requests include the organisation, so that one cannot get another's requests rejected. Without organisations in the configuration nothing changes.

--- a/packages/gateway/src/callerListener.ts
+++ b/packages/gateway/src/callerListener.ts
@@ -5,6 +5,7 @@
 import * as acceptDelayEstimators from "./acceptDelayEstimator.js";
 import * as callerAnswers from "./callerAnswer.js";
 import * as callerRequests from "./callerRequest.js";
+import * as accessGates from "./callers/accessGate.js";
 import type * as contexts from "./context.js";
 import * as exchanges from "./exchange.js";
 import * as pendingReads from "./pendingReads.js";
@@ -49,6 +50,7 @@
 /** HTTP server that accepts the connections and requests of callers. */
 export class CallerListener implements serving.StoppableListener {
   readonly #context: contexts.ServingContext;
+  readonly #accessGate: accessGates.AccessGate;
   readonly #server: http.Server;
   /** Accepted requests that have no final answer yet. */
   readonly #unanswered = new Set<exchanges.Exchange>();
@@ -68,6 +70,7 @@
   /** @param context - dependencies shared by all requests */
   constructor(context: contexts.ServingContext) {
     this.#context = context;
+    this.#accessGate = new accessGates.AccessGate(context);
     this.#server = http.createServer({
       maxHeaderSize: PARSER_HEADER_BYTES,
       connectionsCheckingInterval: HEADER_CHECK_INTERVAL_MS,
@@ -272,11 +275,13 @@
       answer.refuse(NOT_FOUND, "no route matches this host and path; check both");
       return undefined;
     }
+    const access = this.#accessGate.admit(request, route, table, answer);
+    if (access === undefined) return undefined;
     if (this.#isRefusedByShutdown(request, route)) {
       this.#refuseStopping(answer);
       return undefined;
     }
-    const exchange = new exchanges.Exchange(this.#context, request, route, body, answer);
+    const exchange = new exchanges.Exchange(this.#context, request, route, body, answer, access);
     this.#unanswered.add(exchange);
     return exchange;
   }
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -38,6 +38,8 @@
    * @param answeredBy - id of the endpoint that answered at its address, if the answer names it
    */
   onMisdirected(endpoint: serving.Endpoint, answeredBy: string | undefined): void;
+  /** @returns whether the configuration in force is known to be the newest */
+  isConfigurationCurrent(): boolean;
   /** @returns upper bound of the number of live daemons, including this one */
   liveDaemons(): number;
 }
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -26,6 +26,7 @@
    * @param route - the route that matched
    * @param body - the complete body
    * @param answer - the answer to the caller
+   * @param access - on whose behalf the request is served
    */
   constructor(
     context: contexts.ServingContext,
@@ -33,9 +34,10 @@
     route: serving.Route,
     body: Buffer,
     answer: callerAnswers.CallerAnswer,
+    access: serving.Access,
   ) {
     this.#context = context;
-    this.#served = new servedRequests.ServedRequest(context, request, route, body);
+    this.#served = new servedRequests.ServedRequest(context, request, route, body, access);
     this.#feedback = new endpointFeedbacks.EndpointFeedback(context, this.#served);
     this.#end = new requestEnds.RequestEnd(context, this.#served, answer, () => this.#onEnded());
     this.#forwarder = new requestForwarders.RequestForwarder({
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -133,6 +133,7 @@
       budgets: new contexts.RetryBudgets(settings.retryBounds, performance.now()),
       random,
       onMisdirected: (endpoint, answeredBy) => fleetViewUpdater.applyMisdirection(endpoint, answeredBy),
+      isConfigurationCurrent: () => this.#isConfigurationCurrent(),
       liveDaemons: () => this.#view.daemonsUpperBound,
     };
     this.#listener = new callerListeners.CallerListener(this.#context);
@@ -336,6 +337,17 @@
     this.#log.info("reload", { detail });
   }
 
+  /**
+   * Whether the configuration in force is known to be the newest: this daemon or a peer that sends it what it reads has
+   * had an answer from the key-value service recently, and no peer has a newer configuration.
+   */
+  #isConfigurationCurrent(): boolean {
+    const peers = this.#peers.peerTable.live(performance.now());
+    if (peers.some((peer) => peer.configurationRevision > this.#view.configurationRevision)) return false;
+    if (this.#follower.silentMs <= peerTables.STORE_SILENT_MS) return true;
+    return peers.some((peer) => peer.followsClosely && peer.storeSilentMs <= peerTables.STORE_SILENT_MS);
+  }
+
   /**
    * Whether this daemon is the one that should issue role orders: one of the live daemons that reach the key-value
    * service. When that daemon falls silent or loses the service, another becomes the candidate: the first could not
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -115,8 +115,14 @@
   readonly deadlineMs: number | undefined;
   readonly lastEventId: string | undefined;
   readonly prompt: serving.Prompt | undefined;
+  readonly credential: serving.Credential;
   /** Headers to forward, as alternating names and values. */
   readonly passedOn: readonly string[];
+  /**
+   * Headers that say who the caller is, as alternating names and values; forwarded only if the configuration has no
+   * organisations.
+   */
+  readonly identityHeaders: readonly string[];
 }
 
 /** Values of the headers that the gateway adds to a request to an endpoint. */
@@ -124,6 +130,7 @@
   /** Milliseconds until the deadline. */
   readonly deadlineMs: number;
   readonly endpointId: string;
+  readonly access: serving.Access;
   readonly urgency?: number;
   /** Only prefill the prompt, and answer with a handle of the KV cache. */
   readonly prefillOnly?: boolean;
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -195,6 +195,7 @@
     const headers = context.format.writeRequestHeaders(served.caller.headers, {
       deadlineMs: remainingMs,
       endpointId: planned.endpoint.id,
+      access: served.access,
       ...(urgency === undefined ? {} : { urgency }),
       ...(planned.stage === sendChoosers.Stage.Prefill ? { prefillOnly: true } : {}),
       ...(source === undefined ? {} : { source: { address: source.engine.address, handle: source.handle } }),
--- a/packages/gateway/src/servedRequest.ts
+++ b/packages/gateway/src/servedRequest.ts
@@ -11,6 +11,7 @@
   readonly #context: contexts.ServingContext;
   readonly #caller: callerRequests.CallerRequest;
   readonly #body: Buffer;
+  readonly #access: serving.Access;
   readonly #progress = new streamProgresses.StreamProgress();
   readonly #deadlineAt: number;
   readonly #triedEndpoints = new Set<string>();
@@ -27,17 +28,20 @@
    * @param caller - the caller's request
    * @param route - the route that matched
    * @param body - the complete body
+   * @param access - on whose behalf it is served
    */
   constructor(
     context: contexts.ServingContext,
     caller: callerRequests.CallerRequest,
     route: serving.Route,
     body: Buffer,
+    access: serving.Access,
   ) {
     this.#context = context;
     this.#caller = caller;
     this.#route = route;
     this.#body = body;
+    this.#access = access;
     const timeoutMs = Math.min(caller.headers.deadlineMs ?? route.timeoutMs, route.timeoutMs);
     this.#deadlineAt = caller.arrivedAt + timeoutMs;
   }
@@ -52,6 +56,11 @@
     return this.#body;
   }
 
+  /** @returns on whose behalf the request is served, as decided when it was accepted */
+  get access(): serving.Access {
+    return this.#access;
+  }
+
   /** @returns the request id */
   get id(): string {
     return this.#caller.headers.requestId;
@@ -65,6 +74,7 @@
       host,
       target,
       callerAddress,
+      organisation: this.#access.organisation?.name,
       body: this.#body,
     });
     return this.#fingerprints;
--- a/packages/gateway/tests/helpers/exchangeHarness.ts
+++ b/packages/gateway/tests/helpers/exchangeHarness.ts
@@ -153,6 +153,7 @@
     pauseMs: 10_000,
     priority: 0,
     attempts: 2,
+    isPublic: false,
     shares: [{ service: "service", weight: 1 }],
   };
 }
@@ -219,6 +220,7 @@
       budgets: new contexts.RetryBudgets(SETTINGS.retryBounds, performance.now() - PROCESS_AGE_MS),
       random: new common.SeededRandom(SEED),
       onMisdirected: () => undefined,
+      isConfigurationCurrent: () => true,
       liveDaemons: () => 1,
     };
     const prompt = engine === undefined ? undefined : PROMPT;
@@ -227,7 +229,9 @@
       deadlineMs,
       lastEventId: undefined,
       prompt,
+      credential: { kind: serving.CredentialKind.None as const },
       passedOn: [],
+      identityHeaders: [],
     };
     const request = {
       method: "POST",
@@ -238,7 +242,10 @@
       callerAddress: "127.0.0.1",
       arrivedAt: performance.now(),
     };
-    this.exchange = new exchanges.Exchange(this.#context, request, route, Buffer.from("body"), this.answer);
+    this.exchange = new exchanges.Exchange(this.#context, request, route, Buffer.from("body"), this.answer, {
+      restricted: false,
+      organisation: undefined,
+    });
   }
 
   /**
--- a/packages/serving/src/configuration.ts
+++ b/packages/serving/src/configuration.ts
@@ -38,6 +38,17 @@
   /** Maximum number of endpoints that one attempt of a caller may be sent to. */
   readonly attempts: number;
   readonly shares: readonly ServiceShare[];
+  /** Whether requests need no key, in a configuration with organisations. */
+  readonly isPublic: boolean;
+}
+
+/** An organisation whose callers present one of its keys. */
+export interface Organisation {
+  readonly name: string;
+  /** Digests of the keys that are valid at the same time. */
+  readonly keyDigests: readonly string[];
+  /** Priority of its requests in place of the route's priority, 0 is the highest; undefined for the route's. */
+  readonly priority: number | undefined;
 }
 
 /** Limits of the engines of a model service. */
@@ -48,11 +59,27 @@
   readonly handleMs: number;
 }
 
+/** Limits and prices of the engines of a service whose number the system controls. */
+export interface ScalingLimits {
+  /** Fewest engines in a data centre. */
+  readonly min: number;
+  /** Most engines in a data centre, on-demand and reclaimable ones together. */
+  readonly max: number;
+  /** Time from an order until a new engine serves, in milliseconds. */
+  readonly bootMs: number;
+  /** Price of a reclaimable engine, as a share of the price of an on-demand one; undefined if there are none. */
+  readonly reclaimablePrice: number | undefined;
+  /** Price of a second of an on-demand engine, by data centre. */
+  readonly prices: ReadonlyMap<string, number>;
+}
+
 /** A service that requests are routed to. */
 export interface Service {
   readonly name: string;
   readonly maxConnections: number;
   readonly engine: EngineLimits | undefined;
+  /** Limits on the number of engines that the system may order; undefined if it may order none. */
+  readonly scaling?: ScalingLimits;
 }
 
 /** Size limits and timeouts for requests of callers. */
@@ -69,4 +96,6 @@
   readonly routes: readonly Route[];
   readonly services: readonly Service[];
   readonly limits: CallerLimits;
+  /** Organisations with access; undefined if anyone has. */
+  readonly organisations?: readonly Organisation[];
 }
--- a/packages/serving/src/endpointDirectory.ts
+++ b/packages/serving/src/endpointDirectory.ts
@@ -23,6 +23,8 @@
   readonly slots: number;
   readonly role: EngineRole;
   readonly leaving: boolean;
+  /** Whether the platform may reclaim it at any time, together with all others of its data centre. */
+  readonly reclaimable?: boolean;
   /** Start of this incarnation, in Unix milliseconds; undefined if the entry has the older format without it. */
   readonly bornAt?: number | undefined;
 }
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -12,6 +12,8 @@
 export * from "./retryDecision.js";
 export * from "./leastBusy.js";
 export * from "./linearEstimate.js";
+export * from "./organisations/access.js";
+export * from "./organisations/credential.js";
 export * from "./placement.js";
 export * from "./gracefulShutdown.js";
 export * from "./promptAdmission.js";
--- a/packages/serving/src/requestFingerprint.ts
+++ b/packages/serving/src/requestFingerprint.ts
@@ -7,6 +7,11 @@
   /** Path and query as the caller sent them. */
   readonly target: string;
   readonly body: Uint8Array | undefined;
+  /**
+   * Organisation of the caller, if any. Without it, an organisation could get the requests of another one rejected by
+   * sending the same content.
+   */
+  readonly organisation?: string | undefined;
   /** IP address of the caller. */
   readonly callerAddress: string;
 }
@@ -27,8 +32,9 @@
  * @returns its fingerprints
  */
 export function fingerprintsOf(inputs: FingerprintInputs): Fingerprints {
-  const { method, host, target, body, callerAddress } = inputs;
-  const content = digestOf([method, host, target], body);
+  const { method, host, target, body, organisation, callerAddress } = inputs;
+  const owner = organisation === undefined ? [] : [organisation];
+  const content = digestOf([method, host, target, ...owner], body);
   return { content, contentAndCaller: digestOf([content, callerAddress], undefined) };
 }
 
--- a/packages/serving/src/routeTable.ts
+++ b/packages/serving/src/routeTable.ts
@@ -1,14 +1,17 @@
 import * as configurations from "./configuration.js";
+import * as access from "./organisations/access.js";
 
 /** Finds the route of a request, by host and longest path prefix. */
 export class RouteTable {
   readonly configuration: configurations.Configuration;
+  readonly organisations: access.OrganisationDirectory;
   readonly #byHost = new Map<string, Map<string, configurations.Route>>();
   readonly #services = new Map<string, configurations.Service>();
 
   /** @param configuration - the configuration in force */
   constructor(configuration: configurations.Configuration) {
     this.configuration = configuration;
+    this.organisations = new access.OrganisationDirectory(configuration.organisations);
     for (const service of configuration.services) this.#services.set(service.name, service);
     for (const route of configuration.routes) {
       const byPrefix = this.#byHost.get(route.host) ?? new Map<string, configurations.Route>();
