Report the usage of organisations

Cause: nobody reported usage.

Change: each daemon counts the requests that began to run by organisation and window of true time (the median of the VMs' clocks, from heartbeats) and stores the totals once per window; the holder of the duty lease adds them up, fixes the report in the key-value service under a condition, and sends exactly that. The order authority becomes the duty lease and moves with the role changer into duties/.

--- a/packages/gateway/src/answerBody.ts
+++ b/packages/gateway/src/answerBody.ts
@@ -108,6 +108,7 @@
     }
     served.progress.recordEvent(event.id, now);
     served.noteMayHaveRun();
+    served.noteBegunToRun();
     handover.markTaken();
     answer.beginStream(this.#head.status, this.#head.headers);
     if (!answer.write(event.bytes)) active.applyBackpressure(answer);
--- a/packages/gateway/src/answerReceiver.ts
+++ b/packages/gateway/src/answerReceiver.ts
@@ -30,8 +30,11 @@
     this.#sealed = head.sealed;
     this.#body = this.#createBody(status, headers);
     if (head.misdirected) context.onMisdirected(active.endpoint, head.endpointId);
-    if (head.requestId !== undefined) return head.requestId === served.id;
-    return head.notRun || status >= CLIENT_ERRORS_FROM;
+    const isForRequest =
+      head.requestId === undefined ? head.notRun || status >= CLIENT_ERRORS_FROM : head.requestId === served.id;
+    // A stream has begun to run with its first event.
+    if (isForRequest && !head.notRun && !this.#isStream) served.noteBegunToRun();
+    return isForRequest;
   }
 
   /** {@inheritDoc sendings.AnswerReceiver.onData} */
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -30,6 +30,8 @@
   /** Keeps requests that crash endpoints from being sent to them. */
   readonly suspects: suspectGates.SuspectGate;
   readonly budgets: RetryBudgets;
+  /** Counts an organisation's request that begins to run now. */
+  readonly countUsage: (organisation: string) => void;
   readonly random: common.SeededRandom;
   /**
    * Handles that a request reached another endpoint than the one it was sent to.
--- a/packages/gateway/src/orderAuthority.ts
+++ b/packages/gateway/src/duties/dutyLease.ts
@@ -1,5 +1,5 @@
-import type * as decisionLogs from "./decisionLog.js";
-import * as ports from "./ports.js";
+import type * as decisionLogs from "../decisionLog.js";
+import * as ports from "../ports.js";
 
 /** Share of the lease time after which a holder that can't renew the lease no longer relies on it. */
 const VALID_LEASE_SHARE = 0.7;
@@ -13,8 +13,8 @@
 /** Delay after a failed attempt to acquire the authority, in milliseconds. */
 const RETRY_PAUSE_MS = 1_500;
 
-/** Dependencies of {@link OrderAuthority}. */
-export interface AuthorityParts {
+/** Dependencies of {@link DutyLease}. */
+export interface DutyLeaseParts {
   readonly store: ports.DurableStore;
   readonly key: string;
   readonly vm: string;
@@ -26,13 +26,13 @@
 }
 
 /**
- * Distributed lock on giving role orders to engines: a key under a lease, created by one daemon at a time. Its creation
- * revision is the fencing token, which increases with every holder. Orders are given only after a whole lease time has
- * passed since the key was created: by then a previous holder, which may not know that its lease has ended, has stopped
- * by itself.
+ * Distributed lock on the duties of the fleet, such as orders to engines: a key under a lease, created by one daemon at
+ * a time. Its creation revision is the fencing token, which increases with every holder. The holder acts only after a
+ * whole lease time has passed since the key was created: by then a previous holder, which may not know that its lease
+ * has ended, has stopped by itself.
  */
-export class OrderAuthority {
-  readonly #parts: AuthorityParts;
+export class DutyLease {
+  readonly #parts: DutyLeaseParts;
   #lease: number | undefined;
   #token = 0;
   #usableFrom = 0;
@@ -41,7 +41,7 @@
   #stopped = false;
 
   /** @param parts - dependencies */
-  constructor(parts: AuthorityParts) {
+  constructor(parts: DutyLeaseParts) {
     this.#parts = parts;
   }
 
@@ -81,9 +81,9 @@
     return this.#token;
   }
 
-  /** Handles an engine's refusal of the token in favour of a higher one: another daemon holds the authority. */
+  /** Handles a refusal of the token in favour of a higher one: another daemon holds the lease. */
   onTokenRefused(): void {
-    this.#lose("an engine has seen a higher token");
+    this.#lose("a higher token has been seen");
   }
 
   async #acquire(): Promise<number> {
--- a/packages/gateway/src/roleChanger.ts
+++ b/packages/gateway/src/duties/roleChanger.ts
@@ -1,9 +1,9 @@
 import * as serving from "@camphorcourse/serving";
 import * as neverthrow from "neverthrow";
-import type * as contexts from "./context.js";
-import * as engineCalls from "./engineCalls.js";
-import type * as orderAuthorities from "./orderAuthority.js";
-import type * as ports from "./ports.js";
+import type * as contexts from "../context.js";
+import * as engineCalls from "../engineCalls.js";
+import type * as dutyLeases from "./dutyLease.js";
+import type * as ports from "../ports.js";
 
 /** Interval at which the balance of the roles is checked, in milliseconds. */
 const CHECK_INTERVAL_MS = 300;
@@ -21,7 +21,7 @@
 /** What changing roles needs. */
 export interface RoleChangerParts {
   readonly context: contexts.ServingContext;
-  readonly authority: orderAuthorities.OrderAuthority;
+  readonly lease: dutyLeases.DutyLease;
   readonly store: ports.DurableStore;
   /** Key under which the last change is published to all daemons. */
   readonly changeKey: string;
@@ -75,14 +75,14 @@
   }
 
   #check(): void {
-    const { context, authority } = this.#parts;
-    if (this.#busy || !authority.held) return;
+    const { context, lease } = this.#parts;
+    if (this.#busy || !lease.held) return;
     for (const service of context.view.table?.configuration.services ?? []) {
       if (service.engine === undefined) continue;
       const change = this.#decide(service.name, service.engine);
       this.#logOutlook(service.name);
       // Evaluated also while the authority is held but not yet usable: once it is, the need for the change has lasted.
-      if (change === undefined || authority.token() === undefined) continue;
+      if (change === undefined || lease.token() === undefined) continue;
       this.#busy = true;
       void this.#carryOut(service.name, change).finally(() => {
         this.#busy = false;
@@ -142,7 +142,7 @@
   }
 
   async #carryOut(service: string, change: serving.RoleChange): Promise<void> {
-    const { context, authority } = this.#parts;
+    const { context, lease } = this.#parts;
     const engine = context.view.directory.availableEndpoints(service).find((each) => each.id === change.endpointId);
     if (engine === undefined) return;
     this.#balance(service).putOff();
@@ -154,7 +154,7 @@
     }
     this.#failedAt.delete(engine.id);
     // The authority may have ended since the state was requested, so it is checked again right before the order is sent.
-    const token = authority.token();
+    const token = lease.token();
     if (token === undefined) return;
     const order = {
       role: change.role,
@@ -169,7 +169,7 @@
 
   /** @returns whether the engine carries out the order */
   async #sendOrder(engine: serving.Endpoint, change: serving.RoleChange, order: ports.RoleOrder): Promise<boolean> {
-    const { context, authority } = this.#parts;
+    const { context, lease } = this.#parts;
     const { log, view } = context;
     const until = performance.now() + CHANGING_MS;
     view.pendingRoleChanges.set(engine.id, { until, role: change.role, bornAt: engine.bornAt });
@@ -185,7 +185,7 @@
       status: status ?? "no answer",
     });
     context.metrics.count("role_orders");
-    if (status === PRECONDITION_FAILED) authority.onTokenRefused();
+    if (status === PRECONDITION_FAILED) lease.onTokenRefused();
     const accepted = status === undefined ? await this.#wasAccepted(engine, order) : isAcceptance(status);
     if (!accepted) view.pendingRoleChanges.delete(engine.id);
     return accepted;
@@ -241,7 +241,7 @@
     this.#parts.context.log.info("role-change-put-off", { endpoint: engine.id, reason });
   }
 
-  /** Starts the cooldown at all daemons, including those that may take over the authority. */
+  /** Starts the cooldown at all daemons, including those that may take over the lease. */
   async #publishChange(service: string, endpoint: string, role: serving.EngineRole): Promise<void> {
     const value = Buffer.from(JSON.stringify({ service, endpoint, role, at: Date.now() }));
     const put = { key: this.#parts.changeKey, value, lease: 0 };
--- a/packages/gateway/src/fleetViewUpdater.ts
+++ b/packages/gateway/src/fleetViewUpdater.ts
@@ -36,6 +36,8 @@
   readonly onRoleChange: (service: string, role: serving.EngineRole, agoMs: number) => void;
   /** Called with the stored record of a suspect request. */
   readonly onSuspect: (record: serving.SuspectRecord) => void;
+  /** Called with the stored usage report that was fixed last. */
+  readonly onUsageReport: (value: Uint8Array) => void;
   /** Called when a configuration has come into force. */
   readonly onConfiguration: () => void;
 }
@@ -209,6 +211,8 @@
       this.#applyDaemon(item);
     } else if (item.key === layout.roleChangeKey) {
       this.#applyRoleChange(item);
+    } else if (item.key === layout.usageKeys.report) {
+      this.#parts.onUsageReport(item.value);
     } else if (item.key.startsWith(layout.suspectPrefix)) {
       this.#applySuspect(item);
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -13,12 +13,13 @@
 import * as loopUtilizations from "./loopUtilization.js";
 import * as loopWatches from "./loopWatch.js";
 import * as metricsModule from "./metrics.js";
-import * as orderAuthorities from "./orderAuthority.js";
+import * as usageCodecs from "./duties/usageCodec.js";
+import * as dutiesModule from "./duties/duties.js";
 import * as peerTables from "./peerTable.js";
 import * as peerLinks from "./peerLink.js";
+import * as trueClocks from "./peers/trueClock.js";
 import type * as ports from "./ports.js";
 import * as registrations from "./registration.js";
-import * as roleChangers from "./roleChanger.js";
 import type * as settingsModule from "./settings.js";
 import * as sideServers from "./sideServers.js";
 import * as storeReadingModes from "./storeReadingMode.js";
@@ -45,8 +46,8 @@
 /** Number of daemons in a caller's own data centre from which on it gets no addresses in other data centres. */
 const MIN_NEARBY_DAEMONS = 2;
 
-/** Key of the rendezvous hash that chooses the daemon that issues role orders. */
-const ORDERS_KEY = "orders";
+/** Key of the rendezvous hash that chooses the daemon that carries out the duties of the fleet. */
+const DUTIES_KEY = "orders";
 
 const SEED_BYTES = 4;
 
@@ -63,6 +64,8 @@
   readonly layout: ports.StoreLayout;
   readonly format: ports.MessageFormat;
   readonly sink: decisionLogs.LineSink;
+  /** Calls to the platform that are the duty of one daemon at a time; absent if there are none. */
+  readonly dutyCalls?: ports.DutyCalls;
 }
 
 /** One daemon: accepts callers' requests, follows the state of the fleet, and forwards the requests to endpoints. */
@@ -79,8 +82,7 @@
   readonly #peers: peerLinks.PeerLink;
   readonly #storeReadingMode: storeReadingModes.StoreReadingMode;
   readonly #protection: crashProtections.CrashProtection;
-  readonly #authority: orderAuthorities.OrderAuthority;
-  readonly #roles: roleChangers.RoleChanger;
+  readonly #duties: dutiesModule.Duties;
   readonly #servers: http.Server[] = [];
   readonly #loopWatch = new loopWatches.LoopWatch(undefined, (lateMs) => this.#onHeartbeat(lateMs));
   #stopping = false;
@@ -116,6 +118,10 @@
       onEscalated: () => this.#peers.sendHeartbeatsNow(),
     });
     const { crashDetector, gate: suspects } = this.#protection;
+    const clock = new trueClocks.TrueClock(() =>
+      this.#peers.peerTable.live(performance.now()).flatMap((peer) => peer.clockOffsetMs ?? []),
+    );
+    const usageCounter = new serving.UsageCounter(settings.usage?.windowMs ?? Infinity);
     this.#context = {
       settings,
       log: this.#log,
@@ -131,6 +137,9 @@
       crashDetector,
       suspects,
       budgets: new contexts.RetryBudgets(settings.retryBounds, performance.now()),
+      countUsage: (organisation) => {
+        if (settings.usage !== undefined) usageCounter.count(organisation, clock.unixMs());
+      },
       random,
       onMisdirected: (endpoint, answeredBy) => fleetViewUpdater.applyMisdirection(endpoint, answeredBy),
       isConfigurationCurrent: () => this.#isConfigurationCurrent(),
@@ -143,7 +152,11 @@
       log: this.#log,
       onEndpoint: (update) => this.#onEndpoint(update),
       onSuspect: (record) => suspects.table.merge(record, performance.now()),
-      onRoleChange: (service, role, agoMs) => this.#roles.noteRoleChange(service, role, agoMs),
+      onRoleChange: (service, role, agoMs) => this.#duties.noteRoleChange(service, role, agoMs),
+      onUsageReport: (value) => {
+        const report = usageCodecs.decodeReport(value);
+        if (report.isOk()) usageCounter.markReported(report.value.window);
+      },
       onConfiguration: () => {
         this.#listener.applyLimits();
         this.#peers.noteConfiguration();
@@ -190,23 +203,16 @@
       activeSet: this.#peers.activeSet,
       ready: () => this.ready,
     });
-    this.#authority = new orderAuthorities.OrderAuthority({
-      store: dependencies.store,
-      key: dependencies.layout.authorityKey,
-      vm: settings.vm,
-      log: this.#log,
-      leaseMs: settings.orderLeaseMs,
-      eligible: () => this.#isOrderCandidate(),
-    });
-    this.#roles = new roleChangers.RoleChanger({
+    this.#duties = new dutiesModule.Duties({
       context: this.#context,
-      authority: this.#authority,
       store: dependencies.store,
-      changeKey: dependencies.layout.roleChangeKey,
-      prefillLoad: () =>
-        this.#sumOverPeers((peer) => peer.readingLoad) + this.#context.demand.readingLoad(performance.now()),
-      eventsPerMs: () =>
-        this.#sumOverPeers((peer) => peer.eventsPerMs) + this.#context.demand.eventsPerMs(performance.now()),
+      layout: dependencies.layout,
+      calls: dependencies.dutyCalls,
+      incarnation: this.#entry.incarnation,
+      usageCounter,
+      eligible: () => this.#isDutyCandidate(),
+      livePeers: () => this.#peers.peerTable.live(performance.now()),
+      unixMs: () => clock.unixMs(),
     });
     const key = `${dependencies.layout.daemonPrefix}${settings.vm}`;
     this.#registration = new registrations.Registration(dependencies.store, key, this.#entry, this.#log);
@@ -229,8 +235,7 @@
     void this.#registration.run();
     await this.#listener.listen(this.#settings.callers);
     await this.#peers.start();
-    void this.#authority.run();
-    this.#roles.start();
+    this.#duties.start();
     this.#loopWatch.start();
   }
 
@@ -306,11 +311,12 @@
     this.#listener.beginShutdown(shutdown);
     this.#peers.sendHeartbeatsNow();
     void this.#registration.end();
-    void this.#authority.end();
-    this.#roles.stop();
+    this.#duties.release();
     await this.#runShutdown(shutdown);
     this.#listener.endOpen();
+    const recorded = this.#duties.recordUsage();
     await this.#waitForAnswers(performance.now() + LAST_ANSWERS_MS);
+    await Promise.race([recorded, new Promise((resolve) => setTimeout(resolve, LAST_ANSWERS_MS))]);
     this.#listener.close();
     this.#follower.stop();
     this.#protection.stop();
@@ -349,11 +355,11 @@
   }
 
   /**
-   * Whether this daemon is the one that should issue role orders: one of the live daemons that reach the key-value
+   * Whether this daemon is the one that should carry out the duties of the fleet: one of the live daemons that reach the key-value
    * service. When that daemon falls silent or loses the service, another becomes the candidate: the first could not
-   * renew its lease, and nobody would issue orders.
+   * renew its lease, and nobody would carry them out.
    */
-  #isOrderCandidate(): boolean {
+  #isDutyCandidate(): boolean {
     if (!this.ready || this.#follower.silentMs > peerTables.STORE_SILENT_MS) return false;
     // A standby daemon receives heartbeats only from a part of the fleet, and would wrongly consider itself the
     // candidate.
@@ -362,7 +368,7 @@
       .live(performance.now())
       .filter((peer) => peer.ready && peer.active && peer.storeSilentMs <= peerTables.STORE_SILENT_MS);
     const names = [this.#entry.vm, ...peers.map((peer) => peer.vm)];
-    return common.rendezvousOrder(ORDERS_KEY, names)[0] === this.#entry.vm;
+    return common.rendezvousOrder(DUTIES_KEY, names)[0] === this.#entry.vm;
   }
 
   /**
@@ -382,10 +388,6 @@
     });
   }
 
-  #sumOverPeers(valueOf: (peer: peerTables.PeerState) => number): number {
-    return this.#peers.peerTable.live(performance.now()).reduce((sum, peer) => sum + valueOf(peer), 0);
-  }
-
   async #runShutdown(shutdown: serving.GracefulShutdown): Promise<void> {
     while (!shutdown.step(this.#listener, performance.now())) {
       await new Promise((resolve) => setTimeout(resolve, STOP_CHECK_MS));
@@ -425,6 +427,6 @@
     this.#context.loads.forget(endpointId);
     this.#context.health.forget(endpointId);
     this.#context.suspects.forget(endpointId);
-    this.#roles.forget(endpointId);
+    this.#duties.forget(endpointId);
   }
 }
--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -281,6 +281,7 @@
       ready: this.#parts.ready(),
       configurationRevision: BigInt(view.configurationRevision),
       storeSilentMs: Math.round(this.#parts.storeSilentMs()),
+      unixMs: BigInt(Date.now()),
       departures: this.#recentChanges.departures(now),
       followsClosely: this.#parts.followsClosely(),
       entries: this.#recentChanges.entries(now),
@@ -327,6 +328,7 @@
       storeSilentMs: pulse.storeSilentMs,
       followsClosely: pulse.followsClosely,
       ...peerWorks.demandFrom(pulse),
+      clockOffsetMs: pulse.unixMs === 0n ? undefined : Number(pulse.unixMs) - now,
       lastReceivedAt: now,
     });
     if (previous === undefined || previous.incarnation !== pulse.incarnation || previous.ready !== pulse.ready) {
--- a/packages/gateway/src/peerTable.ts
+++ b/packages/gateway/src/peerTable.ts
@@ -27,6 +27,8 @@
   readonly readingLoad: number;
   /** Events per millisecond that its callers' streams require. */
   readonly eventsPerMs: number;
+  /** Unix time by its wall clock minus monotonic time of this daemon, in milliseconds; undefined if it sends none. */
+  readonly clockOffsetMs?: number | undefined;
   /** Time at which its last heartbeat was received, in milliseconds. */
   readonly lastReceivedAt: number;
 }
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -89,6 +89,16 @@
   endLease(lease: number): Promise<neverthrow.Result<void, StoreProblem>>;
 }
 
+/** Keys of the usage of organisations in the key-value service. */
+export interface UsageKeys {
+  /** Prefix of the other two. */
+  readonly prefix: string;
+  /** Key of the report that was fixed last. */
+  readonly report: string;
+  /** Prefix of the daemons' records. */
+  readonly recordPrefix: string;
+}
+
 /** Keys of the gateway's data in the key-value service, and decoders of their values. */
 export interface StoreLayout {
   /** Prefix of all keys that the gateway watches. */
@@ -100,6 +110,7 @@
   readonly authorityKey: string;
   /** Key of the last change of an engine's role. */
   readonly roleChangeKey: string;
+  readonly usageKeys: UsageKeys;
   /** Prefix of the requests that are rejected because endpoints crashed while running them. */
   readonly suspectPrefix: string;
   /** @param value - the configuration document that the operators wrote */
@@ -181,7 +192,7 @@
 /** An order to take another role. */
 export interface RoleOrder {
   readonly role: serving.EngineRole;
-  /** VM of the daemon that holds the order authority. */
+  /** VM of the daemon that holds the duty lease. */
   readonly holder: string;
   /** Fencing token: an engine that has seen a higher one refuses the order. */
   readonly token: number;
@@ -215,3 +226,52 @@
   /** Name of the header that tells the caller when to retry, in seconds. */
   readonly retryAfterHeader: string;
 }
+
+/** Why a call to the platform on behalf of a duty failed. */
+export enum DutyFailure {
+  /** No answer, or an incomplete one: the call may be carried out, also later. */
+  Unanswered = "unanswered",
+  /** Nothing was done: the platform is overloaded or unavailable. */
+  Refused = "refused",
+  /** The platform has seen a higher fencing token, or cannot do now what was ordered. */
+  Conflict = "conflict",
+}
+
+/** A failed call to the platform on behalf of a duty. */
+export interface DutyProblem {
+  readonly failure: DutyFailure;
+  readonly detail: string;
+}
+
+/** Proof that the caller holds the duty lease. */
+export interface DutyAuthority {
+  /** VM of the holder. */
+  readonly holder: string;
+  /** Fencing token: the platform refuses calls with a lower token than it has seen. */
+  readonly token: number;
+}
+
+/** An order for the number of engines of a service in a data centre. */
+export interface EngineCountOrder {
+  readonly service: string;
+  readonly dataCentre: string;
+  readonly count: number;
+  /** Whether the order is for engines that the platform may reclaim; both kinds are counted separately. */
+  readonly reclaimable: boolean;
+}
+
+/** Calls to the platform that one daemon at a time makes for the whole fleet. */
+export interface DutyCalls {
+  /** @param report - usage of a window; @param authority - the holder of the duty */
+  reportUsage(report: serving.UsageReport, authority: DutyAuthority): Promise<neverthrow.Result<void, DutyProblem>>;
+  /** @param order - the wanted number of engines; @param authority - the holder of the duty */
+  orderEngines(order: EngineCountOrder, authority: DutyAuthority): Promise<neverthrow.Result<void, DutyProblem>>;
+}
+
+/** When the usage of organisations is reported. */
+export interface UsageSettings {
+  /** Length of a window, in milliseconds. */
+  readonly windowMs: number;
+  /** Time after the end of a window within which its report is due, in milliseconds. */
+  readonly dueMs: number;
+}
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -113,6 +113,7 @@
   broken(active: activeSends.ActiveSend, outcome: serving.SendOutcome, detail: string): void {
     const { context, served } = this.#parts;
     if (active.wasDispatched) {
+      if (served.route.requestClass !== serving.RequestClass.Stream) served.noteBegunToRun();
       served.noteBroken(context.suspects.isSuspected(served));
       context.crashDetector.noteBroken(active.endpoint, {
         fingerprints: served.fingerprints,
--- a/packages/gateway/src/servedRequest.ts
+++ b/packages/gateway/src/servedRequest.ts
@@ -22,6 +22,7 @@
   #mayBeSentAgain = true;
   #sends = 0;
   #mayHaveRun = false;
+  #hasBegunToRun = false;
 
   /**
    * @param context - dependencies shared by all requests
@@ -167,6 +168,14 @@
     this.#mayHaveRun = true;
   }
 
+  /** Records that an endpoint has begun to run the request, which counts once as its organisation's usage. */
+  noteBegunToRun(): void {
+    if (this.#hasBegunToRun) return;
+    this.#hasBegunToRun = true;
+    const { organisation } = this.#access;
+    if (organisation !== undefined) this.#context.countUsage(organisation.name);
+  }
+
   /**
    * Records that the connection of a send broke, possibly because the endpoint crashed. Each further send risks another
    * endpoint and everything that runs there, so a request that is already suspected, or whose second send broke, is not
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -1,4 +1,5 @@
 import * as serving from "@camphorcourse/serving";
+import type * as ports from "./ports.js";
 
 /** IP address and port of a socket. */
 export interface SocketAddress {
@@ -25,7 +26,11 @@
   readonly stopGraceMs: number;
   /** Maximum time for which callers may cache an address list, in seconds. */
   readonly addressTtlSeconds: number;
-  /** Duration of the lease that allows a daemon to issue role orders, in milliseconds. */
+  /** When the usage of organisations is reported; undefined if it isn't. */
+  readonly usage?: ports.UsageSettings | undefined;
+  /** Whether the system orders the numbers of engines. */
+  readonly controlsEngineCounts?: boolean;
+  /** Duration of the lease that allows a daemon to carry out the duties of the fleet, in milliseconds. */
   readonly orderLeaseMs: number;
   readonly logLevel: string;
 }
--- a/packages/gateway/tests/orderAuthority.test.ts
+++ b/packages/gateway/tests/dutyLease.test.ts
@@ -2,7 +2,7 @@
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
 import * as decisionLogs from "../src/decisionLog.js";
-import * as orderAuthorities from "../src/orderAuthority.js";
+import * as dutyLeases from "../src/duties/dutyLease.js";
 import * as ports from "../src/ports.js";
 
 /** Short enough for a test, and long compared to timers that fire late on a busy VM, in milliseconds. */
@@ -11,7 +11,7 @@
 /** Share of the lease time after which a holder must no longer rely on its lease. */
 const INVALID_AFTER_SHARE = 0.75;
 
-const suite = uvu.suite("order authority");
+const suite = uvu.suite("duty lease");
 
 /** A store with one key under expiring leases, whose renewals can be made to fail. */
 class LeaseStore implements ports.DurableStore {
@@ -66,8 +66,8 @@
 
 const log = new decisionLogs.DecisionLog("vm", "fatal", { writableLength: 0, write: () => true });
 
-function authority(store: ports.DurableStore, vm: string): orderAuthorities.OrderAuthority {
-  const created = new orderAuthorities.OrderAuthority({
+function authority(store: ports.DurableStore, vm: string): dutyLeases.DutyLease {
+  const created = new dutyLeases.DutyLease({
     store,
     key: "authority",
     vm,
@@ -79,7 +79,7 @@
   return created;
 }
 
-async function tokenOf(of: orderAuthorities.OrderAuthority): Promise<number> {
+async function tokenOf(of: dutyLeases.DutyLease): Promise<number> {
   for (let waited = 0; waited < 10_000; waited += 10) {
     const token = of.token();
     if (token !== undefined) return token;
--- a/packages/gateway/tests/fleetViewUpdater.test.ts
+++ b/packages/gateway/tests/fleetViewUpdater.test.ts
@@ -33,6 +33,7 @@
     log,
     onEndpoint,
     onSuspect: () => undefined,
+    onUsageReport: () => undefined,
     onRoleChange: ignore,
     onConfiguration: ignore,
   };
--- a/packages/gateway/tests/helpers/exchangeHarness.ts
+++ b/packages/gateway/tests/helpers/exchangeHarness.ts
@@ -220,6 +220,7 @@
       budgets: new contexts.RetryBudgets(SETTINGS.retryBounds, performance.now() - PROCESS_AGE_MS),
       random: new common.SeededRandom(SEED),
       onMisdirected: () => undefined,
+      countUsage: () => undefined,
       isConfigurationCurrent: () => true,
       liveDaemons: () => 1,
     };
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -25,4 +25,7 @@
 export * from "./silence.js";
 export * from "./acceptanceTracker.js";
 export * from "./suspectTable.js";
+export * from "./trueTime.js";
 export * from "./urgency.js";
+export * from "./usage/usageCounter.js";
+export * from "./usage/usageReport.js";
