Order the numbers of engines

Change: the holder of the duty lease orders as many reclaimable engines as the loss of any one data centre's allows, and on-demand ones only where these don't suffice, by the need at a fixed utilization of the recent peak load.

--- a/packages/gateway/src/duties/duties.ts
+++ b/packages/gateway/src/duties/duties.ts
@@ -2,6 +2,7 @@
 import type * as contexts from "../context.js";
 import type * as peerTables from "../peerTable.js";
 import type * as ports from "../ports.js";
+import * as engineCountKeepers from "./engineCountKeeper.js";
 import * as dutyLeases from "./dutyLease.js";
 import * as roleChangers from "./roleChanger.js";
 import * as usageRecorders from "./usageRecorder.js";
@@ -26,12 +27,13 @@
 }
 
 /**
- * What one daemon at a time does for the whole fleet, under one lease: it changes the roles of engines and reports the
- * usage of organisations. Each daemon records the usage that it counts.
+ * What one daemon at a time does for the whole fleet, under one lease: it changes the roles of engines, orders
+ * their number, and reports the usage of organisations. Each daemon records the usage that it counts.
  */
 export class Duties {
   readonly #lease: dutyLeases.DutyLease;
   readonly #roles: roleChangers.RoleChanger;
+  readonly #engineCounts: engineCountKeepers.EngineCountKeeper | undefined;
   readonly #usageRecorder: usageRecorders.UsageRecorder | undefined;
   readonly #usageReporter: usageReporters.UsageReporter | undefined;
 
@@ -49,16 +51,27 @@
     });
     const sumOverPeers = (valueOf: (peer: peerTables.PeerState) => number): number =>
       parts.livePeers().reduce((sum, peer) => sum + valueOf(peer), 0);
+    const load = {
+      prefillLoad: () => sumOverPeers((peer) => peer.readingLoad) + demand.readingLoad(performance.now()),
+      eventsPerMs: () => sumOverPeers((peer) => peer.eventsPerMs) + demand.eventsPerMs(performance.now()),
+    };
     this.#roles = new roleChangers.RoleChanger({
+      ...load,
       context,
       lease: this.#lease,
       store,
       changeKey: layout.roleChangeKey,
-      prefillLoad: () => sumOverPeers((peer) => peer.readingLoad) + demand.readingLoad(performance.now()),
-      eventsPerMs: () => sumOverPeers((peer) => peer.eventsPerMs) + demand.eventsPerMs(performance.now()),
     });
-    const { usage } = settings;
-    if (usage === undefined || parts.calls === undefined) return;
+    const { usage, controlsEngineCounts } = settings;
+    if (parts.calls === undefined) return;
+    if (controlsEngineCounts === true)
+      this.#engineCounts = new engineCountKeepers.EngineCountKeeper({
+        ...load,
+        context,
+        calls: parts.calls,
+        lease: this.#lease,
+      });
+    if (usage === undefined) return;
     this.#usageRecorder = new usageRecorders.UsageRecorder({
       ...parts,
       key: `${layout.usageKeys.recordPrefix}${settings.vm}/${parts.incarnation}`,
@@ -84,6 +97,7 @@
   start(): void {
     void this.#lease.run();
     this.#roles.start();
+    this.#engineCounts?.start();
     this.#usageRecorder?.start();
     this.#usageReporter?.start();
   }
@@ -92,6 +106,7 @@
   release(): void {
     void this.#lease.end();
     this.#roles.stop();
+    this.#engineCounts?.stop();
     this.#usageReporter?.stop();
   }
 
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -1,7 +1,11 @@
 /** Decisions of request serving, without input or output: routes, endpoints, placement, retries. */
 export * from "./activeSet.js";
 export * from "./admission.js";
+export * from "./capacity/engineCountControl.js";
+export * from "./capacity/enginePlan.js";
+export * from "./capacity/neededEngines.js";
 export * from "./configuration.js";
+export * from "./decayingPeak.js";
 export * from "./routeTable.js";
 export * from "./demand.js";
 export * from "./endpointDirectory.js";
--- a/packages/serving/src/roleBalance.ts
+++ b/packages/serving/src/roleBalance.ts
@@ -1,3 +1,4 @@
+import * as decayingPeaks from "./decayingPeak.js";
 import * as directories from "./endpointDirectory.js";
 import type * as engineSpeeds from "./engineSpeeds.js";
 
@@ -112,7 +113,8 @@
   #changedAt = Number.NEGATIVE_INFINITY;
   #changedTo = directories.EngineRole.None;
   #outlook: RoleOutlook | undefined;
-  readonly #peak = new PeakEventRate();
+  /** A quiet moment between two bursts is no reason to give decode engines away. */
+  readonly #peak = new decayingPeaks.DecayingPeak(PEAK_DECAY_MS);
 
   /** @returns state of the last decision, or undefined before the first */
   get outlook(): RoleOutlook | undefined {
@@ -289,21 +291,9 @@
   readonly decodeReadingShare: number;
 }
 
-/** Time constant of a peak's decay, in milliseconds: it spans several swings of the mix. */
+/** Time constant of the decay of the peak event rate, in milliseconds: it spans several swings of the mix. */
 const PEAK_DECAY_MS = 12_000;
 
-/** The recent peak of the event rate: a quiet moment between two bursts is no reason to give decode engines away. */
-class PeakEventRate {
-  #peak = 0;
-  #at = 0;
-
-  update(eventsPerMs: number, now: number): number {
-    this.#peak = Math.max(eventsPerMs, this.#peak * Math.exp(-Math.max(0, now - this.#at) / PEAK_DECAY_MS));
-    this.#at = now;
-    return this.#peak;
-  }
-}
-
 /** Events per millisecond of the running streams, from their number and the speed of an engine with that many. */
 function eventRate(decode: readonly BalancedEngine[], pause: Load["pause"]): number {
   const running = runningStreams(decode);
