--- a/packages/serving/src/capacity/engineCountControl.ts
+++ b/packages/serving/src/capacity/engineCountControl.ts
@@ -104,7 +104,7 @@
    */
   #neededWithoutLoad({ dataCentres }: CountInputs): number {
     const present = dataCentres.reduce((sum, each) => sum + each.onDemand + each.reclaimable, 0);
-    this.#initialEngines ||= present;
+    this.#initialEngines = Math.max(this.#initialEngines, present);
     const share = dataCentres.length > 1 ? (dataCentres.length - 1) / dataCentres.length : 1;
     return Math.ceil(this.#initialEngines * share);
   }
--- a/packages/serving/src/capacity/enginePlan.ts
+++ b/packages/serving/src/capacity/enginePlan.ts
@@ -25,6 +25,9 @@
   readonly needed: number;
 }
 
+/** Share of the planned reclaimable engines below which those of a data centre count as lost. */
+const LOST_SHARE = 0.5;
+
 /**
  * Plans the number of engines of each kind in each data centre. This answers a fleet that costs by the second, in which
  * the cheap engines of a data centre may be reclaimed all at once: as many cheap engines are used as the loss of a
@@ -37,8 +40,10 @@
 export function planEngines(inputs: PlanInputs): PlannedEngines[] {
   const reclaimable = plannedReclaimable(inputs);
   const serving = inputs.dataCentres.map((each, index) => Math.min(each.reclaimable, reclaimable[index] ?? 0));
-  // Where the platform has none left, a data centre's engines have been lost already.
-  const isOneLost = inputs.dataCentres.some((each) => !each.hasReclaimable);
+  // The loss of one data centre is planned for, not that of a second one before the first has its engines back.
+  const isOneLost = inputs.dataCentres.some(
+    ({ hasReclaimable }, index) => !hasReclaimable || (serving[index] ?? 0) < LOST_SHARE * (reclaimable[index] ?? 0),
+  );
   const safelyReclaimable = sum(serving) - (isOneLost ? 0 : Math.max(0, ...serving));
   const onDemand = distribute(Math.max(0, inputs.needed - safelyReclaimable), inputs, reclaimable);
   return inputs.dataCentres.map(({ dataCentre }, index) => ({
--- a/packages/serving/tests/requestFingerprint.test.ts
+++ b/packages/serving/tests/requestFingerprint.test.ts
@@ -25,6 +25,7 @@
     { target: "/ask/x" },
     { body: Buffer.from("bodY") },
     { body: undefined },
+    { organisation: "hall" },
   ];
   for (const change of changes)
     assert.is.not(serving.fingerprintsOf({ ...REQUEST, ...change }).content, original.content);
