Let the holder of the duty lease act at once where tokens are checked

Change: no waiting for a lease time where platform and engines refuse lower tokens, but for a daemon that takes the lease again; the next window follows at once; no record is written to a store that doesn't answer. Timers of the duties run only while the lease is held. Prefill sites are chosen by a rule behind an interface; the one that stands is unchanged.

--- a/packages/experiment/src/emulatedDaemon.ts
+++ b/packages/experiment/src/emulatedDaemon.ts
@@ -213,6 +213,8 @@
       slowness: (id) => this.#health.slowness(id),
       dataCentre: "a",
       maxPauseMs: description.pausesIgnored === true ? Number.POSITIVE_INFINITY : kind.pauseMs,
+      objectiveMs: kind.objectiveMs,
+      siteRule: siteRuleOf(description),
       now: time.now,
     };
   }
@@ -328,3 +330,9 @@
     this.#statistics.record({ kind, atMs, promptTokens: prompt.promptTokens, outcome, inTime });
   }
 }
+
+function siteRuleOf({ colocatedShare }: descriptions.Description): serving.PrefillSiteRule {
+  return colocatedShare === undefined
+    ? new serving.ShortestFirstEvent()
+    : new serving.ColocatedWithinObjective(colocatedShare);
+}
--- a/packages/gateway/src/duties/duties.ts
+++ b/packages/gateway/src/duties/duties.ts
@@ -22,6 +22,8 @@
   readonly eligible: () => boolean;
   /** @returns states of the live peers */
   readonly livePeers: () => readonly peerTables.PeerState[];
+  /** @returns milliseconds for which the key-value service has not answered this daemon */
+  readonly storeSilentMs: () => number;
   /** @returns current true time, in Unix milliseconds */
   readonly unixMs: () => number;
 }
@@ -47,7 +49,9 @@
       vm: settings.vm,
       log,
       leaseMs: settings.orderLeaseMs,
+      isFenced: settings.areOrdersFenced ?? false,
       eligible: parts.eligible,
+      onHeldChange: (isHeld) => this.#onHeldChange(isHeld),
     });
     const sumOverPeers = (valueOf: (peer: peerTables.PeerState) => number): number =>
       parts.livePeers().reduce((sum, peer) => sum + valueOf(peer), 0);
@@ -96,18 +100,20 @@
   /** Starts acquiring the lease and carrying out the duties. */
   start(): void {
     void this.#lease.run();
-    this.#roles.start();
-    this.#engineCounts?.start();
     this.#usageRecorder?.start();
-    this.#usageReporter?.start();
   }
 
   /** Releases the lease, so that another daemon carries out the duties. */
   release(): void {
     void this.#lease.end();
-    this.#roles.stop();
-    this.#engineCounts?.stop();
-    this.#usageReporter?.stop();
+  }
+
+  /** Runs the checks of the duties only while the lease is held: they would wake every daemon several times a second. */
+  #onHeldChange(isHeld: boolean): void {
+    for (const duty of [this.#roles, this.#engineCounts, this.#usageReporter]) {
+      if (isHeld) duty?.start();
+      else duty?.stop();
+    }
   }
 
   /** Records the usage that this daemon has counted, once its requests are over. */
--- a/packages/gateway/src/duties/dutyLease.ts
+++ b/packages/gateway/src/duties/dutyLease.ts
@@ -21,21 +21,27 @@
   readonly log: decisionLogs.DecisionLog;
   /** Lease time, in milliseconds. */
   readonly leaseMs: number;
+  /** Whether whoever takes orders refuses a lower fencing token than it has seen. */
+  readonly isFenced?: boolean;
   /** Whether this daemon is the one that should hold the authority. */
   readonly eligible: () => boolean;
+  /** Called when this daemon has taken or lost the lease. */
+  readonly onHeldChange?: (isHeld: boolean) => void;
 }
 
 /**
  * Distributed lock on the duties of the fleet, such as orders to engines: a key under a lease, created by one daemon at
- * a time. Its creation revision is the fencing token, which increases with every holder. The holder acts only after a
- * whole lease time has passed since the key was created: by then a previous holder, which may not know that its lease
- * has ended, has stopped by itself.
+ * a time. Its creation revision is the fencing token, which increases with every holder. Where tokens are checked, the
+ * holder acts at once. Elsewhere it acts only after a whole lease time has passed since the key was created: by then a
+ * previous holder, which may not know that its lease has ended, has stopped by itself. A daemon that takes the lease
+ * again also waits, so that holders don't take turns within a lease time.
  */
 export class DutyLease {
   readonly #parts: DutyLeaseParts;
   #lease: number | undefined;
   #token = 0;
   #usableFrom = 0;
+  #lostAt = Number.NEGATIVE_INFINITY;
   #validUntil = 0;
   #clockOffset = 0;
   #stopped = false;
@@ -104,9 +110,11 @@
     }
     this.#lease = lease.value.id;
     this.#token = written.value;
-    this.#usableFrom = performance.now() + this.#parts.leaseMs;
+    const mayActAtOnce = this.#parts.isFenced === true;
+    this.#usableFrom = (mayActAtOnce ? this.#lostAt : performance.now()) + this.#parts.leaseMs;
     this.#extendValidity(sentAt, offset);
     this.#parts.log.info("authority-taken", { token: this.#token, lease: this.#lease });
+    this.#parts.onHeldChange?.(true);
     return this.#parts.leaseMs / RENEWALS_PER_LEASE;
   }
 
@@ -132,6 +140,8 @@
     this.#parts.log.warn("authority-lost", { token: this.#token, reason });
     this.#lease = undefined;
     this.#validUntil = 0;
+    this.#lostAt = performance.now();
+    this.#parts.onHeldChange?.(false);
   }
 }
 
--- a/packages/gateway/src/duties/engineCountKeeper.ts
+++ b/packages/gateway/src/duties/engineCountKeeper.ts
@@ -45,6 +45,7 @@
 
   /** Starts the periodic check. */
   start(): void {
+    clearInterval(this.#timer);
     this.#timer = setInterval(() => void this.#check(), CHECK_INTERVAL_MS);
   }
 
--- a/packages/gateway/src/duties/roleChanger.ts
+++ b/packages/gateway/src/duties/roleChanger.ts
@@ -50,6 +50,7 @@
 
   /** Starts the periodic check. */
   start(): void {
+    clearInterval(this.#timer);
     this.#timer = setInterval(() => this.#check(), CHECK_INTERVAL_MS);
   }
 
--- a/packages/gateway/src/duties/usageRecorder.ts
+++ b/packages/gateway/src/duties/usageRecorder.ts
@@ -6,6 +6,9 @@
 /** Maximum random delay after the end of a window, in milliseconds; spreads the writes of all daemons. */
 const MAX_SPREAD_MS = 500;
 
+/** Silence of the key-value service from which nothing is stored until it answers again, in milliseconds. */
+const STORE_SILENT_MS = 2_000;
+
 /** Delay after a failed write, in milliseconds. */
 const RETRY_PAUSE_MS = 700;
 
@@ -18,6 +21,8 @@
   readonly counter: serving.UsageCounter;
   readonly windowMs: number;
   readonly log: decisionLogs.DecisionLog;
+  /** @returns milliseconds for which the key-value service has not answered this daemon */
+  readonly storeSilentMs: () => number;
   /** @returns current true time, in Unix milliseconds */
   readonly unixMs: () => number;
   /** @returns a uniform random number in [0, 1) */
@@ -63,7 +68,8 @@
   async #step(): Promise<void> {
     const { counter, unixMs } = this.#parts;
     const isDue = counter.hasCounts && counter.windowAt(unixMs()) - 1 > this.#storedThrough;
-    const isStored = !isDue || (await this.#store());
+    const isReachable = this.#parts.storeSilentMs() < STORE_SILENT_MS;
+    const isStored = !isDue || (isReachable && (await this.#store()));
     this.#schedule(isStored ? this.#untilNextWindow() : RETRY_PAUSE_MS);
   }
 
--- a/packages/gateway/src/duties/usageReporter.ts
+++ b/packages/gateway/src/duties/usageReporter.ts
@@ -20,6 +20,16 @@
 /** Number of windows for which the record of a daemon that has stopped writing is kept. */
 const KEPT_WINDOWS = 24;
 
+/** Result of one step of the reporter. */
+export enum Progress {
+  /** Everything that has ended is reported. */
+  Idle = "idle",
+  /** A call failed, or records are missing. */
+  Waiting = "waiting",
+  /** A window was reported, and there may be another one. */
+  Reported = "reported",
+}
+
 /** Dependencies of {@link UsageReporter}. */
 export interface ReporterParts {
   readonly store: ports.DurableStore;
@@ -53,7 +63,7 @@
   readonly #parts: ReporterParts;
   #acknowledgedWindow = -1;
   #timer: NodeJS.Timeout | undefined;
-  #stopped = false;
+  #stopped = true;
 
   /** @param parts - dependencies */
   constructor(parts: ReporterParts) {
@@ -62,6 +72,7 @@
 
   /** Starts reporting while the lease is held. */
   start(): void {
+    this.#stopped = false;
     this.#schedule(RETRY_INTERVAL_MS);
   }
 
@@ -74,10 +85,15 @@
   #schedule(pauseMs: number): void {
     if (this.#stopped) return;
     this.#timer = setTimeout(() => {
-      void this.step().then((isDone) => this.#schedule(isDone ? this.#untilNextRead() : RETRY_INTERVAL_MS));
+      void this.step().then((progress) => this.#schedule(this.#pauseAfter(progress)));
     }, pauseMs);
   }
 
+  #pauseAfter(progress: Progress): number {
+    if (progress === Progress.Reported) return 0;
+    return progress === Progress.Idle ? this.#untilNextRead() : RETRY_INTERVAL_MS;
+  }
+
   #untilNextRead(): number {
     const { windowMs } = this.#parts.settings;
     const intoWindowMs = this.#parts.unixMs() % windowMs;
@@ -86,21 +102,21 @@
   }
 
   /**
-   * Sends what is fixed and not acknowledged, then fixes and sends each further window that can be reported.
+   * Sends the fixed report if it is not acknowledged, then fixes and sends the next one if there is one.
    *
-   * @returns whether everything that has ended is reported
+   * @returns what was achieved
    */
-  async step(): Promise<boolean> {
-    if (this.#parts.lease.token() === undefined) return false;
+  async step(): Promise<Progress> {
+    if (this.#parts.lease.token() === undefined) return Progress.Waiting;
     const stored = await this.#read();
-    if (stored === undefined) return false;
+    if (stored === undefined) return Progress.Waiting;
     const { report } = stored;
-    if (report !== undefined && report.window > this.#acknowledgedWindow && !(await this.#send(report))) return false;
+    const isUnacknowledged = report !== undefined && report.window > this.#acknowledgedWindow;
+    if (isUnacknowledged && !(await this.#send(report))) return Progress.Waiting;
     const next = this.#next(stored);
-    if (next === undefined) return !this.#isWaiting(stored);
-    if (!(await this.#fix(next, stored))) return false;
-    await this.#send(next);
-    return false;
+    if (next === undefined) return this.#isWaiting(stored) ? Progress.Waiting : Progress.Idle;
+    if (!(await this.#fix(next, stored))) return Progress.Waiting;
+    return (await this.#send(next)) ? Progress.Reported : Progress.Waiting;
   }
 
   #next(stored: StoredUsage): serving.UsageReport | undefined {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -212,6 +212,7 @@
       usageCounter,
       eligible: () => this.#isDutyCandidate(),
       livePeers: () => this.#peers.peerTable.live(performance.now()),
+      storeSilentMs: () => this.#follower.silentMs,
       unixMs: () => clock.unixMs(),
     });
     const key = `${dependencies.layout.daemonPrefix}${settings.vm}`;
--- a/packages/gateway/src/sendChooser.ts
+++ b/packages/gateway/src/sendChooser.ts
@@ -3,6 +3,8 @@
 import type * as contexts from "./context.js";
 import type * as servedRequests from "./servedRequest.js";
 
+const PREFILL_SITE_RULE = new serving.ShortestFirstEvent();
+
 /** What a send asks of its endpoint. */
 export enum Stage {
   /** An engine prefills the prompt for another one. */
@@ -132,6 +134,8 @@
       slowness: (id) => health.slowness(id),
       dataCentre: settings.dataCentre,
       maxPauseMs: this.#served.route.pauseMs,
+      objectiveMs: this.#served.route.objectiveMs,
+      siteRule: PREFILL_SITE_RULE,
       now: performance.now(),
     };
   }
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -30,6 +30,8 @@
   readonly usage?: ports.UsageSettings | undefined;
   /** Whether the system orders the numbers of engines. */
   readonly controlsEngineCounts?: boolean;
+  /** Whether engines and platform refuse orders with a lower fencing token than they have seen. */
+  readonly areOrdersFenced?: boolean;
   /** Duration of the lease that allows a daemon to carry out the duties of the fleet, in milliseconds. */
   readonly orderLeaseMs: number;
   readonly logLevel: string;
--- a/packages/serving/src/placement.ts
+++ b/packages/serving/src/placement.ts
@@ -43,9 +43,51 @@
   readonly dataCentre: string;
   /** Longest acceptable pause between two events of a stream, in milliseconds. */
   readonly maxPauseMs: number;
+  /** Latency objective of the first event, in milliseconds. */
+  readonly objectiveMs: number;
+  /** Chooses between the two ways of serving a prompt. */
+  readonly siteRule: PrefillSiteRule;
   readonly now: number;
 }
 
+/** Chooses between prefill on the decode engine and on a prefill engine. */
+export interface PrefillSiteRule {
+  /**
+   * @param colocatedMs - predicted time to the first event with prefill on the decode engine, its cost to the other
+   *   streams there included, in milliseconds
+   * @param disaggregatedMs - the same with prefill on a prefill engine
+   * @param objectiveMs - latency objective of the first event, in milliseconds
+   * @returns whether the decode engine prefills the prompt
+   */
+  isColocated(colocatedMs: number, disaggregatedMs: number, objectiveMs: number): boolean;
+}
+
+/** Chooses the shorter predicted time. */
+export class ShortestFirstEvent implements PrefillSiteRule {
+  /** {@inheritDoc PrefillSiteRule.isColocated} */
+  isColocated(colocatedMs: number, disaggregatedMs: number): boolean {
+    return colocatedMs <= disaggregatedMs;
+  }
+}
+
+/**
+ * Lets the decode engine prefill a prompt whose first event is predicted well within its objective, although a prefill
+ * engine would be sooner: a handover costs a second send and the transfer of the KV cache.
+ */
+export class ColocatedWithinObjective implements PrefillSiteRule {
+  readonly #share: number;
+
+  /** @param share - share of the objective that the predicted time may take */
+  constructor(share: number) {
+    this.#share = share;
+  }
+
+  /** {@inheritDoc PrefillSiteRule.isColocated} */
+  isColocated(colocatedMs: number, disaggregatedMs: number, objectiveMs: number): boolean {
+    return colocatedMs <= Math.max(disaggregatedMs, this.#share * objectiveMs);
+  }
+}
+
 /** Round trip to an endpoint in another data centre, in milliseconds. */
 const CROSS_DATA_CENTRE_MS = 2;
 
@@ -72,7 +114,8 @@
   const handoverMs = inputs.speeds.handoverMs(inputs.prompt.promptTokens);
   const disaggregatedMs =
     disaggregated === undefined ? Number.POSITIVE_INFINITY : disaggregated.predictedMs + handoverMs + slotMs;
-  if (disaggregated === undefined || colocatedMs <= disaggregatedMs) {
+  const { siteRule, objectiveMs } = inputs;
+  if (disaggregated === undefined || siteRule.isColocated(colocatedMs, disaggregatedMs, objectiveMs)) {
     return {
       ...colocated,
       decodeEngine: colocated.engine,
--- a/packages/serving/tests/placement.test.ts
+++ b/packages/serving/tests/placement.test.ts
@@ -40,6 +40,8 @@
     slowness: () => 1,
     dataCentre: "a",
     maxPauseMs,
+    objectiveMs: 400,
+    siteRule: new serving.ShortestFirstEvent(),
     now: 0,
   });
   if (plan === undefined) throw new Error("no plan");
@@ -103,6 +105,8 @@
     slowness: () => 1,
     dataCentre: "a",
     maxPauseMs: 300,
+    objectiveMs: 400,
+    siteRule: new serving.ShortestFirstEvent(),
     now: 0,
   };
   assert.is(serving.placePrompt({ ...inputs, ...rest }), undefined);
--- a/packages/serving/tests/promptAdmission.test.ts
+++ b/packages/serving/tests/promptAdmission.test.ts
@@ -43,6 +43,8 @@
     slowness: () => 1,
     dataCentre: "a",
     maxPauseMs: 300,
+    objectiveMs: 400,
+    siteRule: new serving.ShortestFirstEvent(),
     now: 0,
   };
 }
