Prefill on the decode engine where the first event is in time

Cause: on the shifted work (64 slots, pauses of 400 ms) 2,430 of 3,479 streams were prefilled apart, each with a second send and a move of its KV cache. It gains nothing where the first event is well within its objective anyway.

Change: a prompt goes to the decode engine if its first event is predicted within 0.4 of the objective, what it costs the other streams included.

--- a/packages/gateway/src/sendChooser.ts
+++ b/packages/gateway/src/sendChooser.ts
@@ -3,7 +3,10 @@
 import type * as contexts from "./context.js";
 import type * as servedRequests from "./servedRequest.js";
 
-const PREFILL_SITE_RULE = new serving.ShortestFirstEvent();
+/** Share of the objective within which a decode engine prefills a prompt itself. */
+const COLOCATED_SHARE = 0.4;
+
+const PREFILL_SITE_RULE = new serving.ColocatedWithinObjective(COLOCATED_SHARE);
 
 /** What a send asks of its endpoint. */
 export enum Stage {
