Wait longer for usage records

Cause: a window was fixed 6.5 s after its end, just before daemons that had been cut off recorded it: 87 of 283 requests were missing.

Change: missing records are waited for until 0.8 of the time in which the report is due, instead of 0.65.

--- a/packages/gateway/src/duties/usageReporter.ts
+++ b/packages/gateway/src/duties/usageReporter.ts
@@ -12,7 +12,7 @@
 const RETRY_INTERVAL_MS = 900;
 
 /** Part of the time until a report is due for which missing records are waited for. */
-const PATIENCE_SHARE = 0.65;
+const PATIENCE_SHARE = 0.8;
 
 /** Maximum number of obsolete records that one write removes. */
 const MAX_REMOVALS = 20;
