Count the time for which fewer engines are wanted, not for which the number is the same

Cause: the wanted number falls step by step with the decaying peak, and each step began the hold time anew, so the engines of the first peak stayed.

Change: the hold time counts from when fewer than present are wanted.

--- a/packages/serving/src/capacity/engineCountControl.ts
+++ b/packages/serving/src/capacity/engineCountControl.ts
@@ -31,7 +31,7 @@
 }
 
 /**
- * Time for which another number must be wanted before it is ordered, in milliseconds. On-demand engines are expensive:
+ * Time for which more or fewer engines must be wanted before they are ordered, in milliseconds. On-demand engines are expensive:
  * more of them are ordered only once it is known that the platform has no cheap ones. Fewer engines wait for the load to
  * prove lasting, as an engine that is given up takes its cached prompts with it.
  */
@@ -52,9 +52,16 @@
 /** Time for which a data centre counts as having no more reclaimable engines, in milliseconds. */
 const UNAVAILABLE_MS = 3_000;
 
+/** Whether more or fewer engines are wanted than serve. */
+enum Direction {
+  None = "none",
+  More = "more",
+  Fewer = "fewer",
+}
+
 interface KeyState {
-  /** The number that is wanted, and since when. */
-  wanted: number;
+  /** Direction of the wanted change, and since when it has been the same; its size may vary meanwhile. */
+  direction: Direction;
   since: number;
   /** The last order and the time from which it may be repeated. */
   ordered: number | undefined;
@@ -128,13 +135,14 @@
 
   #isDue(order: CountOrder, bootMs: number, now: number): boolean {
     const key = keyOf(order);
-    const state = this.#states.get(key) ?? { wanted: Number.NaN, since: now, ordered: undefined, repeatAt: now };
+    const state = this.#states.get(key) ?? { direction: Direction.None, since: now, ordered: undefined, repeatAt: now };
     this.#states.set(key, state);
-    if (state.wanted !== order.count) {
-      state.wanted = order.count;
+    const direction = directionOf(order);
+    if (state.direction !== direction) {
+      state.direction = direction;
       state.since = now;
     }
-    if (order.count === order.serving) return false;
+    if (direction === Direction.None) return false;
     const isSameOrder = state.ordered === order.count;
     if (isSameOrder ? now < state.repeatAt : now - state.since < holdMs(order)) return false;
     state.ordered = order.count;
@@ -147,6 +155,11 @@
   return `${order.dataCentre} ${String(order.reclaimable)}`;
 }
 
+function directionOf({ count, serving }: CountOrder): Direction {
+  if (count === serving) return Direction.None;
+  return count > serving ? Direction.More : Direction.Fewer;
+}
+
 function holdMs({ count, serving, reclaimable }: CountOrder): number {
   if (count > serving) return reclaimable ? HOLD_MS.moreReclaimable : HOLD_MS.moreOnDemand;
   return reclaimable ? HOLD_MS.fewerReclaimable : HOLD_MS.fewerOnDemand;
