Keep first requests from activating the whole fleet

Cause: with the first second of traffic the active daemons of a data centre grew from 6 to 19 of 23: their code is not compiled yet, which counts as load. Each new one is busy in the same way, and all of them exchange heartbeats, for 17 s and again after the loss of power.

Change: the demand is averaged over 2 s, and ahead of the average one more daemon a second becomes active. Tests replay the first requests and a lasting load.

--- a/packages/serving/src/activeSet.ts
+++ b/packages/serving/src/activeSet.ts
@@ -12,6 +12,13 @@
 /** Capacity of the active daemons in multiples of the cores that are busy: a burst doubles the load within a second. */
 const CAPACITY_PER_BUSY_CORE = 2;
 
+/**
+ * Time constant over which the busy cores are averaged, and minimum time between two daemons that become active ahead of
+ * the average, in milliseconds. A daemon that serves its first requests is busy for about a second, as its code is not
+ * compiled yet. Taken for load, that activates most of the fleet, whose daemons are then busy in the same way.
+ */
+const GROWTH = { timeConstantMs: 2_000, intervalMs: 1_000 };
+
 /** Time for which the highest demand counts, in milliseconds: callers reuse a daemon's address for some seconds. */
 const DEMAND_WINDOW_MS = 15_000;
 
@@ -50,6 +57,10 @@
 export class ActiveSet {
   /** Recent demands in decreasing order, each until it no longer counts. */
   readonly #demands: { readonly cores: number; readonly until: number }[] = [];
+  /** Mean of the busy cores, and when it was updated. */
+  #busy: { readonly cores: number; readonly at: number } | undefined;
+  #grownAt = Number.NEGATIVE_INFINITY;
+  #size = 0;
 
   /**
    * @param own - this daemon, or undefined while it can't serve
@@ -71,18 +82,41 @@
     if (leader === undefined) return undefined;
     if (leader.vm !== own?.vm) return { leader: leader.vm, active: leader.activeVms, wantedCores: undefined };
     const wantedCores = this.#wantedCores(ranked, now);
-    return { leader: leader.vm, active: pickByCapacity(ranked, wantedCores), wantedCores };
+    const active = pickByCapacity(ranked, wantedCores);
+    this.#size = active.length;
+    return { leader: leader.vm, active, wantedCores };
   }
 
   #wantedCores(ranked: readonly ActiveSetCandidate[], now: number): number {
-    const busy = ranked.reduce((sum, { busyCores }) => sum + busyCores, 0);
-    const cores = CAPACITY_PER_BUSY_CORE * busy;
+    const present = ranked.reduce((sum, { busyCores }) => sum + busyCores, 0);
+    const mean = CAPACITY_PER_BUSY_CORE * this.#meanBusyCores(present, now);
+    const cores = Math.max(mean, this.#nextStep(ranked, CAPACITY_PER_BUSY_CORE * present, now));
     while ((this.#demands[0]?.until ?? now) < now) this.#demands.shift();
     while ((this.#demands.at(-1)?.cores ?? Number.POSITIVE_INFINITY) <= cores) this.#demands.pop();
     this.#demands.push({ cores, until: now + DEMAND_WINDOW_MS });
-    const total = ranked.reduce((sum, { capacity }) => sum + capacity, 0);
-    return Math.max(MIN_CAPACITY_SHARE * total, this.#demands[0]?.cores ?? 0);
+    return Math.max(MIN_CAPACITY_SHARE * capacityOf(ranked), this.#demands[0]?.cores ?? 0);
+  }
+
+  #meanBusyCores(present: number, now: number): number {
+    const { cores, at } = this.#busy ?? { cores: present, at: now };
+    const weight = 1 - Math.exp(-(now - at) / GROWTH.timeConstantMs);
+    const mean = cores + weight * (present - cores);
+    this.#busy = { cores: mean, at: now };
+    return mean;
   }
+
+  /** Capacity with one more daemon, if the present demand exceeds that of the active ones; 0 otherwise. */
+  #nextStep(ranked: readonly ActiveSetCandidate[], demand: number, now: number): number {
+    const active = ranked.slice(0, this.#size);
+    const isFirst = active.length === 0;
+    if (isFirst || demand <= capacityOf(active) || now - this.#grownAt < GROWTH.intervalMs) return 0;
+    this.#grownAt = now;
+    return capacityOf(ranked.slice(0, this.#size + 1));
+  }
+}
+
+function capacityOf(daemons: readonly ActiveSetCandidate[]): number {
+  return daemons.reduce((sum, { capacity }) => sum + capacity, 0);
 }
 
 /**
--- a/packages/serving/tests/activeSet.test.ts
+++ b/packages/serving/tests/activeSet.test.ts
@@ -51,6 +51,36 @@
   assert.is(count(LARGE[0], others, 17_000), 3);
 });
 
+// The first requests keep every daemon busy for a second, as its code is not compiled yet. If that counted as load, the
+// whole fleet would become active, and each daemon would be busy with its first requests and with all others' heartbeats.
+suite("daemons that serve their first requests don't activate the fleet", () => {
+  const set = new serving.ActiveSet();
+  const fleet = [...LARGE, ...smallDaemons(39)];
+  let active = new Set<string>();
+  for (let now = 0; now <= 20_000; now += 100) {
+    const isWarmingUp = now > 5_000 && now < 6_500;
+    const all = fleet.map((each) => {
+      const busyCores = active.has(each.vm) ? each.capacity * (isWarmingUp ? 1 : 0.15) : 0;
+      return { ...each, busyCores };
+    });
+    active = new Set(set.decide(all[0], all.slice(1), now)?.active);
+  }
+  assert.ok(active.size <= 9, `${active.size}`);
+});
+
+suite("a lasting load activates as many daemons as it needs within seconds", () => {
+  const set = new serving.ActiveSet();
+  const fleet = [...LARGE, ...smallDaemons(39)];
+  const loaded = fleet.map((each, index) => ({ ...each, busyCores: index < 3 ? 1.2 : 0 }));
+  set.decide(fleet[0], fleet.slice(1), 0);
+  let capacity = 0;
+  for (let now = 100; now <= 6_000; now += 100) {
+    const active = new Set(set.decide(loaded[0], loaded.slice(1), now)?.active);
+    capacity = fleet.reduce((sum, each) => sum + (active.has(each.vm) ? each.capacity : 0), 0);
+  }
+  assert.ok(capacity >= 2 * 3.6 * 0.9, `${capacity}`);
+});
+
 suite("a standby daemon follows the active daemon with the highest capacity", () => {
   const activeVms = ["large-0", "large-1", "small-7"];
   const active = LARGE.map((each) => ({ ...each, active: true, activeVms }));
