--- a/packages/experiment/src/description.ts
+++ b/packages/experiment/src/description.ts
@@ -78,8 +78,8 @@
   viewAgeMs: nonNegative,
   /** Whether daemons ignore the limit on pauses when they place prompts; shows what the limit gains. */
   pausesIgnored: zod.optional(zod.boolean()),
-  /** Share of the objective within which decode engines prefill prompts; by the shortest first event if left out. */
-  colocatedShare: zod.optional(positive),
+  /** Whether a prompt is prefilled wherever its first event is predicted sooner, handovers regardless. */
+  shortestFirstEvent: zod.optional(zod.boolean()),
   /** Share of the engines of each role that a daemon uses; all of them if it is left out. */
   engineShare: zod.optional(positive.check(zod.lte(1))),
   engines: enginesSchema,
--- a/packages/experiment/src/emulatedDaemon.ts
+++ b/packages/experiment/src/emulatedDaemon.ts
@@ -214,7 +214,7 @@
       dataCentre: "a",
       maxPauseMs: description.pausesIgnored === true ? Number.POSITIVE_INFINITY : kind.pauseMs,
       objectiveMs: kind.objectiveMs,
-      siteRule: siteRuleOf(description),
+      siteRule: description.shortestFirstEvent === true ? new serving.ShortestFirstEvent() : serving.PREFILL_SITE_RULE,
       now: time.now,
     };
   }
@@ -330,9 +330,3 @@
     this.#statistics.record({ kind, atMs, promptTokens: prompt.promptTokens, outcome, inTime });
   }
 }
-
-function siteRuleOf({ colocatedShare }: descriptions.Description): serving.PrefillSiteRule {
-  return colocatedShare === undefined
-    ? new serving.ShortestFirstEvent()
-    : new serving.ColocatedWithinObjective(colocatedShare);
-}
--- a/packages/gateway/src/sendChooser.ts
+++ b/packages/gateway/src/sendChooser.ts
@@ -3,11 +3,6 @@
 import type * as contexts from "./context.js";
 import type * as servedRequests from "./servedRequest.js";
 
-/** Share of the objective within which a decode engine prefills a prompt itself. */
-const COLOCATED_SHARE = 0.4;
-
-const PREFILL_SITE_RULE = new serving.ColocatedWithinObjective(COLOCATED_SHARE);
-
 /** What a send asks of its endpoint. */
 export enum Stage {
   /** An engine prefills the prompt for another one. */
@@ -138,7 +133,7 @@
       dataCentre: settings.dataCentre,
       maxPauseMs: this.#served.route.pauseMs,
       objectiveMs: this.#served.route.objectiveMs,
-      siteRule: PREFILL_SITE_RULE,
+      siteRule: serving.PREFILL_SITE_RULE,
       now: performance.now(),
     };
   }
--- a/packages/serving/src/placement.ts
+++ b/packages/serving/src/placement.ts
@@ -88,6 +88,12 @@
   }
 }
 
+/** Share of the objective within which a decode engine prefills a prompt itself. */
+const COLOCATED_SHARE = 0.4;
+
+/** The rule by which prompts are served. */
+export const PREFILL_SITE_RULE: PrefillSiteRule = new ColocatedWithinObjective(COLOCATED_SHARE);
+
 /** Round trip to an endpoint in another data centre, in milliseconds. */
 const CROSS_DATA_CENTRE_MS = 2;
 
--- a/packages/serving/tests/placement.test.ts
+++ b/packages/serving/tests/placement.test.ts
@@ -165,4 +165,14 @@
   assert.is(loads.tokensInProgress("p1", 7, 0), 0);
 });
 
+// A handover costs a second send and a transfer, which gain nothing where the first event is in time anyway.
+suite("a prompt whose first event is well within its objective is not handed over", () => {
+  const rule = new serving.ColocatedWithinObjective(0.4);
+  const shortest = new serving.ShortestFirstEvent();
+  assert.ok(rule.isColocated(150, 100, 400));
+  assert.not.ok(shortest.isColocated(150, 100));
+  assert.not.ok(rule.isColocated(170, 100, 400));
+  assert.ok(rule.isColocated(300, 310, 400));
+});
+
 suite.run();
