--- /dev/null
+++ b/packages/gateway/src/callers/callerAddresses.ts
@@ -0,0 +1,50 @@
+import type * as daemonEntries from "../daemonEntry.js";
+import type * as fleetViews from "../fleetView.js";
+import type * as peerLinks from "../peerLink.js";
+
+/** Maximum number of addresses in one answer. */
+const MAX_ADDRESSES = 64;
+
+/** Number of daemons in a caller's own data centre from which on it gets no addresses in other data centres. */
+const MIN_NEARBY_DAEMONS = 2;
+
+/** Dependencies of {@link CallerAddresses}. */
+export interface CallerAddressesParts {
+  readonly entry: daemonEntries.DaemonEntry;
+  readonly view: fleetViews.FleetView;
+  readonly peers: Pick<peerLinks.PeerLink, "activeSet" | "peerTable">;
+  /** @returns whether callers may be directed to this daemon */
+  readonly ready: () => boolean;
+}
+
+/** Chooses the daemons whose addresses a caller is given. */
+export class CallerAddresses {
+  readonly #parts: CallerAddressesParts;
+
+  /** @param parts - dependencies */
+  constructor(parts: CallerAddressesParts) {
+    this.#parts = parts;
+  }
+
+  /**
+   * @param dataCentre - the caller's data centre
+   * @param now - monotonic time in milliseconds
+   * @returns addresses to which the caller may connect: only those in its data centre if there are enough
+   */
+  choose(dataCentre: string, now: number): string[] {
+    const { entry, peers, view } = this.#parts;
+    const others = [...view.daemons.values()].filter((daemon) => daemon.vm !== entry.vm && daemon.callers !== "");
+    const { activeVms } = peers.activeSet;
+    const available = others.filter(({ vm }) => activeVms.includes(vm) || peers.peerTable.mayTakeCallers(vm, now));
+    if (this.#parts.ready()) available.push(entry);
+    const active = available.filter((daemon) => this.#isActive(daemon.vm, now));
+    const choices = [active, available].map((daemons) => daemons.filter((daemon) => daemon.dataCentre === dataCentre));
+    const chosen = choices.find((nearby) => nearby.length >= MIN_NEARBY_DAEMONS) ?? available;
+    return chosen.map((daemon) => daemon.callers).slice(0, MAX_ADDRESSES);
+  }
+
+  #isActive(vm: string, now: number): boolean {
+    const { activeSet, peerTable } = this.#parts.peers;
+    return activeSet.activeVms.includes(vm) || (peerTable.liveState(vm, now)?.active ?? false);
+  }
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,6 +5,7 @@
 import type * as hono from "hono";
 import * as fleetViewUpdaters from "./fleetViewUpdater.js";
 import * as callerListeners from "./callerListener.js";
+import * as callerAddresses from "./callers/callerAddresses.js";
 import * as contexts from "./context.js";
 import * as decisionLogs from "./decisionLog.js";
 import * as endpointClients from "./endpointClient.js";
@@ -40,12 +41,6 @@
 /** Time for sending the last answers, in milliseconds: a third of the time that remains until the process is killed. */
 const LAST_ANSWERS_MS = 200;
 
-/** Maximum number of addresses in one answer. */
-const MAX_ADDRESSES = 64;
-
-/** Number of daemons in a caller's own data centre from which on it gets no addresses in other data centres. */
-const MIN_NEARBY_DAEMONS = 2;
-
 /** Key of the rendezvous hash that chooses the daemon that carries out the duties of the fleet. */
 const DUTIES_KEY = "orders";
 
@@ -80,6 +75,7 @@
   readonly #registration: registrations.Registration;
   readonly #entry: daemonEntries.DaemonEntry;
   readonly #peers: peerLinks.PeerLink;
+  readonly #addresses: callerAddresses.CallerAddresses;
   readonly #storeReadingMode: storeReadingModes.StoreReadingMode;
   readonly #protection: crashProtections.CrashProtection;
   readonly #duties: dutiesModule.Duties;
@@ -196,6 +192,12 @@
         fleetViewUpdater.applyEndpoint(id, value, revision, fleetViewUpdaters.Source.Peer),
       onDeparture: (id, departure) => fleetViewUpdater.applyDeparture(id, departure, fleetViewUpdaters.Source.Peer),
     });
+    this.#addresses = new callerAddresses.CallerAddresses({
+      entry: this.#entry,
+      view: this.#view,
+      peers: this.#peers,
+      ready: () => this.ready,
+    });
     this.#storeReadingMode = new storeReadingModes.StoreReadingMode({
       entry: this.#entry,
       view: this.#view,
@@ -255,24 +257,7 @@
    * @returns addresses to which the caller may connect: only those in its data centre if there are enough
    */
   addressesFor(dataCentre: string): string[] {
-    const now = performance.now();
-    const others = [...this.#view.daemons.values()].filter(
-      (daemon) => daemon.vm !== this.#entry.vm && daemon.callers !== "",
-    );
-    const { activeVms } = this.#peers.activeSet;
-    const available = others.filter(
-      ({ vm }) => activeVms.includes(vm) || this.#peers.peerTable.mayTakeCallers(vm, now),
-    );
-    if (this.ready) available.push(this.#entry);
-    const active = available.filter((daemon) => this.#isActive(daemon.vm, now));
-    const choices = [active, available].map((daemons) => daemons.filter((daemon) => daemon.dataCentre === dataCentre));
-    const chosen = choices.find((nearby) => nearby.length >= MIN_NEARBY_DAEMONS) ?? available;
-    return chosen.map((daemon) => daemon.callers).slice(0, MAX_ADDRESSES);
-  }
-
-  #isActive(vm: string, now: number): boolean {
-    if (this.#peers.activeSet.activeVms.includes(vm)) return true;
-    return this.#peers.peerTable.liveState(vm, now)?.active ?? false;
+    return this.#addresses.choose(dataCentre, performance.now());
   }
 
   /** @returns all metrics in the text format */
--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -10,6 +10,7 @@
 import * as peerNews from "./peerNews.js";
 import * as heartbeatSockets from "./heartbeatSocket.js";
 import * as peerWorks from "./peerWork.js";
+import * as peerReceivers from "./peers/peerReceiver.js";
 import * as recipientsModule from "./peers/recipients.js";
 import * as activeSetTrackers from "./peers/activeSetTracker.js";
 import * as suspectCodec from "./suspects/suspectCodec.js";
@@ -17,9 +18,6 @@
 import type * as settingsModule from "./settings.js";
 import * as endpointIncarnations from "./endpointIncarnation.js";
 
-/** Heartbeat intervals after which the work that a daemon reported expires. */
-const WORK_EXPIRY_HEARTBEATS = 2.2;
-
 /** Longest interval between two heartbeats when nothing has changed, in milliseconds. */
 const MAX_HEARTBEAT_INTERVAL_MS = 350;
 
@@ -76,6 +74,7 @@
   readonly #heartbeatSocket: heartbeatSockets.HeartbeatSocket;
   readonly #newsClient = new peerNews.NewsClient();
   readonly #work: peerWorks.PeerWork;
+  readonly #receiver: peerReceivers.PeerReceiver;
   readonly #recentChanges: recentChangesModule.RecentChanges;
   #server: http.Server | undefined;
   #timer: NodeJS.Timeout | undefined;
@@ -95,9 +94,10 @@
     this.peerTable = new peerTables.PeerTable(parts.entry.vm);
     this.activeSet = new activeSetTrackers.ActiveSetTracker({ ...parts, peerTable: this.peerTable });
     this.#work = new peerWorks.PeerWork(parts);
+    this.#receiver = new peerReceivers.PeerReceiver({ ...parts, peerTable: this.peerTable, work: this.#work });
     this.#recentChanges = new recentChangesModule.RecentChanges(parts.view);
     this.#heartbeatSocket = new heartbeatSockets.HeartbeatSocket(
-      (pulse, sender) => this.#applyHeartbeat(pulse, sender),
+      (pulse, sender) => this.#receiver.applyHeartbeat(pulse, sender),
       (detail) => parts.log.warn("peer-datagram-failed", { detail }),
     );
   }
@@ -105,7 +105,7 @@
   /** Opens the sockets and starts sending and receiving. */
   async start(): Promise<void> {
     await this.#heartbeatSocket.listen(this.#parts.settings.peers);
-    this.#server = await peerNews.serveNews(this.#parts.settings.peers, (news) => this.#applyNews(news));
+    this.#server = await peerNews.serveNews(this.#parts.settings.peers, (news) => this.#receiver.applyNews(news));
     this.#socketsOpen = true;
     this.#tick();
   }
@@ -298,77 +298,6 @@
     };
   }
 
-  #applyHeartbeat(pulse: messages.Pulse, sender: string): void {
-    const now = performance.now();
-    // A daemon in a planned stop still sends heartbeats but has left; one without a configuration has just started.
-    const stays = pulse.ready || pulse.configurationRevision === 0n;
-    const { vm, incarnation, dataCentre, callers } = pulse;
-    const capacity = capacityOf(pulse);
-    if (stays)
-      this.#parts.onDaemon({
-        vm,
-        incarnation,
-        dataCentre,
-        callers,
-        peers: sender,
-        capacity,
-      });
-    const previous = this.peerTable.record({
-      vm,
-      incarnation,
-      dataCentre,
-      capacity,
-      busyCores: pulse.busyThousandths / THOUSANDTHS,
-      active: pulse.active,
-      dispatching: pulse.active || pulse.work.length > 0,
-      activeVms: pulse.activeVms,
-      nextWithinMs: pulse.nextWithinMs,
-      ready: pulse.ready,
-      configurationRevision: Number(pulse.configurationRevision),
-      storeSilentMs: pulse.storeSilentMs,
-      followsClosely: pulse.followsClosely,
-      ...peerWorks.demandFrom(pulse),
-      clockOffsetMs: pulse.unixMs === 0n ? undefined : Number(pulse.unixMs) - now,
-      lastReceivedAt: now,
-    });
-    if (previous === undefined || previous.incarnation !== pulse.incarnation || previous.ready !== pulse.ready) {
-      this.#parts.log.info("peer", { peer: pulse.vm, incarnation: pulse.incarnation, ready: pulse.ready });
-    }
-    const expiryMs = Math.max(serving.PEER_WORK_EXPIRY_MS, WORK_EXPIRY_HEARTBEATS * pulse.nextWithinMs);
-    this.#work.apply(pulse, now, expiryMs);
-    for (const { endpoint, role, forMs, startedAtMs } of pulse.changing) {
-      const bornAt = endpointIncarnations.fromMessage(startedAtMs);
-      if (
-        this.#parts.view.pendingRoleChanges.has(endpoint) ||
-        endpointIncarnations.isOtherIncarnation(this.#parts.view, endpoint, bornAt)
-      )
-        continue;
-      this.#parts.view.pendingRoleChanges.set(endpoint, {
-        until: now + forMs,
-        role: role as serving.EngineRole,
-        bornAt,
-      });
-    }
-    for (const entry of pulse.entries) this.#parts.onEndpoint(entry.id, entry.value, Number(entry.revision));
-    this.#applyDepartures(pulse.departures);
-    this.#applySuspects(pulse.suspects, now);
-    this.#parts.suspects.notePeerTrial(pulse.vm, pulse.tryingSuspect, now);
-  }
-
-  #applySuspects(suspects: readonly messages.Suspect[], now: number): void {
-    for (const suspect of suspects) this.#parts.suspects.merge(suspectCodec.fromMessage(suspect), now);
-  }
-
-  #applyDepartures(departures: readonly messages.Departure[]): void {
-    for (const { endpoint, revision, startedAtMs, setAside } of departures) {
-      this.#parts.onDeparture(endpoint, {
-        revision: Number(revision),
-        bornAt: endpointIncarnations.fromMessage(startedAtMs),
-        setAside,
-      });
-    }
-  }
-
   #sendNews(now: number): void {
     const { view, log } = this.#parts;
     const sender: peerTables.SenderState = {
@@ -423,31 +352,4 @@
         return protobuf.create(messages.DaemonAddressSchema, { ...daemon, capacityThousandths });
       });
   }
-
-  #applyNews(news: messages.News): number {
-    if (news.configuration.length > 0) {
-      this.#parts.onConfiguration(news.configuration, Number(news.configurationRevision));
-    }
-    for (const entry of news.endpoints) this.#parts.onEndpoint(entry.id, entry.value, Number(entry.revision));
-    this.#applyDepartures(news.departures);
-    this.#applySuspects(news.suspects, performance.now());
-    const others = news.daemons.filter((daemon) => daemon.vm !== this.#parts.entry.vm);
-    for (const daemon of others) {
-      const { vm, incarnation, dataCentre, callers, peers } = daemon;
-      this.#parts.onDaemon({
-        vm,
-        incarnation,
-        dataCentre,
-        callers,
-        peers,
-        capacity: capacityOf(daemon),
-      });
-    }
-    return this.#parts.view.configurationRevision;
-  }
-}
-
-/** Older daemons don't report their capacity. */
-function capacityOf({ capacityThousandths }: { readonly capacityThousandths: number }): number {
-  return capacityThousandths === 0 ? daemonEntries.DEFAULT_CAPACITY : capacityThousandths / THOUSANDTHS;
 }
--- /dev/null
+++ b/packages/gateway/src/peers/peerReceiver.ts
@@ -0,0 +1,143 @@
+import type * as messages from "@camphorcourse/protocol/gateway";
+import * as serving from "@camphorcourse/serving";
+import * as daemonEntries from "../daemonEntry.js";
+import * as endpointIncarnations from "../endpointIncarnation.js";
+import type * as peerLinks from "../peerLink.js";
+import type * as peerTables from "../peerTable.js";
+import * as peerWorks from "../peerWork.js";
+import * as suspectCodec from "../suspects/suspectCodec.js";
+
+/** Messages carry capacity in whole thousandths of a core. */
+const THOUSANDTHS = 1_000;
+
+/** Heartbeat intervals after which the work that a daemon reported expires. */
+const WORK_EXPIRY_HEARTBEATS = 2.2;
+
+/** Dependencies of {@link PeerReceiver}. */
+export interface PeerReceiverParts extends Pick<
+  peerLinks.PeerLinkParts,
+  "entry" | "view" | "suspects" | "log" | "onDaemon" | "onConfiguration" | "onEndpoint" | "onDeparture"
+> {
+  readonly peerTable: peerTables.PeerTable;
+  readonly work: peerWorks.PeerWork;
+}
+
+/** Applies what other daemons send: heartbeats and news. */
+export class PeerReceiver {
+  readonly #parts: PeerReceiverParts;
+
+  /** @param parts - dependencies */
+  constructor(parts: PeerReceiverParts) {
+    this.#parts = parts;
+  }
+
+  /**
+   * @param pulse - a received heartbeat
+   * @param sender - IP:PORT of its sender
+   */
+  applyHeartbeat(pulse: messages.Pulse, sender: string): void {
+    const now = performance.now();
+    // A daemon in a planned stop still sends heartbeats but has left; one without a configuration has just started.
+    const stays = pulse.ready || pulse.configurationRevision === 0n;
+    const { vm, incarnation, dataCentre, callers } = pulse;
+    const capacity = capacityOf(pulse);
+    if (stays)
+      this.#parts.onDaemon({
+        vm,
+        incarnation,
+        dataCentre,
+        callers,
+        peers: sender,
+        capacity,
+      });
+    const previous = this.#parts.peerTable.record({
+      vm,
+      incarnation,
+      dataCentre,
+      capacity,
+      busyCores: pulse.busyThousandths / THOUSANDTHS,
+      active: pulse.active,
+      dispatching: pulse.active || pulse.work.length > 0,
+      activeVms: pulse.activeVms,
+      nextWithinMs: pulse.nextWithinMs,
+      ready: pulse.ready,
+      configurationRevision: Number(pulse.configurationRevision),
+      storeSilentMs: pulse.storeSilentMs,
+      followsClosely: pulse.followsClosely,
+      ...peerWorks.demandFrom(pulse),
+      clockOffsetMs: pulse.unixMs === 0n ? undefined : Number(pulse.unixMs) - now,
+      lastReceivedAt: now,
+    });
+    if (previous === undefined || previous.incarnation !== pulse.incarnation || previous.ready !== pulse.ready) {
+      this.#parts.log.info("peer", { peer: pulse.vm, incarnation: pulse.incarnation, ready: pulse.ready });
+    }
+    const expiryMs = Math.max(serving.PEER_WORK_EXPIRY_MS, WORK_EXPIRY_HEARTBEATS * pulse.nextWithinMs);
+    this.#parts.work.apply(pulse, now, expiryMs);
+    this.#applyRoleChanges(pulse.changing, now);
+    for (const entry of pulse.entries) this.#parts.onEndpoint(entry.id, entry.value, Number(entry.revision));
+    this.#applyDepartures(pulse.departures);
+    this.#applySuspects(pulse.suspects, now);
+    this.#parts.suspects.notePeerTrial(pulse.vm, pulse.tryingSuspect, now);
+  }
+
+  #applyRoleChanges(changing: readonly messages.RoleChanging[], now: number): void {
+    for (const { endpoint, role, forMs, startedAtMs } of changing) {
+      const bornAt = endpointIncarnations.fromMessage(startedAtMs);
+      if (
+        this.#parts.view.pendingRoleChanges.has(endpoint) ||
+        endpointIncarnations.isOtherIncarnation(this.#parts.view, endpoint, bornAt)
+      )
+        continue;
+      this.#parts.view.pendingRoleChanges.set(endpoint, {
+        until: now + forMs,
+        role: role as serving.EngineRole,
+        bornAt,
+      });
+    }
+  }
+
+  #applySuspects(suspects: readonly messages.Suspect[], now: number): void {
+    for (const suspect of suspects) this.#parts.suspects.merge(suspectCodec.fromMessage(suspect), now);
+  }
+
+  #applyDepartures(departures: readonly messages.Departure[]): void {
+    for (const { endpoint, revision, startedAtMs, setAside } of departures) {
+      this.#parts.onDeparture(endpoint, {
+        revision: Number(revision),
+        bornAt: endpointIncarnations.fromMessage(startedAtMs),
+        setAside,
+      });
+    }
+  }
+
+  /**
+   * @param news - what a peer has read in the key-value service
+   * @returns revision of the configuration that is now in force here
+   */
+  applyNews(news: messages.News): number {
+    if (news.configuration.length > 0) {
+      this.#parts.onConfiguration(news.configuration, Number(news.configurationRevision));
+    }
+    for (const entry of news.endpoints) this.#parts.onEndpoint(entry.id, entry.value, Number(entry.revision));
+    this.#applyDepartures(news.departures);
+    this.#applySuspects(news.suspects, performance.now());
+    const others = news.daemons.filter((daemon) => daemon.vm !== this.#parts.entry.vm);
+    for (const daemon of others) {
+      const { vm, incarnation, dataCentre, callers, peers } = daemon;
+      this.#parts.onDaemon({
+        vm,
+        incarnation,
+        dataCentre,
+        callers,
+        peers,
+        capacity: capacityOf(daemon),
+      });
+    }
+    return this.#parts.view.configurationRevision;
+  }
+}
+
+/** Older daemons don't report their capacity. */
+function capacityOf({ capacityThousandths }: { readonly capacityThousandths: number }): number {
+  return capacityThousandths === 0 ? daemonEntries.DEFAULT_CAPACITY : capacityThousandths / THOUSANDTHS;
+}
--- a/packages/gateway/tests/dutyLease.test.ts
+++ b/packages/gateway/tests/dutyLease.test.ts
@@ -55,6 +55,11 @@
     return Promise.resolve(neverthrow.ok(undefined));
   }
 
+  /** Ends the lease, as if its time had passed. */
+  expire(): void {
+    this.#holder = undefined;
+  }
+
   #isHeld(): boolean {
     return this.#holder !== undefined && this.#holder.until > performance.now();
   }
@@ -66,8 +71,9 @@
 
 const log = new decisionLogs.DecisionLog("vm", "fatal", { writableLength: 0, write: () => true });
 
-function authority(store: ports.DurableStore, vm: string): dutyLeases.DutyLease {
+function authority(store: ports.DurableStore, vm: string, isFenced = false): dutyLeases.DutyLease {
   const created = new dutyLeases.DutyLease({
+    isFenced,
     store,
     key: "authority",
     vm,
@@ -102,6 +108,22 @@
   await first.end();
 });
 
+// Whoever takes orders refuses the tokens of the first holder, so nothing is gained by waiting. But two holders that take
+// the lease from each other in turn would act alternately.
+suite("where tokens are checked a new holder acts at once, and one that takes the lease again waits", async () => {
+  const store = new LeaseStore();
+  const started = performance.now();
+  const holder = authority(store, "vm-1", true);
+  const token = await tokenOf(holder);
+  assert.ok(performance.now() - started < LEASE_MS);
+  holder.onTokenRefused();
+  const refusedAt = performance.now();
+  store.expire();
+  assert.ok((await tokenOf(holder)) > token);
+  assert.ok(performance.now() - refusedAt >= LEASE_MS);
+  await holder.end();
+});
+
 suite("of two daemons only one may give orders, also over time", async () => {
   const store = new LeaseStore();
   const both = [authority(store, "vm-1"), authority(store, "vm-2")];
