Name all endpoints that leave together, in as many datagrams as that takes

Cause: a heartbeat that doesn't fit into a datagram kept the last eight departures and two entries. The other daemons learnt of the rest when they read the key-value service themselves, up to ten seconds later.

Change: more than eight departures or entries go in datagrams of their own before the heartbeat.

--- a/packages/gateway/src/peers/peerReceiver.ts
+++ b/packages/gateway/src/peers/peerReceiver.ts
@@ -37,6 +37,10 @@
    */
   applyHeartbeat(pulse: messages.Pulse, sender: string): void {
     const now = performance.now();
+    if (pulse.changesOnly) {
+      this.#applyChanges(pulse);
+      return;
+    }
     // A daemon in a planned stop still sends heartbeats but has left; one without a configuration has just started.
     const stays = pulse.ready || pulse.configurationRevision === 0n;
     const { vm, incarnation, dataCentre, callers } = pulse;
@@ -74,12 +78,16 @@
     const expiryMs = Math.max(serving.PEER_WORK_EXPIRY_MS, WORK_EXPIRY_HEARTBEATS * pulse.nextWithinMs);
     this.#parts.work.apply(pulse, now, expiryMs);
     this.#applyRoleChanges(pulse.changing, now);
-    for (const entry of pulse.entries) this.#parts.onEndpoint(entry.id, entry.value, Number(entry.revision));
-    this.#applyDepartures(pulse.departures);
+    this.#applyChanges(pulse);
     this.#applySuspects(pulse.suspects, now);
     this.#parts.suspects.notePeerTrial(pulse.vm, pulse.tryingSuspect, now);
   }
 
+  #applyChanges({ entries, departures }: Pick<messages.Pulse, "entries" | "departures">): void {
+    for (const entry of entries) this.#parts.onEndpoint(entry.id, entry.value, Number(entry.revision));
+    this.#applyDepartures(departures);
+  }
+
   #applyRoleChanges(changing: readonly messages.RoleChanging[], now: number): void {
     for (const { endpoint, role, forMs, startedAtMs } of changing) {
       const bornAt = endpointIncarnations.fromMessage(startedAtMs);
--- a/packages/gateway/tests/heartbeatSocket.test.ts
+++ b/packages/gateway/tests/heartbeatSocket.test.ts
@@ -105,4 +105,38 @@
   assert.match(String(outcome), /EADDRINUSE/);
 });
 
+// When the engines of a data centre leave together, the heartbeat named the last eight of them only. The other daemons
+// went on sending requests to the rest until they read the key-value service themselves, seconds later.
+suite("names all endpoints that have left or joined, however many and whatever else it holds", async () => {
+  const received: messages.Pulse[] = [];
+  const fail = (detail: string): never => {
+    throw new Error(detail);
+  };
+  const sender = new heartbeatSockets.HeartbeatSocket(() => undefined, fail);
+  const receiver = new heartbeatSockets.HeartbeatSocket((pulse) => received.push(pulse), fail);
+  await receiver.listen({ host: "127.0.0.1", port: PORT });
+  const departures = Array.from({ length: 70 }, (_, index) => ({
+    endpoint: `i-0123456${index}`,
+    revision: 1_000_000n,
+    startedAtMs: 1_760_000_000_000n,
+    setAside: false,
+  }));
+  const entries = Array.from({ length: 40 }, (_, index) => ({
+    id: `i-9876543${index}`,
+    revision: 1_000_001n,
+    value: Buffer.alloc(220),
+  }));
+  const work = Array.from({ length: 30 }, (_, index) => ({ endpoint: `i-5555555${index}`, running: 3, unread: [10] }));
+  sender.send(protobuf.create(messages.PulseSchema, { vm: "vm-1", departures, entries, work }), [`127.0.0.1:${PORT}`]);
+  const isComplete = (): boolean => received.some((pulse) => !pulse.changesOnly);
+  for (let turn = 0; turn < 100 && !isComplete(); turn++) await new Promise((resolve) => setTimeout(resolve, 10));
+  sender.close();
+  receiver.close();
+  const departed = new Set(received.flatMap((pulse) => pulse.departures.map(({ endpoint }) => endpoint)));
+  const joined = new Set(received.flatMap((pulse) => pulse.entries.map(({ id }) => id)));
+  assert.is(departed.size, departures.length);
+  assert.is(joined.size, entries.length);
+  assert.ok(received.filter((pulse) => !pulse.changesOnly).length === 1);
+});
+
 suite.run();
