Ask whether the configuration is current only for unknown keys

Cause: the gate looked through the states of all live peers for every request; the answer matters for keys that nobody is known to hold.

--- a/packages/gateway/src/callers/accessGate.ts
+++ b/packages/gateway/src/callers/accessGate.ts
@@ -41,11 +41,10 @@
   ): serving.Access | undefined {
     const { format, isConfigurationCurrent, log, metrics, view } = this.#context;
     const { credential, requestId: id } = request.headers;
-    const isCurrent = isConfigurationCurrent();
-    const admitted = table.organisations.admit(route, credential, isCurrent);
+    const admitted = table.organisations.admit(route, credential, isConfigurationCurrent);
     if (admitted.isOk()) return admitted.value;
     const problem = admitted.error;
-    log.info("access-denied", { id, route: route.name, problem, configuration: view.configurationRevision, isCurrent });
+    log.info("access-denied", { id, route: route.name, problem, configuration: view.configurationRevision });
     metrics.count("access_denied");
     if (problem === serving.AccessProblem.UnconfirmedKey) {
       answer.refuse(UNAVAILABLE, DETAILS[problem], [format.retryAfterHeader, OUTDATED_RETRY_AFTER]);
--- a/packages/serving/src/organisations/access.ts
+++ b/packages/serving/src/organisations/access.ts
@@ -46,13 +46,13 @@
    *
    * @param route - the route that matched
    * @param credential - what the request presents
-   * @param isCurrent - whether this configuration is known to be the newest
+   * @param isCurrent - returns whether this configuration is known to be the newest; asked for unknown keys only
    * @returns on whose behalf the request is served, or why it is not
    */
   admit(
     route: configurations.Route,
     credential: credentials.Credential,
-    isCurrent: boolean,
+    isCurrent: () => boolean,
   ): neverthrow.Result<Access, AccessProblem> {
     if (!this.#restricted) return neverthrow.ok(UNRESTRICTED);
     if (credential.kind === credentials.CredentialKind.Malformed)
@@ -62,6 +62,6 @@
     }
     const organisation = this.#byDigest.get(credential.digest);
     if (organisation !== undefined) return neverthrow.ok({ restricted: true, organisation });
-    return neverthrow.err(isCurrent ? AccessProblem.UnknownKey : AccessProblem.UnconfirmedKey);
+    return neverthrow.err(isCurrent() ? AccessProblem.UnknownKey : AccessProblem.UnconfirmedKey);
   }
 }
--- a/packages/serving/tests/organisations.test.ts
+++ b/packages/serving/tests/organisations.test.ts
@@ -21,6 +21,8 @@
   isPublic: false,
 };
 
+const isCurrent = (): boolean => true;
+
 const anyKey = fc.stringMatching(/^[a-z0-9]{1,24}$/);
 
 function organisation(name: string, keys: readonly string[]): serving.Organisation {
@@ -35,7 +37,7 @@
       const organisations = [0, 1, 2, 3, 4, 5].map((index) => organisation(`o${index}`, keysOf(index)));
       const directory = new serving.OrganisationDirectory(organisations);
       const admit = (key: string): string | undefined =>
-        directory.admit({ ...ROUTE, isPublic }, serving.credentialOf(key), true).unwrapOr(undefined)?.organisation
+        directory.admit({ ...ROUTE, isPublic }, serving.credentialOf(key), isCurrent).unwrapOr(undefined)?.organisation
           ?.name;
       for (const [key, index] of Object.entries(owners)) assert.is(admit(key), `o${index}`);
       if (!(stranger in owners)) assert.is(admit(stranger), undefined);
@@ -49,18 +51,21 @@
   const none = { kind: serving.CredentialKind.None } as const;
   const malformed = { kind: serving.CredentialKind.Malformed } as const;
   const wrong = serving.credentialOf("wrong");
-  assert.is(directory.admit(ROUTE, none, true)._unsafeUnwrapErr(), serving.AccessProblem.MissingKey);
-  assert.equal(directory.admit(open, none, true)._unsafeUnwrap(), { restricted: true, organisation: undefined });
+  assert.is(directory.admit(ROUTE, none, isCurrent)._unsafeUnwrapErr(), serving.AccessProblem.MissingKey);
+  assert.equal(directory.admit(open, none, isCurrent)._unsafeUnwrap(), { restricted: true, organisation: undefined });
   for (const route of [ROUTE, open]) {
-    assert.is(directory.admit(route, wrong, true)._unsafeUnwrapErr(), serving.AccessProblem.UnknownKey);
-    assert.is(directory.admit(route, malformed, true)._unsafeUnwrapErr(), serving.AccessProblem.MalformedCredential);
+    assert.is(directory.admit(route, wrong, isCurrent)._unsafeUnwrapErr(), serving.AccessProblem.UnknownKey);
+    assert.is(
+      directory.admit(route, malformed, isCurrent)._unsafeUnwrapErr(),
+      serving.AccessProblem.MalformedCredential,
+    );
   }
 });
 
 // A key that was added while the key-value service is unreachable would be answered 401, and callers give up after it.
 suite("an unknown key is not final while a newer configuration may exist", () => {
   const directory = new serving.OrganisationDirectory([]);
-  const admitted = directory.admit(ROUTE, serving.credentialOf("key"), false);
+  const admitted = directory.admit(ROUTE, serving.credentialOf("key"), () => false);
   assert.is(admitted._unsafeUnwrapErr(), serving.AccessProblem.UnconfirmedKey);
 });
 
@@ -73,10 +78,10 @@
 suite("a configuration without organisations restricts nothing, one with an empty list everything", () => {
   const credential = serving.credentialOf("key");
   assert.is(
-    new serving.OrganisationDirectory(undefined).admit(ROUTE, credential, true)._unsafeUnwrap().restricted,
+    new serving.OrganisationDirectory(undefined).admit(ROUTE, credential, isCurrent)._unsafeUnwrap().restricted,
     false,
   );
-  assert.ok(new serving.OrganisationDirectory([]).admit(ROUTE, credential, true).isErr());
+  assert.ok(new serving.OrganisationDirectory([]).admit(ROUTE, credential, isCurrent).isErr());
 });
 
 suite.run();
