Order engines only where the operators name a price

Cause, found by reading: engines were ordered in every data centre of the settings, also in one where the service doesn't run and the platform would turn each order down, once a second. Test over sockets: a data centre without a price gets no order; before, it got the third.

--- a/packages/gateway/src/duties/engineCountKeeper.ts
+++ b/packages/gateway/src/duties/engineCountKeeper.ts
@@ -87,7 +87,7 @@
     );
     const needed = this.#policy.neededEngines({ ...load, streamsPerEngine, speeds: speeds.of(service) });
     const control = this.#control(service);
-    const orders = control.decide({ limits, dataCentres: this.#present(service), needed, now });
+    const orders = control.decide({ limits, dataCentres: this.#present(service, limits), needed, now });
     for (const order of orders) {
       const outcome = await this.#send(service, order, needed, load);
       control.recordOutcome(order, outcome, performance.now());
@@ -104,10 +104,12 @@
     return control;
   }
 
-  #present(service: string): serving.CountInputs["dataCentres"] {
+  /** Engines that serve now, in the data centres for which the operators name a price. */
+  #present(service: string, { prices }: serving.ScalingLimits): serving.CountInputs["dataCentres"] {
     const { settings, view } = this.#parts.context;
     const engines = view.directory.availableEndpoints(service);
-    return Object.keys(settings.dataCentres).map((dataCentre) => {
+    const priced = Object.keys(settings.dataCentres).filter((each) => prices.size === 0 || prices.has(each));
+    return priced.map((dataCentre) => {
       const local = engines.filter((engine) => engine.dataCentre === dataCentre);
       const reclaimable = local.filter((engine) => engine.reclaimable === true).length;
       return { dataCentre, reclaimable, onDemand: local.length - reclaimable };
