Let the exchange tests reach a separate prefill again

Cause: four tests of requests in prefill set up engines so that a separate prefill is chosen.

Change: the harness's objective is 0.1 s. What the tests check is unchanged.

--- a/packages/gateway/tests/helpers/exchangeHarness.ts
+++ b/packages/gateway/tests/helpers/exchangeHarness.ts
@@ -149,7 +149,8 @@
     resumable: true,
     carriesPrompt: requestClass === serving.RequestClass.Stream,
     timeoutMs: 60_000,
-    objectiveMs: 10_000,
+    // Short enough that prompts are prefilled wherever that is sooner.
+    objectiveMs: 100,
     pauseMs: 10_000,
     priority: 0,
     attempts: 2,
