Give back a duty lease that was taken while the daemon stops

Cause: the stop came while the call that takes the lease was under way. The lease was then taken, and since the duties' timers run while it is held, they began after the stop.

Change: such a lease is given back at once.

--- a/packages/gateway/src/duties/dutyLease.ts
+++ b/packages/gateway/src/duties/dutyLease.ts
@@ -108,6 +108,11 @@
       // Early enough to take over from a holder that died, before it has restarted.
       return this.#parts.leaseMs / 2;
     }
+    // Taken while this daemon was stopping, it would keep the duties running and the lease from others.
+    if (this.#stopped) {
+      await this.#parts.store.endLease(lease.value.id);
+      return 0;
+    }
     this.#lease = lease.value.id;
     this.#token = written.value;
     const mayActAtOnce = this.#parts.isFenced === true;
--- a/packages/gateway/tests/dutyLease.test.ts
+++ b/packages/gateway/tests/dutyLease.test.ts
@@ -173,6 +173,39 @@
   await holder.end();
 });
 
+// A daemon is stopped while its call that takes the lease is under way. If it took the lease then, its duties would run
+// on, the process would not end, and no other daemon could take over until the lease expires.
+suite("a lease that is taken while the daemon stops is given back", async () => {
+  const store = new LeaseStore();
+  const changes: boolean[] = [];
+  const taken = new Promise<void>((resolve) => {
+    const write = store.write.bind(store);
+    store.write = (): ReturnType<typeof write> => {
+      resolve();
+      return sleep(50).then(() => write());
+    };
+  });
+  const holder = new dutyLeases.DutyLease({
+    store,
+    key: "authority",
+    vm: "vm-1",
+    log,
+    leaseMs: LEASE_MS,
+    eligible: () => true,
+    onHeldChange: (isHeld) => changes.push(isHeld),
+  });
+  const ended = holder.run();
+  await taken;
+  await holder.end();
+  await ended;
+  assert.equal(changes, []);
+  const successor = authority(store, "vm-2", true);
+  const startedAt = performance.now();
+  await tokenOf(successor);
+  assert.ok(performance.now() - startedAt < LEASE_MS);
+  await successor.end();
+});
+
 suite("a holder whose token an engine refuses for a higher one gives no further orders", async () => {
   const store = new LeaseStore();
   const holder = authority(store, "vm-1");
