Order engines also while some go down and up by turns

Cause, found by reading: a new holder orders nothing until the number of engines has been the same for 2 s; with flapping engines that never comes.

Change: it waits for 6 s at most. Test: an engine in each data centre changes every 1.5 s; without the limit nothing is ordered in 10 s.

--- a/packages/serving/src/capacity/engineCountControl.ts
+++ b/packages/serving/src/capacity/engineCountControl.ts
@@ -39,9 +39,10 @@
 
 /**
  * Time for which the number of engines must not change before the first order, in milliseconds. A daemon that has just
- * started learns of the engines one after another, and would give up those that it doesn't know yet.
+ * started learns of the engines one after another, and would give up those that it doesn't know yet. Engines that go
+ * down and up by turns must not keep it waiting for ever.
  */
-const SETTLING_MS = 2_000;
+const SETTLING = { unchangedMs: 2_000, longestMs: 6_000 };
 
 /** Time after which an order without the expected effect is repeated, in addition to the start of an engine. */
 const REPEAT_SLACK_MS = 3_000;
@@ -75,8 +76,8 @@
 export class EngineCountControl {
   readonly #states = new Map<string, KeyState>();
   readonly #unavailableUntil = new Map<string, number>();
-  /** Number of engines before the first order, and since when it has been the same. */
-  #initial = { engines: 0, since: Number.NEGATIVE_INFINITY };
+  /** Number of engines before the first order, since when it has been the same, and since when any is known. */
+  #initial = { engines: 0, since: 0, knownSince: Number.POSITIVE_INFINITY };
   #hasOrdered = false;
 
   /**
@@ -129,8 +130,11 @@
   #isSettled({ dataCentres, now }: CountInputs): boolean {
     if (this.#hasOrdered) return true;
     const engines = dataCentres.reduce((sum, each) => sum + each.onDemand + each.reclaimable, 0);
-    if (engines !== this.#initial.engines) this.#initial = { engines, since: now };
-    return engines > 0 && now - this.#initial.since >= SETTLING_MS;
+    const knownSince = engines > 0 ? Math.min(this.#initial.knownSince, now) : Number.POSITIVE_INFINITY;
+    const since = engines === this.#initial.engines ? this.#initial.since : now;
+    this.#initial = { engines, since, knownSince };
+    const isUnchanged = engines > 0 && now - since >= SETTLING.unchangedMs;
+    return isUnchanged || now - knownSince >= SETTLING.longestMs;
   }
 
   #isDue(order: CountOrder, bootMs: number, now: number): boolean {
