Let departures take turns instead of filling the links

Cause: every daemon repeats every change to every other for seconds; with hundreds of engines that start and leave together that is dozens of datagrams for each heartbeat.

--- a/packages/gateway/src/heartbeatSocket.ts
+++ b/packages/gateway/src/heartbeatSocket.ts
@@ -16,10 +16,10 @@
 const MAX_ENTRIES_WHEN_OVERSIZE = 2;
 
 /**
- * Changes from which on they are sent in datagrams of their own, and their maximum number in one. When a data centre's
- * engines leave together, the heartbeat could name the last few only, and requests would still be sent to the others.
+ * Number of departures from which on they are sent in a datagram of their own. When a data centre's engines leave
+ * together, the heartbeat could name the last few only, and requests would still be sent to the others.
  */
-const CHANGES = { maxInHeartbeat: 8, departures: 30, entries: 5 };
+const MAX_DEPARTURES_IN_HEARTBEAT = 8;
 
 /** Suspects kept in a heartbeat that would exceed the size limit; the most suspected come first. */
 const MAX_SUSPECTS_WHEN_OVERSIZE = 3;
@@ -72,7 +72,8 @@
    * @param addresses - IP:PORT of the receivers
    */
   send(pulse: messages.Pulse, addresses: readonly string[]): void {
-    for (const changes of overflowingChanges(pulse)) this.#sendBytes(this.#encode(changes), addresses);
+    if (pulse.departures.length > MAX_DEPARTURES_IN_HEARTBEAT)
+      this.#sendBytes(this.#encode(departuresOnly(pulse)), addresses);
     this.#sendBytes(this.#encodeToFit(pulse), addresses);
   }
 
@@ -157,20 +158,7 @@
     .slice(0, MAX_WORK_WHEN_OVERSIZE);
 }
 
-/** Messages with the changes that may not fit into the heartbeat. */
-function overflowingChanges(pulse: messages.Pulse): messages.Pulse[] {
-  const { vm, incarnation } = pulse;
-  const create = (fields: protobuf.MessageInitShape<typeof messages.PulseSchema>): messages.Pulse =>
-    protobuf.create(messages.PulseSchema, { ...fields, vm, incarnation, changesOnly: true });
-  return [
-    ...chunksOf(pulse.departures, CHANGES.departures).map((departures) => create({ departures })),
-    ...chunksOf(pulse.entries, CHANGES.entries).map((entries) => create({ entries })),
-  ];
-}
-
-function chunksOf<T>(changes: readonly T[], size: number): T[][] {
-  if (changes.length <= CHANGES.maxInHeartbeat) return [];
-  return Array.from({ length: Math.ceil(changes.length / size) }, (_, index) =>
-    changes.slice(index * size, (index + 1) * size),
-  );
+/** A message with the departures, which may not fit into the heartbeat. */
+function departuresOnly({ vm, incarnation, departures }: messages.Pulse): messages.Pulse {
+  return protobuf.create(messages.PulseSchema, { vm, incarnation, departures, changesOnly: true });
 }
--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -282,7 +282,7 @@
       configurationRevision: BigInt(view.configurationRevision),
       storeSilentMs: Math.round(this.#parts.storeSilentMs()),
       unixMs: BigInt(Date.now()),
-      departures: this.#recentChanges.departures(now),
+      departures: this.#recentChanges.nextDepartures(now),
       followsClosely: this.#parts.followsClosely(),
       entries: this.#recentChanges.entries(now),
       suspects: this.#parts.suspects.recordsToPublish(now).map(suspectCodec.toMessage),
@@ -326,7 +326,7 @@
       configurationRevision: BigInt(view.configurationRevision),
       configuration: behind ? (view.configurationDocument ?? new Uint8Array()) : new Uint8Array(),
       endpoints: needsList ? this.#allEntries() : [],
-      departures: this.#recentChanges.departures(now),
+      departures: this.#recentChanges.allDepartures(now),
       daemons: peer.configurationRevision === 0 ? this.#liveDaemons(now) : [],
       suspects: this.#parts.suspects.snapshotRecords(now).map(suspectCodec.toMessage),
     };
--- a/packages/gateway/src/peers/recentChanges.ts
+++ b/packages/gateway/src/peers/recentChanges.ts
@@ -20,8 +20,16 @@
 /** Time for which a departure is repeated in every heartbeat, in milliseconds. */
 const DEPARTURE_REPEAT_MS = 4_000;
 
+/**
+ * Maximum number of departures in one heartbeat. All of them in every heartbeat would fill the network when hundreds
+ * of endpoints leave together, as every daemon repeats them to every other.
+ */
+const MAX_DEPARTURES = 30;
+
 interface RecentDeparture extends fleetViewUpdaters.Departure {
   readonly sendUntil: number;
+  /** Number of heartbeats that it was sent in. */
+  sends: number;
 }
 
 /** Recent changes of endpoints. Each is repeated in several heartbeats, because datagrams may be lost. */
@@ -41,7 +49,7 @@
    * @param now - current time in milliseconds
    */
   noteDeparture(id: string, departure: fleetViewUpdaters.Departure, now: number): void {
-    this.#departures.set(id, { ...departure, sendUntil: now + DEPARTURE_REPEAT_MS });
+    this.#departures.set(id, { ...departure, sendUntil: now + DEPARTURE_REPEAT_MS, sends: 0 });
   }
 
   /**
@@ -54,18 +62,27 @@
 
   /**
    * @param now - current time in milliseconds
-   * @returns the departures to send now
+   * @returns the departures to send in the next heartbeat, those that were sent least often
+   */
+  nextDepartures(now: number): messages.Departure[] {
+    this.#dropOldDepartures(now);
+    const leastSent = [...this.#departures].sort(([, left], [, right]) => left.sends - right.sends);
+    const chosen = leastSent.slice(0, MAX_DEPARTURES);
+    for (const [, departure] of chosen) departure.sends++;
+    return toMessages(chosen);
+  }
+
+  /**
+   * @param now - current time in milliseconds
+   * @returns all recent departures
    */
-  departures(now: number): messages.Departure[] {
+  allDepartures(now: number): messages.Departure[] {
+    this.#dropOldDepartures(now);
+    return toMessages([...this.#departures]);
+  }
+
+  #dropOldDepartures(now: number): void {
     for (const [id, departure] of this.#departures) if (departure.sendUntil < now) this.#departures.delete(id);
-    return [...this.#departures].map(([endpoint, { revision, bornAt, setAside }]) =>
-      protobuf.create(messages.DepartureSchema, {
-        endpoint,
-        revision: BigInt(revision),
-        startedAtMs: endpointIncarnations.toMessage(bornAt),
-        setAside,
-      }),
-    );
   }
 
   /**
@@ -87,3 +104,14 @@
     return recent;
   }
 }
+
+function toMessages(departures: readonly (readonly [string, RecentDeparture])[]): messages.Departure[] {
+  return departures.map(([endpoint, { revision, bornAt, setAside }]) =>
+    protobuf.create(messages.DepartureSchema, {
+      endpoint,
+      revision: BigInt(revision),
+      startedAtMs: endpointIncarnations.toMessage(bornAt),
+      setAside,
+    }),
+  );
+}
