Log the request limits that endpoints state

Cause: no log line or figure of a daemon shows that an endpoint limits its requests, so the hypotheses of the incident can't be told apart from our side. Every answer's head is now read where all requests leave, whichever part of the gateway sent them: endpoint-limit (begins, changes, ends; version, age), endpoint-limit-unreadable, and the gauge endpoints_limited. Nothing is decided by it yet.

--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -4,6 +4,7 @@
 import type * as crashDetectors from "./endpointCrashDetector.js";
 import type * as endpointClients from "./endpointClient.js";
 import type * as fleetViews from "./fleetView.js";
+import type * as endpointLimits from "./limits/endpointLimits.js";
 import type * as metricsModule from "./metrics.js";
 import type * as ports from "./ports.js";
 import type * as settingsModule from "./settings.js";
@@ -25,6 +26,7 @@
   /** Shares of prompts that were accepted, by prompt size. */
   readonly acceptance: serving.AcceptanceTracker;
   readonly client: endpointClients.EndpointClient;
+  readonly limits: endpointLimits.EndpointLimits;
   /** Detects endpoints that crashed, and the requests that they were running. */
   readonly crashDetector: crashDetectors.EndpointCrashDetector;
   /** Keeps requests that crash endpoints from being sent to them. */
--- a/packages/gateway/src/endpointClient.ts
+++ b/packages/gateway/src/endpointClient.ts
@@ -11,14 +11,17 @@
   readonly #pools = new Map<string, connectionPools.EndpointConnectionPool>();
   readonly #count: (name: string) => void;
   readonly #isLoopLagging: () => boolean;
+  readonly #observer: sendings.TrafficObserver;
 
   /**
    * @param count - counts an event by its name
    * @param isLoopLagging - whether the event loop lags, so that the socket events it processes may be old
+   * @param observer - observes what is sent, and the answers
    */
-  constructor(count: (name: string) => void, isLoopLagging: () => boolean) {
+  constructor(count: (name: string) => void, isLoopLagging: () => boolean, observer: sendings.TrafficObserver) {
     this.#count = count;
     this.#isLoopLagging = isLoopLagging;
+    this.#observer = observer;
   }
 
   /**
@@ -69,7 +72,7 @@
     const parts = {
       pool: this.#poolOf(endpoint),
       request,
-      receiver,
+      receiver: new ObservedReceiver(receiver, this.#observer.onSend(endpoint, request)),
       isLoopLagging: this.#isLoopLagging,
       onBroken: () => this.#countBroken(),
     };
@@ -105,3 +108,32 @@
     return pool;
   }
 }
+
+/** Reports the heads of the answers that its receiver accepts. */
+class ObservedReceiver implements sendings.AnswerReceiver {
+  readonly #receiver: sendings.AnswerReceiver;
+  readonly #observe: (status: number, headers: sendings.AnswerHeaders) => void;
+
+  constructor(receiver: sendings.AnswerReceiver, observe: (status: number, headers: sendings.AnswerHeaders) => void) {
+    this.#receiver = receiver;
+    this.#observe = observe;
+  }
+
+  onHead(status: number, headers: sendings.AnswerHeaders): boolean {
+    const isForRequest = this.#receiver.onHead(status, headers);
+    if (isForRequest) this.#observe(status, headers);
+    return isForRequest;
+  }
+
+  onData(chunk: Buffer): void {
+    this.#receiver.onData(chunk);
+  }
+
+  onEnd(): void {
+    this.#receiver.onEnd();
+  }
+
+  onBroken(outcome: serving.SendOutcome, detail: string): void {
+    this.#receiver.onBroken(outcome, detail);
+  }
+}
--- a/packages/gateway/src/engineCalls.ts
+++ b/packages/gateway/src/engineCalls.ts
@@ -1,4 +1,4 @@
-import type * as serving from "@camphorcourse/serving";
+import * as serving from "@camphorcourse/serving";
 import * as neverthrow from "neverthrow";
 import type * as contexts from "./context.js";
 import type * as ports from "./ports.js";
@@ -61,6 +61,7 @@
           path: call.path,
           headers: call.headers(engine.id),
           body: call.body === undefined ? undefined : Buffer.from(call.body),
+          call: serving.AnsweredCall.Control,
         },
         {
           onHead: (answerStatus) => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,6 +11,7 @@
 import * as endpointClients from "./endpointClient.js";
 import type * as daemonEntries from "./daemonEntry.js";
 import * as fleetViews from "./fleetView.js";
+import * as endpointLimits from "./limits/endpointLimits.js";
 import * as loopUtilizations from "./loopUtilization.js";
 import * as loopWatches from "./loopWatch.js";
 import * as metricsModule from "./metrics.js";
@@ -100,9 +101,19 @@
       peers: `${settings.peers.host}:${settings.peers.port}`,
       capacity: settings.capacity,
     };
+    const clock = new trueClocks.TrueClock(() =>
+      this.#peers.peerTable.live(performance.now()).flatMap((peer) => peer.clockOffsetMs ?? []),
+    );
+    const limits = new endpointLimits.EndpointLimits({
+      log: this.#log,
+      metrics: this.#metrics,
+      format: dependencies.format,
+      unixMs: () => clock.unixMs(),
+    });
     const client = new endpointClients.EndpointClient(
       (name) => this.#metrics.count(name),
       () => this.#loopWatch.lateMs >= LOOP_LATE_MS,
+      limits,
     );
     this.#protection = new crashProtections.CrashProtection({
       store: dependencies.store,
@@ -114,9 +125,6 @@
       onEscalated: () => this.#peers.sendHeartbeatsNow(),
     });
     const { crashDetector, gate: suspects } = this.#protection;
-    const clock = new trueClocks.TrueClock(() =>
-      this.#peers.peerTable.live(performance.now()).flatMap((peer) => peer.clockOffsetMs ?? []),
-    );
     const usageCounter = new serving.UsageCounter(settings.usage?.windowMs ?? Infinity);
     this.#context = {
       settings,
@@ -130,6 +138,7 @@
       demand: new serving.Demand(),
       acceptance: new serving.AcceptanceTracker(),
       client,
+      limits,
       crashDetector,
       suspects,
       budgets: new contexts.RetryBudgets(settings.retryBounds, performance.now()),
@@ -270,6 +279,7 @@
       daemons_heard: this.#peers.peerTable.live(performance.now()).length,
       suspects: this.#context.suspects.table.count(performance.now()),
       takes_callers: Number(this.#peers.activeSet.active),
+      endpoints_limited: this.#context.limits.table.limits().length,
       busy_cores: this.#utilization.share * this.#settings.capacity,
       heap_bytes: process.memoryUsage().heapUsed,
       event_loop_utilization: performance.eventLoopUtilization().utilization,
--- /dev/null
+++ b/packages/gateway/src/limits/endpointLimits.ts
@@ -0,0 +1,70 @@
+import * as serving from "@camphorcourse/serving";
+import type * as decisionLogs from "../decisionLog.js";
+import type * as metricsModule from "../metrics.js";
+import type * as ports from "../ports.js";
+import type * as sendings from "../sending.js";
+
+const FIRST_FAILURE_STATUS = 300;
+
+/** Dependencies of {@link EndpointLimits}. */
+export interface EndpointLimitsParts {
+  readonly log: decisionLogs.DecisionLog;
+  readonly metrics: metricsModule.Metrics;
+  readonly format: Pick<ports.MessageFormat, "readAnswer">;
+  /** @returns true time in Unix milliseconds */
+  readonly unixMs: () => number;
+}
+
+/** The request limits that endpoints state in their answers. */
+export class EndpointLimits implements sendings.TrafficObserver {
+  readonly table = new serving.LimitTable();
+  readonly #parts: EndpointLimitsParts;
+
+  /** @param parts - dependencies */
+  constructor(parts: EndpointLimitsParts) {
+    this.#parts = parts;
+  }
+
+  /** {@inheritDoc sendings.TrafficObserver.onSend} */
+  onSend(
+    endpoint: serving.Endpoint,
+    request: sendings.OutgoingRequest,
+  ): (status: number, headers: sendings.AnswerHeaders) => void {
+    const versionAtSend = this.table.versionOf(endpoint);
+    return (status, headers) => this.#onAnswer(endpoint, request.call, versionAtSend, status, headers);
+  }
+
+  #onAnswer(
+    endpoint: serving.Endpoint,
+    call: serving.AnsweredCall,
+    versionAtSend: number,
+    status: number,
+    headers: sendings.AnswerHeaders,
+  ): void {
+    const { format, log, metrics, unixMs } = this.#parts;
+    const head = format.readAnswer(status, headers);
+    // Another endpoint answers at this address.
+    if (head.misdirected) return;
+    if (head.limit.statement === serving.LimitStatement.Unreadable) {
+      metrics.count("endpoint_limits_unreadable");
+      log.warn("endpoint-limit-unreadable", { endpoint: endpoint.id, text: head.limit.text });
+    }
+    const isRun = call === serving.AnsweredCall.Run;
+    const isSuccess = status < FIRST_FAILURE_STATUS && !head.notRun && (head.sealed || !isRun);
+    const answer = { call, stated: head.limit, isSuccess, versionAtSend };
+    const change = this.table.noteAnswer(endpoint, answer, performance.now(), unixMs());
+    if (change !== undefined) this.#logChange(change);
+  }
+
+  #logChange({ before, after, isObserved }: serving.LimitChange): void {
+    this.#parts.log.info("endpoint-limit", {
+      endpoint: after.endpointId,
+      requestsPerSecond: after.requestsPerSecond ?? "none",
+      before: before?.requestsPerSecond ?? "none",
+      statedIn: after.statedIn,
+      source: isObserved ? "endpoint" : "peer",
+      version: after.version,
+      ageMs: Math.round(this.#parts.unixMs() - after.version),
+    });
+  }
+}
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -163,6 +163,8 @@
   readonly misdirected: boolean;
   /** The endpoint that answered, if it says so. */
   readonly endpointId: string | undefined;
+  /** How many requests the endpoint takes, if it limits them. */
+  readonly limit: serving.StatedLimit;
 }
 
 /** Result of a prefill, from which another engine can decode. */
--- a/packages/gateway/src/prefillHandover.ts
+++ b/packages/gateway/src/prefillHandover.ts
@@ -1,4 +1,4 @@
-import type * as serving from "@camphorcourse/serving";
+import * as serving from "@camphorcourse/serving";
 import type * as contexts from "./context.js";
 
 /** A prompt that one engine has prefilled, so that another can decode. */
@@ -56,7 +56,13 @@
     const ignore = (): void => undefined;
     this.#context.client.send(
       prefilled.engine,
-      { method: call.method, path: call.path, headers: [], body: undefined },
+      {
+        method: call.method,
+        path: call.path,
+        headers: [],
+        body: undefined,
+        call: serving.AnsweredCall.Control,
+      },
       { onHead: () => true, onData: ignore, onEnd: ignore, onBroken: ignore },
     );
   }
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -205,7 +205,8 @@
     });
     const body = served.body.length === 0 ? undefined : served.body;
     const { method, target: path } = served.caller;
-    return { method, path, headers, body, sendBefore: served.deadlineAt };
+    const call = planned.stage === sendChoosers.Stage.Prefill ? serving.AnsweredCall.Prefill : serving.AnsweredCall.Run;
+    return { method, path, headers, body, call, sendBefore: served.deadlineAt };
   }
 
   #receiver(active: activeSends.ActiveSend): sendings.AnswerReceiver {
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -10,6 +10,7 @@
   /** Alternating names and values. */
   readonly headers: string[];
   readonly body: Buffer | undefined;
+  readonly call: serving.AnsweredCall;
   /** Instant from which it must not be sent any more, in milliseconds, if there is one. */
   readonly sendBefore?: number;
 }
@@ -30,6 +31,16 @@
   onBroken(outcome: serving.SendOutcome, detail: string): void;
 }
 
+/** Observes all requests to endpoints and their answers, whichever part of the gateway sends them. */
+export interface TrafficObserver {
+  /**
+   * @param endpoint - where a request is sent now
+   * @param request - the request
+   * @returns called with status and headers of its answer, unless that belongs to another request
+   */
+  onSend(endpoint: serving.Endpoint, request: OutgoingRequest): (status: number, headers: AnswerHeaders) => void;
+}
+
 /** A request that is being sent to an endpoint, or waits for its answer. */
 export interface InFlightRequest {
   /** Whether a part of the request may have been sent; before that, its connection is being opened. */
--- a/packages/gateway/tests/helpers/exchangeHarness.ts
+++ b/packages/gateway/tests/helpers/exchangeHarness.ts
@@ -10,6 +10,7 @@
 import * as crashDetectors from "../../src/endpointCrashDetector.js";
 import * as endpointClients from "../../src/endpointClient.js";
 import * as exchanges from "../../src/exchange.js";
+import * as endpointLimits from "../../src/limits/endpointLimits.js";
 import * as fleetViews from "../../src/fleetView.js";
 import * as metricsModule from "../../src/metrics.js";
 import type * as ports from "../../src/ports.js";
@@ -98,6 +99,7 @@
     notRun: status === 503,
     misdirected: false,
     endpointId: undefined,
+    limit: { statement: serving.LimitStatement.None },
   }),
   readHandle: (body) => neverthrow.ok({ handle: Buffer.from(body).toString() }),
   freeHandleCall: (handle) => ({ method: "DELETE", path: `/free/${handle}` }),
@@ -164,9 +166,16 @@
   readonly answer = new RecordingAnswer();
   readonly exchange: exchanges.Exchange;
   readonly #lines: string[] = [];
+  readonly #limits = new endpointLimits.EndpointLimits({
+    log: new decisionLogs.DecisionLog("vm-1", "info", { writableLength: 0, write: () => true }),
+    metrics: new metricsModule.Metrics(),
+    format: FORMAT,
+    unixMs: () => Date.now(),
+  });
   readonly #client = new RecordingClient(
     () => undefined,
     () => false,
+    this.#limits,
   );
   readonly #context: contexts.ServingContext;
 
@@ -206,6 +215,7 @@
       demand: new serving.Demand(),
       acceptance: new serving.AcceptanceTracker(),
       client: this.#client,
+      limits: this.#limits,
       crashDetector: new crashDetectors.EndpointCrashDetector({
         log: new decisionLogs.DecisionLog("vm-1", "info", sink),
         hasLiveConnection: () => true,
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -15,6 +15,8 @@
 export * from "./engineSpeeds.js";
 export * from "./retryDecision.js";
 export * from "./leastBusy.js";
+export * from "./limits/limitTable.js";
+export * from "./limits/requestLimit.js";
 export * from "./linearEstimate.js";
 export * from "./organisations/access.js";
 export * from "./organisations/credential.js";
