Keep the limits that endpoints state, over all daemons together

What callers saw: an engine in need gets two to three times the requests that it says it takes; seconds later, its streams are late.

Cause: the limit was read nowhere, so that every daemon went on as before.

Change: every send leaves through one client, which counts it against this daemon's part of the endpoint's limit, whatever it is for: first sends, retries, resumed streams, prefills, isolated requests, calls of the gateway itself. Daemons exchange the statements with their heartbeats, ordered by version, for daemons that start or haven't asked. The daemons that divide a limit are those that may dispatch; a data centre that can't be heard counts with all its daemons. Endpoints without a limit go first, and are the preferred engines of shared parts; no prompt is prefilled for engines that all have limits. Where all that could serve have limits, a request waits if its turn comes in time, and is rejected at once otherwise.

--- a/packages/experiment/src/emulatedDaemon.ts
+++ b/packages/experiment/src/emulatedDaemon.ts
@@ -211,6 +211,7 @@
       memoryTokens: description.engines.memoryTokens,
       speeds: this.speeds,
       slowness: (id) => this.#health.slowness(id),
+      isLimited: () => false,
       dataCentre: "a",
       maxPauseMs: description.pausesIgnored === true ? Number.POSITIVE_INFINITY : kind.pauseMs,
       objectiveMs: kind.objectiveMs,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -109,6 +109,8 @@
       metrics: this.#metrics,
       format: dependencies.format,
       unixMs: () => clock.unixMs(),
+      vm: settings.vm,
+      senders: () => this.#peers.senders,
     });
     const client = new endpointClients.EndpointClient(
       (name) => this.#metrics.count(name),
@@ -189,6 +191,7 @@
       speeds: this.#context.speeds,
       acceptance: this.#context.acceptance,
       suspects: suspects.table,
+      limits,
       log: this.#log,
       ready: () => this.ready,
       storeSilentMs: () => this.#follower.silentMs,
--- a/packages/gateway/src/heartbeatSocket.ts
+++ b/packages/gateway/src/heartbeatSocket.ts
@@ -24,6 +24,9 @@
 /** Suspects kept in a heartbeat that would exceed the size limit; the most suspected come first. */
 const MAX_SUSPECTS_WHEN_OVERSIZE = 3;
 
+/** Limits of endpoints kept in a heartbeat that would exceed the size limit; the others follow in the next ones. */
+const MAX_LIMITS_WHEN_OVERSIZE = 3;
+
 /** Engines whose work is kept in a heartbeat that would exceed the size limit. */
 const MAX_WORK_WHEN_OVERSIZE = 24;
 
@@ -105,6 +108,7 @@
       entries: pulse.entries.slice(-MAX_ENTRIES_WHEN_OVERSIZE),
       departures: pulse.departures.slice(-8),
       suspects: pulse.suspects.slice(0, MAX_SUSPECTS_WHEN_OVERSIZE),
+      limits: pulse.limits.slice(0, MAX_LIMITS_WHEN_OVERSIZE),
     });
   }
 
@@ -125,6 +129,7 @@
         sizes: [],
         changing: [],
         suspects: [],
+        limits: [],
         readingLoadThousandths: 0,
         eventsPerSecond: 0,
         storeSilentMs: 0,
--- a/packages/gateway/src/limits/endpointLimits.ts
+++ b/packages/gateway/src/limits/endpointLimits.ts
@@ -3,6 +3,7 @@
 import type * as metricsModule from "../metrics.js";
 import type * as ports from "../ports.js";
 import type * as sendings from "../sending.js";
+import * as waitingRequests from "./waitingRequests.js";
 
 const FIRST_FAILURE_STATUS = 300;
 
@@ -13,16 +14,44 @@
   readonly format: Pick<ports.MessageFormat, "readAnswer">;
   /** @returns true time in Unix milliseconds */
   readonly unixMs: () => number;
+  /** VM of this daemon. */
+  readonly vm: string;
+  /** @returns VMs of all daemons that may send requests, this one included; the same array while they don't change */
+  readonly senders: () => readonly string[];
 }
 
-/** The request limits that endpoints state in their answers. */
+/** The request limits that endpoints state in their answers, and this daemon's part of them. */
 export class EndpointLimits implements sendings.TrafficObserver {
   readonly table = new serving.LimitTable();
+  readonly enforcer: serving.LimitEnforcer;
+  readonly waiting = new waitingRequests.WaitingRequests();
   readonly #parts: EndpointLimitsParts;
 
   /** @param parts - dependencies */
   constructor(parts: EndpointLimitsParts) {
     this.#parts = parts;
+    this.enforcer = new serving.LimitEnforcer({
+      table: this.table,
+      division: serving.LIMIT_DIVISION,
+      own: parts.vm,
+      senders: parts.senders,
+      unixMs: parts.unixMs,
+    });
+  }
+
+  /**
+   * @param now - current time in milliseconds
+   * @returns the statements to send in the next heartbeat
+   */
+  recordsToPublish(now: number): serving.LimitRecord[] {
+    this.enforcer.refresh(now);
+    return this.table.recordsToPublish(now, (record) => this.enforcer.hasPart(record));
+  }
+
+  /** @param record - a statement that a peer has observed */
+  merge(record: serving.LimitRecord): void {
+    const change = this.table.merge(record);
+    if (change !== undefined) this.#logChange(change);
   }
 
   /** {@inheritDoc sendings.TrafficObserver.onSend} */
@@ -31,6 +60,7 @@
     request: sendings.OutgoingRequest,
   ): (status: number, headers: sendings.AnswerHeaders) => void {
     const versionAtSend = this.table.versionOf(endpoint);
+    this.enforcer.noteSent(endpoint, performance.now());
     return (status, headers) => this.#onAnswer(endpoint, request.call, versionAtSend, status, headers);
   }
 
--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -11,7 +11,10 @@
 import * as heartbeatSockets from "./heartbeatSocket.js";
 import * as peerWorks from "./peerWork.js";
 import * as peerReceivers from "./peers/peerReceiver.js";
+import * as limitCodec from "./limits/limitCodec.js";
+import type * as endpointLimits from "./limits/endpointLimits.js";
 import * as recipientsModule from "./peers/recipients.js";
+import * as sendersModule from "./peers/senders.js";
 import * as activeSetTrackers from "./peers/activeSetTracker.js";
 import * as suspectCodec from "./suspects/suspectCodec.js";
 import * as recentChangesModule from "./peers/recentChanges.js";
@@ -44,6 +47,7 @@
   readonly speeds: serving.ServiceSpeeds;
   readonly acceptance: serving.AcceptanceTracker;
   readonly suspects: serving.SuspectTable;
+  readonly limits: endpointLimits.EndpointLimits;
   readonly log: decisionLogs.DecisionLog;
   readonly ready: () => boolean;
   /** Milliseconds for which the key-value service has not answered. */
@@ -87,6 +91,7 @@
   #lastSentAt = { frequent: 0, occasional: 0 };
   #lastSentWork = "";
   #round = 0;
+  #senders: readonly string[] = [];
 
   /** @param parts - dependencies */
   constructor(parts: PeerLinkParts) {
@@ -156,6 +161,14 @@
     this.#sendHeartbeats(now, this.#recipients(now), { frequent: true, occasional: true });
   }
 
+  /**
+   * @returns VMs of all daemons that may send requests to endpoints, this one included, as of the last check; the same
+   *   array while they don't change
+   */
+  get senders(): readonly string[] {
+    return this.#senders;
+  }
+
   /** @returns whether this daemon is active or still has callers' requests in progress */
   get #dispatching(): boolean {
     return this.activeSet.active || this.#parts.loads.ownWork().size > 0;
@@ -190,8 +203,20 @@
   }
 
   #recipients(now: number): recipientsModule.Recipients {
+    const knownDaemons = this.#knownDaemons(now);
+    this.#updateSenders(knownDaemons);
+    const { dataCentre } = this.#parts.entry;
+    const own = {
+      dataCentre,
+      dispatching: this.#dispatching,
+      isStandbyContact: this.activeSet.isStandbyContact,
+    };
+    return recipientsModule.chooseRecipients(own, knownDaemons, this.#round);
+  }
+
+  #knownDaemons(now: number): recipientsModule.KnownDaemon[] {
     const reportedActive = new Set(this.peerTable.live(now).flatMap((peer) => peer.activeVms));
-    const knownDaemons = this.#otherDaemons().map((entry) => {
+    return this.#otherDaemons().map((entry) => {
       const state = this.peerTable.liveState(entry.vm, now);
       return {
         entry,
@@ -200,13 +225,11 @@
         reportedActive: reportedActive.has(entry.vm),
       };
     });
-    const { dataCentre } = this.#parts.entry;
-    const own = {
-      dataCentre,
-      dispatching: this.#dispatching,
-      isStandbyContact: this.activeSet.isStandbyContact,
-    };
-    return recipientsModule.chooseRecipients(own, knownDaemons, this.#round);
+  }
+
+  #updateSenders(knownDaemons: readonly recipientsModule.KnownDaemon[]): void {
+    const senders = sendersModule.chooseSenders(this.#parts.entry, knownDaemons);
+    if (senders.join() !== this.#senders.join()) this.#senders = senders;
   }
 
   #otherDaemons(): daemonEntries.DaemonEntry[] {
@@ -286,6 +309,7 @@
       followsClosely: this.#parts.followsClosely(),
       entries: this.#recentChanges.entries(now),
       suspects: this.#parts.suspects.recordsToPublish(now).map(suspectCodec.toMessage),
+      limits: this.#parts.limits.recordsToPublish(now).map(limitCodec.toMessage),
       tryingSuspect: this.#parts.suspects.isRunningTrial,
       changing: [...view.pendingRoleChanges]
         .filter(([, change]) => change.until > now)
--- a/packages/gateway/src/peers/peerReceiver.ts
+++ b/packages/gateway/src/peers/peerReceiver.ts
@@ -2,6 +2,7 @@
 import * as serving from "@camphorcourse/serving";
 import * as daemonEntries from "../daemonEntry.js";
 import * as endpointIncarnations from "../endpointIncarnation.js";
+import * as limitCodec from "../limits/limitCodec.js";
 import type * as peerLinks from "../peerLink.js";
 import type * as peerTables from "../peerTable.js";
 import * as peerWorks from "../peerWork.js";
@@ -16,7 +17,7 @@
 /** Dependencies of {@link PeerReceiver}. */
 export interface PeerReceiverParts extends Pick<
   peerLinks.PeerLinkParts,
-  "entry" | "view" | "suspects" | "log" | "onDaemon" | "onConfiguration" | "onEndpoint" | "onDeparture"
+  "entry" | "view" | "suspects" | "limits" | "log" | "onDaemon" | "onConfiguration" | "onEndpoint" | "onDeparture"
 > {
   readonly peerTable: peerTables.PeerTable;
   readonly work: peerWorks.PeerWork;
@@ -80,6 +81,7 @@
     this.#applyRoleChanges(pulse.changing, now);
     this.#applyChanges(pulse);
     this.#applySuspects(pulse.suspects, now);
+    this.#applyLimits(pulse.limits);
     this.#parts.suspects.notePeerTrial(pulse.vm, pulse.tryingSuspect, now);
   }
 
@@ -108,6 +110,13 @@
     for (const suspect of suspects) this.#parts.suspects.merge(suspectCodec.fromMessage(suspect), now);
   }
 
+  #applyLimits(limits: readonly messages.EndpointLimit[]): void {
+    for (const limit of limits) {
+      const record = limitCodec.fromMessage(limit);
+      if (record !== undefined) this.#parts.limits.merge(record);
+    }
+  }
+
   #applyDepartures(departures: readonly messages.Departure[]): void {
     for (const { endpoint, revision, startedAtMs, setAside } of departures) {
       this.#parts.onDeparture(endpoint, {
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -3,6 +3,7 @@
 import * as answerReceivers from "./answerReceiver.js";
 import type * as sendings from "./sending.js";
 import type * as exchangeParts from "./exchangeParts.js";
+import type * as waitingRequests from "./limits/waitingRequests.js";
 import * as prefillReceivers from "./prefillReceiver.js";
 import * as sendChoosers from "./sendChooser.js";
 
@@ -11,10 +12,12 @@
 const GATEWAY_TIMEOUT = 504;
 
 /** Forwards one request to endpoints, one send after the other, until one gives its final answer. */
-export class RequestForwarder implements exchangeParts.SendResultHandler {
+export class RequestForwarder implements exchangeParts.SendResultHandler, waitingRequests.WaitingRequest {
   readonly #parts: exchangeParts.ExchangeParts;
   readonly #chooser: sendChoosers.SendChooser;
   #active: activeSends.ActiveSend | undefined;
+  /** Whether the request has waited for an endpoint with a limit, and is being sent now. */
+  #isResumed = false;
 
   /** @param parts - what belongs to the request */
   constructor(parts: exchangeParts.ExchangeParts) {
@@ -71,10 +74,50 @@
     }
     if (admitted.value) handover.free();
     const choice = admitted.value ? this.#chooser.chooseIsolated() : this.#chooser.choose(handover.prefilled?.engine);
-    if (choice.isErr()) end.reject(choice.error.reason, choice.error.retryAfterMs);
+    if (choice.isErr()) this.#waitOrReject(choice.error);
     else this.#dispatch(choice.value);
   }
 
+  /** Waits for an endpoint whose limit lets the request through in time; otherwise the request is rejected. */
+  #waitOrReject({ reason, retryAfterMs, limited }: sendChoosers.SendRejection): void {
+    const { context, end, served } = this.#parts;
+    if (limited === undefined) {
+      end.reject(reason, retryAfterMs);
+      return;
+    }
+    const { waiting } = context.limits;
+    const ahead = this.#isResumed ? 0 : waiting.count(served.service);
+    const decision = serving.decideLimitedWait({
+      ...limited,
+      ahead,
+      maxWaitMs: serving.longestLimitedWaitMs(served.route, served.remainingMs),
+      draw: context.random.next(),
+    });
+    context.log.info("limited-wait", {
+      id: served.id,
+      service: served.service,
+      readyInMs: Math.round(limited.readyInMs),
+      ahead,
+      ownRate: limited.ownRatePerSecond.toFixed(2),
+      waitMs: decision.isOk() ? Math.round(decision.value) : undefined,
+      returnAfterMs: decision.isErr() ? Math.round(decision.error.retryAfterMs) : undefined,
+    });
+    if (decision.isErr()) end.reject("endpoints-limited", decision.error.retryAfterMs);
+    else waiting.add(served.service, this, this.#isResumed);
+  }
+
+  /** {@inheritDoc waitingRequests.WaitingRequest.readyInMs} */
+  readyInMs(): number {
+    return this.#chooser.readyInMs();
+  }
+
+  /** {@inheritDoc waitingRequests.WaitingRequest.resume} */
+  resume(): void {
+    this.#isResumed = true;
+    this.#chooser.asNextInQueue(() => this.sendNext());
+    this.#isResumed = false;
+  }
+
   /** {@inheritDoc exchangeParts.SendResultHandler.end} */
   end(active: activeSends.ActiveSend): boolean {
     if (this.#active !== active) return false;
@@ -132,6 +175,7 @@
       active.cancel();
       active.release();
     }
+    this.#parts.context.limits.waiting.remove(this);
     this.#parts.handover.free();
     this.#parts.context.suspects.release(this.#parts.served);
   }
--- a/packages/gateway/src/sendChooser.ts
+++ b/packages/gateway/src/sendChooser.ts
@@ -25,6 +25,17 @@
   readonly reason: string;
   /** Time after which the caller may retry in milliseconds, or undefined for the default. */
   readonly retryAfterMs?: number;
+  /** The endpoints that could serve it if their limits let it through, if there are any. */
+  readonly limited?: LimitedEndpoints;
+}
+
+/** Endpoints whose limits let no request of this daemon through now. */
+export interface LimitedEndpoints {
+  /** Time until one of them may get a request in milliseconds; infinite if this daemon has no part of their limits. */
+  readonly readyInMs: number;
+  /** Requests a second that this daemon may send them, and that they take from all daemons. */
+  readonly ownRatePerSecond: number;
+  readonly limitPerSecond: number;
 }
 
 /** A planned send, or why there is none. */
@@ -34,6 +45,8 @@
 export class SendChooser {
   readonly #context: contexts.ServingContext;
   readonly #served: servedRequests.ServedRequest;
+  /** Whether the request has waited for an endpoint with a limit, and is the next one. */
+  #isNextInQueue = false;
 
   /**
    * @param context - what serving needs
@@ -51,12 +64,35 @@
    * @returns the send, or why there is none
    */
   choose(prefillEngine: serving.Endpoint | undefined): Choice {
-    const definition = this.#context.view.table?.service(this.#served.service);
+    const definition = this.#definition;
     const prompt = this.#served.caller.headers.prompt;
     if (definition?.engine === undefined || prompt === undefined) return this.#chooseLeastBusy(definition);
     return this.#chooseEngine(definition, definition.engine, prompt, prefillEngine);
   }
 
+  /**
+   * Makes the next choice for a request that has waited: it goes before those that wait for the same endpoints.
+   *
+   * @param choose - makes the choice
+   */
+  asNextInQueue(choose: () => void): void {
+    this.#isNextInQueue = true;
+    choose();
+    this.#isNextInQueue = false;
+  }
+
+  /** @returns time until the request may be sent in milliseconds, as far as limits decide; 0 if it may be sent now */
+  readyInMs(): number {
+    const usable = this.#usable(this.#definition, false).filter(canAnswer);
+    const now = performance.now();
+    if (usable.length === 0) return 0;
+    return Math.min(...usable.map((endpoint) => this.#context.limits.enforcer.waitMs(endpoint, now)));
+  }
+
+  get #definition(): serving.Service | undefined {
+    return this.#context.view.table?.service(this.#served.service);
+  }
+
   /**
    * Chooses for a request under which endpoints have crashed: the endpoint with the fewest other requests, unless it is
    * the only one of the service. It prefills the prompt itself, so that no second engine is at risk.
@@ -64,20 +100,41 @@
    * @returns the send, or why there is none
    */
   chooseIsolated(): Choice {
-    const { loads, crashDetector, view } = this.#context;
-    const definition = view.table?.service(this.#served.service);
+    const { loads, crashDetector } = this.#context;
+    const definition = this.#definition;
     const prompt = this.#served.caller.headers.prompt;
     const now = performance.now();
-    const candidates = this.#candidates(definition)
-      .filter((endpoint) => endpoint.role !== serving.EngineRole.Prefill && !crashDetector.hasCrashed(endpoint, now))
+    const { ready, limited } = this.#candidates(definition);
+    const candidates = ready
+      .filter((endpoint) => canAnswer(endpoint) && !crashDetector.hasCrashed(endpoint, now))
       .sort((left, right) => loads.runningRequests(left.id, now) - loads.runningRequests(right.id, now));
     const [leastBusy, another] = candidates;
-    if (leastBusy === undefined || another === undefined) return neverthrow.err({ reason: "no-spare-endpoint" });
+    if (leastBusy === undefined || another === undefined)
+      return neverthrow.err({ reason: "no-spare-endpoint", ...limitedField(limited) });
     if (definition?.engine === undefined || prompt === undefined) return answeringAt(leastBusy, "no-endpoint");
     return this.#placeOn([leastBusy], definition, definition.engine, prompt);
   }
 
-  #candidates(definition: serving.Service | undefined): serving.Endpoint[] {
+  #candidates(definition: serving.Service | undefined): Candidates {
+    const { limits, metrics } = this.#context;
+    const now = performance.now();
+    const usable = this.#usable(definition, serving.mayRetry(this.#served.route));
+    const isQueued = !this.#isNextInQueue && limits.waiting.count(this.#served.service) > 0;
+    const isReady = (endpoint: serving.Endpoint): boolean => {
+      if (!limits.enforcer.isLimited(endpoint)) return true;
+      return !isQueued && limits.enforcer.waitMs(endpoint, now) === 0;
+    };
+    const ready = usable.filter(isReady);
+    const probed = ready.find((endpoint) => limits.enforcer.isProbeDue(endpoint, now));
+    if (probed !== undefined)
+      return { ready: ready.filter((each) => each === probed || each.role !== probed.role), limited: undefined };
+    if (ready.length === usable.length) return { ready, limited: undefined };
+    metrics.count("limited_endpoints_passed_over");
+    return { ready, limited: this.#limitedEndpoints(usable.filter(canAnswer), now) };
+  }
+
+  /** The endpoints that may serve the request, apart from limits on what they take. */
+  #usable(definition: serving.Service | undefined, mayProbe: boolean): serving.Endpoint[] {
     const { view, client, health } = this.#context;
     const daemons = this.#context.liveDaemons();
     const now = performance.now();
@@ -87,21 +144,33 @@
       .filter((endpoint) =>
         client.hasRoom(endpoint.id, definition?.maxConnections ?? Number.MAX_SAFE_INTEGER, daemons),
       );
-    const mayProbe = serving.mayRetry(this.#served.route);
     return health.selectUsable(available, mayProbe, now);
   }
 
+  #limitedEndpoints(endpoints: readonly serving.Endpoint[], now: number): LimitedEndpoints | undefined {
+    const { enforcer, table } = this.#context.limits;
+    const limited = endpoints.filter((endpoint) => enforcer.isLimited(endpoint));
+    if (limited.length === 0) return undefined;
+    return {
+      readyInMs: Math.min(...limited.map((endpoint) => enforcer.waitMs(endpoint, now))),
+      ownRatePerSecond: limited.reduce((sum, endpoint) => sum + enforcer.ownRate(endpoint, now), 0),
+      limitPerSecond: limited.reduce((sum, endpoint) => sum + (table.limitOf(endpoint)?.requestsPerSecond ?? 0), 0),
+    };
+  }
+
   #chooseLeastBusy(definition: serving.Service | undefined): Choice {
-    const { loads, health, random, settings } = this.#context;
+    const { loads, health, limits, random, settings } = this.#context;
+    const { ready, limited } = this.#candidates(definition);
     const endpoint = serving.leastBusy({
-      endpoints: this.#candidates(definition),
+      endpoints: ready,
       loads,
       health,
+      isLimited: (each) => limits.enforcer.isLimited(each),
       dataCentre: settings.dataCentre,
       draw: () => random.next(),
       now: performance.now(),
     });
-    return answeringAt(endpoint, "no-endpoint");
+    return answeringAt(endpoint, "no-endpoint", limited);
   }
 
   #chooseEngine(
@@ -110,10 +179,10 @@
     prompt: serving.Prompt,
     prefillEngine: serving.Endpoint | undefined,
   ): Choice {
-    const engines = this.#candidates(definition);
-    if (prefillEngine === undefined) return this.#placeOn(engines, definition, limits, prompt);
-    const inputs = this.#placementInputs(engines, definition, limits, prompt);
-    return answeringAt(serving.chooseDecodeEngine(inputs, prefillEngine), "no-engine");
+    const { ready, limited } = this.#candidates(definition);
+    if (prefillEngine === undefined) return this.#placeOn(ready, definition, limits, prompt, limited);
+    const inputs = this.#placementInputs(ready, definition, limits, prompt);
+    return answeringAt(serving.chooseDecodeEngine(inputs, prefillEngine), "no-engine", limited);
   }
 
   #placementInputs(
@@ -130,6 +199,7 @@
       memoryTokens: limits.memoryTokens,
       speeds: speeds.of(definition.name),
       slowness: (id) => health.slowness(id),
+      isLimited: (engine) => this.#context.limits.enforcer.isLimited(engine),
       dataCentre: settings.dataCentre,
       maxPauseMs: this.#served.route.pauseMs,
       objectiveMs: this.#served.route.objectiveMs,
@@ -143,10 +213,11 @@
     definition: serving.Service,
     limits: serving.EngineLimits,
     prompt: serving.Prompt,
+    limited?: LimitedEndpoints,
   ): Choice {
     const inputs = this.#placementInputs(engines, definition, limits, prompt);
     const placed = serving.placePrompt(inputs);
-    if (placed === undefined) return neverthrow.err({ reason: "no-engine" });
+    if (placed === undefined) return neverthrow.err({ reason: "no-engine", ...limitedField(limited) });
     this.#noteDemand(placed, prompt);
     const admitted = this.#admit(placed, inputs);
     if (admitted.isErr()) {
@@ -216,7 +287,23 @@
   }
 }
 
-function answeringAt(endpoint: serving.Endpoint | undefined, reasonIfNone: string): Choice {
-  if (endpoint === undefined) return neverthrow.err({ reason: reasonIfNone });
+/** Endpoints to choose from. */
+interface Candidates {
+  /** Those that may get a request now. */
+  readonly ready: readonly serving.Endpoint[];
+  /** Those whose limits let no request through now, if there are any that could answer. */
+  readonly limited: LimitedEndpoints | undefined;
+}
+
+function canAnswer({ role }: serving.Endpoint): boolean {
+  return role !== serving.EngineRole.Prefill;
+}
+
+function answeringAt(endpoint: serving.Endpoint | undefined, reasonIfNone: string, limited?: LimitedEndpoints): Choice {
+  if (endpoint === undefined) return neverthrow.err({ reason: reasonIfNone, ...limitedField(limited) });
   return neverthrow.ok({ endpoint, stage: Stage.Answering, predictedMs: 0, plan: undefined });
 }
+
+function limitedField(limited: LimitedEndpoints | undefined): Pick<SendRejection, "limited"> {
+  return limited === undefined ? {} : { limited };
+}
--- a/packages/gateway/tests/helpers/exchangeHarness.ts
+++ b/packages/gateway/tests/helpers/exchangeHarness.ts
@@ -10,12 +10,12 @@
 import * as crashDetectors from "../../src/endpointCrashDetector.js";
 import * as endpointClients from "../../src/endpointClient.js";
 import * as exchanges from "../../src/exchange.js";
-import * as endpointLimits from "../../src/limits/endpointLimits.js";
 import * as fleetViews from "../../src/fleetView.js";
 import * as metricsModule from "../../src/metrics.js";
 import type * as ports from "../../src/ports.js";
 import * as suspectGates from "../../src/suspects/suspectGate.js";
 import type * as settingsModule from "../../src/settings.js";
+import * as limits from "./limits.js";
 
 const SEED = 5;
 
@@ -166,12 +166,7 @@
   readonly answer = new RecordingAnswer();
   readonly exchange: exchanges.Exchange;
   readonly #lines: string[] = [];
-  readonly #limits = new endpointLimits.EndpointLimits({
-    log: new decisionLogs.DecisionLog("vm-1", "info", { writableLength: 0, write: () => true }),
-    metrics: new metricsModule.Metrics(),
-    format: FORMAT,
-    unixMs: () => Date.now(),
-  });
+  readonly #limits = limits.createLimits();
   readonly #client = new RecordingClient(
     () => undefined,
     () => false,
--- a/packages/gateway/tests/peerIncarnations.test.ts
+++ b/packages/gateway/tests/peerIncarnations.test.ts
@@ -9,6 +9,7 @@
 import * as fleetViews from "../src/fleetView.js";
 import * as peerLinks from "../src/peerLink.js";
 import * as freePorts from "./helpers/freePort.js";
+import * as limits from "./helpers/limits.js";
 
 /** Start times of two incarnations of one endpoint, in Unix milliseconds. */
 const FIRST = 1_790_000_000_000;
@@ -58,6 +59,7 @@
       demand: new serving.Demand(),
       speeds: new serving.ServiceSpeeds(),
       suspects: new serving.SuspectTable({ isRefuted: () => false, onChange: () => undefined }),
+      limits: limits.createLimits(),
       acceptance: new serving.AcceptanceTracker(),
       log: new decisionLogs.DecisionLog("vm-1", "info", sink),
       ready: () => true,
--- a/packages/gateway/tests/peerLink.test.ts
+++ b/packages/gateway/tests/peerLink.test.ts
@@ -9,6 +9,7 @@
 import * as peerLinks from "../src/peerLink.js";
 import * as peerNews from "../src/peerNews.js";
 import * as freePorts from "./helpers/freePort.js";
+import * as limits from "./helpers/limits.js";
 
 const HOST = "127.0.0.1";
 
@@ -70,6 +71,7 @@
     demand: new serving.Demand(),
     speeds: new serving.ServiceSpeeds(),
     suspects: new serving.SuspectTable({ isRefuted: () => false, onChange: () => undefined }),
+    limits: limits.createLimits(),
     acceptance: new serving.AcceptanceTracker(),
     log: new decisionLogs.DecisionLog("vm-1", "fatal", { writableLength: 0, write: () => true }),
     ready: () => true,
--- a/packages/serving/src/placement.ts
+++ b/packages/serving/src/placement.ts
@@ -40,6 +40,8 @@
   readonly speeds: engineSpeeds.EngineSpeeds;
   /** Factor by which an endpoint is slower than expected; 1 for a healthy one. */
   readonly slowness: (endpointId: string) => number;
+  /** Whether an engine limits its requests; one whose limit is used up isn't among the engines. */
+  readonly isLimited: (engine: directories.Endpoint) => boolean;
   readonly dataCentre: string;
   /** Longest acceptable pause between two events of a stream, in milliseconds. */
   readonly maxPauseMs: number;
@@ -109,10 +111,12 @@
  */
 export function placePrompt(inputs: PlacementInputs): EnginePlan | undefined {
   const decodeEngines = inputs.engines.filter((engine) => engine.role !== directories.EngineRole.Prefill);
+  const hasUnlimited = decodeEngines.some((engine) => !inputs.isLimited(engine));
   const prefillEngines = inputs.engines.filter((engine) => engine.role === directories.EngineRole.Prefill);
   const sources = copySources(inputs);
   const colocated = bestCandidate(inputs, decodeEngines, sources);
-  const disaggregated = bestCandidate(inputs, prefillEngines, sources);
+  // A prompt that is prefilled now needs a decode engine later, when an allowance may have been used by others.
+  const disaggregated = hasUnlimited ? bestCandidate(inputs, prefillEngines, sources) : undefined;
   const decodeEngine = chooseDecodeEngine(inputs, disaggregated?.engine);
   if (colocated === undefined || decodeEngine === undefined) return undefined;
   const colocatedMs = colocated.predictedMs + interferenceMs(inputs, colocated);
@@ -180,7 +184,7 @@
   sources: readonly CopySource[],
 ): Candidate | undefined {
   const prefixId = promptParts.sharedPrefixId(inputs.prompt);
-  const preferredId = prefixId === undefined ? undefined : preferredEngineId(prefixId, engines);
+  const preferredId = prefixId === undefined ? undefined : preferredEngineId(prefixId, withoutLimited(inputs, engines));
   let chosen: Candidate | undefined;
   let chosenCost = Number.POSITIVE_INFINITY;
   for (const engine of engines) {
@@ -233,6 +237,18 @@
 /** Copies between data centres take twice as long. */
 const CROSS_DATA_CENTRE_COPY_FACTOR = 2;
 
+/**
+ * Engines without a limit, or all if there are none. An engine that takes few requests is no preferred engine: it would
+ * be chosen for those that its limit lets through, and another one for the rest, and both would prefill the shared parts.
+ */
+function withoutLimited(
+  inputs: PlacementInputs,
+  engines: readonly directories.Endpoint[],
+): readonly directories.Endpoint[] {
+  const unlimited = engines.filter((engine) => !inputs.isLimited(engine));
+  return unlimited.length > 0 ? unlimited : engines;
+}
+
 function preferredEngineId(prefixId: string, engines: readonly directories.Endpoint[]): string | undefined {
   return common.rendezvousOrder(
     prefixId,
@@ -314,7 +330,7 @@
 /**
  * Chooses the engine that generates the tokens of a prompt which another engine
  * prefills: the one with the fewest streams, or the preferred engine of the
- * prompt's shared parts if that is no worse.
+ * prompt's shared parts if that is no worse. Engines with a limit are chosen last.
  *
  * @param inputs - the prompt, the engines and what is known of them
  * @param prefillEngine - the engine that prefills the prompt, if it is known
@@ -324,7 +340,10 @@
   inputs: PlacementInputs,
   prefillEngine: directories.Endpoint | undefined,
 ): directories.Endpoint | undefined {
-  const decodeEngines = inputs.engines.filter((engine) => engine.role !== directories.EngineRole.Prefill);
+  const decodeEngines = withoutLimited(
+    inputs,
+    inputs.engines.filter((engine) => engine.role !== directories.EngineRole.Prefill),
+  );
   const prefixId = promptParts.sharedPrefixId(inputs.prompt);
   const preferredId = prefixId === undefined ? undefined : preferredEngineId(prefixId, decodeEngines);
   let chosen: directories.Endpoint | undefined;
--- a/packages/serving/tests/promptAdmission.test.ts
+++ b/packages/serving/tests/promptAdmission.test.ts
@@ -41,6 +41,7 @@
     memoryTokens: 500_000,
     speeds: new serving.EngineSpeeds(),
     slowness: () => 1,
+    isLimited: () => false,
     dataCentre: "a",
     maxPauseMs: 300,
     objectiveMs: 400,
