Count engines with a limit for what they take in roles and engine counts

Load pattern: two of three decode engines take a fraction of their usual work. Counted as whole engines they looked like spare capacity, while all streams ran on the third. Their share is the limit by what an engine of that role gets otherwise: the prompts of this daemon times the daemons that dispatch. They are the last to be ordered to another role, and more engines are ordered for what they leave.

Replay test: 3 prefill and 3 decode engines, two of them at a tenth: no change wanted before, one more decode engine now.

--- a/packages/gateway/src/duties/engineCountKeeper.ts
+++ b/packages/gateway/src/duties/engineCountKeeper.ts
@@ -85,7 +85,10 @@
       engine.slots,
       engine.memoryTokens / Math.max(1, demand.meanPromptTokens(now) ?? 1),
     );
-    const needed = this.#policy.neededEngines({ ...load, streamsPerEngine, speeds: speeds.of(service) });
+    const needed = this.#neededBeside(
+      service,
+      this.#policy.neededEngines({ ...load, streamsPerEngine, speeds: speeds.of(service) }),
+    );
     const control = this.#control(service);
     const orders = control.decide({ limits, dataCentres: this.#present(service, limits), needed, now });
     for (const order of orders) {
@@ -95,6 +98,15 @@
     }
   }
 
+  /** Engines that limit their requests do a part of the work of one; others have to do the rest. */
+  #neededBeside(service: string, needed: number | undefined): number | undefined {
+    const { limits, view } = this.#parts.context;
+    const engines = view.directory.availableEndpoints(service);
+    const shareOf = limits.capacityShares(engines, performance.now());
+    const lost = engines.reduce((sum, engine) => sum + 1 - shareOf(engine), 0);
+    return needed === undefined ? undefined : needed + Math.floor(lost);
+  }
+
   #control(service: string): serving.EngineCountControl {
     let control = this.#controls.get(service);
     if (control === undefined) {
--- a/packages/gateway/src/duties/roleChanger.ts
+++ b/packages/gateway/src/duties/roleChanger.ts
@@ -95,11 +95,13 @@
   #decide(service: string, limits: serving.EngineLimits): serving.RoleChange | undefined {
     const { loads, demand, speeds, view } = this.#parts.context;
     const now = performance.now();
+    const shareOf = this.#parts.context.limits.capacityShares(view.directory.availableEndpoints(service), now);
     const engines = view.directory.availableEndpoints(service).map((engine) => ({
       id: engine.id,
       role: view.targetRole(engine, now),
       running: loads.runningRequests(engine.id, now),
       slots: engine.slots,
+      capacityShare: shareOf(engine),
       changing: view.isChangingRole(engine, now),
       failedAt: this.#failedAt.get(engine.id),
     }));
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -111,6 +111,8 @@
       unixMs: () => clock.unixMs(),
       vm: settings.vm,
       senders: () => this.#peers.senders,
+      // Callers are spread evenly over the daemons that serve them.
+      promptsPerMs: (now) => this.#context.demand.promptsPerMs(now) * this.#peers.senders.length,
     });
     const client = new endpointClients.EndpointClient(
       (name) => this.#metrics.count(name),
--- a/packages/gateway/src/limits/endpointLimits.ts
+++ b/packages/gateway/src/limits/endpointLimits.ts
@@ -18,8 +18,12 @@
   readonly vm: string;
   /** @returns VMs of all daemons that may send requests, this one included; the same array while they don't change */
   readonly senders: () => readonly string[];
+  /** @returns prompts that all daemons together get per millisecond, as far as this one can tell */
+  readonly promptsPerMs: (now: number) => number;
 }
 
+const MS_PER_SECOND = 1_000;
+
 /** The request limits that endpoints state in their answers, and this daemon's part of them. */
 export class EndpointLimits implements sendings.TrafficObserver {
   readonly table = new serving.LimitTable();
@@ -54,6 +58,21 @@
     if (change !== undefined) this.#logChange(change);
   }
 
+  /**
+   * @param engines - the engines of a service
+   * @param now - current time in milliseconds
+   * @returns a function from an engine to the share of its usual work that its limit lets through
+   */
+  capacityShares(engines: readonly serving.Endpoint[], now: number): (engine: serving.Endpoint) => number {
+    const promptsPerSecond = this.#parts.promptsPerMs(now) * MS_PER_SECOND;
+    return (engine) => {
+      const limit = this.table.limitOf(engine)?.requestsPerSecond;
+      if (limit === undefined) return 1;
+      const sameRole = engines.filter(({ role }) => role === engine.role).length;
+      return serving.limitedCapacityShare(limit, promptsPerSecond / Math.max(1, sameRole));
+    };
+  }
+
   /** {@inheritDoc sendings.TrafficObserver.onSend} */
   onSend(
     endpoint: serving.Endpoint,
--- a/packages/gateway/tests/helpers/limits.ts
+++ b/packages/gateway/tests/helpers/limits.ts
@@ -29,5 +29,6 @@
     unixMs: () => Date.now(),
     vm,
     senders: () => senders,
+    promptsPerMs: () => 0,
   });
 }
--- a/packages/serving/src/demand.ts
+++ b/packages/serving/src/demand.ts
@@ -109,6 +109,14 @@
     return this.#outputTokens.perMs(now) * this.#eventsPerToken.ratio;
   }
 
+  /**
+   * @param now - current instant in milliseconds
+   * @returns prompts per millisecond
+   */
+  promptsPerMs(now: number): number {
+    return this.#prompts.perMs(now);
+  }
+
   /**
    * @param now - current instant in milliseconds
    * @returns mean number of tokens of a prompt, or undefined if none has arrived
--- a/packages/serving/src/limits/requestLimit.ts
+++ b/packages/serving/src/limits/requestLimit.ts
@@ -43,3 +43,12 @@
    */
   readonly version: number;
 }
+
+/**
+ * @param requestsPerSecond - limit of an endpoint
+ * @param usualPerSecond - requests a second that it would get without the limit
+ * @returns share of its usual work that it takes, from 0 to 1
+ */
+export function limitedCapacityShare(requestsPerSecond: number, usualPerSecond: number): number {
+  return requestsPerSecond >= usualPerSecond ? 1 : requestsPerSecond / usualPerSecond;
+}
--- a/packages/serving/src/roleBalance.ts
+++ b/packages/serving/src/roleBalance.ts
@@ -21,6 +21,8 @@
   readonly running: number;
   /** Requests that it serves at once. */
   readonly slots: number;
+  /** Share of its usual work that it takes, below 1 if it limits its requests; 1 by default. */
+  readonly capacityShare?: number;
   /** Whether it is unavailable for a change of its role; {@link BalancedEngine.role} is then the new one. */
   readonly changing?: boolean;
   /** Instant in milliseconds of its last failure to answer a role change, unless it has answered since. */
@@ -195,12 +197,15 @@
 }
 
 /**
- * Engines that have not failed come first, then those whose failure is longest ago.
+ * Engines that take all of their work come first: a change of another one gains less. Of these, engines that have not
+ * failed come first, then those whose failure is longest ago.
  * An engine that doesn't answer gets no work, so it would stay the idlest for ever,
  * and every change would be attempted there. Among the others, the idlest comes
  * first, as it changes soonest.
  */
 function byPreference(left: BalancedEngine, right: BalancedEngine): number {
+  const share = capacityOf([right]) - capacityOf([left]);
+  if (share !== 0) return share;
   const failed = (left.failedAt ?? Number.NEGATIVE_INFINITY) - (right.failedAt ?? Number.NEGATIVE_INFINITY);
   if (left.failedAt !== right.failedAt) return failed;
   return left.running - right.running || (left.id < right.id ? -1 : 1);
@@ -227,19 +232,24 @@
   // All streams would be lost with a single decode engine, and while it is full, prefilled prompts can't continue.
   const singleIsFull = decode.length === 1 && single !== undefined && single.running > single.slots * SINGLE_FULL_SHARE;
   if (singleIsFull && prefill.length > 1) return URGENT_DECODE;
-  const engines = prefill.length + decode.length;
-  const present = totalQueueLength(load, prefill.length, decode.length);
-  const best = bestSplit(load, engines, decode.length);
+  const capacity = { prefill: capacityOf(prefill), decode: capacityOf(decode) };
+  const present = totalQueueLength(load, capacity.prefill, capacity.decode);
+  const best = bestSplit(load, capacity.prefill + capacity.decode, capacity.decode);
   if (present - best.queueLength < Math.max(MIN_IMPROVEMENT.queueLength, MIN_IMPROVEMENT.share * present))
     return NO_CHANGE;
-  if (best.decode < decode.length) {
-    const urgent = load.readingLoad > prefillCapacity(load, prefill.length, decode.length);
+  if (best.decode < capacity.decode) {
+    const urgent = load.readingLoad > prefillCapacity(load, capacity.prefill, capacity.decode);
     return { role: directories.EngineRole.Prefill, urgent };
   }
-  const full = streamsPerEngineAt(load.eventsPerMs, load, decode.length) > load.slots * OVERLOAD_UTILIZATION;
+  const full = streamsPerEngineAt(load.eventsPerMs, load, capacity.decode) > load.slots * OVERLOAD_UTILIZATION;
   return { role: directories.EngineRole.Decode, urgent: full };
 }
 
+/** Number of engines that take all of their work and do as much as these. */
+function capacityOf(engines: readonly BalancedEngine[]): number {
+  return engines.reduce((sum, { capacityShare = 1 }) => sum + capacityShare, 0);
+}
+
 interface Split {
   readonly decode: number;
   readonly queueLength: number;
@@ -251,7 +261,8 @@
     decode: presentDecode,
     queueLength: totalQueueLength(load, engines - presentDecode, presentDecode),
   };
-  for (let decode = 1; decode < engines; decode++) {
+  // Whole engines change their roles, also beside engines that take a part of their work only.
+  for (let decode = presentDecode % 1 || 1; decode < engines; decode++) {
     if (decode < presentDecode && !leavesEnough(load, decode)) continue;
     const split = { decode, queueLength: totalQueueLength(load, engines - decode, decode) };
     if (split.queueLength < best.queueLength) best = split;
--- a/packages/serving/tests/roleBalance.test.ts
+++ b/packages/serving/tests/roleBalance.test.ts
@@ -52,6 +52,25 @@
   assert.is(change?.role, serving.EngineRole.Prefill);
 });
 
+// Two of three decode engines take a tenth of their usual work. Counted as whole ones, they would look like spare capacity
+// while all streams run on the third.
+suite("decode engines that limit their requests count for what they take", () => {
+  const limited = engines(3, 3, 20).map((engine) => ({
+    ...engine,
+    capacityShare: engine.id === "d0" || engine.id === "d1" ? 0.1 : 1,
+  }));
+  const heavy = { prefillTokensPerMs: 40 };
+  assert.is(run(new serving.RoleBalance(), { engines: engines(3, 3, 20), ...heavy }, 0, 5_000), undefined);
+  const change = run(new serving.RoleBalance(), { engines: limited, ...heavy }, 0, 5_000);
+  assert.is(change?.role, serving.EngineRole.Decode);
+});
+
+suite("an engine that limits its requests is the last to change its role", () => {
+  const limited = engines(3, 1, 60).map((engine) => ({ ...engine, capacityShare: engine.id === "p2" ? 1 : 0.2 }));
+  const change = run(new serving.RoleBalance(), { engines: limited, prefillTokensPerMs: 20 }, 0, 5_000);
+  assert.is(change?.endpointId, "p2");
+});
+
 suite("a burst of a second causes no change", () => {
   const balance = new serving.RoleBalance();
   assert.is(run(balance, { engines: engines(2, 4, 10), prefillTokensPerMs: 166 }, 0, 1_000), undefined);
