--- a/packages/experiment/src/index.ts
+++ b/packages/experiment/src/index.ts
@@ -5,7 +5,7 @@
 export * from "./experiment.js";
 export * from "./limitDivisions.js";
 export * from "./limitReplay.js";
-export * from "./limitTable.js";
+export * from "./limitComparison.js";
 export * from "./load.js";
 export * from "./outcome.js";
 export * from "./table.js";
--- a/packages/experiment/src/limitTable.ts
+++ b/packages/experiment/src/limitComparison.ts
@@ -116,7 +116,9 @@
   const counts = traffic.map(({ arrivals }) => arrivals.filter((at) => at >= BOUND_HOLDS_AFTER_MS).length);
   return {
     worstShareOfBound: Math.max(
-      ...traffic.map(({ arrivals }) => worstShareOfBound(arrivals, () => requestsPerSecond, BOUND_HOLDS_AFTER_MS)),
+      ...traffic.map(({ toldArrivals }) =>
+        worstShareOfBound(toldArrivals, () => requestsPerSecond, BOUND_HOLDS_AFTER_MS),
+      ),
     ),
     usedShare: counts.reduce((sum, count) => sum + count, 0) / (taken * engines),
   };
--- a/packages/experiment/src/limitReplay.ts
+++ b/packages/experiment/src/limitReplay.ts
@@ -20,13 +20,14 @@
   readonly forMs: number;
 }
 
-/** What an engine got. */
+/** What an engine got, as instants in milliseconds, ascending. */
 export interface EngineTraffic {
+  readonly arrivals: readonly number[];
   /**
-   * Instants of the arrivals from daemons that an answer had told of a limit in time, in milliseconds, ascending. A
-   * daemon that has just started can't know of it.
+   * Arrivals from daemons that an answer had told of a limit in time. A daemon that has just started can't know of it,
+   * unless its peers do.
    */
-  readonly arrivals: readonly number[];
+  readonly toldArrivals: readonly number[];
 }
 
 /** Time from an answer with a limit until its receiver has to keep it, in milliseconds. */
@@ -65,7 +66,7 @@
   readonly #random: common.SeededRandom;
   readonly #time = new virtualTimes.VirtualTime();
   readonly #daemons: Daemon[];
-  readonly #arrivals: number[][];
+  readonly #traffic: { readonly arrivals: number[]; readonly toldArrivals: number[] }[];
 
   /**
    * @param scenario - fleet, load and limits
@@ -74,7 +75,7 @@
   constructor(scenario: LimitScenario, seed: number) {
     this.#scenario = scenario;
     this.#random = new common.SeededRandom(seed);
-    this.#arrivals = Array.from({ length: scenario.engines }, () => []);
+    this.#traffic = Array.from({ length: scenario.engines }, () => ({ arrivals: [], toldArrivals: [] }));
     const vms = Array.from({ length: scenario.daemons }, (_, index) => `vm-${index}`);
     this.#daemons = vms.map((vm, index) => this.#createDaemon(vm, index, vms));
   }
@@ -86,7 +87,7 @@
     this.#scheduleRequest();
     if (Number.isFinite(this.#scenario.restartEveryMs)) this.#scheduleRestart();
     this.#time.run(this.#scenario.forMs);
-    return this.#arrivals.map((arrivals) => ({ arrivals: arrivals.sort((left, right) => left - right) }));
+    return this.#traffic;
   }
 
   #createDaemon(vm: string, index: number, senders: readonly string[]): Daemon {
@@ -161,7 +162,8 @@
     daemon.enforcer.noteSent(endpoint, this.#time.now);
     this.#time.after(this.#random.next() * SEND_MS, () => {
       const { now } = this.#time;
-      if ((toldAt.get(engine) ?? Infinity) <= now - TOLD_MS) this.#arrivals[engine]?.push(now);
+      this.#traffic[engine]?.arrivals.push(now);
+      if ((toldAt.get(engine) ?? Infinity) <= now - TOLD_MS) this.#traffic[engine]?.toldArrivals.push(now);
       const limit = this.#scenario.limitAt(engine, now);
       const delayMs = ANSWER_MS.min + this.#random.next() * (ANSWER_MS.max - ANSWER_MS.min);
       this.#time.after(delayMs, () => {
--- a/packages/experiment/src/main.ts
+++ b/packages/experiment/src/main.ts
@@ -2,6 +2,7 @@
 import * as clipanion from "clipanion";
 import * as descriptions from "./description.js";
 import * as experiments from "./experiment.js";
+import * as limitComparisons from "./limitComparison.js";
 import type * as outcomes from "./outcome.js";
 import * as tables from "./table.js";
 
@@ -84,6 +85,42 @@
   }
 }
 
+/** Compares the ways of dividing the limits of engines among the daemons, and prints a Markdown table. */
+class LimitsCommand extends clipanion.Command {
+  static override paths = [["limits"]];
+  static override usage = clipanion.Command.Usage({
+    description: "replay engines that limit their requests, with each way of dividing a limit among the daemons",
+    details:
+      "worst: requests in a window as a share of what is allowed, over 1 breaks the bound; used: share of the limit",
+    examples: [["9 daemons before 6 engines that take 3 requests a second each", "$0 limits --daemons 9 --engines 6"]],
+  });
+  daemons = clipanion.Option.String("--daemons", "9", { description: "number of daemons (default 9)" });
+  engines = clipanion.Option.String("--engines", "6", { description: "number of engines (default 6)" });
+  limit = clipanion.Option.String("--limit", "3", { description: "requests a second that each takes (default 3)" });
+
+  execute(): Promise<number> {
+    const [daemons, engines, limit] = [this.daemons, this.engines, this.limit].map(Number);
+    if (!(
+      daemons !== undefined &&
+      daemons > 0 &&
+      engines !== undefined &&
+      engines > 0 &&
+      limit !== undefined &&
+      limit > 0
+    )) {
+      this.context.stderr.write("--daemons, --engines and --limit take numbers above 0\n");
+      return Promise.resolve(EXIT_BAD_OPTION);
+    }
+    this.context.stdout.write("| division | worst | used |\n| --- | --- | --- |\n");
+    for (const name of Object.values(limitComparisons.DivisionName)) {
+      const [seed = 1] = SEEDS;
+      const row = limitComparisons.replayLimit(name, daemons, engines, limit, seed);
+      this.context.stdout.write(`| ${name} | ${row.worstShareOfBound.toFixed(2)} | ${row.usedShare.toFixed(2)} |\n`);
+    }
+    return Promise.resolve(0);
+  }
+}
+
 function parseDaemonSetups(text: string): tables.DaemonSetup[] | undefined {
   const setups = text.split(",").map((pair) => {
     const [daemons = Number.NaN, viewAgeMs = Number.NaN] = pair.split(":").map(Number);
@@ -101,5 +138,6 @@
 const cli = new clipanion.Cli({ binaryName: "camphorcourse-experiment", binaryVersion: VERSION });
 cli.register(RunCommand);
 cli.register(TableCommand);
+cli.register(LimitsCommand);
 cli.register(clipanion.Builtins.HelpCommand);
 process.exit(await cli.run(process.argv.slice(2)));
--- a/packages/experiment/tests/limitedEngines.test.ts
+++ b/packages/experiment/tests/limitedEngines.test.ts
@@ -99,7 +99,7 @@
         forMs: STEPS * STEP_MS,
       };
       const traffic = new experiment.LimitReplay(scenario, seed).run();
-      for (const [engine, { arrivals }] of traffic.entries()) {
+      for (const [engine, { toldArrivals: arrivals }] of traffic.entries()) {
         let first = 0;
         for (const [index, at] of arrivals.entries()) {
           while ((arrivals[first] ?? at) <= at - WINDOW_MS) first++;
--- a/packages/serving/tests/limitTable.test.ts
+++ b/packages/serving/tests/limitTable.test.ts
@@ -57,9 +57,14 @@
   const early = first.recordsToPublish(0, () => false);
   first.noteAnswer(ENGINE, stating(undefined, 100), 0, 100);
   const late = first.recordsToPublish(0, () => false);
-  const second = new serving.LimitTable();
-  for (const record of [...late, ...early, ...late]) second.merge(record);
-  assert.ok(second.isEmpty);
+  for (const order of [
+    [early, late],
+    [late, early],
+  ]) {
+    const second = new serving.LimitTable();
+    for (const record of order.flat()) second.merge(record);
+    assert.ok(second.isEmpty);
+  }
 });
 
 // The clock of one VM may be seconds ahead. What it has observed must not outweigh the later observations of others.
