Replay engines with limits by the decisions that serve

Load pattern: two of three decode engines take 3.6 and 2.3 requests a second for 16 s, nine daemons.

--- a/packages/experiment/src/description.ts
+++ b/packages/experiment/src/description.ts
@@ -71,6 +71,15 @@
   times: positive,
 });
 
+const limitSchema = zod.object({
+  /** Position of the engine; the prefill engines of the start come first. */
+  engine: zod.int().check(zod.nonnegative()),
+  fromMs: nonNegative,
+  untilMs: positive,
+  /** Requests a second that the engine takes from all daemons together. */
+  perSecond: nonNegative,
+});
+
 const descriptionSchema = zod.object({
   lastsMs: positive,
   daemons: count,
@@ -82,6 +91,10 @@
   shortestFirstEvent: zod.optional(zod.boolean()),
   /** Share of the engines of each role that a daemon uses; all of them if it is left out. */
   engineShare: zod.optional(positive.check(zod.lte(1))),
+  /** Limits that engines state. */
+  limits: zod.optional(zod.array(limitSchema)),
+  /** Whether an engine with a limit counts as a whole one in the balance of roles. */
+  limitsIgnoredByRoles: zod.optional(zod.boolean()),
   engines: enginesSchema,
   requests: zod.array(requestSchema),
   swings: zod.array(swingSchema),
--- a/packages/experiment/src/emulatedDaemon.ts
+++ b/packages/experiment/src/emulatedDaemon.ts
@@ -39,7 +39,9 @@
   readonly speeds = new serving.EngineSpeeds();
   readonly demand = new serving.Demand();
   readonly acceptance = new serving.AcceptanceTracker();
+  readonly limitTable = new serving.LimitTable();
   readonly #health = new serving.EndpointHealth();
+  readonly #enforcer: serving.LimitEnforcer;
   readonly #parts: DaemonParts;
   readonly #random: common.SeededRandom;
 
@@ -52,6 +54,14 @@
     this.name = name;
     this.#parts = parts;
     this.#random = new common.SeededRandom(seed);
+    const daemons = Array.from({ length: parts.description.daemons }, (_, index) => `daemon-${index}`);
+    this.#enforcer = new serving.LimitEnforcer({
+      table: this.limitTable,
+      division: serving.LIMIT_DIVISION,
+      own: name,
+      senders: () => daemons,
+      unixMs: () => parts.time.now,
+    });
   }
 
   /** Trains the speed estimates with the engines' true parameters, as if the daemon had served for long. */
@@ -102,7 +112,7 @@
     const placement = this.#placementInputs(request);
     const plan = serving.placePrompt(placement);
     if (plan === undefined) {
-      caller.end(outcomes.RequestOutcome.Refused);
+      this.#waitOrReject(caller);
       return;
     }
     const limits = {
@@ -120,6 +130,28 @@
     else this.#reject(caller, admitted.error);
   }
 
+  /** The request waits for an engine whose limit lets it through, or is rejected. */
+  #waitOrReject(caller: EmulatedCaller): void {
+    const { fleet, time } = this.#parts;
+    const { kind } = caller.request;
+    const limited = fleet.endpoints().filter((each) => this.#enforcer.isLimited(each) && canAnswer(each));
+    if (limited.length === 0) {
+      caller.end(outcomes.RequestOutcome.Refused);
+      return;
+    }
+    const route = { requestClass: serving.RequestClass.Stream, ...kind };
+    const decision = serving.decideLimitedWait({
+      readyInMs: Math.min(...limited.map((each) => this.#enforcer.waitMs(each, time.now))),
+      ahead: 0,
+      ownRatePerSecond: limited.reduce((sum, each) => sum + this.#enforcer.ownRate(each, time.now), 0),
+      limitPerSecond: limited.reduce((sum, each) => sum + (this.limitTable.limitOf(each)?.requestsPerSecond ?? 0), 0),
+      maxWaitMs: serving.longestLimitedWaitMs(route, caller.remainingMs),
+      draw: this.#random.next(),
+    });
+    if (decision.isErr()) this.#reject(caller, decision.error);
+    else time.after(Math.max(1, decision.value), () => caller.hasEnded || this.serve(caller));
+  }
+
   #reject(caller: EmulatedCaller, rejection: serving.Rejection): void {
     const { retry, time } = this.#parts;
     const { retryAfterMs } = rejection;
@@ -140,6 +172,8 @@
     this.loads.noteCachedPrompt(endpoint.id, memoryTokens, prompt);
     const pending = this.loads.beginPrefill(endpoint.id, plan.workTokens, plan.urgency);
     this.loads.beginRequest(endpoint.id);
+    this.#enforcer.noteSent(endpoint, time.now);
+    this.#confirmLimit(endpoint);
     const sentAt = time.now;
     const finish = (): void => {
       this.loads.endPrefill(pending);
@@ -169,6 +203,7 @@
       return;
     }
     const engine = this.#engine(decodeEndpoint.id);
+    this.#enforcer.noteSent(decodeEndpoint, time.now);
     const sentAt = time.now;
     engine.receivePrompt(request.prompt, () => {
       this.speeds.learnHandover(request.prompt.promptTokens, time.now - sentAt + NETWORK_DELAY_MS);
@@ -202,16 +237,31 @@
     });
   }
 
+  /** The answer to a request confirms the limit. */
+  #confirmLimit(endpoint: serving.Endpoint): void {
+    const record = this.limitTable.limitOf(endpoint);
+    if (record !== undefined) this.limitTable.merge({ ...record, version: Math.floor(this.#parts.time.now) });
+  }
+
+  /** The engines that may get a request now; one whose limit was not confirmed lately is asked first. */
+  #readyEngines(endpoints: readonly serving.Endpoint[]): readonly serving.Endpoint[] {
+    const { now } = this.#parts.time;
+    if (this.limitTable.isEmpty) return endpoints;
+    const ready = endpoints.filter((each) => this.#enforcer.waitMs(each, now) === 0);
+    const probed = ready.find((each) => this.#enforcer.isProbeDue(each, now));
+    return probed === undefined ? ready : ready.filter((each) => each === probed || each.role !== probed.role);
+  }
+
   #placementInputs({ prompt, kind }: loads.LoadRequest): serving.PlacementInputs {
     const { description, fleet, time } = this.#parts;
     return {
       prompt,
-      engines: this.#assignedEngines(fleet.endpoints()),
+      engines: this.#readyEngines(this.#assignedEngines(fleet.endpoints())),
       loads: this.loads,
       memoryTokens: description.engines.memoryTokens,
       speeds: this.speeds,
       slowness: (id) => this.#health.slowness(id),
-      isLimited: () => false,
+      isLimited: (engine) => this.#enforcer.isLimited(engine),
       dataCentre: "a",
       maxPauseMs: description.pausesIgnored === true ? Number.POSITIVE_INFINITY : kind.pauseMs,
       objectiveMs: kind.objectiveMs,
@@ -239,6 +289,10 @@
   }
 }
 
+function canAnswer({ role }: serving.Endpoint): boolean {
+  return role !== serving.EngineRole.Prefill;
+}
+
 /** The caller of one request: its timeout, its retries and what it observes of the answer. */
 export class EmulatedCaller {
   /** Called when the caller times out before the first event. */
--- a/packages/experiment/src/experiment.ts
+++ b/packages/experiment/src/experiment.ts
@@ -21,6 +21,8 @@
 /** Interval of the checks whether an engine changes role, in milliseconds; the same as in the gateway. */
 const ROLE_CHECK_INTERVAL_MS = 300;
 
+const MS_PER_SECOND = 1_000;
+
 /** Time after the last request for all requests to end, in milliseconds. */
 const DRAIN_MS = 10_000;
 
@@ -84,6 +86,7 @@
     }
     this.#exchangeUpdates();
     this.#checkRoles();
+    this.#scheduleLimits();
     this.#time.run(this.#description.lastsMs + DRAIN_MS);
     const sum = (tokens: (engine: emulatedEngines.EmulatedEngine) => number): number =>
       this.#engines.reduce((total, engine) => total + tokens(engine), 0);
@@ -143,6 +146,34 @@
     this.#time.after(this.#description.viewAgeMs, () => this.#exchangeUpdates());
   }
 
+  /** All daemons learn at once when an engine states a limit or withdraws it. */
+  #scheduleLimits(): void {
+    for (const { engine, fromMs, untilMs, perSecond } of this.#description.limits ?? []) {
+      const endpointId = this.#engines[engine]?.id ?? "";
+      const state = (requestsPerSecond: number | undefined): void => {
+        const version = Math.floor(this.#time.now);
+        const record = {
+          endpointId,
+          bornAt: undefined,
+          requestsPerSecond,
+          statedIn: serving.AnsweredCall.Run,
+          version,
+        };
+        for (const daemon of this.#daemons) daemon.limitTable.merge(record);
+      };
+      this.#time.after(fromMs, () => state(perSecond));
+      this.#time.after(untilMs, () => state(undefined));
+    }
+  }
+
+  #capacityShare(id: string, table: serving.LimitTable, role: serving.EngineRole): number {
+    const limit = table.limitOf({ id })?.requestsPerSecond;
+    if (limit === undefined || this.#description.limitsIgnoredByRoles === true) return 1;
+    const promptsPerMs = this.#daemons.reduce((sum, { demand }) => sum + demand.promptsPerMs(this.#time.now), 0);
+    const sameRole = this.#engines.filter((engine) => engine.role === role).length;
+    return serving.limitedCapacityShare(limit, (promptsPerMs * MS_PER_SECOND) / sameRole);
+  }
+
   #checkRoles(): void {
     const [first] = this.#daemons;
     const { now } = this.#time;
@@ -153,6 +184,7 @@
           role: engine.isChangingRole ? (this.#targetRoles.get(engine.id) ?? engine.role) : engine.role,
           running: first.loads.runningRequests(engine.id, now),
           slots: this.#description.engines.slots,
+          capacityShare: this.#capacityShare(engine.id, first.limitTable, engine.role),
           changing: engine.isChangingRole,
         })),
         readingLoad: this.#daemons.reduce((sum, daemon) => sum + daemon.demand.readingLoad(now), 0),
