--- a/packages/experiment/src/emulatedDaemon.ts
+++ b/packages/experiment/src/emulatedDaemon.ts
@@ -382,6 +382,7 @@
     this.#hasEnded = true;
     const { kind, atMs, prompt } = this.request;
     const inTime = (this.#firstEventMs ?? 0) <= kind.objectiveMs && this.#maxPauseMs <= kind.pauseMs;
-    this.#statistics.record({ kind, atMs, promptTokens: prompt.promptTokens, outcome, inTime });
+    const hasReturned = this.#retries > 0;
+    this.#statistics.record({ kind, atMs, promptTokens: prompt.promptTokens, outcome, inTime, hasReturned });
   }
 }
--- a/packages/experiment/src/outcome.ts
+++ b/packages/experiment/src/outcome.ts
@@ -17,6 +17,8 @@
   readonly outcome: RequestOutcome;
   /** Whether the answer met its objective for the first event and its limit on pauses. */
   readonly inTime: boolean;
+  /** Whether its caller was rejected and has returned. */
+  readonly hasReturned: boolean;
 }
 
 /** Metrics of one kind of request, or of all requests. */
@@ -26,6 +28,9 @@
   readonly late: number;
   readonly refused: number;
   readonly failed: number;
+  /** Requests whose callers were rejected and have returned, and those of them that were not answered. */
+  readonly returned: number;
+  readonly returnedInVain: number;
   /** Total worth of the answers, as a share of the worth of all requests. */
   readonly goodput: number;
 }
@@ -89,6 +94,7 @@
   const answered = ended.filter(({ outcome }) => outcome === RequestOutcome.Answered);
   const inTime = answered.filter((request) => request.inTime);
   const late = answered.filter((request) => !request.inTime);
+  const returned = ended.filter(({ hasReturned }) => hasReturned);
   const earned = sumWorth(inTime, ({ kind }) => kind.worth) + sumWorth(late, ({ kind }) => kind.worthLate);
   const maxWorth = sumWorth(ended, ({ kind }) => kind.worth);
   return {
@@ -97,6 +103,8 @@
     late: late.length,
     refused: ended.filter(({ outcome }) => outcome === RequestOutcome.Refused).length,
     failed: ended.filter(({ outcome }) => outcome === RequestOutcome.Failed).length,
+    returned: returned.length,
+    returnedInVain: returned.filter(({ outcome }) => outcome !== RequestOutcome.Answered).length,
     goodput: maxWorth === 0 ? 1 : earned / maxWorth,
   };
 }
