Forget limits of endpoints that are gone, and count the whole wait of a stream

Two faults of the mend, found on reading it: the statement of an endpoint that is gone stayed for ever, was repeated in heartbeats and counted in the gauge (now removed a minute after its last confirmation, as entries lapse in outages although their endpoints live); a stream that waited again got half of its caller's patience anew (now from its arrival). Tests: limitTable, limitedWait.

--- a/packages/experiment/src/emulatedDaemon.ts
+++ b/packages/experiment/src/emulatedDaemon.ts
@@ -145,7 +145,7 @@
       ahead: 0,
       ownRatePerSecond: limited.reduce((sum, each) => sum + this.#enforcer.ownRate(each, time.now), 0),
       limitPerSecond: limited.reduce((sum, each) => sum + (this.limitTable.limitOf(each)?.requestsPerSecond ?? 0), 0),
-      maxWaitMs: serving.longestLimitedWaitMs(route, caller.remainingMs),
+      maxWaitMs: serving.longestLimitedWaitMs(route, caller.remainingMs, kind.deadlineMs - caller.remainingMs),
       draw: this.#random.next(),
     });
     if (decision.isErr()) this.#reject(caller, decision.error);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -109,6 +109,7 @@
       metrics: this.#metrics,
       format: dependencies.format,
       unixMs: () => clock.unixMs(),
+      directory: this.#view.directory,
       vm: settings.vm,
       senders: () => this.#peers.senders,
       // Callers are spread evenly over the daemons that serve them.
--- a/packages/gateway/src/limits/endpointLimits.ts
+++ b/packages/gateway/src/limits/endpointLimits.ts
@@ -5,7 +5,8 @@
 import type * as sendings from "../sending.js";
 import * as waitingRequests from "./waitingRequests.js";
 
-const FIRST_FAILURE_STATUS = 300;
+const FIRST_UNSUCCESSFUL_STATUS = 300;
+const MS_PER_SECOND = 1_000;
 
 /** Dependencies of {@link EndpointLimits}. */
 export interface EndpointLimitsParts {
@@ -14,6 +15,7 @@
   readonly format: Pick<ports.MessageFormat, "readAnswer">;
   /** @returns true time in Unix milliseconds */
   readonly unixMs: () => number;
+  readonly directory: serving.EndpointDirectory;
   /** VM of this daemon. */
   readonly vm: string;
   /** @returns VMs of all daemons that may send requests, this one included; the same array while they don't change */
@@ -22,8 +24,6 @@
   readonly promptsPerMs: (now: number) => number;
 }
 
-const MS_PER_SECOND = 1_000;
-
 /** The request limits that endpoints state in their answers, and this daemon's part of them. */
 export class EndpointLimits implements sendings.TrafficObserver {
   readonly table = new serving.LimitTable();
@@ -48,8 +48,9 @@
    * @returns the statements to send in the next heartbeat
    */
   recordsToPublish(now: number): serving.LimitRecord[] {
+    this.table.removeUnlisted((record) => this.#isListed(record), this.#parts.unixMs());
     this.enforcer.refresh(now);
-    return this.table.recordsToPublish(now, (record) => this.enforcer.hasPart(record));
+    return this.table.recordsToPublish(now, (record) => this.#isListed(record) && this.enforcer.hasPart(record));
   }
 
   /** @param record - a statement that a peer has observed */
@@ -99,12 +100,17 @@
       log.warn("endpoint-limit-unreadable", { endpoint: endpoint.id, text: head.limit.text });
     }
     const isRun = call === serving.AnsweredCall.Run;
-    const isSuccess = status < FIRST_FAILURE_STATUS && !head.notRun && (head.sealed || !isRun);
+    const isSuccess = status < FIRST_UNSUCCESSFUL_STATUS && !head.notRun && (head.sealed || !isRun);
     const answer = { call, stated: head.limit, isSuccess, versionAtSend };
     const change = this.table.noteAnswer(endpoint, answer, performance.now(), unixMs());
     if (change !== undefined) this.#logChange(change);
   }
 
+  #isListed({ endpointId, bornAt }: serving.LimitRecord): boolean {
+    const { directory } = this.#parts;
+    return directory.revisionOf(endpointId) > 0 && directory.bornAtOf(endpointId) === bornAt;
+  }
+
   #logChange({ before, after, isObserved }: serving.LimitChange): void {
     this.#parts.log.info("endpoint-limit", {
       endpoint: after.endpointId,
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -86,11 +86,12 @@
       return;
     }
     const { waiting } = context.limits;
+    const elapsedMs = performance.now() - served.caller.arrivedAt;
     const ahead = this.#isResumed ? 0 : waiting.count(served.service);
     const decision = serving.decideLimitedWait({
       ...limited,
       ahead,
-      maxWaitMs: serving.longestLimitedWaitMs(served.route, served.remainingMs),
+      maxWaitMs: serving.longestLimitedWaitMs(served.route, served.remainingMs, elapsedMs),
       draw: context.random.next(),
     });
     context.log.info("limited-wait", {
--- a/packages/gateway/tests/helpers/limits.ts
+++ b/packages/gateway/tests/helpers/limits.ts
@@ -27,6 +27,7 @@
     metrics: new metricsModule.Metrics(),
     format: WITHOUT_LIMIT,
     unixMs: () => Date.now(),
+    directory: new serving.EndpointDirectory(),
     vm,
     senders: () => senders,
     promptsPerMs: () => 0,
--- a/packages/serving/src/limits/limitTable.ts
+++ b/packages/serving/src/limits/limitTable.ts
@@ -27,6 +27,12 @@
 /** Maximum number of records in one heartbeat. */
 const MAX_PUBLISHED = 8;
 
+/**
+ * Time for which the statement of an endpoint that is not listed is kept, in milliseconds: the entries of live endpoints
+ * lapse in an outage of the key-value service.
+ */
+const UNLISTED_KEPT_MS = 60_000;
+
 /** Time for which an observed statement is published, in milliseconds: several heartbeats, as some are lost. */
 const PUBLISHED_MS = 4_000;
 
@@ -112,6 +118,17 @@
     return changeBetween(known?.bornAt === record.bornAt ? known : undefined, record, false);
   }
 
+  /**
+   * Removes the statements of endpoints that are gone or have restarted; nothing would end them.
+   *
+   * @param isListed - whether that incarnation is listed
+   * @param unixMs - true time in Unix milliseconds
+   */
+  removeUnlisted(isListed: (record: requestLimits.LimitRecord) => boolean, unixMs: number): void {
+    for (const [id, { record }] of this.#entries)
+      if (unixMs - record.version >= UNLISTED_KEPT_MS && !isListed(record)) this.#entries.delete(id);
+  }
+
   /**
    * @param now - current time in milliseconds
    * @param isResponsible - whether this daemon publishes a limit although it hasn't observed it lately
--- a/packages/serving/src/limits/limitedWait.ts
+++ b/packages/serving/src/limits/limitedWait.ts
@@ -47,13 +47,15 @@
 /**
  * @param route - route of a request
  * @param remainingMs - time until its deadline in milliseconds
+ * @param elapsedMs - time since it arrived in milliseconds
  * @returns the longest wait before its send that leaves time for the answer, in milliseconds
  */
 export function longestLimitedWaitMs(
   route: Pick<configurations.Route, "requestClass" | "objectiveMs" | "pauseMs">,
   remainingMs: number,
+  elapsedMs: number,
 ): number {
   if (route.requestClass !== configurations.RequestClass.Stream) return remainingMs * PLAIN_WAIT_PART;
   const callerTimeoutMs = admissions.streamCallerTimeoutMs(route.objectiveMs, route.pauseMs);
-  return Math.min(remainingMs, callerTimeoutMs * admissions.USUAL_PART);
+  return Math.min(remainingMs, callerTimeoutMs * admissions.USUAL_PART - elapsedMs);
 }
--- a/packages/serving/tests/limitTable.test.ts
+++ b/packages/serving/tests/limitTable.test.ts
@@ -98,6 +98,18 @@
   assert.is(table.limitOf({ id: "e1", bornAt: 2 })?.requestsPerSecond, 9);
 });
 
+// Entries lapse in an outage of the key-value service although their endpoints live, so that some time has to pass.
+suite("the limit of an endpoint that is gone is removed after a minute, that of a listed one is kept", () => {
+  const table = new serving.LimitTable();
+  table.noteAnswer(ENGINE, stating(3), 0, 0);
+  table.removeUnlisted(() => false, 59_000);
+  assert.not.ok(table.isEmpty);
+  table.removeUnlisted(() => true, 61_000);
+  assert.not.ok(table.isEmpty);
+  table.removeUnlisted(() => false, 61_000);
+  assert.ok(table.isEmpty);
+});
+
 suite("a heartbeat has a bounded number of records, each in its turn", () => {
   const table = new serving.LimitTable();
   for (let index = 0; index < 20; index++) table.noteAnswer({ id: `e${index}`, bornAt: 1 }, stating(3), 0, 100);
--- a/packages/serving/tests/limitedWait.test.ts
+++ b/packages/serving/tests/limitedWait.test.ts
@@ -29,10 +29,11 @@
 
 suite("a stream may wait for half of its caller's patience, other requests for half of their time", () => {
   const stream = { requestClass: serving.RequestClass.Stream, objectiveMs: 600, pauseMs: 300 };
-  assert.is(serving.longestLimitedWaitMs(stream, 10_000), 1_200);
-  assert.is(serving.longestLimitedWaitMs(stream, 500), 500);
+  assert.is(serving.longestLimitedWaitMs(stream, 10_000, 0), 1_200);
+  assert.is(serving.longestLimitedWaitMs(stream, 500, 0), 500);
+  assert.is(serving.longestLimitedWaitMs(stream, 9_000, 1_000), 200);
   const call = { requestClass: serving.RequestClass.NonIdempotent, objectiveMs: 200, pauseMs: 0 };
-  assert.is(serving.longestLimitedWaitMs(call, 1_000), 500);
+  assert.is(serving.longestLimitedWaitMs(call, 1_000, 0), 500);
 });
 
 suite.run();
