Select endpoints by their limits in one place, and split large files

The gateway and the replay each selected the endpoints that may get a request and summed up the limits of the others: now selectReady of serving, with tests. No decision changes.

--- a/packages/experiment/src/emulatedDaemon.ts
+++ b/packages/experiment/src/emulatedDaemon.ts
@@ -109,10 +109,11 @@
   serve(caller: EmulatedCaller): void {
     const { request } = caller;
     const { kind } = request;
-    const placement = this.#placementInputs(request);
+    const { ready, limited } = this.#selectReady();
+    const placement = this.#placementInputs(request, ready);
     const plan = serving.placePrompt(placement);
     if (plan === undefined) {
-      this.#waitOrReject(caller);
+      this.#waitOrReject(caller, limited);
       return;
     }
     const limits = {
@@ -131,23 +132,17 @@
   }
 
   /** The request waits for an engine whose limit lets it through, or is rejected. */
-  #waitOrReject(caller: EmulatedCaller): void {
-    const { fleet, time } = this.#parts;
+  #waitOrReject(caller: EmulatedCaller, limited: serving.LimitedEndpoints | undefined): void {
+    const { time } = this.#parts;
     const { kind } = caller.request;
-    const limited = fleet.endpoints().filter((each) => this.#enforcer.isLimited(each) && canAnswer(each));
-    if (limited.length === 0) {
+    if (limited === undefined) {
       caller.end(outcomes.RequestOutcome.Refused);
       return;
     }
     const route = { requestClass: serving.RequestClass.Stream, ...kind };
-    const decision = serving.decideLimitedWait({
-      readyInMs: Math.min(...limited.map((each) => this.#enforcer.waitMs(each, time.now))),
-      ahead: 0,
-      ownRatePerSecond: limited.reduce((sum, each) => sum + this.#enforcer.ownRate(each, time.now), 0),
-      limitPerSecond: limited.reduce((sum, each) => sum + (this.limitTable.limitOf(each)?.requestsPerSecond ?? 0), 0),
-      maxWaitMs: serving.longestLimitedWaitMs(route, caller.remainingMs, kind.deadlineMs - caller.remainingMs),
-      draw: this.#random.next(),
-    });
+    const elapsedMs = kind.deadlineMs - caller.remainingMs;
+    const maxWaitMs = serving.longestLimitedWaitMs(route, caller.remainingMs, elapsedMs);
+    const decision = serving.decideLimitedWait({ ...limited, ahead: 0, maxWaitMs, draw: this.#random.next() });
     if (decision.isErr()) this.#reject(caller, decision.error);
     else time.after(Math.max(1, decision.value), () => caller.hasEnded || this.serve(caller));
   }
@@ -197,7 +192,10 @@
 
   #handOver(request: loads.LoadRequest, caller: EmulatedCaller): void {
     const { time } = this.#parts;
-    const decodeEndpoint = serving.chooseDecodeEngine(this.#placementInputs(request), undefined);
+    const decodeEndpoint = serving.chooseDecodeEngine(
+      this.#placementInputs(request, this.#selectReady().ready),
+      undefined,
+    );
     if (decodeEndpoint === undefined) {
       caller.end(outcomes.RequestOutcome.Refused);
       return;
@@ -243,20 +241,16 @@
     if (record !== undefined) this.limitTable.merge({ ...record, version: Math.floor(this.#parts.time.now) });
   }
 
-  /** The engines that may get a request now; one whose limit was not confirmed lately is asked first. */
-  #readyEngines(endpoints: readonly serving.Endpoint[]): readonly serving.Endpoint[] {
-    const { now } = this.#parts.time;
-    if (this.limitTable.isEmpty) return endpoints;
-    const ready = endpoints.filter((each) => this.#enforcer.waitMs(each, now) === 0);
-    const probed = ready.find((each) => this.#enforcer.isProbeDue(each, now));
-    return probed === undefined ? ready : ready.filter((each) => each === probed || each.role !== probed.role);
+  #selectReady(): serving.ReadySelection {
+    const { fleet, time } = this.#parts;
+    return serving.selectReady(this.#enforcer, this.#assignedEngines(fleet.endpoints()), false, time.now);
   }
 
-  #placementInputs({ prompt, kind }: loads.LoadRequest): serving.PlacementInputs {
-    const { description, fleet, time } = this.#parts;
+  #placementInputs({ prompt, kind }: loads.LoadRequest, engines: readonly serving.Endpoint[]): serving.PlacementInputs {
+    const { description, time } = this.#parts;
     return {
       prompt,
-      engines: this.#readyEngines(this.#assignedEngines(fleet.endpoints())),
+      engines,
       loads: this.loads,
       memoryTokens: description.engines.memoryTokens,
       speeds: this.speeds,
@@ -289,10 +283,6 @@
   }
 }
 
-function canAnswer({ role }: serving.Endpoint): boolean {
-  return role !== serving.EngineRole.Prefill;
-}
-
 /** The caller of one request: its timeout, its retries and what it observes of the answer. */
 export class EmulatedCaller {
   /** Called when the caller times out before the first event. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -16,6 +16,7 @@
 import * as loopWatches from "./loopWatch.js";
 import * as metricsModule from "./metrics.js";
 import * as usageCodecs from "./duties/usageCodec.js";
+import * as dutyCandidates from "./duties/dutyCandidate.js";
 import * as dutiesModule from "./duties/duties.js";
 import * as peerTables from "./peerTable.js";
 import * as peerLinks from "./peerLink.js";
@@ -42,9 +43,6 @@
 /** Time for sending the last answers, in milliseconds: a third of the time that remains until the process is killed. */
 const LAST_ANSWERS_MS = 200;
 
-/** Key of the rendezvous hash that chooses the daemon that carries out the duties of the fleet. */
-const DUTIES_KEY = "orders";
-
 const SEED_BYTES = 4;
 
 /** Changes after which no new request may be sent to the endpoint. */
@@ -356,21 +354,15 @@
     return peers.some((peer) => peer.followsClosely && peer.storeSilentMs <= peerTables.STORE_SILENT_MS);
   }
 
-  /**
-   * Whether this daemon is the one that should carry out the duties of the fleet: one of the live daemons that reach the key-value
-   * service. When that daemon falls silent or loses the service, another becomes the candidate: the first could not
-   * renew its lease, and nobody would carry them out.
-   */
   #isDutyCandidate(): boolean {
-    if (!this.ready || this.#follower.silentMs > peerTables.STORE_SILENT_MS) return false;
-    // A standby daemon receives heartbeats only from a part of the fleet, and would wrongly consider itself the
-    // candidate.
-    if (!this.#peers.activeSet.active) return false;
-    const peers = this.#peers.peerTable
-      .live(performance.now())
-      .filter((peer) => peer.ready && peer.active && peer.storeSilentMs <= peerTables.STORE_SILENT_MS);
-    const names = [this.#entry.vm, ...peers.map((peer) => peer.vm)];
-    return common.rendezvousOrder(DUTIES_KEY, names)[0] === this.#entry.vm;
+    const { activeSet, peerTable } = this.#peers;
+    const own = {
+      vm: this.#entry.vm,
+      ready: this.ready,
+      active: activeSet.active,
+      storeSilentMs: this.#follower.silentMs,
+    };
+    return dutyCandidates.isDutyCandidate(own, peerTable.live(performance.now()));
   }
 
   /**
--- a/packages/gateway/src/sendChooser.ts
+++ b/packages/gateway/src/sendChooser.ts
@@ -26,16 +26,7 @@
   /** Time after which the caller may retry in milliseconds, or undefined for the default. */
   readonly retryAfterMs?: number;
   /** The endpoints that could serve it if their limits let it through, if there are any. */
-  readonly limited?: LimitedEndpoints;
-}
-
-/** Endpoints whose limits let no request of this daemon through now. */
-export interface LimitedEndpoints {
-  /** Time until one of them may get a request in milliseconds; infinite if this daemon has no part of their limits. */
-  readonly readyInMs: number;
-  /** Requests a second that this daemon may send them, and that they take from all daemons. */
-  readonly ownRatePerSecond: number;
-  readonly limitPerSecond: number;
+  readonly limited?: serving.LimitedEndpoints;
 }
 
 /** A planned send, or why there is none. */
@@ -83,7 +74,7 @@
 
   /** @returns time until the request may be sent in milliseconds, as far as limits decide; 0 if it may be sent now */
   readyInMs(): number {
-    const usable = this.#usable(this.#definition, false).filter(canAnswer);
+    const usable = this.#usable(this.#definition, false).filter(serving.canAnswer);
     const now = performance.now();
     if (usable.length === 0) return 0;
     return Math.min(...usable.map((endpoint) => this.#context.limits.enforcer.waitMs(endpoint, now)));
@@ -106,7 +97,7 @@
     const now = performance.now();
     const { ready, limited } = this.#candidates(definition);
     const candidates = ready
-      .filter((endpoint) => canAnswer(endpoint) && !crashDetector.hasCrashed(endpoint, now))
+      .filter((endpoint) => serving.canAnswer(endpoint) && !crashDetector.hasCrashed(endpoint, now))
       .sort((left, right) => loads.runningRequests(left.id, now) - loads.runningRequests(right.id, now));
     const [leastBusy, another] = candidates;
     if (leastBusy === undefined || another === undefined)
@@ -115,22 +106,13 @@
     return this.#placeOn([leastBusy], definition, definition.engine, prompt);
   }
 
-  #candidates(definition: serving.Service | undefined): Candidates {
+  #candidates(definition: serving.Service | undefined): serving.ReadySelection {
     const { limits, metrics } = this.#context;
-    const now = performance.now();
     const usable = this.#usable(definition, serving.mayRetry(this.#served.route));
     const isQueued = !this.#isNextInQueue && limits.waiting.count(this.#served.service) > 0;
-    const isReady = (endpoint: serving.Endpoint): boolean => {
-      if (!limits.enforcer.isLimited(endpoint)) return true;
-      return !isQueued && limits.enforcer.waitMs(endpoint, now) === 0;
-    };
-    const ready = usable.filter(isReady);
-    const probed = ready.find((endpoint) => limits.enforcer.isProbeDue(endpoint, now));
-    if (probed !== undefined)
-      return { ready: ready.filter((each) => each === probed || each.role !== probed.role), limited: undefined };
-    if (ready.length === usable.length) return { ready, limited: undefined };
-    metrics.count("limited_endpoints_passed_over");
-    return { ready, limited: this.#limitedEndpoints(usable.filter(canAnswer), now) };
+    const selection = serving.selectReady(limits.enforcer, usable, isQueued, performance.now());
+    if (selection.limited !== undefined) metrics.count("limited_endpoints_passed_over");
+    return selection;
   }
 
   /** The endpoints that may serve the request, apart from limits on what they take. */
@@ -147,17 +129,6 @@
     return health.selectUsable(available, mayProbe, now);
   }
 
-  #limitedEndpoints(endpoints: readonly serving.Endpoint[], now: number): LimitedEndpoints | undefined {
-    const { enforcer, table } = this.#context.limits;
-    const limited = endpoints.filter((endpoint) => enforcer.isLimited(endpoint));
-    if (limited.length === 0) return undefined;
-    return {
-      readyInMs: Math.min(...limited.map((endpoint) => enforcer.waitMs(endpoint, now))),
-      ownRatePerSecond: limited.reduce((sum, endpoint) => sum + enforcer.ownRate(endpoint, now), 0),
-      limitPerSecond: limited.reduce((sum, endpoint) => sum + (table.limitOf(endpoint)?.requestsPerSecond ?? 0), 0),
-    };
-  }
-
   #chooseLeastBusy(definition: serving.Service | undefined): Choice {
     const { loads, health, limits, random, settings } = this.#context;
     const { ready, limited } = this.#candidates(definition);
@@ -213,7 +184,7 @@
     definition: serving.Service,
     limits: serving.EngineLimits,
     prompt: serving.Prompt,
-    limited?: LimitedEndpoints,
+    limited?: serving.LimitedEndpoints,
   ): Choice {
     const inputs = this.#placementInputs(engines, definition, limits, prompt);
     const placed = serving.placePrompt(inputs);
@@ -287,23 +258,15 @@
   }
 }
 
-/** Endpoints to choose from. */
-interface Candidates {
-  /** Those that may get a request now. */
-  readonly ready: readonly serving.Endpoint[];
-  /** Those whose limits let no request through now, if there are any that could answer. */
-  readonly limited: LimitedEndpoints | undefined;
-}
-
-function canAnswer({ role }: serving.Endpoint): boolean {
-  return role !== serving.EngineRole.Prefill;
-}
-
-function answeringAt(endpoint: serving.Endpoint | undefined, reasonIfNone: string, limited?: LimitedEndpoints): Choice {
+function answeringAt(
+  endpoint: serving.Endpoint | undefined,
+  reasonIfNone: string,
+  limited?: serving.LimitedEndpoints,
+): Choice {
   if (endpoint === undefined) return neverthrow.err({ reason: reasonIfNone, ...limitedField(limited) });
   return neverthrow.ok({ endpoint, stage: Stage.Answering, predictedMs: 0, plan: undefined });
 }
 
-function limitedField(limited: LimitedEndpoints | undefined): Pick<SendRejection, "limited"> {
+function limitedField(limited: serving.LimitedEndpoints | undefined): Pick<SendRejection, "limited"> {
   return limited === undefined ? {} : { limited };
 }
--- a/packages/serving/src/limits/limitEnforcer.ts
+++ b/packages/serving/src/limits/limitEnforcer.ts
@@ -105,6 +105,14 @@
     return record === undefined ? Number.POSITIVE_INFINITY : this.#allowanceOf(record, now).ratePerSecond;
   }
 
+  /**
+   * @param endpoint - an endpoint
+   * @returns requests a second that it takes from all daemons; infinite without a limit
+   */
+  limitOf(endpoint: directories.Endpoint): number {
+    return this.#parts.table.limitOf(endpoint)?.requestsPerSecond ?? Number.POSITIVE_INFINITY;
+  }
+
   /**
    * Counts a request that is sent, for whichever purpose.
    *
--- a/packages/serving/src/limits/limitedWait.ts
+++ b/packages/serving/src/limits/limitedWait.ts
@@ -1,17 +1,12 @@
 import * as neverthrow from "neverthrow";
 import * as admissions from "../admission.js";
 import * as configurations from "../configuration.js";
+import type * as limitedEndpoints from "./limitedEndpoints.js";
 
 /** What a request finds whose endpoints all limit their requests. */
-export interface LimitedWaitInputs {
-  /** Time until this daemon may send one more request in milliseconds; infinite if it has no part of any limit. */
-  readonly readyInMs: number;
+export interface LimitedWaitInputs extends limitedEndpoints.LimitedEndpoints {
   /** Requests that wait before it at this daemon. */
   readonly ahead: number;
-  /** Requests a second that this daemon may send to these endpoints. */
-  readonly ownRatePerSecond: number;
-  /** Requests a second that these endpoints take from all daemons. */
-  readonly limitPerSecond: number;
   /** Longest wait that leaves time for the answer, in milliseconds. */
   readonly maxWaitMs: number;
   /** A uniform random number in [0, 1). */
