Take a second retry from the budget for a prompt that is prefilled again

Cause: a retry whose prompt is prefilled again reaches two engines and took one retry.

Change: a prefill after one that an engine accepted takes a retry of its own; without one, the decode engine prefills the prompt itself.

Before: with one retry left the prompt was prefilled again (test fails: prefill instead of decode). After: it passes; with two retries left the prompt is prefilled again as before.

--- a/packages/gateway/src/prefillReceiver.ts
+++ b/packages/gateway/src/prefillReceiver.ts
@@ -42,6 +42,7 @@
       feedback.learnPrefillTime(active);
       handover.keep({ engine: active.endpoint, handle: result.value.handle });
       served.unmarkTried(active.endpoint.id);
+      served.notePrefilled();
       results.sendNext();
       return;
     }
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -197,6 +197,7 @@
     const { context, end, served } = this.#parts;
     served.countSend();
     const step = served.decideNextStep(serving.SendOutcome.Declined);
+    served.notePrefillPaid();
     context.log.info("handle-lost", { id: served.id, endpoint: engine.id, step });
     if (step === serving.NextStep.SendAgain) this.sendNext();
     else end.reject("handle-lost");
--- a/packages/gateway/src/sendChooser.ts
+++ b/packages/gateway/src/sendChooser.ts
@@ -187,7 +187,7 @@
     limited?: serving.LimitedEndpoints,
   ): Choice {
     const inputs = this.#placementInputs(engines, definition, limits, prompt);
-    const placed = serving.placePrompt(inputs);
+    const placed = this.#placeWithinBudget(inputs);
     if (placed === undefined) return neverthrow.err({ reason: "no-engine", ...limitedField(limited) });
     this.#noteDemand(placed, prompt);
     const admitted = this.#admit(placed, inputs);
@@ -201,6 +201,13 @@
     return neverthrow.ok({ endpoint: firstEngine, stage, predictedMs: plan.predictedMs, plan });
   }
 
+  /** The decode engine prefills the prompt itself if the retry budget allows no separate call for that. */
+  #placeWithinBudget(inputs: serving.PlacementInputs): serving.EnginePlan | undefined {
+    const placed = serving.placePrompt(inputs);
+    if (placed?.prefillEngine === undefined || this.#served.mayPrefill()) return placed;
+    return serving.placePrompt({ ...inputs, engines: inputs.engines.filter(serving.canAnswer) });
+  }
+
   #noteDemand(plan: serving.EnginePlan, prompt: serving.Prompt): void {
     const { demand, speeds } = this.#context;
     const prefillMs = speeds.of(this.#served.service).prefillMs(serving.EngineRole.Prefill, plan.workTokens);
--- a/packages/gateway/src/servedRequest.ts
+++ b/packages/gateway/src/servedRequest.ts
@@ -23,6 +23,8 @@
   #sends = 0;
   #mayHaveRun = false;
   #hasBegunToRun = false;
+  #prefillsAccepted = 0;
+  #isPrefillPaid = false;
 
   /**
    * @param context - dependencies shared by all requests
@@ -168,6 +170,28 @@
     this.#mayHaveRun = true;
   }
 
+  /** Records that an engine has prefilled the prompt for another one. */
+  notePrefilled(): void {
+    this.#prefillsAccepted++;
+    this.#isPrefillPaid = false;
+  }
+
+  /** The next prefill is the retry itself, which the budget has allowed. */
+  notePrefillPaid(): void {
+    this.#isPrefillPaid = true;
+  }
+
+  /**
+   * Decides whether the prompt may be prefilled for another engine. The first prefill that an engine accepts is free; a
+   * further one is an arrival beyond the retry that it belongs to, so that it takes a second one from the budget.
+   *
+   * @returns whether it may; the retry is then counted as spent
+   */
+  mayPrefill(): boolean {
+    if (this.#prefillsAccepted === 0 || this.#isPrefillPaid) return true;
+    return this.#spendRetry();
+  }
+
   /** Records that an endpoint has begun to run the request, which counts once as its organisation's usage. */
   noteBegunToRun(): void {
     if (this.#hasBegunToRun) return;
@@ -195,7 +219,7 @@
    * @returns the next step
    */
   decideNextStep(outcome: serving.SendOutcome): serving.NextStep {
-    const { view, budgets } = this.#context;
+    const { view } = this.#context;
     const hasUntried = view.directory
       .availableEndpoints(this.#service)
       .some((endpoint) => !this.#triedEndpoints.has(endpoint.id));
@@ -208,7 +232,12 @@
       attempts: this.#mayBeSentAgain ? this.#route.attempts : 0,
       remainingMs: this.remainingMs,
       hasOtherEndpoint: hasUntried,
-      spendRetry: () => budgets.of(this.#service).spend(performance.now(), this.#context.liveDaemons()),
+      spendRetry: () => this.#spendRetry(),
     });
   }
+
+  #spendRetry(): boolean {
+    const { budgets } = this.#context;
+    return budgets.of(this.#service).spend(performance.now(), this.#context.liveDaemons());
+  }
 }
--- a/packages/gateway/tests/exchange.test.ts
+++ b/packages/gateway/tests/exchange.test.ts
@@ -114,4 +114,26 @@
   assert.match(harness.endLines[0] ?? "", /outcome=request-fault status=503/);
 });
 
+/** An answer of an engine that has not run the request. */
+function decline({ receiver }: harnesses.RecordedSend): void {
+  assert.ok(receiver.onHead(503, {}));
+  receiver.onEnd();
+}
+
+// Endpoints that shed load: each retry whose prompt is prefilled again reaches two engines, and the budget counts both.
+suite("a prompt is prefilled again only if the retry budget allows that call, too", () => {
+  for (const { retries, role } of [
+    { retries: 1, role: Decode },
+    { retries: 2, role: Prefill },
+  ]) {
+    const harness = startedExchange(Stream, [Prefill, Decode, Decode]);
+    harness.slowDownDecodeEngines();
+    harness.leaveRetries(retries);
+    finishPrefill(harness.send(0));
+    decline(harness.send(1));
+    const again = harness.sends.filter(({ path }) => !path.startsWith("/free/"))[2];
+    assert.is(again?.endpoint.role, role, `${retries} retries left`);
+  }
+});
+
 suite.run();
--- a/packages/gateway/tests/helpers/exchangeHarness.ts
+++ b/packages/gateway/tests/helpers/exchangeHarness.ts
@@ -266,6 +266,17 @@
     }
   }
 
+  /** @param count - retries that the service's budget has left now */
+  leaveRetries(count: number): void {
+    const budget = this.#context.budgets.of("service");
+    const spend = (): boolean => budget.spend(performance.now(), 1);
+    let available = 0;
+    const probe = new serving.SharedRetryBudget(SETTINGS.retryBounds, performance.now() - PROCESS_AGE_MS);
+    probe.noteRequest(performance.now());
+    while (probe.spend(performance.now(), 1)) available++;
+    for (let spent = 0; spent < available - count; spent++) spend();
+  }
+
   /** @param error - thrown from the next send */
   failNextSend(error: Error): void {
     this.#client.nextError = error;
