--- a/packages/gateway/src/endpointClient.ts
+++ b/packages/gateway/src/endpointClient.ts
@@ -32,6 +32,11 @@
     return this.#pools.get(endpointId)?.lastReceivedAt ?? 0;
   }
 
+  /** @returns instant at which data was last received from any endpoint, in milliseconds; 0 if none was */
+  get lastReceivedFromAnyAt(): number {
+    return Math.max(0, ...[...this.#pools.values()].map((pool) => pool.lastReceivedAt));
+  }
+
   /**
    * @param endpointId - the endpoint
    * @param maxConnections - connections that it accepts from all daemons
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -1,6 +1,7 @@
 import * as serving from "@camphorcourse/serving";
 import * as activeSends from "./activeSend.js";
 import * as answerReceivers from "./answerReceiver.js";
+import type * as decisionLogs from "./decisionLog.js";
 import type * as sendings from "./sending.js";
 import type * as exchangeParts from "./exchangeParts.js";
 import type * as waitingRequests from "./limits/waitingRequests.js";
@@ -146,6 +147,7 @@
       step,
       ...active.dispatchFields,
       tookMs: Math.round(performance.now() - active.sentAt),
+      ...this.#silenceFields(active),
     });
     if (step === serving.NextStep.SendAgain) this.sendNext();
     else if (step === serving.NextStep.Reject) end.reject(`send-${outcome}`);
@@ -192,6 +194,15 @@
     });
   }
 
+  /** Ages of the last data from the endpoint and from any: only together they tell a failed endpoint from a lost link. */
+  #silenceFields({ endpoint }: activeSends.ActiveSend): decisionLogs.LogFields {
+    const { client } = this.#parts.context;
+    return {
+      endpointHeardMs: ageMs(client.lastReceivedAt(endpoint.id)),
+      anyHeardMs: ageMs(client.lastReceivedFromAnyAt),
+    };
+  }
+
   /** Starts over with a new prefill, which counts as a send: the engine has lost the KV cache that it kept. */
   #prefillAgain(engine: serving.Endpoint): void {
     const { context, end, served } = this.#parts;
@@ -279,6 +290,7 @@
       stage: active.stage,
       silentMs: Math.round(silentMs),
       step,
+      ...this.#silenceFields(active),
     });
     if (!isPrefill) served.noteMayHaveRun();
     feedback.recordResult(active, serving.SendResult.Silent);
@@ -293,3 +305,8 @@
     if (active.stage === sendChoosers.Stage.Prefill && outcome !== serving.SendOutcome.NotSent) served.countSend();
   }
 }
+
+/** Age of an instant in whole milliseconds; undefined if it is 0, for never. */
+function ageMs(instant: number): number | undefined {
+  return instant === 0 ? undefined : Math.round(performance.now() - instant);
+}
