--- a/packages/gateway/src/endpointConnectionPool.ts
+++ b/packages/gateway/src/endpointConnectionPool.ts
@@ -1,5 +1,6 @@
 import type * as net from "node:net";
 import * as undici from "undici";
+import * as connectors from "./paths/connector.js";
 import * as pendingReads from "./pendingReads.js";
 
 /** Time for a connection to an endpoint to be established, in milliseconds; a healthy endpoint takes a few. */
@@ -8,6 +9,8 @@
 /** Idle time after which this side closes a connection, in milliseconds, unless the endpoint names a shorter one. */
 const IDLE_TIMEOUT_MS = 4_000;
 
+const connect = connectors.createConnector(CONNECT_TIMEOUT_MS);
+
 /** A connection to an endpoint; it carries one request at a time. */
 export interface PooledConnection {
   readonly client: undici.Client;
@@ -17,8 +20,6 @@
   reset: boolean;
 }
 
-const connect = undici.buildConnector({ timeout: CONNECT_TIMEOUT_MS, autoSelectFamily: false, keepAlive: true });
-
 /**
  * Creates a connection, which is opened by its first request.
  *
@@ -26,19 +27,19 @@
  * HTTP client takes a reset for the regular end of such an answer, so the socket's error is recorded here before the
  * client handles it.
  */
-function createConnection(origin: string, isLoopLagging: () => boolean): PooledConnection {
+function createConnection(address: string, isLoopLagging: () => boolean): PooledConnection {
   const connection: PooledConnection = {
     socket: undefined,
     usedAt: 0,
     reset: false,
-    client: new undici.Client(origin, {
+    client: new undici.Client(`http://${address}`, {
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: IDLE_TIMEOUT_MS,
-      connect: (options, callback) => {
+      connect: (target, callback) => {
         connection.reset = false;
-        connect(options, (...result) => {
+        connect(target, (...result) => {
           const [error, socket] = result;
           if (error !== null) {
             callback(error, null);
@@ -65,7 +66,6 @@
 
 /** Connections to one incarnation of an endpoint. */
 export class EndpointConnectionPool {
-  readonly #origin: string;
   readonly #idle: PooledConnection[] = [];
   readonly #busy = new Set<PooledConnection>();
   /** Instant at which data was last received from the endpoint, in milliseconds. */
@@ -82,7 +82,6 @@
     isLoopLagging: () => boolean,
   ) {
     this.#isLoopLagging = isLoopLagging;
-    this.#origin = `http://${address}`;
   }
 
   /** @returns number of connections that are open or being opened */
@@ -107,7 +106,7 @@
 
   /** @returns a connection for one request, to be released or discarded */
   acquire(): PooledConnection {
-    const connection = this.#idle.pop() ?? createConnection(this.#origin, this.#isLoopLagging);
+    const connection = this.#idle.pop() ?? createConnection(this.address, this.#isLoopLagging);
     this.#busy.add(connection);
     return connection;
   }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -11,6 +11,7 @@
 export * from "./fleetView.js";
 export * from "./gateway.js";
 export * from "./metrics.js";
+export * as connectors from "./paths/connector.js";
 export * from "./ports.js";
 export * from "./settings.js";
 export * from "./storeFollower.js";
--- a/scripts/undiciClient.cjs
+++ b/scripts/undiciClient.cjs
@@ -8,5 +8,4 @@
 module.exports = {
   Client: require("undici/lib/dispatcher/client.js"),
   Pool: require("undici/lib/dispatcher/pool.js"),
-  buildConnector: require("undici/lib/core/connect.js"),
 };
