--- a/packages/gateway/src/activeSend.ts
+++ b/packages/gateway/src/activeSend.ts
@@ -55,6 +55,11 @@
     return this.#request?.wasDispatched === true;
   }
 
+  /** @returns whether the path over which it was sent has failed, without a sign of the endpoint since */
+  get isPathLost(): boolean {
+    return this.#request?.isPathLost === true;
+  }
+
   /** @returns how much of the request has been sent, for the log */
   get dispatchFields(): DispatchFields {
     const { dispatchedAt, unsentBytes } = this.#request ?? {};
@@ -77,7 +82,7 @@
     onSilent: (silentMs: number) => void,
   ): void {
     this.#context.loads.beginRequest(this.endpoint.id);
-    this.#silence.start(onSilent);
+    this.#silence.start(() => this.isPathLost, onSilent);
     this.#request = this.#context.client.send(this.endpoint, message, receiver);
   }
 
--- a/packages/gateway/src/callers/callerAddresses.ts
+++ b/packages/gateway/src/callers/callerAddresses.ts
@@ -15,6 +15,8 @@
   readonly peers: Pick<peerLinks.PeerLink, "activeSet" | "peerTable">;
   /** @returns whether callers may be directed to this daemon */
   readonly ready: () => boolean;
+  /** @returns whether this daemon is cut off from endpoints that its peers reach */
+  readonly isCutOff: () => boolean;
 }
 
 /** Chooses the daemons whose addresses a caller is given. */
@@ -35,14 +37,21 @@
     const { entry, peers, view } = this.#parts;
     const others = [...view.daemons.values()].filter((daemon) => daemon.vm !== entry.vm && daemon.callers !== "");
     const { activeVms } = peers.activeSet;
-    const available = others.filter(({ vm }) => activeVms.includes(vm) || peers.peerTable.mayTakeCallers(vm, now));
-    if (this.#parts.ready()) available.push(entry);
+    const serving = others.filter(({ vm }) => activeVms.includes(vm) || peers.peerTable.mayTakeCallers(vm, now));
+    if (this.#parts.ready()) serving.push(entry);
+    const able = serving.filter(({ vm }) => !this.#isCutOff(vm, now));
+    const available = able.length > 0 ? able : serving;
     const active = available.filter((daemon) => this.#isActive(daemon.vm, now));
     const choices = [active, available].map((daemons) => daemons.filter((daemon) => daemon.dataCentre === dataCentre));
     const chosen = choices.find((nearby) => nearby.length >= MIN_NEARBY_DAEMONS) ?? available;
     return chosen.map((daemon) => daemon.callers).slice(0, MAX_ADDRESSES);
   }
 
+  #isCutOff(vm: string, now: number): boolean {
+    if (vm === this.#parts.entry.vm) return this.#parts.isCutOff();
+    return this.#parts.peers.peerTable.liveState(vm, now)?.cutOff ?? false;
+  }
+
   #isActive(vm: string, now: number): boolean {
     const { activeSet, peerTable } = this.#parts.peers;
     return activeSet.activeVms.includes(vm) || (peerTable.liveState(vm, now)?.active ?? false);
--- a/packages/gateway/src/endpointClient.ts
+++ b/packages/gateway/src/endpointClient.ts
@@ -1,35 +1,58 @@
 import type * as serving from "@camphorcourse/serving";
 import * as connectionPools from "./endpointConnectionPool.js";
+import type * as decisionLogs from "./decisionLog.js";
 import * as endpointSends from "./endpointSend.js";
+import type * as pathMonitors from "./paths/pathMonitor.js";
+import type * as peerRelays from "./paths/peerRelays.js";
+import * as routedSends from "./paths/routedSend.js";
 import type * as sendings from "./sending.js";
 
 /** Share of an endpoint's connections that all daemons together use; the rest is left for health checks and restarts. */
 const USED_CONNECTIONS_SHARE = 0.8;
 
-/** Sends requests to endpoints over pooled keep-alive connections. */
+/** How requests get to endpoints that this daemon doesn't reach itself. */
+export interface PathParts {
+  readonly monitor: pathMonitors.PathMonitor;
+  readonly relays: peerRelays.PeerRelays;
+  readonly log: decisionLogs.DecisionLog;
+}
+
+/** Sends requests to endpoints over pooled keep-alive connections, or through peers where it doesn't reach them. */
 export class EndpointClient {
   readonly #pools = new Map<string, connectionPools.EndpointConnectionPool>();
   readonly #count: (name: string) => void;
   readonly #isLoopLagging: () => boolean;
   readonly #observer: sendings.TrafficObserver;
+  readonly #paths: PathParts;
+  /** Requests under way through peers, by endpoint. */
+  readonly #relayed = new Map<string, number>();
+  /** When data of an endpoint last came through a peer, in milliseconds. */
+  readonly #relayedDataAt = new Map<string, number>();
 
   /**
    * @param count - counts an event by its name
    * @param isLoopLagging - whether the event loop lags, so that the socket events it processes may be old
    * @param observer - observes what is sent, and the answers
+   * @param paths - the paths to endpoints
    */
-  constructor(count: (name: string) => void, isLoopLagging: () => boolean, observer: sendings.TrafficObserver) {
+  constructor(
+    count: (name: string) => void,
+    isLoopLagging: () => boolean,
+    observer: sendings.TrafficObserver,
+    paths: PathParts,
+  ) {
     this.#count = count;
     this.#isLoopLagging = isLoopLagging;
     this.#observer = observer;
+    this.#paths = paths;
   }
 
   /**
    * @param endpointId - the endpoint
-   * @returns instant at which data was last received from it, in milliseconds
+   * @returns instant at which data was last received from it, directly or through a peer, in milliseconds
    */
   lastReceivedAt(endpointId: string): number {
-    return this.#pools.get(endpointId)?.lastReceivedAt ?? 0;
+    return Math.max(this.#pools.get(endpointId)?.lastReceivedAt ?? 0, this.#relayedDataAt.get(endpointId) ?? 0);
   }
 
   /** @returns instant at which data was last received from any endpoint, in milliseconds; 0 if none was */
@@ -45,7 +68,8 @@
    */
   hasRoom(endpointId: string, maxConnections: number, daemons: number): boolean {
     const limit = Math.max(2, Math.floor((maxConnections * USED_CONNECTIONS_SHARE) / Math.max(1, daemons)));
-    return (this.#pools.get(endpointId)?.busy ?? 0) < limit;
+    const busy = (this.#pools.get(endpointId)?.busy ?? 0) + (this.#relayed.get(endpointId) ?? 0);
+    return busy < limit;
   }
 
   /**
@@ -56,13 +80,28 @@
     return this.#pools.get(endpointId)?.hasLiveIdle ?? false;
   }
 
-  /** @returns bytes of requests that are buffered for connections to endpoints but not yet sent */
+  /**
+   * @param endpoint - the endpoint
+   * @param now - current instant in milliseconds
+   * @returns how a request would get to it
+   */
+  pathTo(endpoint: serving.Endpoint, now: number): serving.EndpointPath {
+    return this.#paths.monitor.paths.pathTo(endpoint, this.hasLiveConnection(endpoint.id), now);
+  }
+
+  /** @param endpoint - an endpoint that owes data and has sent none for a while */
+  noteSilent(endpoint: serving.Endpoint): void {
+    this.#paths.monitor.noteSilent(endpoint);
+  }
+
+  /** @returns bytes of requests that are buffered for connections to endpoints and peers but not yet sent */
   get unsentBytes(): number {
-    return [...this.#pools.values()].reduce((sum, pool) => sum + pool.unsentBytes, 0);
+    const unsentToEndpoints = [...this.#pools.values()].reduce((sum, pool) => sum + pool.unsentBytes, 0);
+    return unsentToEndpoints + this.#paths.relays.unsentBytes;
   }
 
   /**
-   * Sends a request over an idle or a new connection.
+   * Sends a request over an idle or a new connection, or through a peer.
    *
    * @param endpoint - where to send
    * @param request - what to send
@@ -74,25 +113,55 @@
     request: sendings.OutgoingRequest,
     receiver: sendings.AnswerReceiver,
   ): sendings.InFlightRequest {
-    const parts = {
-      pool: this.#poolOf(endpoint),
+    const { id } = endpoint;
+    return new routedSends.RoutedSend({
+      ...this.#paths,
+      endpoint,
       request,
       receiver: new ObservedReceiver(receiver, this.#observer.onSend(endpoint, request)),
+      pool: this.#poolOf(endpoint),
+      isLoopLagging: this.#isLoopLagging,
+      onBroken: () => this.#countBroken(),
+      onRelayed: (change) => this.#relayed.set(id, (this.#relayed.get(id) ?? 0) + change),
+      onRelayedData: () => this.#relayedDataAt.set(id, performance.now()),
+    });
+  }
+
+  /**
+   * Sends a request of another daemon over a connection of this one. That daemon counts it towards limits.
+   *
+   * @param endpoint - where to send
+   * @param request - what to send
+   * @param receiver - receives the answer
+   * @returns the request in flight
+   */
+  sendForPeer(
+    endpoint: serving.Endpoint,
+    request: sendings.OutgoingRequest,
+    receiver: sendings.AnswerReceiver,
+  ): Omit<sendings.InFlightRequest, "isPathLost"> {
+    return new endpointSends.EndpointSend({
+      pool: this.#poolOf(endpoint),
+      request,
+      receiver,
       isLoopLagging: this.#isLoopLagging,
       onBroken: () => this.#countBroken(),
-    };
-    return new endpointSends.EndpointSend(parts);
+    });
   }
 
   /** @param endpointId - an endpoint that is gone or has restarted: its idle connections are closed */
   forget(endpointId: string): void {
     this.#pools.get(endpointId)?.close();
     this.#pools.delete(endpointId);
+    this.#relayedDataAt.delete(endpointId);
+    if (this.#relayed.get(endpointId) === 0) this.#relayed.delete(endpointId);
+    this.#paths.monitor.forget(endpointId);
   }
 
   /** Closes all idle connections. */
   close(): void {
     for (const pool of this.#pools.values()) pool.close();
+    this.#paths.relays.close();
   }
 
   #countBroken(): void {
@@ -107,7 +176,12 @@
       pool = undefined;
     }
     if (pool === undefined) {
-      pool = new connectionPools.EndpointConnectionPool(endpoint.address, this.#isLoopLagging);
+      const { monitor } = this.#paths;
+      pool = new connectionPools.EndpointConnectionPool(endpoint.address, this.#isLoopLagging, {
+        onConnected: () => monitor.noteConnected(endpoint),
+        onConnectFailed: (since, error) => monitor.noteConnectFailed(endpoint, since, error.message),
+        onReceived: () => monitor.noteReceived(endpoint),
+      });
       this.#pools.set(endpoint.id, pool);
     }
     return pool;
--- a/packages/gateway/src/endpointConnectionPool.ts
+++ b/packages/gateway/src/endpointConnectionPool.ts
@@ -11,6 +11,14 @@
 
 const connect = connectors.createConnector(CONNECT_TIMEOUT_MS);
 
+/** Is notified of what happens on the connections of a pool. */
+export interface PoolListener {
+  onConnected(): void;
+  /** @param since - start of the attempt, in milliseconds; @param error - why it failed */
+  onConnectFailed(since: number, error: Error): void;
+  onReceived(): void;
+}
+
 /** A connection to an endpoint; it carries one request at a time. */
 export interface PooledConnection {
   readonly client: undici.Client;
@@ -27,7 +35,11 @@
  * HTTP client takes a reset for the regular end of such an answer, so the socket's error is recorded here before the
  * client handles it.
  */
-function createConnection(address: string, isLoopLagging: () => boolean): PooledConnection {
+function createConnection(
+  address: string,
+  isLoopLagging: () => boolean,
+  listener: PoolListener | undefined,
+): PooledConnection {
   const connection: PooledConnection = {
     socket: undefined,
     usedAt: 0,
@@ -39,12 +51,15 @@
       keepAliveTimeout: IDLE_TIMEOUT_MS,
       connect: (target, callback) => {
         connection.reset = false;
+        const startedAt = performance.now();
         connect(target, (...result) => {
           const [error, socket] = result;
           if (error !== null) {
+            listener?.onConnectFailed(startedAt, error);
             callback(error, null);
             return;
           }
+          listener?.onConnected();
           connection.socket = socket;
           socket.on("error", () => {
             connection.reset = true;
@@ -64,24 +79,37 @@
   return connection;
 }
 
-/** Connections to one incarnation of an endpoint. */
+/** Connections to one incarnation of an endpoint, or to a peer that passes requests on. */
 export class EndpointConnectionPool {
   readonly #idle: PooledConnection[] = [];
   readonly #busy = new Set<PooledConnection>();
-  /** Instant at which data was last received from the endpoint, in milliseconds. */
-  lastReceivedAt = 0;
-
   readonly #isLoopLagging: () => boolean;
+  readonly #listener: PoolListener | undefined;
+  #lastReceivedAt = 0;
 
   /**
-   * @param address - the endpoint's address, IP:PORT
+   * @param address - the address, IP:PORT
    * @param isLoopLagging - whether the event loop lags, so that the socket events it processes may be old
+   * @param listener - is notified of connections and data, if given
    */
   constructor(
     readonly address: string,
     isLoopLagging: () => boolean,
+    listener?: PoolListener,
   ) {
     this.#isLoopLagging = isLoopLagging;
+    this.#listener = listener;
+  }
+
+  /** @returns instant at which data was last received, in milliseconds */
+  get lastReceivedAt(): number {
+    return this.#lastReceivedAt;
+  }
+
+  /** @param now - instant at which data was received, in milliseconds */
+  noteReceived(now: number): void {
+    this.#lastReceivedAt = now;
+    this.#listener?.onReceived();
   }
 
   /** @returns number of connections that are open or being opened */
@@ -106,7 +134,7 @@
 
   /** @returns a connection for one request, to be released or discarded */
   acquire(): PooledConnection {
-    const connection = this.#idle.pop() ?? createConnection(this.address, this.#isLoopLagging);
+    const connection = this.#idle.pop() ?? createConnection(this.address, this.#isLoopLagging, this.#listener);
     this.#busy.add(connection);
     return connection;
   }
--- a/packages/gateway/src/endpointFeedback.ts
+++ b/packages/gateway/src/endpointFeedback.ts
@@ -1,4 +1,4 @@
-import type * as serving from "@camphorcourse/serving";
+import * as serving from "@camphorcourse/serving";
 import type * as activeSends from "./activeSend.js";
 import type * as contexts from "./context.js";
 import type * as servedRequests from "./servedRequest.js";
@@ -26,6 +26,9 @@
    */
   recordResult(active: activeSends.ActiveSend, result: serving.SendResult): void {
     if (!this.#isCurrentIncarnation(active)) return;
+    // A failure of the path says nothing about the endpoint.
+    const isPathFailure = result === serving.SendResult.Silent || result === serving.SendResult.Failed;
+    if (isPathFailure && active.isPathLost) return;
     const changed = this.#context.health.recordResult(active.endpoint.id, result, performance.now());
     if (!changed) return;
     const isUnhealthy = this.#context.health.isUnhealthy(active.endpoint.id);
--- a/packages/gateway/src/endpointSend.ts
+++ b/packages/gateway/src/endpointSend.ts
@@ -18,8 +18,8 @@
 /** Lowest final status code; lower ones are informational and precede it. */
 const MIN_FINAL_STATUS = 200;
 
-/** One request to an endpoint over a pooled connection, and its answer. */
-export class EndpointSend implements sendings.InFlightRequest {
+/** One request over a pooled connection, and its answer. */
+export class EndpointSend implements Omit<sendings.InFlightRequest, "isPathLost"> {
   readonly #parts: SendParts;
   readonly #connection: connectionPools.PooledConnection;
   #deferredDispatch: pendingReads.DeferredStep | undefined;
@@ -84,11 +84,11 @@
   }
 
   #dispatch(): void {
-    const { method, path, headers, body } = this.#parts.request;
+    const { method, path, createHeaders, body } = this.#parts.request;
     const options = {
       method: method as undici.Dispatcher.HttpMethod,
       path,
-      headers,
+      headers: createHeaders(),
       body: body ?? null,
     };
     this.#connection.client.dispatch(options, {
@@ -139,7 +139,7 @@
   }
 
   #noteReceived(): void {
-    this.#parts.pool.lastReceivedAt = performance.now();
+    this.#parts.pool.noteReceived(performance.now());
   }
 
   #discard(): void {
--- a/packages/gateway/src/engineCalls.ts
+++ b/packages/gateway/src/engineCalls.ts
@@ -59,7 +59,7 @@
         {
           method: call.method,
           path: call.path,
-          headers: call.headers(engine.id),
+          createHeaders: () => call.headers(engine.id),
           body: call.body === undefined ? undefined : Buffer.from(call.body),
           call: serving.AnsweredCall.Control,
         },
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,6 +18,9 @@
 import * as usageCodecs from "./duties/usageCodec.js";
 import * as dutyCandidates from "./duties/dutyCandidate.js";
 import * as dutiesModule from "./duties/duties.js";
+import * as pathMonitors from "./paths/pathMonitor.js";
+import * as peerRelays from "./paths/peerRelays.js";
+import * as relayServers from "./paths/relayServer.js";
 import * as peerTables from "./peerTable.js";
 import * as peerLinks from "./peerLink.js";
 import * as trueClocks from "./peers/trueClock.js";
@@ -78,6 +81,9 @@
   readonly #storeReadingMode: storeReadingModes.StoreReadingMode;
   readonly #protection: crashProtections.CrashProtection;
   readonly #duties: dutiesModule.Duties;
+  readonly #monitor: pathMonitors.PathMonitor;
+  readonly #relays: peerRelays.PeerRelays;
+  readonly #relayServer: relayServers.RelayServer;
   readonly #servers: http.Server[] = [];
   readonly #loopWatch = new loopWatches.LoopWatch(undefined, (lateMs) => this.#onHeartbeat(lateMs));
   #stopping = false;
@@ -113,11 +119,28 @@
       // Callers are spread evenly over the daemons that serve them.
       promptsPerMs: (now) => this.#context.demand.promptsPerMs(now) * this.#peers.senders.length,
     });
-    const client = new endpointClients.EndpointClient(
-      (name) => this.#metrics.count(name),
-      () => this.#loopWatch.lateMs >= LOOP_LATE_MS,
-      limits,
-    );
+    const isLoopLagging = (): boolean => this.#loopWatch.lateMs >= LOOP_LATE_MS;
+    this.#relays = new peerRelays.PeerRelays({
+      vm: settings.vm,
+      dataCentre: settings.dataCentre,
+      livePeers: () => this.#peers.peerTable.live(performance.now()),
+      addressOf: (vm) => this.#peers.addressOf(vm),
+      draw: () => random.next(),
+      isLoopLagging,
+    });
+    const askPeer = (endpointId: string): Promise<pathMonitors.PeerFinding | undefined> => this.#askPeer(endpointId);
+    this.#monitor = new pathMonitors.PathMonitor({
+      log: this.#log,
+      directory: this.#view.directory,
+      askPeer,
+      onReachedByPeer: (endpointId) => this.#context.health.forgive(endpointId),
+      onCutOffChange: () => this.#peers.sendHeartbeatsNow(),
+    });
+    const client = new endpointClients.EndpointClient((name) => this.#metrics.count(name), isLoopLagging, limits, {
+      monitor: this.#monitor,
+      relays: this.#relays,
+      log: this.#log,
+    });
     this.#protection = new crashProtections.CrashProtection({
       store: dependencies.store,
       prefix: dependencies.layout.suspectPrefix,
@@ -183,6 +206,15 @@
       isStandby: () => !this.#peers.activeSet.active,
       isStoreUnreachableForPeers: () => this.#peers.peerTable.isStoreUnreachable(performance.now()),
     });
+    this.#relayServer = new relayServers.RelayServer({
+      log: this.#log,
+      view: this.#view,
+      client,
+      monitor: this.#monitor,
+      format: dependencies.format,
+      isStopping: () => this.#stopping,
+      liveDaemons: () => this.#view.daemonsUpperBound,
+    });
     this.#peers = new peerLinks.PeerLink({
       settings,
       entry: this.#entry,
@@ -195,6 +227,12 @@
       limits,
       log: this.#log,
       ready: () => this.ready,
+      isCutOff: () => this.#monitor.isCutOff,
+      pathCalls: {
+        onProbe: (endpointId) => this.#relayServer.probe(endpointId),
+        onRelay: (incoming, response) => void this.#relayServer.handle(incoming, response),
+      },
+      onNeighbourCutOff: () => this.#monitor.checkSelf(),
       storeSilentMs: () => this.#follower.silentMs,
       followsClosely: () => this.#storeReadingMode.followsClosely(performance.now()),
       busyCores: () => this.#utilization.share * settings.capacity,
@@ -210,6 +248,7 @@
       view: this.#view,
       peers: this.#peers,
       ready: () => this.ready,
+      isCutOff: () => this.#monitor.isCutOff,
     });
     this.#storeReadingMode = new storeReadingModes.StoreReadingMode({
       entry: this.#entry,
@@ -283,6 +322,8 @@
       daemons_heard: this.#peers.peerTable.live(performance.now()).length,
       suspects: this.#context.suspects.table.count(performance.now()),
       takes_callers: Number(this.#peers.activeSet.active),
+      cut_off: Number(this.#monitor.isCutOff),
+      requests_relayed_open: this.#relayServer.open,
       endpoints_limited: this.#context.limits.table.limits().length,
       busy_cores: this.#utilization.share * this.#settings.capacity,
       heap_bytes: process.memoryUsage().heapUsed,
@@ -320,6 +361,7 @@
     this.#listener.close();
     this.#follower.stop();
     this.#protection.stop();
+    this.#monitor.stop();
     this.#peers.stop();
     this.#loopWatch.stop();
     this.#log.info("stopped", {
@@ -354,6 +396,11 @@
     return peers.some((peer) => peer.followsClosely && peer.storeSilentMs <= peerTables.STORE_SILENT_MS);
   }
 
+  async #askPeer(endpointId: string): Promise<pathMonitors.PeerFinding | undefined> {
+    const peer = this.#relays.choose(new Set());
+    return peer === undefined ? undefined : this.#peers.probeThrough(peer.vm, endpointId);
+  }
+
   #isDutyCandidate(): boolean {
     const { activeSet, peerTable } = this.#peers;
     const own = {
@@ -383,7 +430,12 @@
   }
 
   async #runShutdown(shutdown: serving.GracefulShutdown): Promise<void> {
-    while (!shutdown.step(this.#listener, performance.now())) {
+    const isDone = (): boolean => {
+      const now = performance.now();
+      const isServed = shutdown.step(this.#listener, now);
+      return isServed && (this.#relayServer.open === 0 || shutdown.isTimeUp(now));
+    };
+    while (!isDone()) {
       await new Promise((resolve) => setTimeout(resolve, STOP_CHECK_MS));
     }
   }
--- /dev/null
+++ b/packages/gateway/src/paths/pathMonitor.ts
@@ -0,0 +1,229 @@
+import * as net from "node:net";
+import * as serving from "@camphorcourse/serving";
+import * as socketAddresses from "../address.js";
+import type * as decisionLogs from "../decisionLog.js";
+import * as connectors from "./connector.js";
+
+/** Interval of the checks while any path is lost, in milliseconds. */
+const CHECK_INTERVAL_MS = 100;
+
+/** Time for a probe's connection to be established, in milliseconds; a healthy endpoint takes a few. */
+const PROBE_TIMEOUT_MS = 350;
+
+/** Time for which all endpoints of a service that owe data are silent before two of them are probed, in milliseconds. */
+const SUSPICIOUS_SILENCE_MS = 300;
+
+/** Number of silent endpoints of a service that are needed for, and get, a probe. */
+const SILENT_ENDPOINTS = 2;
+
+/** Minimum time between two rounds of probes because of silence, in milliseconds. */
+const SILENCE_ROUND_MS = 500;
+
+/** Minimum time between two checks of a daemon that has sent nothing, in milliseconds. */
+const SELF_CHECK_INTERVAL_MS = 3_000;
+
+/** What a peer knows of an endpoint that this daemon can't connect to. */
+export interface PeerFinding {
+  readonly reached: boolean;
+  /** Whether nothing listens at the endpoint's address. */
+  readonly refused: boolean;
+}
+
+/** Dependencies of {@link PathMonitor}. */
+export interface PathMonitorParts {
+  readonly log: decisionLogs.DecisionLog;
+  readonly directory: serving.EndpointDirectory;
+  /** Asks a peer whether it reaches an endpoint; undefined if no peer answers. */
+  readonly askPeer: (endpointId: string) => Promise<PeerFinding | undefined>;
+  /** Called with an endpoint that this daemon can't connect to but a peer reaches. */
+  readonly onReachedByPeer: (endpointId: string) => void;
+  /** Called when this daemon finds itself cut off, or no longer cut off. */
+  readonly onCutOffChange: () => void;
+}
+
+/** Observes the paths from this daemon to the endpoints, and probes those that are lost. */
+export class PathMonitor {
+  readonly paths = new serving.EndpointPaths();
+  readonly #parts: PathMonitorParts;
+  /** Endpoints that owe data and are silent, with the instant of the last observation, in milliseconds. */
+  readonly #silent = new Map<string, { readonly target: serving.PathTarget; readonly at: number }>();
+  #timer: NodeJS.Timeout | undefined;
+  #stopped = false;
+  #cutOffFrom: readonly string[] = [];
+  #cutOffSince = 0;
+  #silenceRoundAt = Number.NEGATIVE_INFINITY;
+  #selfCheckedAt = Number.NEGATIVE_INFINITY;
+
+  /** @param parts - dependencies */
+  constructor(parts: PathMonitorParts) {
+    this.#parts = parts;
+  }
+
+  /** @returns whether this daemon is cut off from all endpoints of a service that peers reach */
+  get isCutOff(): boolean {
+    return this.#cutOffFrom.length > 0;
+  }
+
+  /** Stops the probes. */
+  stop(): void {
+    this.#stopped = true;
+    clearInterval(this.#timer);
+  }
+
+  /** @param endpoint - an endpoint that has sent data over a connection of this daemon */
+  noteReceived(endpoint: serving.PathTarget): void {
+    this.#silent.delete(endpoint.id);
+    this.paths.noteReceived(endpoint, performance.now());
+  }
+
+  /** @param endpoint - an endpoint to which a connection was established */
+  noteConnected(endpoint: serving.PathTarget): void {
+    if (!this.paths.noteConnected(endpoint, performance.now())) return;
+    this.#parts.log.info("endpoint-path", { endpoint: endpoint.id, service: endpoint.service, path: "direct" });
+    this.#updateCutOff();
+  }
+
+  /**
+   * @param endpoint - an endpoint to which no connection was established
+   * @param since - start of the attempt, in milliseconds
+   * @param detail - why it failed
+   */
+  noteConnectFailed(endpoint: serving.PathTarget, since: number, detail: string): void {
+    const now = performance.now();
+    if (!this.paths.noteConnectFailed(endpoint, since, now)) return;
+    this.#parts.log.warn("endpoint-path", {
+      endpoint: endpoint.id,
+      service: endpoint.service,
+      path: "lost",
+      detail,
+      tookMs: Math.round(now - since),
+      endpointHeardMs: ageMs(this.paths.receivedAt(endpoint.id), now),
+      serviceHeardMs: ageMs(this.paths.receivedFromServiceAt(endpoint.service), now),
+    });
+    this.#startChecks();
+  }
+
+  /**
+   * @param endpoint - an endpoint that this daemon can't connect to
+   * @param isReached - whether a peer reached it
+   */
+  notePeerResult(endpoint: serving.PathTarget, isReached: boolean): void {
+    if (!this.paths.notePeerResult(endpoint, isReached, performance.now())) return;
+    this.#parts.onReachedByPeer(endpoint.id);
+    this.#parts.log.warn("endpoint-path", { endpoint: endpoint.id, service: endpoint.service, path: "peer" });
+    this.#updateCutOff();
+  }
+
+  /**
+   * Takes note of an endpoint that has sent nothing for a while although it owes an answer. With several of a service silent and
+   * no data from any, this daemon's own link may have failed; connecting to two of them tells.
+   *
+   * @param endpoint - the endpoint
+   */
+  noteSilent(endpoint: serving.PathTarget): void {
+    const now = performance.now();
+    this.#silent.set(endpoint.id, { target: endpoint, at: now });
+    if (now - this.paths.receivedFromServiceAt(endpoint.service) < SUSPICIOUS_SILENCE_MS) return;
+    if (now - this.#silenceRoundAt < SILENCE_ROUND_MS) return;
+    const silent = [...this.#silent.values()].filter(
+      ({ target, at }) => target.service === endpoint.service && now - at < SUSPICIOUS_SILENCE_MS,
+    );
+    if (silent.length < SILENT_ENDPOINTS) return;
+    this.#silenceRoundAt = now;
+    for (const { target } of silent.slice(0, SILENT_ENDPOINTS)) void this.#probe(target);
+  }
+
+  /**
+   * Checks whether this daemon reaches endpoints if it has sent nothing lately. A standby daemon would otherwise
+   * replace an active one that is cut off, and be cut off with it.
+   */
+  checkSelf(): void {
+    const now = performance.now();
+    if (this.isCutOff || now - this.#selfCheckedAt < SELF_CHECK_INTERVAL_MS) return;
+    this.#selfCheckedAt = now;
+    for (const service of this.#parts.directory.services()) {
+      if (now - this.paths.receivedFromServiceAt(service) < SELF_CHECK_INTERVAL_MS) continue;
+      const endpoints = this.#parts.directory.availableEndpoints(service);
+      const offset = Math.floor(Math.random() * endpoints.length);
+      const chosen = [...endpoints.slice(offset), ...endpoints.slice(0, offset)].slice(0, SILENT_ENDPOINTS);
+      for (const endpoint of chosen) void this.#probe(endpoint);
+    }
+  }
+
+  /** @param endpointId - an endpoint that is gone or has restarted */
+  forget(endpointId: string): void {
+    this.#silent.delete(endpointId);
+    this.paths.forget(endpointId);
+  }
+
+  #startChecks(): void {
+    if (this.#timer !== undefined || this.#stopped) return;
+    this.#timer = setInterval(() => this.#check(), CHECK_INTERVAL_MS);
+  }
+
+  #check(): void {
+    for (const target of this.paths.takeDueProbes(performance.now())) void this.#probe(target);
+    this.#updateCutOff();
+    if (this.paths.hasLost) return;
+    clearInterval(this.#timer);
+    this.#timer = undefined;
+  }
+
+  async #probe(target: serving.PathTarget): Promise<void> {
+    const endpoint = this.#parts.directory.availableEndpoint(target.id);
+    if (endpoint === undefined || this.#stopped) {
+      this.forget(target.id);
+      return;
+    }
+    const since = performance.now();
+    const error = await connectOnce(endpoint.address);
+    if (error === undefined) {
+      this.noteConnected(target);
+      return;
+    }
+    this.noteConnectFailed(target, since, error.message);
+    const finding = await this.#parts.askPeer(target.id);
+    if (finding !== undefined) this.notePeerResult(target, finding.reached);
+  }
+
+  #updateCutOff(): void {
+    const { directory, log, onCutOffChange } = this.#parts;
+    const cutOffFrom = this.paths.lostServices.filter((service) =>
+      this.paths.isCutOff(directory.availableEndpoints(service)),
+    );
+    if (cutOffFrom.join() === this.#cutOffFrom.join()) return;
+    const now = performance.now();
+    const before = this.#cutOffFrom;
+    if (before.length === 0) this.#cutOffSince = now;
+    this.#cutOffFrom = cutOffFrom;
+    const services = cutOffFrom.length > 0 ? cutOffFrom : before;
+    log.warn(cutOffFrom.length > 0 ? "cut-off" : "cut-off-over", {
+      services: services.join(" "),
+      endpoints: services.flatMap((service) => directory.availableEndpoints(service)).length,
+      serviceHeardMs: services
+        .map((service) => ageMs(this.paths.receivedFromServiceAt(service), now) ?? "never")
+        .join(" "),
+      forMs: Math.round(now - this.#cutOffSince),
+    });
+    onCutOffChange();
+  }
+}
+
+/**
+ * @param address - IP:PORT of an endpoint
+ * @returns the error, or undefined if a connection was established; it is closed again
+ */
+export function connectOnce(address: string): Promise<NodeJS.ErrnoException | undefined> {
+  const { host, port } = socketAddresses.hostAndPort(address);
+  return new Promise((resolve) => {
+    connectors.createConnector(PROBE_TIMEOUT_MS)({ hostname: host, port }, (error, socket: net.Socket | null) => {
+      socket?.on("error", () => undefined);
+      socket?.destroy();
+      resolve(error ?? undefined);
+    });
+  });
+}
+
+function ageMs(instant: number, now: number): number | undefined {
+  return Number.isFinite(instant) ? Math.round(now - instant) : undefined;
+}
--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -6,8 +6,9 @@
 import * as daemonEntries from "./daemonEntry.js";
 import type * as decisionLogs from "./decisionLog.js";
 import type * as fleetViews from "./fleetView.js";
+import type * as pathMonitors from "./paths/pathMonitor.js";
 import * as peerTables from "./peerTable.js";
-import * as peerNews from "./peerNews.js";
+import * as peerCalls from "./peers/peerCalls.js";
 import * as heartbeatSockets from "./heartbeatSocket.js";
 import * as peerWorks from "./peerWork.js";
 import * as peerReceivers from "./peers/peerReceiver.js";
@@ -50,6 +51,12 @@
   readonly limits: endpointLimits.EndpointLimits;
   readonly log: decisionLogs.DecisionLog;
   readonly ready: () => boolean;
+  /** Whether this daemon is cut off from endpoints that its peers reach. */
+  readonly isCutOff: () => boolean;
+  /** Handles the calls of peers that don't reach an endpoint. */
+  readonly pathCalls: Pick<peerCalls.PeerCallHandler, "onProbe" | "onRelay">;
+  /** Called when a daemon of this data centre reports that it is cut off from endpoints. */
+  readonly onNeighbourCutOff: () => void;
   /** Milliseconds for which the key-value service has not answered. */
   readonly storeSilentMs: () => number;
   /** Whether this daemon follows the key-value service closely and informs others. */
@@ -76,7 +83,7 @@
   readonly activeSet: activeSetTrackers.ActiveSetTracker;
   readonly #parts: PeerLinkParts;
   readonly #heartbeatSocket: heartbeatSockets.HeartbeatSocket;
-  readonly #newsClient = new peerNews.NewsClient();
+  readonly #peerClient = new peerCalls.PeerClient();
   readonly #work: peerWorks.PeerWork;
   readonly #receiver: peerReceivers.PeerReceiver;
   readonly #recentChanges: recentChangesModule.RecentChanges;
@@ -110,7 +117,10 @@
   /** Opens the sockets and starts sending and receiving. */
   async start(): Promise<void> {
     await this.#heartbeatSocket.listen(this.#parts.settings.peers);
-    this.#server = await peerNews.serveNews(this.#parts.settings.peers, (news) => this.#receiver.applyNews(news));
+    this.#server = await peerCalls.servePeers(this.#parts.settings.peers, {
+      ...this.#parts.pathCalls,
+      onNews: (news) => this.#receiver.applyNews(news),
+    });
     this.#socketsOpen = true;
     this.#tick();
   }
@@ -154,6 +164,32 @@
     if (this.#parts.followsClosely()) this.#sendNews(performance.now());
   }
 
+  /**
+   * Asks a peer whether it reaches an endpoint.
+   *
+   * @param vm - VM of the peer
+   * @param endpointId - the endpoint
+   * @returns what it finds; undefined if it gives no answer
+   */
+  async probeThrough(vm: string, endpointId: string): Promise<pathMonitors.PeerFinding | undefined> {
+    const address = this.addressOf(vm);
+    if (address === undefined) return undefined;
+    try {
+      return await this.#peerClient.probe(address, endpointId);
+    } catch (error) {
+      this.#parts.log.warn("peer-probe-failed", { peer: vm, endpoint: endpointId, detail: String(error) });
+      return undefined;
+    }
+  }
+
+  /**
+   * @param vm - VM of a peer
+   * @returns its IP:PORT for the other daemons, if it is known
+   */
+  addressOf(vm: string): string | undefined {
+    return this.#otherDaemons().find((daemon) => daemon.vm === vm)?.peers;
+  }
+
   /** Sends heartbeats to all recipients at once, for example when this daemon begins to leave. */
   sendHeartbeatsNow(): void {
     const now = performance.now();
@@ -302,6 +338,7 @@
       active: this.activeSet.active,
       activeVms: [...this.activeSet.activeVms],
       ready: this.#parts.ready(),
+      cutOff: this.#parts.isCutOff(),
       configurationRevision: BigInt(view.configurationRevision),
       storeSilentMs: Math.round(this.#parts.storeSilentMs()),
       unixMs: BigInt(Date.now()),
@@ -330,10 +367,10 @@
       followsClosely: this.#parts.followsClosely(),
     };
     for (const peer of this.peerTable.selectReceivers(sender, now)) {
-      const address = this.#otherDaemons().find((daemon) => daemon.vm === peer.vm)?.peers;
+      const address = this.addressOf(peer.vm);
       if (address === undefined) continue;
       log.info("tell-peer", { peer: peer.vm, has: peer.configurationRevision, tells: view.configurationRevision });
-      this.#newsClient.send(address, this.#newsFor(peer, now)).catch((error: unknown) => {
+      this.#peerClient.send(address, this.#newsFor(peer, now)).catch((error: unknown) => {
         log.warn("tell-peer-failed", { peer: peer.vm, detail: String(error) });
       });
     }
--- a/packages/gateway/src/peerTable.ts
+++ b/packages/gateway/src/peerTable.ts
@@ -11,6 +11,8 @@
   readonly active: boolean;
   /** Whether it is active or still has callers' requests in progress. */
   readonly dispatching: boolean;
+  /** Whether it is cut off from all endpoints of a service that its peers reach. */
+  readonly cutOff: boolean;
   /** Active daemons of its data centre, as it knows them. */
   readonly activeVms: readonly string[];
   /** Processor capacity of its VM and the busy part of it, in cores. */
--- a/packages/gateway/src/peers/activeSetTracker.ts
+++ b/packages/gateway/src/peers/activeSetTracker.ts
@@ -10,6 +10,8 @@
   readonly log: decisionLogs.DecisionLog;
   /** Whether this daemon can serve callers. */
   readonly ready: () => boolean;
+  /** Whether this daemon is cut off from endpoints that its peers reach. */
+  readonly isCutOff: () => boolean;
   /** Busy part of its capacity, in cores. */
   readonly busyCores: () => number;
 }
@@ -48,9 +50,13 @@
    * @returns whether the active set has changed
    */
   update(now: number): boolean {
-    const { entry, peerTable, log } = this.#parts;
-    const others = peerTable.live(now).filter((peer) => peer.ready && peer.dataCentre === entry.dataCentre);
-    const decision = this.#activeSet.decide(this.#own(), others, now);
+    const { entry, isCutOff, peerTable, log } = this.#parts;
+    const neighbours = peerTable.live(now).filter((peer) => peer.ready && peer.dataCentre === entry.dataCentre);
+    const able = neighbours.filter((peer) => !peer.cutOff);
+    // With the whole data centre cut off, its daemons go on serving those callers that still come.
+    const isOwnAble = !isCutOff();
+    const others = able.length > 0 || isOwnAble ? able : neighbours;
+    const decision = this.#activeSet.decide(isOwnAble || able.length === 0 ? this.#own() : undefined, others, now);
     const activeVms = decision?.active ?? [];
     const active = activeVms.includes(entry.vm);
     if (active === this.#active && activeVms.join() === this.#activeVms.join()) return false;
--- /dev/null
+++ b/packages/gateway/src/peers/peerCalls.ts
@@ -0,0 +1,86 @@
+import * as http from "node:http";
+import * as messages from "@camphorcourse/protocol/gateway";
+import * as connect from "@connectrpc/connect";
+import * as connectNode from "@connectrpc/connect-node";
+import type * as pathMonitors from "../paths/pathMonitor.js";
+import * as relayMessages from "../paths/relayMessage.js";
+import type * as settingsModule from "../settings.js";
+
+/** Timeout for sending news to one peer, in milliseconds. */
+const SEND_TIMEOUT_MS = 800;
+
+/** Timeout for asking a peer whether it reaches an endpoint, in milliseconds: it may have to connect first. */
+const PROBE_TIMEOUT_MS = 600;
+
+/** Handles the calls of other daemons. */
+export interface PeerCallHandler {
+  /** @param news - received news; @returns the revision of the configuration in force afterwards */
+  onNews(news: messages.News): number;
+  /** @param endpointId - an endpoint that the peer can't connect to; @returns whether this daemon reaches it */
+  onProbe(endpointId: string): Promise<pathMonitors.PeerFinding>;
+  /** Handles a request that a peer passes on. */
+  onRelay(incoming: http.IncomingMessage, response: http.ServerResponse): void;
+}
+
+/**
+ * Starts the server for the calls of other daemons.
+ *
+ * @param address - address to listen on
+ * @param handler - handles the calls
+ * @returns the server, once it listens
+ */
+export function servePeers(address: settingsModule.SocketAddress, handler: PeerCallHandler): Promise<http.Server> {
+  const handleRpc = connectNode.connectNodeAdapter({
+    routes: (router) => {
+      router.service(messages.GatewayPeer, {
+        tell: (news) => ({ configurationRevision: BigInt(handler.onNews(news)) }),
+        probe: ({ endpoint }) => handler.onProbe(endpoint),
+      });
+    },
+  });
+  const server = http.createServer((incoming, response) => {
+    if (incoming.url === relayMessages.RELAY_PATH) handler.onRelay(incoming, response);
+    else handleRpc(incoming, response);
+  });
+  return new Promise((resolve) => {
+    server.listen({ host: address.host, port: address.port }, () => {
+      resolve(server);
+    });
+  });
+}
+
+/** Calls other daemons over connections that are opened on first use. */
+export class PeerClient {
+  readonly #clients = new Map<string, connect.Client<typeof messages.GatewayPeer>>();
+
+  /**
+   * Sends news to one peer.
+   *
+   * @param address - IP:PORT of the peer
+   * @param news - the news to send
+   */
+  async send(address: string, news: Omit<messages.News, "$typeName" | "$unknown">): Promise<void> {
+    await this.#client(address).tell(news, { timeoutMs: SEND_TIMEOUT_MS });
+  }
+
+  /**
+   * Asks one peer whether it reaches an endpoint.
+   *
+   * @param address - IP:PORT of the peer
+   * @param endpoint - id of the endpoint
+   * @returns what it finds
+   */
+  async probe(address: string, endpoint: string): Promise<pathMonitors.PeerFinding> {
+    return this.#client(address).probe({ endpoint }, { timeoutMs: PROBE_TIMEOUT_MS });
+  }
+
+  #client(address: string): connect.Client<typeof messages.GatewayPeer> {
+    let client = this.#clients.get(address);
+    if (client === undefined) {
+      const transport = connectNode.createConnectTransport({ baseUrl: `http://${address}`, httpVersion: "1.1" });
+      client = connect.createClient(messages.GatewayPeer, transport);
+      this.#clients.set(address, client);
+    }
+    return client;
+  }
+}
--- a/packages/gateway/src/peers/peerReceiver.ts
+++ b/packages/gateway/src/peers/peerReceiver.ts
@@ -17,7 +17,16 @@
 /** Dependencies of {@link PeerReceiver}. */
 export interface PeerReceiverParts extends Pick<
   peerLinks.PeerLinkParts,
-  "entry" | "view" | "suspects" | "limits" | "log" | "onDaemon" | "onConfiguration" | "onEndpoint" | "onDeparture"
+  | "entry"
+  | "view"
+  | "suspects"
+  | "limits"
+  | "log"
+  | "onDaemon"
+  | "onConfiguration"
+  | "onEndpoint"
+  | "onDeparture"
+  | "onNeighbourCutOff"
 > {
   readonly peerTable: peerTables.PeerTable;
   readonly work: peerWorks.PeerWork;
@@ -62,6 +71,7 @@
       capacity,
       busyCores: pulse.busyThousandths / THOUSANDTHS,
       active: pulse.active,
+      cutOff: pulse.cutOff,
       dispatching: pulse.active || pulse.work.length > 0,
       activeVms: pulse.activeVms,
       nextWithinMs: pulse.nextWithinMs,
@@ -76,6 +86,7 @@
     if (previous === undefined || previous.incarnation !== pulse.incarnation || previous.ready !== pulse.ready) {
       this.#parts.log.info("peer", { peer: pulse.vm, incarnation: pulse.incarnation, ready: pulse.ready });
     }
+    if (pulse.cutOff && dataCentre === this.#parts.entry.dataCentre) this.#parts.onNeighbourCutOff();
     const expiryMs = Math.max(serving.PEER_WORK_EXPIRY_MS, WORK_EXPIRY_HEARTBEATS * pulse.nextWithinMs);
     this.#parts.work.apply(pulse, now, expiryMs);
     this.#applyRoleChanges(pulse.changing, now);
--- a/packages/gateway/src/prefillHandover.ts
+++ b/packages/gateway/src/prefillHandover.ts
@@ -59,9 +59,10 @@
       {
         method: call.method,
         path: call.path,
-        headers: [],
+        createHeaders: () => [],
         body: undefined,
         call: serving.AnsweredCall.Control,
+        passOnAs: prefilled.handle,
       },
       { onHead: () => true, onData: ignore, onEnd: ignore, onBroken: ignore },
     );
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -2,6 +2,7 @@
 import * as activeSends from "./activeSend.js";
 import * as answerReceivers from "./answerReceiver.js";
 import type * as decisionLogs from "./decisionLog.js";
+import type * as ports from "./ports.js";
 import type * as sendings from "./sending.js";
 import type * as exchangeParts from "./exchangeParts.js";
 import type * as waitingRequests from "./limits/waitingRequests.js";
@@ -222,7 +223,7 @@
     served.markTried(planned.endpoint.id);
     if (planned.stage === sendChoosers.Stage.Answering) served.countSend();
     const urgency = planned.plan?.urgency ?? (this.#parts.handover.prefilled === undefined ? undefined : 0);
-    const message = this.#message(planned, remainingMs, urgency);
+    const message = this.#message(planned, urgency);
     context.log.info("send", {
       id: served.id,
       stage: planned.stage,
@@ -242,16 +243,11 @@
     });
   }
 
-  #message(
-    planned: sendChoosers.PlannedSend,
-    remainingMs: number,
-    urgency: number | undefined,
-  ): sendings.OutgoingRequest {
+  #message(planned: sendChoosers.PlannedSend, urgency: number | undefined): sendings.OutgoingRequest {
     const { context, handover, served } = this.#parts;
     const source = handover.prefilled;
     const { lastEventId } = served.progress;
-    const headers = context.format.writeRequestHeaders(served.caller.headers, {
-      deadlineMs: remainingMs,
+    const sendHeaders: Omit<ports.SendHeaders, "deadlineMs"> = {
       endpointId: planned.endpoint.id,
       access: served.access,
       ...(urgency === undefined ? {} : { urgency }),
@@ -259,11 +255,18 @@
       ...(source === undefined ? {} : { source: { address: source.engine.address, handle: source.handle } }),
       ...(planned.plan?.copySource === undefined ? {} : { copyFrom: planned.plan.copySource.address }),
       ...(lastEventId === undefined ? {} : { lastEventId }),
-    });
+    };
+    const createHeaders = (): string[] =>
+      context.format.writeRequestHeaders(served.caller.headers, {
+        ...sendHeaders,
+        deadlineMs: Math.max(0, Math.floor(served.remainingMs)),
+      });
     const body = served.body.length === 0 ? undefined : served.body;
     const { method, target: path } = served.caller;
     const call = planned.stage === sendChoosers.Stage.Prefill ? serving.AnsweredCall.Prefill : serving.AnsweredCall.Run;
-    return { method, path, headers, body, call, sendBefore: served.deadlineAt };
+    // The answer to HEAD names the length of a body that doesn't follow, which a peer could not pass back.
+    const passOnAs = method === "HEAD" ? {} : { passOnAs: served.id };
+    return { method, path, createHeaders, body, call, sendBefore: served.deadlineAt, ...passOnAs };
   }
 
   #receiver(active: activeSends.ActiveSend): sendings.AnswerReceiver {
--- a/packages/gateway/src/sendChooser.ts
+++ b/packages/gateway/src/sendChooser.ts
@@ -123,6 +123,7 @@
     const available = view.directory
       .availableEndpoints(this.#served.service)
       .filter((endpoint) => !this.#served.wasTried(endpoint.id) && !view.isChangingRole(endpoint, now))
+      .filter((endpoint) => client.pathTo(endpoint, now) !== serving.EndpointPath.None)
       .filter((endpoint) =>
         client.hasRoom(endpoint.id, definition?.maxConnections ?? Number.MAX_SAFE_INTEGER, daemons),
       );
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -7,12 +7,14 @@
 export interface OutgoingRequest {
   readonly method: string;
   readonly path: string;
-  /** Alternating names and values. */
-  readonly headers: string[];
+  /** @returns alternating names and values, with the time that is left now */
+  readonly createHeaders: () => string[];
   readonly body: Buffer | undefined;
   readonly call: serving.AnsweredCall;
   /** Instant from which it must not be sent any more, in milliseconds, if there is one. */
   readonly sendBefore?: number;
+  /** Id of the caller's request; present if a peer may send the request in place of this daemon. */
+  readonly passOnAs?: string;
 }
 
 /** Receives an answer as it arrives. */
@@ -47,6 +49,8 @@
   readonly wasDispatched: boolean;
   /** Instant at which the request was handed to its connection, in milliseconds, or undefined before that. */
   readonly dispatchedAt: number | undefined;
+  /** Whether it was sent over a path that has failed since, without a sign of the endpoint. */
+  readonly isPathLost: boolean;
   /** Bytes buffered for the connection but not yet sent: its link or the endpoint is slow. */
   readonly unsentBytes: number;
   /** Closes the connection, upon which the endpoint drops the request. */
--- a/packages/gateway/tests/helpers/exchangeHarness.ts
+++ b/packages/gateway/tests/helpers/exchangeHarness.ts
@@ -16,6 +16,7 @@
 import * as suspectGates from "../../src/suspects/suspectGate.js";
 import type * as settingsModule from "../../src/settings.js";
 import * as limits from "./limits.js";
+import * as paths from "./paths.js";
 
 const SEED = 5;
 
@@ -49,6 +50,7 @@
     return {
       wasDispatched: true,
       dispatchedAt: performance.now(),
+      isPathLost: false,
       unsentBytes: 0,
       cancel: () => {
         recorded.cancelled = true;
@@ -171,6 +173,7 @@
     () => undefined,
     () => false,
     this.#limits,
+    paths.createPaths(),
   );
   readonly #context: contexts.ServingContext;
 
--- /dev/null
+++ b/packages/gateway/tests/helpers/paths.ts
@@ -0,0 +1,33 @@
+import * as serving from "@camphorcourse/serving";
+import * as decisionLogs from "../../src/decisionLog.js";
+import type * as endpointClients from "../../src/endpointClient.js";
+import * as pathMonitors from "../../src/paths/pathMonitor.js";
+import * as peerRelays from "../../src/paths/peerRelays.js";
+
+/** @returns paths of a daemon without peers */
+export function createPaths(): endpointClients.PathParts {
+  const log = new decisionLogs.DecisionLog("vm-1", "info", { writableLength: 0, write: () => true });
+  const monitor = new pathMonitors.PathMonitor({
+    log,
+    directory: new serving.EndpointDirectory(),
+    askPeer: () => Promise.resolve(undefined),
+    onReachedByPeer: () => undefined,
+    onCutOffChange: () => undefined,
+  });
+  const relays = new peerRelays.PeerRelays({
+    vm: "vm-1",
+    dataCentre: "a",
+    livePeers: () => [],
+    addressOf: () => undefined,
+    draw: () => 0,
+    isLoopLagging: () => false,
+  });
+  return { monitor, relays, log };
+}
+
+/** Parts of a peer link in a test in which every daemon reaches the endpoints. */
+export const REACHING_ALL = {
+  isCutOff: () => false,
+  pathCalls: { onProbe: () => Promise.resolve({ reached: false, refused: false }), onRelay: () => undefined },
+  onNeighbourCutOff: () => undefined,
+};
--- a/packages/gateway/tests/helpers/simulatedFleet.ts
+++ b/packages/gateway/tests/helpers/simulatedFleet.ts
@@ -19,6 +19,8 @@
   up = true;
   ready = true;
   busyCores = 0;
+  /** Whether it is cut off from endpoints. */
+  cutOff = false;
   /** Whether heartbeats of others reach it. */
   receives = true;
   receivedCount = 0;
@@ -33,6 +35,7 @@
       peerTable: this.peerTable,
       log: NO_LOG,
       ready: () => this.ready,
+      isCutOff: () => this.cutOff,
       busyCores: () => this.busyCores,
     });
   }
@@ -74,6 +77,7 @@
       dataCentre,
       ready: this.ready,
       active,
+      cutOff: this.cutOff,
       dispatching: active,
       activeVms,
       capacity,
--- a/packages/gateway/tests/peerIncarnations.test.ts
+++ b/packages/gateway/tests/peerIncarnations.test.ts
@@ -10,6 +10,7 @@
 import * as peerLinks from "../src/peerLink.js";
 import * as freePorts from "./helpers/freePort.js";
 import * as limits from "./helpers/limits.js";
+import * as paths from "./helpers/paths.js";
 
 /** Start times of two incarnations of one endpoint, in Unix milliseconds. */
 const FIRST = 1_790_000_000_000;
@@ -63,6 +64,7 @@
       acceptance: new serving.AcceptanceTracker(),
       log: new decisionLogs.DecisionLog("vm-1", "info", sink),
       ready: () => true,
+      ...paths.REACHING_ALL,
       storeSilentMs: () => 0,
       followsClosely: () => true,
       busyCores: () => 0,
--- a/packages/gateway/tests/peerLink.test.ts
+++ b/packages/gateway/tests/peerLink.test.ts
@@ -7,9 +7,10 @@
 import * as decisionLogs from "../src/decisionLog.js";
 import * as fleetViews from "../src/fleetView.js";
 import * as peerLinks from "../src/peerLink.js";
-import * as peerNews from "../src/peerNews.js";
+import * as peerCalls from "../src/peers/peerCalls.js";
 import * as freePorts from "./helpers/freePort.js";
 import * as limits from "./helpers/limits.js";
+import * as paths from "./helpers/paths.js";
 
 const HOST = "127.0.0.1";
 
@@ -50,11 +51,17 @@
   );
   const sentRevisions: bigint[] = [];
   let sentEndpoints = 0;
-  const server = await peerNews.serveNews({ host: HOST, port }, (news) => {
-    sentEndpoints += news.endpoints.length;
-    sentRevisions.push(news.configurationRevision);
-    return Number(news.configurationRevision);
-  });
+  const server = await peerCalls.servePeers(
+    { host: HOST, port },
+    {
+      ...paths.REACHING_ALL.pathCalls,
+      onNews: (news) => {
+        sentEndpoints += news.endpoints.length;
+        sentRevisions.push(news.configurationRevision);
+        return Number(news.configurationRevision);
+      },
+    },
+  );
 
   const view = new fleetViews.FleetView();
   const entry = { vm: "vm-1", incarnation: "i", dataCentre: "a", callers: "", peers: "", capacity: 1 };
@@ -75,6 +82,7 @@
     acceptance: new serving.AcceptanceTracker(),
     log: new decisionLogs.DecisionLog("vm-1", "fatal", { writableLength: 0, write: () => true }),
     ready: () => true,
+    ...paths.REACHING_ALL,
     storeSilentMs: () => 0,
     followsClosely: () => true,
     busyCores: () => 0,
@@ -94,6 +102,7 @@
       dataCentre: "a",
       active: true,
       dispatching: true,
+      cutOff: false,
       activeVms: [],
       capacity: 1,
       busyCores: 0,
--- a/packages/gateway/tests/peerTable.test.ts
+++ b/packages/gateway/tests/peerTable.test.ts
@@ -12,6 +12,7 @@
     ready: true,
     active: true,
     dispatching: true,
+    cutOff: false,
     activeVms: [vm],
     capacity: 1,
     busyCores: 0,
--- a/packages/serving/src/endpointDirectory.ts
+++ b/packages/serving/src/endpointDirectory.ts
@@ -270,6 +270,19 @@
     return entry !== undefined && !entry.endpoint.leaving && !this.#setAside.has(id);
   }
 
+  /** @returns names of all services that have endpoints */
+  services(): string[] {
+    return [...this.#byService.keys()];
+  }
+
+  /**
+   * @param id - an endpoint
+   * @returns the endpoint if new requests may be sent to it
+   */
+  availableEndpoint(id: string): Endpoint | undefined {
+    return this.isAvailable(id) ? this.#entries.get(id)?.endpoint : undefined;
+  }
+
   /**
    * @param service - the service
    * @returns its endpoints that new requests may be sent to
--- a/packages/serving/src/endpointHealth.ts
+++ b/packages/serving/src/endpointHealth.ts
@@ -141,6 +141,16 @@
     return this.isUnhealthy(endpointId) && this.#state(endpointId).probeAt <= now;
   }
 
+  /**
+   * Discards failures that turned out to be no fault of the endpoint.
+   *
+   * @param endpointId - the endpoint
+   */
+  forgive(endpointId: string): void {
+    const state = this.#states.get(endpointId);
+    if (state !== undefined) state.failureScore = 0;
+  }
+
   /** @param endpointId - an endpoint that is gone */
   forget(endpointId: string): void {
     this.#states.delete(endpointId);
--- a/packages/serving/src/gracefulShutdown.ts
+++ b/packages/serving/src/gracefulShutdown.ts
@@ -137,6 +137,14 @@
     return false;
   }
 
+  /**
+   * @param now - current instant in milliseconds
+   * @returns whether the time for serving what is still open is over
+   */
+  isTimeUp(now: number): boolean {
+    return now >= this.#exitAt;
+  }
+
   /**
    * @param deadline - instant by which the request ends by its own deadline, in milliseconds
    * @returns whether a request that arrives after the signal is accepted; otherwise it is rejected at once
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -25,6 +25,8 @@
 export * from "./linearEstimate.js";
 export * from "./organisations/access.js";
 export * from "./organisations/credential.js";
+export * from "./paths/endpointPaths.js";
+export * from "./paths/relayChoice.js";
 export * from "./placement.js";
 export * from "./prefillSite.js";
 export * from "./gracefulShutdown.js";
