Give duties to a daemon that reaches the endpoints

The candidate is now chosen among the daemons that are not cut off; with all of them cut off, one still reports usage, which needs no endpoint.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -407,6 +407,7 @@
       vm: this.#entry.vm,
       ready: this.ready,
       active: activeSet.active,
+      cutOff: this.#monitor.isCutOff,
       storeSilentMs: this.#follower.silentMs,
     };
     return dutyCandidates.isDutyCandidate(own, peerTable.live(performance.now()));
--- a/packages/gateway/tests/dutyCandidate.test.ts
+++ b/packages/gateway/tests/dutyCandidate.test.ts
@@ -8,6 +8,7 @@
   vm,
   ready: true,
   active: true,
+  cutOff: false,
   storeSilentMs: 0,
   ...state,
 });
@@ -37,4 +38,13 @@
   }
 });
 
+// A holder that reaches no engine gives no orders while it keeps the lease from those that could.
+suite("another one follows if the first is cut off from the endpoints, and one remains if all are", () => {
+  const [first] = candidates(FLEET);
+  const [next, ...rest] = candidates(FLEET.map((each) => ({ ...each, cutOff: each.vm === first })));
+  assert.ok(next !== undefined && next !== first);
+  assert.is(rest.length, 0);
+  assert.is(candidates(FLEET.map((each) => ({ ...each, cutOff: true }))).length, 1);
+});
+
 suite.run();
