Blame no request for a crash that only this daemon's path shows

When a daemon's connections were reset and new ones refused, its crash detector took that for crashed endpoints, and the requests that ran there became suspects in the whole fleet: a fault of the path blamed on callers. The detector now asks a peer whether it is refused, too; without an able peer its own finding counts, as before. Tests: an endpoint that a peer reaches has not crashed (failed before), one that refuses a peer has.

--- a/packages/gateway/src/endpointCrashDetector.ts
+++ b/packages/gateway/src/endpointCrashDetector.ts
@@ -1,14 +1,10 @@
-import * as net from "node:net";
 import type * as serving from "@camphorcourse/serving";
-import * as socketAddresses from "./address.js";
 import type * as decisionLogs from "./decisionLog.js";
+import * as pathMonitors from "./paths/pathMonitor.js";
 
 /** Delay between a broken connection and the check of its endpoint, in milliseconds: other connections break with it. */
 const CHECK_DELAY_MS = 10;
 
-/** Time for a connection to be established, in milliseconds; a healthy endpoint takes a few. */
-const CONNECT_TIMEOUT_MS = 350;
-
 /** Maximum number of broken runs of one endpoint that are kept until its check has finished. */
 const MAX_RUNS = 256;
 
@@ -35,6 +31,8 @@
   readonly log: decisionLogs.DecisionLog;
   /** @returns whether an idle connection to the endpoint is open */
   readonly hasLiveConnection: (endpointId: string) => boolean;
+  /** @returns what a peer finds at the endpoint; undefined if no peer answers */
+  readonly askPeer: (endpointId: string) => Promise<pathMonitors.PeerFinding | undefined>;
   /** @returns whether the endpoint is expected to end, because it is leaving or gone */
   readonly isLeaving: (endpoint: serving.Endpoint) => boolean;
   /** Called with an endpoint that has crashed and what was running there for this daemon's callers. */
@@ -92,7 +90,7 @@
 
   async #check(endpoint: serving.Endpoint): Promise<void> {
     const isAlive = this.#parts.hasLiveConnection(endpoint.id);
-    const hasCrashed = !isAlive && !this.#parts.isLeaving(endpoint) && (await refusesConnections(endpoint.address));
+    const hasCrashed = !isAlive && !this.#parts.isLeaving(endpoint) && (await this.#isRefusedEverywhere(endpoint));
     const runs = this.#checks.get(endpoint.id)?.runs ?? [];
     this.#checks.delete(endpoint.id);
     if (!hasCrashed) return;
@@ -108,18 +106,15 @@
     });
     this.#parts.onCrashed(endpoint, runs);
   }
-}
 
-/** Whether nothing listens at an address. A connection that is accepted and then reset may have exceeded a limit. */
-function refusesConnections(address: string): Promise<boolean> {
-  return new Promise((resolve) => {
-    const socket = net.connect({ ...socketAddresses.hostAndPort(address) });
-    const finish = (refused: boolean): void => {
-      socket.destroy();
-      resolve(refused);
-    };
-    socket.setTimeout(CONNECT_TIMEOUT_MS, () => finish(false));
-    socket.once("connect", () => finish(false));
-    socket.once("error", (error: NodeJS.ErrnoException) => finish(error.code === REFUSED));
-  });
+  /**
+   * Whether nothing listens at the endpoint's address. A connection that is accepted and then reset may have exceeded a
+   * limit. A refusal on this daemon's path alone is a fault of the path, which must not be blamed on the requests that ran.
+   */
+  async #isRefusedEverywhere(endpoint: serving.Endpoint): Promise<boolean> {
+    const error = await pathMonitors.connectOnce(endpoint.address);
+    if (error?.code !== REFUSED) return false;
+    const finding = await this.#parts.askPeer(endpoint.id);
+    return finding?.refused ?? true;
+  }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -147,6 +147,7 @@
       log: this.#log,
       client,
       directory: this.#view.directory,
+      askPeer,
       onCrashed: () => this.#metrics.count("endpoints_ended"),
       onEscalated: () => this.#peers.sendHeartbeatsNow(),
     });
--- a/packages/gateway/src/suspects/crashProtection.ts
+++ b/packages/gateway/src/suspects/crashProtection.ts
@@ -14,6 +14,8 @@
   readonly log: decisionLogs.DecisionLog;
   readonly client: endpointClients.EndpointClient;
   readonly directory: serving.EndpointDirectory;
+  /** Asks a peer whether it reaches an endpoint. */
+  readonly askPeer: crashDetectors.EndpointCrashDetectorParts["askPeer"];
   /** Called for each endpoint that has crashed. */
   readonly onCrashed: () => void;
   /** Called when a suspect has to be reported to the peers at once. */
@@ -28,7 +30,7 @@
 
   /** @param parts - what it needs */
   constructor(parts: CrashProtectionParts) {
-    const { store, prefix, log, client, directory, onCrashed, onEscalated } = parts;
+    const { store, prefix, log, client, directory, askPeer, onCrashed, onEscalated } = parts;
     this.gate = new suspectGates.SuspectGate({
       log,
       lastReceivedAt: (endpointId) => client.lastReceivedAt(endpointId),
@@ -44,6 +46,7 @@
     this.crashDetector = new crashDetectors.EndpointCrashDetector({
       log,
       hasLiveConnection: (endpointId) => client.hasLiveConnection(endpointId),
+      askPeer,
       isLeaving: ({ id }) => !directory.isAvailable(id),
       onCrashed: (endpoint, runs) => {
         onCrashed();
--- a/packages/gateway/tests/endpointCrashDetector.test.ts
+++ b/packages/gateway/tests/endpointCrashDetector.test.ts
@@ -18,12 +18,19 @@
   readonly lines: string[];
 }
 
-function createFixture(options: { readonly isLeaving?: boolean; readonly hasLiveConnection?: boolean } = {}): Fixture {
+interface Options {
+  readonly isLeaving?: boolean;
+  readonly hasLiveConnection?: boolean;
+  readonly finding?: { readonly reached: boolean; readonly refused: boolean };
+}
+
+function createFixture(options: Options = {}): Fixture {
   const crashed: [string, number][] = [];
   const lines: string[] = [];
   const detector = new crashDetectors.EndpointCrashDetector({
     log: new decisionLogs.DecisionLog("vm-1", "info", { writableLength: 0, write: (line) => lines.push(line) > 0 }),
     hasLiveConnection: () => options.hasLiveConnection ?? false,
+    askPeer: () => Promise.resolve(options.finding),
     isLeaving: () => options.isLeaving ?? false,
     onCrashed: ({ id }, runs) => crashed.push([id, runs.length]),
   });
@@ -95,4 +102,19 @@
   assert.equal(crashed, []);
 });
 
+// Requests would be blamed for a crash, and quarantined, because this daemon's own path refuses connections.
+suite("an endpoint that a peer reaches has not crashed", async () => {
+  const { detector, crashed } = createFixture({ finding: { reached: true, refused: false } });
+  detector.noteBroken(endpointAt(await closedPort()), run());
+  await pause(CHECKED_MS);
+  assert.equal(crashed, []);
+});
+
+suite("an endpoint that refuses a peer, too, has crashed", async () => {
+  const { detector, crashed } = createFixture({ finding: { reached: false, refused: true } });
+  detector.noteBroken(endpointAt(await closedPort()), run());
+  await pause(CHECKED_MS);
+  assert.equal(crashed, [["e1", 1]]);
+});
+
 suite.run();
--- a/packages/gateway/tests/helpers/exchangeHarness.ts
+++ b/packages/gateway/tests/helpers/exchangeHarness.ts
@@ -217,6 +217,7 @@
       crashDetector: new crashDetectors.EndpointCrashDetector({
         log: new decisionLogs.DecisionLog("vm-1", "info", sink),
         hasLiveConnection: () => true,
+        askPeer: () => Promise.resolve(undefined),
         isLeaving: () => false,
         onCrashed: () => undefined,
       }),
