Pass requests on across data centres when a whole one is cut off

Cause: a cut-off daemon prefers peers of its own data centre, which were cut off, too, and said so only once a peer had proved it; each asked the others, found the endpoints out of reach and rejected its callers. Now a daemon reports a lost link as soon as it has lost it, proved or not, and is not asked; a peer that did not reach an endpoint is not asked for it again for a second, and the next one is sought in another data centre.

--- a/packages/gateway/src/endpointClient.ts
+++ b/packages/gateway/src/endpointClient.ts
@@ -156,6 +156,7 @@
     this.#relayedDataAt.delete(endpointId);
     if (this.#relayed.get(endpointId) === 0) this.#relayed.delete(endpointId);
     this.#paths.monitor.forget(endpointId);
+    this.#paths.relays.forget(endpointId);
   }
 
   /** Closes all idle connections. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -134,7 +134,7 @@
       directory: this.#view.directory,
       askPeer,
       onReachedByPeer: (endpointId) => this.#context.health.forgive(endpointId),
-      onCutOffChange: () => this.#peers.sendHeartbeatsNow(),
+      onLinkChange: () => this.#peers.sendHeartbeatsNow(),
     });
     const client = new endpointClients.EndpointClient((name) => this.#metrics.count(name), isLoopLagging, limits, {
       monitor: this.#monitor,
@@ -229,6 +229,7 @@
       log: this.#log,
       ready: () => this.ready,
       isCutOff: () => this.#monitor.isCutOff,
+      isLinkLost: () => this.#monitor.isLinkLost,
       pathCalls: {
         onProbe: (endpointId) => this.#relayServer.probe(endpointId),
         onRelay: (incoming, response) => void this.#relayServer.handle(incoming, response),
@@ -398,8 +399,11 @@
   }
 
   async #askPeer(endpointId: string): Promise<pathMonitors.PeerFinding | undefined> {
-    const peer = this.#relays.choose(new Set());
-    return peer === undefined ? undefined : this.#peers.probeThrough(peer.vm, endpointId);
+    const peer = this.#relays.choose(endpointId);
+    if (peer === undefined) return undefined;
+    const finding = await this.#peers.probeThrough(peer.vm, endpointId);
+    if (finding?.reached === false) this.#relays.noteUnable(endpointId, peer);
+    return finding;
   }
 
   #isDutyCandidate(): boolean {
--- a/packages/gateway/src/paths/pathMonitor.ts
+++ b/packages/gateway/src/paths/pathMonitor.ts
@@ -37,8 +37,8 @@
   readonly askPeer: (endpointId: string) => Promise<PeerFinding | undefined>;
   /** Called with an endpoint that this daemon can't connect to but a peer reaches. */
   readonly onReachedByPeer: (endpointId: string) => void;
-  /** Called when this daemon finds itself cut off, or no longer cut off. */
-  readonly onCutOffChange: () => void;
+  /** Called when this daemon's link to a service is lost or has returned, as far as it can tell. */
+  readonly onLinkChange: () => void;
 }
 
 /** Observes the paths from this daemon to the endpoints, and probes those that are lost. */
@@ -50,6 +50,7 @@
   #timer: NodeJS.Timeout | undefined;
   #stopped = false;
   #cutOffFrom: readonly string[] = [];
+  #linkLostFrom: readonly string[] = [];
   #cutOffSince = 0;
   #silenceRoundAt = Number.NEGATIVE_INFINITY;
   #selfCheckedAt = Number.NEGATIVE_INFINITY;
@@ -64,6 +65,11 @@
     return this.#cutOffFrom.length > 0;
   }
 
+  /** @returns whether this daemon can connect to no endpoint of some service, whatever its peers can */
+  get isLinkLost(): boolean {
+    return this.#linkLostFrom.length > 0;
+  }
+
   /** Stops the probes. */
   stop(): void {
     this.#stopped = true;
@@ -80,7 +86,7 @@
   noteConnected(endpoint: serving.PathTarget): void {
     if (!this.paths.noteConnected(endpoint, performance.now())) return;
     this.#parts.log.info("endpoint-path", { endpoint: endpoint.id, service: endpoint.service, path: "direct" });
-    this.#updateCutOff();
+    this.#updateLink();
   }
 
   /**
@@ -101,6 +107,7 @@
       serviceHeardMs: ageMs(this.paths.receivedFromServiceAt(endpoint.service), now),
     });
     this.#startChecks();
+    this.#updateLink();
   }
 
   /**
@@ -111,7 +118,7 @@
     if (!this.paths.notePeerResult(endpoint, isReached, performance.now())) return;
     this.#parts.onReachedByPeer(endpoint.id);
     this.#parts.log.warn("endpoint-path", { endpoint: endpoint.id, service: endpoint.service, path: "peer" });
-    this.#updateCutOff();
+    this.#updateLink();
   }
 
   /**
@@ -139,7 +146,7 @@
    */
   checkSelf(): void {
     const now = performance.now();
-    if (this.isCutOff || now - this.#selfCheckedAt < SELF_CHECK_INTERVAL_MS) return;
+    if (this.isLinkLost || now - this.#selfCheckedAt < SELF_CHECK_INTERVAL_MS) return;
     this.#selfCheckedAt = now;
     for (const service of this.#parts.directory.services()) {
       if (now - this.paths.receivedFromServiceAt(service) < SELF_CHECK_INTERVAL_MS) continue;
@@ -163,7 +170,7 @@
 
   #check(): void {
     for (const target of this.paths.takeDueProbes(performance.now())) void this.#probe(target);
-    this.#updateCutOff();
+    this.#updateLink();
     if (this.paths.hasLost) return;
     clearInterval(this.#timer);
     this.#timer = undefined;
@@ -186,12 +193,21 @@
     if (finding !== undefined) this.notePeerResult(target, finding.reached);
   }
 
-  #updateCutOff(): void {
-    const { directory, log, onCutOffChange } = this.#parts;
-    const cutOffFrom = this.paths.lostServices.filter((service) =>
-      this.paths.isCutOff(directory.availableEndpoints(service)),
-    );
-    if (cutOffFrom.join() === this.#cutOffFrom.join()) return;
+  #updateLink(): void {
+    const { directory, onLinkChange } = this.#parts;
+    const { lostServices } = this.paths;
+    const linkLostFrom = lostServices.filter((name) => this.paths.isLinkLost(directory.availableEndpoints(name)));
+    const cutOffFrom = lostServices.filter((name) => this.paths.isCutOff(directory.availableEndpoints(name)));
+    const isCutOffSame = cutOffFrom.join() === this.#cutOffFrom.join();
+    const isLinkSame = linkLostFrom.join() === this.#linkLostFrom.join();
+    if (isCutOffSame && isLinkSame) return;
+    this.#linkLostFrom = linkLostFrom;
+    if (!isCutOffSame) this.#setCutOff(cutOffFrom);
+    onLinkChange();
+  }
+
+  #setCutOff(cutOffFrom: readonly string[]): void {
+    const { directory, log } = this.#parts;
     const now = performance.now();
     const before = this.#cutOffFrom;
     if (before.length === 0) this.#cutOffSince = now;
@@ -205,7 +221,6 @@
         .join(" "),
       forMs: Math.round(now - this.#cutOffSince),
     });
-    onCutOffChange();
   }
 }
 
--- a/packages/gateway/src/paths/peerRelays.ts
+++ b/packages/gateway/src/paths/peerRelays.ts
@@ -2,6 +2,9 @@
 import * as connectionPools from "../endpointConnectionPool.js";
 import type * as peerTables from "../peerTable.js";
 
+/** Time for which a peer that didn't reach an endpoint is not chosen for it again, in milliseconds. */
+const UNABLE_MS = 1_000;
+
 /** Dependencies of {@link PeerRelays}. */
 export interface PeerRelaysParts {
   /** VM and data centre of this daemon. */
@@ -18,6 +21,7 @@
 /** A peer that passes requests on, with the connections to it. */
 export interface PeerRelay {
   readonly vm: string;
+  readonly dataCentre: string;
   readonly pool: connectionPools.EndpointConnectionPool;
 }
 
@@ -25,6 +29,8 @@
 export class PeerRelays {
   readonly #parts: PeerRelaysParts;
   readonly #pools = new Map<string, connectionPools.EndpointConnectionPool>();
+  /** For each endpoint the peers that didn't reach it either, and when they said so, in milliseconds. */
+  readonly #unable = new Map<string, Map<string, { readonly dataCentre: string; readonly at: number }>>();
 
   /** @param parts - dependencies */
   constructor(parts: PeerRelaysParts) {
@@ -42,13 +48,20 @@
   }
 
   /**
+   * @param endpointId - the endpoint that a request is passed on to
    * @param excluded - VMs that are not chosen
    * @returns a peer that can pass a request on, if there is one
    */
-  choose(excluded: ReadonlySet<string>): PeerRelay | undefined {
+  choose(endpointId: string, excluded: ReadonlySet<string> = new Set()): PeerRelay | undefined {
     const { addressOf, dataCentre, draw, livePeers, isLoopLagging } = this.#parts;
     const candidates = livePeers().filter(({ vm }) => vm !== this.#parts.vm);
-    const chosen = serving.chooseRelay(candidates, { dataCentre, excluded, draw });
+    const unable = this.#unableFor(endpointId);
+    const chosen = serving.chooseRelay(candidates, {
+      dataCentre,
+      excluded: new Set([...excluded, ...unable.keys()]),
+      avoidedDataCentres: new Set([...unable.values()].map((peer) => peer.dataCentre)),
+      draw,
+    });
     const address = chosen === undefined ? undefined : addressOf(chosen.vm);
     if (chosen === undefined || address === undefined) return undefined;
     let pool = this.#pools.get(chosen.vm);
@@ -57,7 +70,29 @@
       pool = new connectionPools.EndpointConnectionPool(address, isLoopLagging);
       this.#pools.set(chosen.vm, pool);
     }
-    return { vm: chosen.vm, pool };
+    return { vm: chosen.vm, dataCentre: chosen.dataCentre, pool };
+  }
+
+  /**
+   * @param endpointId - an endpoint
+   * @param peer - a peer that doesn't reach it either
+   */
+  noteUnable(endpointId: string, { vm, dataCentre }: PeerRelay): void {
+    this.#unableFor(endpointId).set(vm, { dataCentre, at: performance.now() });
+  }
+
+  /** @param endpointId - an endpoint that is gone or has restarted */
+  forget(endpointId: string): void {
+    this.#unable.delete(endpointId);
+  }
+
+  #unableFor(endpointId: string): Map<string, { readonly dataCentre: string; readonly at: number }> {
+    const unable =
+      this.#unable.get(endpointId) ?? new Map<string, { readonly dataCentre: string; readonly at: number }>();
+    const since = performance.now() - UNABLE_MS;
+    for (const [vm, { at }] of unable) if (at < since) unable.delete(vm);
+    this.#unable.set(endpointId, unable);
+    return unable;
   }
 
   /** Closes the idle connections. */
--- a/packages/gateway/src/paths/relayServer.ts
+++ b/packages/gateway/src/paths/relayServer.ts
@@ -76,7 +76,7 @@
     if (endpoint === undefined) return { reached: false, refused: false };
     if (performance.now() - monitor.paths.receivedAt(endpointId) <= HEARD_LATELY_MS)
       return { reached: true, refused: false };
-    if (monitor.isCutOff) return { reached: false, refused: false };
+    if (monitor.isLinkLost) return { reached: false, refused: false };
     const error = await pathMonitors.connectOnce(endpoint.address);
     return {
       reached: error === undefined,
--- a/packages/gateway/src/paths/routedSend.ts
+++ b/packages/gateway/src/paths/routedSend.ts
@@ -11,7 +11,7 @@
 import * as relayMessages from "./relayMessage.js";
 
 /** Maximum number of peers that are asked to pass on one send. */
-const MAX_PEERS = 2;
+const MAX_PEERS = 3;
 
 /** Maximum of the numbers in messages. */
 const MAX_UINT32 = 4_294_967_295;
@@ -37,7 +37,7 @@
 
 /** The attempt of a send through one peer. */
 interface RelayAttempt {
-  readonly vm: string;
+  readonly peer: peerRelays.PeerRelay;
   readonly startedAt: number;
 }
 
@@ -137,11 +137,11 @@
 
   /** @returns whether there is a peer that may reach the endpoint */
   #tryPeer(): boolean {
-    const { onRelayed, relays } = this.#parts;
-    const relay = this.#askedPeers.size < MAX_PEERS ? relays.choose(this.#askedPeers) : undefined;
+    const { endpoint, onRelayed, relays } = this.#parts;
+    const relay = this.#askedPeers.size < MAX_PEERS ? relays.choose(endpoint.id, this.#askedPeers) : undefined;
     if (relay === undefined) return false;
     this.#askedPeers.add(relay.vm);
-    this.#relay = { vm: relay.vm, startedAt: performance.now() };
+    this.#relay = { peer: relay, startedAt: performance.now() };
     onRelayed(1);
     this.#attempt = new endpointSends.EndpointSend({
       pool: relay.pool,
@@ -185,14 +185,18 @@
 
   #onRelayFailed(failure: relayMessages.RelayResult = relayMessages.RelayResult.Refused): void {
     if (this.#isOver) return;
-    const { endpoint, monitor, receiver } = this.#parts;
+    const { endpoint, monitor, receiver, relays } = this.#parts;
     if (failure === relayMessages.RelayResult.AnswerLost) {
       const detail = "the connection between a peer and the endpoint broke";
       this.#end(() => receiver.onBroken(serving.SendOutcome.Unknown, detail), failure);
       return;
     }
+    const peer = this.#relay?.peer;
     this.#endRelay(failure);
-    if (failure === relayMessages.RelayResult.Unreachable) monitor.notePeerResult(endpoint, false);
+    if (peer !== undefined && failure === relayMessages.RelayResult.Unreachable) {
+      relays.noteUnable(endpoint.id, peer);
+      monitor.notePeerResult(endpoint, false);
+    }
     if (!this.#isExpired && this.#tryPeer()) return;
     if (!this.#isExpired && !this.#hasTriedDirect) {
       this.#sendDirect();
@@ -247,7 +251,7 @@
     this.#parts.log.info("passed-on", {
       id: this.#parts.request.passOnAs,
       endpoint: this.#parts.endpoint.id,
-      peer: relay.vm,
+      peer: relay.peer.vm,
       outcome,
       tookMs: Math.round(performance.now() - relay.startedAt),
     });
--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -53,6 +53,8 @@
   readonly ready: () => boolean;
   /** Whether this daemon is cut off from endpoints that its peers reach. */
   readonly isCutOff: () => boolean;
+  /** Whether this daemon can connect to no endpoint of some service, whatever its peers can. */
+  readonly isLinkLost: () => boolean;
   /** Handles the calls of peers that don't reach an endpoint. */
   readonly pathCalls: Pick<peerCalls.PeerCallHandler, "onProbe" | "onRelay">;
   /** Called when a daemon of this data centre reports that it is cut off from endpoints. */
@@ -339,6 +341,7 @@
       activeVms: [...this.activeSet.activeVms],
       ready: this.#parts.ready(),
       cutOff: this.#parts.isCutOff(),
+      linkLost: this.#parts.isLinkLost(),
       configurationRevision: BigInt(view.configurationRevision),
       storeSilentMs: Math.round(this.#parts.storeSilentMs()),
       unixMs: BigInt(Date.now()),
--- a/packages/gateway/src/peerTable.ts
+++ b/packages/gateway/src/peerTable.ts
@@ -13,6 +13,8 @@
   readonly dispatching: boolean;
   /** Whether it is cut off from all endpoints of a service that its peers reach. */
   readonly cutOff: boolean;
+  /** Whether it can connect to no endpoint of some service, whatever its peers can. */
+  readonly linkLost: boolean;
   /** Active daemons of its data centre, as it knows them. */
   readonly activeVms: readonly string[];
   /** Processor capacity of its VM and the busy part of it, in cores. */
--- a/packages/gateway/src/peers/peerReceiver.ts
+++ b/packages/gateway/src/peers/peerReceiver.ts
@@ -72,6 +72,7 @@
       busyCores: pulse.busyThousandths / THOUSANDTHS,
       active: pulse.active,
       cutOff: pulse.cutOff,
+      linkLost: pulse.linkLost,
       dispatching: pulse.active || pulse.work.length > 0,
       activeVms: pulse.activeVms,
       nextWithinMs: pulse.nextWithinMs,
--- a/packages/gateway/tests/helpers/paths.ts
+++ b/packages/gateway/tests/helpers/paths.ts
@@ -12,7 +12,7 @@
     directory: new serving.EndpointDirectory(),
     askPeer: () => Promise.resolve(undefined),
     onReachedByPeer: () => undefined,
-    onCutOffChange: () => undefined,
+    onLinkChange: () => undefined,
   });
   const relays = new peerRelays.PeerRelays({
     vm: "vm-1",
@@ -28,6 +28,7 @@
 /** Parts of a peer link in a test in which every daemon reaches the endpoints. */
 export const REACHING_ALL = {
   isCutOff: () => false,
+  isLinkLost: () => false,
   pathCalls: { onProbe: () => Promise.resolve({ reached: false, refused: false }), onRelay: () => undefined },
   onNeighbourCutOff: () => undefined,
 };
--- a/packages/gateway/tests/helpers/simulatedFleet.ts
+++ b/packages/gateway/tests/helpers/simulatedFleet.ts
@@ -78,6 +78,7 @@
       ready: this.ready,
       active,
       cutOff: this.cutOff,
+      linkLost: this.cutOff,
       dispatching: active,
       activeVms,
       capacity,
--- a/packages/gateway/tests/peerLink.test.ts
+++ b/packages/gateway/tests/peerLink.test.ts
@@ -103,6 +103,7 @@
       active: true,
       dispatching: true,
       cutOff: false,
+      linkLost: false,
       activeVms: [],
       capacity: 1,
       busyCores: 0,
--- a/packages/gateway/tests/peerTable.test.ts
+++ b/packages/gateway/tests/peerTable.test.ts
@@ -13,6 +13,7 @@
     active: true,
     dispatching: true,
     cutOff: false,
+    linkLost: false,
     activeVms: [vm],
     capacity: 1,
     busyCores: 0,
--- a/packages/serving/src/paths/endpointPaths.ts
+++ b/packages/serving/src/paths/endpointPaths.ts
@@ -220,12 +220,20 @@
    * @returns whether it is cut off
    */
   isCutOff(endpoints: readonly PathTarget[]): boolean {
+    if (!this.isLinkLost(endpoints)) return false;
+    return endpoints.some(({ id }) => {
+      const lost = this.#lost.get(id);
+      return lost !== undefined && lost.reachedByPeerAt >= lost.since;
+    });
+  }
+
+  /**
+   * @param endpoints - the available endpoints of a service
+   * @returns whether this daemon can connect to none of them, as far as is known, and whatever its peers can
+   */
+  isLinkLost(endpoints: readonly PathTarget[]): boolean {
     if (endpoints.length === 0) return false;
-    const paths = endpoints.map((endpoint) => this.#lost.get(endpoint.id));
-    const isLost = endpoints.every(
-      (endpoint, index) => paths[index] !== undefined || this.#inferredLossOf(endpoint) !== undefined,
-    );
-    return isLost && paths.some((lost) => lost !== undefined && lost.reachedByPeerAt >= lost.since);
+    return endpoints.every((endpoint) => this.#lost.has(endpoint.id) || this.#inferredLossOf(endpoint) !== undefined);
   }
 
   /**
--- a/packages/serving/src/paths/relayChoice.ts
+++ b/packages/serving/src/paths/relayChoice.ts
@@ -7,8 +7,8 @@
   readonly dataCentre: string;
   readonly ready: boolean;
   readonly active: boolean;
-  /** Whether it is cut off from endpoints itself. */
-  readonly cutOff: boolean;
+  /** Whether it can connect to no endpoint of some service itself. */
+  readonly linkLost: boolean;
   /** Processor capacity of its VM and the busy part of it, in cores. */
   readonly capacity: number;
   readonly busyCores: number;
@@ -18,8 +18,10 @@
 export interface RelayChoiceInputs {
   /** Data centre of this daemon. */
   readonly dataCentre: string;
-  /** VMs that have failed to pass on this request. */
+  /** VMs that are not chosen. */
   readonly excluded: ReadonlySet<string>;
+  /** Data centres of daemons that didn't reach the endpoint either: their link may be lost as a whole. */
+  readonly avoidedDataCentres: ReadonlySet<string>;
   /** @returns a random number from 0 to 1 */
   readonly draw: () => number;
 }
@@ -29,7 +31,7 @@
  *
  * It answers the load pattern of many daemons that are cut off at the same moment: their requests must not all go to the
  * few able daemons nearby. Of two random candidates the less busy one is taken; daemons of the same data centre come
- * first only while they have capacity to spare. Active daemons have open connections and a current view; a standby daemon
+ * first only while they have capacity to spare, and last once one of them has failed to reach the endpoint. Active daemons have open connections and a current view; a standby daemon
  * is taken where no active one is able.
  *
  * @param candidates - the live peers
@@ -38,14 +40,15 @@
  */
 export function chooseRelay<T extends RelayCandidate>(
   candidates: readonly T[],
-  { dataCentre, excluded, draw }: RelayChoiceInputs,
+  { dataCentre, excluded, avoidedDataCentres, draw }: RelayChoiceInputs,
 ): T | undefined {
-  const able = candidates.filter(({ vm, ready, cutOff }) => ready && !cutOff && !excluded.has(vm));
-  const active = able.filter((candidate) => candidate.active);
+  const able = candidates.filter(({ vm, ready, linkLost }) => ready && !linkLost && !excluded.has(vm));
+  const elsewhere = able.filter((candidate) => !avoidedDataCentres.has(candidate.dataCentre));
+  const active = elsewhere.filter((candidate) => candidate.active);
   const near = active.filter(
     (candidate) => candidate.dataCentre === dataCentre && utilization(candidate) < PREFERRED_UTILIZATION,
   );
-  const pool = [near, active, able].find((group) => group.length > 0) ?? [];
+  const pool = [near, active, elsewhere, able].find((group) => group.length > 0) ?? [];
   const [first, second] = [0, 1].map(() => pool[Math.floor(draw() * pool.length)]);
   if (first === undefined || second === undefined) return undefined;
   return utilization(second) < utilization(first) ? second : first;
