Probe an endpoint when a connection to it breaks under a request

The first broken connection now has its endpoint connected to anew, at most twice a second; the crash detector shares that attempt.

--- a/packages/gateway/src/endpointClient.ts
+++ b/packages/gateway/src/endpointClient.ts
@@ -121,7 +121,7 @@
       receiver: new ObservedReceiver(receiver, this.#observer.onSend(endpoint, request)),
       pool: this.#poolOf(endpoint),
       isLoopLagging: this.#isLoopLagging,
-      onBroken: () => this.#countBroken(),
+      onBroken: (wasDispatched) => this.#noteBroken(endpoint, wasDispatched),
       onRelayed: (change) => this.#relayed.set(id, (this.#relayed.get(id) ?? 0) + change),
       onRelayedData: () => this.#relayedDataAt.set(id, performance.now()),
     });
@@ -145,7 +145,7 @@
       request,
       receiver,
       isLoopLagging: this.#isLoopLagging,
-      onBroken: () => this.#countBroken(),
+      onBroken: (wasDispatched) => this.#noteBroken(endpoint, wasDispatched),
     });
   }
 
@@ -165,8 +165,9 @@
     this.#paths.relays.close();
   }
 
-  #countBroken(): void {
+  #noteBroken(endpoint: serving.Endpoint, wasDispatched: boolean): void {
     this.#count("endpoint_connections_broken");
+    if (wasDispatched) this.#paths.monitor.noteBroken(endpoint);
   }
 
   #poolOf(endpoint: serving.Endpoint): connectionPools.EndpointConnectionPool {
--- a/packages/gateway/src/endpointCrashDetector.ts
+++ b/packages/gateway/src/endpointCrashDetector.ts
@@ -1,6 +1,6 @@
 import type * as serving from "@camphorcourse/serving";
 import type * as decisionLogs from "./decisionLog.js";
-import * as pathMonitors from "./paths/pathMonitor.js";
+import type * as pathMonitors from "./paths/pathMonitor.js";
 
 /** Delay between a broken connection and the check of its endpoint, in milliseconds: other connections break with it. */
 const CHECK_DELAY_MS = 10;
@@ -31,8 +31,8 @@
   readonly log: decisionLogs.DecisionLog;
   /** @returns whether an idle connection to the endpoint is open */
   readonly hasLiveConnection: (endpointId: string) => boolean;
-  /** @returns what a peer finds at the endpoint; undefined if no peer answers */
-  readonly askPeer: (endpointId: string) => Promise<pathMonitors.PeerFinding | undefined>;
+  /** Tries to connect to the endpoint, and asks a peer if that fails. */
+  readonly probe: (endpoint: serving.Endpoint) => Promise<pathMonitors.ProbeResult>;
   /** @returns whether the endpoint is expected to end, because it is leaving or gone */
   readonly isLeaving: (endpoint: serving.Endpoint) => boolean;
   /** Called with an endpoint that has crashed and what was running there for this daemon's callers. */
@@ -112,9 +112,7 @@
    * limit. A refusal on this daemon's path alone is a fault of the path, which must not be blamed on the requests that ran.
    */
   async #isRefusedEverywhere(endpoint: serving.Endpoint): Promise<boolean> {
-    const error = await pathMonitors.connectOnce(endpoint.address);
-    if (error?.code !== REFUSED) return false;
-    const finding = await this.#parts.askPeer(endpoint.id);
-    return finding?.refused ?? true;
+    const { error, finding } = await this.#parts.probe(endpoint);
+    return error?.code === REFUSED && (finding?.refused ?? true);
   }
 }
--- a/packages/gateway/src/endpointSend.ts
+++ b/packages/gateway/src/endpointSend.ts
@@ -11,8 +11,8 @@
   readonly receiver: sendings.AnswerReceiver;
   /** Whether the event loop lags, so that the socket events it processes may be old. */
   readonly isLoopLagging: () => boolean;
-  /** Called when its connection breaks. */
-  readonly onBroken: () => void;
+  /** Called when its connection breaks, with whether the request had been sent, or can't be established. */
+  readonly onBroken: (wasDispatched: boolean) => void;
 }
 
 /** Lowest final status code; lower ones are informational and precede it. */
@@ -134,7 +134,7 @@
   }
 
   #onError(error: Error): void {
-    this.#parts.onBroken();
+    if (!this.#over) this.#parts.onBroken(this.wasDispatched);
     this.#break(this.wasDispatched ? serving.SendOutcome.Unknown : serving.SendOutcome.NotSent, error.message);
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -128,11 +128,10 @@
       draw: () => random.next(),
       isLoopLagging,
     });
-    const askPeer = (endpointId: string): Promise<pathMonitors.PeerFinding | undefined> => this.#askPeer(endpointId);
     this.#monitor = new pathMonitors.PathMonitor({
       log: this.#log,
       directory: this.#view.directory,
-      askPeer,
+      askPeer: (endpointId) => this.#askPeer(endpointId),
       onReachedByPeer: (endpointId) => this.#context.health.forgive(endpointId),
       onLinkChange: () => this.#peers.sendHeartbeatsNow(),
     });
@@ -147,7 +146,7 @@
       log: this.#log,
       client,
       directory: this.#view.directory,
-      askPeer,
+      probe: (endpoint) => this.#monitor.probe(endpoint),
       onCrashed: () => this.#metrics.count("endpoints_ended"),
       onEscalated: () => this.#peers.sendHeartbeatsNow(),
     });
--- a/packages/gateway/src/paths/pathMonitor.ts
+++ b/packages/gateway/src/paths/pathMonitor.ts
@@ -19,6 +19,9 @@
 /** Minimum time between two rounds of probes because of silence, in milliseconds. */
 const SILENCE_ROUND_MS = 500;
 
+/** Minimum time between two probes of an endpoint because of broken connections, in milliseconds. */
+const BROKEN_PROBE_INTERVAL_MS = 500;
+
 /** Minimum time between two checks of a daemon that has sent nothing, in milliseconds. */
 const SELF_CHECK_INTERVAL_MS = 3_000;
 
@@ -29,6 +32,14 @@
   readonly refused: boolean;
 }
 
+/** Result of an attempt to connect to an endpoint. */
+export interface ProbeResult {
+  /** Why this daemon can't connect; undefined if it can. */
+  readonly error: NodeJS.ErrnoException | undefined;
+  /** What a peer finds, if this daemon can't connect and a peer answers. */
+  readonly finding: PeerFinding | undefined;
+}
+
 /** Dependencies of {@link PathMonitor}. */
 export interface PathMonitorParts {
   readonly log: decisionLogs.DecisionLog;
@@ -47,6 +58,8 @@
   readonly #parts: PathMonitorParts;
   /** Endpoints that owe data and are silent, with the instant of the last observation, in milliseconds. */
   readonly #silent = new Map<string, { readonly target: serving.PathTarget; readonly at: number }>();
+  readonly #probes = new Map<string, Promise<ProbeResult>>();
+  readonly #brokenProbeAt = new Map<string, number>();
   #timer: NodeJS.Timeout | undefined;
   #stopped = false;
   #cutOffFrom: readonly string[] = [];
@@ -140,6 +153,33 @@
     for (const { target } of silent.slice(0, SILENT_ENDPOINTS)) void this.#probe(target);
   }
 
+  /**
+   * Takes note of a connection that broke under a request. Kept connections that are reset one by one would each cost
+   * another request; connecting anew tells whether the path has failed.
+   *
+   * @param endpoint - the endpoint
+   */
+  noteBroken(endpoint: serving.PathTarget): void {
+    const now = performance.now();
+    if (now - (this.#brokenProbeAt.get(endpoint.id) ?? Number.NEGATIVE_INFINITY) < BROKEN_PROBE_INTERVAL_MS) return;
+    this.#brokenProbeAt.set(endpoint.id, now);
+    void this.#probe(endpoint);
+  }
+
+  /**
+   * Tries to connect to an endpoint, and asks a peer if that fails. Concurrent probes of an endpoint share one attempt.
+   *
+   * @param endpoint - the endpoint
+   * @returns the result
+   */
+  probe(endpoint: serving.Endpoint): Promise<ProbeResult> {
+    const running = this.#probes.get(endpoint.id);
+    if (running !== undefined) return running;
+    const probe = this.#connect(endpoint).finally(() => this.#probes.delete(endpoint.id));
+    this.#probes.set(endpoint.id, probe);
+    return probe;
+  }
+
   /**
    * Checks whether this daemon reaches endpoints if it has sent nothing lately. A standby daemon would otherwise
    * replace an active one that is cut off, and be cut off with it.
@@ -160,6 +200,7 @@
   /** @param endpointId - an endpoint that is gone or has restarted */
   forget(endpointId: string): void {
     this.#silent.delete(endpointId);
+    this.#brokenProbeAt.delete(endpointId);
     this.paths.forget(endpointId);
   }
 
@@ -177,20 +218,23 @@
   }
 
   async #probe(target: serving.PathTarget): Promise<void> {
+    if (this.#stopped) return;
     const endpoint = this.#parts.directory.availableEndpoint(target.id);
-    if (endpoint === undefined || this.#stopped) {
-      this.forget(target.id);
-      return;
-    }
+    if (endpoint === undefined) this.forget(target.id);
+    else await this.probe(endpoint);
+  }
+
+  async #connect(endpoint: serving.Endpoint): Promise<ProbeResult> {
     const since = performance.now();
     const error = await connectOnce(endpoint.address);
     if (error === undefined) {
-      this.noteConnected(target);
-      return;
+      this.noteConnected(endpoint);
+      return { error, finding: undefined };
     }
-    this.noteConnectFailed(target, since, error.message);
-    const finding = await this.#parts.askPeer(target.id);
-    if (finding !== undefined) this.notePeerResult(target, finding.reached);
+    this.noteConnectFailed(endpoint, since, error.message);
+    const finding = await this.#parts.askPeer(endpoint.id);
+    if (finding !== undefined) this.notePeerResult(endpoint, finding.reached);
+    return { error, finding };
   }
 
   #updateLink(): void {
--- a/packages/gateway/src/paths/routedSend.ts
+++ b/packages/gateway/src/paths/routedSend.ts
@@ -27,8 +27,8 @@
   readonly relays: peerRelays.PeerRelays;
   readonly log: decisionLogs.DecisionLog;
   readonly isLoopLagging: () => boolean;
-  /** Called when a connection to the endpoint breaks. */
-  readonly onBroken: () => void;
+  /** Called when a connection to the endpoint breaks, with whether the request had been sent. */
+  readonly onBroken: (wasDispatched: boolean) => void;
   /** Called when the request begins and ceases to use a peer, with 1 and -1. */
   readonly onRelayed: (change: 1 | -1) => void;
   /** Called when data of the endpoint has come through a peer. */
--- a/packages/gateway/src/suspects/crashProtection.ts
+++ b/packages/gateway/src/suspects/crashProtection.ts
@@ -14,8 +14,8 @@
   readonly log: decisionLogs.DecisionLog;
   readonly client: endpointClients.EndpointClient;
   readonly directory: serving.EndpointDirectory;
-  /** Asks a peer whether it reaches an endpoint. */
-  readonly askPeer: crashDetectors.EndpointCrashDetectorParts["askPeer"];
+  /** Tries to connect to an endpoint, and asks a peer if that fails. */
+  readonly probe: crashDetectors.EndpointCrashDetectorParts["probe"];
   /** Called for each endpoint that has crashed. */
   readonly onCrashed: () => void;
   /** Called when a suspect has to be reported to the peers at once. */
@@ -30,7 +30,7 @@
 
   /** @param parts - what it needs */
   constructor(parts: CrashProtectionParts) {
-    const { store, prefix, log, client, directory, askPeer, onCrashed, onEscalated } = parts;
+    const { store, prefix, log, client, directory, probe, onCrashed, onEscalated } = parts;
     this.gate = new suspectGates.SuspectGate({
       log,
       lastReceivedAt: (endpointId) => client.lastReceivedAt(endpointId),
@@ -46,7 +46,7 @@
     this.crashDetector = new crashDetectors.EndpointCrashDetector({
       log,
       hasLiveConnection: (endpointId) => client.hasLiveConnection(endpointId),
-      askPeer,
+      probe,
       isLeaving: ({ id }) => !directory.isAvailable(id),
       onCrashed: (endpoint, runs) => {
         onCrashed();
--- a/packages/gateway/tests/endpointCrashDetector.test.ts
+++ b/packages/gateway/tests/endpointCrashDetector.test.ts
@@ -2,6 +2,7 @@
 import * as serving from "@camphorcourse/serving";
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
+import * as pathMonitors from "../src/paths/pathMonitor.js";
 import * as decisionLogs from "../src/decisionLog.js";
 import * as crashDetectors from "../src/endpointCrashDetector.js";
 
@@ -30,7 +31,7 @@
   const detector = new crashDetectors.EndpointCrashDetector({
     log: new decisionLogs.DecisionLog("vm-1", "info", { writableLength: 0, write: (line) => lines.push(line) > 0 }),
     hasLiveConnection: () => options.hasLiveConnection ?? false,
-    askPeer: () => Promise.resolve(options.finding),
+    probe: async ({ address }) => ({ error: await pathMonitors.connectOnce(address), finding: options.finding }),
     isLeaving: () => options.isLeaving ?? false,
     onCrashed: ({ id }, runs) => crashed.push([id, runs.length]),
   });
--- a/packages/gateway/tests/helpers/exchangeHarness.ts
+++ b/packages/gateway/tests/helpers/exchangeHarness.ts
@@ -217,7 +217,7 @@
       crashDetector: new crashDetectors.EndpointCrashDetector({
         log: new decisionLogs.DecisionLog("vm-1", "info", sink),
         hasLiveConnection: () => true,
-        askPeer: () => Promise.resolve(undefined),
+        probe: () => Promise.resolve({ error: undefined, finding: undefined }),
         isLeaving: () => false,
         onCrashed: () => undefined,
       }),
