--- a/packages/gateway/src/paths/pathMonitor.ts
+++ b/packages/gateway/src/paths/pathMonitor.ts
@@ -125,7 +125,7 @@
 
   /**
    * @param endpoint - an endpoint that this daemon can't connect to
-   * @param isReached - whether a peer reached it
+   * @param isReached - whether a peer reached it; false also if there is no peer to ask
    */
   notePeerResult(endpoint: serving.PathTarget, isReached: boolean): void {
     if (!this.paths.notePeerResult(endpoint, isReached, performance.now())) return;
@@ -233,7 +233,7 @@
     }
     this.noteConnectFailed(endpoint, since, error.message);
     const finding = await this.#parts.askPeer(endpoint.id);
-    if (finding !== undefined) this.notePeerResult(endpoint, finding.reached);
+    this.notePeerResult(endpoint, finding?.reached ?? false);
     return { error, finding };
   }
 
--- a/packages/gateway/src/paths/routedSend.ts
+++ b/packages/gateway/src/paths/routedSend.ts
@@ -127,7 +127,9 @@
   #onDirectBroken(outcome: serving.SendOutcome, detail: string): void {
     if (this.#isOver) return;
     const mayPassOn = this.#parts.request.passOnAs !== undefined && !this.#isExpired;
-    if (outcome === serving.SendOutcome.NotSent && mayPassOn && this.#tryPeer()) return;
+    const isNotSent = outcome === serving.SendOutcome.NotSent;
+    if (isNotSent && mayPassOn && this.#tryPeer()) return;
+    if (isNotSent && this.#askedPeers.size === 0) this.#parts.monitor.notePeerResult(this.#parts.endpoint, false);
     this.#end(() => this.#parts.receiver.onBroken(outcome, detail));
   }
 
--- a/packages/serving/src/paths/endpointPaths.ts
+++ b/packages/serving/src/paths/endpointPaths.ts
@@ -13,7 +13,7 @@
 /** What identifies an endpoint and its service. */
 export type PathTarget = Pick<directories.Endpoint, "id" | "service">;
 
-/** Failed attempts, direct or through peers, after which an endpoint that no peer has reached counts as unreachable. */
+/** Failed attempts to reach an endpoint through peers, or for want of one, after which it counts as unreachable. */
 const UNREACHABLE_FAILURES = 2;
 
 /** Different endpoints of a service whose connections fail before the fault is sought in this daemon's own link. */
@@ -39,7 +39,7 @@
   readonly target: PathTarget;
   /** Start of the first attempt that failed, in milliseconds. */
   readonly since: number;
-  /** Failed attempts since a peer last reached it; direct ones count only if no peer has. */
+  /** Failed attempts to reach it through peers, or for want of one, since a peer last reached it. */
   failures: number;
   reachedByPeerAt: number;
   retryAt: number;
@@ -131,14 +131,13 @@
   noteConnectFailed(target: PathTarget, since: number, now: number): boolean {
     const known = this.#lost.get(target.id);
     if (known !== undefined) {
-      if (known.reachedByPeerAt < known.since) noteFailure(known, now);
       this.#service(target.service, now).isReturning = false;
       return false;
     }
     this.#lost.set(target.id, {
       target: { id: target.id, service: target.service },
       since,
-      failures: 1,
+      failures: 0,
       reachedByPeerAt: Number.NEGATIVE_INFINITY,
       retryAt: now + RETRY_DELAY_MS.first,
       retryDelayMs: RETRY_DELAY_MS.first,
@@ -151,7 +150,7 @@
 
   /**
    * @param target - an endpoint that this daemon can't connect to
-   * @param isReached - whether a peer reached it
+   * @param isReached - whether a peer reached it; false also if there is no peer to ask
    * @param now - current instant in milliseconds
    * @returns whether this is the first time since the loss that a peer reached it
    */
@@ -165,7 +164,8 @@
       lost.retryDelayMs = RETRY_DELAY_MS.first;
       return isFirst;
     }
-    noteFailure(lost, now);
+    lost.failures++;
+    postponeRetry(lost, now);
     return false;
   }
 
@@ -306,11 +306,6 @@
   }
 }
 
-function noteFailure(lost: LostPath, now: number): void {
-  lost.failures++;
-  postponeRetry(lost, now);
-}
-
 function postponeRetry(lost: LostPath, now: number): void {
   if (now < lost.retryAt) return;
   lost.retryAt = now + lost.retryDelayMs;
