--- a/packages/gateway/src/endpointClient.ts
+++ b/packages/gateway/src/endpointClient.ts
@@ -149,6 +149,25 @@
     });
   }
 
+  /**
+   * Closes idle connections from before the loss of their path: the endpoint may have closed them meanwhile.
+   *
+   * @param endpointId - an endpoint whose path has returned
+   * @param lostSince - since when it was lost, in milliseconds
+   */
+  dropStale(endpointId: string, lostSince: number): void {
+    this.#pools.get(endpointId)?.closeUnusedSince(lostSince);
+  }
+
+  /**
+   * @param endpoint - an endpoint
+   * @param now - current instant in milliseconds
+   * @returns time until it is tried again if neither this daemon nor a peer reaches it, in milliseconds
+   */
+  retryInMs(endpoint: serving.Endpoint, now: number): number {
+    return this.#paths.monitor.paths.retryInMs(endpoint, now);
+  }
+
   /** @param endpointId - an endpoint that is gone or has restarted: its idle connections are closed */
   forget(endpointId: string): void {
     this.#pools.get(endpointId)?.close();
--- a/packages/gateway/src/endpointConnectionPool.ts
+++ b/packages/gateway/src/endpointConnectionPool.ts
@@ -162,6 +162,18 @@
     connection.client.destroy().catch(() => undefined);
   }
 
+  /**
+   * Closes idle connections that were last used before an instant.
+   *
+   * @param before - the instant, in milliseconds
+   */
+  closeUnusedSince(before: number): void {
+    for (const connection of this.#idle.filter(({ usedAt }) => usedAt < before)) {
+      this.#idle.splice(this.#idle.indexOf(connection), 1);
+      connection.client.destroy().catch(() => undefined);
+    }
+  }
+
   /** Closes the idle connections. */
   close(): void {
     for (const connection of this.#idle.splice(0)) connection.client.destroy().catch(() => undefined);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -132,8 +132,10 @@
       log: this.#log,
       directory: this.#view.directory,
       askPeer: (endpointId) => this.#askPeer(endpointId),
+      onReturned: (endpointId, lostSince) => client.dropStale(endpointId, lostSince),
       onReachedByPeer: (endpointId) => this.#context.health.forgive(endpointId),
       onLinkChange: () => this.#peers.sendHeartbeatsNow(),
+      draw: () => random.next(),
     });
     const client = new endpointClients.EndpointClient((name) => this.#metrics.count(name), isLoopLagging, limits, {
       monitor: this.#monitor,
--- a/packages/gateway/src/paths/pathMonitor.ts
+++ b/packages/gateway/src/paths/pathMonitor.ts
@@ -46,10 +46,14 @@
   readonly directory: serving.EndpointDirectory;
   /** Asks a peer whether it reaches an endpoint; undefined if no peer answers. */
   readonly askPeer: (endpointId: string) => Promise<PeerFinding | undefined>;
+  /** Called with an endpoint that can be connected to again, and since when it couldn't, in milliseconds. */
+  readonly onReturned: (endpointId: string, lostSince: number) => void;
   /** Called with an endpoint that this daemon can't connect to but a peer reaches. */
   readonly onReachedByPeer: (endpointId: string) => void;
   /** Called when this daemon's link to a service is lost or has returned, as far as it can tell. */
   readonly onLinkChange: () => void;
+  /** @returns a random number from 0 to 1 */
+  readonly draw: () => number;
 }
 
 /** Observes the paths from this daemon to the endpoints, and probes those that are lost. */
@@ -97,7 +101,9 @@
 
   /** @param endpoint - an endpoint to which a connection was established */
   noteConnected(endpoint: serving.PathTarget): void {
-    if (!this.paths.noteConnected(endpoint, performance.now())) return;
+    const lostSince = this.paths.noteConnected(endpoint, performance.now());
+    if (lostSince === undefined) return;
+    this.#parts.onReturned(endpoint.id, lostSince);
     this.#parts.log.info("endpoint-path", { endpoint: endpoint.id, service: endpoint.service, path: "direct" });
     this.#updateLink();
   }
@@ -191,7 +197,7 @@
     for (const service of this.#parts.directory.services()) {
       if (now - this.paths.receivedFromServiceAt(service) < SELF_CHECK_INTERVAL_MS) continue;
       const endpoints = this.#parts.directory.availableEndpoints(service);
-      const offset = Math.floor(Math.random() * endpoints.length);
+      const offset = Math.floor(this.#parts.draw() * endpoints.length);
       const chosen = [...endpoints.slice(offset), ...endpoints.slice(0, offset)].slice(0, SILENT_ENDPOINTS);
       for (const endpoint of chosen) void this.#probe(endpoint);
     }
--- a/packages/gateway/src/paths/peerRelays.ts
+++ b/packages/gateway/src/paths/peerRelays.ts
@@ -67,6 +67,7 @@
     let pool = this.#pools.get(chosen.vm);
     if (pool?.address !== address) {
       pool?.close();
+      this.#closeUnused();
       pool = new connectionPools.EndpointConnectionPool(address, isLoopLagging);
       this.#pools.set(chosen.vm, pool);
     }
@@ -86,6 +87,16 @@
     this.#unable.delete(endpointId);
   }
 
+  /** Forgets connections to peers that are gone. */
+  #closeUnused(): void {
+    const live = new Set(this.#parts.livePeers().map(({ vm }) => vm));
+    for (const [vm, pool] of this.#pools) {
+      if (live.has(vm) || pool.busy > 0) continue;
+      pool.close();
+      this.#pools.delete(vm);
+    }
+  }
+
   #unableFor(endpointId: string): Map<string, { readonly dataCentre: string; readonly at: number }> {
     const unable =
       this.#unable.get(endpointId) ?? new Map<string, { readonly dataCentre: string; readonly at: number }>();
--- a/packages/gateway/src/paths/routedSend.ts
+++ b/packages/gateway/src/paths/routedSend.ts
@@ -179,12 +179,18 @@
       onBroken: (outcome, detail) => {
         const isFailure = result !== undefined && result !== relayMessages.RelayResult.Answer;
         if (isFailure) this.#onRelayFailed(result);
-        else if (outcome === serving.SendOutcome.NotSent) this.#onRelayFailed(relayMessages.RelayResult.Refused);
+        else if (outcome === serving.SendOutcome.NotSent) this.#onPeerUnreachable();
         else this.#end(() => receiver.onBroken(outcome, detail), "broken");
       },
     };
   }
 
+  #onPeerUnreachable(): void {
+    const { endpoint, relays } = this.#parts;
+    if (this.#relay !== undefined) relays.noteUnable(endpoint.id, this.#relay.peer);
+    this.#onRelayFailed();
+  }
+
   #onRelayFailed(failure: relayMessages.RelayResult = relayMessages.RelayResult.Refused): void {
     if (this.#isOver) return;
     const { endpoint, monitor, receiver, relays } = this.#parts;
--- a/packages/gateway/src/sendChooser.ts
+++ b/packages/gateway/src/sendChooser.ts
@@ -29,6 +29,9 @@
   readonly limited?: serving.LimitedEndpoints;
 }
 
+/** Spread of the callers that return to endpoints that are out of reach, in milliseconds. */
+const RETRY_SPREAD_MS = 300;
+
 /** A planned send, or why there is none. */
 export type Choice = neverthrow.Result<PlannedSend, SendRejection>;
 
@@ -102,7 +105,7 @@
     const [leastBusy, another] = candidates;
     if (leastBusy === undefined || another === undefined)
       return neverthrow.err({ reason: "no-spare-endpoint", ...limitedField(limited) });
-    if (definition?.engine === undefined || prompt === undefined) return answeringAt(leastBusy, "no-endpoint");
+    if (definition?.engine === undefined || prompt === undefined) return answeringAt(leastBusy);
     return this.#placeOn([leastBusy], definition, definition.engine, prompt);
   }
 
@@ -115,6 +118,20 @@
     return selection;
   }
 
+  /**
+   * Why no endpoint is chosen: with all of them out of reach for this daemon and its peers, the caller is told to return
+   * when they are tried again.
+   */
+  #noneUsable(reason: string, limited?: serving.LimitedEndpoints): SendRejection {
+    const { client, random, view } = this.#context;
+    const now = performance.now();
+    const endpoints = view.directory.availableEndpoints(this.#served.service);
+    const retryInMs = Math.min(...endpoints.map((endpoint) => client.retryInMs(endpoint, now)));
+    if (limited !== undefined || !Number.isFinite(retryInMs) || retryInMs === 0)
+      return { reason, ...limitedField(limited) };
+    return { reason: "endpoints-unreachable", retryAfterMs: retryInMs + random.next() * RETRY_SPREAD_MS };
+  }
+
   /** The endpoints that may serve the request, apart from limits on what they take. */
   #usable(definition: serving.Service | undefined, mayProbe: boolean): serving.Endpoint[] {
     const { view, client, health } = this.#context;
@@ -142,7 +159,7 @@
       draw: () => random.next(),
       now: performance.now(),
     });
-    return answeringAt(endpoint, "no-endpoint", limited);
+    return endpoint === undefined ? neverthrow.err(this.#noneUsable("no-endpoint", limited)) : answeringAt(endpoint);
   }
 
   #chooseEngine(
@@ -154,7 +171,10 @@
     const { ready, limited } = this.#candidates(definition);
     if (prefillEngine === undefined) return this.#placeOn(ready, definition, limits, prompt, limited);
     const inputs = this.#placementInputs(ready, definition, limits, prompt);
-    return answeringAt(serving.chooseDecodeEngine(inputs, prefillEngine), "no-engine", limited);
+    const decodeEngine = serving.chooseDecodeEngine(inputs, prefillEngine);
+    return decodeEngine === undefined
+      ? neverthrow.err(this.#noneUsable("no-engine", limited))
+      : answeringAt(decodeEngine);
   }
 
   #placementInputs(
@@ -189,7 +209,7 @@
   ): Choice {
     const inputs = this.#placementInputs(engines, definition, limits, prompt);
     const placed = this.#placeWithinBudget(inputs);
-    if (placed === undefined) return neverthrow.err({ reason: "no-engine", ...limitedField(limited) });
+    if (placed === undefined) return neverthrow.err(this.#noneUsable("no-engine", limited));
     this.#noteDemand(placed, prompt);
     const admitted = this.#admit(placed, inputs);
     if (admitted.isErr()) {
@@ -266,12 +286,7 @@
   }
 }
 
-function answeringAt(
-  endpoint: serving.Endpoint | undefined,
-  reasonIfNone: string,
-  limited?: serving.LimitedEndpoints,
-): Choice {
-  if (endpoint === undefined) return neverthrow.err({ reason: reasonIfNone, ...limitedField(limited) });
+function answeringAt(endpoint: serving.Endpoint): Choice {
   return neverthrow.ok({ endpoint, stage: Stage.Answering, predictedMs: 0, plan: undefined });
 }
 
--- a/packages/gateway/tests/helpers/paths.ts
+++ b/packages/gateway/tests/helpers/paths.ts
@@ -11,8 +11,10 @@
     log,
     directory: new serving.EndpointDirectory(),
     askPeer: () => Promise.resolve(undefined),
+    onReturned: () => undefined,
     onReachedByPeer: () => undefined,
     onLinkChange: () => undefined,
+    draw: () => 0,
   });
   const relays = new peerRelays.PeerRelays({
     vm: "vm-1",
--- a/packages/serving/src/paths/endpointPaths.ts
+++ b/packages/serving/src/paths/endpointPaths.ts
@@ -104,22 +104,22 @@
   /**
    * @param target - an endpoint to which this daemon has established a connection
    * @param now - current instant in milliseconds
-   * @returns whether a lost path has returned
+   * @returns since when the path that has returned was lost, in milliseconds; undefined if none has returned
    */
-  noteConnected(target: PathTarget, now: number): boolean {
+  noteConnected(target: PathTarget, now: number): number | undefined {
     const lost = this.#lost.get(target.id);
-    if (lost === undefined) return false;
-    if (now < lost.heldUntil && lost.reachedByPeerAt >= lost.since) return false;
+    if (lost === undefined) return undefined;
+    if (now < lost.heldUntil && lost.reachedByPeerAt >= lost.since) return undefined;
     this.#lost.delete(target.id);
     this.#returned.set(target.id, { at: now, holdMs: Math.max(0, lost.heldUntil - lost.since) });
     const service = this.#services.get(target.service);
-    if (service === undefined) return true;
+    if (service === undefined) return lost.since;
     service.linkLostSince = undefined;
     service.isReturning = true;
     service.nextProbeAt = now;
     if (![...this.#lost.values()].some((each) => each.target.service === target.service))
       this.#services.delete(target.service);
-    return true;
+    return lost.since;
   }
 
   /**
@@ -184,6 +184,16 @@
     return EndpointPath.Peer;
   }
 
+  /**
+   * @param target - an endpoint
+   * @param now - current instant in milliseconds
+   * @returns time until it is tried again if it counts as unreachable, in milliseconds; 0 if it doesn't
+   */
+  retryInMs(target: PathTarget, now: number): number {
+    const lost = this.#lost.get(target.id);
+    return lost === undefined || lost.failures < UNREACHABLE_FAILURES ? 0 : Math.max(0, lost.retryAt - now);
+  }
+
   /**
    * Takes the turn to try an endpoint that counts as unreachable: the next requests don't wait for the same result.
    *
