--- a/packages/gateway/tests/activeDaemons.test.ts
+++ b/packages/gateway/tests/activeDaemons.test.ts
@@ -125,4 +125,33 @@
   },
 );
 
+// Callers would go on being sent to daemons that reach no endpoint.
+suite("others become active where the active daemons are cut off, and the first ones return afterwards", () => {
+  for (const seed of SEEDS) {
+    const started = fleet(seed, 0.05);
+    started.advance(SETTLED_MS);
+    const cutOff = started.active("a").slice(0, 2);
+    for (const daemon of cutOff) daemon.cutOff = true;
+    started.advance(SETTLED_MS);
+    const active = started.active("a");
+    assert.ok(active.length >= 3 && active.every((daemon) => !daemon.cutOff), `seed ${seed}`);
+    assert.equal(activeNames(started, "b"), largeOf("b"));
+    for (const daemon of cutOff) daemon.cutOff = false;
+    started.advance(SETTLED_MS);
+    assert.ok(
+      largeOf("a").every((vm) => activeNames(started, "a").includes(vm)),
+      `seed ${seed}`,
+    );
+  }
+});
+
+// The callers that still come to a data centre that is cut off as a whole are served by passing their requests on.
+suite("a data centre that is cut off as a whole keeps active daemons", () => {
+  const started = fleet(1);
+  started.advance(SETTLED_MS);
+  for (const daemon of started.daemons) daemon.cutOff = daemon.entry.dataCentre === "a";
+  started.advance(SETTLED_MS);
+  assert.ok(started.active("a").length >= 3);
+});
+
 suite.run();
