Recognise a crashed endpoint also where only a peer can tell

While a daemon's connections hang, a request that it passes on may crash its endpoint behind the peer. What a peer finds now goes first. Test failed before.

--- a/packages/gateway/src/endpointCrashDetector.ts
+++ b/packages/gateway/src/endpointCrashDetector.ts
@@ -109,10 +109,12 @@
 
   /**
    * Whether nothing listens at the endpoint's address. A connection that is accepted and then reset may have exceeded a
-   * limit. A refusal on this daemon's path alone is a fault of the path, which must not be blamed on the requests that ran.
+   * limit. What a peer finds goes first: a refusal on this daemon's path alone is a fault of the path, which must not be
+   * blamed on the requests that ran, and a path that hangs must not hide that the endpoint has crashed.
    */
   async #isRefusedEverywhere(endpoint: serving.Endpoint): Promise<boolean> {
     const { error, finding } = await this.#parts.probe(endpoint);
-    return error?.code === REFUSED && (finding?.refused ?? true);
+    if (error === undefined) return false;
+    return finding?.refused ?? error.code === REFUSED;
   }
 }
--- a/packages/gateway/tests/endpointCrashDetector.test.ts
+++ b/packages/gateway/tests/endpointCrashDetector.test.ts
@@ -22,6 +22,8 @@
 interface Options {
   readonly isLeaving?: boolean;
   readonly hasLiveConnection?: boolean;
+  /** Error code of a failed connection, instead of the real one. */
+  readonly error?: string;
   readonly finding?: { readonly reached: boolean; readonly refused: boolean };
 }
 
@@ -31,7 +33,11 @@
   const detector = new crashDetectors.EndpointCrashDetector({
     log: new decisionLogs.DecisionLog("vm-1", "info", { writableLength: 0, write: (line) => lines.push(line) > 0 }),
     hasLiveConnection: () => options.hasLiveConnection ?? false,
-    probe: async ({ address }) => ({ error: await pathMonitors.connectOnce(address), finding: options.finding }),
+    probe: async ({ address }) => {
+      const error = await pathMonitors.connectOnce(address);
+      if (error !== undefined) error.code = options.error ?? error.code;
+      return { error, finding: options.finding };
+    },
     isLeaving: () => options.isLeaving ?? false,
     onCrashed: ({ id }, runs) => crashed.push([id, runs.length]),
   });
@@ -118,4 +124,12 @@
   assert.equal(crashed, [["e1", 1]]);
 });
 
+// A request that crashes endpoints would be passed on to one after the other while this daemon's connections hang.
+suite("an endpoint that refuses a peer has crashed, though this daemon's connections hang", async () => {
+  const { detector, crashed } = createFixture({ error: "ETIMEDOUT", finding: { reached: false, refused: true } });
+  detector.noteBroken(endpointAt(await closedPort()), run());
+  await pause(CHECKED_MS);
+  assert.equal(crashed, [["e1", 1]]);
+});
+
 suite.run();
