Let a peer connect anew when it is asked whether an endpoint is there

A peer that had heard from an endpoint in the last 500 ms said that it reaches it, although the endpoint had crashed meanwhile: the crash was not recognised, and the request that caused it went on to crash others. A peer is asked less often instead: requests that it has passed on in the last three seconds show that it reaches the endpoint.

--- a/packages/gateway/src/paths/pathMonitor.ts
+++ b/packages/gateway/src/paths/pathMonitor.ts
@@ -22,6 +22,9 @@
 /** Minimum time between two probes of an endpoint because of broken connections, in milliseconds. */
 const BROKEN_PROBE_INTERVAL_MS = 500;
 
+/** Time for which a request that a peer has passed on shows that it reaches the endpoint, in milliseconds. */
+const PASSED_ON_LATELY_MS = 3_000;
+
 /** Minimum time between two checks of a daemon that has sent nothing, in milliseconds. */
 const SELF_CHECK_INTERVAL_MS = 3_000;
 
@@ -216,7 +219,7 @@
   }
 
   #check(): void {
-    for (const target of this.paths.takeDueProbes(performance.now())) void this.#probe(target);
+    for (const target of this.paths.takeDueProbes(performance.now())) void this.#probeReturn(target);
     this.#updateLink();
     if (this.paths.hasLost) return;
     clearInterval(this.#timer);
@@ -230,6 +233,15 @@
     else await this.probe(endpoint);
   }
 
+  /** Peers that pass requests on to the endpoint show by that whether they reach it, and need not be asked. */
+  async #probeReturn(target: serving.PathTarget): Promise<void> {
+    const isPassedOnTo = performance.now() - this.paths.reachedByPeerAt(target.id) < PASSED_ON_LATELY_MS;
+    if (!isPassedOnTo) return this.#probe(target);
+    const endpoint = this.#parts.directory.availableEndpoint(target.id);
+    if (endpoint === undefined) this.forget(target.id);
+    else if ((await connectOnce(endpoint.address)) === undefined) this.noteConnected(endpoint);
+  }
+
   async #connect(endpoint: serving.Endpoint): Promise<ProbeResult> {
     const since = performance.now();
     const error = await connectOnce(endpoint.address);
--- a/packages/gateway/src/paths/relayServer.ts
+++ b/packages/gateway/src/paths/relayServer.ts
@@ -18,9 +18,6 @@
 /** Largest body that is read while no configuration is known, in bytes. */
 const DEFAULT_BODY_BYTES = 4_194_304;
 
-/** Age up to which data from an endpoint proves that this daemon reaches it, in milliseconds. */
-const HEARD_LATELY_MS = 500;
-
 const BAD_REQUEST = 400;
 const BAD_GATEWAY = 502;
 const REFUSED_CODE = "ECONNREFUSED";
@@ -74,8 +71,7 @@
     const { client, monitor, view } = this.#parts;
     const endpoint = view.directory.availableEndpoint(endpointId);
     if (endpoint === undefined) return { reached: false, refused: false };
-    if (performance.now() - monitor.paths.receivedAt(endpointId) <= HEARD_LATELY_MS)
-      return { reached: true, refused: false };
+    // Data that came shortly before proves nothing: the endpoint may have crashed since.
     if (monitor.isLinkLost) return { reached: false, refused: false };
     const error = await pathMonitors.connectOnce(endpoint.address);
     return {
--- a/packages/serving/src/paths/endpointPaths.ts
+++ b/packages/serving/src/paths/endpointPaths.ts
@@ -222,6 +222,14 @@
     return this.#receivedAt.get(endpointId) ?? Number.NEGATIVE_INFINITY;
   }
 
+  /**
+   * @param endpointId - an endpoint
+   * @returns when a peer last reached it since its path was lost, in milliseconds
+   */
+  reachedByPeerAt(endpointId: string): number {
+    return this.#lost.get(endpointId)?.reachedByPeerAt ?? Number.NEGATIVE_INFINITY;
+  }
+
   /**
    * Whether this daemon is cut off from a service: it can connect to no endpoint of it, and a peer reaches one. With all
    * endpoints out of reach of the peers, too, the endpoints have failed and not this daemon's link.
