--- a/packages/experiment/src/index.ts
+++ b/packages/experiment/src/index.ts
@@ -10,3 +10,4 @@
 export * from "./outcome.js";
 export * from "./table.js";
 export * from "./virtualTime.js";
+export * from "./cutOffReplay.js";
--- a/packages/experiment/src/main.ts
+++ b/packages/experiment/src/main.ts
@@ -1,5 +1,6 @@
 import * as fs from "node:fs";
 import * as clipanion from "clipanion";
+import * as cutOffReplays from "./cutOffReplay.js";
 import * as descriptions from "./description.js";
 import * as experiments from "./experiment.js";
 import * as limitComparisons from "./limitComparison.js";
@@ -121,6 +122,47 @@
   }
 }
 
+/** Compares the reactions to daemons that are cut off from all endpoints, and prints a Markdown table. */
+class CutOffCommand extends clipanion.Command {
+  static override paths = [["cut-off"]];
+  static override usage = clipanion.Command.Usage({
+    description: "replay daemons of one data centre that lose their links to all endpoints, with each reaction",
+    details:
+      "served: first tries at cut-off daemons and elsewhere; passed on: requests for others at the busiest daemon, in multiples of its own",
+    examples: [["690 daemons, all of one of three data centres cut off", "$0 cut-off --daemons 690 --endpoints 5300"]],
+  });
+  daemons = clipanion.Option.String("--daemons", "9", { description: "number of daemons (default 9)" });
+  endpoints = clipanion.Option.String("--endpoints", "6", { description: "number of endpoints (default 6)" });
+  share = clipanion.Option.String("--share", "1", { description: "share of the data centre's daemons (default 1)" });
+
+  execute(): Promise<number> {
+    const [daemons = 0, endpoints = 0, cutShare = 0] = [this.daemons, this.endpoints, this.share].map(Number);
+    if (!(daemons > 0 && endpoints > 0 && cutShare > 0 && cutShare <= 1)) {
+      this.context.stderr.write("--daemons and --endpoints take numbers above 0, --share one up to 1\n");
+      return Promise.resolve(EXIT_BAD_OPTION);
+    }
+    const heartbeatMs = limitComparisons.heartbeatMsOf(daemons);
+    const fleet = { daemons, dataCentres: 3, endpoints, cutShare, requestsPerSecondEach: 5, heartbeatMs };
+    const header = [
+      "reaction",
+      "tries at cut-off",
+      "served there",
+      "served elsewhere",
+      "passed on",
+      "attempts a second",
+    ];
+    this.context.stdout.write(`| ${header.join(" | ")} |\n|${" --- |".repeat(header.length)}\n`);
+    for (const reaction of Object.values(cutOffReplays.CutOffReaction)) {
+      const [seed = 1] = SEEDS;
+      const row = new cutOffReplays.CutOffReplay({ ...fleet, reaction }, seed).run();
+      const figures = [row.servedAtCutOff, row.servedElsewhere, row.mostPassedOn, row.probesPerSecond];
+      const cells = [reaction, row.triesAtCutOff, ...figures.map((figure) => figure.toFixed(2))];
+      this.context.stdout.write(`| ${cells.join(" | ")} |\n`);
+    }
+    return Promise.resolve(0);
+  }
+}
+
 function parseDaemonSetups(text: string): tables.DaemonSetup[] | undefined {
   const setups = text.split(",").map((pair) => {
     const [daemons = Number.NaN, viewAgeMs = Number.NaN] = pair.split(":").map(Number);
@@ -139,5 +181,6 @@
 cli.register(RunCommand);
 cli.register(TableCommand);
 cli.register(LimitsCommand);
+cli.register(CutOffCommand);
 cli.register(clipanion.Builtins.HelpCommand);
 process.exit(await cli.run(process.argv.slice(2)));
