Gather what a daemon reaches in one object, and name checks after what they check

Reachability holds the path monitor and the peers that pass requests on, with the question to a peer between them; the gateway's constructor only wires it. checkSelf becomes checkOwnLink.

--- a/packages/gateway/src/callers/callerAddresses.ts
+++ b/packages/gateway/src/callers/callerAddresses.ts
@@ -37,10 +37,10 @@
     const { entry, peers, view } = this.#parts;
     const others = [...view.daemons.values()].filter((daemon) => daemon.vm !== entry.vm && daemon.callers !== "");
     const { activeVms } = peers.activeSet;
-    const serving = others.filter(({ vm }) => activeVms.includes(vm) || peers.peerTable.mayTakeCallers(vm, now));
-    if (this.#parts.ready()) serving.push(entry);
-    const able = serving.filter(({ vm }) => !this.#isCutOff(vm, now));
-    const available = able.length > 0 ? able : serving;
+    const candidates = others.filter(({ vm }) => activeVms.includes(vm) || peers.peerTable.mayTakeCallers(vm, now));
+    if (this.#parts.ready()) candidates.push(entry);
+    const able = candidates.filter(({ vm }) => !this.#isCutOff(vm, now));
+    const available = able.length > 0 ? able : candidates;
     const active = available.filter((daemon) => this.#isActive(daemon.vm, now));
     const choices = [active, available].map((daemons) => daemons.filter((daemon) => daemon.dataCentre === dataCentre));
     const chosen = choices.find((nearby) => nearby.length >= MIN_NEARBY_DAEMONS) ?? available;
--- a/packages/gateway/src/endpointClient.ts
+++ b/packages/gateway/src/endpointClient.ts
@@ -89,7 +89,7 @@
     return this.#paths.monitor.paths.pathTo(endpoint, this.hasLiveConnection(endpoint.id), now);
   }
 
-  /** @param endpoint - an endpoint that owes data and has sent none for a while */
+  /** @param endpoint - an endpoint with a request in flight that has sent nothing for a while */
   noteSilent(endpoint: serving.Endpoint): void {
     this.#paths.monitor.noteSilent(endpoint);
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,8 +18,7 @@
 import * as usageCodecs from "./duties/usageCodec.js";
 import * as dutyCandidates from "./duties/dutyCandidate.js";
 import * as dutiesModule from "./duties/duties.js";
-import * as pathMonitors from "./paths/pathMonitor.js";
-import * as peerRelays from "./paths/peerRelays.js";
+import * as reachabilities from "./paths/reachability.js";
 import * as relayServers from "./paths/relayServer.js";
 import * as peerTables from "./peerTable.js";
 import * as peerLinks from "./peerLink.js";
@@ -81,8 +80,7 @@
   readonly #storeReadingMode: storeReadingModes.StoreReadingMode;
   readonly #protection: crashProtections.CrashProtection;
   readonly #duties: dutiesModule.Duties;
-  readonly #monitor: pathMonitors.PathMonitor;
-  readonly #relays: peerRelays.PeerRelays;
+  readonly #reachability: reachabilities.Reachability;
   readonly #relayServer: relayServers.RelayServer;
   readonly #servers: http.Server[] = [];
   readonly #loopWatch = new loopWatches.LoopWatch(undefined, (lateMs) => this.#onHeartbeat(lateMs));
@@ -120,35 +118,30 @@
       promptsPerMs: (now) => this.#context.demand.promptsPerMs(now) * this.#peers.senders.length,
     });
     const isLoopLagging = (): boolean => this.#loopWatch.lateMs >= LOOP_LATE_MS;
-    this.#relays = new peerRelays.PeerRelays({
-      vm: settings.vm,
-      dataCentre: settings.dataCentre,
-      livePeers: () => this.#peers.peerTable.live(performance.now()),
-      addressOf: (vm) => this.#peers.addressOf(vm),
-      draw: () => random.next(),
-      isLoopLagging,
-    });
-    this.#monitor = new pathMonitors.PathMonitor({
+    this.#reachability = new reachabilities.Reachability({
+      settings,
       log: this.#log,
       directory: this.#view.directory,
-      askPeer: (endpointId) => this.#askPeer(endpointId),
+      peers: () => this.#peers,
+      random,
+      isLoopLagging,
       onReturned: (endpointId, lostSince) => client.dropStale(endpointId, lostSince),
       onReachedByPeer: (endpointId) => this.#context.health.forgive(endpointId),
-      onLinkChange: () => this.#peers.sendHeartbeatsNow(),
-      draw: () => random.next(),
-    });
-    const client = new endpointClients.EndpointClient((name) => this.#metrics.count(name), isLoopLagging, limits, {
-      monitor: this.#monitor,
-      relays: this.#relays,
-      log: this.#log,
     });
+    const { monitor } = this.#reachability;
+    const client = new endpointClients.EndpointClient(
+      (name) => this.#metrics.count(name),
+      isLoopLagging,
+      limits,
+      this.#reachability,
+    );
     this.#protection = new crashProtections.CrashProtection({
       store: dependencies.store,
       prefix: dependencies.layout.suspectPrefix,
       log: this.#log,
       client,
       directory: this.#view.directory,
-      probe: (endpoint) => this.#monitor.probe(endpoint),
+      probe: (endpoint) => monitor.probe(endpoint),
       onCrashed: () => this.#metrics.count("endpoints_ended"),
       onEscalated: () => this.#peers.sendHeartbeatsNow(),
     });
@@ -212,7 +205,7 @@
       log: this.#log,
       view: this.#view,
       client,
-      monitor: this.#monitor,
+      monitor,
       format: dependencies.format,
       isStopping: () => this.#stopping,
       liveDaemons: () => this.#view.daemonsUpperBound,
@@ -229,13 +222,13 @@
       limits,
       log: this.#log,
       ready: () => this.ready,
-      isCutOff: () => this.#monitor.isCutOff,
-      isLinkLost: () => this.#monitor.isLinkLost,
+      isCutOff: () => this.#reachability.monitor.isCutOff,
+      isLinkLost: () => this.#reachability.monitor.isLinkLost,
       pathCalls: {
         onProbe: (endpointId) => this.#relayServer.probe(endpointId),
         onRelay: (incoming, response) => void this.#relayServer.handle(incoming, response),
       },
-      onNeighbourCutOff: () => this.#monitor.checkSelf(),
+      onNeighbourCutOff: () => this.#reachability.monitor.checkOwnLink(),
       storeSilentMs: () => this.#follower.silentMs,
       followsClosely: () => this.#storeReadingMode.followsClosely(performance.now()),
       busyCores: () => this.#utilization.share * settings.capacity,
@@ -251,7 +244,7 @@
       view: this.#view,
       peers: this.#peers,
       ready: () => this.ready,
-      isCutOff: () => this.#monitor.isCutOff,
+      isCutOff: () => this.#reachability.monitor.isCutOff,
     });
     this.#storeReadingMode = new storeReadingModes.StoreReadingMode({
       entry: this.#entry,
@@ -325,7 +318,7 @@
       daemons_heard: this.#peers.peerTable.live(performance.now()).length,
       suspects: this.#context.suspects.table.count(performance.now()),
       takes_callers: Number(this.#peers.activeSet.active),
-      cut_off: Number(this.#monitor.isCutOff),
+      cut_off: Number(this.#reachability.monitor.isCutOff),
       requests_relayed_open: this.#relayServer.open,
       endpoints_limited: this.#context.limits.table.limits().length,
       busy_cores: this.#utilization.share * this.#settings.capacity,
@@ -364,7 +357,7 @@
     this.#listener.close();
     this.#follower.stop();
     this.#protection.stop();
-    this.#monitor.stop();
+    this.#reachability.monitor.stop();
     this.#peers.stop();
     this.#loopWatch.stop();
     this.#log.info("stopped", {
@@ -399,21 +392,13 @@
     return peers.some((peer) => peer.followsClosely && peer.storeSilentMs <= peerTables.STORE_SILENT_MS);
   }
 
-  async #askPeer(endpointId: string): Promise<pathMonitors.PeerFinding | undefined> {
-    const peer = this.#relays.choose(endpointId);
-    if (peer === undefined) return undefined;
-    const finding = await this.#peers.probeThrough(peer.vm, endpointId);
-    if (finding?.reached === false) this.#relays.noteUnable(endpointId, peer);
-    return finding;
-  }
-
   #isDutyCandidate(): boolean {
     const { activeSet, peerTable } = this.#peers;
     const own = {
       vm: this.#entry.vm,
       ready: this.ready,
       active: activeSet.active,
-      cutOff: this.#monitor.isCutOff,
+      cutOff: this.#reachability.monitor.isCutOff,
       storeSilentMs: this.#follower.silentMs,
     };
     return dutyCandidates.isDutyCandidate(own, peerTable.live(performance.now()));
--- a/packages/gateway/src/paths/pathMonitor.ts
+++ b/packages/gateway/src/paths/pathMonitor.ts
@@ -10,7 +10,7 @@
 /** Time for a probe's connection to be established, in milliseconds; a healthy endpoint takes a few. */
 const PROBE_TIMEOUT_MS = 350;
 
-/** Time for which all endpoints of a service that owe data are silent before two of them are probed, in milliseconds. */
+/** Time for which all endpoints of a service with requests in flight are silent before two of them are probed, in milliseconds. */
 const SUSPICIOUS_SILENCE_MS = 300;
 
 /** Number of silent endpoints of a service that are needed for, and get, a probe. */
@@ -26,7 +26,7 @@
 const PASSED_ON_LATELY_MS = 3_000;
 
 /** Minimum time between two checks of a daemon that has sent nothing, in milliseconds. */
-const SELF_CHECK_INTERVAL_MS = 3_000;
+const OWN_LINK_CHECK_INTERVAL_MS = 3_000;
 
 /** What a peer knows of an endpoint that this daemon can't connect to. */
 export interface PeerFinding {
@@ -63,7 +63,7 @@
 export class PathMonitor {
   readonly paths = new serving.EndpointPaths();
   readonly #parts: PathMonitorParts;
-  /** Endpoints that owe data and are silent, with the instant of the last observation, in milliseconds. */
+  /** Silent endpoints with requests in flight, and the instant of the last observation, in milliseconds. */
   readonly #silent = new Map<string, { readonly target: serving.PathTarget; readonly at: number }>();
   readonly #probes = new Map<string, Promise<ProbeResult>>();
   readonly #brokenProbeAt = new Map<string, number>();
@@ -73,7 +73,7 @@
   #linkLostFrom: readonly string[] = [];
   #cutOffSince = 0;
   #silenceRoundAt = Number.NEGATIVE_INFINITY;
-  #selfCheckedAt = Number.NEGATIVE_INFINITY;
+  #ownLinkCheckedAt = Number.NEGATIVE_INFINITY;
 
   /** @param parts - dependencies */
   constructor(parts: PathMonitorParts) {
@@ -144,7 +144,7 @@
   }
 
   /**
-   * Takes note of an endpoint that has sent nothing for a while although it owes an answer. With several of a service silent and
+   * Takes note of an endpoint that has sent nothing for a while despite a request in flight. With several of a service silent and
    * no data from any, this daemon's own link may have failed; connecting to two of them tells.
    *
    * @param endpoint - the endpoint
@@ -193,12 +193,12 @@
    * Checks whether this daemon reaches endpoints if it has sent nothing lately. A standby daemon would otherwise
    * replace an active one that is cut off, and be cut off with it.
    */
-  checkSelf(): void {
+  checkOwnLink(): void {
     const now = performance.now();
-    if (this.isLinkLost || now - this.#selfCheckedAt < SELF_CHECK_INTERVAL_MS) return;
-    this.#selfCheckedAt = now;
+    if (this.isLinkLost || now - this.#ownLinkCheckedAt < OWN_LINK_CHECK_INTERVAL_MS) return;
+    this.#ownLinkCheckedAt = now;
     for (const service of this.#parts.directory.services()) {
-      if (now - this.paths.receivedFromServiceAt(service) < SELF_CHECK_INTERVAL_MS) continue;
+      if (now - this.paths.receivedFromServiceAt(service) < OWN_LINK_CHECK_INTERVAL_MS) continue;
       const endpoints = this.#parts.directory.availableEndpoints(service);
       const offset = Math.floor(this.#parts.draw() * endpoints.length);
       const chosen = [...endpoints.slice(offset), ...endpoints.slice(0, offset)].slice(0, SILENT_ENDPOINTS);
--- a/packages/gateway/src/silenceWatch.ts
+++ b/packages/gateway/src/silenceWatch.ts
@@ -6,7 +6,7 @@
 /** Interval at which a send is checked for silence, in milliseconds. */
 const CHECK_INTERVAL_MS = 100;
 
-/** Silence of an endpoint that owes an answer after which its path is looked at, in milliseconds. */
+/** Silence of an endpoint after which its path may be probed, in milliseconds. */
 const SUSPICIOUS_SILENCE_MS = 300;
 
 /**
