Don't take a message that a peer has refused for a send

Found by reading the diff: after a peer had refused to pass a request on, the send still counted as dispatched because the message to the peer was. With no other way left, the request counted as begun to run (its organisation's usage) and as a broken send, and its endpoint as possibly crashed. The attempt is forgotten now. Test: the line of such a send names no time at which it left (failed before, hanging and reset).

--- a/packages/gateway/src/paths/routedSend.ts
+++ b/packages/gateway/src/paths/routedSend.ts
@@ -200,6 +200,7 @@
       return;
     }
     const peer = this.#relay?.peer;
+    this.#attempt = undefined;
     this.#endRelay(failure);
     if (peer !== undefined && failure === relayMessages.RelayResult.Unreachable) {
       relays.noteUnable(endpoint.id, peer);
