List the headers of endpoints' answers, and log those that nobody reads

Each header that the platform's pages give to answers now stands in one list with its use or the reason for having none, a test compares the list with what is decoded, and the first answer with any other header gives a line and a counter. Answers to all sends are seen, also late ones that belong to an earlier request.

--- a/packages/gateway/src/endpointClient.ts
+++ b/packages/gateway/src/endpointClient.ts
@@ -209,19 +209,19 @@
   }
 }
 
-/** Reports the heads of the answers that its receiver accepts. */
+/** Reports the heads of the answers to its receiver. */
 class ObservedReceiver implements sendings.AnswerReceiver {
   readonly #receiver: sendings.AnswerReceiver;
-  readonly #observe: (status: number, headers: sendings.AnswerHeaders) => void;
+  readonly #observe: sendings.AnswerObserver;
 
-  constructor(receiver: sendings.AnswerReceiver, observe: (status: number, headers: sendings.AnswerHeaders) => void) {
+  constructor(receiver: sendings.AnswerReceiver, observe: sendings.AnswerObserver) {
     this.#receiver = receiver;
     this.#observe = observe;
   }
 
   onHead(status: number, headers: sendings.AnswerHeaders): boolean {
     const isForRequest = this.#receiver.onHead(status, headers);
-    if (isForRequest) this.#observe(status, headers);
+    this.#observe(status, headers, isForRequest);
     return isForRequest;
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -27,6 +27,7 @@
 import * as registrations from "./registration.js";
 import type * as settingsModule from "./settings.js";
 import * as sideServers from "./sideServers.js";
+import * as endpointStatements from "./statements/endpointStatements.js";
 import * as storeReadingModes from "./storeReadingMode.js";
 import * as storeFollowers from "./storeFollower.js";
 import * as crashProtections from "./suspects/crashProtection.js";
@@ -109,7 +110,6 @@
     const limits = new endpointLimits.EndpointLimits({
       log: this.#log,
       metrics: this.#metrics,
-      format: dependencies.format,
       unixMs: () => clock.unixMs(),
       directory: this.#view.directory,
       vm: settings.vm,
@@ -117,6 +117,12 @@
       // Callers are spread evenly over the daemons that serve them.
       promptsPerMs: (now) => this.#context.demand.promptsPerMs(now) * this.#peers.senders.length,
     });
+    const statements = new endpointStatements.EndpointStatements({
+      log: this.#log,
+      metrics: this.#metrics,
+      format: dependencies.format,
+      limits,
+    });
     const isLoopLagging = (): boolean => this.#loopWatch.lateMs >= LOOP_LATE_MS;
     this.#reachability = new reachabilities.Reachability({
       settings,
@@ -132,7 +138,7 @@
     const client = new endpointClients.EndpointClient(
       (name) => this.#metrics.count(name),
       isLoopLagging,
-      limits,
+      statements,
       this.#reachability,
     );
     this.#protection = new crashProtections.CrashProtection({
--- a/packages/gateway/src/limits/endpointLimits.ts
+++ b/packages/gateway/src/limits/endpointLimits.ts
@@ -2,7 +2,6 @@
 import type * as decisionLogs from "../decisionLog.js";
 import type * as metricsModule from "../metrics.js";
 import type * as ports from "../ports.js";
-import type * as sendings from "../sending.js";
 import * as waitingRequests from "./waitingRequests.js";
 
 const FIRST_UNSUCCESSFUL_STATUS = 300;
@@ -12,7 +11,6 @@
 export interface EndpointLimitsParts {
   readonly log: decisionLogs.DecisionLog;
   readonly metrics: metricsModule.Metrics;
-  readonly format: Pick<ports.MessageFormat, "readAnswer">;
   /** @returns true time in Unix milliseconds */
   readonly unixMs: () => number;
   readonly directory: serving.EndpointDirectory;
@@ -25,7 +23,7 @@
 }
 
 /** The request limits that endpoints state in their answers, and this daemon's part of them. */
-export class EndpointLimits implements sendings.TrafficObserver {
+export class EndpointLimits {
   readonly table = new serving.LimitTable();
   readonly enforcer: serving.LimitEnforcer;
   readonly waiting = new waitingRequests.WaitingRequests();
@@ -74,14 +72,15 @@
     };
   }
 
-  /** {@inheritDoc sendings.TrafficObserver.onSend} */
-  onSend(
-    endpoint: serving.Endpoint,
-    request: sendings.OutgoingRequest,
-  ): (status: number, headers: sendings.AnswerHeaders) => void {
+  /**
+   * @param endpoint - where a request is sent now
+   * @param call - kind of the request
+   * @returns called with the answer to the request
+   */
+  onSend(endpoint: serving.Endpoint, call: serving.AnsweredCall): (status: number, head: ports.AnswerHead) => void {
     const versionAtSend = this.table.versionOf(endpoint);
     this.enforcer.noteSent(endpoint, performance.now());
-    return (status, headers) => this.#onAnswer(endpoint, request.call, versionAtSend, status, headers);
+    return (status, head) => this.#onAnswer(endpoint, call, versionAtSend, status, head);
   }
 
   #onAnswer(
@@ -89,10 +88,9 @@
     call: serving.AnsweredCall,
     versionAtSend: number,
     status: number,
-    headers: sendings.AnswerHeaders,
+    head: ports.AnswerHead,
   ): void {
-    const { format, log, metrics, unixMs } = this.#parts;
-    const head = format.readAnswer(status, headers);
+    const { log, metrics, unixMs } = this.#parts;
     // Another endpoint answers at this address.
     if (head.misdirected) return;
     if (head.limit.statement === serving.LimitStatement.Unreadable) {
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -33,14 +33,20 @@
   onBroken(outcome: serving.SendOutcome, detail: string): void;
 }
 
+/**
+ * Called with status and headers of an answer, and whether it belongs to the request: a late answer to an earlier request
+ * may come in its place.
+ */
+export type AnswerObserver = (status: number, headers: AnswerHeaders, isForRequest: boolean) => void;
+
 /** Observes all requests to endpoints and their answers, whichever part of the gateway sends them. */
 export interface TrafficObserver {
   /**
    * @param endpoint - where a request is sent now
    * @param request - the request
-   * @returns called with status and headers of its answer, unless that belongs to another request
+   * @returns called with the answer
    */
-  onSend(endpoint: serving.Endpoint, request: OutgoingRequest): (status: number, headers: AnswerHeaders) => void;
+  onSend(endpoint: serving.Endpoint, request: OutgoingRequest): AnswerObserver;
 }
 
 /** A request that is being sent to an endpoint, or waits for its answer. */
--- a/packages/gateway/tests/helpers/exchangeHarness.ts
+++ b/packages/gateway/tests/helpers/exchangeHarness.ts
@@ -102,6 +102,7 @@
     misdirected: false,
     endpointId: undefined,
     limit: { statement: serving.LimitStatement.None },
+    unlistedHeaders: [],
   }),
   readHandle: (body) => neverthrow.ok({ handle: Buffer.from(body).toString() }),
   freeHandleCall: (handle) => ({ method: "DELETE", path: `/free/${handle}` }),
@@ -172,7 +173,7 @@
   readonly #client = new RecordingClient(
     () => undefined,
     () => false,
-    this.#limits,
+    { onSend: () => () => undefined },
     paths.createPaths(),
   );
   readonly #context: contexts.ServingContext;
--- a/packages/gateway/tests/helpers/limits.ts
+++ b/packages/gateway/tests/helpers/limits.ts
@@ -2,19 +2,6 @@
 import * as decisionLogs from "../../src/decisionLog.js";
 import * as endpointLimits from "../../src/limits/endpointLimits.js";
 import * as metricsModule from "../../src/metrics.js";
-import type * as ports from "../../src/ports.js";
-
-/** Answers of endpoints that state no limit. */
-const WITHOUT_LIMIT: Pick<ports.MessageFormat, "readAnswer"> = {
-  readAnswer: () => ({
-    requestId: undefined,
-    sealed: true,
-    notRun: false,
-    misdirected: false,
-    endpointId: undefined,
-    limit: { statement: serving.LimitStatement.None },
-  }),
-};
 
 /**
  * @param vm - VM of the daemon
@@ -25,7 +12,6 @@
   return new endpointLimits.EndpointLimits({
     log: new decisionLogs.DecisionLog(vm, "info", { writableLength: 0, write: () => true }),
     metrics: new metricsModule.Metrics(),
-    format: WITHOUT_LIMIT,
     unixMs: () => Date.now(),
     directory: new serving.EndpointDirectory(),
     vm,
