Send nothing more to an endpoint whose answer says that it leaves

Cause: the header was read by nothing, and the entry in the service said ready until it answered again.

Any answer tells now, whatever part of the gateway it is for: also a prefill's, a refusal, a late one that belongs to an earlier request, and one that a daemon gets for a peer. The directory keeps the statement by incarnation, and only a new incarnation ends it: the entry is written again as ready when the service returns, before the leaving is accepted. All sends pass one guard, asked again when a connection that was opened for the request is ready; what it withholds goes elsewhere as not sent, through no peer. Peers learn by the departures in heartbeats, with the incarnation.

--- a/packages/gateway/src/endpointClient.ts
+++ b/packages/gateway/src/endpointClient.ts
@@ -6,6 +6,7 @@
 import type * as peerRelays from "./paths/peerRelays.js";
 import * as routedSends from "./paths/routedSend.js";
 import type * as sendings from "./sending.js";
+import * as withheldSends from "./withheldSend.js";
 
 /** Share of an endpoint's connections that all daemons together use; the rest is left for health checks and restarts. */
 const USED_CONNECTIONS_SHARE = 0.8;
@@ -22,7 +23,7 @@
   readonly #pools = new Map<string, connectionPools.EndpointConnectionPool>();
   readonly #count: (name: string) => void;
   readonly #isLoopLagging: () => boolean;
-  readonly #observer: sendings.TrafficObserver;
+  readonly #guard: sendings.TrafficGuard;
   readonly #paths: PathParts;
   /** Requests under way through peers, by endpoint. */
   readonly #relayed = new Map<string, number>();
@@ -32,18 +33,18 @@
   /**
    * @param count - counts an event by its name
    * @param isLoopLagging - whether the event loop lags, so that the socket events it processes may be old
-   * @param observer - observes what is sent, and the answers
+   * @param guard - guards what is sent, and observes the answers
    * @param paths - the paths to endpoints
    */
   constructor(
     count: (name: string) => void,
     isLoopLagging: () => boolean,
-    observer: sendings.TrafficObserver,
+    guard: sendings.TrafficGuard,
     paths: PathParts,
   ) {
     this.#count = count;
     this.#isLoopLagging = isLoopLagging;
-    this.#observer = observer;
+    this.#guard = guard;
     this.#paths = paths;
   }
 
@@ -72,6 +73,15 @@
     return busy < limit;
   }
 
+  /**
+   * @param endpoint - an endpoint
+   * @param call - kind of a request
+   * @returns whether it may get such a request now, by what it has said of itself
+   */
+  mayReceive(endpoint: serving.Endpoint, call: serving.AnsweredCall): boolean {
+    return this.#guard.mayReceive(endpoint, call);
+  }
+
   /**
    * @param endpointId - the endpoint
    * @returns whether an idle connection to it is open
@@ -114,13 +124,15 @@
     receiver: sendings.AnswerReceiver,
   ): sendings.InFlightRequest {
     const { id } = endpoint;
+    if (!this.#guard.mayReceive(endpoint, request.call)) return new withheldSends.WithheldSend(receiver);
     return new routedSends.RoutedSend({
       ...this.#paths,
       endpoint,
       request,
-      receiver: new ObservedReceiver(receiver, this.#observer.onSend(endpoint, request)),
+      receiver: new ObservedReceiver(receiver, this.#guard.onSend(endpoint, request)),
       pool: this.#poolOf(endpoint),
       isLoopLagging: this.#isLoopLagging,
+      mayDispatch: () => this.#guard.mayReceive(endpoint, request.call),
       onBroken: (wasDispatched) => this.#noteBroken(endpoint, wasDispatched),
       onRelayed: (change) => this.#relayed.set(id, (this.#relayed.get(id) ?? 0) + change),
       onRelayedData: () => this.#relayedDataAt.set(id, performance.now()),
@@ -140,10 +152,12 @@
     request: sendings.OutgoingRequest,
     receiver: sendings.AnswerReceiver,
   ): Omit<sendings.InFlightRequest, "isPathLost"> {
+    if (!this.#guard.mayReceive(endpoint, request.call)) return new withheldSends.WithheldSend(receiver);
     return new endpointSends.EndpointSend({
       pool: this.#poolOf(endpoint),
       request,
-      receiver,
+      mayDispatch: () => this.#guard.mayReceive(endpoint, request.call),
+      receiver: new ObservedReceiver(receiver, this.#guard.onSendForPeer(endpoint)),
       isLoopLagging: this.#isLoopLagging,
       onBroken: (wasDispatched) => this.#noteBroken(endpoint, wasDispatched),
     });
--- a/packages/gateway/src/endpointSend.ts
+++ b/packages/gateway/src/endpointSend.ts
@@ -11,6 +11,8 @@
   readonly receiver: sendings.AnswerReceiver;
   /** Whether the event loop lags, so that the socket events it processes may be old. */
   readonly isLoopLagging: () => boolean;
+  /** Whether the endpoint still takes the request; asked again once the connection is ready. */
+  readonly mayDispatch: () => boolean;
   /** Called when its connection breaks, with whether the request had been sent, or can't be established. */
   readonly onBroken: (wasDispatched: boolean) => void;
 }
@@ -25,6 +27,7 @@
   #deferredDispatch: pendingReads.DeferredStep | undefined;
   #controller: undici.Dispatcher.DispatchController | undefined;
   #dispatchedAt: number | undefined;
+  #isWithheld = false;
   #over = false;
 
   /**
@@ -103,6 +106,11 @@
   #onStart(controller: undici.Dispatcher.DispatchController): void {
     this.#controller = controller;
     const now = performance.now();
+    if (!this.#parts.mayDispatch()) {
+      this.#isWithheld = true;
+      controller.abort(new Error("the endpoint takes nothing now"));
+      return;
+    }
     // After a pause of the process, the connection may become ready only after the deadline: the endpoint would run the
     // request for a caller that no longer waits.
     if (now < (this.#parts.request.sendBefore ?? Infinity)) this.#dispatchedAt = now;
@@ -135,7 +143,12 @@
 
   #onError(error: Error): void {
     if (!this.#over) this.#parts.onBroken(this.wasDispatched);
-    this.#break(this.wasDispatched ? serving.SendOutcome.Unknown : serving.SendOutcome.NotSent, error.message);
+    this.#break(this.#outcome, error.message);
+  }
+
+  get #outcome(): serving.SendOutcome {
+    if (this.wasDispatched) return serving.SendOutcome.Unknown;
+    return this.#isWithheld ? serving.SendOutcome.Withheld : serving.SendOutcome.NotSent;
   }
 
   #noteReceived(): void {
--- a/packages/gateway/src/fleetViewUpdater.ts
+++ b/packages/gateway/src/fleetViewUpdater.ts
@@ -9,7 +9,7 @@
 export enum Source {
   Store = "store",
   Peer = "peer",
-  /** The endpoint itself, by the way it declined a request. */
+  /** The endpoint itself, by what it answered to a request. */
   Endpoint = "endpoint",
 }
 
@@ -21,6 +21,8 @@
   readonly bornAt: number | undefined;
   /** Whether the key holds an unusable entry by another writer. */
   readonly setAside: boolean;
+  /** Whether the endpoint itself said in an answer that it leaves. */
+  readonly isStated: boolean;
 }
 
 /** Dependencies of {@link FleetViewUpdater}. */
@@ -95,7 +97,7 @@
     // Shortly after an outage of the service, a removal may be an entry that lapsed during the outage; the next listing
     // shows which.
     if (view.directory.isReregistrationGraceActive(performance.now())) return;
-    const departure = { revision: event.revision, bornAt: undefined, setAside: false };
+    const departure = { revision: event.revision, bornAt: undefined, setAside: false, isStated: false };
     this.applyDeparture(event.key.slice(layout.endpointPrefix.length), departure, Source.Store);
   }
 
@@ -148,7 +150,12 @@
    */
   applyDeparture(id: string, departure: Departure, source: Source): void {
     const { directory, endpointDocuments } = this.#parts.view;
-    const { revision, bornAt, setAside } = departure;
+    const { revision, bornAt, isStated, setAside } = departure;
+    if (isStated) {
+      const marked = directory.markReportedLeaving(id, bornAt);
+      if (marked !== undefined) this.#report(marked, source);
+      return;
+    }
     const update = setAside ? directory.setAside(id, revision) : directory.remove(id, revision, bornAt);
     if (directory.isSetAside(id)) endpointDocuments.delete(id);
     if (update !== undefined) this.#report(update, source, setAside ? "reported by another daemon" : undefined);
@@ -169,6 +176,16 @@
     if (update !== undefined) this.#report(update, Source.Endpoint);
   }
 
+  /**
+   * Handles an endpoint's statement in an answer that it leaves.
+   *
+   * @param endpoint - the endpoint as it was known when the request was sent
+   */
+  applyLeaving(endpoint: serving.Endpoint): void {
+    const update = this.#parts.view.directory.markLeaving(endpoint);
+    if (update !== undefined) this.#report(update, Source.Endpoint);
+  }
+
   /**
    * Adds a daemon that sent a heartbeat or was reported by a peer but is not known from the key-value service. A daemon
    * that starts while the service is unreachable receives heartbeats; without knowing the senders it could answer none
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -122,6 +122,8 @@
       metrics: this.#metrics,
       format: dependencies.format,
       limits,
+      directory: this.#view.directory,
+      onLeaving: (endpoint) => fleetViewUpdater.applyLeaving(endpoint),
     });
     const isLoopLagging = (): boolean => this.#loopWatch.lateMs >= LOOP_LATE_MS;
     this.#reachability = new reachabilities.Reachability({
@@ -448,8 +450,8 @@
     // An entry that cannot be used is not sent to peers: it may be long, and peers with an older format would only log
     // it.
     const setAside = update.change === serving.EndpointChange.SetAside;
-    const { revision, leavingBornAt: bornAt } = update;
-    if (DEPARTURES.has(update.change)) this.#peers.noteDeparture(update.id, { revision, bornAt, setAside });
+    const { revision, leavingBornAt: bornAt, isStatedLeaving: isStated = false } = update;
+    if (DEPARTURES.has(update.change)) this.#peers.noteDeparture(update.id, { revision, bornAt, setAside, isStated });
     else this.#peers.noteEntry(update.id);
     if (update.endpoint !== undefined) this.#context.suspects.noteListed(update.endpoint);
     if (update.change === serving.EndpointChange.Gone) {
--- a/packages/gateway/src/paths/relayServer.ts
+++ b/packages/gateway/src/paths/relayServer.ts
@@ -18,6 +18,14 @@
 /** Largest body that is read while no configuration is known, in bytes. */
 const DEFAULT_BODY_BYTES = 4_194_304;
 
+/** What the other daemon is told of a send that gave no answer. */
+const FAILURES: Readonly<Record<serving.SendOutcome, relayMessages.RelayResult>> = {
+  [serving.SendOutcome.NotSent]: relayMessages.RelayResult.Unreachable,
+  [serving.SendOutcome.Withheld]: relayMessages.RelayResult.Refused,
+  [serving.SendOutcome.Declined]: relayMessages.RelayResult.AnswerLost,
+  [serving.SendOutcome.Unknown]: relayMessages.RelayResult.AnswerLost,
+};
+
 const BAD_REQUEST = 400;
 const BAD_GATEWAY = 502;
 const REFUSED_CODE = "ECONNREFUSED";
@@ -128,6 +136,8 @@
     if (isStopping() || endpoint === undefined || endpointIncarnations.isOtherIncarnation(view, endpoint.id, bornAt))
       return neverthrow.err(relayMessages.RelayResult.Refused);
     const maxConnections = view.table?.service(endpoint.service)?.maxConnections ?? Number.MAX_SAFE_INTEGER;
+    if (!client.mayReceive(endpoint, serving.AnsweredCall.Run))
+      return neverthrow.err(relayMessages.RelayResult.Refused);
     if (!client.hasRoom(endpoint.id, maxConnections, liveDaemons()))
       return neverthrow.err(relayMessages.RelayResult.Refused);
     const path = monitor.paths.pathTo(endpoint, client.hasLiveConnection(endpoint.id), performance.now());
@@ -186,8 +196,7 @@
       },
       onEnd: () => response.end(),
       onBroken: (outcome) => {
-        const isSent = outcome !== serving.SendOutcome.NotSent;
-        const failure = isSent ? relayMessages.RelayResult.AnswerLost : relayMessages.RelayResult.Unreachable;
+        const failure = FAILURES[outcome];
         // An answer that has begun must not look complete to the other daemon.
         if (response.headersSent) response.destroy();
         else this.#fail(message, response, failure);
--- a/packages/gateway/src/paths/routedSend.ts
+++ b/packages/gateway/src/paths/routedSend.ts
@@ -27,6 +27,8 @@
   readonly relays: peerRelays.PeerRelays;
   readonly log: decisionLogs.DecisionLog;
   readonly isLoopLagging: () => boolean;
+  /** Whether the endpoint still takes the request. */
+  readonly mayDispatch: () => boolean;
   /** Called when a connection to the endpoint breaks, with whether the request had been sent. */
   readonly onBroken: (wasDispatched: boolean) => void;
   /** Called when the request begins and ceases to use a peer, with 1 and -1. */
@@ -109,11 +111,12 @@
 
   #sendDirect(): void {
     this.#hasTriedDirect = true;
-    const { isLoopLagging, onBroken, pool, receiver, request } = this.#parts;
+    const { isLoopLagging, mayDispatch, onBroken, pool, receiver, request } = this.#parts;
     this.#attempt = new endpointSends.EndpointSend({
       pool,
       request,
       isLoopLagging,
+      mayDispatch,
       onBroken,
       receiver: {
         onHead: (status, headers) => receiver.onHead(status, headers),
@@ -149,6 +152,7 @@
       pool: relay.pool,
       request: this.#relayedRequest(),
       isLoopLagging: this.#parts.isLoopLagging,
+      mayDispatch: this.#parts.mayDispatch,
       onBroken: () => undefined,
       receiver: this.#relayReceiver(),
     });
--- a/packages/gateway/src/peers/peerReceiver.ts
+++ b/packages/gateway/src/peers/peerReceiver.ts
@@ -130,11 +130,12 @@
   }
 
   #applyDepartures(departures: readonly messages.Departure[]): void {
-    for (const { endpoint, revision, startedAtMs, setAside } of departures) {
+    for (const { endpoint, revision, startedAtMs, setAside, stated } of departures) {
       this.#parts.onDeparture(endpoint, {
         revision: Number(revision),
         bornAt: endpointIncarnations.fromMessage(startedAtMs),
         setAside,
+        isStated: stated,
       });
     }
   }
--- a/packages/gateway/src/peers/recentChanges.ts
+++ b/packages/gateway/src/peers/recentChanges.ts
@@ -106,12 +106,13 @@
 }
 
 function toMessages(departures: readonly (readonly [string, RecentDeparture])[]): messages.Departure[] {
-  return departures.map(([endpoint, { revision, bornAt, setAside }]) =>
+  return departures.map(([endpoint, { revision, bornAt, isStated, setAside }]) =>
     protobuf.create(messages.DepartureSchema, {
       endpoint,
       revision: BigInt(revision),
       startedAtMs: endpointIncarnations.toMessage(bornAt),
       setAside,
+      stated: isStated,
     }),
   );
 }
--- a/packages/gateway/src/prefillReceiver.ts
+++ b/packages/gateway/src/prefillReceiver.ts
@@ -58,7 +58,7 @@
   onBroken(outcome: serving.SendOutcome, detail: string): void {
     const { active, results } = this.#send;
     if (!results.end(active)) return;
-    const prefillOutcome = outcome === serving.SendOutcome.NotSent ? outcome : serving.SendOutcome.Declined;
+    const prefillOutcome = serving.isUnsent(outcome) ? outcome : serving.SendOutcome.Declined;
     results.broken(active, prefillOutcome, detail);
   }
 }
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -133,7 +133,8 @@
   failed(active: activeSends.ActiveSend, outcome: serving.SendOutcome, detail: string): void {
     const { context, end, feedback, handover, served } = this.#parts;
     const declined = outcome === serving.SendOutcome.Declined;
-    feedback.recordResult(active, declined ? serving.SendResult.Declined : serving.SendResult.Failed);
+    if (outcome !== serving.SendOutcome.Withheld)
+      feedback.recordResult(active, declined ? serving.SendResult.Declined : serving.SendResult.Failed);
     this.#countFailed(active, outcome);
     if (outcome === serving.SendOutcome.Unknown) served.noteMayHaveRun();
     if (declined && active.stage === sendChoosers.Stage.Answering) handover.free();
@@ -304,8 +305,8 @@
   /** A send counts unless nothing of it was sent. A prefill counts only when it fails, not when the engine accepts it. */
   #countFailed(active: activeSends.ActiveSend, outcome: serving.SendOutcome): void {
     const { served } = this.#parts;
-    if (active.stage === sendChoosers.Stage.Answering && outcome === serving.SendOutcome.NotSent) served.uncountSend();
-    if (active.stage === sendChoosers.Stage.Prefill && outcome !== serving.SendOutcome.NotSent) served.countSend();
+    if (active.stage === sendChoosers.Stage.Answering && serving.isUnsent(outcome)) served.uncountSend();
+    if (active.stage === sendChoosers.Stage.Prefill && !serving.isUnsent(outcome)) served.countSend();
   }
 }
 
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -39,14 +39,25 @@
  */
 export type AnswerObserver = (status: number, headers: AnswerHeaders, isForRequest: boolean) => void;
 
-/** Observes all requests to endpoints and their answers, whichever part of the gateway sends them. */
-export interface TrafficObserver {
+/** Guards all requests to endpoints and observes their answers, whichever part of the gateway sends them. */
+export interface TrafficGuard {
+  /**
+   * @param endpoint - where a request is to be sent
+   * @param call - kind of the request
+   * @returns whether the endpoint may get it now, by what it has said of itself
+   */
+  mayReceive(endpoint: serving.Endpoint, call: serving.AnsweredCall): boolean;
   /**
    * @param endpoint - where a request is sent now
    * @param request - the request
    * @returns called with the answer
    */
   onSend(endpoint: serving.Endpoint, request: OutgoingRequest): AnswerObserver;
+  /**
+   * @param endpoint - where a request of a peer is sent now, which the peer counts towards limits
+   * @returns called with the answer
+   */
+  onSendForPeer(endpoint: serving.Endpoint): AnswerObserver;
 }
 
 /** A request that is being sent to an endpoint, or waits for its answer. */
--- a/packages/gateway/tests/fleetViewUpdater.test.ts
+++ b/packages/gateway/tests/fleetViewUpdater.test.ts
@@ -46,7 +46,11 @@
   const { updater, view } = createUpdater();
   updater.applyEndpoint("e1", ENTRY, 3, fleetViewUpdaters.Source.Peer);
   assert.ok(view.endpointDocuments.has("e1"));
-  updater.applyDeparture("e1", { revision: 5, bornAt: undefined, setAside: false }, fleetViewUpdaters.Source.Peer);
+  updater.applyDeparture(
+    "e1",
+    { revision: 5, bornAt: undefined, setAside: false, isStated: false },
+    fleetViewUpdaters.Source.Peer,
+  );
   updater.applyEndpoint("e1", ENTRY, 3, fleetViewUpdaters.Source.Peer);
   assert.not.ok(view.endpointDocuments.has("e1"));
   updater.applyEndpoint("e1", ENTRY, 6, fleetViewUpdaters.Source.Peer);
@@ -57,7 +61,11 @@
 suite("an entry in a listing older than the departure is not kept", () => {
   const { updater, view } = createUpdater();
   updater.applyEndpoint("e1", ENTRY, 3, fleetViewUpdaters.Source.Peer);
-  updater.applyDeparture("e1", { revision: 5, bornAt: undefined, setAside: false }, fleetViewUpdaters.Source.Peer);
+  updater.applyDeparture(
+    "e1",
+    { revision: 5, bornAt: undefined, setAside: false, isStated: false },
+    fleetViewUpdaters.Source.Peer,
+  );
   const item = { key: `${PREFIX}e1`, value: ENTRY, revision: 3, createdRevision: 3 };
   updater.applyListing({ items: [item], revision: 4 });
   assert.not.ok(view.endpointDocuments.has("e1"));
--- a/packages/gateway/tests/helpers/exchangeHarness.ts
+++ b/packages/gateway/tests/helpers/exchangeHarness.ts
@@ -102,6 +102,7 @@
     misdirected: false,
     endpointId: undefined,
     limit: { statement: serving.LimitStatement.None },
+    isLeaving: headers.leaving !== undefined,
     unlistedHeaders: [],
   }),
   readHandle: (body) => neverthrow.ok({ handle: Buffer.from(body).toString() }),
@@ -173,7 +174,7 @@
   readonly #client = new RecordingClient(
     () => undefined,
     () => false,
-    { onSend: () => () => undefined },
+    { mayReceive: () => true, onSend: () => () => undefined, onSendForPeer: () => () => undefined },
     paths.createPaths(),
   );
   readonly #context: contexts.ServingContext;
--- a/packages/gateway/tests/peerIncarnations.test.ts
+++ b/packages/gateway/tests/peerIncarnations.test.ts
@@ -130,9 +130,9 @@
   "a departure is sent with the incarnation that is leaving, a removal without, another writer's entry as set aside",
   async () => {
     const departures: [string, fleetViewUpdaters.Departure][] = [
-      ["e1", { revision: 12, bornAt: FIRST, setAside: false }],
-      ["e2", { revision: 13, bornAt: undefined, setAside: false }],
-      ["e3", { revision: 14, bornAt: undefined, setAside: true }],
+      ["e1", { revision: 12, bornAt: FIRST, setAside: false, isStated: false }],
+      ["e2", { revision: 13, bornAt: undefined, setAside: false, isStated: false }],
+      ["e3", { revision: 14, bornAt: undefined, setAside: true, isStated: false }],
     ];
     for (const [id, departure] of departures) fixture.link.noteDeparture(id, departure);
     await until(() => fixture.received.some((pulse) => pulse.departures.length === departures.length));
--- a/packages/gateway/tests/recentChanges.test.ts
+++ b/packages/gateway/tests/recentChanges.test.ts
@@ -12,7 +12,7 @@
 suite("departures take turns, so that a heartbeat stays small and each one is sent soon", () => {
   const changes = new recentChangesModule.RecentChanges(new fleetViews.FleetView());
   for (let index = 0; index < ENDPOINTS; index++)
-    changes.noteDeparture(`e${index}`, { revision: index + 1, bornAt: undefined, setAside: false }, 0);
+    changes.noteDeparture(`e${index}`, { revision: index + 1, bornAt: undefined, setAside: false, isStated: false }, 0);
   const sent = new Set<string>();
   for (let heartbeat = 0; heartbeat < ENDPOINTS / MAX_IN_HEARTBEAT; heartbeat++) {
     const departures = changes.nextDepartures(heartbeat * 100);
--- a/packages/serving/src/endpointDirectory.ts
+++ b/packages/serving/src/endpointDirectory.ts
@@ -55,6 +55,8 @@
   readonly formerBornAt?: number | undefined;
   /** Start of the incarnation that is leaving; undefined if the entry is gone, whichever incarnation wrote it. */
   readonly leavingBornAt?: number | undefined;
+  /** Whether the endpoint itself said in an answer that it leaves, which its entry may not say yet. */
+  readonly isStatedLeaving?: boolean;
 }
 
 /** An endpoint's entry in a listing. */
@@ -77,6 +79,9 @@
  */
 export const REREGISTRATION_GRACE_MS = 2_300;
 
+/** Maximum number of incarnations that are known to leave by their own statement; the oldest is dropped first. */
+const MAX_STATED_LEAVING = 4_096;
+
 /**
  * Endpoints by the newest entry of each, from the key-value service or a peer. An
  * older entry never replaces a newer one, so neither a lagging peer nor a late
@@ -88,6 +93,8 @@
   readonly #incarnations = new endpointIncarnations.EndpointIncarnations();
   /** Endpoints whose newest entry is unusable. */
   readonly #setAside = new Set<string>();
+  /** Endpoints that have said in an answer that they leave, as they were known then. */
+  readonly #statedLeaving = new Map<string, Pick<Endpoint, "bornAt" | "address">>();
   #revision = 0;
   #reregistrationGraceUntil = 0;
 
@@ -173,6 +180,37 @@
     return this.#drop(known, known.revision, endpoint.bornAt);
   }
 
+  /**
+   * Notes that an endpoint has said in an answer that it leaves. Nothing but a new incarnation revokes that: the entry
+   * may be older than the answer, and is often written again as ready when the key-value service has been unreachable.
+   *
+   * @param endpoint - the endpoint as it was known when the request was sent
+   * @returns what changed, if that incarnation is still the known one and was available
+   */
+  markLeaving(endpoint: Endpoint): EndpointUpdate | undefined {
+    const { id, address, bornAt } = endpoint;
+    if (!this.isSameIncarnation(endpoint) || this.isStatedLeaving(endpoint)) return undefined;
+    const wasAvailable = this.isAvailable(id);
+    this.#statedLeaving.set(id, { address, bornAt });
+    const [oldest] = this.#statedLeaving.keys();
+    if (oldest !== undefined && this.#statedLeaving.size > MAX_STATED_LEAVING) this.#statedLeaving.delete(oldest);
+    if (!wasAvailable) return undefined;
+    const revision = this.revisionOf(id);
+    return { change: EndpointChange.Leaving, id, endpoint, revision, leavingBornAt: bornAt, isStatedLeaving: true };
+  }
+
+  /**
+   * Applies what a peer reports of an endpoint's own statement.
+   *
+   * @param id - an endpoint that has said that it leaves
+   * @param bornAt - start of that incarnation, in Unix milliseconds, if it is known
+   * @returns what changed, if that incarnation is the known one and was available
+   */
+  markReportedLeaving(id: string, bornAt: number | undefined): EndpointUpdate | undefined {
+    const endpoint = this.#entries.get(id)?.endpoint;
+    return endpoint === undefined || endpoint.bornAt !== bornAt ? undefined : this.markLeaving(endpoint);
+  }
+
   /**
    * Switches the role of an engine that has declined a request for it: its role has changed, and its entry here is
    * outdated.
@@ -267,7 +305,17 @@
    */
   isAvailable(id: string): boolean {
     const entry = this.#entries.get(id);
-    return entry !== undefined && !entry.endpoint.leaving && !this.#setAside.has(id);
+    if (entry === undefined || entry.endpoint.leaving || this.#setAside.has(id)) return false;
+    return !this.isStatedLeaving(entry.endpoint);
+  }
+
+  /**
+   * @param endpoint - an endpoint as it is known, or was at a send
+   * @returns whether that incarnation has said in an answer that it leaves
+   */
+  isStatedLeaving({ id, address, bornAt }: Endpoint): boolean {
+    const stated = this.#statedLeaving.get(id);
+    return stated?.address === address && stated.bornAt === bornAt;
   }
 
   /** @returns names of all services that have endpoints */
--- a/packages/serving/src/retryDecision.ts
+++ b/packages/serving/src/retryDecision.ts
@@ -4,12 +4,22 @@
 export enum SendOutcome {
   /** Nothing was sent. */
   NotSent = "not-sent",
+  /** Nothing was sent, as the endpoint has said meanwhile that it takes nothing now. */
+  Withheld = "withheld",
   /** The endpoint answered that it did not run the request. */
   Declined = "declined",
   /** The request may have run. */
   Unknown = "unknown",
 }
 
+/**
+ * @param outcome - outcome of a send
+ * @returns whether nothing of it reached the endpoint
+ */
+export function isUnsent(outcome: SendOutcome): boolean {
+  return outcome === SendOutcome.NotSent || outcome === SendOutcome.Withheld;
+}
+
 /** What to do after a send that gave no answer. */
 export enum NextStep {
   SendAgain = "send-again",
--- a/packages/serving/tests/endpointDirectory.test.ts
+++ b/packages/serving/tests/endpointDirectory.test.ts
@@ -69,4 +69,49 @@
   assert.ok(directory.isAvailable("e1"));
 });
 
+// An endpoint says in its answers that it leaves while its entry says ready, in any order with other writes.
+suite("an endpoint that said that it leaves is available only in a new incarnation", () => {
+  const entry = fastCheck.record({
+    revision: fastCheck.integer({ min: 6, max: 30 }),
+    bornAt: fastCheck.constantFrom(1, 2),
+  });
+  const step = fastCheck.oneof(
+    entry.map((written) => ({ written, removed: undefined })),
+    fastCheck.integer({ min: 6, max: 30 }).map((removed) => ({ written: undefined, removed })),
+  );
+  fastCheck.assert(
+    fastCheck.property(fastCheck.array(step, { maxLength: 20 }), (steps) => {
+      const directory = new serving.EndpointDirectory();
+      directory.put(endpoint("e1", { bornAt: 1 }), 5);
+      assert.is(directory.markLeaving(endpoint("e1", { bornAt: 1 }))?.change, serving.EndpointChange.Leaving);
+      for (const { written, removed } of steps) {
+        if (written === undefined) directory.remove("e1", removed);
+        else directory.put(endpoint("e1", { bornAt: written.bornAt }), written.revision);
+        if (directory.isAvailable("e1")) assert.is(directory.bornAtOf("e1"), 2);
+      }
+    }),
+    { seed: 46 },
+  );
+});
+
+suite("what a former incarnation said doesn't count against the next one", () => {
+  const directory = new serving.EndpointDirectory();
+  directory.put(endpoint("e1", { bornAt: 2 }), 5);
+  assert.is(directory.markLeaving(endpoint("e1", { bornAt: 1 })), undefined);
+  assert.is(directory.markReportedLeaving("e1", 1), undefined);
+  assert.ok(directory.isAvailable("e1"));
+  assert.is(directory.markReportedLeaving("e1", 2)?.isStatedLeaving, true);
+  assert.not.ok(directory.isAvailable("e1"));
+});
+
+suite("a statement is kept while the entry has expired, and counts once", () => {
+  const directory = new serving.EndpointDirectory();
+  directory.put(endpoint("e1"), 5);
+  directory.remove("e1", 6);
+  assert.is(directory.markLeaving(endpoint("e1")), undefined);
+  directory.put(endpoint("e1"), 8);
+  assert.not.ok(directory.isAvailable("e1"));
+  assert.is(directory.markLeaving(endpoint("e1")), undefined);
+});
+
 suite.run();
