Keep the rest that an endpoint asks for when it turns a request away

Cause: Retry-After in endpoints' answers was read by nothing. A 503 counted as a score of 0.6, five in a row as unhealthy, and a probe followed 0.7 s later; where no endpoint was healthy, all were chosen.

A rest is a time now and not a score: kept to its end by all parts of the gateway, the latest end counts, bound to the incarnation, an hour at most. After it the endpoint gets one request at a time until it has taken one, from each daemon at another moment. The guard of all sends asks for it, also when a connection is ready and when a peer asks to send in its place, and a request doesn't go through a peer instead. A refusal with a rest doesn't lower the health. Where all that could answer rest, a request waits if it can still be in time, and is rejected at once otherwise, with the time at which the first is back. Capacity and engine counts are left as they are: an engine that rests is full, not smaller.

--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -8,6 +8,7 @@
 import type * as metricsModule from "./metrics.js";
 import type * as ports from "./ports.js";
 import type * as settingsModule from "./settings.js";
+import type * as endpointStatements from "./statements/endpointStatements.js";
 import type * as suspectGates from "./suspects/suspectGate.js";
 
 /** Dependencies that the serving of all requests shares. */
@@ -27,6 +28,8 @@
   readonly acceptance: serving.AcceptanceTracker;
   readonly client: endpointClients.EndpointClient;
   readonly limits: endpointLimits.EndpointLimits;
+  /** What endpoints have said of themselves, and when they may get requests by that. */
+  readonly statements: endpointStatements.EndpointStatements;
   /** Detects endpoints that crashed, and the requests that they were running. */
   readonly crashDetector: crashDetectors.EndpointCrashDetector;
   /** Keeps requests that crash endpoints from being sent to them. */
--- a/packages/gateway/src/endpointFeedback.ts
+++ b/packages/gateway/src/endpointFeedback.ts
@@ -29,6 +29,7 @@
     // A failure of the path says nothing about the endpoint.
     const isPathFailure = result === serving.SendResult.Silent || result === serving.SendResult.Failed;
     if (isPathFailure && active.isPathLost) return;
+    if (result === serving.SendResult.Declined && this.#isResting(active)) return;
     const changed = this.#context.health.recordResult(active.endpoint.id, result, performance.now());
     if (!changed) return;
     const isUnhealthy = this.#context.health.isUnhealthy(active.endpoint.id);
@@ -127,6 +128,11 @@
     });
   }
 
+  /** An endpoint that says when it takes requests again is judged by that. */
+  #isResting({ endpoint }: activeSends.ActiveSend): boolean {
+    return this.#context.statements.rests.isResting(endpoint, performance.now());
+  }
+
   #speeds(): serving.EngineSpeeds {
     return this.#context.speeds.of(this.#served.service);
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -123,6 +123,7 @@
       format: dependencies.format,
       limits,
       directory: this.#view.directory,
+      draw: () => random.next(),
       onLeaving: (endpoint) => fleetViewUpdater.applyLeaving(endpoint),
     });
     const isLoopLagging = (): boolean => this.#loopWatch.lateMs >= LOOP_LATE_MS;
@@ -168,6 +169,7 @@
       acceptance: new serving.AcceptanceTracker(),
       client,
       limits,
+      statements,
       crashDetector,
       suspects,
       budgets: new contexts.RetryBudgets(settings.retryBounds, performance.now()),
@@ -328,6 +330,7 @@
       takes_callers: Number(this.#peers.activeSet.active),
       cut_off: Number(this.#reachability.monitor.isCutOff),
       requests_relayed_open: this.#relayServer.open,
+      endpoints_resting: this.#context.statements.rests.count,
       endpoints_limited: this.#context.limits.table.limits().length,
       busy_cores: this.#utilization.share * this.#settings.capacity,
       heap_bytes: process.memoryUsage().heapUsed,
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -165,6 +165,8 @@
   readonly endpointId: string | undefined;
   /** How many requests the endpoint takes, if it limits them. */
   readonly limit: serving.StatedLimit;
+  /** How long the endpoint wants nothing from this daemon, if it turns the request away. */
+  readonly rest: serving.StatedRest;
   /** The endpoint says that it leaves, and takes no new requests. */
   readonly isLeaving: boolean;
   /** Names of the headers that the format doesn't know. */
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -80,13 +80,33 @@
     else this.#dispatch(choice.value);
   }
 
-  /** Waits for an endpoint whose limit lets the request through in time; otherwise the request is rejected. */
-  #waitOrReject({ reason, retryAfterMs, limited }: sendChoosers.SendRejection): void {
+  /** Waits for an endpoint that will take the request in time by what it has said; otherwise the request is rejected. */
+  #waitOrReject({ reason, retryAfterMs, limited, restMs }: sendChoosers.SendRejection): void {
+    if (restMs !== undefined) this.#waitForRest(restMs);
+    else if (limited !== undefined) this.#waitForLimit(limited);
+    else this.#parts.end.reject(reason, retryAfterMs);
+  }
+
+  #waitForRest(restMs: number): void {
+    const { context, end, served } = this.#parts;
+    const { arrivedAt } = served.caller;
+    const { remainingMs, route } = served;
+    const elapsedMs = performance.now() - arrivedAt;
+    const inputs = { restMs, remainingMs, elapsedMs, route, draw: context.random.next() };
+    const decision = serving.decideRestWait(inputs);
+    context.log.info("rest-wait", {
+      id: served.id,
+      service: served.service,
+      restMs: Math.round(restMs),
+      elapsedMs: Math.round(elapsedMs),
+      returnAfterMs: decision.isErr() ? Math.round(decision.error.retryAfterMs) : undefined,
+    });
+    if (decision.isErr()) end.reject("endpoints-resting", decision.error.retryAfterMs);
+    else context.limits.waiting.add(served.service, this, this.#isResumed);
+  }
+
+  #waitForLimit(limited: serving.LimitedEndpoints): void {
     const { context, end, served } = this.#parts;
-    if (limited === undefined) {
-      end.reject(reason, retryAfterMs);
-      return;
-    }
     const { waiting } = context.limits;
     const elapsedMs = performance.now() - served.caller.arrivedAt;
     const ahead = this.#isResumed ? 0 : waiting.count(served.service);
--- a/packages/gateway/src/sendChooser.ts
+++ b/packages/gateway/src/sendChooser.ts
@@ -27,6 +27,16 @@
   readonly retryAfterMs?: number;
   /** The endpoints that could serve it if their limits let it through, if there are any. */
   readonly limited?: serving.LimitedEndpoints;
+  /** Time until the first endpoint is back if all of them rest, in milliseconds. */
+  readonly restMs?: number;
+}
+
+/** The endpoints that could serve a request but may not get it now, by what they have said of themselves. */
+type HeldEndpoints = Pick<SendRejection, "limited" | "restMs">;
+
+/** The endpoints that may get a request now, and what holds back the others if none of these can answer. */
+interface Candidates extends HeldEndpoints {
+  readonly ready: readonly serving.Endpoint[];
 }
 
 /** Spread of the callers that return to endpoints that are out of reach, in milliseconds. */
@@ -75,12 +85,15 @@
     this.#isNextInQueue = false;
   }
 
-  /** @returns time until the request may be sent in milliseconds, as far as limits decide; 0 if it may be sent now */
+  /** @returns time until the request may be sent in milliseconds, as far as endpoints' statements decide; 0 if it may be now */
   readyInMs(): number {
-    const usable = this.#usable(this.#definition, false).filter(serving.canAnswer);
+    const { health, statements } = this.#context;
     const now = performance.now();
+    const { awake, restMs } = serving.selectAwake(statements.rests, this.#available(this.#definition), now);
+    if (restMs !== undefined) return restMs;
+    const usable = health.selectUsable(awake, false, now).filter(serving.canAnswer);
     if (usable.length === 0) return 0;
-    return Math.min(...usable.map((endpoint) => this.#context.limits.enforcer.waitMs(endpoint, now)));
+    return Math.min(...usable.map((endpoint) => statements.gate.waitMs(endpoint, now)));
   }
 
   get #definition(): serving.Service | undefined {
@@ -98,58 +111,64 @@
     const definition = this.#definition;
     const prompt = this.#served.caller.headers.prompt;
     const now = performance.now();
-    const { ready, limited } = this.#candidates(definition);
+    const { ready, ...held } = this.#candidates(definition);
     const candidates = ready
       .filter((endpoint) => serving.canAnswer(endpoint) && !crashDetector.hasCrashed(endpoint, now))
       .sort((left, right) => loads.runningRequests(left.id, now) - loads.runningRequests(right.id, now));
     const [leastBusy, another] = candidates;
     if (leastBusy === undefined || another === undefined)
-      return neverthrow.err({ reason: "no-spare-endpoint", ...limitedField(limited) });
+      return neverthrow.err({ reason: "no-spare-endpoint", ...held });
     if (definition?.engine === undefined || prompt === undefined) return answeringAt(leastBusy);
     return this.#placeOn([leastBusy], definition, definition.engine, prompt);
   }
 
-  #candidates(definition: serving.Service | undefined): serving.ReadySelection {
-    const { limits, metrics } = this.#context;
-    const usable = this.#usable(definition, serving.mayRetry(this.#served.route));
+  #candidates(definition: serving.Service | undefined): Candidates {
+    const { health, limits, metrics, statements } = this.#context;
+    const now = performance.now();
+    const { awake, restMs } = serving.selectAwake(statements.rests, this.#available(definition), now);
+    if (restMs !== undefined) {
+      metrics.count("resting_endpoints_passed_over");
+      return { ready: [], restMs };
+    }
+    const usable = health.selectUsable(awake, serving.mayRetry(this.#served.route), now);
     const isQueued = !this.#isNextInQueue && limits.waiting.count(this.#served.service) > 0;
-    const selection = serving.selectReady(limits.enforcer, usable, isQueued, performance.now());
-    if (selection.limited !== undefined) metrics.count("limited_endpoints_passed_over");
-    return selection;
+    const { ready, limited } = serving.selectReady(limits.enforcer, usable, isQueued, now);
+    if (limited === undefined) return { ready };
+    metrics.count("limited_endpoints_passed_over");
+    return { ready, limited };
   }
 
   /**
    * Why no endpoint is chosen: with all of them out of reach for this daemon and its peers, the caller is told to return
    * when they are tried again.
    */
-  #noneUsable(reason: string, limited?: serving.LimitedEndpoints): SendRejection {
+  #noneUsable(reason: string, held: HeldEndpoints): SendRejection {
     const { client, random, view } = this.#context;
     const now = performance.now();
     const endpoints = view.directory.availableEndpoints(this.#served.service);
     const retryInMs = Math.min(...endpoints.map((endpoint) => client.retryInMs(endpoint, now)));
-    if (limited !== undefined || !Number.isFinite(retryInMs) || retryInMs === 0)
-      return { reason, ...limitedField(limited) };
+    const isHeld = held.limited !== undefined || held.restMs !== undefined;
+    if (isHeld || !Number.isFinite(retryInMs) || retryInMs === 0) return { reason, ...held };
     return { reason: "endpoints-unreachable", retryAfterMs: retryInMs + random.next() * RETRY_SPREAD_MS };
   }
 
-  /** The endpoints that may serve the request, apart from limits on what they take. */
-  #usable(definition: serving.Service | undefined, mayProbe: boolean): serving.Endpoint[] {
-    const { view, client, health } = this.#context;
+  /** The endpoints that may serve the request, apart from their health and from what they say that they take. */
+  #available(definition: serving.Service | undefined): serving.Endpoint[] {
+    const { view, client } = this.#context;
     const daemons = this.#context.liveDaemons();
     const now = performance.now();
-    const available = view.directory
+    return view.directory
       .availableEndpoints(this.#served.service)
       .filter((endpoint) => !this.#served.wasTried(endpoint.id) && !view.isChangingRole(endpoint, now))
       .filter((endpoint) => client.pathTo(endpoint, now) !== serving.EndpointPath.None)
       .filter((endpoint) =>
         client.hasRoom(endpoint.id, definition?.maxConnections ?? Number.MAX_SAFE_INTEGER, daemons),
       );
-    return health.selectUsable(available, mayProbe, now);
   }
 
   #chooseLeastBusy(definition: serving.Service | undefined): Choice {
     const { loads, health, limits, random, settings } = this.#context;
-    const { ready, limited } = this.#candidates(definition);
+    const { ready, ...held } = this.#candidates(definition);
     const endpoint = serving.leastBusy({
       endpoints: ready,
       loads,
@@ -159,7 +178,7 @@
       draw: () => random.next(),
       now: performance.now(),
     });
-    return endpoint === undefined ? neverthrow.err(this.#noneUsable("no-endpoint", limited)) : answeringAt(endpoint);
+    return endpoint === undefined ? neverthrow.err(this.#noneUsable("no-endpoint", held)) : answeringAt(endpoint);
   }
 
   #chooseEngine(
@@ -168,13 +187,11 @@
     prompt: serving.Prompt,
     prefillEngine: serving.Endpoint | undefined,
   ): Choice {
-    const { ready, limited } = this.#candidates(definition);
-    if (prefillEngine === undefined) return this.#placeOn(ready, definition, limits, prompt, limited);
+    const { ready, ...held } = this.#candidates(definition);
+    if (prefillEngine === undefined) return this.#placeOn(ready, definition, limits, prompt, held);
     const inputs = this.#placementInputs(ready, definition, limits, prompt);
     const decodeEngine = serving.chooseDecodeEngine(inputs, prefillEngine);
-    return decodeEngine === undefined
-      ? neverthrow.err(this.#noneUsable("no-engine", limited))
-      : answeringAt(decodeEngine);
+    return decodeEngine === undefined ? neverthrow.err(this.#noneUsable("no-engine", held)) : answeringAt(decodeEngine);
   }
 
   #placementInputs(
@@ -205,11 +222,11 @@
     definition: serving.Service,
     limits: serving.EngineLimits,
     prompt: serving.Prompt,
-    limited?: serving.LimitedEndpoints,
+    held: HeldEndpoints = {},
   ): Choice {
     const inputs = this.#placementInputs(engines, definition, limits, prompt);
     const placed = this.#placeWithinBudget(inputs);
-    if (placed === undefined) return neverthrow.err(this.#noneUsable("no-engine", limited));
+    if (placed === undefined) return neverthrow.err(this.#noneUsable("no-engine", held));
     this.#noteDemand(placed, prompt);
     const admitted = this.#admit(placed, inputs);
     if (admitted.isErr()) {
@@ -289,7 +306,3 @@
 function answeringAt(endpoint: serving.Endpoint): Choice {
   return neverthrow.ok({ endpoint, stage: Stage.Answering, predictedMs: 0, plan: undefined });
 }
-
-function limitedField(limited: serving.LimitedEndpoints | undefined): Pick<SendRejection, "limited"> {
-  return limited === undefined ? {} : { limited };
-}
--- a/packages/gateway/src/statements/endpointStatements.ts
+++ b/packages/gateway/src/statements/endpointStatements.ts
@@ -15,18 +15,24 @@
   readonly format: Pick<ports.MessageFormat, "readAnswer">;
   readonly limits: endpointLimits.EndpointLimits;
   readonly directory: serving.EndpointDirectory;
+  /** @returns a uniform random number in [0, 1) */
+  readonly draw: () => number;
   /** Called with an endpoint, as it was known at the send, whose answer says that it leaves. */
   readonly onLeaving: (endpoint: serving.Endpoint) => void;
 }
 
-/** Decodes what endpoints say of themselves in their answers, to whichever part of the gateway they answer. */
+/** What endpoints say of themselves in their answers, to whichever part of the gateway they answer. */
 export class EndpointStatements implements sendings.TrafficGuard {
+  readonly rests = new serving.RestTable();
+  readonly gate: serving.SendGate;
   readonly #parts: EndpointStatementsParts;
   readonly #unlisted = new Set<string>();
 
   /** @param parts - dependencies */
   constructor(parts: EndpointStatementsParts) {
     this.#parts = parts;
+    const { directory, limits } = parts;
+    this.gate = new serving.SendGate({ directory, enforcer: limits.enforcer, rests: this.rests });
   }
 
   /**
@@ -35,28 +41,58 @@
    * Calls of the gateway itself go on to an endpoint that leaves: they free what it still keeps.
    */
   mayReceive(endpoint: serving.Endpoint, call: serving.AnsweredCall): boolean {
-    return call === serving.AnsweredCall.Control || !this.#parts.directory.isStatedLeaving(endpoint);
+    return this.gate.mayReceive(endpoint, call !== serving.AnsweredCall.Control, performance.now());
   }
 
   /** {@inheritDoc sendings.TrafficGuard.onSend} */
   onSend(endpoint: serving.Endpoint, request: sendings.OutgoingRequest): sendings.AnswerObserver {
+    const sentAt = performance.now();
+    this.rests.noteSent(endpoint, sentAt);
     const onLimitAnswer = this.#parts.limits.onSend(endpoint, request.call);
     return (status, headers, isForRequest) => {
       const head = this.#parts.format.readAnswer(status, headers);
-      this.#noteAnswer(endpoint, head);
+      this.#noteAnswer(endpoint, head, isForRequest ? sentAt : undefined);
       if (isForRequest) onLimitAnswer(status, head);
     };
   }
 
   /** {@inheritDoc sendings.TrafficGuard.onSendForPeer} */
   onSendForPeer(endpoint: serving.Endpoint): sendings.AnswerObserver {
-    return (status, headers) => this.#noteAnswer(endpoint, this.#parts.format.readAnswer(status, headers));
+    const sentAt = performance.now();
+    this.rests.noteSent(endpoint, sentAt);
+    return (status, headers, isForRequest) => {
+      const head = this.#parts.format.readAnswer(status, headers);
+      this.#noteAnswer(endpoint, head, isForRequest ? sentAt : undefined);
+    };
   }
 
-  #noteAnswer(endpoint: serving.Endpoint, head: ports.AnswerHead): void {
+  /** @param sentAt - when the request was sent that the answer belongs to, in milliseconds; undefined if it is unknown */
+  #noteAnswer(endpoint: serving.Endpoint, head: ports.AnswerHead, sentAt: number | undefined): void {
     this.#noteUnlisted(endpoint, head);
     if (isByOther(endpoint, head)) return;
     if (head.isLeaving) this.#parts.onLeaving(endpoint);
+    this.#noteRest(endpoint, head.rest);
+    const isTaken = sentAt !== undefined && !head.notRun;
+    if (isTaken && this.rests.noteTaken(endpoint, sentAt))
+      this.#parts.log.info("endpoint-rested", { endpoint: endpoint.id });
+  }
+
+  #noteRest(endpoint: serving.Endpoint, rest: serving.StatedRest): void {
+    const { draw, log, metrics } = this.#parts;
+    if (rest.statement === serving.RestStatement.Unreadable) {
+      metrics.count("endpoint_rests_unreadable");
+      log.warn("endpoint-rest-unreadable", { endpoint: endpoint.id, text: rest.text });
+    }
+    if (rest.statement !== serving.RestStatement.Stated) return;
+    const change = this.rests.note(endpoint, rest.restMs, performance.now(), draw());
+    if (change === undefined) return;
+    if (change.isNew) metrics.count("endpoint_rests");
+    log.info("endpoint-rest", {
+      endpoint: endpoint.id,
+      statedMs: Math.round(rest.restMs),
+      keptMs: Math.round(change.remainingMs),
+      isNew: change.isNew,
+    });
   }
 
   /** Shows operators a header that nobody reads, before it matters that nobody does. */
--- a/packages/gateway/tests/helpers/exchangeHarness.ts
+++ b/packages/gateway/tests/helpers/exchangeHarness.ts
@@ -13,6 +13,7 @@
 import * as fleetViews from "../../src/fleetView.js";
 import * as metricsModule from "../../src/metrics.js";
 import type * as ports from "../../src/ports.js";
+import * as endpointStatements from "../../src/statements/endpointStatements.js";
 import * as suspectGates from "../../src/suspects/suspectGate.js";
 import type * as settingsModule from "../../src/settings.js";
 import * as limits from "./limits.js";
@@ -102,6 +103,7 @@
     misdirected: false,
     endpointId: undefined,
     limit: { statement: serving.LimitStatement.None },
+    rest: { statement: serving.RestStatement.None },
     isLeaving: headers.leaving !== undefined,
     unlistedHeaders: [],
   }),
@@ -216,6 +218,15 @@
       acceptance: new serving.AcceptanceTracker(),
       client: this.#client,
       limits: this.#limits,
+      statements: new endpointStatements.EndpointStatements({
+        log: new decisionLogs.DecisionLog("vm-1", "info", sink),
+        metrics: new metricsModule.Metrics(),
+        format: FORMAT,
+        limits: this.#limits,
+        directory: view.directory,
+        draw: () => 0,
+        onLeaving: () => undefined,
+      }),
       crashDetector: new crashDetectors.EndpointCrashDetector({
         log: new decisionLogs.DecisionLog("vm-1", "info", sink),
         hasLiveConnection: () => true,
