Refuse for good only by a configuration whose age is known

Cause: nothing newer having been heard of counted as nothing newer existing. An unknown path was refused whatever the age of the table; for unknown keys the age was asked for, but counted from the last answer handled, and as none while no call was pending; a daemon that started was ready with any table, also one of a peer that was behind itself.

The configuration now has an instant: the one at which the read began that found it, own or a peer's, less what the event loop was late. It goes with heartbeats. A daemon is ready once a read has confirmed its configuration, or where the store is known not to answer. Each configuration and each refusal is logged with the age of the read behind it and the lateness of the loop.

--- a/packages/gateway/src/callerListener.ts
+++ b/packages/gateway/src/callerListener.ts
@@ -197,7 +197,7 @@
   }
 
   async #onRequest(incoming: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
-    const { view, format, log } = this.#context;
+    const { configuration, view, format, log } = this.#context;
     const now = performance.now();
     this.#lastRequestAt = now;
     this.#readAt.set(incoming.socket, now);
@@ -231,6 +231,7 @@
     // A caller's request is read before its disconnect. Without waiting for the pending reads, a request whose caller
     // disconnected while the connection waited for acceptance would still be sent to an endpoint.
     if (this.#acceptedLate.delete(incoming.socket)) await pendingReads.handled();
+    if (configuration.mustConfirm(request)) await configuration.confirm();
     this.#readingBody.delete(answer);
     const { requestId: id } = request.headers;
     if (answer.state === callerAnswers.AnswerState.Ended) {
@@ -266,13 +267,7 @@
     }
     const route = table.find(request.host, request.path);
     if (route === undefined) {
-      log.info("no-route", {
-        id,
-        host: request.host,
-        path: request.path,
-        configuration: view.configurationRevision,
-      });
-      answer.refuse(NOT_FOUND, "no route matches this host and path; check both");
+      this.#refuseWithoutRoute(request, answer);
       return undefined;
     }
     const access = this.#accessGate.admit(request, route, table, answer);
@@ -286,6 +281,30 @@
     return exchange;
   }
 
+  /** A newer configuration may have the route, as long as the one in force is not known to be the newest. */
+  #refuseWithoutRoute({ headers, host, path }: callerRequests.CallerRequest, answer: callerAnswers.CallerAnswer): void {
+    const { configuration, format, log, view } = this.#context;
+    const { ageMs, isCurrent } = configuration;
+    log.info("no-route", {
+      id: headers.requestId,
+      host,
+      path,
+      configuration: view.configurationRevision,
+      ageMs: Math.round(ageMs),
+      isCurrent,
+    });
+    if (isCurrent) {
+      answer.refuse(NOT_FOUND, "no route matches this host and path; check both");
+      return;
+    }
+    const retry = [format.retryAfterHeader, accessGates.OUTDATED_RETRY_AFTER];
+    answer.refuse(
+      UNAVAILABLE,
+      "no route is known, and a newer configuration may exist; retry after Retry-After",
+      retry,
+    );
+  }
+
   /**
    * Decides whether a request that arrives during a graceful shutdown is refused, and logs the decision with its time
    * limit.
--- a/packages/gateway/src/callers/accessGate.ts
+++ b/packages/gateway/src/callers/accessGate.ts
@@ -7,7 +7,7 @@
 const UNAVAILABLE = 503;
 
 /** Retry-After value while the configuration may be outdated, in seconds: about the time to receive a newer one. */
-const OUTDATED_RETRY_AFTER = "1.000";
+export const OUTDATED_RETRY_AFTER = "1.000";
 
 const DETAILS: Readonly<Record<serving.AccessProblem, string>> = {
   [serving.AccessProblem.MissingKey]: "this route requires an API key; send one",
@@ -39,12 +39,18 @@
     table: serving.RouteTable,
     answer: callerAnswers.CallerAnswer,
   ): serving.Access | undefined {
-    const { format, isConfigurationCurrent, log, metrics, view } = this.#context;
+    const { configuration, format, log, metrics, view } = this.#context;
     const { credential, requestId: id } = request.headers;
-    const admitted = table.organisations.admit(route, credential, isConfigurationCurrent);
+    const admitted = table.organisations.admit(route, credential, () => configuration.isCurrent);
     if (admitted.isOk()) return admitted.value;
     const problem = admitted.error;
-    log.info("access-denied", { id, route: route.name, problem, configuration: view.configurationRevision });
+    log.info("access-denied", {
+      id,
+      route: route.name,
+      problem,
+      configuration: view.configurationRevision,
+      ageMs: Math.round(configuration.ageMs),
+    });
     metrics.count("access_denied");
     if (problem === serving.AccessProblem.UnconfirmedKey) {
       answer.refuse(UNAVAILABLE, DETAILS[problem], [format.retryAfterHeader, OUTDATED_RETRY_AFTER]);
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -1,5 +1,6 @@
 import * as common from "@camphorcourse/common";
 import * as serving from "@camphorcourse/serving";
+import type * as configurationGates from "./configuration/configurationGate.js";
 import type * as decisionLogs from "./decisionLog.js";
 import type * as crashDetectors from "./endpointCrashDetector.js";
 import type * as endpointClients from "./endpointClient.js";
@@ -26,6 +27,8 @@
   readonly demand: serving.Demand;
   /** Shares of prompts that were accepted, by prompt size. */
   readonly acceptance: serving.AcceptanceTracker;
+  /** Decides which requests the configuration in force may decide on. */
+  readonly configuration: configurationGates.ConfigurationGate;
   readonly client: endpointClients.EndpointClient;
   readonly limits: endpointLimits.EndpointLimits;
   /** What endpoints have said of themselves, and when they may get requests by that. */
@@ -45,8 +48,6 @@
    * @param answeredBy - id of the endpoint that answered at its address, if the answer names it
    */
   onMisdirected(endpoint: serving.Endpoint, answeredBy: string | undefined): void;
-  /** @returns whether the configuration in force is known to be the newest */
-  isConfigurationCurrent(): boolean;
   /** @returns upper bound of the number of live daemons, including this one */
   liveDaemons(): number;
 }
--- a/packages/gateway/src/fleetView.ts
+++ b/packages/gateway/src/fleetView.ts
@@ -21,6 +21,8 @@
   /** Engines that were ordered to change their role, and get no new work meanwhile. */
   readonly pendingRoleChanges = new Map<string, PendingRoleChange>();
   readonly daemons = new Map<string, daemonEntries.DaemonEntry>();
+  /** As of when the configuration in force is known to be the newest. */
+  readonly freshness = new serving.ConfigurationFreshness();
   /** Daemons that left recently and may restart. */
   readonly former = new formerDaemons.FormerDaemons();
   #table: serving.RouteTable | undefined;
@@ -92,6 +94,7 @@
     this.#table = new serving.RouteTable(configuration);
     this.#configurationRevision = revision;
     this.#configurationDocument = document;
+    this.freshness.noteInForce(revision);
     return true;
   }
 }
--- a/packages/gateway/src/fleetViewUpdater.ts
+++ b/packages/gateway/src/fleetViewUpdater.ts
@@ -30,6 +30,8 @@
   readonly layout: ports.StoreLayout;
   readonly view: fleetViews.FleetView;
   readonly log: decisionLogs.DecisionLog;
+  /** @returns delay of the event loop, in milliseconds */
+  readonly lateMs: () => number;
   /** Called for each change of an endpoint. */
   readonly onEndpoint: (update: serving.EndpointUpdate) => void;
   /**
@@ -58,8 +60,9 @@
    * Applies a full listing: endpoints and daemons that are not in it are removed.
    *
    * @param listing - everything in the key-value service
+   * @param begunAt - when its read began, in milliseconds
    */
-  applyListing(listing: ports.StoreListing): void {
+  applyListing(listing: ports.StoreListing, begunAt: number): void {
     const { layout, view } = this.#parts;
     const endpoints: serving.ListedEntry[] = [];
     const documents: ports.StoredItem[] = [];
@@ -75,7 +78,7 @@
         continue;
       }
       if (item.key.startsWith(layout.daemonPrefix)) daemons.add(item.key);
-      this.#applyItem(item);
+      this.#applyItem(item, begunAt);
     }
     const changes = view.directory.applyListing(endpoints, listing.revision, performance.now());
     for (const { key, value, revision } of documents) {
@@ -85,11 +88,14 @@
     for (const key of [...view.daemons.keys()]) if (!daemons.has(key)) this.#removeDaemon(key);
   }
 
-  /** @param event - a change in the key-value service */
-  applyEvent(event: ports.StoreEvent): void {
+  /**
+   * @param event - a change in the key-value service
+   * @param begunAt - when its read began, in milliseconds
+   */
+  applyEvent(event: ports.StoreEvent, begunAt: number): void {
     const { layout, view } = this.#parts;
     if (event.item !== undefined) {
-      this.#applyItem(event.item);
+      this.#applyItem(event.item, begunAt);
       return;
     }
     if (event.key.startsWith(layout.daemonPrefix)) this.#removeDaemon(event.key);
@@ -107,9 +113,10 @@
    * @param document - the operators' document
    * @param revision - revision of its write
    * @param source - source of the update
+   * @param begunAt - when the read that found it began, in milliseconds, if this daemon has read it
    */
-  applyConfiguration(document: Uint8Array, revision: number, source: Source): void {
-    const { layout, view, log } = this.#parts;
+  applyConfiguration(document: Uint8Array, revision: number, source: Source, begunAt?: number): void {
+    const { layout, lateMs, view, log } = this.#parts;
     if (revision <= view.configurationRevision) return;
     const configuration = layout.decodeConfiguration(document);
     if (configuration.isErr()) {
@@ -125,6 +132,8 @@
       before,
       routes: routes.length,
       source,
+      readAgeMs: begunAt === undefined ? undefined : Math.round(performance.now() - begunAt),
+      lateMs: Math.round(lateMs()),
     });
     this.#parts.onConfiguration();
   }
@@ -218,10 +227,10 @@
     else if (directory.revisionOf(id) === revision) endpointDocuments.set(id, { value, revision });
   }
 
-  #applyItem(item: ports.StoredItem): void {
+  #applyItem(item: ports.StoredItem, begunAt: number): void {
     const { layout } = this.#parts;
     if (item.key === layout.configurationKey) {
-      this.applyConfiguration(item.value, item.revision, Source.Store);
+      this.applyConfiguration(item.value, item.revision, Source.Store, begunAt);
     } else if (item.key.startsWith(layout.endpointPrefix)) {
       this.applyEndpoint(item.key.slice(layout.endpointPrefix.length), item.value, item.revision, Source.Store);
     } else if (item.key.startsWith(layout.daemonPrefix)) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,6 +6,7 @@
 import * as fleetViewUpdaters from "./fleetViewUpdater.js";
 import * as callerListeners from "./callerListener.js";
 import * as callerAddresses from "./callers/callerAddresses.js";
+import * as configurationGates from "./configuration/configurationGate.js";
 import * as contexts from "./context.js";
 import * as decisionLogs from "./decisionLog.js";
 import * as endpointClients from "./endpointClient.js";
@@ -20,7 +21,6 @@
 import * as dutiesModule from "./duties/duties.js";
 import * as reachabilities from "./paths/reachability.js";
 import * as relayServers from "./paths/relayServer.js";
-import * as peerTables from "./peerTable.js";
 import * as peerLinks from "./peerLink.js";
 import * as trueClocks from "./peers/trueClock.js";
 import type * as ports from "./ports.js";
@@ -156,6 +156,32 @@
     });
     const { crashDetector, gate: suspects } = this.#protection;
     const usageCounter = new serving.UsageCounter(settings.usage?.windowMs ?? Infinity);
+    const fleetViewUpdater = new fleetViewUpdaters.FleetViewUpdater({
+      layout: dependencies.layout,
+      view: this.#view,
+      log: this.#log,
+      lateMs: () => this.#loopWatch.lateMs,
+      onEndpoint: (update) => this.#onEndpoint(update),
+      onSuspect: (record) => suspects.table.merge(record, performance.now()),
+      onRoleChange: (service, role, agoMs) => this.#duties.noteRoleChange(service, role, agoMs),
+      onUsageReport: (value) => {
+        const report = usageCodecs.decodeReport(value);
+        if (report.isOk()) usageCounter.markReported(report.value.window);
+      },
+      onConfiguration: () => {
+        this.#listener.applyLimits();
+        this.#peers.noteConfiguration();
+      },
+    });
+    const configurationGate = new configurationGates.ConfigurationGate({
+      store: dependencies.store,
+      layout: dependencies.layout,
+      view: this.#view,
+      fleetViewUpdater,
+      log: this.#log,
+      metrics: this.#metrics,
+      isStoreUnreachable: () => this.#follower.isUnreachable,
+    });
     this.#context = {
       settings,
       log: this.#log,
@@ -178,26 +204,10 @@
       },
       random,
       onMisdirected: (endpoint, answeredBy) => fleetViewUpdater.applyMisdirection(endpoint, answeredBy),
-      isConfigurationCurrent: () => this.#isConfigurationCurrent(),
+      configuration: configurationGate,
       liveDaemons: () => this.#view.daemonsUpperBound,
     };
     this.#listener = new callerListeners.CallerListener(this.#context);
-    const fleetViewUpdater = new fleetViewUpdaters.FleetViewUpdater({
-      layout: dependencies.layout,
-      view: this.#view,
-      log: this.#log,
-      onEndpoint: (update) => this.#onEndpoint(update),
-      onSuspect: (record) => suspects.table.merge(record, performance.now()),
-      onRoleChange: (service, role, agoMs) => this.#duties.noteRoleChange(service, role, agoMs),
-      onUsageReport: (value) => {
-        const report = usageCodecs.decodeReport(value);
-        if (report.isOk()) usageCounter.markReported(report.value.window);
-      },
-      onConfiguration: () => {
-        this.#listener.applyLimits();
-        this.#peers.noteConfiguration();
-      },
-    });
     this.#follower = new storeFollowers.StoreFollower({
       store: dependencies.store,
       layout: dependencies.layout,
@@ -240,6 +250,7 @@
       },
       onNeighbourCutOff: () => this.#reachability.monitor.checkOwnLink(),
       storeSilentMs: () => this.#follower.silentMs,
+      lateMs: () => this.#loopWatch.lateMs,
       followsClosely: () => this.#storeReadingMode.followsClosely(performance.now()),
       busyCores: () => this.#utilization.share * settings.capacity,
       onDaemon: (daemon) => fleetViewUpdater.addDiscoveredDaemon(daemon),
@@ -279,9 +290,15 @@
     this.#registration = new registrations.Registration(dependencies.store, key, this.#entry, this.#log);
   }
 
-  /** @returns whether callers may be directed to this daemon */
+  /**
+   * A daemon that starts may get an older configuration from a peer that is behind itself. So callers are directed to it
+   * once a read has confirmed its configuration, or where none can.
+   *
+   * @returns whether callers may be directed to this daemon
+   */
   get ready(): boolean {
-    return !this.#stopping && this.#view.table !== undefined;
+    if (this.#stopping || this.#view.table === undefined) return false;
+    return this.#view.freshness.isEstablished || this.#follower.isUnreachable;
   }
 
   /** @returns number of callers' requests that have no final answer yet */
@@ -392,17 +409,6 @@
     this.#log.info("reload", { detail });
   }
 
-  /**
-   * Whether the configuration in force is known to be the newest: this daemon or a peer that sends it what it reads has
-   * had an answer from the key-value service recently, and no peer has a newer configuration.
-   */
-  #isConfigurationCurrent(): boolean {
-    const peers = this.#peers.peerTable.live(performance.now());
-    if (peers.some((peer) => peer.configurationRevision > this.#view.configurationRevision)) return false;
-    if (this.#follower.silentMs <= peerTables.STORE_SILENT_MS) return true;
-    return peers.some((peer) => peer.followsClosely && peer.storeSilentMs <= peerTables.STORE_SILENT_MS);
-  }
-
   #isDutyCandidate(): boolean {
     const { activeSet, peerTable } = this.#peers;
     const own = {
--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -61,6 +61,8 @@
   readonly onNeighbourCutOff: () => void;
   /** Milliseconds for which the key-value service has not answered. */
   readonly storeSilentMs: () => number;
+  /** @returns delay of the event loop, in milliseconds */
+  readonly lateMs: () => number;
   /** Whether this daemon follows the key-value service closely and informs others. */
   readonly followsClosely: () => boolean;
   /** Busy part of the VM's capacity, in cores. */
@@ -343,6 +345,7 @@
       cutOff: this.#parts.isCutOff(),
       linkLost: this.#parts.isLinkLost(),
       configurationRevision: BigInt(view.configurationRevision),
+      ...this.#configurationAge(now),
       storeSilentMs: Math.round(this.#parts.storeSilentMs()),
       unixMs: BigInt(Date.now()),
       departures: this.#recentChanges.nextDepartures(now),
@@ -362,6 +365,11 @@
     };
   }
 
+  #configurationAge(now: number): { readonly configurationAgeMs?: number } {
+    const ageMs = this.#parts.view.freshness.ageMs(now);
+    return Number.isFinite(ageMs) ? { configurationAgeMs: peerWorks.toUint32(Math.ceil(ageMs)) } : {};
+  }
+
   #sendNews(now: number): void {
     const { view, log } = this.#parts;
     const sender: peerTables.SenderState = {
--- a/packages/gateway/src/peers/peerReceiver.ts
+++ b/packages/gateway/src/peers/peerReceiver.ts
@@ -27,6 +27,7 @@
   | "onEndpoint"
   | "onDeparture"
   | "onNeighbourCutOff"
+  | "lateMs"
 > {
   readonly peerTable: peerTables.PeerTable;
   readonly work: peerWorks.PeerWork;
@@ -84,6 +85,7 @@
       clockOffsetMs: pulse.unixMs === 0n ? undefined : Number(pulse.unixMs) - now,
       lastReceivedAt: now,
     });
+    this.#noteConfiguration(pulse, now);
     if (previous === undefined || previous.incarnation !== pulse.incarnation || previous.ready !== pulse.ready) {
       this.#parts.log.info("peer", { peer: pulse.vm, incarnation: pulse.incarnation, ready: pulse.ready });
     }
@@ -97,6 +99,15 @@
     this.#parts.suspects.notePeerTrial(pulse.vm, pulse.tryingSuspect, now);
   }
 
+  /** The heartbeat may have waited in its socket for as long as the event loop was late. */
+  #noteConfiguration({ configurationAgeMs, configurationRevision }: messages.Pulse, now: number): void {
+    const { freshness } = this.#parts.view;
+    const revision = Number(configurationRevision);
+    freshness.noteSeen(revision);
+    if (configurationAgeMs === undefined || revision === 0) return;
+    freshness.noteConfirmed(revision, now - configurationAgeMs - this.#parts.lateMs());
+  }
+
   #applyChanges({ entries, departures }: Pick<messages.Pulse, "entries" | "departures">): void {
     for (const entry of entries) this.#parts.onEndpoint(entry.id, entry.value, Number(entry.revision));
     this.#applyDepartures(departures);
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -61,7 +61,9 @@
       return;
     }
     if (!served.followConfiguration()) {
-      end.fail(NOT_FOUND, "route-removed", "the request's route was removed from the configuration");
+      if (this.#parts.context.configuration.isCurrent)
+        end.fail(NOT_FOUND, "route-removed", "the request's route was removed from the configuration");
+      else end.reject("route-unconfirmed");
       return;
     }
     const restartedEngine = handover.dropIfLost();
--- a/packages/gateway/src/storeFollower.ts
+++ b/packages/gateway/src/storeFollower.ts
@@ -66,7 +66,7 @@
   #failures = 0;
   #answeredAt: number | undefined;
   /** Time of the first call since the last answer; undefined while no call is pending. */
-  #unansweredSince: number | undefined = 0;
+  #unansweredSince: number | undefined;
   #unreachable = false;
   #listDueAt: number | undefined;
   #stopped = false;
@@ -76,7 +76,12 @@
     this.#parts = parts;
   }
 
-  /** @returns milliseconds for which the service has not answered; since the start if it never has */
+  /** @returns whether the service counts as unreachable */
+  get isUnreachable(): boolean {
+    return this.#unreachable;
+  }
+
+  /** @returns milliseconds for which the service has not answered; since the first call if it never has */
   get silentMs(): number {
     return this.#unansweredSince === undefined ? 0 : performance.now() - this.#unansweredSince;
   }
@@ -138,7 +143,8 @@
     if (listing.isErr()) return this.#recordFailure(listing.error, started);
     this.#recordAnswer(started);
     if (this.#listDueAt !== undefined && performance.now() >= this.#listDueAt) this.#listDueAt = undefined;
-    this.#parts.fleetViewUpdater.applyListing(listing.value);
+    this.#parts.fleetViewUpdater.applyListing(listing.value, started);
+    this.#noteConfirmed(started);
     this.#revision = listing.value.revision;
     return 0;
   }
@@ -156,11 +162,18 @@
       return this.#recordFailure(changes.error, started);
     }
     this.#recordAnswer(started);
-    for (const event of changes.value.events) this.#parts.fleetViewUpdater.applyEvent(event);
+    for (const event of changes.value.events) this.#parts.fleetViewUpdater.applyEvent(event, started);
+    this.#noteConfirmed(started);
     this.#revision = Math.max(after, changes.value.revision);
     return WATCH_PAUSE_MS;
   }
 
+  /** All that the service had accepted when the call began is in force now. */
+  #noteConfirmed(startedAt: number): void {
+    const { freshness, configurationRevision } = this.#parts.view;
+    if (configurationRevision > 0) freshness.noteConfirmed(configurationRevision, startedAt);
+  }
+
   #recordAnswer(startedAt: number): void {
     const { log, metrics, view } = this.#parts;
     const now = performance.now();
--- a/packages/gateway/tests/fleetViewUpdater.test.ts
+++ b/packages/gateway/tests/fleetViewUpdater.test.ts
@@ -31,6 +31,7 @@
     layout,
     view,
     log,
+    lateMs: () => 0,
     onEndpoint,
     onSuspect: () => undefined,
     onUsageReport: () => undefined,
@@ -67,7 +68,7 @@
     fleetViewUpdaters.Source.Peer,
   );
   const item = { key: `${PREFIX}e1`, value: ENTRY, revision: 3, createdRevision: 3 };
-  updater.applyListing({ items: [item], revision: 4 });
+  updater.applyListing({ items: [item], revision: 4 }, 0);
   assert.not.ok(view.endpointDocuments.has("e1"));
 });
 
--- a/packages/gateway/tests/helpers/exchangeHarness.ts
+++ b/packages/gateway/tests/helpers/exchangeHarness.ts
@@ -4,6 +4,7 @@
 import * as serving from "@camphorcourse/serving";
 import * as neverthrow from "neverthrow";
 import * as callerAnswers from "../../src/callerAnswer.js";
+import * as configurationGates from "../../src/configuration/configurationGate.js";
 import * as contexts from "../../src/context.js";
 import * as decisionLogs from "../../src/decisionLog.js";
 import type * as sendings from "../../src/sending.js";
@@ -217,6 +218,15 @@
       demand: new serving.Demand(),
       acceptance: new serving.AcceptanceTracker(),
       client: this.#client,
+      configuration: new configurationGates.ConfigurationGate({
+        store: { list: unused },
+        layout: { configurationKey: "configuration" },
+        view,
+        fleetViewUpdater: { applyConfiguration: unused },
+        log: new decisionLogs.DecisionLog("vm-1", "info", sink),
+        metrics: new metricsModule.Metrics(),
+        isStoreUnreachable: () => true,
+      }),
       limits: this.#limits,
       statements: new endpointStatements.EndpointStatements({
         log: new decisionLogs.DecisionLog("vm-1", "info", sink),
@@ -244,7 +254,6 @@
       random: new common.SeededRandom(SEED),
       onMisdirected: () => undefined,
       countUsage: () => undefined,
-      isConfigurationCurrent: () => true,
       liveDaemons: () => 1,
     };
     const prompt = engine === undefined ? undefined : PROMPT;
--- a/packages/gateway/tests/peerIncarnations.test.ts
+++ b/packages/gateway/tests/peerIncarnations.test.ts
@@ -65,6 +65,7 @@
       log: new decisionLogs.DecisionLog("vm-1", "info", sink),
       ready: () => true,
       ...paths.REACHING_ALL,
+      lateMs: () => 0,
       storeSilentMs: () => 0,
       followsClosely: () => true,
       busyCores: () => 0,
--- a/packages/gateway/tests/peerLink.test.ts
+++ b/packages/gateway/tests/peerLink.test.ts
@@ -83,6 +83,7 @@
     log: new decisionLogs.DecisionLog("vm-1", "fatal", { writableLength: 0, write: () => true }),
     ready: () => true,
     ...paths.REACHING_ALL,
+    lateMs: () => 0,
     storeSilentMs: () => 0,
     followsClosely: () => true,
     busyCores: () => 0,
