Probe an endpoint that has merely declined with any request

An endpoint that had turned away requests that may run only once got none again while only such requests came: 0 of 160 in 4 s after it had recovered, as they were no probes. One that has failed or was silent is still probed only by requests that may be repeated.

--- a/packages/serving/src/endpointHealth.ts
+++ b/packages/serving/src/endpointHealth.ts
@@ -36,6 +36,8 @@
 
 interface State {
   failureScore: number;
+  /** Whether a request may have run there without an answer since the endpoint was last healthy. */
+  hasFailed: boolean;
   probeAt: number;
   probeDelayMs: number;
   slowness: number;
@@ -68,6 +70,8 @@
     const isUnhealthy = state.failureScore >= UNHEALTHY_SCORE;
     if (result === SendResult.Good && wasUnhealthy)
       state.failureScore = Math.min(state.failureScore, UNHEALTHY_SCORE / 2);
+    if (result === SendResult.Failed || result === SendResult.Silent) state.hasFailed = true;
+    if (state.failureScore < UNHEALTHY_SCORE) state.hasFailed = false;
     if (isUnhealthy && result !== SendResult.Good) {
       state.probeDelayMs = wasUnhealthy ? Math.min(MAX_PROBE_DELAY_MS, state.probeDelayMs * 2) : FIRST_PROBE_DELAY_MS;
       state.probeAt = now + state.probeDelayMs;
@@ -104,7 +108,8 @@
 
   /**
    * Selects within each role separately: with only prefill engines selected, no
-   * tokens could be generated.
+   * tokens could be generated. A request that may run only once probes an endpoint that has merely declined requests:
+   * declined again, it hasn't run and goes elsewhere.
    *
    * @param endpoints - endpoints that may be used
    * @param mayProbe - whether the request may be retried, so that it may be sent to an unhealthy endpoint as a probe
@@ -128,7 +133,7 @@
     now: number,
   ): readonly directories.Endpoint[] {
     const healthy = endpoints.filter((endpoint) => !this.isUnhealthy(endpoint.id));
-    const due = mayProbe ? endpoints.find((endpoint) => this.#isProbeDue(endpoint.id, now)) : undefined;
+    const due = endpoints.find(({ id }) => this.#isProbeDue(id, now) && (mayProbe || !this.#state(id).hasFailed));
     if (due !== undefined) {
       const state = this.#state(due.id);
       state.probeAt = now + state.probeDelayMs;
@@ -148,7 +153,9 @@
    */
   forgive(endpointId: string): void {
     const state = this.#states.get(endpointId);
-    if (state !== undefined) state.failureScore = 0;
+    if (state === undefined) return;
+    state.failureScore = 0;
+    state.hasFailed = false;
   }
 
   /** @param endpointId - an endpoint that is gone */
@@ -159,7 +166,7 @@
   #state(endpointId: string): State {
     let state = this.#states.get(endpointId);
     if (state === undefined) {
-      state = { failureScore: 0, probeAt: 0, probeDelayMs: FIRST_PROBE_DELAY_MS, slowness: 1 };
+      state = { failureScore: 0, hasFailed: false, probeAt: 0, probeDelayMs: FIRST_PROBE_DELAY_MS, slowness: 1 };
       this.#states.set(endpointId, state);
     }
     return state;
--- a/packages/serving/tests/endpointHealth.test.ts
+++ b/packages/serving/tests/endpointHealth.test.ts
@@ -41,6 +41,16 @@
   assert.equal(idsOf(health.selectUsable(DECODE, false, 60_000)), ["d2"]);
 });
 
+// An endpoint that was full for a moment would get nothing more while only requests come that may run only once.
+suite("a request that may run only once probes an endpoint that has merely declined", () => {
+  const health = new serving.EndpointHealth();
+  for (let count = 0; count < 6; count++) health.recordResult("d1", serving.SendResult.Declined, 0);
+  assert.ok(health.isUnhealthy("d1"));
+  assert.equal(idsOf(health.selectUsable(DECODE, false, 60_000)), ["d1"]);
+  recordFailures(health, "d1", 1);
+  assert.equal(idsOf(health.selectUsable(DECODE, false, 120_000)), ["d2"]);
+});
+
 suite("all endpoints are usable if none is healthy", () => {
   const health = new serving.EndpointHealth();
   recordFailures(health, "d1");
