--- a/packages/experiment/src/index.ts
+++ b/packages/experiment/src/index.ts
@@ -11,3 +11,4 @@
 export * from "./table.js";
 export * from "./virtualTime.js";
 export * from "./cutOffReplay.js";
+export * from "./statementReplay.js";
--- a/packages/experiment/src/main.ts
+++ b/packages/experiment/src/main.ts
@@ -5,6 +5,7 @@
 import * as experiments from "./experiment.js";
 import * as limitComparisons from "./limitComparison.js";
 import type * as outcomes from "./outcome.js";
+import * as statementReplays from "./statementReplay.js";
 import * as tables from "./table.js";
 
 const VERSION = "0.1.0";
@@ -163,6 +164,47 @@
   }
 }
 
+/** Compares what daemons make of endpoints that leave or rest, and prints a Markdown table. */
+class StatementsCommand extends clipanion.Command {
+  static override paths = [["statements"]];
+  static override usage = clipanion.Command.Usage({
+    description:
+      "replay endpoints of which a third leaves and a third turns requests away for a second, with each reaction",
+    details:
+      "to leaving, in rest: most requests of one daemon to one endpoint that had told it; each leaving: requests to one",
+    examples: [["690 daemons before 5,300 endpoints", "$0 statements --daemons 690 --endpoints 5300"]],
+  });
+  daemons = clipanion.Option.String("--daemons", "9", { description: "number of daemons (default 9)" });
+  endpoints = clipanion.Option.String("--endpoints", "6", { description: "number of endpoints (default 6)" });
+
+  execute(): Promise<number> {
+    const [daemons = 0, endpoints = 0] = [this.daemons, this.endpoints].map(Number);
+    if (!(daemons > 0 && endpoints > 0)) {
+      this.context.stderr.write("--daemons and --endpoints take numbers above 0\n");
+      return Promise.resolve(EXIT_BAD_OPTION);
+    }
+    const heartbeatMs = limitComparisons.heartbeatMsOf(daemons);
+    const fleet = {
+      daemons,
+      endpoints,
+      requestsPerSecondEach: 10,
+      heartbeatMs,
+      leavingShare: 1 / 3,
+      restingShare: 1 / 3,
+    };
+    const header = ["reaction", "to leaving", "each leaving", "in rest", "worst return", "served"];
+    this.context.stdout.write(`| ${header.join(" | ")} |\n|${" --- |".repeat(header.length)}\n`);
+    for (const reaction of Object.values(statementReplays.StatementReaction)) {
+      const [seed = 1] = SEEDS;
+      const row = new statementReplays.StatementReplay({ ...fleet, reaction }, seed).run();
+      const figures = [row.requestsEachLeaving.toFixed(1), row.sentInRest, row.worstReturn.toFixed(2)];
+      const cells = [reaction, row.sentToLeaving, ...figures, row.servedShare.toFixed(3)];
+      this.context.stdout.write(`| ${cells.join(" | ")} |\n`);
+    }
+    return Promise.resolve(0);
+  }
+}
+
 function parseDaemonSetups(text: string): tables.DaemonSetup[] | undefined {
   const setups = text.split(",").map((pair) => {
     const [daemons = Number.NaN, viewAgeMs = Number.NaN] = pair.split(":").map(Number);
@@ -182,5 +224,6 @@
 cli.register(TableCommand);
 cli.register(LimitsCommand);
 cli.register(CutOffCommand);
+cli.register(StatementsCommand);
 cli.register(clipanion.Builtins.HelpCommand);
 process.exit(await cli.run(process.argv.slice(2)));
