--- a/packages/experiment/src/statementReplay.ts
+++ b/packages/experiment/src/statementReplay.ts
@@ -172,8 +172,7 @@
     if (now >= (daemon.toldAt.get(endpoint.id) ?? Infinity) + TOLD_MS) increment(daemon.sentToLeaving, endpoint.id);
     const restFrom = daemon.restFrom.get(endpoint.id) ?? Infinity;
     if (now >= restFrom + TOLD_MS && now < restFrom + REST_MS) increment(daemon.sentInRest, endpoint.id);
-    if (this.#isResting(index) && now >= STATED.untilMs)
-      this.#returnedTo(endpoint).push(now);
+    if (this.#isResting(index) && now >= STATED.untilMs) this.#returnedTo(endpoint).push(now);
   }
 
   #returnedTo({ id }: serving.Endpoint): number[] {
