--- a/packages/serving/tests/restTable.test.ts
+++ b/packages/serving/tests/restTable.test.ts
@@ -88,8 +88,10 @@
 suite("a request waits for the end of a rest only if it can still be answered in time", () => {
   const inputs = { restMs: 80, remainingMs: 2_000, elapsedMs: 10, route: { objectiveMs: 200 }, draw: 0.5 };
   assert.is(serving.decideRestWait(inputs).unwrapOr(0), 80);
-  const rejected = serving.decideRestWait({ ...inputs, restMs: 3_000 });
-  assert.is(rejected.isErr() ? rejected.error.retryAfterMs : 0, 3_250);
+  for (const restMs of [120, 3_000]) {
+    const rejected = serving.decideRestWait({ ...inputs, restMs });
+    assert.is(rejected.isErr() ? rejected.error.retryAfterMs : 0, restMs + 250);
+  }
 });
 
 suite("the gate asks for leaving, rest and limit", () => {
