--- a/packages/gateway/src/limits/waitingRequests.ts
+++ b/packages/gateway/src/limits/waitingRequests.ts
@@ -1,4 +1,4 @@
-/** A request that waits until an endpoint's limit lets it through. */
+/** A request that waits until an endpoint takes it, by the limit or the rest that the endpoint has stated. */
 export interface WaitingRequest {
   /** @returns time until it may be sent in milliseconds, 0 if it may be sent now */
   readyInMs(): number;
@@ -7,12 +7,12 @@
 }
 
 /**
- * Interval at which the first request of a queue is checked, in milliseconds: its endpoints may withdraw their limits, or
- * others join, at any time.
+ * Interval at which the first request of a queue is checked, in milliseconds: its endpoints may withdraw what they have
+ * stated, or others join, at any time.
  */
 const CHECK_MS = 50;
 
-/** Requests that wait for endpoints with limits, in the order of their arrival, by service. */
+/** Requests that wait for endpoints with limits or in rest, in the order of their arrival, by service. */
 export class WaitingRequests {
   readonly #queues = new Map<string, WaitingRequest[]>();
 
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -18,7 +18,7 @@
   readonly #parts: exchangeParts.ExchangeParts;
   readonly #chooser: sendChoosers.SendChooser;
   #active: activeSends.ActiveSend | undefined;
-  /** Whether the request has waited for an endpoint with a limit, and is being sent now. */
+  /** Whether the request has waited for an endpoint that it may get to now, and is being sent. */
   #isResumed = false;
 
   /** @param parts - what belongs to the request */
--- a/packages/gateway/src/statements/endpointStatements.ts
+++ b/packages/gateway/src/statements/endpointStatements.ts
@@ -46,35 +46,38 @@
 
   /** {@inheritDoc sendings.TrafficGuard.onSend} */
   onSend(endpoint: serving.Endpoint, request: sendings.OutgoingRequest): sendings.AnswerObserver {
-    const sentAt = performance.now();
-    this.rests.noteSent(endpoint, sentAt);
     const onLimitAnswer = this.#parts.limits.onSend(endpoint, request.call);
-    return (status, headers, isForRequest) => {
-      const head = this.#parts.format.readAnswer(status, headers);
-      this.#noteAnswer(endpoint, head, isForRequest ? sentAt : undefined);
-      if (isForRequest) onLimitAnswer(status, head);
-    };
+    return this.#observe(endpoint, onLimitAnswer);
   }
 
   /** {@inheritDoc sendings.TrafficGuard.onSendForPeer} */
   onSendForPeer(endpoint: serving.Endpoint): sendings.AnswerObserver {
+    return this.#observe(endpoint, () => undefined);
+  }
+
+  #observe(
+    endpoint: serving.Endpoint,
+    onOwnAnswer: (status: number, head: ports.AnswerHead) => void,
+  ): sendings.AnswerObserver {
     const sentAt = performance.now();
     this.rests.noteSent(endpoint, sentAt);
     return (status, headers, isForRequest) => {
       const head = this.#parts.format.readAnswer(status, headers);
-      this.#noteAnswer(endpoint, head, isForRequest ? sentAt : undefined);
+      this.#noteUnlisted(endpoint, head);
+      if (!isByOther(endpoint, head)) this.#noteStatements(endpoint, head);
+      if (!isForRequest) return;
+      if (!head.notRun) this.#noteTaken(endpoint, sentAt);
+      onOwnAnswer(status, head);
     };
   }
 
-  /** @param sentAt - when the request was sent that the answer belongs to, in milliseconds; undefined if it is unknown */
-  #noteAnswer(endpoint: serving.Endpoint, head: ports.AnswerHead, sentAt: number | undefined): void {
-    this.#noteUnlisted(endpoint, head);
-    if (isByOther(endpoint, head)) return;
+  #noteStatements(endpoint: serving.Endpoint, head: ports.AnswerHead): void {
     if (head.isLeaving) this.#parts.onLeaving(endpoint);
     this.#noteRest(endpoint, head.rest);
-    const isTaken = sentAt !== undefined && !head.notRun;
-    if (isTaken && this.rests.noteTaken(endpoint, sentAt))
-      this.#parts.log.info("endpoint-rested", { endpoint: endpoint.id });
+  }
+
+  #noteTaken(endpoint: serving.Endpoint, sentAt: number): void {
+    if (this.rests.noteTaken(endpoint, sentAt)) this.#parts.log.info("endpoint-rested", { endpoint: endpoint.id });
   }
 
   #noteRest(endpoint: serving.Endpoint, rest: serving.StatedRest): void {
