Delay few requests where reading the configuration is slow

While the key-value service answers after a second, each request whose configuration was last confirmed more than 2.5 s ago waited up to 0.4 s for a read, one after the other. They wait for the first 0.4 s of a read together now; those that arrive later are decided on at once by what is known.

--- a/packages/gateway/src/configuration/configurationGate.ts
+++ b/packages/gateway/src/configuration/configurationGate.ts
@@ -18,7 +18,7 @@
  */
 const MAX_SERVING_AGE_MS = 2_500;
 
-/** Time for which a request waits for the key-value service's answer, in milliseconds. */
+/** Time from the beginning of a read for which requests wait for it, in milliseconds; a slow service delays few of them. */
 const MAX_WAIT_MS = 400;
 
 /** Time after a failed read within which none is begun, in milliseconds. */
@@ -44,8 +44,8 @@
  */
 export class ConfigurationGate {
   readonly #parts: ConfigurationGateParts;
-  /** The read that is under way. */
-  #reading: Promise<void> | undefined;
+  /** The read that is under way, and when it began, in milliseconds. */
+  #reading: { readonly done: Promise<void>; readonly begunAt: number } | undefined;
   #failedAt = Number.NEGATIVE_INFINITY;
 
   /** @param parts - dependencies */
@@ -82,16 +82,16 @@
    */
   async confirm(): Promise<void> {
     if (this.isCurrent || this.#parts.isStoreUnreachable()) return;
-    if (performance.now() - this.#failedAt < RETRY_PAUSE_MS) return;
-    this.#reading ??= this.#read().finally(() => {
-      this.#reading = undefined;
-    });
-    await Promise.race([this.#reading, new Promise((resolve) => setTimeout(resolve, MAX_WAIT_MS))]);
+    const now = performance.now();
+    if (now - this.#failedAt < RETRY_PAUSE_MS) return;
+    this.#reading ??= { done: this.#read(now).finally(() => (this.#reading = undefined)), begunAt: now };
+    const waitMs = this.#reading.begunAt + MAX_WAIT_MS - now;
+    if (waitMs <= 0) return;
+    await Promise.race([this.#reading.done, new Promise((resolve) => setTimeout(resolve, waitMs))]);
   }
 
-  async #read(): Promise<void> {
+  async #read(begunAt: number): Promise<void> {
     const { fleetViewUpdater, layout, log, metrics, store, view } = this.#parts;
-    const begunAt = performance.now();
     const ageMs = Math.round(this.ageMs);
     const listing = await store.list(layout.configurationKey);
     const tookMs = Math.round(performance.now() - begunAt);
