Begin no second read of the configuration within half a second

A daemon that can't decode what its peers have in force is behind for as long as it runs: each of its requests began a read of its own and waited for it. Found by reading; the test gave 100 reads for 100 requests before, and one now. Reads that fail are bounded in the same way.

--- a/packages/gateway/src/configuration/configurationGate.ts
+++ b/packages/gateway/src/configuration/configurationGate.ts
@@ -21,8 +21,11 @@
 /** Time from the beginning of a read for which requests wait for it, in milliseconds; a slow service delays few of them. */
 const MAX_WAIT_MS = 400;
 
-/** Time after a failed read within which none is begun, in milliseconds. */
-const RETRY_PAUSE_MS = 250;
+/**
+ * Shortest time between the beginnings of two reads, in milliseconds: one that fails, or that finds a configuration which
+ * can't be decoded here, would be repeated for each request.
+ */
+const MIN_INTERVAL_MS = 500;
 
 /** Dependencies of {@link ConfigurationGate}. */
 export interface ConfigurationGateParts {
@@ -44,9 +47,10 @@
  */
 export class ConfigurationGate {
   readonly #parts: ConfigurationGateParts;
-  /** The read that is under way, and when it began, in milliseconds. */
-  #reading: { readonly done: Promise<void>; readonly begunAt: number } | undefined;
-  #failedAt = Number.NEGATIVE_INFINITY;
+  /** The read that is under way. */
+  #reading: Promise<void> | undefined;
+  /** When the latest read began, in milliseconds. */
+  #begunAt = Number.NEGATIVE_INFINITY;
 
   /** @param parts - dependencies */
   constructor(parts: ConfigurationGateParts) {
@@ -83,11 +87,17 @@
   async confirm(): Promise<void> {
     if (this.isCurrent || this.#parts.isStoreUnreachable()) return;
     const now = performance.now();
-    if (now - this.#failedAt < RETRY_PAUSE_MS) return;
-    this.#reading ??= { done: this.#read(now).finally(() => (this.#reading = undefined)), begunAt: now };
-    const waitMs = this.#reading.begunAt + MAX_WAIT_MS - now;
-    if (waitMs <= 0) return;
-    await Promise.race([this.#reading.done, new Promise((resolve) => setTimeout(resolve, waitMs))]);
+    if (this.#reading === undefined && now - this.#begunAt >= MIN_INTERVAL_MS) this.#begin(now);
+    const waitMs = this.#begunAt + MAX_WAIT_MS - now;
+    if (this.#reading === undefined || waitMs <= 0) return;
+    await Promise.race([this.#reading, new Promise((resolve) => setTimeout(resolve, waitMs))]);
+  }
+
+  #begin(now: number): void {
+    this.#begunAt = now;
+    this.#reading = this.#read(now).finally(() => {
+      this.#reading = undefined;
+    });
   }
 
   async #read(begunAt: number): Promise<void> {
@@ -97,7 +107,6 @@
     const tookMs = Math.round(performance.now() - begunAt);
     const before = view.configurationRevision;
     if (listing.isErr()) {
-      this.#failedAt = performance.now();
       metrics.count("configuration_reads_failed");
       log.info("configuration-unconfirmed", { revision: before, ageMs, tookMs, detail: listing.error.detail });
       return;
--- a/packages/gateway/tests/configurationGate.test.ts
+++ b/packages/gateway/tests/configurationGate.test.ts
@@ -1,4 +1,3 @@
-import * as serving from "@camphorcourse/serving";
 import * as neverthrow from "neverthrow";
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
@@ -15,6 +14,7 @@
 interface Fixture {
   readonly gate: configurationGates.ConfigurationGate;
   readonly reads: () => number;
+  readonly view: fleetViews.FleetView;
 }
 
 /** A gate whose configuration was last known to be the newest long ago, before a store that answers late or fails. */
@@ -40,7 +40,7 @@
     metrics: new metricsModule.Metrics(),
     isStoreUnreachable: () => false,
   });
-  return { gate, reads: () => reads };
+  return { gate, reads: () => reads, view };
 }
 
 async function tookMs(step: () => Promise<void>): Promise<number> {
@@ -77,13 +77,16 @@
   assert.is(reads(), 1);
 });
 
-suite("a newer configuration that a peer reports makes the one in force outdated", () => {
-  const view = new fleetViews.FleetView();
-  view.configure({ version: 1, routes: [], services: [], limits: LIMITS }, new Uint8Array(), 7);
-  view.freshness.noteConfirmed(7, performance.now());
+// A daemon of an older version can't decode what its peers have in force, and is behind for as long as it runs.
+suite("a configuration that can't be decoded here is not read for each request", async () => {
+  const { gate, reads, view } = createFixture(2);
   view.freshness.noteSeen(8);
-  assert.is(view.freshness.ageMs(performance.now()), Infinity);
-  assert.instance(view.freshness, serving.ConfigurationFreshness);
+  const longest = await tookMs(async () => {
+    for (let request = 0; request < 100; request++) await gate.confirm();
+  });
+  assert.not.ok(gate.isCurrent);
+  assert.is(reads(), 1);
+  assert.ok(longest < 400, `${longest} ms for 100 requests`);
 });
 
 suite.run();
