--- a/packages/gateway/src/endpointClient.ts
+++ b/packages/gateway/src/endpointClient.ts
@@ -6,7 +6,7 @@
 import type * as peerRelays from "./paths/peerRelays.js";
 import * as routedSends from "./paths/routedSend.js";
 import type * as sendings from "./sending.js";
-import * as withheldSends from "./withheldSend.js";
+import * as withheldSends from "./statements/withheldSend.js";
 
 /** Share of an endpoint's connections that all daemons together use; the rest is left for health checks and restarts. */
 const USED_CONNECTIONS_SHARE = 0.8;
--- a/packages/gateway/src/withheldSend.ts
+++ b/packages/gateway/src/statements/withheldSend.ts
@@ -1,5 +1,5 @@
 import * as serving from "@camphorcourse/serving";
-import type * as sendings from "./sending.js";
+import type * as sendings from "../sending.js";
 
 /** A send that is not made, as its endpoint has said that it takes nothing now. */
 export class WithheldSend implements sendings.InFlightRequest {
