Log the version of endpoints' software, and that a caller takes a stream up

The logs of the incident can't tell its hypotheses apart: no line holds an endpoint's version, the event after which a send goes on, nor which attempt a caller goes on with. No decision uses them yet; a changed version of an entry gives an endpoint line.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -11,6 +11,9 @@
 
 const BAD_GATEWAY = 502;
 
+/** Characters of the id of another request that are kept for the log. */
+const MAX_LOGGED_ID_LENGTH = 60;
+
 /** Serves one request of a caller, from its arrival to its single final answer. */
 export class Exchange {
   readonly #context: contexts.ServingContext;
@@ -66,6 +69,7 @@
     // discarded in favour of a 504. setImmediate runs the deadline after the reads.
     const onTime = (): unknown => setImmediate(() => this.#onDeadline());
     this.#deadlineTimer = setTimeout(onTime, Math.max(0, this.#served.remainingMs));
+    this.#logTakenUp();
     this.#served.chooseService();
     this.#context.budgets.of(this.#served.service).noteRequest(performance.now());
     this.#forwarder.sendNext();
@@ -88,6 +92,19 @@
     else this.#end.reject(reason);
   }
 
+  #logTakenUp(): void {
+    const { caller, id, route } = this.#served;
+    const { resumption } = caller.headers;
+    if (resumption === undefined || route.requestClass !== serving.RequestClass.Stream) return;
+    this.#context.metrics.count("streams_taken_up");
+    this.#context.log.info("stream-taken-up", {
+      id,
+      attempt: resumption.attemptId?.slice(0, MAX_LOGGED_ID_LENGTH),
+      after: resumption.lastEventId?.slice(0, MAX_LOGGED_ID_LENGTH),
+      route: route.name,
+    });
+  }
+
   #onDeadline(): void {
     if (this.#end.over) return;
     const { active } = this.#forwarder;
--- a/packages/gateway/src/fleetViewUpdater.ts
+++ b/packages/gateway/src/fleetViewUpdater.ts
@@ -304,6 +304,7 @@
         service: endpoint?.service,
         address: endpoint?.address,
         role: endpoint?.role,
+        version: endpoint?.softwareVersion,
         bornAt: endpoint?.bornAt,
         formerBornAt,
         revision,
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -119,12 +119,21 @@
   decodeEndpoint(id: string, value: Uint8Array): neverthrow.Result<serving.Endpoint, string>;
 }
 
+/** A stream of which the caller has a part, and which the request goes on with. */
+export interface Resumption {
+  /** Id of the request that brought the stream's first event; undefined if the caller doesn't name it. */
+  readonly attemptId: string | undefined;
+  /** Id of the last event that the caller has, if it names one. */
+  readonly lastEventId: string | undefined;
+}
+
 /** What the gateway reads from the headers of a caller's request. */
 export interface CallerHeaders {
   readonly requestId: string;
   /** Milliseconds that the caller will wait, if it said so. */
   readonly deadlineMs: number | undefined;
-  readonly lastEventId: string | undefined;
+  /** The stream that the request goes on with, if it begins none. */
+  readonly resumption: Resumption | undefined;
   readonly prompt: serving.Prompt | undefined;
   readonly credential: serving.Credential;
   /** Headers to forward, as alternating names and values. */
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -251,6 +251,8 @@
       id: served.id,
       stage: planned.stage,
       endpoint: planned.endpoint.id,
+      version: planned.endpoint.softwareVersion,
+      after: served.progress.lastEventId,
       service: served.service,
       sends: served.sends,
       leftMs: remainingMs,
--- a/packages/gateway/tests/helpers/exchangeHarness.ts
+++ b/packages/gateway/tests/helpers/exchangeHarness.ts
@@ -260,7 +260,7 @@
     const headers = {
       requestId: "request-1",
       deadlineMs,
-      lastEventId: undefined,
+      resumption: undefined,
       prompt,
       credential: { kind: serving.CredentialKind.None as const },
       passedOn: [],
--- a/packages/serving/src/endpointDirectory.ts
+++ b/packages/serving/src/endpointDirectory.ts
@@ -27,6 +27,8 @@
   readonly reclaimable?: boolean;
   /** Start of this incarnation, in Unix milliseconds; undefined if the entry has the older format without it. */
   readonly bornAt?: number | undefined;
+  /** Version of the software that it runs, not of a model's weights; undefined if its entry states none. */
+  readonly softwareVersion?: string | undefined;
 }
 
 /** How the known state of an endpoint changed. */
@@ -394,6 +396,7 @@
     left.dataCentre === right.dataCentre &&
     left.slots === right.slots &&
     left.role === right.role &&
-    left.leaving === right.leaving
+    left.leaving === right.leaving &&
+    left.softwareVersion === right.softwareVersion
   );
 }
