Let a stream go on within its answer only at the version that began it

What callers saw: events of two versions in one answer. Cause: any endpoint of a service was a candidate for the next send. The request keeps the service and the version that brought its first event, as the entry stated them then; from there on no form of choice sees other endpoints, the guard of all sends withholds one whose entry states another version by now, and an answer of such an endpoint isn't forwarded. With none left the answer ends as broken at once, so that its caller can take the stream up. An entry without a version matches nothing. A stream that goes on isn't subject to admission and is the most urgent at its engine: it is no new load.

--- a/packages/gateway/src/answerBody.ts
+++ b/packages/gateway/src/answerBody.ts
@@ -1,5 +1,6 @@
 import * as serving from "@camphorcourse/serving";
 import * as callerAnswers from "./callerAnswer.js";
+import type * as contexts from "./context.js";
 import type * as sendings from "./sending.js";
 import * as eventSplitters from "./eventSplitter.js";
 import type * as exchangeParts from "./exchangeParts.js";
@@ -11,6 +12,23 @@
 export interface ReceivedHead {
   readonly status: number;
   readonly headers: sendings.AnswerHeaders;
+  /** The endpoint that answered, if the answer names it. */
+  readonly endpointId: string | undefined;
+}
+
+/**
+ * @param context - what serving needs
+ * @param endpoint - the endpoint that a request was sent to
+ * @param answeredBy - id of the endpoint that answered, if its answer names it
+ * @returns version of the software that answered, or undefined if it isn't known
+ */
+export function answeringVersion(
+  { view }: contexts.ServingContext,
+  endpoint: serving.Endpoint,
+  answeredBy: string | undefined,
+): string | undefined {
+  if (answeredBy !== undefined && answeredBy !== endpoint.id) return undefined;
+  return view.directory.softwareVersionOf(endpoint);
 }
 
 /** Handles the body of an endpoint's answer. */
@@ -99,13 +117,11 @@
   }
 
   #onEvent(event: eventSplitters.StreamEvent): void {
-    const { active, answer, context, feedback, handover, served } = this.#send;
+    const { active, answer, feedback, handover, served } = this.#send;
     if (active.finishPrefill()) feedback.learnPrefillTime(active);
     else if (active.markFirstEvent()) feedback.learnHandover(active);
     const now = performance.now();
-    if (!served.progress.hasBegun) {
-      context.metrics.record(metricsModule.Duration.FirstEvent, now - served.caller.arrivedAt);
-    }
+    if (!served.progress.hasBegun) this.#onFirstEvent(now);
     served.progress.recordEvent(event.id, now);
     served.noteMayHaveRun();
     served.noteBegunToRun();
@@ -113,4 +129,12 @@
     answer.beginStream(this.#head.status, this.#head.headers);
     if (!answer.write(event.bytes)) active.applyBackpressure(answer);
   }
+
+  #onFirstEvent(now: number): void {
+    const { active, context, served } = this.#send;
+    context.metrics.record(metricsModule.Duration.FirstEvent, now - served.caller.arrivedAt);
+    const { service } = active.endpoint;
+    const softwareVersion = answeringVersion(context, active.endpoint, this.#head.endpointId);
+    served.noteStreamBegun(softwareVersion === undefined ? undefined : { service, softwareVersion });
+  }
 }
--- a/packages/gateway/src/answerReceiver.ts
+++ b/packages/gateway/src/answerReceiver.ts
@@ -2,6 +2,7 @@
 import * as answerBodies from "./answerBody.js";
 import type * as sendings from "./sending.js";
 import type * as exchangeParts from "./exchangeParts.js";
+import type * as ports from "./ports.js";
 
 const HTTP_OK = 200;
 const CLIENT_ERRORS_FROM = 400;
@@ -28,10 +29,12 @@
     this.#status = status;
     this.#notRun = head.notRun;
     this.#sealed = head.sealed;
-    this.#body = this.#createBody(status, headers);
+    this.#body = this.#createBody(status, headers, head.endpointId);
     if (head.misdirected) context.onMisdirected(active.endpoint, head.endpointId);
     const isForRequest =
       head.requestId === undefined ? head.notRun || status >= CLIENT_ERRORS_FROM : head.requestId === served.id;
+    // The endpoint may have been replaced under its address since it was chosen.
+    if (!this.#mayBring(head)) return false;
     // A stream has begun to run with its first event.
     if (isForRequest && !head.notRun && !this.#isStream) served.noteBegunToRun();
     return isForRequest;
@@ -63,8 +66,20 @@
     else results.broken(active, outcome, detail);
   }
 
-  #createBody(status: number, headers: sendings.AnswerHeaders): answerBodies.AnswerBody {
-    const head = { status, headers };
+  /** Whether a stream that has begun may go on with this answer. */
+  #mayBring({ endpointId, notRun }: ports.AnswerHead): boolean {
+    const { active, context, served } = this.#send;
+    if (notRun || !served.isStreamBegun) return true;
+    const softwareVersion = answerBodies.answeringVersion(context, active.endpoint, endpointId);
+    return served.mayGoOnAt({ ...active.endpoint, softwareVersion });
+  }
+
+  #createBody(
+    status: number,
+    headers: sendings.AnswerHeaders,
+    endpointId: string | undefined,
+  ): answerBodies.AnswerBody {
+    const head = { status, headers, endpointId };
     if (this.#isStream && status === HTTP_OK) {
       return new answerBodies.StreamBody(this.#send, head);
     }
--- a/packages/gateway/src/requestEnd.ts
+++ b/packages/gateway/src/requestEnd.ts
@@ -105,6 +105,16 @@
     ]);
   }
 
+  /**
+   * Gives the request up like {@link RequestEnd.reject}, without a time at which a retry may succeed.
+   *
+   * @param reason - outcome in the log
+   */
+  rejectForGood(reason: string): void {
+    if (this.#served.mayHaveRun) this.fail(BAD_GATEWAY, reason, "the stream can't go on");
+    else this.fail(UNAVAILABLE, reason, "the stream can't go on, and this request has not run; begin it anew");
+  }
+
   /**
    * Ends the request because its deadline has passed.
    *
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -83,8 +83,9 @@
   }
 
   /** Waits for an endpoint that will take the request in time by what it has said; otherwise the request is rejected. */
-  #waitOrReject({ reason, retryAfterMs, limited, restMs }: sendChoosers.SendRejection): void {
-    if (restMs !== undefined) this.#waitForRest(restMs);
+  #waitOrReject({ reason, retryAfterMs, isFinal, limited, restMs }: sendChoosers.SendRejection): void {
+    if (isFinal === true) this.#parts.end.rejectForGood(reason);
+    else if (restMs !== undefined) this.#waitForRest(restMs);
     else if (limited !== undefined) this.#waitForLimit(limited);
     else this.#parts.end.reject(reason, retryAfterMs);
   }
--- a/packages/gateway/src/sendChooser.ts
+++ b/packages/gateway/src/sendChooser.ts
@@ -25,6 +25,8 @@
   readonly reason: string;
   /** Time after which the caller may retry in milliseconds, or undefined for the default. */
   readonly retryAfterMs?: number;
+  /** Whether nothing is known that would let a retry succeed. */
+  readonly isFinal?: boolean;
   /** The endpoints that could serve it if their limits let it through, if there are any. */
   readonly limited?: serving.LimitedEndpoints;
   /** Time until the first endpoint is back if all of them rest, in milliseconds. */
@@ -145,6 +147,7 @@
   #noneUsable(reason: string, held: HeldEndpoints): SendRejection {
     const { client, random, view } = this.#context;
     const now = performance.now();
+    if (this.#served.isStreamBegun && !this.#served.canGoOn) return { reason: "version-gone", isFinal: true };
     const endpoints = view.directory.availableEndpoints(this.#served.service);
     const retryInMs = Math.min(...endpoints.map((endpoint) => client.retryInMs(endpoint, now)));
     const isHeld = held.limited !== undefined || held.restMs !== undefined;
@@ -159,6 +162,7 @@
     const now = performance.now();
     return view.directory
       .availableEndpoints(this.#served.service)
+      .filter((endpoint) => this.#served.mayGoOnAt(endpoint))
       .filter((endpoint) => !this.#served.wasTried(endpoint.id) && !view.isChangingRole(endpoint, now))
       .filter((endpoint) => client.pathTo(endpoint, now) !== serving.EndpointPath.None)
       .filter((endpoint) =>
@@ -257,7 +261,9 @@
     placement: serving.PlacementInputs,
   ): neverthrow.Result<serving.EnginePlan, serving.Rejection> {
     const { random, acceptance, speeds } = this.#context;
-    const { route, sends, mayHaveRun, remainingMs } = this.#served;
+    const { route, sends, mayHaveRun, isStreamBegun, remainingMs } = this.#served;
+    // A stream that has begun is no new load, and goes before those that begin.
+    if (isStreamBegun) return neverthrow.ok(serving.withUrgency(plan, placement, serving.MOST_URGENT));
     // Only a first send is subject to admission: a request that has been sent before is finished or retried.
     if (sends > 0 || mayHaveRun) return neverthrow.ok(plan);
     const limits: serving.PromptLimits = {
--- a/packages/gateway/src/servedRequest.ts
+++ b/packages/gateway/src/servedRequest.ts
@@ -25,6 +25,8 @@
   #hasBegunToRun = false;
   #prefillsAccepted = 0;
   #isPrefillPaid = false;
+  #isStreamBegun = false;
+  #origin: serving.StreamOrigin | undefined;
 
   /**
    * @param context - dependencies shared by all requests
@@ -118,8 +120,46 @@
     return this.#deadlineAt - performance.now();
   }
 
+  /** @returns whether a part of the request's stream exists, so that the rest may only come from what began it */
+  get isStreamBegun(): boolean {
+    return this.#isStreamBegun;
+  }
+
+  /** @returns what began the stream; undefined if none has begun, or if that isn't known */
+  get origin(): serving.StreamOrigin | undefined {
+    return this.#origin;
+  }
+
+  /**
+   * Records that a part of the stream exists. From then on it goes on only at its origin.
+   *
+   * @param origin - what began it; undefined if that isn't known, so that it can't go on
+   */
+  noteStreamBegun(origin: serving.StreamOrigin | undefined): void {
+    if (this.#isStreamBegun) return;
+    this.#isStreamBegun = true;
+    this.#origin = origin;
+    if (origin !== undefined) this.#service = origin.service;
+  }
+
+  /**
+   * @param endpoint - an endpoint of the service
+   * @returns whether the request may be sent there, as far as its stream decides
+   */
+  mayGoOnAt(endpoint: serving.Endpoint): boolean {
+    if (!this.#isStreamBegun) return true;
+    const origin = this.#origin;
+    return origin !== undefined && serving.isOnRoute(origin, this.#route) && serving.isOfOrigin(origin, endpoint);
+  }
+
+  /** @returns whether any available endpoint may be sent the request, as far as its stream decides */
+  get canGoOn(): boolean {
+    return this.#context.view.directory.availableEndpoints(this.#service).some((endpoint) => this.mayGoOnAt(endpoint));
+  }
+
   /** Chooses the service at random, weighted by the route's shares. */
   chooseService(): void {
+    if (this.#isStreamBegun) return;
     const service = serving.drawService(this.#route, this.#context.random.next());
     this.#service = service ?? "";
   }
@@ -222,7 +262,7 @@
     const { view } = this.#context;
     const hasUntried = view.directory
       .availableEndpoints(this.#service)
-      .some((endpoint) => !this.#triedEndpoints.has(endpoint.id));
+      .some((endpoint) => !this.#triedEndpoints.has(endpoint.id) && this.mayGoOnAt(endpoint));
     return serving.nextStep({
       outcome,
       mayHaveRun: this.#mayHaveRun,
--- a/packages/gateway/tests/helpers/exchangeHarness.ts
+++ b/packages/gateway/tests/helpers/exchangeHarness.ts
@@ -202,6 +202,7 @@
         slots: 8,
         role,
         leaving: false,
+        softwareVersion: "v1",
       };
       view.directory.put({ id: `e${index}`, ...properties }, index + 1);
     }
--- a/packages/serving/src/endpointDirectory.ts
+++ b/packages/serving/src/endpointDirectory.ts
@@ -253,6 +253,24 @@
     return this.#setAside.has(id);
   }
 
+  /**
+   * @param endpoint - an endpoint as it was known before
+   * @returns version of its software, or undefined if it isn't known: its entry states none, or another one by now
+   */
+  softwareVersionOf(endpoint: Endpoint): string | undefined {
+    if (!this.isSameIncarnation(endpoint) || this.hasOtherSoftware(endpoint)) return undefined;
+    return endpoint.softwareVersion;
+  }
+
+  /**
+   * @param endpoint - an endpoint as it was known before
+   * @returns whether its entry states another version of its software by now
+   */
+  hasOtherSoftware(endpoint: Endpoint): boolean {
+    const known = this.#entries.get(endpoint.id);
+    return known !== undefined && known.endpoint.softwareVersion !== endpoint.softwareVersion;
+  }
+
   /**
    * @param endpoint - an endpoint as it was known before
    * @returns whether it is, as far as is known, still the same incarnation
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -42,6 +42,7 @@
 export * from "./statements/restTable.js";
 export * from "./statements/restingEndpoints.js";
 export * from "./statements/sendGate.js";
+export * from "./streams/streamOrigin.js";
 export * from "./suspectTable.js";
 export * from "./trueTime.js";
 export * from "./urgency.js";
--- a/packages/serving/src/statements/sendGate.ts
+++ b/packages/serving/src/statements/sendGate.ts
@@ -46,6 +46,6 @@
   mayReceive(endpoint: directories.Endpoint, isNewWork: boolean, now: number): boolean {
     const { directory, rests } = this.#parts;
     if (rests.isResting(endpoint, now)) return false;
-    return !isNewWork || !directory.isStatedLeaving(endpoint);
+    return !isNewWork || !(directory.isStatedLeaving(endpoint) || directory.hasOtherSoftware(endpoint));
   }
 }
--- a/packages/serving/src/urgency.ts
+++ b/packages/serving/src/urgency.ts
@@ -1,5 +1,8 @@
 /** Urgency of a request in an engine's queue: 0 goes first. */
 
+/** The most urgent level. */
+export const MOST_URGENT = 0;
+
 /** The least urgent level. */
 export const LEAST_URGENT = 9;
 
