Let a caller take a stream up only at the version that began it

What callers saw: the first part of a stream by one version, the rest, after they had taken it up at some daemon, by another. Cause: nothing read which attempt a caller goes on with, and the daemon that knew who began it is often the one that has just ended.

Safety needs no message. A stream goes on only if what began it is known for sure: by a record, or as only one version of one service can have begun it, by all entries within the time for which streams are taken up, as of 2.5 s ago at most. A daemon that has just started, whose list is older, or whose store is away without peers that read it, doesn't know; peers confirm each other by a hash of the versions in heartbeats. A new version begins no stream for 2.5 s while another serves, so that no daemon takes the other one for the only one. Unknown is 503 at once, without Retry-After unless a daemon that may know gave no answer.

Use needs the record: where more than one version is possible, the first event sends it to two daemons of two data centres, chosen by rendezvous hashing of the attempt's id; streams that are open when that becomes so follow, 64 at a time; a daemon that stops hands its records on. Whoever gets the request asks five, for 250 ms. The id's hash holds the organisation. Records that contradict each other are logged and unknown.

--- a/packages/gateway/src/answerBody.ts
+++ b/packages/gateway/src/answerBody.ts
@@ -136,5 +136,6 @@
     const { service } = active.endpoint;
     const softwareVersion = answeringVersion(context, active.endpoint, this.#head.endpointId);
     served.noteStreamBegun(softwareVersion === undefined ? undefined : { service, softwareVersion });
+    context.streams.noteBegun(served);
   }
 }
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -10,6 +10,7 @@
 import type * as ports from "./ports.js";
 import type * as settingsModule from "./settings.js";
 import type * as endpointStatements from "./statements/endpointStatements.js";
+import type * as streamOrigins from "./streams/streamOrigins.js";
 import type * as suspectGates from "./suspects/suspectGate.js";
 
 /** Dependencies that the serving of all requests shares. */
@@ -35,6 +36,8 @@
   readonly statements: endpointStatements.EndpointStatements;
   /** Detects endpoints that crashed, and the requests that they were running. */
   readonly crashDetector: crashDetectors.EndpointCrashDetector;
+  /** What began the streams that callers may take up. */
+  readonly streams: streamOrigins.StreamOrigins;
   /** Keeps requests that crash endpoints from being sent to them. */
   readonly suspects: suspectGates.SuspectGate;
   readonly budgets: RetryBudgets;
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -3,6 +3,7 @@
 import type * as callerRequests from "./callerRequest.js";
 import type * as contexts from "./context.js";
 import * as endpointFeedbacks from "./endpointFeedback.js";
+import type * as ports from "./ports.js";
 import * as prefillHandovers from "./prefillHandover.js";
 import * as requestEnds from "./requestEnd.js";
 import * as sendChoosers from "./sendChooser.js";
@@ -11,8 +12,8 @@
 
 const BAD_GATEWAY = 502;
 
-/** Characters of the id of another request that are kept for the log. */
-const MAX_LOGGED_ID_LENGTH = 60;
+/** Outcome in the log of a request whose stream can't go on, as nobody knows what began it. */
+const UNKNOWN_ORIGIN = "stream-unknown";
 
 /** Serves one request of a caller, from its arrival to its single final answer. */
 export class Exchange {
@@ -69,12 +70,28 @@
     // discarded in favour of a 504. setImmediate runs the deadline after the reads.
     const onTime = (): unknown => setImmediate(() => this.#onDeadline());
     this.#deadlineTimer = setTimeout(onTime, Math.max(0, this.#served.remainingMs));
-    this.#logTakenUp();
+    const { caller, route } = this.#served;
+    const { resumption } = caller.headers;
+    if (resumption === undefined || route.requestClass !== serving.RequestClass.Stream) this.#sendFirst();
+    else void this.#takeUp(resumption);
+  }
+
+  #sendFirst(): void {
     this.#served.chooseService();
     this.#context.budgets.of(this.#served.service).noteRequest(performance.now());
     this.#forwarder.sendNext();
   }
 
+  /** Goes on with a stream where it began, or rejects the request at once if that isn't known. */
+  async #takeUp(resumption: ports.Resumption): Promise<void> {
+    const { origin, isFinal } = await this.#context.streams.find(this.#served, resumption);
+    if (this.#end.over) return;
+    this.#served.noteStreamBegun(origin);
+    if (origin !== undefined) this.#sendFirst();
+    else if (isFinal) this.#end.rejectForGood(UNKNOWN_ORIGIN);
+    else this.#end.reject(UNKNOWN_ORIGIN);
+  }
+
   /** Handles that the caller has disconnected: the send under way is cancelled. */
   onCallerDisconnected(): void {
     this.#end.onCallerDisconnected();
@@ -92,19 +109,6 @@
     else this.#end.reject(reason);
   }
 
-  #logTakenUp(): void {
-    const { caller, id, route } = this.#served;
-    const { resumption } = caller.headers;
-    if (resumption === undefined || route.requestClass !== serving.RequestClass.Stream) return;
-    this.#context.metrics.count("streams_taken_up");
-    this.#context.log.info("stream-taken-up", {
-      id,
-      attempt: resumption.attemptId?.slice(0, MAX_LOGGED_ID_LENGTH),
-      after: resumption.lastEventId?.slice(0, MAX_LOGGED_ID_LENGTH),
-      route: route.name,
-    });
-  }
-
   #onDeadline(): void {
     if (this.#end.over) return;
     const { active } = this.#forwarder;
--- a/packages/gateway/src/fleetView.ts
+++ b/packages/gateway/src/fleetView.ts
@@ -23,6 +23,10 @@
   readonly daemons = new Map<string, daemonEntries.DaemonEntry>();
   /** As of when the configuration in force is known to be the newest. */
   readonly freshness = new serving.ConfigurationFreshness();
+  /** Versions of the endpoints' software that may have begun streams which callers take up. */
+  readonly versions = new serving.SoftwareVersions();
+  /** Services to which the routes have led of late. */
+  readonly routes = new serving.RouteHistory();
   /** Daemons that left recently and may restart. */
   readonly former = new formerDaemons.FormerDaemons();
   #table: serving.RouteTable | undefined;
@@ -95,6 +99,9 @@
     this.#configurationRevision = revision;
     this.#configurationDocument = document;
     this.freshness.noteInForce(revision);
+    this.routes.noteInForce(this.#table, performance.now());
+    for (const { requestClass, timeoutMs } of configuration.routes)
+      if (requestClass === serving.RequestClass.Stream) this.versions.noteTimeout(timeoutMs);
     return true;
   }
 }
--- a/packages/gateway/src/fleetViewUpdater.ts
+++ b/packages/gateway/src/fleetViewUpdater.ts
@@ -287,6 +287,7 @@
   }
 
   #report(update: serving.EndpointUpdate, source: Source, fault = "the entry has no start time"): void {
+    this.#noteVersion(update);
     const { id, endpoint, change, revision, formerBornAt } = update;
     if (change === serving.EndpointChange.SetAside) {
       const service = endpoint?.service;
@@ -313,4 +314,12 @@
     }
     this.#parts.onEndpoint(update);
   }
+
+  /** An endpoint whose entry can't be read may go on serving with the version that it had. */
+  #noteVersion({ change, endpoint, id }: serving.EndpointUpdate): void {
+    const { versions } = this.#parts.view;
+    const now = performance.now();
+    if (change === serving.EndpointChange.Gone) versions.noteGone(id, now);
+    else if (change !== serving.EndpointChange.SetAside && endpoint !== undefined) versions.notePresent(endpoint, now);
+  }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -28,6 +28,7 @@
 import type * as settingsModule from "./settings.js";
 import * as sideServers from "./sideServers.js";
 import * as endpointStatements from "./statements/endpointStatements.js";
+import * as streamOrigins from "./streams/streamOrigins.js";
 import * as storeReadingModes from "./storeReadingMode.js";
 import * as storeFollowers from "./storeFollower.js";
 import * as crashProtections from "./suspects/crashProtection.js";
@@ -182,6 +183,12 @@
       metrics: this.#metrics,
       isStoreUnreachable: () => this.#follower.isUnreachable,
     });
+    const streams = new streamOrigins.StreamOrigins({
+      log: this.#log,
+      metrics: this.#metrics,
+      view: this.#view,
+      peers: () => this.#peers,
+    });
     this.#context = {
       settings,
       log: this.#log,
@@ -196,6 +203,7 @@
       client,
       limits,
       statements,
+      streams,
       crashDetector,
       suspects,
       budgets: new contexts.RetryBudgets(settings.retryBounds, performance.now()),
@@ -248,6 +256,7 @@
         onProbe: (endpointId) => this.#relayServer.probe(endpointId),
         onRelay: (incoming, response) => void this.#relayServer.handle(incoming, response),
       },
+      streams,
       onNeighbourCutOff: () => this.#reachability.monitor.checkOwnLink(),
       storeSilentMs: () => this.#follower.silentMs,
       lateMs: () => this.#loopWatch.lateMs,
@@ -347,6 +356,7 @@
       takes_callers: Number(this.#peers.activeSet.active),
       cut_off: Number(this.#reachability.monitor.isCutOff),
       requests_relayed_open: this.#relayServer.open,
+      stream_records: this.#context.streams.count,
       endpoints_resting: this.#context.statements.rests.count,
       endpoints_limited: this.#context.limits.table.limits().length,
       busy_cores: this.#utilization.share * this.#settings.capacity,
@@ -378,6 +388,8 @@
     void this.#registration.end();
     this.#duties.release();
     await this.#runShutdown(shutdown);
+    // Callers whose streams break now take them up elsewhere.
+    this.#context.streams.handOn();
     this.#listener.endOpen();
     const recorded = this.#duties.recordUsage();
     await this.#waitForAnswers(performance.now() + LAST_ANSWERS_MS);
--- a/packages/gateway/src/paths/relayServer.ts
+++ b/packages/gateway/src/paths/relayServer.ts
@@ -135,6 +135,9 @@
     const bornAt = endpointIncarnations.fromMessage(message.startedAtMs);
     if (isStopping() || endpoint === undefined || endpointIncarnations.isOtherIncarnation(view, endpoint.id, bornAt))
       return neverthrow.err(relayMessages.RelayResult.Refused);
+    // An older daemon names no version.
+    if (message.softwareVersion !== "" && message.softwareVersion !== endpoint.softwareVersion)
+      return neverthrow.err(relayMessages.RelayResult.Refused);
     const maxConnections = view.table?.service(endpoint.service)?.maxConnections ?? Number.MAX_SAFE_INTEGER;
     if (!client.mayReceive(endpoint, serving.AnsweredCall.Run))
       return neverthrow.err(relayMessages.RelayResult.Refused);
--- a/packages/gateway/src/paths/routedSend.ts
+++ b/packages/gateway/src/paths/routedSend.ts
@@ -229,6 +229,7 @@
       vm: relays.vm,
       endpoint: endpoint.id,
       startedAtMs: endpointIncarnations.toMessage(endpoint.bornAt),
+      softwareVersion: endpoint.softwareVersion ?? "",
       method,
       path,
       headers: createHeaders(),
--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -17,6 +17,8 @@
 import * as recipientsModule from "./peers/recipients.js";
 import * as sendersModule from "./peers/senders.js";
 import * as activeSetTrackers from "./peers/activeSetTracker.js";
+import type * as streamOrigins from "./streams/streamOrigins.js";
+import * as streamRecordCodec from "./streams/streamRecordCodec.js";
 import * as suspectCodec from "./suspects/suspectCodec.js";
 import * as recentChangesModule from "./peers/recentChanges.js";
 import type * as settingsModule from "./settings.js";
@@ -35,6 +37,9 @@
 /** Interval at which a standby daemon evaluates what it has received, in milliseconds. */
 const STANDBY_CHECK_MS = 300;
 
+/** Records of streams in one datagram; their names are short. */
+const MAX_RECORDS_IN_DATAGRAM = 16;
+
 /** Messages carry capacity in whole thousandths of a core. */
 const THOUSANDTHS = 1_000;
 
@@ -57,6 +62,8 @@
   readonly isLinkLost: () => boolean;
   /** Handles the calls of peers that don't reach an endpoint. */
   readonly pathCalls: Pick<peerCalls.PeerCallHandler, "onProbe" | "onRelay">;
+  /** Keeps what began the streams of other daemons. */
+  readonly streams: Pick<streamOrigins.StreamOrigins, "answer" | "merge" | "publishDue">;
   /** Called when a daemon of this data centre reports that it is cut off from endpoints. */
   readonly onNeighbourCutOff: () => void;
   /** Milliseconds for which the key-value service has not answered. */
@@ -81,7 +88,7 @@
  * Exchanges state with the other daemons: heartbeats with work and departures over UDP, and news over RPC for daemons
  * that are behind or that the key-value service doesn't answer.
  */
-export class PeerLink {
+export class PeerLink implements streamOrigins.RecordPeers {
   readonly peerTable: peerTables.PeerTable;
   /** Whether this daemon is active, and which daemons of its data centre are. */
   readonly activeSet: activeSetTrackers.ActiveSetTracker;
@@ -124,6 +131,7 @@
     this.#server = await peerCalls.servePeers(this.#parts.settings.peers, {
       ...this.#parts.pathCalls,
       onNews: (news) => this.#receiver.applyNews(news),
+      onStreamQuery: (query) => this.#parts.streams.answer(query),
     });
     this.#socketsOpen = true;
     this.#tick();
@@ -186,6 +194,42 @@
     }
   }
 
+  /** {@inheritDoc streamOrigins.RecordPeers.holders} */
+  holders(): readonly serving.PossibleHolder[] {
+    const ready = this.peerTable.live(performance.now()).filter((peer) => peer.ready);
+    // Daemons on standby are heard by few others, which would choose them alone.
+    const dispatching = ready.filter((peer) => peer.dispatching);
+    if (dispatching.length > 0) return dispatching;
+    // A daemon that has just started has heard nobody yet.
+    return ready.length > 0 ? ready : this.#otherDaemons();
+  }
+
+  /** {@inheritDoc streamOrigins.RecordPeers.sendRecords} */
+  sendRecords(vm: string, records: readonly serving.StreamRecord[]): void {
+    const address = this.addressOf(vm);
+    if (address === undefined) return;
+    const { entry } = this.#parts;
+    const now = performance.now();
+    for (let first = 0; first < records.length; first += MAX_RECORDS_IN_DATAGRAM) {
+      const streamRecords = records
+        .slice(first, first + MAX_RECORDS_IN_DATAGRAM)
+        .map((record) => streamRecordCodec.toMessage(record, now));
+      const pulse = { vm: entry.vm, incarnation: entry.incarnation, changesOnly: true, streamRecords };
+      this.#heartbeatSocket.send(protobuf.create(messages.PulseSchema, pulse), [address]);
+    }
+  }
+
+  /** {@inheritDoc streamOrigins.RecordPeers.findStream} */
+  async findStream(
+    vm: string,
+    query: streamOrigins.StreamQuery,
+    timeoutMs: number,
+  ): Promise<serving.StreamOrigin | undefined> {
+    const address = this.addressOf(vm);
+    if (address === undefined) throw new Error(`the address of ${vm} is not known`);
+    return this.#peerClient.findStream(address, query, timeoutMs);
+  }
+
   /**
    * @param vm - VM of a peer
    * @returns its IP:PORT for the other daemons, if it is known
@@ -224,6 +268,7 @@
       occasional: hasChanged || now - this.#lastSentAt.occasional >= this.#occasionalIntervalMs,
     });
     if (this.#sendsNews(now)) this.#sendNews(now);
+    this.#parts.streams.publishDue();
     this.#timer = setTimeout(() => this.#tick(), this.#updateInterval(recipients));
   }
 
@@ -346,6 +391,7 @@
       linkLost: this.#parts.isLinkLost(),
       configurationRevision: BigInt(view.configurationRevision),
       ...this.#configurationAge(now),
+      ...this.#versions(now),
       storeSilentMs: Math.round(this.#parts.storeSilentMs()),
       unixMs: BigInt(Date.now()),
       departures: this.#recentChanges.nextDepartures(now),
@@ -370,6 +416,15 @@
     return Number.isFinite(ageMs) ? { configurationAgeMs: peerWorks.toUint32(Math.ceil(ageMs)) } : {};
   }
 
+  #versions(now: number): { readonly versionsDigest: number; readonly versionsAgeMs?: number } {
+    const { versions } = this.#parts.view;
+    const ageMs = versions.ageMs(now);
+    const versionsDigest = versions.digest(now);
+    return ageMs === undefined
+      ? { versionsDigest }
+      : { versionsDigest, versionsAgeMs: peerWorks.toUint32(Math.ceil(ageMs)) };
+  }
+
   #sendNews(now: number): void {
     const { view, log } = this.#parts;
     const sender: peerTables.SenderState = {
--- a/packages/gateway/src/peers/peerCalls.ts
+++ b/packages/gateway/src/peers/peerCalls.ts
@@ -1,10 +1,13 @@
 import * as http from "node:http";
 import * as messages from "@camphorcourse/protocol/gateway";
+import type * as serving from "@camphorcourse/serving";
 import * as connect from "@connectrpc/connect";
 import * as connectNode from "@connectrpc/connect-node";
 import type * as pathMonitors from "../paths/pathMonitor.js";
 import * as relayMessages from "../paths/relayMessage.js";
 import type * as settingsModule from "../settings.js";
+import type * as streamOrigins from "../streams/streamOrigins.js";
+import * as streamRecordCodec from "../streams/streamRecordCodec.js";
 
 /** Timeout for sending news to one peer, in milliseconds. */
 const SEND_TIMEOUT_MS = 800;
@@ -18,6 +21,8 @@
   onNews(news: messages.News): number;
   /** @param endpointId - an endpoint that the peer can't connect to; @returns whether this daemon reaches it */
   onProbe(endpointId: string): Promise<pathMonitors.PeerFinding>;
+  /** @param query - a stream that a caller of the peer takes up; @returns what began it, if this daemon knows */
+  onStreamQuery(query: streamOrigins.StreamQuery): serving.StreamOrigin | undefined;
   /** Handles a request that a peer passes on. */
   onRelay(incoming: http.IncomingMessage, response: http.ServerResponse): void;
 }
@@ -35,6 +40,10 @@
       router.service(messages.GatewayPeer, {
         tell: (news) => ({ configurationRevision: BigInt(handler.onNews(news)) }),
         probe: ({ endpoint }) => handler.onProbe(endpoint),
+        findStream: ({ attempt, host, path }) => {
+          const origin = handler.onStreamQuery({ attempt: streamRecordCodec.fromMessageAttempt(attempt), host, path });
+          return { isKnown: origin !== undefined, ...origin };
+        },
       });
     },
   });
@@ -74,6 +83,24 @@
     return this.#client(address).probe({ endpoint }, { timeoutMs: PROBE_TIMEOUT_MS });
   }
 
+  /**
+   * Asks one peer what began a stream.
+   *
+   * @param address - IP:PORT of the peer
+   * @param query - the stream
+   * @param timeoutMs - time for the answer, in milliseconds
+   * @returns what began it, if the peer knows
+   */
+  async findStream(
+    address: string,
+    { attempt, host, path }: streamOrigins.StreamQuery,
+    timeoutMs: number,
+  ): Promise<serving.StreamOrigin | undefined> {
+    const query = { attempt: streamRecordCodec.toMessageAttempt(attempt), host, path };
+    const { isKnown, service, softwareVersion } = await this.#client(address).findStream(query, { timeoutMs });
+    return isKnown ? { service, softwareVersion } : undefined;
+  }
+
   #client(address: string): connect.Client<typeof messages.GatewayPeer> {
     let client = this.#clients.get(address);
     if (client === undefined) {
--- a/packages/gateway/src/peers/peerReceiver.ts
+++ b/packages/gateway/src/peers/peerReceiver.ts
@@ -6,6 +6,7 @@
 import type * as peerLinks from "../peerLink.js";
 import type * as peerTables from "../peerTable.js";
 import * as peerWorks from "../peerWork.js";
+import * as streamRecordCodec from "../streams/streamRecordCodec.js";
 import * as suspectCodec from "../suspects/suspectCodec.js";
 
 /** Messages carry capacity in whole thousandths of a core. */
@@ -21,6 +22,7 @@
   | "view"
   | "suspects"
   | "limits"
+  | "streams"
   | "log"
   | "onDaemon"
   | "onConfiguration"
@@ -50,6 +52,7 @@
     const now = performance.now();
     if (pulse.changesOnly) {
       this.#applyChanges(pulse);
+      this.#applyStreamRecords(pulse.streamRecords, now);
       return;
     }
     // A daemon in a planned stop still sends heartbeats but has left; one without a configuration has just started.
@@ -86,6 +89,7 @@
       lastReceivedAt: now,
     });
     this.#noteConfiguration(pulse, now);
+    this.#noteVersions(pulse, now);
     if (previous === undefined || previous.incarnation !== pulse.incarnation || previous.ready !== pulse.ready) {
       this.#parts.log.info("peer", { peer: pulse.vm, incarnation: pulse.incarnation, ready: pulse.ready });
     }
@@ -108,6 +112,18 @@
     freshness.noteConfirmed(revision, now - configurationAgeMs - this.#parts.lateMs());
   }
 
+  #noteVersions({ versionsAgeMs, versionsDigest }: messages.Pulse, now: number): void {
+    if (versionsAgeMs === undefined) return;
+    this.#parts.view.versions.notePeer(versionsDigest, now - versionsAgeMs - this.#parts.lateMs(), now);
+  }
+
+  #applyStreamRecords(records: readonly messages.StreamRecord[], now: number): void {
+    for (const message of records) {
+      const record = streamRecordCodec.fromMessage(message, now);
+      if (record !== undefined) this.#parts.streams.merge(record);
+    }
+  }
+
   #applyChanges({ entries, departures }: Pick<messages.Pulse, "entries" | "departures">): void {
     for (const entry of entries) this.#parts.onEndpoint(entry.id, entry.value, Number(entry.revision));
     this.#applyDepartures(departures);
--- a/packages/gateway/src/requestEnd.ts
+++ b/packages/gateway/src/requestEnd.ts
@@ -80,6 +80,7 @@
   /** Ends the caller's stream as complete. */
   endStream(): void {
     this.#answer.endStream();
+    this.#context.streams.noteComplete(this.#served);
     this.#context.suspects.noteSuccess(this.#served);
     this.#finish("answered", HTTP_OK);
   }
--- a/packages/gateway/src/sendChooser.ts
+++ b/packages/gateway/src/sendChooser.ts
@@ -124,8 +124,14 @@
     return this.#placeOn([leastBusy], definition, definition.engine, prompt);
   }
 
+  /** Whether the request may begin a stream that its caller takes up later. */
+  get #mayBeginStream(): boolean {
+    const { isStreamBegun, route } = this.#served;
+    return !isStreamBegun && route.requestClass === serving.RequestClass.Stream && route.resumable;
+  }
+
   #candidates(definition: serving.Service | undefined): Candidates {
-    const { health, limits, metrics, statements } = this.#context;
+    const { health, limits, metrics, statements, view } = this.#context;
     const now = performance.now();
     const { awake, restMs } = serving.selectAwake(statements.rests, this.#available(definition), now);
     if (restMs !== undefined) {
@@ -134,7 +140,8 @@
     }
     const usable = health.selectUsable(awake, serving.mayRetry(this.#served.route), now);
     const isQueued = !this.#isNextInQueue && limits.waiting.count(this.#served.service) > 0;
-    const { ready, limited } = serving.selectReady(limits.enforcer, usable, isQueued, now);
+    const startable = this.#mayBeginStream ? view.versions.selectSettled(usable, now) : usable;
+    const { ready, limited } = serving.selectReady(limits.enforcer, startable, isQueued, now);
     if (limited === undefined) return { ready };
     metrics.count("limited_endpoints_passed_over");
     return { ready, limited };
--- a/packages/gateway/src/storeFollower.ts
+++ b/packages/gateway/src/storeFollower.ts
@@ -144,6 +144,7 @@
     this.#recordAnswer(started);
     if (this.#listDueAt !== undefined && performance.now() >= this.#listDueAt) this.#listDueAt = undefined;
     this.#parts.fleetViewUpdater.applyListing(listing.value, started);
+    this.#parts.view.versions.noteListed(started);
     this.#noteConfirmed(started);
     this.#revision = listing.value.revision;
     return 0;
@@ -163,6 +164,7 @@
     }
     this.#recordAnswer(started);
     for (const event of changes.value.events) this.#parts.fleetViewUpdater.applyEvent(event, started);
+    this.#parts.view.versions.noteFollowed(started);
     this.#noteConfirmed(started);
     this.#revision = Math.max(after, changes.value.revision);
     return WATCH_PAUSE_MS;
--- a/packages/gateway/tests/helpers/exchangeHarness.ts
+++ b/packages/gateway/tests/helpers/exchangeHarness.ts
@@ -15,6 +15,7 @@
 import * as metricsModule from "../../src/metrics.js";
 import type * as ports from "../../src/ports.js";
 import * as endpointStatements from "../../src/statements/endpointStatements.js";
+import * as streamOrigins from "../../src/streams/streamOrigins.js";
 import * as suspectGates from "../../src/suspects/suspectGate.js";
 import type * as settingsModule from "../../src/settings.js";
 import * as limits from "./limits.js";
@@ -245,6 +246,12 @@
         isLeaving: () => false,
         onCrashed: () => undefined,
       }),
+      streams: new streamOrigins.StreamOrigins({
+        log: new decisionLogs.DecisionLog("vm-1", "info", sink),
+        metrics: new metricsModule.Metrics(),
+        view,
+        peers: () => ({ holders: () => [], sendRecords: unused, findStream: unused }),
+      }),
       suspects: new suspectGates.SuspectGate({
         log: new decisionLogs.DecisionLog("vm-1", "info", sink),
         lastReceivedAt: () => 0,
--- a/packages/gateway/tests/peerIncarnations.test.ts
+++ b/packages/gateway/tests/peerIncarnations.test.ts
@@ -55,6 +55,7 @@
     this.#link = new peerLinks.PeerLink({
       settings: { peers: address } as never,
       entry: { ...other, vm: "vm-1", peers: `127.0.0.1:${this.#port}` },
+      streams: { answer: () => undefined, merge: () => undefined, publishDue: () => undefined },
       view: this.view,
       loads: this.loads,
       demand: new serving.Demand(),
--- a/packages/gateway/tests/peerLink.test.ts
+++ b/packages/gateway/tests/peerLink.test.ts
@@ -55,6 +55,7 @@
     { host: HOST, port },
     {
       ...paths.REACHING_ALL.pathCalls,
+      onStreamQuery: () => undefined,
       onNews: (news) => {
         sentEndpoints += news.endpoints.length;
         sentRevisions.push(news.configurationRevision);
@@ -72,6 +73,7 @@
   view.endpointDocuments.set("e1", { value: new Uint8Array([1]), revision: 1 });
   const link = new peerLinks.PeerLink({
     settings: { peers: { host: HOST, port: await freePorts.freePort() } } as never,
+    streams: { answer: () => undefined, merge: () => undefined, publishDue: () => undefined },
     entry,
     view,
     loads: new serving.EngineLoadTracker(),
