--- a/packages/gateway/src/callerListener.ts
+++ b/packages/gateway/src/callerListener.ts
@@ -10,6 +10,7 @@
 import * as exchanges from "./exchange.js";
 import * as pendingReads from "./pendingReads.js";
 import type * as settingsModule from "./settings.js";
+import * as firstSightings from "./statements/firstSightings.js";
 
 /** Header size that the HTTP parser accepts, in bytes; the limit of the configuration is checked afterwards. */
 const PARSER_HEADER_BYTES = 131_072;
@@ -62,6 +63,7 @@
   readonly #acceptedLate = new WeakSet<stream.Duplex>();
   /** Instant of the last request of each connection, in milliseconds. */
   readonly #readAt = new WeakMap<stream.Duplex, number>();
+  readonly #unlistedHeaders = new firstSightings.FirstSightings();
   #shutdown: serving.GracefulShutdown | undefined;
   #doorClosed = false;
   #openRequests = 0;
@@ -214,6 +216,7 @@
       return;
     }
     const request = read.value;
+    this.#noteUnlisted(request);
     const caller: CallerState = { exchange: undefined, hasDisconnected: false };
     const onDisconnect = (): void => {
       caller.hasDisconnected = true;
@@ -250,6 +253,15 @@
     }
   }
 
+  /** Shows operators what callers say and nobody reads, before it matters that nobody does. */
+  #noteUnlisted({ headers }: callerRequests.CallerRequest): void {
+    for (const name of headers.unlistedHeaders) {
+      if (!this.#unlistedHeaders.isFirst(name)) continue;
+      this.#context.metrics.count("caller_headers_unlisted");
+      this.#context.log.warn("caller-header-unlisted", { id: headers.requestId, header: name });
+    }
+  }
+
   /** @returns the exchange of the request, not yet started, or undefined if the request was refused */
   #accept(
     request: callerRequests.CallerRequest,
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -143,6 +143,8 @@
    * organisations.
    */
   readonly identityHeaders: readonly string[];
+  /** Names of the headers that the format doesn't know. */
+  readonly unlistedHeaders: readonly string[];
 }
 
 /** Values of the headers that the gateway adds to a request to an endpoint. */
--- a/packages/gateway/src/statements/endpointStatements.ts
+++ b/packages/gateway/src/statements/endpointStatements.ts
@@ -4,9 +4,7 @@
 import type * as metricsModule from "../metrics.js";
 import type * as ports from "../ports.js";
 import type * as sendings from "../sending.js";
-
-/** Maximum number of unlisted headers that are logged. */
-const MAX_UNLISTED = 32;
+import * as firstSightings from "./firstSightings.js";
 
 /** Dependencies of {@link EndpointStatements}. */
 export interface EndpointStatementsParts {
@@ -26,7 +24,7 @@
   readonly rests = new serving.RestTable();
   readonly gate: serving.SendGate;
   readonly #parts: EndpointStatementsParts;
-  readonly #unlisted = new Set<string>();
+  readonly #unlisted = new firstSightings.FirstSightings();
 
   /** @param parts - dependencies */
   constructor(parts: EndpointStatementsParts) {
@@ -101,8 +99,7 @@
   /** Shows operators a header that nobody reads, before it matters that nobody does. */
   #noteUnlisted(endpoint: serving.Endpoint, { unlistedHeaders }: ports.AnswerHead): void {
     for (const name of unlistedHeaders) {
-      if (this.#unlisted.has(name) || this.#unlisted.size >= MAX_UNLISTED) continue;
-      this.#unlisted.add(name);
+      if (!this.#unlisted.isFirst(name)) continue;
       this.#parts.metrics.count("endpoint_headers_unlisted");
       this.#parts.log.warn("endpoint-header-unlisted", { endpoint: endpoint.id, header: name });
     }
--- a/packages/gateway/tests/helpers/exchangeHarness.ts
+++ b/packages/gateway/tests/helpers/exchangeHarness.ts
@@ -273,6 +273,7 @@
       credential: { kind: serving.CredentialKind.None as const },
       passedOn: [],
       identityHeaders: [],
+      unlistedHeaders: [],
     };
     const request = {
       method: "POST",
