Keep what is known of streams' origins apart from sockets, and ask in two rounds

Of the five daemons that may know, the two that keep the record are asked first; the others only if these don't know. Endpoints of a version that has just appeared are left out only if an endpoint that can answer remains. An exception while a stream is looked up ends that request only.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -73,7 +73,7 @@
     const { caller, route } = this.#served;
     const { resumption } = caller.headers;
     if (resumption === undefined || route.requestClass !== serving.RequestClass.Stream) this.#sendFirst();
-    else void this.#takeUp(resumption);
+    else this.#takeUp(resumption).catch((error: unknown) => this.#onFault(error));
   }
 
   #sendFirst(): void {
@@ -109,6 +109,12 @@
     else this.#end.reject(reason);
   }
 
+  /** An exception ends this request only; uncaught, it would end the daemon. */
+  #onFault(error: unknown): void {
+    this.#context.log.warn("request-fault", { id: this.#served.id, detail: String(error) });
+    this.#end.reject("request-fault");
+  }
+
   #onDeadline(): void {
     if (this.#end.over) return;
     const { active } = this.#forwarder;
--- a/packages/gateway/src/streams/streamOrigins.ts
+++ b/packages/gateway/src/streams/streamOrigins.ts
@@ -5,17 +5,8 @@
 import type * as metricsModule from "../metrics.js";
 import type * as servedRequests from "../servedRequest.js";
 
-/** Time for which other daemons are asked what began a stream, in milliseconds. */
-const ASK_TIMEOUT_MS = 250;
-
-/** Greatest age of the configuration by which a route is taken to lead to the only service that it has had, in milliseconds. */
-const MAX_CONFIGURATION_AGE_MS = 2_500;
-
-/** Largest number of own streams whose records are published in one go; the next go continues. */
-const MAX_PUBLISHED_AT_ONCE = 64;
-
-/** Largest number of records that a daemon hands on when it stops; the newest ones. */
-const MAX_HANDED_ON = 1_024;
+/** Time for which daemons are asked what began a stream, in milliseconds; there are two rounds of them. */
+const ASK_TIMEOUT_MS = 200;
 
 /** Hexadecimal digits of the hash of a request's id: 64 bits. */
 const ATTEMPT_DIGITS = 16;
@@ -41,13 +32,10 @@
   readonly isFinal: boolean;
 }
 
-/** Names a stream to other daemons. */
-export interface StreamQuery {
+/** Names a stream to other daemons, with host and path of the request that takes it up. */
+export interface StreamQuery extends serving.StreamPath {
   /** Hash of the id of the request that brought its first event. */
   readonly attempt: string;
-  /** Host and path of the request that takes it up. */
-  readonly host: string;
-  readonly path: string;
 }
 
 /** The other daemons, as holders of records. */
@@ -74,11 +62,6 @@
   readonly peers: () => RecordPeers;
 }
 
-/** A stream that this daemon serves or has served in part, and whose caller may take it up. */
-interface OwnStream extends Omit<StreamQuery, "attempt"> {
-  readonly record: serving.StreamRecord;
-}
-
 /**
  * What began the streams that callers may take up, at this daemon or another. Where only one version can have begun them,
  * nothing is exchanged; otherwise each record is sent to two daemons that the request's id chooses. What isn't known for
@@ -86,67 +69,57 @@
  */
 export class StreamOrigins {
   readonly #parts: StreamOriginsParts;
-  /** Records of own streams and of those of other daemons. */
-  readonly #table = new serving.StreamTable();
-  /** Own streams whose records nobody else has, by hash of the request's id. */
-  readonly #unpublished = new Map<string, OwnStream>();
+  readonly #knowledge: serving.OriginKnowledge;
 
   /** @param parts - dependencies */
   constructor(parts: StreamOriginsParts) {
     this.#parts = parts;
+    this.#knowledge = new serving.OriginKnowledge(parts.view);
   }
 
   /** @returns number of records that are kept here */
   get count(): number {
-    return this.#table.size;
+    return this.#knowledge.count;
   }
 
   /** @param served - a request that has brought an event of its stream, its first one */
   noteBegun(served: servedRequests.ServedRequest): void {
-    const { origin } = served;
-    if (origin === undefined || !serving.mayRetry(served.route)) return;
-    const { host, path } = served.caller;
-    const attempt = attemptHash(served, served.id);
-    const record = { attempt, origin, begunAt: performance.now() };
-    this.#put(record);
-    this.#unpublished.set(attempt, { record, host, path });
-    if (this.#onlyOrigin(host, path) === undefined) this.#publish([record]);
+    const { caller, id, origin, route } = served;
+    if (origin === undefined || !serving.mayRetry(route)) return;
+    const now = performance.now();
+    const record = { attempt: attemptHash(served, id), origin, begunAt: now };
+    this.#knowledge.noteBegun(record, caller);
+    if (this.#knowledge.onlyOrigin(caller, now) === undefined) this.#publish([record]);
   }
 
-  /** @param served - a request whose stream is complete, so that its caller has no reason to take it up */
+  /** @param served - a request whose stream is complete */
   noteComplete(served: servedRequests.ServedRequest): void {
-    const attempt = attemptHash(served, served.id);
-    this.#table.remove(attempt);
-    this.#unpublished.delete(attempt);
+    this.#knowledge.noteComplete(attemptHash(served, served.id));
   }
 
-  /** Sends the records of own streams of which more than one version may be the origin by now. */
+  /** Sends the records of own streams that other daemons must get now. */
   publishDue(): void {
-    const expired = this.#expiry();
-    const due: serving.StreamRecord[] = [];
-    for (const [attempt, { record, host, path }] of this.#unpublished) {
-      if (record.begunAt < expired) this.#unpublished.delete(attempt);
-      else if (due.length < MAX_PUBLISHED_AT_ONCE && this.#onlyOrigin(host, path) === undefined) due.push(record);
-    }
-    if (due.length > 0) this.#publish(due);
+    this.#publish(this.#knowledge.due(performance.now()));
   }
 
   /** Sends all records to the daemons that keep them once this one has stopped. */
   handOn(): void {
-    this.#publish(this.#table.current(this.#expiry()).slice(-MAX_HANDED_ON));
+    this.#publish(this.#knowledge.handedOn(performance.now()));
   }
 
   /** @param record - what a peer says that began a stream */
   merge(record: serving.StreamRecord): void {
-    this.#put(record);
+    if (!this.#knowledge.merge(record)) return;
+    this.#parts.metrics.count("stream_records_disputed");
+    this.#parts.log.warn("stream-record-disputed", { attempt: record.attempt, ...record.origin });
   }
 
   /**
    * @param query - a stream that a caller of a peer takes up
    * @returns what began it, if this daemon knows
    */
-  answer({ attempt, host, path }: StreamQuery): serving.StreamOrigin | undefined {
-    return this.#table.find(attempt, this.#expiry()) ?? this.#onlyOrigin(host, path);
+  answer(query: StreamQuery): serving.StreamOrigin | undefined {
+    return this.#findHere(query)?.origin;
   }
 
   /**
@@ -182,64 +155,53 @@
     return finding;
   }
 
-  #findHere({ attempt, host, path }: StreamQuery): OriginFinding | undefined {
-    const recorded = this.#table.find(attempt, this.#expiry());
+  #findHere(query: StreamQuery): OriginFinding | undefined {
+    const now = performance.now();
+    const recorded = this.#knowledge.recorded(query.attempt, now);
     if (recorded !== undefined) return { origin: recorded, source: OriginSource.Record, isFinal: true };
-    const only = this.#onlyOrigin(host, path);
+    const only = this.#knowledge.onlyOrigin(query, now);
     return only === undefined ? undefined : { origin: only, source: OriginSource.OnlyVersion, isFinal: true };
   }
 
-  /** The first daemon that knows decides. Those that don't answer may know; the caller may try again. */
+  /** Asks the daemons that keep the record, then others. Those that don't answer may know; the caller may try again. */
   async #ask(query: StreamQuery): Promise<OriginFinding> {
-    const peers = this.#parts.peers();
-    const asked = serving.askedFor(query.attempt, peers.holders());
+    let isFinal = true;
+    for (const round of serving.askedFor(query.attempt, this.#parts.peers().holders())) {
+      const answers = await this.#askAll(round, query);
+      if (answers.origin !== undefined) return { ...answers, source: OriginSource.Peer, isFinal: true };
+      isFinal &&= answers.isFinal;
+    }
+    return { origin: undefined, source: OriginSource.Unknown, isFinal };
+  }
+
+  /** The first daemon that knows decides. */
+  async #askAll(vms: readonly string[], query: StreamQuery): Promise<Pick<OriginFinding, "origin" | "isFinal">> {
     let answers = 0;
-    const answersOf = asked.map(async (vm) => {
-      const origin = await peers.findStream(vm, query, ASK_TIMEOUT_MS);
+    const findings = vms.map(async (vm) => {
+      const origin = await this.#parts.peers().findStream(vm, query, ASK_TIMEOUT_MS);
       answers++;
       if (origin === undefined) throw new Error("unknown");
       return origin;
     });
     try {
-      return { origin: await Promise.any(answersOf), source: OriginSource.Peer, isFinal: true };
+      return { origin: await Promise.any(findings), isFinal: true };
     } catch {
-      return { origin: undefined, source: OriginSource.Unknown, isFinal: answers === asked.length };
+      return { origin: undefined, isFinal: answers === vms.length };
     }
   }
 
-  /** What began all streams of a route, where only one version of one service can have. */
-  #onlyOrigin(host: string, path: string): serving.StreamOrigin | undefined {
-    const { freshness, routes, versions } = this.#parts.view;
-    const now = performance.now();
-    if (freshness.ageMs(now) > MAX_CONFIGURATION_AGE_MS) return undefined;
-    const [service, ...others] = routes.servicesSince(host, path, now - versions.windowMs) ?? [];
-    if (service === undefined || others.length > 0) return undefined;
-    const softwareVersion = versions.soleVersion(service, now);
-    return softwareVersion === undefined ? undefined : { service, softwareVersion };
-  }
-
   #publish(records: readonly serving.StreamRecord[]): void {
+    if (records.length === 0) return;
     const peers = this.#parts.peers();
     const holders = peers.holders();
     const byHolder = new Map<string, serving.StreamRecord[]>();
     for (const record of records) {
       const chosen = serving.holdersOf(record.attempt, holders);
       for (const vm of chosen) byHolder.set(vm, [...(byHolder.get(vm) ?? []), record]);
-      if (chosen.length > 0) this.#unpublished.delete(record.attempt);
+      if (chosen.length > 0) this.#knowledge.notePublished(record.attempt);
     }
     for (const [vm, each] of byHolder) peers.sendRecords(vm, each);
   }
-
-  #put(record: serving.StreamRecord): void {
-    if (!this.#table.put(record)) return;
-    this.#parts.metrics.count("stream_records_disputed");
-    this.#parts.log.warn("stream-record-disputed", { attempt: record.attempt, ...record.origin });
-  }
-
-  /** Instant before which the records have expired, in milliseconds. */
-  #expiry(): number {
-    return performance.now() - this.#parts.view.versions.windowMs;
-  }
 }
 
 /** The organisation is a part of the hash: nobody learns whether a request of another organisation exists. */
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -42,6 +42,7 @@
 export * from "./statements/restTable.js";
 export * from "./statements/restingEndpoints.js";
 export * from "./statements/sendGate.js";
+export * from "./streams/originKnowledge.js";
 export * from "./streams/recordHolders.js";
 export * from "./streams/routeHistory.js";
 export * from "./streams/softwareVersions.js";
--- a/packages/serving/src/streams/recordHolders.ts
+++ b/packages/serving/src/streams/recordHolders.ts
@@ -33,12 +33,11 @@
 /**
  * @param attempt - hash of the id of the request that began a stream
  * @param daemons - the other daemons that serve
- * @returns VMs of those that may keep its record
+ * @returns VMs of those that keep its record, and of those that are asked if these don't know
  */
-export function askedFor(attempt: string, daemons: readonly PossibleHolder[]): string[] {
-  const ordered = common.rendezvousOrder(
-    attempt,
-    daemons.map(({ vm }) => vm),
-  );
-  return [...new Set([...holdersOf(attempt, daemons), ...ordered])].slice(0, ASKED);
+export function askedFor(attempt: string, daemons: readonly PossibleHolder[]): readonly [string[], string[]] {
+  const vms = daemons.map(({ vm }) => vm);
+  const holders = holdersOf(attempt, daemons);
+  const others = common.rendezvousOrder(attempt, vms).filter((vm) => !holders.includes(vm));
+  return [holders, others.slice(0, ASKED - holders.length)];
 }
--- a/packages/serving/src/streams/softwareVersions.ts
+++ b/packages/serving/src/streams/softwareVersions.ts
@@ -1,5 +1,6 @@
 import * as common from "@camphorcourse/common";
 import type * as directories from "../endpointDirectory.js";
+import * as limitedEndpoints from "../limits/limitedEndpoints.js";
 
 /**
  * Greatest age of the list of endpoints by which a version counts as the only one of its service, in milliseconds. It is
@@ -143,14 +144,14 @@
    *
    * @param endpoints - endpoints of a service
    * @param now - current time in milliseconds
-   * @returns those of versions that have been known for long, or all if there are none
+   * @returns those of versions that have been known for long, or all if none of these can answer
    */
   selectSettled(endpoints: readonly directories.Endpoint[], now: number): readonly directories.Endpoint[] {
     const settled = endpoints.filter(({ service, softwareVersion }) => {
       const state = this.#services.get(service)?.get(softwareVersion);
       return state !== undefined && now - state.firstSeenAt >= MAX_AGE_MS;
     });
-    return settled.length > 0 ? settled : endpoints;
+    return settled.some(limitedEndpoints.canAnswer) ? settled : endpoints;
   }
 
   /**
