End a stream as complete that is taken up after its last event

What callers saw: 502 where they had all events of a stream and missed only its end: an endpoint's answer without events counted as one that ended inside an event. The test failed before (502, not whole) and gets an empty, whole 200 now.

--- a/packages/gateway/src/answerBody.ts
+++ b/packages/gateway/src/answerBody.ts
@@ -106,13 +106,15 @@
 
   /** {@inheritDoc AnswerBody.onEnd} */
   onEnd(): void {
-    const { active, end, feedback, results, served } = this.#send;
-    if (this.#splitter.unfinishedBytes > 0 || !served.progress.hasBegun) {
+    const { active, answer, end, feedback, results, served } = this.#send;
+    if (this.#splitter.unfinishedBytes > 0 || !served.isStreamBegun) {
       results.failed(active, serving.SendOutcome.Unknown, "the stream ended inside an event");
       return;
     }
     feedback.recordResult(active, serving.SendResult.Good);
     feedback.learnPause(active);
+    // A caller that has all events takes the stream up for its end alone.
+    answer.beginStream(this.#head.status, this.#head.headers);
     end.endStream();
   }
 
