Replay streams that callers take up, at 9, 69 and 690 daemons

Daemons are killed and cut off from the store in turn while three versions serve side by side; the decisions that serve choose.

--- a/packages/experiment/src/index.ts
+++ b/packages/experiment/src/index.ts
@@ -12,3 +12,4 @@
 export * from "./virtualTime.js";
 export * from "./cutOffReplay.js";
 export * from "./statementReplay.js";
+export * from "./streamReplay.js";
--- a/packages/experiment/src/main.ts
+++ b/packages/experiment/src/main.ts
@@ -5,6 +5,7 @@
 import * as experiments from "./experiment.js";
 import * as limitComparisons from "./limitComparison.js";
 import type * as outcomes from "./outcome.js";
+import * as streamReplays from "./streamReplay.js";
 import * as statementReplays from "./statementReplay.js";
 import * as tables from "./table.js";
 
@@ -205,6 +206,40 @@
   }
 }
 
+/** Compares how daemons learn what began the streams that callers take up, and prints a Markdown table. */
+class StreamsCommand extends clipanion.Command {
+  static override paths = [["streams"]];
+  static override usage = clipanion.Command.Usage({
+    description: "replay streams that callers take up while versions of endpoints' software change and daemons fail",
+    examples: [["690 daemons, three versions", "$0 streams --daemons 690 --endpoints 530 --versions 3"]],
+  });
+  daemons = clipanion.Option.String("--daemons", "9", { description: "number of daemons (default 9)" });
+  endpoints = clipanion.Option.String("--endpoints", "6", { description: "number of endpoints (default 6)" });
+  versions = clipanion.Option.String("--versions", "2", { description: "number of versions (default 2)" });
+  rate = clipanion.Option.String("--rate", "6", { description: "streams a second at each daemon (default 6)" });
+
+  execute(): Promise<number> {
+    const numbers = [this.daemons, this.endpoints, this.versions, this.rate].map(Number);
+    const [daemons = 0, endpoints = 0, versions = 0, streamsPerSecondEach = 0] = numbers;
+    if (!numbers.every((number) => number > 0)) {
+      this.context.stderr.write("--daemons, --endpoints, --versions and --rate take numbers above 0\n");
+      return Promise.resolve(EXIT_BAD_OPTION);
+    }
+    const heartbeatMs = limitComparisons.heartbeatMsOf(daemons);
+    const troubles = { dataCentres: 3, killedShare: 0.3, cutShare: 0.3 };
+    const fleet = { daemons, endpoints, versions, streamsPerSecondEach, heartbeatMs, ...troubles };
+    const header = ["knowledge", "taken up", "mixed", "went on", "bytes a second", "records"];
+    this.context.stdout.write(`| ${header.join(" | ")} |\n|${" --- |".repeat(header.length)}\n`);
+    for (const knowledge of Object.values(streamReplays.StreamKnowledge)) {
+      const [seed = 1] = SEEDS;
+      const row = new streamReplays.StreamReplay({ ...fleet, knowledge }, seed).run();
+      const figures = [row.goOnShare.toFixed(3), Math.round(row.mostBytesPerSecond), row.mostRecords];
+      this.context.stdout.write(`| ${[knowledge, row.takenUp, row.mixed, ...figures].join(" | ")} |\n`);
+    }
+    return Promise.resolve(0);
+  }
+}
+
 function parseDaemonSetups(text: string): tables.DaemonSetup[] | undefined {
   const setups = text.split(",").map((pair) => {
     const [daemons = Number.NaN, viewAgeMs = Number.NaN] = pair.split(":").map(Number);
@@ -225,5 +260,6 @@
 cli.register(LimitsCommand);
 cli.register(CutOffCommand);
 cli.register(StatementsCommand);
+cli.register(StreamsCommand);
 cli.register(clipanion.Builtins.HelpCommand);
 process.exit(await cli.run(process.argv.slice(2)));
