Know the only version of a service sooner after a start, and tell peers since when routes are unchanged

The version had to be the only one for twice the longest timeout; one timeout and 3 s are enough, as an endpoint of the version was there when each try began. And a daemon that has just started knew no former routes: heartbeats tell since when no route has changed, which holds for all daemons with the same configuration. Records are kept for twice the timeout, and 10 s at least, as before.

--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -416,13 +416,14 @@
     return Number.isFinite(ageMs) ? { configurationAgeMs: peerWorks.toUint32(Math.ceil(ageMs)) } : {};
   }
 
-  #versions(now: number): { readonly versionsDigest: number; readonly versionsAgeMs?: number } {
-    const { versions } = this.#parts.view;
+  /** What tells peers which versions may have begun streams, and at which services. */
+  #versions(now: number): Pick<messages.Pulse, "routesUnchangedMs" | "versionsDigest" | "versionsAgeMs"> {
+    const { routes, versions } = this.#parts.view;
+    const routesUnchangedMs = peerWorks.toUint32(Math.max(0, Math.floor(routes.unchangedMs(now))));
     const ageMs = versions.ageMs(now);
     const versionsDigest = versions.digest(now);
-    return ageMs === undefined
-      ? { versionsDigest }
-      : { versionsDigest, versionsAgeMs: peerWorks.toUint32(Math.ceil(ageMs)) };
+    const known = { routesUnchangedMs, versionsDigest };
+    return ageMs === undefined ? known : { ...known, versionsAgeMs: peerWorks.toUint32(Math.ceil(ageMs)) };
   }
 
   #sendNews(now: number): void {
--- a/packages/gateway/src/peers/peerReceiver.ts
+++ b/packages/gateway/src/peers/peerReceiver.ts
@@ -112,9 +112,13 @@
     freshness.noteConfirmed(revision, now - configurationAgeMs - this.#parts.lateMs());
   }
 
-  #noteVersions({ versionsAgeMs, versionsDigest }: messages.Pulse, now: number): void {
+  #noteVersions(pulse: messages.Pulse, now: number): void {
+    const { configurationRevision, routesUnchangedMs, versionsAgeMs, versionsDigest } = pulse;
+    const { view } = this.#parts;
+    const isSameConfiguration = Number(configurationRevision) === view.configurationRevision;
+    if (isSameConfiguration && routesUnchangedMs > 0) view.routes.noteUnchanged(now - routesUnchangedMs);
     if (versionsAgeMs === undefined) return;
-    this.#parts.view.versions.notePeer(versionsDigest, now - versionsAgeMs - this.#parts.lateMs(), now);
+    view.versions.notePeer(versionsDigest, now - versionsAgeMs - this.#parts.lateMs(), now);
   }
 
   #applyStreamRecords(records: readonly messages.StreamRecord[], now: number): void {
--- a/packages/gateway/tests/helpers/exchangeHarness.ts
+++ b/packages/gateway/tests/helpers/exchangeHarness.ts
@@ -312,6 +312,19 @@
     for (let spent = 0; spent < available - count; spent++) spend();
   }
 
+  /**
+   * Changes the version that an endpoint's entry states.
+   *
+   * @param id - the endpoint
+   * @param softwareVersion - the version from now on
+   */
+  changeVersion(id: string, softwareVersion: string | undefined): void {
+    const { directory } = this.#context.view;
+    const endpoint = directory.availableEndpoint(id);
+    if (endpoint === undefined) throw new Error(`there is no ${id}`);
+    directory.put({ ...endpoint, softwareVersion }, directory.revision + 1);
+  }
+
   /** @param error - thrown from the next send */
   failNextSend(error: Error): void {
     this.#client.nextError = error;
--- a/packages/serving/src/streams/originKnowledge.ts
+++ b/packages/serving/src/streams/originKnowledge.ts
@@ -114,7 +114,7 @@
   onlyOrigin({ host, path }: StreamPath, now: number): streamOrigins.StreamOrigin | undefined {
     const { freshness, routes, versions } = this.#fleet;
     if (freshness.ageMs(now) > MAX_CONFIGURATION_AGE_MS) return undefined;
-    const [service, ...others] = routes.servicesSince(host, path, this.#expiry(now)) ?? [];
+    const [service, ...others] = routes.servicesSince(host, path, now - versions.windowMs) ?? [];
     if (service === undefined || others.length > 0) return undefined;
     const softwareVersion = versions.soleVersion(service, now);
     return softwareVersion === undefined ? undefined : { service, softwareVersion };
@@ -122,6 +122,6 @@
 
   /** Instant before which records have expired, in milliseconds. */
   #expiry(now: number): number {
-    return now - this.#fleet.versions.windowMs;
+    return now - this.#fleet.versions.recordLifetimeMs;
   }
 }
--- a/packages/serving/src/streams/softwareVersions.ts
+++ b/packages/serving/src/streams/softwareVersions.ts
@@ -12,13 +12,16 @@
 const MAX_LISTING_GAP_MS = 3_000;
 
 /**
- * Time for which a stream may be taken up after its first event, in multiples of its route's timeout: a caller may take
- * up a stream that has lasted for its whole timeout, and again what that brings.
+ * Longest time from the break of a stream to the request that takes it up, in milliseconds. That request may have the
+ * stream go on for its whole timeout, and another may take that up; an endpoint of the version was there for each.
  */
-const TIMEOUTS_IN_WINDOW = 2;
+const MAX_PAUSE_MS = 3_000;
 
-/** Shortest time for which a stream may be taken up after its first event, in milliseconds: callers set their own deadlines. */
-const MIN_WINDOW_MS = 10_000;
+/** Time for which the record of a stream is kept, in multiples of its route's timeout: it may be taken up repeatedly. */
+const TIMEOUTS_IN_LIFETIME = 2;
+
+/** Shortest time for which the record of a stream is kept, in milliseconds: callers set their own deadlines. */
+const MIN_LIFETIME_MS = 10_000;
 
 /** Endpoints of a service with one version of their software. */
 interface VersionState {
@@ -39,20 +42,25 @@
 export class SoftwareVersions {
   readonly #seen = new Map<string, SeenEndpoint>();
   readonly #services = new Map<string, Map<string | undefined, VersionState>>();
-  #windowMs = 0;
+  #timeoutMs = 0;
   /** All entries between these instants are known, in milliseconds. */
   #completeSince = Number.POSITIVE_INFINITY;
   #completeUntil = Number.NEGATIVE_INFINITY;
   #digest: { readonly value: number; readonly validUntil: number } | undefined;
 
-  /** @returns time for which a stream may be taken up after its first event, in milliseconds; it never shrinks */
+  /** @returns longest time since a stream that a caller takes up now was at an endpoint, in milliseconds; it never shrinks */
   get windowMs(): number {
-    return this.#windowMs;
+    return this.#timeoutMs === 0 ? 0 : this.#timeoutMs + MAX_PAUSE_MS;
+  }
+
+  /** @returns time for which the record of a stream is kept, in milliseconds; it never shrinks */
+  get recordLifetimeMs(): number {
+    return Math.max(MIN_LIFETIME_MS, TIMEOUTS_IN_LIFETIME * this.#timeoutMs);
   }
 
   /** @param timeoutMs - timeout of a route with streams, in milliseconds */
   noteTimeout(timeoutMs: number): void {
-    this.#windowMs = Math.max(this.#windowMs, MIN_WINDOW_MS, TIMEOUTS_IN_WINDOW * timeoutMs);
+    this.#timeoutMs = Math.max(this.#timeoutMs, timeoutMs);
   }
 
   /**
@@ -111,7 +119,7 @@
    */
   notePeer(digest: number, at: number, now: number): void {
     if (digest !== this.digest(now) || at < this.#completeSince - MAX_LISTING_GAP_MS) return;
-    this.#completeSince = Math.min(this.#completeSince, at - this.#windowMs);
+    this.#completeSince = Math.min(this.#completeSince, at - this.windowMs);
     this.#completeUntil = Math.max(this.#completeUntil, at);
   }
 
@@ -121,7 +129,7 @@
    *   undefined if some may be unknown
    */
   ageMs(now: number): number | undefined {
-    const isComplete = this.#windowMs > 0 && this.#completeSince <= this.#completeUntil - this.#windowMs;
+    const isComplete = this.windowMs > 0 && this.#completeSince <= this.#completeUntil - this.windowMs;
     return isComplete ? Math.max(0, now - this.#completeUntil) : undefined;
   }
 
@@ -182,7 +190,7 @@
   }
 
   #possibleUntil(state: VersionState): number {
-    return state.present.size > 0 ? Number.POSITIVE_INFINITY : state.lastSeenAt + this.#windowMs;
+    return state.present.size > 0 ? Number.POSITIVE_INFINITY : state.lastSeenAt + this.windowMs;
   }
 
   #stateOf(service: string, version: string | undefined, now: number): VersionState {
--- a/packages/serving/tests/streamRecords.test.ts
+++ b/packages/serving/tests/streamRecords.test.ts
@@ -118,6 +118,20 @@
   assert.equal(history.servicesSince("host", "/a/b/x", 50), new Set(["s2", "s1"]));
 });
 
+// A daemon that has just started knows no former routes; its peers do.
+suite("a peer with the same configuration tells since when no route has changed", () => {
+  const history = new serving.RouteHistory();
+  history.noteInForce(tableOf(["/a/", ["s1"]]), 100);
+  assert.is(history.unchangedMs(150), 50);
+  history.noteUnchanged(20);
+  assert.equal(history.servicesSince("host", "/a/x", 20), new Set(["s1"]));
+  assert.is(history.servicesSince("host", "/a/x", 19), undefined);
+  assert.is(history.unchangedMs(150), 130);
+  history.noteInForce(tableOf(["/a/", ["s2"]]), 200);
+  assert.is(history.unchangedMs(250), 50);
+  assert.equal(history.servicesSince("host", "/a/x", 150), new Set(["s2", "s1"]));
+});
+
 const ROUTE_PATH = { host: "host", path: "/a/x" };
 
 function originKnowledge(services: readonly string[], configurationAgeMs = 0): serving.OriginKnowledge {
