--- a/packages/gateway/tests/streamBinding.test.ts
+++ b/packages/gateway/tests/streamBinding.test.ts
@@ -6,6 +6,19 @@
 const { Decode } = serving.EngineRole;
 
 const suite = uvu.suite("a stream that has begun is bound to the version that began it");
+const started: harnesses.ExchangeHarness[] = [];
+
+// An open request keeps its deadline's timer, and the process with it.
+suite.after(() => {
+  for (const { exchange } of started) exchange.endNow("the test is over");
+});
+
+function startedStream(roles: readonly serving.EngineRole[]): harnesses.ExchangeHarness {
+  const harness = new harnesses.ExchangeHarness(serving.RequestClass.Stream, roles);
+  started.push(harness);
+  harness.exchange.start();
+  return harness;
+}
 
 function eventText(number: number): Buffer {
   return Buffer.from(`id: ${number}\ndata: a\n\n`);
@@ -13,8 +26,7 @@
 
 /** Begins a stream of three endpoints at v1, and breaks it after its first event. */
 function brokenStream(beforeBreak: (harness: harnesses.ExchangeHarness) => void): harnesses.ExchangeHarness {
-  const harness = new harnesses.ExchangeHarness(serving.RequestClass.Stream, [Decode, Decode, Decode]);
-  harness.exchange.start();
+  const harness = startedStream([Decode, Decode, Decode]);
   const first = harness.send(0);
   assert.ok(first.receiver.onHead(200, { sealed: "yes" }));
   first.receiver.onData(eventText(1));
@@ -50,8 +62,7 @@
 
 // The version that wrote the first event isn't known.
 suite("it doesn't go on if the entry of its first endpoint changes before the first event", () => {
-  const harness = new harnesses.ExchangeHarness(serving.RequestClass.Stream, [Decode, Decode]);
-  harness.exchange.start();
+  const harness = startedStream([Decode, Decode]);
   const { endpoint, receiver } = harness.send(0);
   harness.changeVersion(endpoint.id, "v2");
   assert.ok(receiver.onHead(200, { sealed: "yes" }));
@@ -62,8 +73,7 @@
 });
 
 suite("before its first event it may be repeated at any version", () => {
-  const harness = new harnesses.ExchangeHarness(serving.RequestClass.Stream, [Decode, Decode]);
-  harness.exchange.start();
+  const harness = startedStream([Decode, Decode]);
   const { endpoint, receiver } = harness.send(0);
   harness.changeVersion(endpoint.id === "e0" ? "e1" : "e0", "v2");
   receiver.onBroken(serving.SendOutcome.Unknown, "reset");
