Move the exchange of records out of the link between daemons

What tells and asks other daemons of streams' records, and the heartbeat's fields for them, stand in streams/recordExchange.ts. No change of behaviour.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -187,7 +187,7 @@
       log: this.#log,
       metrics: this.#metrics,
       view: this.#view,
-      peers: () => this.#peers,
+      peers: () => this.#peers.records,
     });
     this.#context = {
       settings,
--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -17,8 +17,8 @@
 import * as recipientsModule from "./peers/recipients.js";
 import * as sendersModule from "./peers/senders.js";
 import * as activeSetTrackers from "./peers/activeSetTracker.js";
+import * as recordExchanges from "./streams/recordExchange.js";
 import type * as streamOrigins from "./streams/streamOrigins.js";
-import * as streamRecordCodec from "./streams/streamRecordCodec.js";
 import * as suspectCodec from "./suspects/suspectCodec.js";
 import * as recentChangesModule from "./peers/recentChanges.js";
 import type * as settingsModule from "./settings.js";
@@ -37,9 +37,6 @@
 /** Interval at which a standby daemon evaluates what it has received, in milliseconds. */
 const STANDBY_CHECK_MS = 300;
 
-/** Records of streams in one datagram; their names are short. */
-const MAX_RECORDS_IN_DATAGRAM = 16;
-
 /** Messages carry capacity in whole thousandths of a core. */
 const THOUSANDTHS = 1_000;
 
@@ -88,10 +85,12 @@
  * Exchanges state with the other daemons: heartbeats with work and departures over UDP, and news over RPC for daemons
  * that are behind or that the key-value service doesn't answer.
  */
-export class PeerLink implements streamOrigins.RecordPeers {
+export class PeerLink {
   readonly peerTable: peerTables.PeerTable;
   /** Whether this daemon is active, and which daemons of its data centre are. */
   readonly activeSet: activeSetTrackers.ActiveSetTracker;
+  /** Records of streams at other daemons. */
+  readonly records: recordExchanges.RecordExchange;
   readonly #parts: PeerLinkParts;
   readonly #heartbeatSocket: heartbeatSockets.HeartbeatSocket;
   readonly #peerClient = new peerCalls.PeerClient();
@@ -123,6 +122,13 @@
       (pulse, sender) => this.#receiver.applyHeartbeat(pulse, sender),
       (detail) => parts.log.warn("peer-datagram-failed", { detail }),
     );
+    this.records = new recordExchanges.RecordExchange({
+      entry: parts.entry,
+      peerTable: this.peerTable,
+      heartbeatSocket: this.#heartbeatSocket,
+      peerClient: this.#peerClient,
+      otherDaemons: () => this.#otherDaemons(),
+    });
   }
 
   /** Opens the sockets and starts sending and receiving. */
@@ -194,42 +200,6 @@
     }
   }
 
-  /** {@inheritDoc streamOrigins.RecordPeers.holders} */
-  holders(): readonly serving.PossibleHolder[] {
-    const ready = this.peerTable.live(performance.now()).filter((peer) => peer.ready);
-    // Daemons on standby are heard by few others, which would choose them alone.
-    const dispatching = ready.filter((peer) => peer.dispatching);
-    if (dispatching.length > 0) return dispatching;
-    // A daemon that has just started has heard nobody yet.
-    return ready.length > 0 ? ready : this.#otherDaemons();
-  }
-
-  /** {@inheritDoc streamOrigins.RecordPeers.sendRecords} */
-  sendRecords(vm: string, records: readonly serving.StreamRecord[]): void {
-    const address = this.addressOf(vm);
-    if (address === undefined) return;
-    const { entry } = this.#parts;
-    const now = performance.now();
-    for (let first = 0; first < records.length; first += MAX_RECORDS_IN_DATAGRAM) {
-      const streamRecords = records
-        .slice(first, first + MAX_RECORDS_IN_DATAGRAM)
-        .map((record) => streamRecordCodec.toMessage(record, now));
-      const pulse = { vm: entry.vm, incarnation: entry.incarnation, changesOnly: true, streamRecords };
-      this.#heartbeatSocket.send(protobuf.create(messages.PulseSchema, pulse), [address]);
-    }
-  }
-
-  /** {@inheritDoc streamOrigins.RecordPeers.findStream} */
-  async findStream(
-    vm: string,
-    query: streamOrigins.StreamQuery,
-    timeoutMs: number,
-  ): Promise<serving.StreamOrigin | undefined> {
-    const address = this.addressOf(vm);
-    if (address === undefined) throw new Error(`the address of ${vm} is not known`);
-    return this.#peerClient.findStream(address, query, timeoutMs);
-  }
-
   /**
    * @param vm - VM of a peer
    * @returns its IP:PORT for the other daemons, if it is known
@@ -391,7 +361,7 @@
       linkLost: this.#parts.isLinkLost(),
       configurationRevision: BigInt(view.configurationRevision),
       ...this.#configurationAge(now),
-      ...this.#versions(now),
+      ...recordExchanges.versionFields(view, now),
       storeSilentMs: Math.round(this.#parts.storeSilentMs()),
       unixMs: BigInt(Date.now()),
       departures: this.#recentChanges.nextDepartures(now),
@@ -416,16 +386,6 @@
     return Number.isFinite(ageMs) ? { configurationAgeMs: peerWorks.toUint32(Math.ceil(ageMs)) } : {};
   }
 
-  /** What tells peers which versions may have begun streams, and at which services. */
-  #versions(now: number): Pick<messages.Pulse, "routesUnchangedMs" | "versionsDigest" | "versionsAgeMs"> {
-    const { routes, versions } = this.#parts.view;
-    const routesUnchangedMs = peerWorks.toUint32(Math.max(0, Math.floor(routes.unchangedMs(now))));
-    const ageMs = versions.ageMs(now);
-    const versionsDigest = versions.digest(now);
-    const known = { routesUnchangedMs, versionsDigest };
-    return ageMs === undefined ? known : { ...known, versionsAgeMs: peerWorks.toUint32(Math.ceil(ageMs)) };
-  }
-
   #sendNews(now: number): void {
     const { view, log } = this.#parts;
     const sender: peerTables.SenderState = {
--- a/packages/gateway/src/streams/streamOrigins.ts
+++ b/packages/gateway/src/streams/streamOrigins.ts
@@ -3,6 +3,7 @@
 import type * as decisionLogs from "../decisionLog.js";
 import type * as fleetViews from "../fleetView.js";
 import type * as metricsModule from "../metrics.js";
+import type * as ports from "../ports.js";
 import type * as servedRequests from "../servedRequest.js";
 
 /** Time for which daemons are asked what began a stream, in milliseconds; there are two rounds of them. */
@@ -131,7 +132,7 @@
    */
   async find(
     served: servedRequests.ServedRequest,
-    { attemptId, lastEventId }: { readonly attemptId: string | undefined; readonly lastEventId: string | undefined },
+    { attemptId, lastEventId }: ports.Resumption,
   ): Promise<OriginFinding> {
     const startedAt = performance.now();
     const { host, path } = served.caller;
