Log what the admission of each prompt rests on

Rejections name acceptance rates only, capped and drawn together, so that the logs can't tell a first try that was read late from a caller that returns, nor which counts were compared, and accepted prompts leave nothing. Accepted ones now carry kind, size class, counts of size and kind, the deadline that the caller stated, the route's and the time since the request was read on their send line, and rejected ones the same on theirs: no further line a request.

--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -263,6 +263,7 @@
       urgency,
       entryRevision: context.view.directory.revision,
       configuration: context.view.configurationRevision,
+      ...planned.admission,
     });
     active.start(message, this.#receiver(active), (silentMs) => {
       if (this.#active === active) this.#abandonSilent(active, silentMs);
--- a/packages/gateway/src/sendChooser.ts
+++ b/packages/gateway/src/sendChooser.ts
@@ -1,6 +1,8 @@
 import * as serving from "@camphorcourse/serving";
 import * as neverthrow from "neverthrow";
+import * as admissionLogs from "./admissionLog.js";
 import type * as contexts from "./context.js";
+import type * as decisionLogs from "./decisionLog.js";
 import type * as servedRequests from "./servedRequest.js";
 
 /** What a send asks of its endpoint. */
@@ -18,6 +20,8 @@
   /** Predicted time to the first event in milliseconds, 0 where nothing is predicted. */
   readonly predictedMs: number;
   readonly plan: serving.EnginePlan | undefined;
+  /** What its admission was based on, as fields of the log; absent where nothing had to be admitted. */
+  readonly admission?: decisionLogs.LogFields;
 }
 
 /** Why a request is sent to no endpoint. */
@@ -47,6 +51,12 @@
 /** A planned send, or why there is none. */
 export type Choice = neverthrow.Result<PlannedSend, SendRejection>;
 
+/** A decided admission, and what it was based on if there was something to decide. */
+interface LoggedAdmission {
+  readonly admitted: neverthrow.Result<serving.EnginePlan, serving.Rejection>;
+  readonly fields: decisionLogs.LogFields | undefined;
+}
+
 /** Chooses the endpoint of a request's next send. */
 export class SendChooser {
   readonly #context: contexts.ServingContext;
@@ -239,7 +249,8 @@
     const placed = this.#placeWithinBudget(inputs);
     if (placed === undefined) return neverthrow.err(this.#noneUsable("no-engine", held));
     this.#noteDemand(placed, prompt);
-    const admitted = this.#admit(placed, inputs);
+    const decision = this.#admit(placed, inputs);
+    const { admitted } = decision;
     if (admitted.isErr()) {
       return neverthrow.err({ reason: "overloaded", retryAfterMs: admitted.error.retryAfterMs });
     }
@@ -247,7 +258,9 @@
     const firstEngine = plan.prefillEngine ?? plan.decodeEngine;
     this.#context.loads.noteCachedPrompt(firstEngine.id, limits.memoryTokens, prompt);
     const stage = plan.prefillEngine === undefined ? Stage.Answering : Stage.Prefill;
-    return neverthrow.ok({ endpoint: firstEngine, stage, predictedMs: plan.predictedMs, plan });
+    const { fields } = decision;
+    const admission = fields === undefined ? {} : { admission: fields };
+    return neverthrow.ok({ endpoint: firstEngine, stage, predictedMs: plan.predictedMs, plan, ...admission });
   }
 
   /** The decode engine prefills the prompt itself if the retry budget allows no separate call for that. */
@@ -263,16 +276,14 @@
     demand.add(prefillMs, prompt, performance.now());
   }
 
-  #admit(
-    plan: serving.EnginePlan,
-    placement: serving.PlacementInputs,
-  ): neverthrow.Result<serving.EnginePlan, serving.Rejection> {
+  #admit(plan: serving.EnginePlan, placement: serving.PlacementInputs): LoggedAdmission {
     const { random, acceptance, speeds } = this.#context;
-    const { route, sends, mayHaveRun, isStreamBegun, remainingMs } = this.#served;
+    const { caller, route, sends, mayHaveRun, isStreamBegun, remainingMs } = this.#served;
     // A stream that has begun is no new load, and goes before those that begin.
-    if (isStreamBegun) return neverthrow.ok(serving.withUrgency(plan, placement, serving.MOST_URGENT));
+    if (isStreamBegun)
+      return { admitted: neverthrow.ok(serving.withUrgency(plan, placement, serving.MOST_URGENT)), fields: undefined };
     // Only a first send is subject to admission: a request that has been sent before is finished or retried.
-    if (sends > 0 || mayHaveRun) return neverthrow.ok(plan);
+    if (sends > 0 || mayHaveRun) return { admitted: neverthrow.ok(plan), fields: undefined };
     const limits: serving.PromptLimits = {
       kind: route.name,
       isLearned: speeds.of(this.#served.service).isLearned((plan.prefillEngine ?? plan.decodeEngine).role),
@@ -282,12 +293,19 @@
       draw: random.next(),
     };
     const admitted = serving.admitPrompt(plan, placement, limits, acceptance);
-    if (admitted.isErr()) this.#logRejected(plan, limits, admitted.error);
+    const counts = acceptance.countsOf(limits.kind, placement.prompt.promptTokens, placement.now);
+    const fields = admissionLogs.admissionFields({ caller, limits, placement, counts });
+    if (admitted.isErr()) this.#logRejected(plan, limits, admitted.error, fields);
     else if (admitted.value.urgency !== plan.urgency) this.#logUrgencyRaised(plan, admitted.value);
-    return admitted;
+    return { admitted, fields };
   }
 
-  #logRejected(plan: serving.EnginePlan, limits: serving.PromptLimits, rejection: serving.Rejection): void {
+  #logRejected(
+    plan: serving.EnginePlan,
+    limits: serving.PromptLimits,
+    rejection: serving.Rejection,
+    fields: decisionLogs.LogFields,
+  ): void {
     const tokens = this.#served.caller.headers.prompt?.promptTokens ?? 0;
     const rates = this.#context.acceptance.acceptanceRates(limits.kind, tokens, performance.now());
     this.#context.log.info("turned-away", {
@@ -298,9 +316,10 @@
       remainingMs: Math.round(limits.remainingMs),
       unread: plan.unreadTokens,
       ahead: Math.round(plan.tokensAhead),
-      takenOfSize: rates.ofSize.toFixed(2),
-      takenOfAll: rates.ofAll.toFixed(2),
+      rateOfSize: rates.ofSize.toFixed(2),
+      rateOfAll: rates.ofAll.toFixed(2),
       returnAfterMs: Math.round(rejection.retryAfterMs),
+      ...fields,
     });
   }
 
--- a/packages/serving/src/acceptanceTracker.ts
+++ b/packages/serving/src/acceptanceTracker.ts
@@ -28,6 +28,16 @@
   readonly ofSize: number;
 }
 
+/** What is known of a prompt's kind and size when its admission is decided, for the log. */
+export interface AcceptanceCounts {
+  /** Binary logarithm of the prompt's length in tokens, by which it is counted. */
+  readonly size: number;
+  readonly offeredOfSize: number;
+  readonly takenOfSize: number;
+  readonly offeredOfKind: number;
+  readonly takenOfKind: number;
+}
+
 /** Decaying counts of one size, or of a whole kind. */
 interface Count {
   offered: number;
@@ -124,6 +134,24 @@
     return { ofAll, ofSize: (size.taken + PRIOR_REQUESTS * ofAll) / (size.offered + PRIOR_REQUESTS) };
   }
 
+  /**
+   * @param kind - name of the kind of request
+   * @param promptTokens - length of a prompt
+   * @param now - current instant in milliseconds
+   * @returns the decayed counts behind the acceptance rates
+   */
+  countsOf(kind: string, promptTokens: number, now: number): AcceptanceCounts {
+    const size = sizeOf(promptTokens);
+    const [ofKind, ofSize] = this.#countsOf(kind, size, now);
+    return {
+      size,
+      offeredOfSize: ofSize.offered,
+      takenOfSize: ofSize.taken,
+      offeredOfKind: ofKind.offered,
+      takenOfKind: ofKind.taken,
+    };
+  }
+
   #note(count: SizeCount, now: number): void {
     this.addPeerCount(count, now);
     const key = keyOf(count.kind, count.size);
