--- a/packages/experiment/src/description.ts
+++ b/packages/experiment/src/description.ts
@@ -85,6 +85,8 @@
   daemons: count,
   /** Interval at which daemons learn of each other's work, in milliseconds. */
   viewAgeMs: nonNegative,
+  /** Time from a caller's send until its daemon has read the request; none if it is left out. */
+  readDelayMs: zod.optional(lengthsSchema),
   /** Whether daemons ignore the limit on pauses when they place prompts; shows what the limit gains. */
   pausesIgnored: zod.optional(zod.boolean()),
   /** Whether a prompt is prefilled wherever its first event is predicted sooner, handovers regardless. */
--- a/packages/experiment/src/emulatedDaemon.ts
+++ b/packages/experiment/src/emulatedDaemon.ts
@@ -3,6 +3,7 @@
 import type * as descriptions from "./description.js";
 import type * as emulatedEngines from "./emulatedEngine.js";
 import type * as loads from "./load.js";
+import * as lengths from "./lengths.js";
 import * as outcomes from "./outcome.js";
 import type * as virtualTimes from "./virtualTime.js";
 
@@ -44,6 +45,7 @@
   readonly #enforcer: serving.LimitEnforcer;
   readonly #parts: DaemonParts;
   readonly #random: common.SeededRandom;
+  readonly #readRandom: common.SeededRandom;
 
   /**
    * @param name - unique name of the daemon
@@ -54,6 +56,7 @@
     this.name = name;
     this.#parts = parts;
     this.#random = new common.SeededRandom(seed);
+    this.#readRandom = new common.SeededRandom(seed);
     const daemons = Array.from({ length: parts.description.daemons }, (_, index) => `daemon-${index}`);
     this.#enforcer = new serving.LimitEnforcer({
       table: this.limitTable,
@@ -98,7 +101,29 @@
    */
   receive(request: loads.LoadRequest): void {
     const { time, statistics } = this.#parts;
-    this.serve(new EmulatedCaller(request, time, statistics));
+    this.#read(new EmulatedCaller(request, time, statistics));
+  }
+
+  /**
+   * Receives a request that its caller sends again after a rejection.
+   *
+   * @param caller - its caller
+   */
+  receiveAgain(caller: EmulatedCaller): void {
+    caller.startRetry();
+    this.#read(caller);
+  }
+
+  /** Serves a request once it has been read, which takes a small VM longer than the network does. */
+  #read(caller: EmulatedCaller): void {
+    const { description, time } = this.#parts;
+    caller.noteSent();
+    if (description.readDelayMs === undefined) this.serve(caller);
+    else
+      time.after(
+        lengths.drawLength(this.#readRandom, description.readDelayMs),
+        () => caller.hasEnded || this.serve(caller),
+      );
   }
 
   /**
@@ -298,6 +323,7 @@
   #hasEnded = false;
   #retries = 0;
   #attempts = 0;
+  #statedMs = 0;
 
   /**
    * @param request - the request
@@ -333,6 +359,16 @@
     this.#startTimeout();
   }
 
+  /** Records that the request is sent now: the caller states the time that it still waits. */
+  noteSent(): void {
+    this.#statedMs = this.remainingMs;
+  }
+
+  /** @returns the time that the caller stated as its deadline when it sent the request, in milliseconds */
+  get statedMs(): number {
+    return this.#statedMs;
+  }
+
   #startTimeout(): void {
     const attempts = this.#attempts;
     const { objectiveMs, pauseMs } = this.request.kind;
--- a/packages/experiment/src/experiment.ts
+++ b/packages/experiment/src/experiment.ts
@@ -99,14 +99,18 @@
     };
   }
 
+  /** @returns the counts by which each daemon decides on prompt sizes */
+  get acceptanceTrackers(): readonly serving.AcceptanceTracker[] {
+    return this.#daemons.map(({ acceptance }) => acceptance);
+  }
+
   /** @returns the engine speeds that the first daemon has learned */
   get learnedSpeeds(): serving.EngineSpeeds | undefined {
     return this.#daemons[0]?.speeds;
   }
 
   readonly #retry = (caller: emulatedDaemons.EmulatedCaller): void => {
-    caller.startRetry();
-    this.#daemons[this.#retries++ % this.#daemons.length]?.serve(caller);
+    this.#daemons[this.#retries++ % this.#daemons.length]?.receiveAgain(caller);
   };
 
   #endpoints(): serving.Endpoint[] {
--- a/packages/experiment/src/load.ts
+++ b/packages/experiment/src/load.ts
@@ -1,6 +1,7 @@
 import * as common from "@camphorcourse/common";
 import type * as serving from "@camphorcourse/serving";
 import type * as descriptions from "./description.js";
+import * as lengths from "./lengths.js";
 
 /** One request of the load. */
 export interface LoadRequest {
@@ -39,11 +40,11 @@
   #requestsOfKind(kind: descriptions.RequestKind): LoadRequest[] {
     const requests: LoadRequest[] = [];
     const partTokens = kind.shared.map((part) =>
-      Array.from({ length: part.kinds }, () => this.#drawLength(part.tokens)),
+      Array.from({ length: part.kinds }, () => lengths.drawLength(this.#random, part.tokens)),
     );
     for (let atMs = 0; atMs < this.#description.lastsMs;) {
       atMs += (-Math.log(1 - this.#random.next()) / this.#ratePerSecond(kind, atMs)) * MS_PER_SECOND;
-      const events = this.#drawLength(kind.events);
+      const events = lengths.drawLength(this.#random, kind.events);
       requests.push({ kind, atMs, prompt: this.#prompt(kind, partTokens, events), events });
     }
     return requests;
@@ -61,7 +62,7 @@
       const partIndex = this.#drawPart(part.kinds, part.skew);
       return { id: `${kind.name}-${position}-${partIndex}`, tokens: partTokens[position]?.[partIndex] ?? 0 };
     });
-    const ownPart = { id: `own-${this.#promptCount++}`, tokens: this.#drawLength(kind.ownTokens) };
+    const ownPart = { id: `own-${this.#promptCount++}`, tokens: lengths.drawLength(this.#random, kind.ownTokens) };
     const parts = [...shared, ownPart];
     const promptTokens = parts.reduce((sum, part) => sum + part.tokens, 0);
     return { model: "model", parts, promptTokens, outputTokens: events * TOKENS_PER_EVENT };
@@ -72,16 +73,6 @@
     const uniform = this.#random.next();
     return Math.min(kinds - 1, Math.floor(kinds * uniform ** (1 / (1 - Math.min(skew, MAX_SKEW)))));
   }
-
-  #drawLength(lengths: descriptions.LengthDistribution): number {
-    const normal = this.#drawNormal();
-    const drawn = lengths.mean * Math.exp(normal * lengths.spread - lengths.spread ** 2 / 2);
-    return Math.max(1, Math.round(Math.min(lengths.most, drawn)));
-  }
-
-  #drawNormal(): number {
-    return Math.sqrt(-2 * Math.log(1 - this.#random.next())) * Math.cos(2 * Math.PI * this.#random.next());
-  }
 }
 
 /** The inverse of the Zipf distribution diverges at a skew of 1. */
