Count each admission once, with its outcome, so that no more prompts are accepted than offered

What callers saw: of the largest tenth of the longest class under half as many were served as of the class (SHORT). Cause: a prompt counted as offered unless its caller passed for one that returns, which was inferred from the time that was left, and as accepted in any case. So rates rose above 1, the kind's was cut to 1, and the size's was drawn up with it: no size was ever found underserved. Class: what is inferred from elapsed time is taken for a fact.

Now the decision itself is counted, with its outcome, at one place: the rate of a size can't exceed 1, whoever returns and however late it is read. Counts of peers that can't be are left out and logged (daemons of older software send them).

--- a/packages/gateway/src/admissionLog.ts
+++ b/packages/gateway/src/admissionLog.ts
@@ -19,7 +19,7 @@
   return {
     kind: limits.kind,
     promptTokens: placement.prompt.promptTokens,
-    size: counts.size,
+    sizeClass: counts.sizeClass,
     offeredOfSize: counts.offeredOfSize.toFixed(1),
     takenOfSize: counts.takenOfSize.toFixed(1),
     offeredOfKind: counts.offeredOfKind.toFixed(1),
--- a/packages/gateway/src/peerWork.ts
+++ b/packages/gateway/src/peerWork.ts
@@ -1,6 +1,7 @@
 import * as protobuf from "@bufbuild/protobuf";
 import * as messages from "@camphorcourse/protocol/gateway";
 import * as serving from "@camphorcourse/serving";
+import type * as decisionLogs from "./decisionLog.js";
 import type * as fleetViews from "./fleetView.js";
 import type * as peerTables from "./peerTable.js";
 import * as endpointIncarnations from "./endpointIncarnation.js";
@@ -20,6 +21,7 @@
   readonly demand: serving.Demand;
   readonly speeds: serving.ServiceSpeeds;
   readonly acceptance: serving.AcceptanceTracker;
+  readonly log: decisionLogs.DecisionLog;
 }
 
 /** The fields of a heartbeat that concern the engines' work. */
@@ -90,7 +92,15 @@
       loads.notePeerRead({ endpointId: endpoint, model, part: { id: part, tokens }, isRead });
     }
     this.#applyObservations(pulse.observations);
-    for (const count of pulse.sizes) this.#parts.acceptance.addPeerCount(count, now);
+    this.#applySizes(pulse, now);
+  }
+
+  #applySizes({ vm, sizes }: messages.Pulse, now: number): void {
+    const impossible = sizes.filter((count) => !this.#parts.acceptance.addPeerCount(count, now));
+    const [first] = impossible;
+    if (first === undefined) return;
+    const { kind, offered, taken } = first;
+    this.#parts.log.warn("impossible-counts", { peer: vm, counts: impossible.length, kind, offered, taken });
   }
 
   #readMessages(): messages.PartRead[] {
--- a/packages/serving/src/acceptanceTracker.ts
+++ b/packages/serving/src/acceptanceTracker.ts
@@ -15,6 +15,9 @@
 /** Weight of the whole kind's rate in that of a size, in requests: the rate of a few requests is mostly chance. */
 const PRIOR_REQUESTS = 3;
 
+/** Size classes from one length to twice that length: within a class the smaller prompts are accepted more often. */
+const CLASSES_PER_DOUBLING = 1;
+
 /** Number of counts from which expired ones are deleted. */
 const MIN_COUNTS_TO_PRUNE = 1_000;
 
@@ -30,8 +33,8 @@
 
 /** What is known of a prompt's kind and size when its admission is decided, for the log. */
 export interface AcceptanceCounts {
-  /** Binary logarithm of the prompt's length in tokens, by which it is counted. */
-  readonly size: number;
+  /** Size class by which the prompt is counted. */
+  readonly sizeClass: number;
   readonly offeredOfSize: number;
   readonly takenOfSize: number;
   readonly offeredOfKind: number;
@@ -45,15 +48,15 @@
   countedAt: number;
 }
 
-/** Prompts of one size, as daemons report them to each other. */
+/** Decisions on prompts of one size, as daemons report them to each other. */
 export interface SizeCount {
   /** Name of the kind of request. */
   readonly kind: string;
-  /** Binary logarithm of the prompts' length in tokens. */
-  readonly size: number;
-  /** Prompts that callers sent; one that is sent again after a rejection counts once. */
+  /** Size class of the prompts, see {@link sizeClassOf}. */
+  readonly sizeClass: number;
+  /** Prompts whose admission was decided; one that its caller sends again counts again. */
   readonly offered: number;
-  /** Prompts that were accepted. */
+  /** Those of them that were accepted, never more. */
   readonly taken: number;
 }
 
@@ -63,6 +66,9 @@
  * prompts go ahead, so that only the largest are rejected, however many smaller
  * ones cause the shortage with them. Daemons share their counts: each of them sees
  * too few of the largest prompts to notice alone.
+ *
+ * A prompt is counted once, when its admission is decided, with the outcome. So no more can be accepted than offered,
+ * whatever callers and delays do.
  */
 export class AcceptanceTracker {
   readonly #counts = new Map<string, Count>();
@@ -72,20 +78,16 @@
 
   /**
    * @param kind - name of the kind of request
-   * @param promptTokens - length of a prompt that a caller sent
-   * @param now - current instant in milliseconds
-   */
-  noteOffered(kind: string, promptTokens: number, now: number): void {
-    this.#note({ kind, size: sizeOf(promptTokens), offered: 1, taken: 0 }, now);
-  }
-
-  /**
-   * @param kind - name of the kind of request
-   * @param promptTokens - length of a prompt that was accepted
+   * @param promptTokens - length of a prompt
+   * @param isAccepted - whether it was accepted
    * @param now - current instant in milliseconds
    */
-  noteAccepted(kind: string, promptTokens: number, now: number): void {
-    this.#note({ kind, size: sizeOf(promptTokens), offered: 0, taken: 1 }, now);
+  noteDecision(kind: string, promptTokens: number, isAccepted: boolean, now: number): void {
+    const count = { kind, sizeClass: sizeClassOf(promptTokens), offered: 1, taken: isAccepted ? 1 : 0 };
+    this.#add(count, now);
+    const key = keyOf(kind, count.sizeClass);
+    const { offered, taken } = this.#unsent.get(key) ?? { offered: 0, taken: 0 };
+    this.#unsent.set(key, { ...count, offered: offered + count.offered, taken: taken + count.taken });
   }
 
   /** @returns the number of counts in memory */
@@ -101,14 +103,14 @@
   }
 
   /**
-   * @param count - prompts of a peer's callers
+   * @param count - decisions of a peer
    * @param now - current instant in milliseconds
+   * @returns whether it counts; more accepted than offered prompts can't be, and would hide a shortage
    */
-  addPeerCount(count: SizeCount, now: number): void {
-    for (const each of this.#countsOf(count.kind, count.size, now)) {
-      each.offered += count.offered;
-      each.taken += count.taken;
-    }
+  addPeerCount(count: SizeCount, now: number): boolean {
+    if (count.taken > count.offered) return false;
+    this.#add(count, now);
+    return true;
   }
 
   /**
@@ -129,8 +131,8 @@
    * @returns recent acceptance rates of the kind and of that size
    */
   acceptanceRates(kind: string, promptTokens: number, now: number): AcceptanceRates {
-    const [whole, size] = this.#countsOf(kind, sizeOf(promptTokens), now);
-    const ofAll = whole.offered === 0 ? 1 : Math.min(1, whole.taken / whole.offered);
+    const [whole, size] = this.#countsOf(kind, sizeClassOf(promptTokens), now);
+    const ofAll = whole.offered === 0 ? 1 : whole.taken / whole.offered;
     return { ofAll, ofSize: (size.taken + PRIOR_REQUESTS * ofAll) / (size.offered + PRIOR_REQUESTS) };
   }
 
@@ -141,10 +143,10 @@
    * @returns the decayed counts behind the acceptance rates
    */
   countsOf(kind: string, promptTokens: number, now: number): AcceptanceCounts {
-    const size = sizeOf(promptTokens);
-    const [ofKind, ofSize] = this.#countsOf(kind, size, now);
+    const sizeClass = sizeClassOf(promptTokens);
+    const [ofKind, ofSize] = this.#countsOf(kind, sizeClass, now);
     return {
-      size,
+      sizeClass,
       offeredOfSize: ofSize.offered,
       takenOfSize: ofSize.taken,
       offeredOfKind: ofKind.offered,
@@ -152,16 +154,15 @@
     };
   }
 
-  #note(count: SizeCount, now: number): void {
-    this.addPeerCount(count, now);
-    const key = keyOf(count.kind, count.size);
-    const before = this.#unsent.get(key);
-    const offered = count.offered + (before?.offered ?? 0);
-    this.#unsent.set(key, { ...count, offered, taken: count.taken + (before?.taken ?? 0) });
+  #add({ kind, sizeClass, offered, taken }: SizeCount, now: number): void {
+    for (const each of this.#countsOf(kind, sizeClass, now)) {
+      each.offered += offered;
+      each.taken += taken;
+    }
   }
 
-  #countsOf(kind: string, size: number, now: number): [whole: Count, size: Count] {
-    return [this.#decayedCount(kind, now), this.#decayedCount(keyOf(kind, size), now)];
+  #countsOf(kind: string, sizeClass: number, now: number): [whole: Count, size: Count] {
+    return [this.#decayedCount(kind, now), this.#decayedCount(keyOf(kind, sizeClass), now)];
   }
 
   #decayedCount(key: string, now: number): Count {
@@ -190,11 +191,14 @@
   return MIN_PART.usual + (MIN_PART.severe - MIN_PART.usual) * Math.max(0, Math.min(1, severity));
 }
 
-/** Each size is twice the one before. */
-function sizeOf(promptTokens: number): number {
-  return Math.round(Math.log2(Math.max(1, promptTokens)));
+/**
+ * @param promptTokens - length of a prompt
+ * @returns its size class; classes grow exponentially
+ */
+export function sizeClassOf(promptTokens: number): number {
+  return Math.round(CLASSES_PER_DOUBLING * Math.log2(Math.max(1, promptTokens)));
 }
 
-function keyOf(kind: string, size: number): string {
-  return `${kind} ${size}`;
+function keyOf(kind: string, sizeClass: number): string {
+  return `${kind} ${sizeClass}`;
 }
--- a/packages/serving/src/promptAdmission.ts
+++ b/packages/serving/src/promptAdmission.ts
@@ -26,12 +26,9 @@
   limits: PromptLimits,
   acceptance: acceptanceTrackers.AcceptanceTracker,
 ): neverthrow.Result<placements.EnginePlan, admissions.Rejection> {
-  const { kind } = limits;
   const { now, prompt } = placement;
-  // A caller that returns after a rejection was counted the first time.
-  if (!admissions.isReturningCaller(limits)) acceptance.noteOffered(kind, prompt.promptTokens, now);
   const admitted = checkOrPromote(plan, placement, limits, acceptance);
-  if (admitted.isOk()) acceptance.noteAccepted(kind, prompt.promptTokens, now);
+  acceptance.noteDecision(limits.kind, prompt.promptTokens, admitted.isOk(), now);
   return admitted;
 }
 
--- /dev/null
+++ b/packages/serving/tests/acceptanceTracker.test.ts
@@ -0,0 +1,59 @@
+import * as fastCheck from "fast-check";
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+import * as serving from "../src/index.js";
+
+const suite = uvu.suite("counts of accepted prompts");
+
+const KIND = "audit";
+
+const decisions = fastCheck.array(
+  fastCheck.record({
+    daemon: fastCheck.nat({ max: 2 }),
+    tokens: fastCheck.integer({ min: 1, max: 100_000 }),
+    isAccepted: fastCheck.boolean(),
+    waitMs: fastCheck.nat({ max: 5_000 }),
+    isExchanged: fastCheck.boolean(),
+  }),
+  { maxLength: 60 },
+);
+
+/** Sends what each daemon has decided since to the other ones. */
+function exchange(trackers: readonly serving.AcceptanceTracker[], now: number): void {
+  const sent = trackers.map((tracker) => tracker.takeUnsentCounts());
+  for (const [receiver, tracker] of trackers.entries())
+    for (const count of sent.filter((_, sender) => sender !== receiver).flat())
+      assert.is(tracker.addPeerCount(count, now), true);
+}
+
+// Guards against a rate over 1, which hides the sizes that a shortage hits.
+suite("accepted prompts never exceed the offered ones, by kind, size and daemon", () => {
+  fastCheck.assert(
+    fastCheck.property(decisions, (steps) => {
+      const trackers = Array.from({ length: 3 }, () => new serving.AcceptanceTracker());
+      let now = 0;
+      for (const { daemon, tokens, isAccepted, waitMs, isExchanged } of steps) {
+        now += waitMs;
+        trackers[daemon]?.noteDecision(KIND, tokens, isAccepted, now);
+        if (isExchanged) exchange(trackers, now);
+        for (const tracker of trackers) {
+          const counts = tracker.countsOf(KIND, tokens, now);
+          assert.ok(counts.takenOfSize <= counts.offeredOfSize);
+          assert.ok(counts.takenOfKind <= counts.offeredOfKind);
+          assert.ok(tracker.acceptanceRates(KIND, tokens, now).ofSize <= 1);
+        }
+      }
+    }),
+    { seed: 52 },
+  );
+});
+
+// Guards against a peer whose counts can't be: added up, they would make a shortage look like none.
+suite("a peer's count with more accepted than offered prompts is left out", () => {
+  const tracker = new serving.AcceptanceTracker();
+  tracker.noteDecision(KIND, 40_000, false, 0);
+  assert.is(tracker.addPeerCount({ kind: KIND, sizeClass: 15, offered: 1, taken: 3 }, 0), false);
+  assert.is(tracker.countsOf(KIND, 40_000, 0).takenOfKind, 0);
+});
+
+suite.run();
--- a/packages/serving/tests/promptAdmission.test.ts
+++ b/packages/serving/tests/promptAdmission.test.ts
@@ -104,9 +104,8 @@
 suite("old counts have little weight", () => {
   const acceptance = new serving.AcceptanceTracker();
   for (let index = 0; index < 10; index++) {
-    acceptance.noteOffered(KIND, LONG_TOKENS, 0);
-    acceptance.noteOffered(KIND, SHORT_TOKENS, 0);
-    acceptance.noteAccepted(KIND, SHORT_TOKENS, 0);
+    acceptance.noteDecision(KIND, LONG_TOKENS, false, 0);
+    acceptance.noteDecision(KIND, SHORT_TOKENS, true, 0);
   }
   assert.is(acceptance.isUnderserved(KIND, LONG_TOKENS, 0), true);
   assert.is(acceptance.isUnderserved(KIND, LONG_TOKENS, 60_000), false);
@@ -115,7 +114,8 @@
 // Each configuration may define other kinds. Without pruning, their counts would fill a daemon's memory in some days.
 suite("counts of kinds that no longer occur are deleted", () => {
   const acceptance = new serving.AcceptanceTracker();
-  for (let index = 0; index < 50_000; index++) acceptance.noteOffered(`kind-${index}`, SHORT_TOKENS, index * 100);
+  for (let index = 0; index < 50_000; index++)
+    acceptance.noteDecision(`kind-${index}`, SHORT_TOKENS, true, index * 100);
   assert.ok(acceptance.countsKept < 4_000, `${acceptance.countsKept} are kept`);
 });
 
