Accept prompts by one patience, whoever has returned

Nothing tells the two apart: callers state what is left of their deadline, and first tries had spent 252 ms of it in the median before they were sent; which daemon rejected a caller the next one doesn't know. So there is one part, 0.55.

The mutation of the floor in severe shortages is killed by a test of the tracker.

--- a/packages/gateway/src/admissionLog.ts
+++ b/packages/gateway/src/admissionLog.ts
@@ -5,6 +5,7 @@
 /** What the admission of a prompt was based on. */
 export interface AdmissionBasis {
   readonly caller: callerRequests.CallerRequest;
+  readonly route: serving.Route;
   readonly limits: serving.PromptLimits;
   readonly placement: serving.PlacementInputs;
   /** Counts after the decision. */
@@ -13,9 +14,9 @@
 
 /**
  * @param basis - what an admission was based on
- * @returns fields of the log that tell a returning caller from a slow first try, and which counts were compared
+ * @returns fields of the log: the counts that were compared, and the time that the caller had left
  */
-export function admissionFields({ caller, limits, placement, counts }: AdmissionBasis): decisionLogs.LogFields {
+export function admissionFields({ caller, route, limits, placement, counts }: AdmissionBasis): decisionLogs.LogFields {
   return {
     kind: limits.kind,
     promptTokens: placement.prompt.promptTokens,
@@ -25,8 +26,7 @@
     offeredOfKind: counts.offeredOfKind.toFixed(1),
     takenOfKind: counts.takenOfKind.toFixed(1),
     statedMs: caller.headers.deadlineMs,
-    routeMs: limits.routeMs,
+    routeMs: route.timeoutMs,
     elapsedMs: Math.round(placement.now - caller.arrivedAt),
-    isReturning: serving.isReturningCaller(limits),
   };
 }
--- a/packages/gateway/src/sendChooser.ts
+++ b/packages/gateway/src/sendChooser.ts
@@ -289,12 +289,11 @@
       isLearned: speeds.of(this.#served.service).isLearned((plan.prefillEngine ?? plan.decodeEngine).role),
       callerTimeoutMs: serving.streamCallerTimeoutMs(route.objectiveMs, route.pauseMs),
       remainingMs,
-      routeMs: route.timeoutMs,
       draw: random.next(),
     };
     const admitted = serving.admitPrompt(plan, placement, limits, acceptance);
     const counts = acceptance.countsOf(limits.kind, placement.prompt.promptTokens, placement.now);
-    const fields = admissionLogs.admissionFields({ caller, limits, placement, counts });
+    const fields = admissionLogs.admissionFields({ caller, route, limits, placement, counts });
     if (admitted.isErr()) this.#logRejected(plan, limits, admitted.error, fields);
     else if (admitted.value.urgency !== plan.urgency) this.#logUrgencyRaised(plan, admitted.value);
     return { admitted, fields };
--- a/packages/serving/src/admission.ts
+++ b/packages/serving/src/admission.ts
@@ -12,8 +12,6 @@
   readonly callerTimeoutMs: number;
   /** Time left of the caller's deadline and the route's timeout. */
   readonly remainingMs: number;
-  /** The route's timeout: longest time that it lets a caller wait. */
-  readonly routeMs: number;
   /** A uniform random number in [0, 1). */
   readonly draw: number;
 }
@@ -26,19 +24,10 @@
 
 /**
  * Maximum predicted time as a part of the caller's timeout. An answer after that is late anyway, and its prefill makes
- * those queued behind it late too. Mean worth over five simulated days with faults: 0.496 with predictions of up to 2.5
- * times the timeout, 0.553 with this part.
+ * those queued behind it late too. It is the same for callers that return after a rejection: nothing tells them from
+ * callers whose first try was read late.
  */
-export const USUAL_PART = 0.5;
-
-/**
- * The same for a caller that was rejected before: if it were rejected again, it would get nothing at all, though it has
- * waited as long as it was told to.
- */
-const RETURNING_PART = 0.65;
-
-/** Remaining time, as a share of the route's timeout, below which a caller counts as one that retries. */
-const RETURNING_TIME_SHARE = 0.97;
+export const USUAL_PART = 0.55;
 
 /**
  * Wait that every prompt is allowed beside its own prefill, as a part of the timeout. Without it the largest prompts
@@ -79,19 +68,11 @@
     return inputs.predictedMs <= priorMs ? undefined : rejectionOf(inputs);
   }
   const longMs = inputs.unloadedMs + inputs.callerTimeoutMs * MIN_WAIT_PART;
-  const usualMs = inputs.callerTimeoutMs * (isReturningCaller(inputs) ? RETURNING_PART : USUAL_PART);
+  const usualMs = inputs.callerTimeoutMs * USUAL_PART;
   const limitMs = Math.min(Math.max(usualMs, longMs), inputs.callerTimeoutMs, inputs.remainingMs);
   return inputs.predictedMs <= limitMs ? undefined : rejectionOf(inputs);
 }
 
-/**
- * @param inputs - remaining time of the caller, and timeout of its route
- * @returns whether the caller retries after an earlier rejection, which shows by the time that has passed
- */
-export function isReturningCaller(inputs: Pick<AdmissionInputs, "remainingMs" | "routeMs">): boolean {
-  return inputs.remainingMs < inputs.routeMs * RETURNING_TIME_SHARE;
-}
-
 function rejectionOf(inputs: AdmissionInputs): Rejection {
   const excessMs = inputs.predictedMs - inputs.callerTimeoutMs * RETRY_TARGET_PART;
   const baseMs = Math.max(RETRY_AFTER_MS.min, Math.min(RETRY_AFTER_MS.max, excessMs));
--- a/packages/serving/tests/acceptanceTracker.test.ts
+++ b/packages/serving/tests/acceptanceTracker.test.ts
@@ -48,6 +48,22 @@
   );
 });
 
+/** Decides on prompts of two sizes, of which the given shares are accepted. */
+function trackerWith(shares: { readonly short: number; readonly long: number }): serving.AcceptanceTracker {
+  const tracker = new serving.AcceptanceTracker();
+  for (let index = 0; index < 1_000; index++) tracker.noteDecision(KIND, 4_000, index < 1_000 * shares.short, 0);
+  for (let index = 0; index < 100; index++) tracker.noteDecision(KIND, 40_000, index < 100 * shares.long, 0);
+  return tracker;
+}
+
+// Guards against a tenth that falls under half of its kind: the fewer are accepted, the smaller the accepted prompts of
+// each size are.
+suite("in a severe shortage a size counts as underserved sooner than in a slight one", () => {
+  assert.is(trackerWith({ short: 0.96, long: 0.96 * 0.7 }).isUnderserved(KIND, 40_000, 0), false);
+  assert.is(trackerWith({ short: 0.96, long: 0.96 * 0.5 }).isUnderserved(KIND, 40_000, 0), true);
+  assert.is(trackerWith({ short: 0.5, long: 0.5 * 0.7 }).isUnderserved(KIND, 40_000, 0), true);
+});
+
 // Guards against a peer whose counts can't be: added up, they would make a shortage look like none.
 suite("a peer's count with more accepted than offered prompts is left out", () => {
   const tracker = new serving.AcceptanceTracker();
