Reject the part of prompts on which engines crash, and no sound request with it

Cause: a suspect was a request, named by its content; each of these is new. Class: the cause is looked for at one level only, the request's, as before it at the endpoint's.

Now an engine's end counts against the parts of all that was to be written there, and a whole answer acquits its parts, also at a daemon that has not heard of the end. Ends are told to the peers at once; suspects have a scope in messages and in the key-value service, which older daemons take for requests.

The check for other open connections waits for pending reads: a lagging loop took a crashed engine for alive.

--- a/packages/gateway/src/activeSend.ts
+++ b/packages/gateway/src/activeSend.ts
@@ -6,6 +6,9 @@
 import type * as servedRequests from "./servedRequest.js";
 import * as silenceWatches from "./silenceWatch.js";
 
+/** Time after the first event of an answer within which its begin may still crash the engine, in milliseconds. */
+const BEGIN_OF_ANSWER_MS = 1_000;
+
 /** How much of a request has been sent, as fields of log lines. */
 export interface DispatchFields {
   /** Time from the decision until the request was handed to its connection in milliseconds, if it was. */
@@ -26,7 +29,7 @@
   readonly #silence: silenceWatches.SilenceWatch;
   #pendingPrefill: serving.PendingPrefill | undefined;
   #request: sendings.InFlightRequest | undefined;
-  #hasFirstEvent = false;
+  #firstEventAt: number | undefined;
 
   /**
    * @param context - what serving needs
@@ -95,17 +98,22 @@
     if (this.#pendingPrefill === undefined) return false;
     this.#context.loads.endPrefill(this.#pendingPrefill);
     this.#pendingPrefill = undefined;
-    this.#hasFirstEvent = true;
+    this.#firstEventAt ??= performance.now();
     return true;
   }
 
   /** @returns whether this is the first event of the send */
   markFirstEvent(): boolean {
-    const first = !this.#hasFirstEvent;
-    this.#hasFirstEvent = true;
+    const first = this.#firstEventAt === undefined;
+    this.#firstEventAt ??= performance.now();
     return first;
   }
 
+  /** @returns whether the endpoint has written events of the answer for so long that its begin is over */
+  get hasWrittenForLong(): boolean {
+    return this.#firstEventAt !== undefined && performance.now() - this.#firstEventAt > BEGIN_OF_ANSWER_MS;
+  }
+
   /**
    * Stops reading from the endpoint until a slow caller has read what was written, so that answers don't pile up in
    * memory.
--- a/packages/gateway/src/endpointCrashDetector.ts
+++ b/packages/gateway/src/endpointCrashDetector.ts
@@ -1,6 +1,7 @@
-import type * as serving from "@camphorcourse/serving";
+import * as serving from "@camphorcourse/serving";
 import type * as decisionLogs from "./decisionLog.js";
 import type * as pathMonitors from "./paths/pathMonitor.js";
+import * as pendingReads from "./pendingReads.js";
 
 /** Delay between a broken connection and the check of its endpoint, in milliseconds: other connections break with it. */
 const CHECK_DELAY_MS = 10;
@@ -8,8 +9,8 @@
 /** Maximum number of broken runs of one endpoint that are kept until its check has finished. */
 const MAX_RUNS = 256;
 
-/** Maximum number of fingerprints in a log line. */
-const MAX_LOGGED = 8;
+/** Maximum number of fingerprints of each scope in a log line. */
+const MAX_LOGGED = 16;
 
 /** Time for which an endpoint counts as crashed in milliseconds: its entry expires within it, or it restarts. */
 const CRASHED_MS = 5_000;
@@ -21,7 +22,8 @@
 
 /** A run of a request whose connection broke. */
 export interface BrokenRun {
-  readonly fingerprints: serving.Fingerprints;
+  /** What is suspected if the endpoint has crashed: the request, and parts of its prompt. */
+  readonly suspects: readonly serving.SuspectName[];
   /** Instant at which it broke, in milliseconds. */
   readonly brokeAt: number;
 }
@@ -72,7 +74,8 @@
       return;
     }
     this.#checks.set(endpoint.id, { endpoint, runs: [run] });
-    setTimeout(() => void this.#check(endpoint), CHECK_DELAY_MS);
+    // A lagging event loop runs this timer before it has seen that the other connections have broken as well.
+    setTimeout(() => void pendingReads.handled().then(() => this.#check(endpoint)), CHECK_DELAY_MS);
   }
 
   /**
@@ -96,13 +99,14 @@
     if (!hasCrashed) return;
     if (this.#crashed.size >= MAX_CRASHED) this.#crashed.clear();
     this.#crashed.set(endpoint.id, { bornAt: endpoint.bornAt, until: performance.now() + CRASHED_MS });
-    const fingerprints = runs.slice(0, MAX_LOGGED).map((run) => run.fingerprints.content);
+    const suspects = runs.flatMap((run) => run.suspects);
     this.#parts.log.warn("endpoint-ended", {
       endpoint: endpoint.id,
       service: endpoint.service,
       address: endpoint.address,
       runs: runs.length,
-      fingerprints: fingerprints.join(" "),
+      fingerprints: loggedFingerprints(suspects, serving.SuspectScope.Request),
+      parts: loggedFingerprints(suspects, serving.SuspectScope.Part),
     });
     this.#parts.onCrashed(endpoint, runs);
   }
@@ -118,3 +122,8 @@
     return finding?.refused ?? error.code === REFUSED;
   }
 }
+
+function loggedFingerprints(suspects: readonly serving.SuspectName[], scope: serving.SuspectScope): string {
+  const fingerprints = suspects.filter((suspect) => suspect.scope === scope).map(({ fingerprint }) => fingerprint);
+  return [...new Set(fingerprints)].slice(0, MAX_LOGGED).join(" ");
+}
--- a/packages/gateway/src/requestEnd.ts
+++ b/packages/gateway/src/requestEnd.ts
@@ -82,6 +82,7 @@
     this.#answer.endStream();
     this.#context.streams.noteComplete(this.#served);
     this.#context.suspects.noteSuccess(this.#served);
+    this.#context.suspects.noteWritten(this.#served);
     this.#finish("answered", HTTP_OK);
   }
 
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -187,13 +187,26 @@
       if (served.route.requestClass !== serving.RequestClass.Stream) served.noteBegunToRun();
       served.noteBroken(context.suspects.isSuspected(served));
       context.crashDetector.noteBroken(active.endpoint, {
-        fingerprints: served.fingerprints,
+        suspects: this.#suspectsOf(active),
         brokeAt: performance.now(),
       });
     }
     this.failed(active, outcome, detail);
   }
 
+  /**
+   * What is suspected of having crashed the endpoint of a send. An engine crashes as it begins to write an answer: a part
+   * of a prompt that it only reads, or on which it has written for long, is not to blame.
+   */
+  #suspectsOf(active: activeSends.ActiveSend): serving.SuspectName[] {
+    const { served } = this.#parts;
+    const { content, contentAndCaller } = served.fingerprints;
+    const scope = serving.SuspectScope.Request;
+    const requests = [content, contentAndCaller].map((fingerprint) => ({ fingerprint, scope }));
+    const isReading = active.stage === sendChoosers.Stage.Prefill;
+    return isReading || active.hasWrittenForLong ? requests : [...requests, ...served.partNames];
+  }
+
   /** Cancels the send in flight and frees what is kept for the request, which is over. */
   stop(): void {
     const active = this.#active;
--- a/packages/gateway/src/servedRequest.ts
+++ b/packages/gateway/src/servedRequest.ts
@@ -18,6 +18,7 @@
   #route: serving.Route;
   #service = "";
   #fingerprints: serving.Fingerprints | undefined;
+  #partNames: readonly serving.SuspectName[] | undefined;
   #brokenSends = 0;
   #mayBeSentAgain = true;
   #sends = 0;
@@ -85,6 +86,13 @@
     return this.#fingerprints;
   }
 
+  /** @returns names of the parts of its prompt that other requests may share, computed on first use */
+  get partNames(): readonly serving.SuspectName[] {
+    const { prompt } = this.#caller.headers;
+    this.#partNames ??= prompt === undefined ? [] : serving.partNamesOf(prompt, this.#access.organisation?.name);
+    return this.#partNames;
+  }
+
   /** @returns progress of the request's stream */
   get progress(): streamProgresses.StreamProgress {
     return this.#progress;
--- a/packages/gateway/src/suspects/suspectCodec.ts
+++ b/packages/gateway/src/suspects/suspectCodec.ts
@@ -1,7 +1,7 @@
 /** Encodes and decodes suspects in messages between daemons and in the key-value service. */
 import * as protobuf from "@bufbuild/protobuf";
 import * as messages from "@camphorcourse/protocol/gateway";
-import type * as serving from "@camphorcourse/serving";
+import * as serving from "@camphorcourse/serving";
 import * as neverthrow from "neverthrow";
 import * as zod from "zod/mini";
 import * as peerWorks from "../peerWork.js";
@@ -16,6 +16,7 @@
 
 const storedSchema = zod.object({
   fingerprint: zod.string().check(zod.regex(/^[0-9a-f]{16}$/)),
+  scope: zod.optional(zod.enum(serving.SuspectScope)),
   ends: zod.array(zod.object({ life: nonNegativeIntegerSchema, at: nonNegativeIntegerSchema })),
   clearedAt: zod.optional(nonNegativeIntegerSchema),
 });
@@ -25,9 +26,10 @@
  * @returns the record as a message
  */
 export function toMessage(record: serving.SuspectRecord): messages.Suspect {
-  const { fingerprint, ends, clearedAgoMs } = record;
+  const { fingerprint, scope, ends, clearedAgoMs } = record;
   return protobuf.create(messages.SuspectSchema, {
     fingerprint: BigInt(`0x${fingerprint}`),
+    scope,
     lives: ends.map(({ life }) => life),
     endedAgoMs: ends.map(({ agoMs }) => peerWorks.toUint32(agoMs)),
     clearedAgoMs: clearedAgoMs === undefined ? 0 : peerWorks.toUint32(clearedAgoMs + AGE_OFFSET_MS),
@@ -39,8 +41,9 @@
  * @returns the record that it contains
  */
 export function fromMessage(message: messages.Suspect): serving.SuspectRecord {
-  const { fingerprint, lives, endedAgoMs, clearedAgoMs } = message;
+  const { fingerprint, scope, lives, endedAgoMs, clearedAgoMs } = message;
   return {
+    scope: scopeOf(scope),
     fingerprint: fingerprint.toString(16).padStart(FINGERPRINT_DIGITS, "0"),
     ends: lives.flatMap((life, index) => {
       const agoMs = endedAgoMs[index];
@@ -56,11 +59,12 @@
  * @returns the record as it is stored in the key-value service, with Unix milliseconds in place of ages
  */
 export function toStored(record: serving.SuspectRecord, timeOfDay: number): Buffer {
-  const { fingerprint, ends, clearedAgoMs } = record;
+  const { fingerprint, scope, ends, clearedAgoMs } = record;
   const unixMsOf = (agoMs: number): number => Math.max(0, Math.round(timeOfDay - agoMs));
   return Buffer.from(
     JSON.stringify({
       fingerprint,
+      scope,
       ends: ends.map(({ life, agoMs }) => ({ life, at: unixMsOf(agoMs) })),
       clearedAt: clearedAgoMs === undefined ? undefined : unixMsOf(clearedAgoMs),
     }),
@@ -76,10 +80,11 @@
   try {
     const parsed = zod.safeParse(storedSchema, JSON.parse(Buffer.from(value).toString()));
     if (!parsed.success) return neverthrow.err(zod.prettifyError(parsed.error));
-    const { fingerprint, ends, clearedAt } = parsed.data;
+    const { fingerprint, scope, ends, clearedAt } = parsed.data;
     const ageOf = (at: number): number => Math.max(0, timeOfDay - at);
     return neverthrow.ok({
       fingerprint,
+      scope: scope ?? serving.SuspectScope.Request,
       ends: ends.map(({ life, at }) => ({ life, agoMs: ageOf(at) })),
       clearedAgoMs: clearedAt === undefined ? undefined : ageOf(clearedAt),
     });
@@ -87,3 +92,9 @@
     return neverthrow.err(String(error));
   }
 }
+
+/** A scope that is not known here is one of newer software; as a request it concerns nothing. */
+function scopeOf(value: number): serving.SuspectScope {
+  const known = [serving.SuspectScope.OrganisationPart, serving.SuspectScope.Part];
+  return known.find((scope) => scope === value) ?? serving.SuspectScope.Request;
+}
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -49,6 +49,7 @@
 export * from "./streams/streamOrigin.js";
 export * from "./streams/streamTable.js";
 export * from "./suspectTable.js";
+export * from "./suspects/suspicion.js";
 export * from "./trueTime.js";
 export * from "./urgency.js";
 export * from "./usage/usageCounter.js";
--- a/packages/serving/src/requestFingerprint.ts
+++ b/packages/serving/src/requestFingerprint.ts
@@ -1,4 +1,6 @@
 import * as crypto from "node:crypto";
+import type * as promptParts from "./promptParts.js";
+import * as suspicions from "./suspects/suspicion.js";
 
 /** What identifies a request, whichever attempt and daemon it arrives by. */
 export interface FingerprintInputs {
@@ -38,6 +40,26 @@
   return { content, contentAndCaller: digestOf([content, callerAddress], undefined) };
 }
 
+/**
+ * Names the parts of a prompt that other requests may share. A part is named whatever the model and the service: what
+ * crashes engines does so everywhere. Under the organisation's own name, one organisation can't get the requests of
+ * another one rejected by naming its parts.
+ *
+ * @param prompt - the prompt of a request
+ * @param organisation - organisation of its caller, if any
+ * @returns the names, those of one organisation first
+ */
+export function partNamesOf(prompt: promptParts.Prompt, organisation?: string): suspicions.SuspectName[] {
+  const shared = prompt.parts.slice(0, -1);
+  const ofAll = shared.map(({ id }) => nameOf(suspicions.SuspectScope.Part, id));
+  if (organisation === undefined) return ofAll;
+  return [...shared.map(({ id }) => nameOf(suspicions.SuspectScope.OrganisationPart, id, organisation)), ...ofAll];
+}
+
+function nameOf(scope: suspicions.SuspectScope, ...strings: readonly string[]): suspicions.SuspectName {
+  return { fingerprint: digestOf([suspicions.SuspectScope[scope], ...strings], undefined), scope };
+}
+
 function digestOf(strings: readonly string[], body: Uint8Array | undefined): string {
   // As JSON, since different lists of strings may be equal when joined.
   const hash = crypto.createHash("sha256").update(JSON.stringify(strings));
