Frame streams towards callers, and tell a crash from the end of an answer without framing

What callers saw: a stream without a length or chunks that broke off inside an event, and could not go on, reached them as 200 with one event and an orderly end: cut short, and taken for whole. Cause: the endpoint's framing was copied, and an orderly end was taken for the end of the answer. Class: how a connection ends is taken for what it means.

Streams are sent in chunks, so that one that breaks off lacks the last; a caller that doesn't know chunks has its connection reset. An end inside an event counts as a break, with the check for a crash; an end after an event of an answer without framing is whole only if the engine still listens.

crashedInOrder.test.ts failed 6 of 7 and passes; buffered answers keep the endpoint's framing, as their test asks.

--- a/packages/gateway/src/answerBody.ts
+++ b/packages/gateway/src/answerBody.ts
@@ -106,11 +106,24 @@
 
   /** {@inheritDoc AnswerBody.onEnd} */
   onEnd(): void {
-    const { active, answer, end, feedback, results, served } = this.#send;
-    if (this.#splitter.unfinishedBytes > 0 || !served.isStreamBegun) {
-      results.failed(active, serving.SendOutcome.Unknown, "the stream ended inside an event");
-      return;
-    }
+    const { active, results, served } = this.#send;
+    if (this.#splitter.unfinishedBytes > 0 || !served.isStreamBegun)
+      results.broken(active, serving.SendOutcome.Unknown, "the stream ended inside an event");
+    else if (callerAnswers.isFramed(this.#head.headers)) this.#complete();
+    else void this.#completeUnlessCrashed();
+  }
+
+  /** An engine that crashes after an event closes the connection as one does whose answer has neither length nor chunks. */
+  async #completeUnlessCrashed(): Promise<void> {
+    const { active, context, end, results } = this.#send;
+    const hasCrashed = await context.crashDetector.hasJustCrashed(active.endpoint);
+    if (end.over) return;
+    if (hasCrashed) results.broken(active, serving.SendOutcome.Unknown, "the endpoint crashed as the stream ended");
+    else this.#complete();
+  }
+
+  #complete(): void {
+    const { active, answer, end, feedback } = this.#send;
     feedback.recordResult(active, serving.SendResult.Good);
     feedback.learnPause(active);
     // A caller that has all events takes the stream up for its end alone.
--- a/packages/gateway/src/callerAnswer.ts
+++ b/packages/gateway/src/callerAnswer.ts
@@ -1,4 +1,5 @@
 import type * as http from "node:http";
+import * as net from "node:net";
 import type * as sendings from "./sending.js";
 
 /** Headers that are not forwarded: the hop-by-hop ones, and those that are set anew here. */
@@ -65,7 +66,8 @@
   }
 
   /**
-   * Sends status and headers of a stream, unless that has been done.
+   * Sends status and headers of a stream, unless that has been done. The stream is framed here, however the endpoint frames
+   * it: where its end was the connection's, a stream that breaks off would look whole to the caller.
    *
    * @param status - HTTP status
    * @param headers - the endpoint's headers
@@ -73,7 +75,6 @@
   beginStream(status: number, headers: sendings.AnswerHeaders): void {
     if (this.#state !== AnswerState.Open) return;
     this.#state = AnswerState.Streaming;
-    if (!isFramed(headers)) this.#delimitByClose();
     this.#writeHead(status, forwardedHeaders(headers));
   }
 
@@ -97,9 +98,14 @@
     this.#response.end();
   }
 
-  /** Destroys the connection, so that a partial answer cannot be taken for a complete one. */
+  /**
+   * Destroys the connection, so that a partial answer cannot be taken for a complete one. A caller that doesn't know chunks
+   * takes the end of the connection for that of the answer, unless the connection is reset.
+   */
   abort(): void {
     this.#state = AnswerState.Ended;
+    const { socket } = this.#response;
+    if (!this.#response.chunkedEncoding && socket instanceof net.Socket) socket.resetAndDestroy();
     this.#response.destroy();
   }
 
@@ -143,7 +149,10 @@
   return forwarded;
 }
 
-/** @returns whether the headers delimit the body; otherwise it ends where the connection closes */
-function isFramed(headers: sendings.AnswerHeaders): boolean {
+/**
+ * @param headers - headers of an endpoint's answer
+ * @returns whether they delimit the body; otherwise it ends where the connection closes
+ */
+export function isFramed(headers: sendings.AnswerHeaders): boolean {
   return headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
 }
--- a/packages/gateway/src/endpointCrashDetector.ts
+++ b/packages/gateway/src/endpointCrashDetector.ts
@@ -42,8 +42,9 @@
 }
 
 interface Check {
-  readonly endpoint: serving.Endpoint;
   readonly runs: BrokenRun[];
+  /** Whether it finds that the endpoint has crashed. */
+  readonly hasCrashed: Promise<boolean>;
 }
 
 /**
@@ -68,14 +69,16 @@
    * @param run - what was running on it
    */
   noteBroken(endpoint: serving.Endpoint, run: BrokenRun): void {
-    const check = this.#checks.get(endpoint.id);
-    if (check !== undefined) {
-      if (check.runs.length < MAX_RUNS) check.runs.push(run);
-      return;
-    }
-    this.#checks.set(endpoint.id, { endpoint, runs: [run] });
-    // A lagging event loop runs this timer before it has seen that the other connections have broken as well.
-    setTimeout(() => void pendingReads.handled().then(() => this.#check(endpoint)), CHECK_DELAY_MS);
+    const check = this.#checkOf(endpoint);
+    if (check.runs.length < MAX_RUNS) check.runs.push(run);
+  }
+
+  /**
+   * @param endpoint - an endpoint that has closed a connection in order
+   * @returns whether it did so because it has crashed
+   */
+  hasJustCrashed(endpoint: serving.Endpoint): Promise<boolean> {
+    return this.#checkOf(endpoint).hasCrashed;
   }
 
   /**
@@ -91,12 +94,35 @@
     return false;
   }
 
-  async #check(endpoint: serving.Endpoint): Promise<void> {
-    const isAlive = this.#parts.hasLiveConnection(endpoint.id);
-    const hasCrashed = !isAlive && !this.#parts.isLeaving(endpoint) && (await this.#isRefusedEverywhere(endpoint));
-    const runs = this.#checks.get(endpoint.id)?.runs ?? [];
+  #checkOf(endpoint: serving.Endpoint): Check {
+    let check = this.#checks.get(endpoint.id);
+    if (check === undefined) {
+      const runs: BrokenRun[] = [];
+      check = { runs, hasCrashed: this.#check(endpoint, runs) };
+      this.#checks.set(endpoint.id, check);
+    }
+    return check;
+  }
+
+  async #check(endpoint: serving.Endpoint, runs: readonly BrokenRun[]): Promise<boolean> {
+    await new Promise((resolve) => setTimeout(resolve, CHECK_DELAY_MS));
+    // A lagging event loop runs this timer before it has seen that the other connections have broken as well.
+    await pendingReads.handled();
+    const isKnown = this.hasCrashed(endpoint, performance.now());
+    const hasCrashed = isKnown || (await this.#isGone(endpoint));
     this.#checks.delete(endpoint.id);
-    if (!hasCrashed) return;
+    if (!hasCrashed) return false;
+    if (!isKnown) this.#noteCrashed(endpoint, runs);
+    this.#parts.onCrashed(endpoint, runs);
+    return true;
+  }
+
+  async #isGone(endpoint: serving.Endpoint): Promise<boolean> {
+    if (this.#parts.hasLiveConnection(endpoint.id) || this.#parts.isLeaving(endpoint)) return false;
+    return this.#isRefusedEverywhere(endpoint);
+  }
+
+  #noteCrashed(endpoint: serving.Endpoint, runs: readonly BrokenRun[]): void {
     if (this.#crashed.size >= MAX_CRASHED) this.#crashed.clear();
     this.#crashed.set(endpoint.id, { bornAt: endpoint.bornAt, until: performance.now() + CRASHED_MS });
     const suspects = runs.flatMap((run) => run.suspects);
@@ -108,7 +134,6 @@
       fingerprints: loggedFingerprints(suspects, serving.SuspectScope.Request),
       parts: loggedFingerprints(suspects, serving.SuspectScope.Part),
     });
-    this.#parts.onCrashed(endpoint, runs);
   }
 
   /**
