--- a/packages/experiment/src/index.ts
+++ b/packages/experiment/src/index.ts
@@ -10,6 +10,7 @@
 export * from "./outcome.js";
 export * from "./table.js";
 export * from "./virtualTime.js";
+export * from "./crashReplay.js";
 export * from "./cutOffReplay.js";
 export * from "./statementReplay.js";
 export * from "./streamReplay.js";
