--- a/packages/serving/src/admission.ts
+++ b/packages/serving/src/admission.ts
@@ -27,7 +27,7 @@
  * those queued behind it late too. It is the same for callers that return after a rejection: nothing tells them from
  * callers whose first try was read late.
  */
-export const USUAL_PART = 0.55;
+const USUAL_PART = 0.55;
 
 /**
  * Wait that every prompt is allowed beside its own prefill, as a part of the timeout. Without it the largest prompts
--- a/packages/serving/src/limits/limitedWait.ts
+++ b/packages/serving/src/limits/limitedWait.ts
@@ -17,6 +17,9 @@
 const RETRY_AFTER_MS = { min: 200, max: 2_500 };
 const RETRY_JITTER = 0.5;
 
+/** Part of the patience of a stream's caller that may pass before it is sent. */
+const STREAM_WAIT_PART = 0.5;
+
 /** Part of the remaining time of a request without a stream that may pass before it is sent. */
 const PLAIN_WAIT_PART = 0.5;
 
@@ -52,5 +55,5 @@
 ): number {
   if (route.requestClass !== configurations.RequestClass.Stream) return remainingMs * PLAIN_WAIT_PART;
   const callerTimeoutMs = admissions.streamCallerTimeoutMs(route.objectiveMs, route.pauseMs);
-  return Math.min(remainingMs, callerTimeoutMs * admissions.USUAL_PART - elapsedMs);
+  return Math.min(remainingMs, callerTimeoutMs * STREAM_WAIT_PART - elapsedMs);
 }
