Let a part with more crashes than are kept explain the older ones

In a flood of guilty requests (20 a second) a part has more crashes than the eight that are kept of it. Sound parts that ran at the dropped ones were no longer explained by it, and were rejected.

--- a/packages/serving/src/suspects/partConviction.ts
+++ b/packages/serving/src/suspects/partConviction.ts
@@ -69,16 +69,21 @@
   all: SuspectMap,
   find: FindSuspects,
 ): CoveringSuspect[] {
-  const crashes = [...part.crashes.keys()];
-  const [first] = crashes;
-  if (first === undefined) return [];
-  return [...find(first)].flatMap((other) => {
+  const others = new Set([...part.crashes.keys()].flatMap((crash) => [...find(crash)]));
+  others.delete(fingerprint);
+  return [...others].flatMap((other) => {
     const suspect = all.get(other);
-    if (other === fingerprint || suspect === undefined) return [];
-    return crashes.every((crash) => suspect.crashes.has(crash)) ? [{ fingerprint: other, suspect }] : [];
+    return suspect !== undefined && covers(suspect, part) ? [{ fingerprint: other, suspect }] : [];
   });
 }
 
+/** Of a suspect with many crashes only the newest are kept: it may have run on any endpoint that crashed before these. */
+function covers(suspect: suspects.Suspect, { crashes }: suspects.Suspect): boolean {
+  const isFull = suspect.crashes.size >= suspects.MAX_CRASHES;
+  const keptSince = isFull ? Math.min(...suspect.crashes.values()) : -Infinity;
+  return [...crashes].every(([crash, crashedAt]) => suspect.crashes.has(crash) || crashedAt < keptSince);
+}
+
 function isBetterExplanation({ suspect }: CoveringSuspect, part: suspects.Suspect): boolean {
   if (suspects.hasRunWell(suspect) && !suspects.hasRunWell(part)) return false;
   if (suspect.crashes.size > part.crashes.size) return true;
--- a/packages/serving/tests/partConviction.test.ts
+++ b/packages/serving/tests/partConviction.test.ts
@@ -61,6 +61,15 @@
   assert.is(table.suspicionOf("first", 4 * APART_MS), Suspected);
 });
 
+// Guards against rejecting what ran beside the guilty part in crashes that are no longer kept of it.
+suite("a part with more crashes than are kept explains the older ones too", () => {
+  const table = createTable();
+  for (let index = 1; index <= 12; index++)
+    crash(table, index, index <= 3 ? ["bad", "rare"] : ["bad"], index * APART_MS);
+  assert.is(table.suspicionOf("bad", 12 * APART_MS), Quarantined);
+  assert.is(table.suspicionOf("rare", 12 * APART_MS), Suspected);
+});
+
 // Guards against rejecting a part for one request that is sent again and again.
 suite("crashes under one request convict the request, not its parts", () => {
   const table = createTable();
