Move the log fields of admissions out of the gateway's flat folder

The folder holds the exchange and its sockets; what belongs to one matter has a folder of its own. No change of behaviour; the tests of the exchange pass as before (9).

--- a/packages/gateway/src/admissionLog.ts
+++ b/packages/gateway/src/admission/admissionLog.ts
@@ -1,6 +1,6 @@
 import * as serving from "@camphorcourse/serving";
-import type * as callerRequests from "./callerRequest.js";
-import type * as decisionLogs from "./decisionLog.js";
+import type * as callerRequests from "../callerRequest.js";
+import type * as decisionLogs from "../decisionLog.js";
 
 /** What the admission of a prompt was based on. */
 export interface AdmissionBasis {
--- a/packages/gateway/src/sendChooser.ts
+++ b/packages/gateway/src/sendChooser.ts
@@ -1,6 +1,6 @@
 import * as serving from "@camphorcourse/serving";
 import * as neverthrow from "neverthrow";
-import * as admissionLogs from "./admissionLog.js";
+import * as admissionLogs from "./admission/admissionLog.js";
 import type * as contexts from "./context.js";
 import type * as decisionLogs from "./decisionLog.js";
 import type * as servedRequests from "./servedRequest.js";
