--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -353,6 +353,7 @@
       daemons_known: this.#view.daemons.size,
       daemons_heard: this.#peers.peerTable.live(performance.now()).length,
       suspects: this.#context.suspects.table.count(performance.now()),
+      acceptance_counts_refused: this.#context.acceptance.refusedCounts,
       takes_callers: Number(this.#peers.activeSet.active),
       cut_off: Number(this.#reachability.monitor.isCutOff),
       requests_relayed_open: this.#relayServer.open,
--- a/packages/serving/src/acceptanceTracker.ts
+++ b/packages/serving/src/acceptanceTracker.ts
@@ -75,6 +75,7 @@
   /** Number of counts at which expired ones are deleted. */
   #pruneAt = MIN_COUNTS_TO_PRUNE;
   #unsent = new Map<string, SizeCount>();
+  #refusedCounts = 0;
 
   /**
    * @param kind - name of the kind of request
@@ -90,6 +91,11 @@
     this.#unsent.set(key, { ...count, offered: offered + count.offered, taken: taken + count.taken });
   }
 
+  /** @returns number of peers' counts that were left out, as they can't be */
+  get refusedCounts(): number {
+    return this.#refusedCounts;
+  }
+
   /** @returns the number of counts in memory */
   get countsKept(): number {
     return this.#counts.size;
@@ -108,7 +114,10 @@
    * @returns whether it counts; more accepted than offered prompts can't be, and would hide a shortage
    */
   addPeerCount(count: SizeCount, now: number): boolean {
-    if (count.taken > count.offered) return false;
+    if (count.taken > count.offered) {
+      this.#refusedCounts++;
+      return false;
+    }
     this.#add(count, now);
     return true;
   }
--- a/packages/serving/tests/acceptanceTracker.test.ts
+++ b/packages/serving/tests/acceptanceTracker.test.ts
@@ -70,6 +70,7 @@
   tracker.noteDecision(KIND, 40_000, false, 0);
   assert.is(tracker.addPeerCount({ kind: KIND, sizeClass: 15, offered: 1, taken: 3 }, 0), false);
   assert.is(tracker.countsOf(KIND, 40_000, 0).takenOfKind, 0);
+  assert.is(tracker.refusedCounts, 1);
 });
 
 suite.run();
