Let a peer say that the answer it passes back had neither a length nor chunks

What callers saw: an answer that ended with the endpoint's connection came framed where a peer had passed the request on, so that one cut short looked whole, and the serving daemon made no check for a crash. Cause: the peer's own chunks were taken for the endpoint's. The peer now states it if the daemon asks (older daemons neither ask nor state), and the answer is treated as a direct one.

--- a/packages/gateway/src/answerBody.ts
+++ b/packages/gateway/src/answerBody.ts
@@ -1,7 +1,7 @@
 import * as serving from "@camphorcourse/serving";
 import * as callerAnswers from "./callerAnswer.js";
 import type * as contexts from "./context.js";
-import type * as sendings from "./sending.js";
+import * as sendings from "./sending.js";
 import * as eventSplitters from "./eventSplitter.js";
 import type * as exchangeParts from "./exchangeParts.js";
 import * as metricsModule from "./metrics.js";
@@ -109,7 +109,7 @@
     const { active, results, served } = this.#send;
     if (this.#splitter.unfinishedBytes > 0 || !served.isStreamBegun)
       results.broken(active, serving.SendOutcome.Unknown, "the stream ended inside an event");
-    else if (callerAnswers.isFramed(this.#head.headers)) this.#complete();
+    else if (sendings.isFramed(this.#head.headers)) this.#complete();
     else void this.#completeUnlessCrashed();
   }
 
--- a/packages/gateway/src/callerAnswer.ts
+++ b/packages/gateway/src/callerAnswer.ts
@@ -1,6 +1,6 @@
 import type * as http from "node:http";
 import * as net from "node:net";
-import type * as sendings from "./sending.js";
+import * as sendings from "./sending.js";
 
 /** Headers that are not forwarded: the hop-by-hop ones, and those that are set anew here. */
 const UNFORWARDED_HEADERS = new Set([
@@ -59,7 +59,7 @@
     if (this.#state !== AnswerState.Open) return;
     this.#state = AnswerState.Ended;
     const forwarded = forwardedHeaders(headers);
-    if (!isFramed(headers)) this.#delimitByClose();
+    if (!sendings.isFramed(headers)) this.#delimitByClose();
     else if (status !== NO_CONTENT && status !== NOT_MODIFIED) forwarded.push("content-length", String(body.length));
     this.#writeHead(status, forwarded);
     this.#response.end(body);
@@ -148,11 +148,3 @@
   }
   return forwarded;
 }
-
-/**
- * @param headers - headers of an endpoint's answer
- * @returns whether they delimit the body; otherwise it ends where the connection closes
- */
-export function isFramed(headers: sendings.AnswerHeaders): boolean {
-  return headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
-}
--- a/packages/gateway/src/paths/relayMessage.ts
+++ b/packages/gateway/src/paths/relayMessage.ts
@@ -6,6 +6,9 @@
 /** Header of each response, with a {@link RelayResult}. */
 export const RESULT_HEADER = "relay-result";
 
+/** Header of a response whose answer had neither a length nor chunks: it ended with the endpoint's connection. */
+export const UNFRAMED_HEADER = "relay-unframed";
+
 /** What a response to the call is. */
 export enum RelayResult {
   /** The endpoint's answer. */
--- a/packages/gateway/src/paths/relayServer.ts
+++ b/packages/gateway/src/paths/relayServer.ts
@@ -8,7 +8,7 @@
 import * as endpointIncarnations from "../endpointIncarnation.js";
 import type * as fleetViews from "../fleetView.js";
 import type * as ports from "../ports.js";
-import type * as sendings from "../sending.js";
+import * as sendings from "../sending.js";
 import * as pathMonitors from "./pathMonitor.js";
 import * as relayMessages from "./relayMessage.js";
 
@@ -39,6 +39,7 @@
   "transfer-encoding",
   "upgrade",
   relayMessages.RESULT_HEADER,
+  relayMessages.UNFRAMED_HEADER,
 ]);
 
 /** Dependencies of {@link RelayServer}. */
@@ -188,6 +189,7 @@
         response.writeHead(status, {
           ...passedBack(headers),
           [relayMessages.RESULT_HEADER]: relayMessages.RelayResult.Answer,
+          ...(message.asksFraming && !sendings.isFramed(headers) ? { [relayMessages.UNFRAMED_HEADER]: "1" } : {}),
         });
         response.flushHeaders();
         return true;
--- a/packages/gateway/src/paths/routedSend.ts
+++ b/packages/gateway/src/paths/routedSend.ts
@@ -164,7 +164,8 @@
     const { endpoint, monitor, onRelayedData, receiver } = this.#parts;
     let result: relayMessages.RelayResult | undefined;
     return {
-      onHead: (status, { [relayMessages.RESULT_HEADER]: value, ...headers }) => {
+      onHead: (status, received) => {
+        const { [relayMessages.RESULT_HEADER]: value, ...headers } = endpointHeaders(received);
         result = relayMessages.readResult(value);
         if (result !== relayMessages.RelayResult.Answer) return true;
         monitor.notePeerResult(endpoint, true);
@@ -234,6 +235,7 @@
       path,
       headers: createHeaders(),
       remainingMs: Math.floor(remainingMs),
+      asksFraming: true,
       ...(body === undefined ? {} : { body }),
     });
     return {
@@ -271,3 +273,9 @@
     });
   }
 }
+
+/** The headers as the endpoint sent them, without the chunks in which the peer sends an answer that had no framing. */
+function endpointHeaders(received: sendings.AnswerHeaders): sendings.AnswerHeaders {
+  const { [relayMessages.UNFRAMED_HEADER]: unframed, ...headers } = received;
+  return unframed === undefined ? headers : { ...headers, "transfer-encoding": undefined };
+}
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -3,6 +3,14 @@
 /** Headers of an answer by lower-case name. */
 export type AnswerHeaders = Readonly<Record<string, string | string[] | undefined>>;
 
+/**
+ * @param headers - headers of an endpoint's answer
+ * @returns whether they delimit the body; otherwise it ends where the connection closes
+ */
+export function isFramed(headers: AnswerHeaders): boolean {
+  return headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
+}
+
 /** A request to an endpoint. */
 export interface OutgoingRequest {
   readonly method: string;
