--- a/packages/gateway/src/suspects/suspectGate.ts
+++ b/packages/gateway/src/suspects/suspectGate.ts
@@ -36,8 +36,9 @@
   /** Ids of the endpoints that are listed now, by their incarnations. */
   readonly #listed = new Map<number, string>();
   readonly #observed = new Set<string>();
-  #reportedAt = -Infinity;
   readonly #trials = new Map<servedRequests.ServedRequest, string>();
+  /** Instant of the last heartbeat that was sent early, in milliseconds. */
+  #reportedAt = -Infinity;
 
   /** @param parts - what it needs */
   constructor(parts: SuspectGateParts) {
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -48,7 +48,7 @@
 export * from "./streams/softwareVersions.js";
 export * from "./streams/streamOrigin.js";
 export * from "./streams/streamTable.js";
-export * from "./suspectTable.js";
+export * from "./suspects/suspectTable.js";
 export * from "./suspects/suspicion.js";
 export * from "./trueTime.js";
 export * from "./urgency.js";
--- a/packages/serving/src/suspectTable.ts
+++ b/packages/serving/src/suspects/suspectTable.ts
@@ -1,8 +1,8 @@
 /** Requests and prompt parts that are suspected of crashing the endpoints that run them. */
-import * as convictions from "./suspects/partConviction.js";
-import * as successMemories from "./suspects/successMemory.js";
-import * as suspects from "./suspects/suspect.js";
-import * as suspicions from "./suspects/suspicion.js";
+import * as convictions from "./partConviction.js";
+import * as successMemories from "./successMemory.js";
+import * as suspects from "./suspect.js";
+import * as suspicions from "./suspicion.js";
 
 /** Dependencies of the table. */
 export interface SuspectTableParts {
