Write the code cache in several attempts, and build without it if they fail

Cause: the daemon that is started for the cache took port 1 for its metrics, so that of three builds at the same time one failed. Change: a free port, three attempts, and a build without the cache after them.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,7 +1,9 @@
 // Bundles the platform's daemon into one file, so that a start only reads and compiles the code that serving needs.
 import * as childProcess from "node:child_process";
 import * as crypto from "node:crypto";
+import * as events from "node:events";
 import * as fs from "node:fs";
+import * as net from "node:net";
 import { fileURLToPath } from "node:url";
 import * as esbuild from "esbuild";
 
@@ -17,6 +19,37 @@
   fs.renameSync(temporaryFile, path);
 }
 
+/** @returns a port that is free now */
+async function freePort() {
+  const server = net.createServer().listen(0, "127.0.0.1");
+  await events.once(server, "listening");
+  const { port } = server.address();
+  server.close();
+  return port;
+}
+
+/** V8 rejects a cache that was made under other flags than those of the deploy file. */
+const FLAGS = ["--max-old-space-size=160"];
+
+/** Attempts to write the code cache: another build on the machine may take the same ports at the same moment. */
+const CACHE_ATTEMPTS = 3;
+
+/** Time after which an attempt counts as failed, in milliseconds. */
+const CACHE_TIMEOUT_MS = 20_000;
+
+/** Writes the code cache of a bundle. Without one the daemon works as well, and starts more slowly. */
+async function writeCodeCache(bundlePath) {
+  for (let attempt = 1; attempt <= CACHE_ATTEMPTS; attempt++) {
+    const options = ["scripts/writeCodeCache.cjs", bundlePath, `${bundlePath}.cache`, String(await freePort())];
+    const { status } = childProcess.spawnSync(process.execPath, [...FLAGS, ...options], {
+      stdio: ["ignore", "ignore", "inherit"],
+      timeout: CACHE_TIMEOUT_MS,
+    });
+    if (status === 0) return;
+  }
+  process.stderr.write(`no code cache was written in ${CACHE_ATTEMPTS} attempts; the daemon starts more slowly\n`);
+}
+
 const { outputFiles } = await esbuild.build({
   // The alias files import parts of these packages, which must resolve to the packages and not to the aliases again.
   plugins: [
@@ -53,12 +86,6 @@
 fs.mkdirSync(TARGET, { recursive: true });
 replaceFile(`${TARGET}/${bundleName}`, bundle.contents);
 const cacheFile = `${TARGET}/${bundleName}.cache`;
-// V8 rejects a cache that was made under other flags than those of the deploy file.
-const flags = ["--max-old-space-size=160"];
-childProcess.execFileSync(
-  process.execPath,
-  [...flags, "scripts/writeCodeCache.cjs", `${TARGET}/${bundleName}`, cacheFile],
-  { stdio: ["ignore", "ignore", "inherit"] },
-);
+await writeCodeCache(`${TARGET}/${bundleName}`);
 const loader = fs.readFileSync("scripts/loadBundle.cjs", "utf8");
 replaceFile(`${TARGET}/gateway.cjs`, loader.replace('"BUNDLE_NAME"', JSON.stringify(bundleName)));
--- a/scripts/writeCodeCache.cjs
+++ b/scripts/writeCodeCache.cjs
@@ -1,6 +1,6 @@
 // Writes V8's code cache of the bundled daemon. The daemon is started and stopped once, because the cache holds only
 // functions that have been compiled, and most of them are compiled when they are first called.
-// Usage: node scripts/writeCodeCache.cjs BUNDLE CACHE
+// Usage: node scripts/writeCodeCache.cjs BUNDLE CACHE PORT, where PORT and the next one are free
 const fs = require("node:fs");
 const { isBuiltin, wrap } = require("node:module");
 const os = require("node:os");
@@ -10,11 +10,11 @@
 /** Time for which the daemon runs before it is stopped, in milliseconds. */
 const RUN_MS = 1_000;
 
-const [, , bundlePath, cachePath] = process.argv;
+const [, , bundlePath, cachePath, port] = process.argv;
 const filename = path.resolve(bundlePath);
 const script = new vm.Script(wrap(fs.readFileSync(filename, "utf8")), { filename });
 
-/** Settings of a daemon that reaches no key-value service; port 0 lets the system choose free ports. */
+/** Settings of a daemon that reaches no key-value service; port 0 lets the system choose a free one. */
 function writeSettings() {
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), "code-cache-"));
   const settingsPath = path.join(folder, "settings.json");
@@ -26,7 +26,7 @@
     region: "build",
     zones: { build: "build" },
     listen: { front: address, ready: address, directory: address },
-    "internal-ports": [0],
+    "internal-ports": [Number(port)],
     bounds: {
       "grace-s": 1,
       "retry-budget-ratio": 0.2,
