Pace prefills on decode engines by the pauses that their streams allow

Cause: on routes whose streams may pause 150 ms, short prompts were prefilled beside long streams wherever their own first event was predicted in time. On an engine that is 2.5 times slower for 600 ms, any such prefill makes all streams there late.

Change: PauseTracker learns the gaps between events, own and peers', and detects slow engines by a long gap or by silence. PrefillBudget holds the prefill time that fits between two events. For routes with a pauseMs of at most 150, a prompt is prefilled on a decode engine only if its budget covers the prefill, otherwise on a prefill engine or on a decode engine with a budget; if there is neither, as before. The decode engine of a prefilled prompt is one that isn't slow and has a budget and a free slot, if there is one. Heartbeats carry the paces of at most 16 engines (Pulse.engine_paces). The send line has the budget that decided; the metrics are prefills_paced and streams_moved_off_slow.

--- a/packages/experiment/src/description.ts
+++ b/packages/experiment/src/description.ts
@@ -71,6 +71,14 @@
   times: positive,
 });
 
+const slowSpansSchema = zod.object({
+  /** Share of the spans in which an engine is slow; each engine has spans of its own. */
+  share: positive.check(zod.lte(1)),
+  spanMs: positive,
+  /** Factor by which it is slower then. */
+  times: positive,
+});
+
 const limitSchema = zod.object({
   /** Position of the engine; the prefill engines of the start come first. */
   engine: zod.int().check(zod.nonnegative()),
@@ -87,12 +95,16 @@
   viewAgeMs: nonNegative,
   /** Time from a caller's send until its daemon has read the request; none if it is left out. */
   readDelayMs: zod.optional(lengthsSchema),
-  /** Whether daemons ignore the limit on pauses when they place prompts; shows what the limit gains. */
+  /** Whether daemons ignore the limit on pauses when they place prompts, pacing included; shows what the limit gains. */
   pausesIgnored: zod.optional(zod.boolean()),
   /** Whether a prompt is prefilled wherever its first event is predicted sooner, handovers regardless. */
   shortestFirstEvent: zod.optional(zod.boolean()),
   /** Share of the engines of each role that a daemon uses; all of them if it is left out. */
   engineShare: zod.optional(positive.check(zod.lte(1))),
+  /** Spans in which single engines are slow; none if it is left out. */
+  slowSpans: zod.optional(slowSpansSchema),
+  /** Whether prompts are placed without pacing; shows what pacing gains. */
+  pacingOff: zod.optional(zod.boolean()),
   /** Limits that engines state. */
   limits: zod.optional(zod.array(limitSchema)),
   /** Whether an engine with a limit counts as a whole one in the balance of roles. */
--- a/packages/experiment/src/emulatedDaemon.ts
+++ b/packages/experiment/src/emulatedDaemon.ts
@@ -2,6 +2,7 @@
 import * as serving from "@camphorcourse/serving";
 import type * as descriptions from "./description.js";
 import type * as emulatedEngines from "./emulatedEngine.js";
+import * as emulatedPacings from "./emulatedPacing.js";
 import type * as loads from "./load.js";
 import * as lengths from "./lengths.js";
 import * as outcomes from "./outcome.js";
@@ -41,6 +42,7 @@
   readonly demand = new serving.Demand();
   readonly acceptance = new serving.AcceptanceTracker();
   readonly limitTable = new serving.LimitTable();
+  readonly pacing: emulatedPacings.EmulatedPacing;
   readonly #health = new serving.EndpointHealth();
   readonly #enforcer: serving.LimitEnforcer;
   readonly #parts: DaemonParts;
@@ -55,6 +57,7 @@
   constructor(name: string, parts: DaemonParts, seed: number) {
     this.name = name;
     this.#parts = parts;
+    this.pacing = new emulatedPacings.EmulatedPacing({ ...parts, loads: this.loads, speeds: this.speeds });
     this.#random = new common.SeededRandom(seed);
     this.#readRandom = new common.SeededRandom(seed);
     const daemons = Array.from({ length: parts.description.daemons }, (_, index) => `daemon-${index}`);
@@ -135,7 +138,7 @@
     const { kind } = request;
     const { ready, limited } = this.#selectReady();
     const placement = this.#placementInputs(request, ready);
-    const plan = serving.placePrompt(placement);
+    const plan = serving.placePaced(placement)?.plan;
     if (plan === undefined) {
       this.#waitOrReject(caller, limited);
       return;
@@ -189,6 +192,7 @@
     const { memoryTokens } = description.engines;
     this.loads.noteCachedPrompt(endpoint.id, memoryTokens, prompt);
     const pending = this.loads.beginPrefill(endpoint.id, plan.workTokens, plan.urgency);
+    this.pacing.noteSend(endpoint, pending);
     this.loads.beginRequest(endpoint.id);
     this.#enforcer.noteSent(endpoint, time.now);
     this.#confirmLimit(endpoint);
@@ -215,10 +219,8 @@
 
   #handOver(request: loads.LoadRequest, caller: EmulatedCaller): void {
     const { time } = this.#parts;
-    const decodeEndpoint = serving.chooseDecodeEngine(
-      this.#placementInputs(request, this.#selectReady().ready),
-      undefined,
-    );
+    const placement = this.#placementInputs(request, this.#selectReady().ready);
+    const decodeEndpoint = serving.choosePacedDecodeEngine(placement, undefined)?.engine;
     if (decodeEndpoint === undefined) {
       caller.end(outcomes.RequestOutcome.Refused);
       return;
@@ -234,10 +236,15 @@
 
   #stream(engine: emulatedEngines.EmulatedEngine, request: loads.LoadRequest, caller: EmulatedCaller): void {
     this.loads.beginRequest(engine.id);
+    const paced = this.pacing.beginStream(engine.id, request.kind);
     engine.stream({
       events: request.events,
-      onEvent: (pauseMs) => caller.recordEvent(pauseMs),
+      onEvent: (pauseMs) => {
+        this.pacing.recordEvent(paced);
+        caller.recordEvent(pauseMs);
+      },
       onEnd: () => {
+        this.pacing.tracker.endStream(paced);
         if (caller.meanPauseMs !== undefined) this.speeds.learnPause(engine.streams, caller.meanPauseMs);
         this.loads.endRequest(engine.id);
         this.demand.learnEvents(request.prompt.outputTokens, request.events);
@@ -283,6 +290,7 @@
       maxPauseMs: description.pausesIgnored === true ? Number.POSITIVE_INFINITY : kind.pauseMs,
       objectiveMs: kind.objectiveMs,
       siteRule: description.shortestFirstEvent === true ? new serving.ShortestFirstEvent() : serving.PREFILL_SITE_RULE,
+      pacing: this.pacing.forPrompt(kind),
       now: time.now,
     };
   }
@@ -394,8 +402,11 @@
     if (this.#hasEnded) return;
     this.#hasEnded = true;
     const { kind, atMs, prompt } = this.request;
-    const inTime = (this.#firstEventMs ?? 0) <= kind.objectiveMs && this.#maxPauseMs <= kind.pauseMs;
+    const beganInTime = (this.#firstEventMs ?? 0) <= kind.objectiveMs;
+    const pausedTooLong = this.#maxPauseMs > kind.pauseMs;
+    const inTime = beganInTime && !pausedTooLong;
     const hasReturned = this.#retries > 0;
-    this.#statistics.record({ kind, atMs, promptTokens: prompt.promptTokens, outcome, inTime, hasReturned });
+    const ended = { kind, atMs, promptTokens: prompt.promptTokens, outcome, inTime, hasReturned };
+    this.#statistics.record({ ...ended, beganInTime, pausedTooLong });
   }
 }
--- a/packages/experiment/src/experiment.ts
+++ b/packages/experiment/src/experiment.ts
@@ -1,3 +1,4 @@
+import * as common from "@camphorcourse/common";
 import * as serving from "@camphorcourse/serving";
 import type * as descriptions from "./description.js";
 import * as emulatedDaemons from "./emulatedDaemon.js";
@@ -87,6 +88,7 @@
     this.#exchangeUpdates();
     this.#checkRoles();
     this.#scheduleLimits();
+    this.#scheduleSlowSpans();
     this.#time.run(this.#description.lastsMs + DRAIN_MS);
     const sum = (tokens: (engine: emulatedEngines.EmulatedEngine) => number): number =>
       this.#engines.reduce((total, engine) => total + tokens(engine), 0);
@@ -131,16 +133,18 @@
   /** Sends each daemon's work and observations to all others, at the interval of the description. */
   #exchangeUpdates(): void {
     const { now } = this.#time;
-    const updates = this.#daemons.map(({ name, loads: engineLoads, acceptance, speeds }) => ({
+    const updates = this.#daemons.map(({ name, loads: engineLoads, acceptance, speeds, pacing }) => ({
       name,
+      paces: pacing.takePaces(),
       work: engineLoads.ownWork(),
       reads: engineLoads.takeUnsentReads(),
       observations: speeds.takeUnsentObservations(),
       sizes: acceptance.takeUnsentCounts(),
     }));
     for (const daemon of this.#daemons) {
-      for (const { name, work, reads, observations, sizes } of updates) {
+      for (const { name, paces, work, reads, observations, sizes } of updates) {
         if (name === daemon.name) continue;
+        for (const pace of paces) daemon.pacing.tracker.notePeer(pace, now);
         daemon.loads.updatePeerWork(name, work, now);
         for (const read of reads) daemon.loads.notePeerRead(read);
         for (const count of sizes) daemon.acceptance.addPeerCount(count, now);
@@ -150,6 +154,19 @@
     this.#time.after(this.#description.viewAgeMs, () => this.#exchangeUpdates());
   }
 
+  /** Draws for each engine and each span whether it is slow; the engines' spans begin at different times. */
+  #scheduleSlowSpans(): void {
+    const { slowSpans, lastsMs } = this.#description;
+    if (slowSpans === undefined) return;
+    const random = new common.SeededRandom(this.#seed);
+    for (const engine of this.#engines) {
+      for (let atMs = -random.next() * slowSpans.spanMs; atMs < lastsMs; atMs += slowSpans.spanMs) {
+        const slowness = random.next() < slowSpans.share ? slowSpans.times : 1;
+        this.#time.after(atMs, () => (engine.slowness = slowness));
+      }
+    }
+  }
+
   /** All daemons learn at once when an engine states a limit or withdraws it. */
   #scheduleLimits(): void {
     for (const { engine, fromMs, untilMs, perSecond } of this.#description.limits ?? []) {
--- a/packages/experiment/src/outcome.ts
+++ b/packages/experiment/src/outcome.ts
@@ -17,6 +17,10 @@
   readonly outcome: RequestOutcome;
   /** Whether the answer met its objective for the first event and its limit on pauses. */
   readonly inTime: boolean;
+  /** Whether the first event met its objective. */
+  readonly beganInTime: boolean;
+  /** Whether a pause exceeded its limit. */
+  readonly pausedTooLong: boolean;
   /** Whether its caller was rejected and has returned. */
   readonly hasReturned: boolean;
 }
@@ -26,6 +30,9 @@
   readonly requests: number;
   readonly inTime: number;
   readonly late: number;
+  /** Answers whose first event was late, and answers with a pause that was too long. */
+  readonly begunLate: number;
+  readonly pausedTooLong: number;
   readonly refused: number;
   readonly failed: number;
   /** Requests whose callers were rejected and have returned, and those of them that were not answered. */
@@ -101,6 +108,8 @@
     requests: ended.length,
     inTime: inTime.length,
     late: late.length,
+    begunLate: answered.filter(({ beganInTime }) => !beganInTime).length,
+    pausedTooLong: answered.filter(({ pausedTooLong }) => pausedTooLong).length,
     refused: ended.filter(({ outcome }) => outcome === RequestOutcome.Refused).length,
     failed: ended.filter(({ outcome }) => outcome === RequestOutcome.Failed).length,
     returned: returned.length,
--- a/packages/gateway/src/activeSend.ts
+++ b/packages/gateway/src/activeSend.ts
@@ -30,6 +30,9 @@
   #pendingPrefill: serving.PendingPrefill | undefined;
   #request: sendings.InFlightRequest | undefined;
   #firstEventAt: number | undefined;
+  readonly #pauseMs: number;
+  #paced: serving.PacedStream | undefined;
+  #isHeldBack = false;
 
   /**
    * @param context - what serving needs
@@ -47,9 +50,11 @@
     this.predictedMs = planned.predictedMs;
     this.plan = planned.plan;
     this.sentAt = performance.now();
+    this.#pauseMs = served.route.pauseMs;
     const { plan, endpoint } = planned;
     this.#pendingPrefill =
       plan === undefined ? undefined : context.loads.beginPrefill(endpoint.id, plan.workTokens, plan.urgency);
+    if (this.#pendingPrefill !== undefined) context.pacing.noteSend(endpoint, this.#pendingPrefill);
     this.#silence = new silenceWatches.SilenceWatch(context, served, planned, this.sentAt);
   }
 
@@ -109,6 +114,13 @@
     return first;
   }
 
+  /** Records an event of an engine's stream, from which its pace is learned unless the caller holds it back. */
+  recordEvent(): void {
+    const { pacing } = this.#context;
+    this.#paced ??= pacing.beginStream(this.endpoint, this.#pauseMs);
+    if (!this.#isHeldBack) pacing.recordEvent(this.#paced);
+  }
+
   /** @returns whether the endpoint has written events of the answer for so long that its begin is over */
   get hasWrittenForLong(): boolean {
     return this.#firstEventAt !== undefined && performance.now() - this.#firstEventAt > BEGIN_OF_ANSWER_MS;
@@ -122,7 +134,12 @@
    */
   applyBackpressure(answer: callerAnswers.CallerAnswer): void {
     this.#request?.pause();
-    answer.onDrain(() => this.#request?.resume());
+    this.#isHeldBack = true;
+    if (this.#paced !== undefined) this.#context.pacing.suspend(this.#paced);
+    answer.onDrain(() => {
+      this.#isHeldBack = false;
+      this.#request?.resume();
+    });
   }
 
   /** Closes the connection, upon which the endpoint drops the request. */
@@ -134,6 +151,7 @@
   release(): void {
     this.finishPrefill();
     this.#context.loads.endRequest(this.endpoint.id);
+    if (this.#paced !== undefined) this.#context.pacing.endStream(this.#paced);
     this.#silence.stop();
   }
 }
--- a/packages/gateway/src/answerBody.ts
+++ b/packages/gateway/src/answerBody.ts
@@ -135,6 +135,7 @@
     const { active, answer, feedback, handover, served } = this.#send;
     if (active.finishPrefill()) feedback.learnPrefillTime(active);
     else if (active.markFirstEvent()) feedback.learnHandover(active);
+    if (served.caller.headers.prompt !== undefined) active.recordEvent();
     const now = performance.now();
     if (!served.progress.hasBegun) this.#onFirstEvent(now);
     served.progress.recordEvent(event.id, now);
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -7,6 +7,7 @@
 import type * as fleetViews from "./fleetView.js";
 import type * as endpointLimits from "./limits/endpointLimits.js";
 import type * as metricsModule from "./metrics.js";
+import type * as pacings from "./pacing/pacing.js";
 import type * as ports from "./ports.js";
 import type * as settingsModule from "./settings.js";
 import type * as endpointStatements from "./statements/endpointStatements.js";
@@ -24,6 +25,8 @@
   readonly health: serving.EndpointHealth;
   /** Learnt speeds of each service's engines. */
   readonly speeds: serving.ServiceSpeeds;
+  /** Budgets of the decode engines for prefills beside their streams. */
+  readonly pacing: pacings.Pacing;
   /** Engine demand of the prompts that this daemon received. */
   readonly demand: serving.Demand;
   /** Shares of prompts that were accepted, by prompt size. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -17,6 +17,7 @@
 import * as loopWatches from "./loopWatch.js";
 import * as metricsModule from "./metrics.js";
 import * as usageCodecs from "./duties/usageCodec.js";
+import * as pacings from "./pacing/pacing.js";
 import * as dutyCandidates from "./duties/dutyCandidate.js";
 import * as dutiesModule from "./duties/duties.js";
 import * as reachabilities from "./paths/reachability.js";
@@ -189,15 +190,23 @@
       view: this.#view,
       peers: () => this.#peers.records,
     });
+    const loads = new serving.EngineLoadTracker();
+    const speeds = new serving.ServiceSpeeds();
     this.#context = {
       settings,
       log: this.#log,
       metrics: this.#metrics,
       format: dependencies.format,
       view: this.#view,
-      loads: new serving.EngineLoadTracker(),
+      loads,
       health: new serving.EndpointHealth(),
-      speeds: new serving.ServiceSpeeds(),
+      speeds,
+      pacing: new pacings.Pacing({
+        loads,
+        speeds,
+        lateMs: () => this.#loopWatch.lateMs,
+        senders: () => this.#peers.senders.length,
+      }),
       demand: new serving.Demand(),
       acceptance: new serving.AcceptanceTracker(),
       client,
@@ -245,6 +254,7 @@
       loads: this.#context.loads,
       demand: this.#context.demand,
       speeds: this.#context.speeds,
+      pacing: this.#context.pacing,
       acceptance: this.#context.acceptance,
       suspects: suspects.table,
       limits,
@@ -493,6 +503,7 @@
   #forgetEndpoint(endpointId: string): void {
     this.#context.client.forget(endpointId);
     this.#context.loads.forget(endpointId);
+    this.#context.pacing.forget(endpointId);
     this.#context.health.forget(endpointId);
     this.#context.suspects.forget(endpointId);
     this.#duties.forget(endpointId);
--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -17,6 +17,7 @@
 import * as recipientsModule from "./peers/recipients.js";
 import * as sendersModule from "./peers/senders.js";
 import * as activeSetTrackers from "./peers/activeSetTracker.js";
+import type * as pacings from "./pacing/pacing.js";
 import * as recordExchanges from "./streams/recordExchange.js";
 import type * as streamOrigins from "./streams/streamOrigins.js";
 import * as suspectCodec from "./suspects/suspectCodec.js";
@@ -48,6 +49,7 @@
   readonly loads: serving.EngineLoadTracker;
   readonly demand: serving.Demand;
   readonly speeds: serving.ServiceSpeeds;
+  readonly pacing: pacings.Pacing;
   readonly acceptance: serving.AcceptanceTracker;
   readonly suspects: serving.SuspectTable;
   readonly limits: endpointLimits.EndpointLimits;
--- a/packages/gateway/src/peerWork.ts
+++ b/packages/gateway/src/peerWork.ts
@@ -2,6 +2,8 @@
 import * as messages from "@camphorcourse/protocol/gateway";
 import * as serving from "@camphorcourse/serving";
 import type * as decisionLogs from "./decisionLog.js";
+import * as paceCodecs from "./pacing/paceCodec.js";
+import type * as pacings from "./pacing/pacing.js";
 import type * as fleetViews from "./fleetView.js";
 import type * as peerTables from "./peerTable.js";
 import * as endpointIncarnations from "./endpointIncarnation.js";
@@ -20,6 +22,7 @@
   readonly loads: serving.EngineLoadTracker;
   readonly demand: serving.Demand;
   readonly speeds: serving.ServiceSpeeds;
+  readonly pacing: pacings.Pacing;
   readonly acceptance: serving.AcceptanceTracker;
   readonly log: decisionLogs.DecisionLog;
 }
@@ -27,7 +30,7 @@
 /** The fields of a heartbeat that concern the engines' work. */
 type WorkFields = Pick<
   messages.Pulse,
-  "work" | "reads" | "observations" | "sizes" | "readingLoadThousandths" | "eventsPerSecond"
+  "work" | "reads" | "observations" | "sizes" | "readingLoadThousandths" | "eventsPerSecond" | "enginePaces"
 >;
 
 /**
@@ -72,6 +75,7 @@
       sizes: this.#parts.acceptance.takeUnsentCounts().map((count) => protobuf.create(messages.SizeCountSchema, count)),
       readingLoadThousandths: toUint32(demand.readingLoad(now) * THOUSANDTHS),
       eventsPerSecond: toUint32(demand.eventsPerMs(now) * MS_PER_SECOND),
+      enginePaces: this.#parts.pacing.pacesToSend(now).map((pace) => paceCodecs.toMessage(pace, this.#parts.view)),
     };
   }
 
@@ -91,6 +95,7 @@
         continue;
       loads.notePeerRead({ endpointId: endpoint, model, part: { id: part, tokens }, isRead });
     }
+    paceCodecs.applyPaces(pulse, this.#parts, now);
     this.#applyObservations(pulse.observations);
     this.#applySizes(pulse, now);
   }
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -277,6 +277,7 @@
       entryRevision: context.view.directory.revision,
       configuration: context.view.configurationRevision,
       ...planned.admission,
+      ...planned.pacing,
     });
     active.start(message, this.#receiver(active), (silentMs) => {
       if (this.#active === active) this.#abandonSilent(active, silentMs);
--- a/packages/gateway/src/sendChooser.ts
+++ b/packages/gateway/src/sendChooser.ts
@@ -3,6 +3,7 @@
 import * as admissionLogs from "./admission/admissionLog.js";
 import type * as contexts from "./context.js";
 import type * as decisionLogs from "./decisionLog.js";
+import * as pacings from "./pacing/pacing.js";
 import type * as servedRequests from "./servedRequest.js";
 
 /** What a send asks of its endpoint. */
@@ -22,6 +23,8 @@
   readonly plan: serving.EnginePlan | undefined;
   /** What its admission was based on, as fields of the log; absent where nothing had to be admitted. */
   readonly admission?: decisionLogs.LogFields;
+  /** The budget of the engine that decided, as fields of the log; absent where the prompt isn't paced. */
+  readonly pacing?: decisionLogs.LogFields;
 }
 
 /** Why a request is sent to no endpoint. */
@@ -211,8 +214,10 @@
     const { ready, ...held } = this.#candidates(definition);
     if (prefillEngine === undefined) return this.#placeOn(ready, definition, limits, prompt, held);
     const inputs = this.#placementInputs(ready, definition, limits, prompt);
-    const decodeEngine = serving.chooseDecodeEngine(inputs, prefillEngine);
-    return decodeEngine === undefined ? neverthrow.err(this.#noneUsable("no-engine", held)) : answeringAt(decodeEngine);
+    const chosen = serving.choosePacedDecodeEngine(inputs, prefillEngine);
+    if (chosen === undefined) return neverthrow.err(this.#noneUsable("no-engine", held));
+    if (chosen.pacedFrom !== undefined) this.#context.metrics.count("streams_moved_off_slow");
+    return answeringAt(chosen.engine).map((send) => ({ ...send, ...pacings.decodeFields(inputs, chosen) }));
   }
 
   #placementInputs(
@@ -221,7 +226,8 @@
     limits: serving.EngineLimits,
     prompt: serving.Prompt,
   ): serving.PlacementInputs {
-    const { loads, health, settings, speeds } = this.#context;
+    const { loads, health, pacing, settings, speeds } = this.#context;
+    const now = performance.now();
     return {
       prompt,
       engines,
@@ -234,7 +240,8 @@
       maxPauseMs: this.#served.route.pauseMs,
       objectiveMs: this.#served.route.objectiveMs,
       siteRule: serving.PREFILL_SITE_RULE,
-      now: performance.now(),
+      pacing: pacing.forPrompt(definition.name, this.#served.route.pauseMs, now),
+      now,
     };
   }
 
@@ -248,26 +255,28 @@
     const inputs = this.#placementInputs(engines, definition, limits, prompt);
     const placed = this.#placeWithinBudget(inputs);
     if (placed === undefined) return neverthrow.err(this.#noneUsable("no-engine", held));
-    this.#noteDemand(placed, prompt);
-    const decision = this.#admit(placed, inputs);
+    this.#noteDemand(placed.plan, prompt);
+    const decision = this.#admit(placed.plan, inputs);
     const { admitted } = decision;
     if (admitted.isErr()) {
       return neverthrow.err({ reason: "overloaded", retryAfterMs: admitted.error.retryAfterMs });
     }
     const plan = admitted.value;
+    if (placed.pacedFrom !== undefined) this.#context.metrics.count("prefills_paced");
     const firstEngine = plan.prefillEngine ?? plan.decodeEngine;
     this.#context.loads.noteCachedPrompt(firstEngine.id, limits.memoryTokens, prompt);
     const stage = plan.prefillEngine === undefined ? Stage.Answering : Stage.Prefill;
     const { fields } = decision;
     const admission = fields === undefined ? {} : { admission: fields };
-    return neverthrow.ok({ endpoint: firstEngine, stage, predictedMs: plan.predictedMs, plan, ...admission });
+    const logged = { ...admission, ...pacings.planFields(inputs, placed) };
+    return neverthrow.ok({ endpoint: firstEngine, stage, predictedMs: plan.predictedMs, plan, ...logged });
   }
 
   /** The decode engine prefills the prompt itself if the retry budget allows no separate call for that. */
-  #placeWithinBudget(inputs: serving.PlacementInputs): serving.EnginePlan | undefined {
-    const placed = serving.placePrompt(inputs);
-    if (placed?.prefillEngine === undefined || this.#served.mayPrefill()) return placed;
-    return serving.placePrompt({ ...inputs, engines: inputs.engines.filter(serving.canAnswer) });
+  #placeWithinBudget(inputs: serving.PlacementInputs): serving.PacedPlan | undefined {
+    const placed = serving.placePaced(inputs);
+    if (placed?.plan.prefillEngine === undefined || this.#served.mayPrefill()) return placed;
+    return serving.placePaced({ ...inputs, engines: inputs.engines.filter(serving.canAnswer) });
   }
 
   #noteDemand(plan: serving.EnginePlan, prompt: serving.Prompt): void {
--- a/packages/gateway/tests/helpers/exchangeHarness.ts
+++ b/packages/gateway/tests/helpers/exchangeHarness.ts
@@ -19,6 +19,7 @@
 import * as suspectGates from "../../src/suspects/suspectGate.js";
 import type * as settingsModule from "../../src/settings.js";
 import * as limits from "./limits.js";
+import * as pacing from "./pacing.js";
 import * as paths from "./paths.js";
 
 const SEED = 5;
@@ -208,15 +209,18 @@
       view.directory.put({ id: `e${index}`, ...properties }, index + 1);
     }
     const sink = { writableLength: 0, write: (line: string) => this.#lines.push(line) > 0 };
+    const loads = new serving.EngineLoadTracker();
+    const speeds = new serving.ServiceSpeeds();
     this.#context = {
       settings: SETTINGS,
       log: new decisionLogs.DecisionLog("vm-1", "info", sink),
       metrics: new metricsModule.Metrics(),
       format: FORMAT,
       view,
-      loads: new serving.EngineLoadTracker(),
+      loads,
       health: new serving.EndpointHealth(),
-      speeds: new serving.ServiceSpeeds(),
+      speeds,
+      pacing: pacing.createPacing(loads, speeds),
       demand: new serving.Demand(),
       acceptance: new serving.AcceptanceTracker(),
       client: this.#client,
--- a/packages/gateway/tests/peerIncarnations.test.ts
+++ b/packages/gateway/tests/peerIncarnations.test.ts
@@ -10,6 +10,7 @@
 import * as peerLinks from "../src/peerLink.js";
 import * as freePorts from "./helpers/freePort.js";
 import * as limits from "./helpers/limits.js";
+import * as pacing from "./helpers/pacing.js";
 import * as paths from "./helpers/paths.js";
 
 /** Start times of two incarnations of one endpoint, in Unix milliseconds. */
@@ -62,6 +63,7 @@
       speeds: new serving.ServiceSpeeds(),
       suspects: new serving.SuspectTable({ isRefuted: () => false, onChange: () => undefined }),
       limits: limits.createLimits(),
+      pacing: pacing.createPacing(),
       acceptance: new serving.AcceptanceTracker(),
       log: new decisionLogs.DecisionLog("vm-1", "info", sink),
       ready: () => true,
--- a/packages/gateway/tests/peerLink.test.ts
+++ b/packages/gateway/tests/peerLink.test.ts
@@ -10,6 +10,7 @@
 import * as peerCalls from "../src/peers/peerCalls.js";
 import * as freePorts from "./helpers/freePort.js";
 import * as limits from "./helpers/limits.js";
+import * as pacing from "./helpers/pacing.js";
 import * as paths from "./helpers/paths.js";
 
 const HOST = "127.0.0.1";
@@ -81,6 +82,7 @@
     speeds: new serving.ServiceSpeeds(),
     suspects: new serving.SuspectTable({ isRefuted: () => false, onChange: () => undefined }),
     limits: limits.createLimits(),
+    pacing: pacing.createPacing(),
     acceptance: new serving.AcceptanceTracker(),
     log: new decisionLogs.DecisionLog("vm-1", "fatal", { writableLength: 0, write: () => true }),
     ready: () => true,
--- /dev/null
+++ b/packages/serving/src/pacing/gapRatios.ts
@@ -0,0 +1,70 @@
+/** Bounds of a ratio: a gap is never assumed shorter than expected, and one four times as long leaves no time to share. */
+const MIN_RATIO = 1;
+const MAX_RATIO = 4;
+
+/** Width of a bucket. Half of it is 2% of a limit on pauses of 150 ms, less than a token takes. */
+const BUCKET_WIDTH = 0.05;
+
+const BUCKETS = Math.ceil((MAX_RATIO - MIN_RATIO) / BUCKET_WIDTH);
+
+/**
+ * Share of the gaps that the ratio covers. A stream is late as soon as one gap is, so that the mean says too little; a
+ * higher quantile would follow the engines that slow down, which are detected one by one.
+ */
+const QUANTILE = 0.9;
+
+/** Time constant of the decay in milliseconds: some streams' length, so that the ratio follows the load. */
+const DECAY_MS = 10_000;
+
+/** Interval at which the weights are decayed, in milliseconds. */
+const DECAY_STEP_MS = 100;
+
+/** Weight of gaps below which the quantile is not known: a tenth of ten gaps is one. */
+const MIN_WEIGHT = 10;
+
+/** A quantile of the recent ratios between the gaps that streams had and the expected ones. */
+export class GapRatios {
+  readonly #weights = new Float64Array(BUCKETS + 1);
+  #total = 0;
+  #decayedAt: number | undefined;
+
+  /**
+   * @param ratio - a gap between two events, in multiples of the expected one
+   * @param now - monotonic time in milliseconds
+   */
+  add(ratio: number, now: number): void {
+    this.#decay(now);
+    const bounded = Math.min(MAX_RATIO, Math.max(MIN_RATIO, ratio));
+    const bucket = Math.round((bounded - MIN_RATIO) / BUCKET_WIDTH);
+    this.#weights[bucket] = (this.#weights[bucket] ?? 0) + 1;
+    this.#total++;
+  }
+
+  /**
+   * @param now - monotonic time in milliseconds
+   * @returns the ratio that 0.9 of the recent gaps don't exceed, from 1 to 4; 1 while too few are known
+   */
+  quantile(now: number): number {
+    this.#decay(now);
+    if (this.#total < MIN_WEIGHT) return MIN_RATIO;
+    let sum = 0;
+    for (const [bucket, weight] of this.#weights.entries()) {
+      sum += weight;
+      if (sum >= this.#total * QUANTILE) return MIN_RATIO + bucket * BUCKET_WIDTH;
+    }
+    return MAX_RATIO;
+  }
+
+  #decay(now: number): void {
+    this.#decayedAt ??= now;
+    const elapsedMs = now - this.#decayedAt;
+    if (elapsedMs < DECAY_STEP_MS) return;
+    this.#decayedAt = now;
+    const factor = Math.exp(-elapsedMs / DECAY_MS);
+    this.#total = 0;
+    for (const [bucket, weight] of this.#weights.entries()) {
+      this.#weights[bucket] = weight * factor;
+      this.#total += weight * factor;
+    }
+  }
+}
--- /dev/null
+++ b/packages/serving/src/pacing/pacedPlacement.ts
@@ -0,0 +1,62 @@
+import * as admission from "../admission.js";
+import type * as directories from "../endpointDirectory.js";
+import * as placements from "../placement.js";
+
+/** A plan, and whether pacing has changed it. */
+export interface PacedPlan {
+  readonly plan: placements.EnginePlan;
+  /** The decode engine that would have prefilled the prompt but has no budget for it, if there is one. */
+  readonly pacedFrom: directories.Endpoint | undefined;
+}
+
+/** The decode engine chosen for a prompt that another engine has prefilled. */
+export interface PacedDecodeEngine {
+  readonly engine: directories.Endpoint;
+  /** The engine that would have been chosen but is slow or has used up its budget, if there is one. */
+  readonly pacedFrom: directories.Endpoint | undefined;
+}
+
+/**
+ * Places a prompt whose prefill must not make the streams at its decode engine pause for too long: on a decode engine
+ * only if the engine's budget covers the prefill, otherwise on a prefill engine or a decode engine whose budget does.
+ * Where neither can serve it before its caller's timeout, it is placed by predicted time alone, so that no prompt waits
+ * for a budget.
+ *
+ * @param inputs - the prompt, the engines and what is known of them; without pacing, only predicted times decide
+ * @returns the best plan, or undefined if no engine can generate tokens
+ */
+export function placePaced(inputs: placements.PlacementInputs): PacedPlan | undefined {
+  const { pacing } = inputs;
+  const plan = placements.placePrompt(inputs);
+  if (plan === undefined) return undefined;
+  if (pacing === undefined || plan.prefillEngine !== undefined || pacing.covers(plan.decodeEngine, plan.workTokens))
+    return { plan, pacedFrom: undefined };
+  const paced = placements.placePrompt(inputs, (engine, workTokens) => pacing.covers(engine, workTokens));
+  const callerTimeoutMs = admission.streamCallerTimeoutMs(inputs.objectiveMs, inputs.maxPauseMs);
+  if (paced === undefined || paced.predictedMs > callerTimeoutMs) return { plan, pacedFrom: undefined };
+  return { plan: paced, pacedFrom: plan.decodeEngine };
+}
+
+/**
+ * Chooses the decode engine of a prompt that another engine has prefilled, among those that aren't slow, have a budget
+ * and a free slot, if there are any.
+ *
+ * @param inputs - the prompt, the engines and what is known of them; without pacing, all engines are candidates
+ * @param prefillEngine - the engine that has prefilled the prompt, if it is known
+ * @returns the engine, or undefined if none can generate tokens
+ */
+export function choosePacedDecodeEngine(
+  inputs: placements.PlacementInputs,
+  prefillEngine: directories.Endpoint | undefined,
+): PacedDecodeEngine | undefined {
+  const { pacing, loads, now } = inputs;
+  const usual = placements.chooseDecodeEngine(inputs, prefillEngine);
+  if (usual === undefined) return undefined;
+  if (pacing === undefined || pacing.hasBudget(usual)) return { engine: usual, pacedFrom: undefined };
+  // A stream that waits for a slot would pause for longer than one at a slow engine.
+  const engines = inputs.engines.filter(
+    (engine) => loads.runningRequests(engine.id, now) < engine.slots && pacing.hasBudget(engine),
+  );
+  const engine = placements.chooseDecodeEngine({ ...inputs, engines }, prefillEngine);
+  return engine === undefined ? { engine: usual, pacedFrom: undefined } : { engine, pacedFrom: usual };
+}
--- a/packages/serving/src/placement.ts
+++ b/packages/serving/src/placement.ts
@@ -2,6 +2,7 @@
 import * as directories from "./endpointDirectory.js";
 import * as loadTrackers from "./engineLoadTracker.js";
 import type * as engineSpeeds from "./engineSpeeds.js";
+import type * as placementPacings from "./pacing/placementPacing.js";
 import type * as prefillSites from "./prefillSite.js";
 import * as promptParts from "./promptParts.js";
 import * as urgencies from "./urgency.js";
@@ -50,9 +51,14 @@
   readonly objectiveMs: number;
   /** Chooses between the two ways of serving a prompt. */
   readonly siteRule: prefillSites.PrefillSiteRule;
+  /** Which decode engines have time for a prefill; absent if the prompt isn't paced. */
+  readonly pacing?: placementPacings.PlacementPacing | undefined;
   readonly now: number;
 }
 
+/** Tells whether a decode engine may prefill a prompt of that cost itself. */
+export type MayColocate = (engine: directories.Endpoint, workTokens: number) => boolean;
+
 /** Round trip to an endpoint in another data centre, in milliseconds. */
 const CROSS_DATA_CENTRE_MS = 2;
 
@@ -64,25 +70,28 @@
  * them prefilling it.
  *
  * @param inputs - the prompt, the engines and what is known of them
+ * @param mayColocate - restricts the decode engines that may prefill the prompt themselves
  * @returns the best plan, or undefined if no engine can generate tokens
  */
-export function placePrompt(inputs: PlacementInputs): EnginePlan | undefined {
+export function placePrompt(inputs: PlacementInputs, mayColocate?: MayColocate): EnginePlan | undefined {
   const decodeEngines = inputs.engines.filter((engine) => engine.role !== directories.EngineRole.Prefill);
   const hasUnlimited = decodeEngines.some((engine) => !inputs.isLimited(engine));
   const prefillEngines = inputs.engines.filter((engine) => engine.role === directories.EngineRole.Prefill);
   const sources = copySources(inputs);
-  const colocated = bestCandidate(inputs, decodeEngines, sources);
+  const colocated = bestCandidate(inputs, decodeEngines, sources, mayColocate);
   // A prompt that is prefilled now needs a decode engine later, when an allowance may have been used by others.
   const disaggregated = hasUnlimited ? bestCandidate(inputs, prefillEngines, sources) : undefined;
   const decodeEngine = chooseDecodeEngine(inputs, disaggregated?.engine);
-  if (colocated === undefined || decodeEngine === undefined) return undefined;
-  const colocatedMs = colocated.predictedMs + interferenceMs(inputs, colocated);
+  if (decodeEngine === undefined) return undefined;
+  const colocatedMs =
+    colocated === undefined ? Number.POSITIVE_INFINITY : colocated.predictedMs + interferenceMs(inputs, colocated);
   const slotMs = slotWaitMs(decodeEngine, inputs.loads.runningRequests(decodeEngine.id, inputs.now));
   const handoverMs = inputs.speeds.handoverMs(inputs.prompt.promptTokens);
   const disaggregatedMs =
     disaggregated === undefined ? Number.POSITIVE_INFINITY : disaggregated.predictedMs + handoverMs + slotMs;
   const { siteRule, objectiveMs } = inputs;
-  if (disaggregated === undefined || siteRule.isColocated(colocatedMs, disaggregatedMs, objectiveMs)) {
+  const isColocated = disaggregated === undefined || siteRule.isColocated(colocatedMs, disaggregatedMs, objectiveMs);
+  if (colocated !== undefined && isColocated) {
     return {
       ...colocated,
       decodeEngine: colocated.engine,
@@ -90,6 +99,7 @@
       predictedMs: colocated.predictedMs,
     };
   }
+  if (disaggregated === undefined) return undefined;
   const unloadedMs = disaggregated.unloadedMs + handoverMs;
   return {
     ...disaggregated,
@@ -139,6 +149,7 @@
   inputs: PlacementInputs,
   engines: readonly directories.Endpoint[],
   sources: readonly CopySource[],
+  mayPrefill?: MayColocate,
 ): Candidate | undefined {
   const prefixId = promptParts.sharedPrefixId(inputs.prompt);
   const preferredId = prefixId === undefined ? undefined : preferredEngineId(prefixId, withoutLimited(inputs, engines));
@@ -146,6 +157,7 @@
   let chosenCost = Number.POSITIVE_INFINITY;
   for (const engine of engines) {
     for (const candidate of candidatesFor(inputs, engine, sources)) {
+      if (mayPrefill?.(engine, candidate.workTokens) === false) continue;
       const cost = candidate.predictedMs + (engine.id === preferredId ? 0 : affinityCostMs(inputs, candidate));
       if (cost < chosenCost) {
         chosen = candidate;
