Serve prompts and calls in the caller's region unless another gains enough

With several regions, the preferred engine of shared prompt parts was chosen among all engines, and the distance counted as 2 ms whatever the region.

Placement compares the regions as wholes: each has its own preferred engines, and a prompt leaves its region only where another one is faster by more than the network time, the transfer and a quarter of the objective. Each daemon then sends a share of its prompts that grows with the gain. Plain calls leave their region only where no endpoint there has a free slot. Callers whose data centre has too few daemons get those of their region first.

--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -43,6 +43,8 @@
   readonly budgets: RetryBudgets;
   /** Counts an organisation's request that begins to run now. */
   readonly countUsage: (organisation: string) => void;
+  /** Distances between the data centres; undefined in a deployment of one region. */
+  readonly distances?: serving.DistanceModel | undefined;
   readonly random: common.SeededRandom;
   /**
    * Handles that a request reached another endpoint than the one it was sent to.
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -183,6 +183,7 @@
       metrics: this.#metrics,
       isStoreUnreachable: () => this.#follower.isUnreachable,
     });
+    const distances = serving.distancesBetweenRegions(settings);
     const streams = new streamOrigins.StreamOrigins({
       log: this.#log,
       metrics: this.#metrics,
@@ -210,6 +211,7 @@
       countUsage: (organisation) => {
         if (settings.usage !== undefined) usageCounter.count(organisation, clock.unixMs());
       },
+      distances,
       random,
       onMisdirected: (endpoint, answeredBy) => fleetViewUpdater.applyMisdirection(endpoint, answeredBy),
       configuration: configurationGate,
@@ -273,6 +275,7 @@
       entry: this.#entry,
       view: this.#view,
       peers: this.#peers,
+      distances,
       ready: () => this.ready,
       isCutOff: () => this.#reachability.monitor.isCutOff,
     });
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -265,6 +265,7 @@
       id: served.id,
       stage: planned.stage,
       endpoint: planned.endpoint.id,
+      way: context.distances?.wayTo(planned.endpoint.dataCentre),
       version: planned.endpoint.softwareVersion,
       after: served.progress.lastEventId,
       service: served.service,
--- a/packages/gateway/src/sendChooser.ts
+++ b/packages/gateway/src/sendChooser.ts
@@ -196,6 +196,7 @@
       health,
       isLimited: (each) => limits.enforcer.isLimited(each),
       dataCentre: settings.dataCentre,
+      distances: this.#context.distances,
       draw: () => random.next(),
       now: performance.now(),
     });
@@ -231,6 +232,7 @@
       slowness: (id) => health.slowness(id),
       isLimited: (engine) => this.#context.limits.enforcer.isLimited(engine),
       dataCentre: settings.dataCentre,
+      distances: this.#context.distances,
       maxPauseMs: this.#served.route.pauseMs,
       objectiveMs: this.#served.route.objectiveMs,
       siteRule: serving.PREFILL_SITE_RULE,
@@ -265,9 +267,10 @@
 
   /** The decode engine prefills the prompt itself if the retry budget allows no separate call for that. */
   #placeWithinBudget(inputs: serving.PlacementInputs): serving.EnginePlan | undefined {
-    const placed = serving.placePrompt(inputs);
+    const draw = this.#context.random.next();
+    const placed = serving.placePromptByRegion(inputs, draw);
     if (placed?.prefillEngine === undefined || this.#served.mayPrefill()) return placed;
-    return serving.placePrompt({ ...inputs, engines: inputs.engines.filter(serving.canAnswer) });
+    return serving.placePromptByRegion({ ...inputs, engines: inputs.engines.filter(serving.canAnswer) }, draw);
   }
 
   #noteDemand(plan: serving.EnginePlan, prompt: serving.Prompt): void {
--- /dev/null
+++ b/packages/serving/src/distance/regionalPlacement.ts
@@ -0,0 +1,59 @@
+import type * as directories from "../endpointDirectory.js";
+import * as placements from "../placement.js";
+import type * as distanceModels from "./distanceModel.js";
+import * as overflows from "./overflow.js";
+
+/**
+ * Places a prompt on the engines of the caller's region, or on those of another region if that gains enough. Both engines
+ * of a plan are in one region, as a transfer between regions takes ten times as long, and the preferred engine of shared
+ * parts is chosen among the engines of the region, so that each region has its own.
+ *
+ * @param inputs - the prompt, the engines of all regions and what is known of them
+ * @param draw - a uniform random number in [0, 1), which decides whether this prompt belongs to the share that overflows
+ * @returns the best plan, or undefined if no engine can generate tokens
+ */
+export function placePromptByRegion(
+  inputs: placements.PlacementInputs,
+  draw: number,
+): placements.EnginePlan | undefined {
+  const { distances } = inputs;
+  if (distances === undefined) return placements.placePrompt(inputs);
+  const regions = enginesByRegion(distances, inputs.engines);
+  const local = regions.get(distances.region);
+  regions.delete(distances.region);
+  const own = local === undefined ? undefined : placements.placePrompt({ ...inputs, engines: local });
+  if (own !== undefined && !mayOverflow(own, inputs.objectiveMs)) return own;
+  const other = fastest([...regions.values()].map((engines) => placements.placePrompt({ ...inputs, engines })));
+  // A region with engines of one role only gets its decode engine from another one.
+  if (own === undefined) return other ?? placements.placePrompt(inputs);
+  if (other === undefined) return own;
+  const share = overflows.promptOverflowShare(own.predictedMs, other.predictedMs, inputs.objectiveMs);
+  return draw < share ? other : own;
+}
+
+/** Whether another region could be faster by more than the margin, so that it is worth computing. */
+function mayOverflow(own: placements.EnginePlan, objectiveMs: number): boolean {
+  return own.predictedMs > overflows.OVERFLOW_MARGIN_SHARE * objectiveMs;
+}
+
+function fastest(plans: readonly (placements.EnginePlan | undefined)[]): placements.EnginePlan | undefined {
+  let chosen: placements.EnginePlan | undefined;
+  for (const plan of plans) {
+    if (plan !== undefined && plan.predictedMs < (chosen?.predictedMs ?? Number.POSITIVE_INFINITY)) chosen = plan;
+  }
+  return chosen;
+}
+
+function enginesByRegion(
+  distances: distanceModels.DistanceModel,
+  engines: readonly directories.Endpoint[],
+): Map<string, directories.Endpoint[]> {
+  const regions = new Map<string, directories.Endpoint[]>();
+  for (const engine of engines) {
+    const region = distances.regionOf(engine.dataCentre);
+    const inRegion = regions.get(region);
+    if (inRegion === undefined) regions.set(region, [engine]);
+    else inRegion.push(engine);
+  }
+  return regions;
+}
--- a/packages/serving/src/leastBusy.ts
+++ b/packages/serving/src/leastBusy.ts
@@ -1,3 +1,5 @@
+import type * as distanceModels from "./distance/distanceModel.js";
+import * as overflows from "./distance/overflow.js";
 import type * as directories from "./endpointDirectory.js";
 import type * as healths from "./endpointHealth.js";
 import type * as loadTrackers from "./engineLoadTracker.js";
@@ -19,6 +21,8 @@
   /** Whether an endpoint limits its requests. */
   readonly isLimited: (endpoint: directories.Endpoint) => boolean;
   readonly dataCentre: string;
+  /** Distances between the data centres; undefined in a deployment of one region. */
+  readonly distances?: distanceModels.DistanceModel | undefined;
   /** @returns a uniform random number in [0, 1) */
   readonly draw: () => number;
   readonly now: number;
@@ -26,9 +30,27 @@
 
 /**
  * @param inputs - the endpoints of a plain service and what is known of them
- * @returns the one with the fewest running requests, weighted by its slowness, or undefined if there is none
+ * @returns the one with the fewest running requests, weighted by its slowness, or undefined if there is none; with
+ *   several regions, one of the own region unless the requests there exceed its slots
  */
 export function leastBusy(inputs: LeastBusyInputs): directories.Endpoint | undefined {
+  const { distances, endpoints } = inputs;
+  if (distances === undefined) return leastBusyOf(inputs);
+  const isNear = ({ dataCentre }: directories.Endpoint): boolean => distances.regionOf(dataCentre) === distances.region;
+  const own = leastBusyOf({ ...inputs, endpoints: endpoints.filter(isNear) });
+  if (own !== undefined && occupancy(inputs, own) <= 1) return own;
+  const other = leastBusyOf({ ...inputs, endpoints: endpoints.filter((endpoint) => !isNear(endpoint)) });
+  if (own === undefined || other === undefined) return own ?? other;
+  const share = overflows.callOverflowShare(occupancy(inputs, own), occupancy(inputs, other));
+  return inputs.draw() < share ? other : own;
+}
+
+/** Requests at an endpoint, a new one included, in multiples of its slots and weighted by its slowness. */
+function occupancy({ loads, health, now }: LeastBusyInputs, { id, slots }: directories.Endpoint): number {
+  return ((loads.runningRequests(id, now) + 1) / Math.max(1, slots)) * health.slowness(id);
+}
+
+function leastBusyOf(inputs: LeastBusyInputs): directories.Endpoint | undefined {
   const { loads, health, now } = inputs;
   let chosen: directories.Endpoint | undefined;
   let chosenCost = Number.POSITIVE_INFINITY;
--- a/packages/serving/src/placement.ts
+++ b/packages/serving/src/placement.ts
@@ -1,4 +1,5 @@
 import * as common from "@camphorcourse/common";
+import * as networkCosts from "./distance/networkCosts.js";
 import * as directories from "./endpointDirectory.js";
 import * as loadTrackers from "./engineLoadTracker.js";
 import type * as engineSpeeds from "./engineSpeeds.js";
@@ -31,7 +32,7 @@
 }
 
 /** What a placement is computed from. */
-export interface PlacementInputs {
+export interface PlacementInputs extends networkCosts.NetworkInputs {
   readonly prompt: promptParts.Prompt;
   readonly engines: readonly directories.Endpoint[];
   readonly loads: loadTrackers.EngineLoadTracker;
@@ -43,19 +44,13 @@
   readonly slowness: (endpointId: string) => number;
   /** Whether an engine limits its requests; one whose limit is used up isn't among the engines. */
   readonly isLimited: (engine: directories.Endpoint) => boolean;
-  readonly dataCentre: string;
   /** Longest acceptable pause between two events of a stream, in milliseconds. */
   readonly maxPauseMs: number;
-  /** Latency objective of the first event, in milliseconds. */
-  readonly objectiveMs: number;
   /** Chooses between the two ways of serving a prompt. */
   readonly siteRule: prefillSites.PrefillSiteRule;
   readonly now: number;
 }
 
-/** Round trip to an endpoint in another data centre, in milliseconds. */
-const CROSS_DATA_CENTRE_MS = 2;
-
 /**
  * Places a prompt by the predicted time to its first event, which covers queued
  * tokens, cached parts, and both ways of serving it: prefill on the decode engine
@@ -191,9 +186,6 @@
   return [...longest.values()];
 }
 
-/** Copies between data centres take twice as long. */
-const CROSS_DATA_CENTRE_COPY_FACTOR = 2;
-
 /**
  * Engines without a limit, or all if there are none. An engine that takes few requests is no preferred engine: it would
  * be chosen for those that its limit lets through, and another one for the rest, and both would prefill the shared parts.
@@ -225,7 +217,7 @@
   for (const source of sources) {
     const copiedTokens = Math.min(source.tokens, prompt.promptTokens - 1) - cachedTokens;
     if (copiedTokens <= 0 || source.engine.id === engine.id) continue;
-    const distanceFactor = source.engine.dataCentre === engine.dataCentre ? 1 : CROSS_DATA_CENTRE_COPY_FACTOR;
+    const distanceFactor = networkCosts.transferFactor(inputs, source.engine, engine);
     candidates.push(
       candidateFor(
         inputs,
@@ -255,7 +247,7 @@
   const running = loads.runningRequests(engine.id, now);
   const slowness = inputs.slowness(engine.id);
   const serviceMs = speeds.fixedMs(engine.role, running) + copyMs + speeds.prefillMs(engine.role, workTokens);
-  const unloadedMs = serviceMs * slowness + networkMs(inputs, engine);
+  const unloadedMs = serviceMs * slowness + networkCosts.networkMs(inputs, engine);
   const predictedMs = unloadedMs + queueMs(inputs, engine, urgency) + slotWaitMs(engine, running);
   return { engine, copySource, unreadTokens, workTokens, urgency, tokensAhead, tokensWaiting, predictedMs, unloadedMs };
 }
@@ -280,10 +272,6 @@
   return { ...plan, urgency, tokensAhead, predictedMs: plan.predictedMs - savedMs };
 }
 
-function networkMs(inputs: PlacementInputs, engine: directories.Endpoint): number {
-  return engine.dataCentre === inputs.dataCentre ? 0 : CROSS_DATA_CENTRE_MS;
-}
-
 /**
  * Chooses the engine that generates the tokens of a prompt which another engine
  * prefills: the one with the fewest streams, or the preferred engine of the
@@ -302,7 +290,10 @@
     inputs.engines.filter((engine) => engine.role !== directories.EngineRole.Prefill),
   );
   const prefixId = promptParts.sharedPrefixId(inputs.prompt);
-  const preferredId = prefixId === undefined ? undefined : preferredEngineId(prefixId, decodeEngines);
+  const { dataCentre } = prefillEngine ?? inputs;
+  const near = networkCosts.endpointsOfRegion(inputs.distances, decodeEngines, dataCentre);
+  const preferredId = prefixId === undefined ? undefined : preferredEngineId(prefixId, near);
+  const copyMs = inputs.speeds.copyMs(inputs.prompt.promptTokens);
   let chosen: directories.Endpoint | undefined;
   let chosenCost = Number.POSITIVE_INFINITY;
   for (const engine of decodeEngines) {
@@ -313,7 +304,9 @@
     const affinityMs = engine.id === preferredId ? 0 : DECODE_AFFINITY_MS;
     // Queued prefills slow the tokens of all streams, but don't delay the start of a stream whose prompt is prefilled.
     const busyMs = (occupancyMs + queuedMs * QUEUED_PREFILL_WEIGHT) * inputs.slowness(engine.id);
-    const cost = busyMs + networkMs(inputs, engine) + affinityMs + transferCostMs(inputs, prefillEngine, engine);
+    const distanceMs =
+      networkCosts.networkMs(inputs, engine) + networkCosts.transferCostMs(inputs, prefillEngine, engine, copyMs);
+    const cost = busyMs + affinityMs + distanceMs;
     if (cost < chosenCost) {
       chosen = engine;
       chosenCost = cost;
@@ -322,22 +315,6 @@
   return chosen;
 }
 
-/**
- * Extra cost of transferring the prompt's KV cache to another data centre: the transfer takes twice as long as within
- * one, and uses links that also carry other traffic.
- */
-function transferCostMs(
-  inputs: PlacementInputs,
-  prefillEngine: directories.Endpoint | undefined,
-  engine: directories.Endpoint,
-): number {
-  if (prefillEngine === undefined || prefillEngine.dataCentre === engine.dataCentre) return 0;
-  return CROSS_DATA_CENTRE_TRANSFER_WEIGHT * inputs.speeds.copyMs(inputs.prompt.promptTokens);
-}
-
-/** Cost of a transfer between data centres, in multiples of the time of one within a data centre. */
-const CROSS_DATA_CENTRE_TRANSFER_WEIGHT = 3;
-
 /** Cost of a decode engine whose slots are all taken, in milliseconds; it spreads streams evenly. */
 const FULL_OCCUPANCY_MS = 50;
 
