Send heartbeats with work to other regions every 350 ms, and measure distances

Heartbeats were an estimated two thirds of the bytes between the regions of a deployment with links of 7 Mbit/s: each dispatching daemon sent its work to all others up to 25 times a second.

Daemons of other regions now get heartbeats with work at most every 350 ms, and besides at once after a change of state, a departure or a configuration. What heartbeats report once (reads, observations, counts of sizes) is kept for both kinds of recipients, so that each gets it exactly once; the deltas of 350 ms may exceed a datagram and are then sent in several. Heartbeats send back the last heartbeat of one daemon of each other data centre, from which that daemon measures its distance by its monotonic clock. A region from which no heartbeat arrives for 2.5 s gets no overflow, as its engines only look idle. Bytes of heartbeats and request bodies are counted by distance.

With one region nothing of this takes place.

--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -2,6 +2,7 @@
 import * as serving from "@camphorcourse/serving";
 import type * as configurationGates from "./configuration/configurationGate.js";
 import type * as decisionLogs from "./decisionLog.js";
+import type * as trafficCounters from "./distance/trafficCounter.js";
 import type * as crashDetectors from "./endpointCrashDetector.js";
 import type * as endpointClients from "./endpointClient.js";
 import type * as fleetViews from "./fleetView.js";
@@ -45,6 +46,8 @@
   readonly countUsage: (organisation: string) => void;
   /** Distances between the data centres; undefined in a deployment of one region. */
   readonly distances?: serving.DistanceModel | undefined;
+  /** Counts the bytes that are sent, by distance. */
+  readonly traffic?: trafficCounters.TrafficCounter;
   readonly random: common.SeededRandom;
   /**
    * Handles that a request reached another endpoint than the one it was sent to.
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,6 +9,7 @@
 import * as configurationGates from "./configuration/configurationGate.js";
 import * as contexts from "./context.js";
 import * as decisionLogs from "./decisionLog.js";
+import * as trafficCounters from "./distance/trafficCounter.js";
 import * as endpointClients from "./endpointClient.js";
 import type * as daemonEntries from "./daemonEntry.js";
 import * as fleetViews from "./fleetView.js";
@@ -184,6 +185,7 @@
       isStoreUnreachable: () => this.#follower.isUnreachable,
     });
     const distances = serving.distancesBetweenRegions(settings);
+    const traffic = new trafficCounters.TrafficCounter(distances, this.#metrics);
     const streams = new streamOrigins.StreamOrigins({
       log: this.#log,
       metrics: this.#metrics,
@@ -212,6 +214,7 @@
         if (settings.usage !== undefined) usageCounter.count(organisation, clock.unixMs());
       },
       distances,
+      traffic,
       random,
       onMisdirected: (endpoint, answeredBy) => fleetViewUpdater.applyMisdirection(endpoint, answeredBy),
       configuration: configurationGate,
@@ -251,6 +254,8 @@
       suspects: suspects.table,
       limits,
       log: this.#log,
+      distances,
+      traffic,
       ready: () => this.ready,
       isCutOff: () => this.#reachability.monitor.isCutOff,
       isLinkLost: () => this.#reachability.monitor.isLinkLost,
--- a/packages/gateway/src/heartbeatSocket.ts
+++ b/packages/gateway/src/heartbeatSocket.ts
@@ -42,14 +42,21 @@
   });
   readonly #onPulse: (pulse: messages.Pulse, sender: string) => void;
   readonly #onError: (detail: string) => void;
+  readonly #onSent: (address: string, bytes: number) => void;
 
   /**
    * @param onPulse - called with a received heartbeat and the IP:PORT of its sender
    * @param onError - called with a description of what failed
+   * @param onSent - called with the IP:PORT of a receiver and the bytes that are sent there
    */
-  constructor(onPulse: (pulse: messages.Pulse, sender: string) => void, onError: (detail: string) => void) {
+  constructor(
+    onPulse: (pulse: messages.Pulse, sender: string) => void,
+    onError: (detail: string) => void,
+    onSent: (address: string, bytes: number) => void = () => undefined,
+  ) {
     this.#onPulse = onPulse;
     this.#onError = onError;
+    this.#onSent = onSent;
     this.#socket.on("message", (bytes, from) => this.#receive(bytes, `${from.address}:${from.port}`));
     this.#socket.on("error", (error) => onError(error.message));
   }
@@ -82,6 +89,7 @@
 
   #sendBytes(bytes: Uint8Array, addresses: readonly string[]): void {
     for (const address of addresses) {
+      this.#onSent(address, bytes.length);
       const { host, port } = socketAddresses.hostAndPort(address);
       this.#socket.send(bytes, port, host, (error) => {
         if (error !== null) this.#onError(error.message);
@@ -132,6 +140,7 @@
         limits: [],
         readingLoadThousandths: 0,
         eventsPerSecond: 0,
+        echoes: [],
         storeSilentMs: 0,
         capacityThousandths: 0,
         busyThousandths: 0,
--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -4,6 +4,10 @@
 import * as serving from "@camphorcourse/serving";
 import type * as fleetViewUpdaters from "./fleetViewUpdater.js";
 import * as daemonEntries from "./daemonEntry.js";
+import * as distantPulses from "./distance/distantPulses.js";
+import * as heartbeatDistances from "./distance/heartbeatDistances.js";
+import * as trafficCounters from "./distance/trafficCounter.js";
+import * as workDeltas from "./distance/workDeltas.js";
 import type * as decisionLogs from "./decisionLog.js";
 import type * as fleetViews from "./fleetView.js";
 import type * as pathMonitors from "./paths/pathMonitor.js";
@@ -34,6 +38,9 @@
  */
 const OCCASIONAL_HEARTBEAT_MS = { dispatching: 450, standby: 1_000 };
 
+/** Shortest interval of the heartbeats with work to other regions, in milliseconds: links between regions are narrow. */
+const DISTANT_HEARTBEAT_MS = 350;
+
 /** Interval at which a standby daemon evaluates what it has received, in milliseconds. */
 const STANDBY_CHECK_MS = 300;
 
@@ -52,6 +59,10 @@
   readonly suspects: serving.SuspectTable;
   readonly limits: endpointLimits.EndpointLimits;
   readonly log: decisionLogs.DecisionLog;
+  /** Distances between the data centres; undefined in a deployment of one region. */
+  readonly distances?: serving.DistanceModel | undefined;
+  /** Counts the bytes that are sent, by distance. */
+  readonly traffic?: trafficCounters.TrafficCounter;
   readonly ready: () => boolean;
   /** Whether this daemon is cut off from endpoints that its peers reach. */
   readonly isCutOff: () => boolean;
@@ -97,6 +108,9 @@
   readonly #work: peerWorks.PeerWork;
   readonly #receiver: peerReceivers.PeerReceiver;
   readonly #recentChanges: recentChangesModule.RecentChanges;
+  /** The same for other regions, whose heartbeats repeat them less often. */
+  readonly #distantChanges: recentChangesModule.RecentChanges;
+  readonly #distances: heartbeatDistances.HeartbeatDistances;
   #server: http.Server | undefined;
   #timer: NodeJS.Timeout | undefined;
   /**
@@ -104,8 +118,12 @@
    * closed.
    */
   #socketsOpen = false;
-  /** Times of the last frequent and the last occasional heartbeat. */
-  #lastSentAt = { frequent: 0, occasional: 0 };
+  /** Times of the last heartbeats, by kind of recipient. */
+  #lastSentAt = { frequent: 0, distant: 0, occasional: 0 };
+  #lastDistantState = "";
+  /** Number of endpoints' departures and changed entries to announce so far. */
+  #changedEndpoints = 0;
+  #dataCentresOfPeers: ReadonlyMap<string, string> = new Map();
   #lastSentWork = "";
   #round = 0;
   #senders: readonly string[] = [];
@@ -116,11 +134,19 @@
     this.peerTable = new peerTables.PeerTable(parts.entry.vm);
     this.activeSet = new activeSetTrackers.ActiveSetTracker({ ...parts, peerTable: this.peerTable });
     this.#work = new peerWorks.PeerWork(parts);
-    this.#receiver = new peerReceivers.PeerReceiver({ ...parts, peerTable: this.peerTable, work: this.#work });
+    this.#distances = new heartbeatDistances.HeartbeatDistances(parts.entry.vm, parts.distances, parts.log);
+    this.#receiver = new peerReceivers.PeerReceiver({
+      ...parts,
+      peerTable: this.peerTable,
+      work: this.#work,
+      heartbeatDistances: this.#distances,
+    });
     this.#recentChanges = new recentChangesModule.RecentChanges(parts.view);
+    this.#distantChanges = new recentChangesModule.RecentChanges(parts.view);
     this.#heartbeatSocket = new heartbeatSockets.HeartbeatSocket(
       (pulse, sender) => this.#receiver.applyHeartbeat(pulse, sender),
       (detail) => parts.log.warn("peer-datagram-failed", { detail }),
+      (address, bytes) => this.#countSent(address, bytes),
     );
     this.records = new recordExchanges.RecordExchange({
       entry: parts.entry,
@@ -159,6 +185,8 @@
    */
   noteDeparture(id: string, departure: fleetViewUpdaters.Departure): void {
     this.#recentChanges.noteDeparture(id, departure, performance.now());
+    this.#changedEndpoints++;
+    if (this.#parts.distances !== undefined) this.#distantChanges.noteDeparture(id, departure, performance.now());
   }
 
   /**
@@ -167,8 +195,10 @@
    * @param id - the endpoint whose entry has changed
    */
   noteEntry(id: string): void {
-    if (this.#parts.followsClosely() || this.activeSet.isStandbyContact)
-      this.#recentChanges.noteEntry(id, performance.now());
+    if (!this.#parts.followsClosely() && !this.activeSet.isStandbyContact) return;
+    this.#recentChanges.noteEntry(id, performance.now());
+    this.#changedEndpoints++;
+    if (this.#parts.distances !== undefined) this.#distantChanges.noteEntry(id, performance.now());
   }
 
   /**
@@ -212,7 +242,7 @@
   sendHeartbeatsNow(): void {
     const now = performance.now();
     this.activeSet.update(now);
-    this.#sendHeartbeats(now, this.#recipients(now), { frequent: true, occasional: true });
+    this.#sendHeartbeats(now, this.#recipients(now), { frequent: true, distant: true, occasional: true });
   }
 
   /**
@@ -232,9 +262,10 @@
     const now = performance.now();
     const hasChanged = this.activeSet.update(now);
     const recipients = this.#recipients(now);
-    const hasNewWork = this.#parts.loads.hasUnsentReads || this.#serializedWork() !== this.#lastSentWork;
+    const hasNewWork = this.#work.hasUnsentReads || this.#serializedWork() !== this.#lastSentWork;
     this.#sendHeartbeats(now, recipients, {
       frequent: hasChanged || hasNewWork || now - this.#lastSentAt.frequent >= MAX_HEARTBEAT_INTERVAL_MS,
+      distant: hasChanged || this.#isDistantDue(now),
       occasional: hasChanged || now - this.#lastSentAt.occasional >= this.#occasionalIntervalMs,
     });
     if (this.#sendsNews(now)) this.#sendNews(now);
@@ -246,12 +277,26 @@
     return this.#dispatching ? OCCASIONAL_HEARTBEAT_MS.dispatching : OCCASIONAL_HEARTBEAT_MS.standby;
   }
 
-  #updateInterval({ frequent }: recipientsModule.Recipients): number {
-    const intervalMs = this.#dispatching ? serving.heartbeatIntervalMs(frequent.length) : STANDBY_CHECK_MS;
-    this.peerTable.setHeartbeatInterval(intervalMs);
+  #updateInterval(recipients: recipientsModule.Recipients): number {
+    const intervalMs = this.#dispatching ? intervalFor(recipients) : STANDBY_CHECK_MS;
+    this.peerTable.setHeartbeatInterval(recipients.distant.length > 0 ? distantIntervalMs(intervalMs) : intervalMs);
     return intervalMs;
   }
 
+  /** Whether other regions have to be sent a heartbeat: at the interval for work, and after a change of state at once. */
+  #isDistantDue(now: number): boolean {
+    if (this.#parts.distances === undefined) return false;
+    return now - this.#lastSentAt.distant >= DISTANT_HEARTBEAT_MS || this.#distantState(now) !== this.#lastDistantState;
+  }
+
+  /** The state that other regions have to learn at once when it changes. */
+  #distantState(now: number): string {
+    const { isCutOff, isLinkLost, ready, suspects, view } = this.#parts;
+    const changing = [...view.pendingRoleChanges].filter(([, { until }]) => until > now).map(([id]) => id);
+    const own = [ready(), isCutOff(), isLinkLost(), suspects.isRunningTrial, view.configurationRevision];
+    return [...own, this.#changedEndpoints, ...changing].join();
+  }
+
   /** Standby daemons don't receive each other's heartbeats, and leave sending news to dispatching daemons. */
   #sendsNews(now: number): boolean {
     return this.#dispatching || !this.peerTable.live(now).some((peer) => peer.active);
@@ -260,11 +305,14 @@
   #recipients(now: number): recipientsModule.Recipients {
     const knownDaemons = this.#knownDaemons(now);
     this.#updateSenders(knownDaemons);
+    if (this.#parts.distances !== undefined)
+      this.#dataCentresOfPeers = new Map(knownDaemons.map(({ entry }) => [entry.peers, entry.dataCentre]));
     const { dataCentre } = this.#parts.entry;
     const own = {
       dataCentre,
       dispatching: this.#dispatching,
       isStandbyContact: this.activeSet.isStandbyContact,
+      isDistant: (dataCentre: string) => this.#distances.isDistant(dataCentre),
     };
     return recipientsModule.chooseRecipients(own, knownDaemons, this.#round);
   }
@@ -316,18 +364,24 @@
   #sendHeartbeats(
     now: number,
     recipients: recipientsModule.Recipients,
-    due: { readonly frequent: boolean; readonly occasional: boolean },
+    due: { readonly frequent: boolean; readonly distant: boolean; readonly occasional: boolean },
   ): void {
+    if (!due.frequent && !due.distant && !due.occasional) return;
+    const unixMs = Date.now();
+    this.#distances.noteSent(unixMs, now);
+    if (due.distant) this.#sendDistant(now, unixMs, recipients);
     if (!due.frequent && !due.occasional) return;
-    const state = this.#stateFields(now);
+    const state = this.#stateFields(now, unixMs, this.#recentChanges);
     if (due.frequent) {
       this.#lastSentAt.frequent = now;
       this.#lastSentWork = this.#serializedWork();
-      const nextMs = Math.max(MAX_HEARTBEAT_INTERVAL_MS, serving.heartbeatIntervalMs(recipients.frequent.length));
+      const nextMs = Math.max(MAX_HEARTBEAT_INTERVAL_MS, intervalFor(recipients));
       const nextWithinMs = peerWorks.toUint32(nextMs);
       const pulse = protobuf.create(messages.PulseSchema, {
         ...state,
         ...this.#work.createFields(now),
+        ...this.#work.takeDeltas(workDeltas.Audience.Near),
+        echoes: this.#distances.takeEchoes(false, now),
         nextWithinMs,
       });
       this.#heartbeatSocket.send(
@@ -345,7 +399,32 @@
     ]);
   }
 
-  #stateFields(now: number): protobuf.MessageInitShape<typeof messages.PulseSchema> {
+  #sendDistant(now: number, unixMs: number, recipients: recipientsModule.Recipients): void {
+    this.#lastSentAt.distant = now;
+    this.#lastDistantState = this.#distantState(now);
+    const state = {
+      ...this.#stateFields(now, unixMs, this.#distantChanges),
+      ...this.#work.createFields(now),
+      echoes: this.#distances.takeEchoes(true, now),
+      nextWithinMs: peerWorks.toUint32(distantIntervalMs(intervalFor(recipients))),
+    };
+    const addresses = recipients.distant.map(({ peers }) => peers);
+    for (const pulse of distantPulses.dividePulse(state, this.#work.takeDeltas(workDeltas.Audience.Distant)))
+      this.#heartbeatSocket.send(pulse, addresses);
+  }
+
+  #countSent(address: string, bytes: number): void {
+    const { traffic } = this.#parts;
+    if (traffic === undefined) return;
+    const dataCentre = this.#dataCentresOfPeers.get(address);
+    if (dataCentre !== undefined) traffic.add(trafficCounters.Traffic.Heartbeats, dataCentre, bytes);
+  }
+
+  #stateFields(
+    now: number,
+    unixMs: number,
+    changes: recentChangesModule.RecentChanges,
+  ): protobuf.MessageInitShape<typeof messages.PulseSchema> {
     const { entry, view } = this.#parts;
     return {
       vm: entry.vm,
@@ -363,10 +442,10 @@
       ...this.#configurationAge(now),
       ...recordExchanges.versionFields(view, now),
       storeSilentMs: Math.round(this.#parts.storeSilentMs()),
-      unixMs: BigInt(Date.now()),
-      departures: this.#recentChanges.nextDepartures(now),
+      unixMs: BigInt(unixMs),
+      departures: changes.nextDepartures(now),
       followsClosely: this.#parts.followsClosely(),
-      entries: this.#recentChanges.entries(now),
+      entries: changes.entries(now),
       suspects: this.#parts.suspects.recordsToPublish(now).map(suspectCodec.toMessage),
       limits: this.#parts.limits.recordsToPublish(now).map(limitCodec.toMessage),
       tryingSuspect: this.#parts.suspects.isRunningTrial,
@@ -441,3 +520,13 @@
       });
   }
 }
+
+/** Interval of the checks whether a heartbeat is due, in milliseconds: the same whether or not some recipients are distant. */
+function intervalFor({ frequent, distant }: recipientsModule.Recipients): number {
+  return serving.heartbeatIntervalMs(frequent.length + distant.length);
+}
+
+/** Longest time between two heartbeats to other regions, which are sent at one of the checks, in milliseconds. */
+function distantIntervalMs(intervalMs: number): number {
+  return Math.ceil(DISTANT_HEARTBEAT_MS / intervalMs) * intervalMs;
+}
--- a/packages/gateway/src/peerWork.ts
+++ b/packages/gateway/src/peerWork.ts
@@ -1,6 +1,7 @@
 import * as protobuf from "@bufbuild/protobuf";
 import * as messages from "@camphorcourse/protocol/gateway";
 import * as serving from "@camphorcourse/serving";
+import * as workDeltas from "./distance/workDeltas.js";
 import type * as decisionLogs from "./decisionLog.js";
 import type * as fleetViews from "./fleetView.js";
 import type * as peerTables from "./peerTable.js";
@@ -22,13 +23,12 @@
   readonly speeds: serving.ServiceSpeeds;
   readonly acceptance: serving.AcceptanceTracker;
   readonly log: decisionLogs.DecisionLog;
+  /** Distances between the data centres; undefined in a deployment of one region. */
+  readonly distances?: serving.DistanceModel | undefined;
 }
 
 /** The fields of a heartbeat that concern the engines' work. */
-type WorkFields = Pick<
-  messages.Pulse,
-  "work" | "reads" | "observations" | "sizes" | "readingLoadThousandths" | "eventsPerSecond"
->;
+type WorkFields = Pick<messages.Pulse, "work" | "readingLoadThousandths" | "eventsPerSecond">;
 
 /**
  * @param pulse - a received heartbeat
@@ -47,15 +47,30 @@
  */
 export class PeerWork {
   readonly #parts: PeerWorkParts;
+  readonly #deltas: workDeltas.WorkDeltas;
 
   /** @param parts - the state to report and update */
   constructor(parts: PeerWorkParts) {
     this.#parts = parts;
+    this.#deltas = new workDeltas.WorkDeltas(() => this.#takeNew(), parts.distances !== undefined);
+  }
+
+  /** @returns whether there are reads that near recipients have not got yet */
+  get hasUnsentReads(): boolean {
+    return this.#parts.loads.hasUnsentReads || this.#deltas.hasNearReads;
+  }
+
+  /**
+   * @param audience - recipients of the next heartbeat
+   * @returns what is new since the last heartbeat to them
+   */
+  takeDeltas(audience: workDeltas.Audience): workDeltas.Deltas {
+    return this.#deltas.take(audience);
   }
 
   /**
    * @param now - current time in milliseconds
-   * @returns what is new since the last heartbeat, and the work in progress
+   * @returns the work in progress
    */
   createFields(now: number): WorkFields {
     const { loads, demand } = this.#parts;
@@ -67,9 +82,6 @@
           unread: unread.map(toUint32),
         }),
       ),
-      reads: this.#readMessages(),
-      observations: this.#observationMessages(),
-      sizes: this.#parts.acceptance.takeUnsentCounts().map((count) => protobuf.create(messages.SizeCountSchema, count)),
       readingLoadThousandths: toUint32(demand.readingLoad(now) * THOUSANDTHS),
       eventsPerSecond: toUint32(demand.eventsPerMs(now) * MS_PER_SECOND),
     };
@@ -83,9 +95,20 @@
    * @param validMs - time for which the reported work is valid, in milliseconds
    */
   apply(pulse: messages.Pulse, now: number, validMs: number): void {
-    const { loads, view } = this.#parts;
+    const { loads } = this.#parts;
     const work = pulse.work.map(({ endpoint, unread, running }) => [endpoint, { unread, running }] as const);
     loads.updatePeerWork(pulse.vm, new Map(work), now, validMs);
+    this.applyDeltas(pulse, now);
+  }
+
+  /**
+   * Applies what a peer reports once.
+   *
+   * @param pulse - a received heartbeat
+   * @param now - current time in milliseconds
+   */
+  applyDeltas(pulse: messages.Pulse, now: number): void {
+    const { loads, view } = this.#parts;
     for (const { endpoint, model, part, tokens, startedAtMs, isRead } of pulse.reads) {
       if (endpointIncarnations.isOtherIncarnation(view, endpoint, endpointIncarnations.fromMessage(startedAtMs)))
         continue;
@@ -103,6 +126,15 @@
     this.#parts.log.warn("impossible-counts", { peer: vm, counts: impossible.length, kind, offered, taken });
   }
 
+  #takeNew(): workDeltas.Deltas {
+    const sizes = this.#parts.acceptance.takeUnsentCounts();
+    return {
+      reads: this.#readMessages(),
+      observations: this.#observationMessages(),
+      sizes: sizes.map((count) => protobuf.create(messages.SizeCountSchema, count)),
+    };
+  }
+
   #readMessages(): messages.PartRead[] {
     const { loads, view } = this.#parts;
     return loads.takeUnsentReads().map(({ endpointId, model, part, isRead }) =>
--- a/packages/gateway/src/peers/peerReceiver.ts
+++ b/packages/gateway/src/peers/peerReceiver.ts
@@ -1,6 +1,7 @@
 import type * as messages from "@camphorcourse/protocol/gateway";
 import * as serving from "@camphorcourse/serving";
 import * as daemonEntries from "../daemonEntry.js";
+import type * as heartbeatDistances from "../distance/heartbeatDistances.js";
 import * as endpointIncarnations from "../endpointIncarnation.js";
 import * as limitCodec from "../limits/limitCodec.js";
 import type * as peerLinks from "../peerLink.js";
@@ -31,6 +32,7 @@
   | "onNeighbourCutOff"
   | "lateMs"
 > {
+  readonly heartbeatDistances: heartbeatDistances.HeartbeatDistances;
   readonly peerTable: peerTables.PeerTable;
   readonly work: peerWorks.PeerWork;
 }
@@ -51,10 +53,12 @@
   applyHeartbeat(pulse: messages.Pulse, sender: string): void {
     const now = performance.now();
     if (pulse.changesOnly) {
+      this.#parts.work.applyDeltas(pulse, now);
       this.#applyChanges(pulse);
       this.#applyStreamRecords(pulse.streamRecords, now);
       return;
     }
+    this.#parts.heartbeatDistances.apply(pulse, now);
     // A daemon in a planned stop still sends heartbeats but has left; one without a configuration has just started.
     const stays = pulse.ready || pulse.configurationRevision === 0n;
     const { vm, incarnation, dataCentre, callers } = pulse;
--- a/packages/gateway/src/peers/recipients.ts
+++ b/packages/gateway/src/peers/recipients.ts
@@ -19,6 +19,8 @@
 export interface Recipients {
   /** Daemons that need this daemon's work, several times a second. */
   readonly frequent: readonly daemonEntries.DaemonEntry[];
+  /** Daemons of other regions that need this daemon's work, at longer intervals. */
+  readonly distant: readonly daemonEntries.DaemonEntry[];
   /** Daemons that need to know that this daemon is alive and what has changed, once or twice a second. */
   readonly occasional: readonly daemonEntries.DaemonEntry[];
 }
@@ -30,6 +32,8 @@
   readonly dispatching: boolean;
   /** Whether it sends heartbeats to the standby daemons of its data centre. */
   readonly isStandbyContact: boolean;
+  /** @returns whether a data centre is in another region; none is if it is left out */
+  readonly isDistant?: (dataCentre: string) => boolean;
 }
 
 /**
@@ -48,14 +52,16 @@
   const dispatching = others.filter(({ live, dispatching }) => live && dispatching);
   if (!own.dispatching) {
     const local = dispatching.filter(isLocal);
-    return { frequent: [], occasional: entriesOf(local.length > 0 ? local : others.filter(isLocal)) };
+    return { frequent: [], distant: [], occasional: entriesOf(local.length > 0 ? local : others.filter(isLocal)) };
   }
   const rest = others.filter((other) => !dispatching.includes(other));
   const chosen = rest.filter((other) => (own.isStandbyContact && isLocal(other)) || other.reportedActive);
   const silent = silentDataCentres(rest, dispatching, own.dataCentre);
   const probed = [...silent.values()].flatMap((daemons) => takeRoundRobin(daemons, round));
+  const isDistant = ({ entry }: KnownDaemon): boolean => own.isDistant?.(entry.dataCentre) ?? false;
   return {
-    frequent: entriesOf(dispatching),
+    frequent: entriesOf(dispatching.filter((daemon) => !isDistant(daemon))),
+    distant: entriesOf(dispatching.filter(isDistant)),
     occasional: entriesOf([...new Set([...chosen, ...probed])]),
   };
 }
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -1,4 +1,5 @@
 import * as serving from "@camphorcourse/serving";
+import * as trafficCounters from "./distance/trafficCounter.js";
 import * as activeSends from "./activeSend.js";
 import * as answerReceivers from "./answerReceiver.js";
 import type * as decisionLogs from "./decisionLog.js";
@@ -261,11 +262,13 @@
     if (planned.stage === sendChoosers.Stage.Answering) served.countSend();
     const urgency = planned.plan?.urgency ?? (this.#parts.handover.prefilled === undefined ? undefined : 0);
     const message = this.#message(planned, urgency);
+    const { dataCentre } = planned.endpoint;
+    context.traffic?.add(trafficCounters.Traffic.Requests, dataCentre, message.body?.length ?? 0);
     context.log.info("send", {
       id: served.id,
       stage: planned.stage,
       endpoint: planned.endpoint.id,
-      way: context.distances?.wayTo(planned.endpoint.dataCentre),
+      way: context.distances?.wayTo(dataCentre),
       version: planned.endpoint.softwareVersion,
       after: served.progress.lastEventId,
       service: served.service,
--- a/packages/serving/src/distance/distanceModel.ts
+++ b/packages/serving/src/distance/distanceModel.ts
@@ -39,6 +39,8 @@
 export class DistanceModel {
   readonly dataCentre: string;
   readonly #regions: ReadonlyMap<string, string>;
+  readonly #measuredMs = new Map<string, number>();
+  readonly #silent = new Set<string>();
 
   /** @param location - where this daemon runs */
   constructor({ dataCentre, dataCentres }: Location) {
@@ -54,6 +56,40 @@
     return this.#regions.get(dataCentre) ?? `\u0000${dataCentre}`;
   }
 
+  /**
+   * @param dataCentre - a data centre
+   * @returns whether the settings name it
+   */
+  isNamed(dataCentre: string): boolean {
+    return this.#regions.has(dataCentre);
+  }
+
+  /**
+   * @param dataCentre - a data centre that the settings name
+   * @param oneWayMs - measured delay of a message to there in milliseconds; undefined if there is no recent measurement
+   */
+  setMeasured(dataCentre: string, oneWayMs: number | undefined): void {
+    if (oneWayMs === undefined) this.#measuredMs.delete(dataCentre);
+    else this.#measuredMs.set(dataCentre, oneWayMs);
+  }
+
+  /**
+   * @param region - a region
+   * @param isSilent - whether no heartbeat arrives from its daemons any more
+   */
+  setSilent(region: string, isSilent: boolean): void {
+    if (isSilent) this.#silent.add(region);
+    else this.#silent.delete(region);
+  }
+
+  /**
+   * @param region - a region
+   * @returns whether its daemons have gone silent, so that the load of its endpoints isn't known
+   */
+  isSilent(region: string): boolean {
+    return this.#silent.has(region);
+  }
+
   /** @returns region of this daemon */
   get region(): string {
     return this.regionOf(this.dataCentre);
@@ -82,7 +118,7 @@
    * @returns delay of a message from this daemon to there, in milliseconds
    */
   oneWayMs(dataCentre: string): number {
-    return PRIOR_ONE_WAY_MS[this.wayTo(dataCentre)];
+    return this.#measuredMs.get(dataCentre) ?? PRIOR_ONE_WAY_MS[this.wayTo(dataCentre)];
   }
 
   /**
--- a/packages/serving/src/distance/regionalPlacement.ts
+++ b/packages/serving/src/distance/regionalPlacement.ts
@@ -23,7 +23,12 @@
   regions.delete(distances.region);
   const own = local === undefined ? undefined : placements.placePrompt({ ...inputs, engines: local });
   if (own !== undefined && !mayOverflow(own, inputs.objectiveMs)) return own;
-  const other = fastest([...regions.values()].map((engines) => placements.placePrompt({ ...inputs, engines })));
+  // The engines of a silent region look idle, as its daemons don't report their work.
+  const heard = [...regions].filter(([region]) => !distances.isSilent(region));
+  const plans = (heard.length > 0 || own !== undefined ? heard : [...regions]).map(([, engines]) =>
+    placements.placePrompt({ ...inputs, engines }),
+  );
+  const other = fastest(plans);
   // A region with engines of one role only gets its decode engine from another one.
   if (own === undefined) return other ?? placements.placePrompt(inputs);
   if (other === undefined) return own;
--- a/packages/serving/src/leastBusy.ts
+++ b/packages/serving/src/leastBusy.ts
@@ -39,7 +39,10 @@
   const isNear = ({ dataCentre }: directories.Endpoint): boolean => distances.regionOf(dataCentre) === distances.region;
   const own = leastBusyOf({ ...inputs, endpoints: endpoints.filter(isNear) });
   if (own !== undefined && occupancy(inputs, own) <= 1) return own;
-  const other = leastBusyOf({ ...inputs, endpoints: endpoints.filter((endpoint) => !isNear(endpoint)) });
+  const distant = endpoints.filter((endpoint) => !isNear(endpoint));
+  // The endpoints of a silent region look idle, as its daemons don't report their work.
+  const heard = distant.filter(({ dataCentre }) => !distances.isSilent(distances.regionOf(dataCentre)));
+  const other = leastBusyOf({ ...inputs, endpoints: heard.length > 0 || own !== undefined ? heard : distant });
   if (own === undefined || other === undefined) return own ?? other;
   const share = overflows.callOverflowShare(occupancy(inputs, own), occupancy(inputs, other));
   return inputs.draw() < share ? other : own;
