Admit prompts by rank and share of their organisations in a shortage

Cause: one organisation that asks for many times its share caused rejections of all others, and an organisation's priority had no effect on admission or order. Change: engine time is counted by organisation and compared with the max-min fair share; rank, share and size give one order; rejected sessions are remembered and accepted first at their fourth attempt. Without organisations in the configuration nothing is decided, counted or sent.

--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -4,6 +4,7 @@
 import type * as decisionLogs from "./decisionLog.js";
 import type * as crashDetectors from "./endpointCrashDetector.js";
 import type * as endpointClients from "./endpointClient.js";
+import type * as fairnessModule from "./fairness/fairness.js";
 import type * as fleetViews from "./fleetView.js";
 import type * as endpointLimits from "./limits/endpointLimits.js";
 import type * as metricsModule from "./metrics.js";
@@ -28,6 +29,8 @@
   readonly demand: serving.Demand;
   /** Shares of prompts that were accepted, by prompt size. */
   readonly acceptance: serving.AcceptanceTracker;
+  /** Ranks and shares of organisations. */
+  readonly fairness: fairnessModule.Fairness;
   /** Decides which requests the configuration in force may decide on. */
   readonly configuration: configurationGates.ConfigurationGate;
   readonly client: endpointClients.EndpointClient;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,6 +11,7 @@
 import * as decisionLogs from "./decisionLog.js";
 import * as endpointClients from "./endpointClient.js";
 import type * as daemonEntries from "./daemonEntry.js";
+import * as fairnessModule from "./fairness/fairness.js";
 import * as fleetViews from "./fleetView.js";
 import * as endpointLimits from "./limits/endpointLimits.js";
 import * as loopUtilizations from "./loopUtilization.js";
@@ -189,17 +190,20 @@
       view: this.#view,
       peers: () => this.#peers.records,
     });
+    const learned = {
+      speeds: new serving.ServiceSpeeds(),
+      demand: new serving.Demand(),
+      acceptance: new serving.AcceptanceTracker(),
+    };
+    const shared = { log: this.#log, metrics: this.#metrics, view: this.#view };
     this.#context = {
+      ...shared,
+      ...learned,
       settings,
-      log: this.#log,
-      metrics: this.#metrics,
       format: dependencies.format,
-      view: this.#view,
+      fairness: new fairnessModule.Fairness({ ...shared, ...learned }),
       loads: new serving.EngineLoadTracker(),
       health: new serving.EndpointHealth(),
-      speeds: new serving.ServiceSpeeds(),
-      demand: new serving.Demand(),
-      acceptance: new serving.AcceptanceTracker(),
       client,
       limits,
       statements,
@@ -246,6 +250,7 @@
       demand: this.#context.demand,
       speeds: this.#context.speeds,
       acceptance: this.#context.acceptance,
+      fairness: this.#context.fairness,
       suspects: suspects.table,
       limits,
       log: this.#log,
@@ -354,6 +359,7 @@
       daemons_heard: this.#peers.peerTable.live(performance.now()).length,
       suspects: this.#context.suspects.table.count(performance.now()),
       acceptance_counts_refused: this.#context.acceptance.refusedCounts,
+      organisations_over_share: this.#context.fairness.overShare(performance.now()),
       takes_callers: Number(this.#peers.activeSet.active),
       cut_off: Number(this.#reachability.monitor.isCutOff),
       requests_relayed_open: this.#relayServer.open,
--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -5,6 +5,7 @@
 import type * as fleetViewUpdaters from "./fleetViewUpdater.js";
 import * as daemonEntries from "./daemonEntry.js";
 import type * as decisionLogs from "./decisionLog.js";
+import type * as fairnessModule from "./fairness/fairness.js";
 import type * as fleetViews from "./fleetView.js";
 import type * as pathMonitors from "./paths/pathMonitor.js";
 import * as peerTables from "./peerTable.js";
@@ -49,6 +50,7 @@
   readonly demand: serving.Demand;
   readonly speeds: serving.ServiceSpeeds;
   readonly acceptance: serving.AcceptanceTracker;
+  readonly fairness: fairnessModule.Fairness;
   readonly suspects: serving.SuspectTable;
   readonly limits: endpointLimits.EndpointLimits;
   readonly log: decisionLogs.DecisionLog;
--- a/packages/gateway/src/peerWork.ts
+++ b/packages/gateway/src/peerWork.ts
@@ -2,6 +2,7 @@
 import * as messages from "@camphorcourse/protocol/gateway";
 import * as serving from "@camphorcourse/serving";
 import type * as decisionLogs from "./decisionLog.js";
+import type * as fairnessModule from "./fairness/fairness.js";
 import type * as fleetViews from "./fleetView.js";
 import type * as peerTables from "./peerTable.js";
 import * as endpointIncarnations from "./endpointIncarnation.js";
@@ -21,6 +22,7 @@
   readonly demand: serving.Demand;
   readonly speeds: serving.ServiceSpeeds;
   readonly acceptance: serving.AcceptanceTracker;
+  readonly fairness: fairnessModule.Fairness;
   readonly log: decisionLogs.DecisionLog;
 }
 
@@ -28,7 +30,8 @@
 type WorkFields = Pick<
   messages.Pulse,
   "work" | "reads" | "observations" | "sizes" | "readingLoadThousandths" | "eventsPerSecond"
->;
+> &
+  ReturnType<fairnessModule.Fairness["createFields"]>;
 
 /**
  * @param pulse - a received heartbeat
@@ -72,6 +75,7 @@
       sizes: this.#parts.acceptance.takeUnsentCounts().map((count) => protobuf.create(messages.SizeCountSchema, count)),
       readingLoadThousandths: toUint32(demand.readingLoad(now) * THOUSANDTHS),
       eventsPerSecond: toUint32(demand.eventsPerMs(now) * MS_PER_SECOND),
+      ...this.#parts.fairness.createFields(now),
     };
   }
 
@@ -93,6 +97,7 @@
     }
     this.#applyObservations(pulse.observations);
     this.#applySizes(pulse, now);
+    this.#parts.fairness.apply(pulse, now);
   }
 
   #applySizes({ vm, sizes }: messages.Pulse, now: number): void {
--- a/packages/gateway/src/sendChooser.ts
+++ b/packages/gateway/src/sendChooser.ts
@@ -3,6 +3,7 @@
 import * as admissionLogs from "./admission/admissionLog.js";
 import type * as contexts from "./context.js";
 import type * as decisionLogs from "./decisionLog.js";
+import * as promptAdmissions from "./fairness/promptAdmission.js";
 import type * as servedRequests from "./servedRequest.js";
 
 /** What a send asks of its endpoint. */
@@ -291,9 +292,15 @@
       remainingMs,
       draw: random.next(),
     };
-    const admitted = serving.admitPrompt(plan, placement, limits, acceptance);
+    const { admitted, fields: standing } = promptAdmissions.decideAdmission(
+      this.#context,
+      this.#served,
+      plan,
+      placement,
+      limits,
+    );
     const counts = acceptance.countsOf(limits.kind, placement.prompt.promptTokens, placement.now);
-    const fields = admissionLogs.admissionFields({ caller, route, limits, placement, counts });
+    const fields = { ...admissionLogs.admissionFields({ caller, route, limits, placement, counts }), ...standing };
     if (admitted.isErr()) this.#logRejected(plan, limits, admitted.error, fields);
     else if (admitted.value.urgency !== plan.urgency) this.#logUrgencyRaised(plan, admitted.value);
     return { admitted, fields };
--- a/packages/gateway/tests/helpers/exchangeHarness.ts
+++ b/packages/gateway/tests/helpers/exchangeHarness.ts
@@ -20,6 +20,7 @@
 import type * as settingsModule from "../../src/settings.js";
 import * as limits from "./limits.js";
 import * as paths from "./paths.js";
+import * as fairnessHelper from "./fairness.js";
 
 const SEED = 5;
 
@@ -219,6 +220,7 @@
       speeds: new serving.ServiceSpeeds(),
       demand: new serving.Demand(),
       acceptance: new serving.AcceptanceTracker(),
+      fairness: fairnessHelper.createFairness(view),
       client: this.#client,
       configuration: new configurationGates.ConfigurationGate({
         store: { list: unused },
--- a/packages/gateway/tests/peerIncarnations.test.ts
+++ b/packages/gateway/tests/peerIncarnations.test.ts
@@ -11,6 +11,7 @@
 import * as freePorts from "./helpers/freePort.js";
 import * as limits from "./helpers/limits.js";
 import * as paths from "./helpers/paths.js";
+import * as fairnessHelper from "./helpers/fairness.js";
 
 /** Start times of two incarnations of one endpoint, in Unix milliseconds. */
 const FIRST = 1_790_000_000_000;
@@ -63,6 +64,7 @@
       suspects: new serving.SuspectTable({ isRefuted: () => false, onChange: () => undefined }),
       limits: limits.createLimits(),
       acceptance: new serving.AcceptanceTracker(),
+      fairness: fairnessHelper.createFairness(this.view),
       log: new decisionLogs.DecisionLog("vm-1", "info", sink),
       ready: () => true,
       ...paths.REACHING_ALL,
--- a/packages/gateway/tests/peerLink.test.ts
+++ b/packages/gateway/tests/peerLink.test.ts
@@ -11,6 +11,7 @@
 import * as freePorts from "./helpers/freePort.js";
 import * as limits from "./helpers/limits.js";
 import * as paths from "./helpers/paths.js";
+import * as fairnessHelper from "./helpers/fairness.js";
 
 const HOST = "127.0.0.1";
 
@@ -82,6 +83,7 @@
     suspects: new serving.SuspectTable({ isRefuted: () => false, onChange: () => undefined }),
     limits: limits.createLimits(),
     acceptance: new serving.AcceptanceTracker(),
+    fairness: fairnessHelper.createFairness(view),
     log: new decisionLogs.DecisionLog("vm-1", "fatal", { writableLength: 0, write: () => true }),
     ready: () => true,
     ...paths.REACHING_ALL,
--- a/packages/serving/src/admission.ts
+++ b/packages/serving/src/admission.ts
@@ -14,6 +14,8 @@
   readonly remainingMs: number;
   /** A uniform random number in [0, 1). */
   readonly draw: number;
+  /** Maximum predicted time as a part of the caller's timeout, where it isn't the usual one. */
+  readonly usualPart?: number;
 }
 
 /** The rejection of a request. */
@@ -24,8 +26,8 @@
 
 /**
  * Maximum predicted time as a part of the caller's timeout. An answer after that is late anyway, and its prefill makes
- * those queued behind it late too. It is the same for callers that return after a rejection: nothing tells them from
- * callers whose first try was read late.
+ * those queued behind it late too. It is the same for callers that return after a rejection, unless
+ * their session is remembered: nothing else tells them from callers whose first try was read late.
  */
 const USUAL_PART = 0.55;
 
@@ -68,7 +70,7 @@
     return inputs.predictedMs <= priorMs ? undefined : rejectionOf(inputs);
   }
   const longMs = inputs.unloadedMs + inputs.callerTimeoutMs * MIN_WAIT_PART;
-  const usualMs = inputs.callerTimeoutMs * USUAL_PART;
+  const usualMs = inputs.callerTimeoutMs * (inputs.usualPart ?? USUAL_PART);
   const limitMs = Math.min(Math.max(usualMs, longMs), inputs.callerTimeoutMs, inputs.remainingMs);
   return inputs.predictedMs <= limitMs ? undefined : rejectionOf(inputs);
 }
--- a/packages/serving/src/demand.ts
+++ b/packages/serving/src/demand.ts
@@ -98,6 +98,14 @@
     this.#eventsPerToken.learn(outputTokens, events);
   }
 
+  /**
+   * @param outputTokens - maximum number of tokens that a request asks for
+   * @returns expected events of its stream, 0 as long as too few streams have ended
+   */
+  expectedEvents(outputTokens: number): number {
+    return outputTokens * this.#eventsPerToken.ratio;
+  }
+
   /**
    * Covers the streams that are to come as well as those that run. Just after a start, and while long answers
    * accumulate, the running streams are a small part of them.
--- a/packages/serving/src/promptAdmission.ts
+++ b/packages/serving/src/promptAdmission.ts
@@ -38,7 +38,7 @@
   limits: PromptLimits,
   acceptance: acceptanceTrackers.AcceptanceTracker,
 ): neverthrow.Result<placements.EnginePlan, admissions.Rejection> {
-  const rejection = check(plan, limits);
+  const rejection = checkPlan(plan, limits);
   if (rejection === undefined) return neverthrow.ok(plan);
   if (!acceptance.isUnderserved(limits.kind, placement.prompt.promptTokens, placement.now))
     return neverthrow.err(rejection);
@@ -46,19 +46,31 @@
   return promoted === undefined ? neverthrow.err(rejection) : neverthrow.ok(promoted);
 }
 
-/** Raises the urgency by as few levels as needed: each further level lets it overtake prompts half as long. */
-function promote(
+/**
+ * Raises the urgency by as few levels as needed: each further level lets it overtake prompts half as long.
+ *
+ * @param plan - a plan that would be rejected
+ * @param placement - what it was computed from
+ * @param limits - what else the admission depends on
+ * @returns the plan that is accepted, or undefined if there is none
+ */
+export function promote(
   plan: placements.EnginePlan,
   placement: placements.PlacementInputs,
   limits: PromptLimits,
 ): placements.EnginePlan | undefined {
   for (let urgency = plan.urgency - 1; urgency >= 0; urgency--) {
     const promoted = placements.withUrgency(plan, placement, urgency);
-    if (check(promoted, limits) === undefined) return promoted;
+    if (checkPlan(promoted, limits) === undefined) return promoted;
   }
   return undefined;
 }
 
-function check(plan: placements.EnginePlan, limits: PromptLimits): admissions.Rejection | undefined {
+/**
+ * @param plan - where a prompt is to be prefilled
+ * @param limits - what else the admission depends on
+ * @returns the rejection, or undefined if it is accepted as it is
+ */
+export function checkPlan(plan: placements.EnginePlan, limits: PromptLimits): admissions.Rejection | undefined {
   return admissions.checkAdmission({ ...limits, predictedMs: plan.predictedMs, unloadedMs: plan.unloadedMs });
 }
