Merge ranks and shares of organisations

Cause: heartbeats to other regions go out at their own times, and took rejected sessions and shares from those of the own region. Change: each audience gets sessions and shares in its own time.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,6 +11,7 @@
 import * as trafficCounters from "./distance/trafficCounter.js";
 import * as endpointClients from "./endpointClient.js";
 import type * as daemonEntries from "./daemonEntry.js";
+import * as fairnessModule from "./fairness/fairness.js";
 import * as fleetViews from "./fleetView.js";
 import * as endpointLimits from "./limits/endpointLimits.js";
 import * as loopUtilizations from "./loopUtilization.js";
@@ -194,23 +195,26 @@
     });
     const loads = new serving.EngineLoadTracker();
     const speeds = new serving.ServiceSpeeds();
+    const learned = {
+      speeds,
+      demand: new serving.Demand(),
+      acceptance: new serving.AcceptanceTracker(),
+    };
+    const shared = { log: this.#log, metrics: this.#metrics, view: this.#view };
     this.#context = {
+      ...shared,
+      ...learned,
       settings,
-      log: this.#log,
-      metrics: this.#metrics,
       format: dependencies.format,
-      view: this.#view,
+      fairness: new fairnessModule.Fairness({ ...shared, ...learned, distances }),
       loads,
-      health: new serving.EndpointHealth(),
-      speeds,
       pacing: new pacings.Pacing({
         loads,
         speeds,
         lateMs: () => this.#loopWatch.lateMs,
         senders: () => this.#peers.senders.length,
       }),
-      demand: new serving.Demand(),
-      acceptance: new serving.AcceptanceTracker(),
+      health: new serving.EndpointHealth(),
       client,
       limits,
       statements,
@@ -260,6 +264,7 @@
       speeds: this.#context.speeds,
       pacing: this.#context.pacing,
       acceptance: this.#context.acceptance,
+      fairness: this.#context.fairness,
       suspects: suspects.table,
       limits,
       log: this.#log,
@@ -374,6 +379,7 @@
       daemons_heard: this.#peers.peerTable.live(performance.now()).length,
       suspects: this.#context.suspects.table.count(performance.now()),
       acceptance_counts_refused: this.#context.acceptance.refusedCounts,
+      organisations_over_share: this.#context.fairness.overShare(performance.now()),
       takes_callers: Number(this.#peers.activeSet.active),
       cut_off: Number(this.#reachability.monitor.isCutOff),
       requests_relayed_open: this.#relayServer.open,
--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -9,6 +9,7 @@
 import * as trafficCounters from "./distance/trafficCounter.js";
 import * as workDeltas from "./distance/workDeltas.js";
 import type * as decisionLogs from "./decisionLog.js";
+import type * as fairnessModule from "./fairness/fairness.js";
 import type * as fleetViews from "./fleetView.js";
 import type * as pathMonitors from "./paths/pathMonitor.js";
 import * as peerTables from "./peerTable.js";
@@ -58,6 +59,7 @@
   readonly speeds: serving.ServiceSpeeds;
   readonly pacing: pacings.Pacing;
   readonly acceptance: serving.AcceptanceTracker;
+  readonly fairness: fairnessModule.Fairness;
   readonly suspects: serving.SuspectTable;
   readonly limits: endpointLimits.EndpointLimits;
   readonly log: decisionLogs.DecisionLog;
@@ -381,7 +383,7 @@
       const nextWithinMs = peerWorks.toUint32(nextMs);
       const pulse = protobuf.create(messages.PulseSchema, {
         ...state,
-        ...this.#work.createFields(now),
+        ...this.#work.createFields(workDeltas.Audience.Near, now),
         ...this.#work.takeDeltas(workDeltas.Audience.Near),
         echoes: this.#distances.takeEchoes(false, now),
         nextWithinMs,
@@ -406,7 +408,7 @@
     this.#lastDistantState = this.#distantState(now);
     const state = {
       ...this.#stateFields(now, unixMs, this.#distantChanges),
-      ...this.#work.createFields(now),
+      ...this.#work.createFields(workDeltas.Audience.Distant, now),
       echoes: this.#distances.takeEchoes(true, now),
       nextWithinMs: peerWorks.toUint32(distantIntervalMs(intervalFor(recipients))),
     };
--- a/packages/gateway/src/peerWork.ts
+++ b/packages/gateway/src/peerWork.ts
@@ -3,6 +3,7 @@
 import * as serving from "@camphorcourse/serving";
 import * as workDeltas from "./distance/workDeltas.js";
 import type * as decisionLogs from "./decisionLog.js";
+import type * as fairnessModule from "./fairness/fairness.js";
 import * as paceCodecs from "./pacing/paceCodec.js";
 import type * as pacings from "./pacing/pacing.js";
 import type * as fleetViews from "./fleetView.js";
@@ -25,13 +26,15 @@
   readonly speeds: serving.ServiceSpeeds;
   readonly pacing: pacings.Pacing;
   readonly acceptance: serving.AcceptanceTracker;
+  readonly fairness: fairnessModule.Fairness;
   readonly log: decisionLogs.DecisionLog;
   /** Distances between the data centres; undefined in a deployment of one region. */
   readonly distances?: serving.DistanceModel | undefined;
 }
 
 /** The fields of a heartbeat that concern the engines' work. */
-type WorkFields = Pick<messages.Pulse, "work" | "readingLoadThousandths" | "eventsPerSecond" | "enginePaces">;
+type WorkFields = Pick<messages.Pulse, "work" | "readingLoadThousandths" | "eventsPerSecond" | "enginePaces"> &
+  ReturnType<fairnessModule.Fairness["createFields"]>;
 
 /**
  * @param pulse - a received heartbeat
@@ -72,10 +75,11 @@
   }
 
   /**
+   * @param audience - recipients of the next heartbeat
    * @param now - current time in milliseconds
    * @returns the work in progress
    */
-  createFields(now: number): WorkFields {
+  createFields(audience: workDeltas.Audience, now: number): WorkFields {
     const { loads, demand } = this.#parts;
     return {
       work: [...loads.ownWork()].map(([endpoint, { running, unread }]) =>
@@ -88,6 +92,7 @@
       readingLoadThousandths: toUint32(demand.readingLoad(now) * THOUSANDTHS),
       eventsPerSecond: toUint32(demand.eventsPerMs(now) * MS_PER_SECOND),
       enginePaces: this.#parts.pacing.pacesToSend(now).map((pace) => paceCodecs.toMessage(pace, this.#parts.view)),
+      ...this.#parts.fairness.createFields(audience, now),
     };
   }
 
@@ -121,6 +126,7 @@
     paceCodecs.applyPaces(pulse, this.#parts, now);
     this.#applyObservations(pulse.observations);
     this.#applySizes(pulse, now);
+    this.#parts.fairness.apply(pulse, now);
   }
 
   #applySizes({ vm, sizes }: messages.Pulse, now: number): void {
--- a/packages/gateway/tests/distantHeartbeats.test.ts
+++ b/packages/gateway/tests/distantHeartbeats.test.ts
@@ -11,6 +11,7 @@
 import * as peerLinks from "../src/peerLink.js";
 import * as freePorts from "./helpers/freePort.js";
 import * as limits from "./helpers/limits.js";
+import * as fairnessHelper from "./helpers/fairness.js";
 import * as pacing from "./helpers/pacing.js";
 import * as paths from "./helpers/paths.js";
 
@@ -76,6 +77,7 @@
     traffic: new trafficCounters.TrafficCounter(distances, metrics),
     demand: new serving.Demand(),
     pacing: pacing.createPacing(),
+    fairness: fairnessHelper.createFairness(view),
     speeds: new serving.ServiceSpeeds(),
     suspects: new serving.SuspectTable({ isRefuted: () => false, onChange: () => undefined }),
     limits: limits.createLimits(),
--- a/packages/gateway/tests/helpers/exchangeHarness.ts
+++ b/packages/gateway/tests/helpers/exchangeHarness.ts
@@ -21,6 +21,7 @@
 import * as limits from "./limits.js";
 import * as pacing from "./pacing.js";
 import * as paths from "./paths.js";
+import * as fairnessHelper from "./fairness.js";
 
 const SEED = 5;
 
@@ -223,6 +224,7 @@
       pacing: pacing.createPacing(loads, speeds),
       demand: new serving.Demand(),
       acceptance: new serving.AcceptanceTracker(),
+      fairness: fairnessHelper.createFairness(view),
       client: this.#client,
       configuration: new configurationGates.ConfigurationGate({
         store: { list: unused },
--- a/packages/gateway/tests/peerIncarnations.test.ts
+++ b/packages/gateway/tests/peerIncarnations.test.ts
@@ -12,6 +12,7 @@
 import * as limits from "./helpers/limits.js";
 import * as pacing from "./helpers/pacing.js";
 import * as paths from "./helpers/paths.js";
+import * as fairnessHelper from "./helpers/fairness.js";
 
 /** Start times of two incarnations of one endpoint, in Unix milliseconds. */
 const FIRST = 1_790_000_000_000;
@@ -65,6 +66,7 @@
       limits: limits.createLimits(),
       pacing: pacing.createPacing(),
       acceptance: new serving.AcceptanceTracker(),
+      fairness: fairnessHelper.createFairness(this.view),
       log: new decisionLogs.DecisionLog("vm-1", "info", sink),
       ready: () => true,
       ...paths.REACHING_ALL,
--- a/packages/gateway/tests/peerLink.test.ts
+++ b/packages/gateway/tests/peerLink.test.ts
@@ -12,6 +12,7 @@
 import * as limits from "./helpers/limits.js";
 import * as pacing from "./helpers/pacing.js";
 import * as paths from "./helpers/paths.js";
+import * as fairnessHelper from "./helpers/fairness.js";
 
 const HOST = "127.0.0.1";
 
@@ -84,6 +85,7 @@
     limits: limits.createLimits(),
     pacing: pacing.createPacing(),
     acceptance: new serving.AcceptanceTracker(),
+    fairness: fairnessHelper.createFairness(view),
     log: new decisionLogs.DecisionLog("vm-1", "fatal", { writableLength: 0, write: () => true }),
     ready: () => true,
     ...paths.REACHING_ALL,
