Give hot shared parts a second engine, and balance roles by region

A part that many callers ask for at once has one preferred engine, where its prompts queue while other engines of the region idle. Where the wait there exceeds half of the objective and the next engine has room, that one is preferred, too, until the wait has been under a quarter of the objective for 2 s.

Prompts stay in their region, so each region needs engines of both roles: the engine that changes its role is one of the region where the wanted role is rarest. The learned speeds of engines leave out the network, which the prediction adds by distance.

Records of suspects and limits are published in turn or once in a while. With heartbeats of two kinds, one kind could have missed the same records for ever, so they are kept for both.

--- a/packages/experiment/src/description.ts
+++ b/packages/experiment/src/description.ts
@@ -25,6 +25,8 @@
 
 const requestSchema = zod.object({
   name: zod.string(),
+  /** Data centre of the callers; they are spread over all daemons if it is left out. */
+  dataCentre: zod.optional(zod.string()),
   perSecond: positive,
   /** Parts that requests share, in prompt order. */
   shared: zod.array(partSchema),
@@ -80,6 +82,27 @@
   perSecond: nonNegative,
 });
 
+const cutSchema = zod.object({
+  /** Region whose daemons exchange no heartbeats with the others. */
+  region: zod.string(),
+  fromMs: nonNegative,
+  untilMs: positive,
+});
+
+const regionsSchema = zod.object({
+  /** Region of each data centre; engines and daemons are spread evenly over the data centres. */
+  dataCentres: zod.record(zod.string(), zod.string()),
+  /** One-way delays, in milliseconds. */
+  oneWayMs: zod.object({ dataCentre: nonNegative, region: nonNegative, remote: nonNegative }),
+  /** Delay between regions from some instant on. */
+  change: zod.optional(zod.object({ fromMs: nonNegative, remoteMs: nonNegative })),
+  /** Whether the daemons decide by distances; without it they decide as in a deployment of one region. */
+  distancesUsed: zod.boolean(),
+  /** Interval at which daemons of different regions learn of each other's work, in milliseconds. */
+  distantViewAgeMs: positive,
+  cuts: zod.optional(zod.array(cutSchema)),
+});
+
 const descriptionSchema = zod.object({
   lastsMs: positive,
   daemons: count,
@@ -93,6 +116,10 @@
   shortestFirstEvent: zod.optional(zod.boolean()),
   /** Share of the engines of each role that a daemon uses; all of them if it is left out. */
   engineShare: zod.optional(positive.check(zod.lte(1))),
+  /** Whether all engines keep their roles. */
+  rolesFixed: zod.optional(zod.boolean()),
+  /** Regions with their distances; all is in one data centre if they are left out. */
+  regions: zod.optional(regionsSchema),
   /** Limits that engines state. */
   limits: zod.optional(zod.array(limitSchema)),
   /** Whether an engine with a limit counts as a whole one in the balance of roles. */
@@ -111,6 +138,9 @@
 /** Number and performance of the engines; the daemons' decisions do not have access to them. */
 export type EngineParameters = zod.infer<typeof enginesSchema>;
 
+/** Regions and their distances. */
+export type RegionsDescription = zod.infer<typeof regionsSchema>;
+
 /** An experiment: engines, daemons and load. */
 export type Description = zod.infer<typeof descriptionSchema>;
 
--- a/packages/experiment/src/emulatedEngine.ts
+++ b/packages/experiment/src/emulatedEngine.ts
@@ -36,6 +36,7 @@
  */
 export class EmulatedEngine {
   readonly id: string;
+  readonly dataCentre: string;
   role: serving.EngineRole;
   /** Factor by which it is slower than its parameters say. */
   slowness = 1;
@@ -60,6 +61,7 @@
    * @param time - the virtual time of the experiment
    * @param parameters - performance of the engines
    * @param prefilledParts - ids of the parts that any engine has prefilled, shared by all engines
+   * @param dataCentre - its data centre
    */
   constructor(
     id: string,
@@ -67,7 +69,9 @@
     time: virtualTimes.VirtualTime,
     parameters: descriptions.EngineParameters,
     prefilledParts: Set<string>,
+    dataCentre = "a",
   ) {
+    this.dataCentre = dataCentre;
     this.id = id;
     this.role = role;
     this.#time = time;
@@ -123,9 +127,10 @@
    *
    * @param prompt - the prompt
    * @param onReceived - called when the copy is complete and decoding can start
+   * @param transferFactor - time of the copy, in multiples of the time of one within a data centre
    */
-  receivePrompt(prompt: serving.Prompt, onReceived: () => void): void {
-    this.#time.after(this.#copyMs(prompt.promptTokens), () => {
+  receivePrompt(prompt: serving.Prompt, onReceived: () => void, transferFactor = 1): void {
+    this.#time.after(this.#copyMs(prompt.promptTokens) * transferFactor, () => {
       this.#cache.addPrompt(prompt);
       onReceived();
     });
--- a/packages/experiment/src/index.ts
+++ b/packages/experiment/src/index.ts
@@ -12,5 +12,7 @@
 export * from "./virtualTime.js";
 export * from "./crashReplay.js";
 export * from "./cutOffReplay.js";
+export * from "./regions.js";
 export * from "./statementReplay.js";
+export * from "./updateExchange.js";
 export * from "./streamReplay.js";
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -46,6 +46,8 @@
   readonly countUsage: (organisation: string) => void;
   /** Distances between the data centres; undefined in a deployment of one region. */
   readonly distances?: serving.DistanceModel | undefined;
+  /** Shared prompt parts that get a second preferred engine; undefined in a deployment of one region. */
+  readonly hotParts?: serving.HotParts | undefined;
   /** Counts the bytes that are sent, by distance. */
   readonly traffic?: trafficCounters.TrafficCounter;
   readonly random: common.SeededRandom;
--- a/packages/gateway/src/duties/roleChanger.ts
+++ b/packages/gateway/src/duties/roleChanger.ts
@@ -93,7 +93,7 @@
   }
 
   #decide(service: string, limits: serving.EngineLimits): serving.RoleChange | undefined {
-    const { loads, demand, speeds, view } = this.#parts.context;
+    const { distances, loads, demand, speeds, view } = this.#parts.context;
     const now = performance.now();
     const shareOf = this.#parts.context.limits.capacityShares(view.directory.availableEndpoints(service), now);
     const engines = view.directory.availableEndpoints(service).map((engine) => ({
@@ -104,6 +104,7 @@
       capacityShare: shareOf(engine),
       changing: view.isChangingRole(engine, now),
       failedAt: this.#failedAt.get(engine.id),
+      region: distances?.regionOf(engine.dataCentre),
     }));
     return this.#balance(service).decide({
       engines,
--- a/packages/gateway/src/endpointFeedback.ts
+++ b/packages/gateway/src/endpointFeedback.ts
@@ -88,7 +88,7 @@
       leftAfterMs: active.dispatchFields.leftAfterMs,
       tookMs: Math.round(tookMs),
     });
-    speeds.learnHandover(prompt.promptTokens, tookMs);
+    speeds.learnHandover(prompt.promptTokens, this.#withoutNetworkMs(active, tookMs));
   }
 
   /**
@@ -124,10 +124,15 @@
       cachedTokens: Math.max(0, prompt.promptTokens - plan.unreadTokens),
       tokensWaiting: plan.tokensWaiting,
       streams: this.#context.loads.runningRequests(endpoint.id, now),
-      tookMs,
+      tookMs: this.#withoutNetworkMs(active, tookMs),
     });
   }
 
+  /** The speed of an engine is the same for all daemons, and predictions add the distance of each; engines of one region are learned with it. */
+  #withoutNetworkMs({ endpoint }: activeSends.ActiveSend, tookMs: number): number {
+    return Math.max(0, tookMs - (this.#context.distances?.roundTripMs(endpoint.dataCentre) ?? 0));
+  }
+
   /** An endpoint that says when it takes requests again is judged by that. */
   #isResting({ endpoint }: activeSends.ActiveSend): boolean {
     return this.#context.statements.rests.isResting(endpoint, performance.now());
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -214,6 +214,7 @@
         if (settings.usage !== undefined) usageCounter.count(organisation, clock.unixMs());
       },
       distances,
+      hotParts: distances && new serving.HotParts(),
       traffic,
       random,
       onMisdirected: (endpoint, answeredBy) => fleetViewUpdater.applyMisdirection(endpoint, answeredBy),
--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -6,6 +6,7 @@
 import * as daemonEntries from "./daemonEntry.js";
 import * as distantPulses from "./distance/distantPulses.js";
 import * as heartbeatDistances from "./distance/heartbeatDistances.js";
+import * as publishedRecords from "./distance/publishedRecords.js";
 import * as trafficCounters from "./distance/trafficCounter.js";
 import * as workDeltas from "./distance/workDeltas.js";
 import type * as decisionLogs from "./decisionLog.js";
@@ -16,7 +17,6 @@
 import * as heartbeatSockets from "./heartbeatSocket.js";
 import * as peerWorks from "./peerWork.js";
 import * as peerReceivers from "./peers/peerReceiver.js";
-import * as limitCodec from "./limits/limitCodec.js";
 import type * as endpointLimits from "./limits/endpointLimits.js";
 import * as recipientsModule from "./peers/recipients.js";
 import * as sendersModule from "./peers/senders.js";
@@ -110,6 +110,7 @@
   readonly #recentChanges: recentChangesModule.RecentChanges;
   /** The same for other regions, whose heartbeats repeat them less often. */
   readonly #distantChanges: recentChangesModule.RecentChanges;
+  readonly #records: publishedRecords.PublishedRecords;
   readonly #distances: heartbeatDistances.HeartbeatDistances;
   #server: http.Server | undefined;
   #timer: NodeJS.Timeout | undefined;
@@ -134,6 +135,7 @@
     this.peerTable = new peerTables.PeerTable(parts.entry.vm);
     this.activeSet = new activeSetTrackers.ActiveSetTracker({ ...parts, peerTable: this.peerTable });
     this.#work = new peerWorks.PeerWork(parts);
+    this.#records = new publishedRecords.PublishedRecords(parts, parts.distances !== undefined);
     this.#distances = new heartbeatDistances.HeartbeatDistances(parts.entry.vm, parts.distances, parts.log);
     this.#receiver = new peerReceivers.PeerReceiver({
       ...parts,
@@ -371,7 +373,10 @@
     this.#distances.noteSent(unixMs, now);
     if (due.distant) this.#sendDistant(now, unixMs, recipients);
     if (!due.frequent && !due.occasional) return;
-    const state = this.#stateFields(now, unixMs, this.#recentChanges);
+    const state = {
+      ...this.#stateFields(now, unixMs, this.#recentChanges),
+      ...this.#records.take(workDeltas.Audience.Near, now),
+    };
     if (due.frequent) {
       this.#lastSentAt.frequent = now;
       this.#lastSentWork = this.#serializedWork();
@@ -404,6 +409,7 @@
     this.#lastDistantState = this.#distantState(now);
     const state = {
       ...this.#stateFields(now, unixMs, this.#distantChanges),
+      ...this.#records.take(workDeltas.Audience.Distant, now),
       ...this.#work.createFields(now),
       echoes: this.#distances.takeEchoes(true, now),
       nextWithinMs: peerWorks.toUint32(distantIntervalMs(intervalFor(recipients))),
@@ -446,8 +452,6 @@
       departures: changes.nextDepartures(now),
       followsClosely: this.#parts.followsClosely(),
       entries: changes.entries(now),
-      suspects: this.#parts.suspects.recordsToPublish(now).map(suspectCodec.toMessage),
-      limits: this.#parts.limits.recordsToPublish(now).map(limitCodec.toMessage),
       tryingSuspect: this.#parts.suspects.isRunningTrial,
       changing: [...view.pendingRoleChanges]
         .filter(([, change]) => change.until > now)
--- a/packages/gateway/src/sendChooser.ts
+++ b/packages/gateway/src/sendChooser.ts
@@ -233,6 +233,7 @@
       isLimited: (engine) => this.#context.limits.enforcer.isLimited(engine),
       dataCentre: settings.dataCentre,
       distances: this.#context.distances,
+      hotParts: this.#context.hotParts,
       maxPauseMs: this.#served.route.pauseMs,
       objectiveMs: this.#served.route.objectiveMs,
       siteRule: serving.PREFILL_SITE_RULE,
--- a/packages/serving/src/placement.ts
+++ b/packages/serving/src/placement.ts
@@ -1,4 +1,5 @@
 import * as common from "@camphorcourse/common";
+import type * as hotPartsModule from "./distance/hotParts.js";
 import * as networkCosts from "./distance/networkCosts.js";
 import * as directories from "./endpointDirectory.js";
 import * as loadTrackers from "./engineLoadTracker.js";
@@ -46,6 +47,8 @@
   readonly isLimited: (engine: directories.Endpoint) => boolean;
   /** Longest acceptable pause between two events of a stream, in milliseconds. */
   readonly maxPauseMs: number;
+  /** Parts that get a second preferred engine; undefined in a deployment of one region. */
+  readonly hotParts?: hotPartsModule.HotParts | undefined;
   /** Chooses between the two ways of serving a prompt. */
   readonly siteRule: prefillSites.PrefillSiteRule;
   readonly now: number;
@@ -136,12 +139,12 @@
   sources: readonly CopySource[],
 ): Candidate | undefined {
   const prefixId = promptParts.sharedPrefixId(inputs.prompt);
-  const preferredId = prefixId === undefined ? undefined : preferredEngineId(prefixId, withoutLimited(inputs, engines));
+  const preferredIds = prefixId === undefined ? [] : preferredEngineIds(inputs, prefixId, engines);
   let chosen: Candidate | undefined;
   let chosenCost = Number.POSITIVE_INFINITY;
   for (const engine of engines) {
     for (const candidate of candidatesFor(inputs, engine, sources)) {
-      const cost = candidate.predictedMs + (engine.id === preferredId ? 0 : affinityCostMs(inputs, candidate));
+      const cost = candidate.predictedMs + (preferredIds.includes(engine.id) ? 0 : affinityCostMs(inputs, candidate));
       if (cost < chosenCost) {
         chosen = candidate;
         chosenCost = cost;
@@ -205,6 +208,28 @@
   )[0];
 }
 
+/** The preferred engine of shared parts; of hot ones, two. */
+function preferredEngineIds(
+  inputs: PlacementInputs,
+  prefixId: string,
+  engines: readonly directories.Endpoint[],
+): readonly (string | undefined)[] {
+  const { distances, hotParts, now, objectiveMs, prompt } = inputs;
+  const eligible = withoutLimited(inputs, engines);
+  const [first] = eligible;
+  if (hotParts === undefined || first === undefined) return [preferredEngineId(prefixId, eligible)];
+  const byId = new Map(eligible.map((engine) => [engine.id, engine]));
+  const waitMs = (id: string): number => {
+    const engine = byId.get(id);
+    if (engine === undefined) return 0;
+    const unread = prompt.promptTokens - inputs.loads.cache(id, inputs.memoryTokens).cachedTokens(prompt);
+    return queueMs(inputs, engine, urgencies.urgencyOf(Math.max(1, unread)));
+  };
+  const key = `${first.role} ${distances?.regionOf(first.dataCentre) ?? ""} ${prompt.model} ${prefixId}`;
+  const order = common.rendezvousOrder(prefixId, [...byId.keys()]);
+  return hotParts.preferred({ key, order, waitMs, objectiveMs, now });
+}
+
 /** The ways in which an engine can prefill the prompt: compute all that it doesn't cache, or copy a part of that first. */
 function candidatesFor(
   inputs: PlacementInputs,
--- a/packages/serving/src/roleBalance.ts
+++ b/packages/serving/src/roleBalance.ts
@@ -1,4 +1,5 @@
 import * as decayingPeaks from "./decayingPeak.js";
+import * as roleShares from "./distance/roleShares.js";
 import * as directories from "./endpointDirectory.js";
 import type * as engineSpeeds from "./engineSpeeds.js";
 
@@ -25,6 +26,8 @@
   readonly capacityShare?: number;
   /** Whether it is unavailable for a change of its role; {@link BalancedEngine.role} is then the new one. */
   readonly changing?: boolean;
+  /** Its region; left out in a deployment of one region. */
+  readonly region?: string | undefined;
   /** Instant in milliseconds of its last failure to answer a role change, unless it has answered since. */
   readonly failedAt?: number | undefined;
 }
@@ -164,7 +167,7 @@
     if (heldMs < (isSeries ? SERIES.cooldownMs : holdMs)) return undefined;
     if (decode.length > 0 && tooManyChanging(engines)) return undefined;
     const from = wanted === directories.EngineRole.Prefill ? decode : prefill;
-    const chosen = from.filter((engine) => engine.changing !== true).sort(byPreference)[0];
+    const chosen = from.filter((engine) => engine.changing !== true).sort(byPreference(engines, wanted))[0];
     if (chosen === undefined) return undefined;
     return {
       endpointId: chosen.id,
@@ -198,17 +201,25 @@
 
 /**
  * Engines that take all of their work come first: a change of another one gains less. Of these, engines that have not
- * failed come first, then those whose failure is longest ago.
+ * failed come first, then those whose failure is longest ago. Then come those of the region where the wanted role is
+ * rarest.
  * An engine that doesn't answer gets no work, so it would stay the idlest for ever,
  * and every change would be attempted there. Among the others, the idlest comes
  * first, as it changes soonest.
  */
-function byPreference(left: BalancedEngine, right: BalancedEngine): number {
-  const share = capacityOf([right]) - capacityOf([left]);
-  if (share !== 0) return share;
-  const failed = (left.failedAt ?? Number.NEGATIVE_INFINITY) - (right.failedAt ?? Number.NEGATIVE_INFINITY);
-  if (left.failedAt !== right.failedAt) return failed;
-  return left.running - right.running || (left.id < right.id ? -1 : 1);
+function byPreference(
+  engines: readonly BalancedEngine[],
+  wanted: directories.EngineRole,
+): (left: BalancedEngine, right: BalancedEngine) => number {
+  const shareIn = roleShares.roleShares(engines, wanted);
+  return (left, right) => {
+    const share = capacityOf([right]) - capacityOf([left]);
+    if (share !== 0) return share;
+    const failed = (left.failedAt ?? Number.NEGATIVE_INFINITY) - (right.failedAt ?? Number.NEGATIVE_INFINITY);
+    if (left.failedAt !== right.failedAt) return failed;
+    const rarer = shareIn(left.region) - shareIn(right.region);
+    return rarer || left.running - right.running || (left.id < right.id ? -1 : 1);
+  };
 }
 
 function fleetCooldownMs(engines: number): number {
