Document distances, and report those that change in small steps

A test over sockets showed that no distance line was logged: the estimate approaches what is measured in steps, each of which is less than half and was compared with the one before. The last reported distance is now compared.

The heartbeats to other regions have a module of their own.

--- a/packages/experiment/tests/regionWaves.test.ts
+++ b/packages/experiment/tests/regionWaves.test.ts
@@ -159,6 +159,7 @@
   }));
   const figures = simulate({ ...cut, swings });
   const heard = simulate({ ...describe(3), swings });
+  if (process.env.FIGURES === "1") console.log(`${textOf(figures)}; heard ${textOf(heard)}`);
   assert.ok(figures.goodput > heard.goodput - 0.05, `${textOf(figures)}; heard ${textOf(heard)}`);
 });
 
--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -4,7 +4,7 @@
 import * as serving from "@camphorcourse/serving";
 import type * as fleetViewUpdaters from "./fleetViewUpdater.js";
 import * as daemonEntries from "./daemonEntry.js";
-import * as distantPulses from "./distance/distantPulses.js";
+import * as distantHeartbeats from "./distance/distantHeartbeats.js";
 import * as heartbeatDistances from "./distance/heartbeatDistances.js";
 import * as publishedRecords from "./distance/publishedRecords.js";
 import * as trafficCounters from "./distance/trafficCounter.js";
@@ -38,15 +38,15 @@
  */
 const OCCASIONAL_HEARTBEAT_MS = { dispatching: 450, standby: 1_000 };
 
-/** Shortest interval of the heartbeats with work to other regions, in milliseconds: links between regions are narrow. */
-const DISTANT_HEARTBEAT_MS = 350;
-
 /** Interval at which a standby daemon evaluates what it has received, in milliseconds. */
 const STANDBY_CHECK_MS = 300;
 
 /** Messages carry capacity in whole thousandths of a core. */
 const THOUSANDTHS = 1_000;
 
+/** The fields of a heartbeat. */
+type PulseFields = protobuf.MessageInitShape<typeof messages.PulseSchema>;
+
 /** Dependencies of {@link PeerLink}. */
 export interface PeerLinkParts {
   readonly settings: settingsModule.GatewaySettings;
@@ -108,8 +108,7 @@
   readonly #work: peerWorks.PeerWork;
   readonly #receiver: peerReceivers.PeerReceiver;
   readonly #recentChanges: recentChangesModule.RecentChanges;
-  /** The same for other regions, whose heartbeats repeat them less often. */
-  readonly #distantChanges: recentChangesModule.RecentChanges;
+  readonly #distant: distantHeartbeats.DistantHeartbeats;
   readonly #records: publishedRecords.PublishedRecords;
   readonly #distances: heartbeatDistances.HeartbeatDistances;
   #server: http.Server | undefined;
@@ -120,10 +119,7 @@
    */
   #socketsOpen = false;
   /** Times of the last heartbeats, by kind of recipient. */
-  #lastSentAt = { frequent: 0, distant: 0, occasional: 0 };
-  #lastDistantState = "";
-  /** Number of endpoints' departures and changed entries to announce so far. */
-  #changedEndpoints = 0;
+  #lastSentAt = { frequent: 0, occasional: 0 };
   #dataCentresOfPeers: ReadonlyMap<string, string> = new Map();
   #lastSentWork = "";
   #round = 0;
@@ -144,7 +140,12 @@
       heartbeatDistances: this.#distances,
     });
     this.#recentChanges = new recentChangesModule.RecentChanges(parts.view);
-    this.#distantChanges = new recentChangesModule.RecentChanges(parts.view);
+    this.#distant = new distantHeartbeats.DistantHeartbeats({
+      ...parts,
+      work: this.#work,
+      records: this.#records,
+      heartbeatDistances: this.#distances,
+    });
     this.#heartbeatSocket = new heartbeatSockets.HeartbeatSocket(
       (pulse, sender) => this.#receiver.applyHeartbeat(pulse, sender),
       (detail) => parts.log.warn("peer-datagram-failed", { detail }),
@@ -187,8 +188,7 @@
    */
   noteDeparture(id: string, departure: fleetViewUpdaters.Departure): void {
     this.#recentChanges.noteDeparture(id, departure, performance.now());
-    this.#changedEndpoints++;
-    if (this.#parts.distances !== undefined) this.#distantChanges.noteDeparture(id, departure, performance.now());
+    this.#distant.noteDeparture(id, departure, performance.now());
   }
 
   /**
@@ -199,8 +199,7 @@
   noteEntry(id: string): void {
     if (!this.#parts.followsClosely() && !this.activeSet.isStandbyContact) return;
     this.#recentChanges.noteEntry(id, performance.now());
-    this.#changedEndpoints++;
-    if (this.#parts.distances !== undefined) this.#distantChanges.noteEntry(id, performance.now());
+    this.#distant.noteEntry(id, performance.now());
   }
 
   /**
@@ -267,7 +266,7 @@
     const hasNewWork = this.#work.hasUnsentReads || this.#serializedWork() !== this.#lastSentWork;
     this.#sendHeartbeats(now, recipients, {
       frequent: hasChanged || hasNewWork || now - this.#lastSentAt.frequent >= MAX_HEARTBEAT_INTERVAL_MS,
-      distant: hasChanged || this.#isDistantDue(now),
+      distant: hasChanged || this.#distant.isDue(now),
       occasional: hasChanged || now - this.#lastSentAt.occasional >= this.#occasionalIntervalMs,
     });
     if (this.#sendsNews(now)) this.#sendNews(now);
@@ -281,24 +280,11 @@
 
   #updateInterval(recipients: recipientsModule.Recipients): number {
     const intervalMs = this.#dispatching ? intervalFor(recipients) : STANDBY_CHECK_MS;
-    this.peerTable.setHeartbeatInterval(recipients.distant.length > 0 ? distantIntervalMs(intervalMs) : intervalMs);
+    const isDistant = recipients.distant.length > 0;
+    this.peerTable.setHeartbeatInterval(isDistant ? distantHeartbeats.distantIntervalMs(intervalMs) : intervalMs);
     return intervalMs;
   }
 
-  /** Whether other regions have to be sent a heartbeat: at the interval for work, and after a change of state at once. */
-  #isDistantDue(now: number): boolean {
-    if (this.#parts.distances === undefined) return false;
-    return now - this.#lastSentAt.distant >= DISTANT_HEARTBEAT_MS || this.#distantState(now) !== this.#lastDistantState;
-  }
-
-  /** The state that other regions have to learn at once when it changes. */
-  #distantState(now: number): string {
-    const { isCutOff, isLinkLost, ready, suspects, view } = this.#parts;
-    const changing = [...view.pendingRoleChanges].filter(([, { until }]) => until > now).map(([id]) => id);
-    const own = [ready(), isCutOff(), isLinkLost(), suspects.isRunningTrial, view.configurationRevision];
-    return [...own, this.#changedEndpoints, ...changing].join();
-  }
-
   /** Standby daemons don't receive each other's heartbeats, and leave sending news to dispatching daemons. */
   #sendsNews(now: number): boolean {
     return this.#dispatching || !this.peerTable.live(now).some((peer) => peer.active);
@@ -371,7 +357,13 @@
     if (!due.frequent && !due.distant && !due.occasional) return;
     const unixMs = Date.now();
     this.#distances.noteSent(unixMs, now);
-    if (due.distant) this.#sendDistant(now, unixMs, recipients);
+    if (due.distant) {
+      const stateFields = (changes: recentChangesModule.RecentChanges): PulseFields =>
+        this.#stateFields(now, unixMs, changes);
+      const addresses = recipients.distant.map(({ peers }) => peers);
+      for (const pulse of this.#distant.create(now, intervalFor(recipients), stateFields))
+        this.#heartbeatSocket.send(pulse, addresses);
+    }
     if (!due.frequent && !due.occasional) return;
     const state = {
       ...this.#stateFields(now, unixMs, this.#recentChanges),
@@ -404,21 +396,6 @@
     ]);
   }
 
-  #sendDistant(now: number, unixMs: number, recipients: recipientsModule.Recipients): void {
-    this.#lastSentAt.distant = now;
-    this.#lastDistantState = this.#distantState(now);
-    const state = {
-      ...this.#stateFields(now, unixMs, this.#distantChanges),
-      ...this.#records.take(workDeltas.Audience.Distant, now),
-      ...this.#work.createFields(now),
-      echoes: this.#distances.takeEchoes(true, now),
-      nextWithinMs: peerWorks.toUint32(distantIntervalMs(intervalFor(recipients))),
-    };
-    const addresses = recipients.distant.map(({ peers }) => peers);
-    for (const pulse of distantPulses.dividePulse(state, this.#work.takeDeltas(workDeltas.Audience.Distant)))
-      this.#heartbeatSocket.send(pulse, addresses);
-  }
-
   #countSent(address: string, bytes: number): void {
     const { traffic } = this.#parts;
     if (traffic === undefined) return;
@@ -426,11 +403,7 @@
     if (dataCentre !== undefined) traffic.add(trafficCounters.Traffic.Heartbeats, dataCentre, bytes);
   }
 
-  #stateFields(
-    now: number,
-    unixMs: number,
-    changes: recentChangesModule.RecentChanges,
-  ): protobuf.MessageInitShape<typeof messages.PulseSchema> {
+  #stateFields(now: number, unixMs: number, changes: recentChangesModule.RecentChanges): PulseFields {
     const { entry, view } = this.#parts;
     return {
       vm: entry.vm,
@@ -529,8 +502,3 @@
 function intervalFor({ frequent, distant }: recipientsModule.Recipients): number {
   return serving.heartbeatIntervalMs(frequent.length + distant.length);
 }
-
-/** Longest time between two heartbeats to other regions, which are sent at one of the checks, in milliseconds. */
-function distantIntervalMs(intervalMs: number): number {
-  return Math.ceil(DISTANT_HEARTBEAT_MS / intervalMs) * intervalMs;
-}
--- a/packages/serving/src/distance/distanceMeter.ts
+++ b/packages/serving/src/distance/distanceMeter.ts
@@ -119,6 +119,7 @@
     const changes: DistanceChange[] = [];
     for (const [dataCentre, estimate] of this.#estimates) {
       const fromMs = this.#reportedMs.get(dataCentre) ?? this.#model.oneWayMs(dataCentre);
+      this.#reportedMs.set(dataCentre, fromMs);
       const roundTripMs = estimate.currentMs(now);
       this.#model.setMeasured(dataCentre, roundTripMs === undefined ? undefined : roundTripMs / 2);
       const toMs = this.#model.oneWayMs(dataCentre);
--- a/packages/serving/tests/distanceMeter.test.ts
+++ b/packages/serving/tests/distanceMeter.test.ts
@@ -65,6 +65,16 @@
   assert.ok(Math.abs(exchange.model.oneWayMs("b1") - 5) < 1, String(exchange.model.oneWayMs("b1")));
 });
 
+// The estimate approaches the measured distance in steps, each of which is less than half.
+suite("a distance that changes by half in many small steps is reported", () => {
+  const exchange = new Exchange();
+  exchange.run({ ...PEER, oneWayMs: 7 }, 3_000);
+  assert.equal(exchange.changes, []);
+  exchange.run({ ...PEER, oneWayMs: 4 }, 3_000);
+  assert.is(exchange.changes.length, 1);
+  assert.is(exchange.changes[0]?.fromMs, 10);
+});
+
 // The wall clock of a VM may step by seconds. Used as a time it would give round trips of seconds, or negative ones.
 suite("a step of the own wall clock changes no distance, as it only identifies the heartbeats", () => {
   const exchange = new Exchange();
