Don't count a deadline against an endpoint that usually takes longer

Cause: a request that reached its deadline marked its endpoint as silent, which makes it unhealthy at once. Where a configuration lowers a route's timeout below the time that the endpoints take, each such request did so.

Without an answer so far, the route's objective stands in for the usual time.

--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -22,6 +22,8 @@
   readonly view: fleetViews.FleetView;
   readonly loads: serving.EngineLoadTracker;
   readonly health: serving.EndpointHealth;
+  /** Usual times of the endpoints' answers. */
+  readonly answerTimes: serving.AnswerTimes;
   /** Learnt speeds of each service's engines. */
   readonly speeds: serving.ServiceSpeeds;
   /** Engine demand of the prompts that this daemon received. */
--- a/packages/gateway/src/endpointFeedback.ts
+++ b/packages/gateway/src/endpointFeedback.ts
@@ -26,6 +26,8 @@
    */
   recordResult(active: activeSends.ActiveSend, result: serving.SendResult): void {
     if (!this.#isCurrentIncarnation(active)) return;
+    const isStream = this.#served.route.requestClass === serving.RequestClass.Stream;
+    if (result === serving.SendResult.Good && !isStream) this.#learnAnswerTime(active);
     // A failure of the path says nothing about the endpoint.
     const isPathFailure = result === serving.SendResult.Silent || result === serving.SendResult.Failed;
     if (isPathFailure && active.isPathLost) return;
@@ -39,6 +41,32 @@
     });
   }
 
+  /**
+   * Records that the request has reached its deadline without an answer of this send. That says nothing against an
+   * endpoint that usually takes longer, as when a configuration has lowered the route's timeout.
+   *
+   * @param active - the send under way
+   */
+  recordDeadline(active: activeSends.ActiveSend): void {
+    const { answerTimes, log, metrics } = this.#context;
+    const { progress, route } = this.#served;
+    if (!this.#isCurrentIncarnation(active)) return;
+    const waitedMs = performance.now() - Math.max(active.sentAt, progress.lastEventAt);
+    const expectedMs = Math.max(active.predictedMs, answerTimes.usualMs(active.endpoint.id) ?? route.objectiveMs);
+    const verdict = answerTimes.judgeDeadline(active.endpoint.id, { waitedMs, expectedMs });
+    if (verdict.isSilent) {
+      this.recordResult(active, serving.SendResult.Silent);
+      return;
+    }
+    metrics.count("deadlines_before_usual_time");
+    log.info("deadline-early", {
+      id: this.#served.id,
+      endpoint: active.endpoint.id,
+      waitedMs: Math.round(waitedMs),
+      usualMs: Math.round(verdict.usualMs),
+    });
+  }
+
   /**
    * Learns from the time that a prefill took, which corrects later predictions.
    *
@@ -48,6 +76,7 @@
     if (!this.#isCurrentIncarnation(active)) return;
     const now = performance.now();
     const tookMs = now - active.sentAt;
+    this.#learnAnswerTime(active);
     this.#noteCachedPrompt(active);
     this.#learnPrefillSpeed(active, tookMs, now);
     this.#context.health.recordLatency(active.endpoint.id, active.predictedMs, tookMs);
@@ -77,7 +106,9 @@
    */
   learnHandover(active: activeSends.ActiveSend): void {
     const { prompt } = this.#served.caller.headers;
-    if (prompt === undefined || !this.#isCurrentIncarnation(active)) return;
+    if (!this.#isCurrentIncarnation(active)) return;
+    this.#learnAnswerTime(active);
+    if (prompt === undefined) return;
     const tookMs = performance.now() - active.sentAt;
     const speeds = this.#speeds();
     this.#context.log.info("handed-over", {
@@ -105,6 +136,10 @@
     this.#speeds().learnPause(streams, meanPauseMs);
   }
 
+  #learnAnswerTime(active: activeSends.ActiveSend): void {
+    this.#context.answerTimes.learn(active.endpoint.id, performance.now() - active.sentAt);
+  }
+
   /** Records that the engine now caches the prompt's parts, so that other engines can copy them. */
   #noteCachedPrompt(active: activeSends.ActiveSend): void {
     const { prompt } = this.#served.caller.headers;
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -119,7 +119,7 @@
     if (this.#end.over) return;
     const { active } = this.#forwarder;
     const mayHaveRun = this.#mayHaveRun();
-    if (active !== undefined) this.#feedback.recordResult(active, serving.SendResult.Silent);
+    if (active !== undefined) this.#feedback.recordDeadline(active);
     this.#end.timeOut(mayHaveRun);
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -197,6 +197,7 @@
       view: this.#view,
       loads: new serving.EngineLoadTracker(),
       health: new serving.EndpointHealth(),
+      answerTimes: new serving.AnswerTimes(),
       speeds: new serving.ServiceSpeeds(),
       demand: new serving.Demand(),
       acceptance: new serving.AcceptanceTracker(),
@@ -494,6 +495,7 @@
     this.#context.client.forget(endpointId);
     this.#context.loads.forget(endpointId);
     this.#context.health.forget(endpointId);
+    this.#context.answerTimes.forget(endpointId);
     this.#context.suspects.forget(endpointId);
     this.#duties.forget(endpointId);
   }
--- a/packages/gateway/tests/helpers/exchangeHarness.ts
+++ b/packages/gateway/tests/helpers/exchangeHarness.ts
@@ -172,6 +172,7 @@
 /** Serves one request of a caller, with endpoints whose answers the test provides. */
 export class ExchangeHarness {
   readonly answer = new RecordingAnswer();
+  readonly answerTimes = new serving.AnswerTimes();
   readonly exchange: exchanges.Exchange;
   readonly #lines: string[] = [];
   readonly #limits = limits.createLimits();
@@ -216,6 +217,7 @@
       view,
       loads: new serving.EngineLoadTracker(),
       health: new serving.EndpointHealth(),
+      answerTimes: this.answerTimes,
       speeds: new serving.ServiceSpeeds(),
       demand: new serving.Demand(),
       acceptance: new serving.AcceptanceTracker(),
@@ -340,6 +342,14 @@
     return this.#lines.filter((line) => line.includes("event=request-end"));
   }
 
+  /**
+   * @param id - an endpoint
+   * @returns whether its recent results are bad
+   */
+  isUnhealthy(id: string): boolean {
+    return this.#context.health.isUnhealthy(id);
+  }
+
   /** @returns number of requests that are counted as running, on all endpoints */
   get running(): number {
     return [...this.#context.loads.ownWork().values()].reduce((sum, work) => sum + work.running, 0);
--- a/packages/gateway/tests/spentDeadline.test.ts
+++ b/packages/gateway/tests/spentDeadline.test.ts
@@ -8,6 +8,10 @@
 /** Deadline of the request, in milliseconds. */
 const DEADLINE_MS = 400;
 
+/** Deadline that is below the time that endpoints usually take, in milliseconds. */
+const SHORT_DEADLINE_MS = 40;
+const USUAL_MS = 20_000;
+
 const suite = uvu.suite("a request whose deadline has passed");
 
 function blockEventLoop(milliseconds: number): void {
@@ -34,4 +38,37 @@
   assert.is(harness.running, 0);
 });
 
+const sleep = (milliseconds: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, milliseconds));
+
+/** Waits until the deadline timer has ended the request. */
+async function waitForEnd(harness: harnesses.ExchangeHarness): Promise<void> {
+  while (harness.endLines.length === 0) await sleep(5);
+}
+
+// A configuration lowers a route's timeout below the time that its endpoints usually take. Each request that ended at it
+// marked a sound endpoint as silent, until all endpoints of the service counted as unhealthy.
+for (const requestClass of [serving.RequestClass.Idempotent, serving.RequestClass.NonIdempotent]) {
+  suite(`says nothing against an endpoint that usually takes longer: ${requestClass}`, async () => {
+    const harness = new harnesses.ExchangeHarness(requestClass, [serving.EngineRole.None], SHORT_DEADLINE_MS);
+    harness.answerTimes.learn("e0", USUAL_MS);
+    harness.exchange.start();
+    await waitForEnd(harness);
+    assert.is(harness.answer.refusals[0]?.status, 504);
+    assert.not(harness.isUnhealthy("e0"));
+  });
+}
+
+// A deadline that is long enough must still tell an endpoint that has failed silently: requests would go on to it.
+suite("shows an endpoint to be silent that usually answers sooner", async () => {
+  const harness = new harnesses.ExchangeHarness(
+    serving.RequestClass.NonIdempotent,
+    [serving.EngineRole.None],
+    SHORT_DEADLINE_MS,
+  );
+  harness.answerTimes.learn("e0", 1);
+  harness.exchange.start();
+  await waitForEnd(harness);
+  assert.ok(harness.isUnhealthy("e0"));
+});
+
 suite.run();
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -9,6 +9,7 @@
 export * from "./decayingPeak.js";
 export * from "./routeTable.js";
 export * from "./demand.js";
+export * from "./calls/answerTimes.js";
 export * from "./endpointDirectory.js";
 export * from "./endpointHealth.js";
 export * from "./endpointIncarnations.js";
