Count calls to the key-value service by purpose

Cause: a daemon's calls were counted without what they were for, so that nobody could tell which of them could be saved. Change: each user of the service calls it through a CountedStore, which counts store_calls_total{purpose=...}; a list counts as many calls as it has pages.

--- a/packages/gateway/src/duties/duties.ts
+++ b/packages/gateway/src/duties/duties.ts
@@ -12,6 +12,8 @@
 export interface DutiesParts {
   readonly context: contexts.ServingContext;
   readonly store: ports.DurableStore;
+  /** The same service, for usage records and reports. */
+  readonly usageStore: ports.DurableStore;
   readonly layout: ports.StoreLayout;
   /** Calls to the platform; undefined if it expects none. */
   readonly calls: ports.DutyCalls | undefined;
@@ -78,6 +80,7 @@
     if (usage === undefined) return;
     this.#usageRecorder = new usageRecorders.UsageRecorder({
       ...parts,
+      store: parts.usageStore,
       key: `${layout.usageKeys.recordPrefix}${settings.vm}/${parts.incarnation}`,
       vm: settings.vm,
       counter: parts.usageCounter,
@@ -87,6 +90,7 @@
     });
     this.#usageReporter = new usageReporters.UsageReporter({
       ...parts,
+      store: parts.usageStore,
       calls: parts.calls,
       keys: layout.usageKeys,
       lease: this.#lease,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -30,6 +30,7 @@
 import * as endpointStatements from "./statements/endpointStatements.js";
 import * as streamOrigins from "./streams/streamOrigins.js";
 import * as storeReadingModes from "./storeReadingMode.js";
+import * as countedStores from "./store/countedStore.js";
 import * as storeFollowers from "./storeFollower.js";
 import * as crashProtections from "./suspects/crashProtection.js";
 
@@ -96,6 +97,7 @@
   constructor(settings: settingsModule.GatewaySettings, dependencies: GatewayDependencies) {
     this.#settings = settings;
     this.#log = new decisionLogs.DecisionLog(settings.vm, settings.logLevel, dependencies.sink);
+    const stores = countedStores.countedStores(dependencies.store, this.#metrics);
     const random = new common.SeededRandom(crypto.randomBytes(SEED_BYTES).readUInt32BE());
     this.#entry = {
       vm: settings.vm,
@@ -146,7 +148,7 @@
       this.#reachability,
     );
     this.#protection = new crashProtections.CrashProtection({
-      store: dependencies.store,
+      store: stores.suspects,
       prefix: dependencies.layout.suspectPrefix,
       log: this.#log,
       client,
@@ -175,7 +177,7 @@
       },
     });
     const configurationGate = new configurationGates.ConfigurationGate({
-      store: dependencies.store,
+      store: stores.configuration,
       layout: dependencies.layout,
       view: this.#view,
       fleetViewUpdater,
@@ -218,7 +220,7 @@
     };
     this.#listener = new callerListeners.CallerListener(this.#context);
     this.#follower = new storeFollowers.StoreFollower({
-      store: dependencies.store,
+      store: stores.follower,
       layout: dependencies.layout,
       view: this.#view,
       fleetViewUpdater,
@@ -286,7 +288,8 @@
     });
     this.#duties = new dutiesModule.Duties({
       context: this.#context,
-      store: dependencies.store,
+      store: stores.duties,
+      usageStore: stores.usage,
       layout: dependencies.layout,
       calls: dependencies.dutyCalls,
       incarnation: this.#entry.incarnation,
@@ -297,7 +300,7 @@
       unixMs: () => clock.unixMs(),
     });
     const key = `${dependencies.layout.daemonPrefix}${settings.vm}`;
-    this.#registration = new registrations.Registration(dependencies.store, key, this.#entry, this.#log);
+    this.#registration = new registrations.Registration(stores.registration, key, this.#entry, this.#log);
   }
 
   /**
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -45,6 +45,8 @@
 export interface StoreListing {
   readonly items: readonly StoredItem[];
   readonly revision: number;
+  /** Number of calls that reading it took, if not one. */
+  readonly calls?: number;
 }
 
 /** Changes since a revision; the next watch continues from {@link StoreChanges.revision}. */
