--- a/packages/gateway/src/duties/duties.ts
+++ b/packages/gateway/src/duties/duties.ts
@@ -22,6 +22,8 @@
   readonly usageCounter: serving.UsageCounter;
   /** @returns whether this daemon is the one that should carry out the duties */
   readonly eligible: () => boolean;
+  /** Called when this daemon has lost or released the lease, which its peers have to learn at once. */
+  readonly onReleased: () => void;
   /** @returns states of the live peers */
   readonly livePeers: () => readonly peerTables.PeerState[];
   /** @returns milliseconds for which the key-value service has not answered this daemon */
@@ -53,7 +55,11 @@
       leaseMs: settings.orderLeaseMs,
       isFenced: settings.areOrdersFenced ?? false,
       eligible: parts.eligible,
-      onHeldChange: (isHeld) => this.#onHeldChange(isHeld),
+      heldElsewhereUntil: () => parts.livePeers().flatMap(({ dutyLeaseUntil }) => dutyLeaseUntil ?? []),
+      onHeldChange: (isHeld) => {
+        this.#onHeldChange(isHeld);
+        if (!isHeld) parts.onReleased();
+      },
     });
     const sumOverPeers = (valueOf: (peer: peerTables.PeerState) => number): number =>
       parts.livePeers().reduce((sum, peer) => sum + valueOf(peer), 0);
@@ -101,6 +107,11 @@
     });
   }
 
+  /** @returns time for which this daemon relies on the lease in milliseconds, if it holds it */
+  get leaseMs(): number | undefined {
+    return this.#lease.validMs;
+  }
+
   /** Starts acquiring the lease and carrying out the duties. */
   start(): void {
     void this.#lease.run();
--- a/packages/gateway/src/duties/dutyLease.ts
+++ b/packages/gateway/src/duties/dutyLease.ts
@@ -13,6 +13,9 @@
 /** Delay after a failed attempt to acquire the authority, in milliseconds. */
 const RETRY_PAUSE_MS = 1_500;
 
+/** Interval at which a candidate looks whether a peer still holds the authority, in milliseconds; it makes no call. */
+const HELD_CHECK_MS = 100;
+
 /** Dependencies of {@link DutyLease}. */
 export interface DutyLeaseParts {
   readonly store: ports.DurableStore;
@@ -25,6 +28,11 @@
   readonly isFenced?: boolean;
   /** Whether this daemon is the one that should hold the authority. */
   readonly eligible: () => boolean;
+  /**
+   * Until when peers rely on the lease, as they say in their heartbeats, in milliseconds. The service ends no lease before
+   * that.
+   */
+  readonly heldElsewhereUntil?: () => readonly number[];
   /** Called when this daemon has taken or lost the lease. */
   readonly onHeldChange?: (isHeld: boolean) => void;
 }
@@ -87,6 +95,12 @@
     return this.#token;
   }
 
+  /** @returns time for which this daemon relies on the lease in milliseconds, if it holds it */
+  get validMs(): number | undefined {
+    const leftMs = this.#validUntil - performance.now();
+    return this.#lease === undefined || leftMs <= 0 ? undefined : leftMs;
+  }
+
   /** Handles a refusal of the token in favour of a higher one: another daemon holds the lease. */
   onTokenRefused(): void {
     this.#lose("a higher token has been seen");
@@ -94,6 +108,7 @@
 
   async #acquire(): Promise<number> {
     if (!this.#parts.eligible()) return RETRY_PAUSE_MS;
+    if (this.#isHeldElsewhere()) return HELD_CHECK_MS;
     const offset = clockOffset();
     const sentAt = performance.now();
     const lease = await this.#parts.store.grantLease(this.#parts.leaseMs);
@@ -123,6 +138,17 @@
     return this.#parts.leaseMs / RENEWALS_PER_LEASE;
   }
 
+  /**
+   * Each attempt to take a lease that is held costs two calls, and the candidate would make one twice in each lease time:
+   * the holder keeps the lease when another daemon becomes the candidate. A claim for longer than a lease time is
+   * impossible.
+   */
+  #isHeldElsewhere(): boolean {
+    const { heldElsewhereUntil, leaseMs } = this.#parts;
+    const now = performance.now();
+    return heldElsewhereUntil?.().some((until) => until > now && until <= now + leaseMs) ?? false;
+  }
+
   async #renew(lease: number): Promise<number> {
     const offset = clockOffset();
     const sentAt = performance.now();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -262,6 +262,7 @@
       streams,
       onNeighbourCutOff: () => this.#reachability.monitor.checkOwnLink(),
       storeSilentMs: () => this.#follower.silentMs,
+      dutyLeaseMs: () => this.#duties.leaseMs,
       lateMs: () => this.#loopWatch.lateMs,
       followsClosely: () => this.#storeReadingMode.followsClosely(performance.now()),
       busyCores: () => this.#utilization.share * settings.capacity,
@@ -296,11 +297,18 @@
       usageCounter,
       eligible: () => this.#isDutyCandidate(),
       livePeers: () => this.#peers.peerTable.live(performance.now()),
+      onReleased: () => this.#peers.sendHeartbeatsNow(),
       storeSilentMs: () => this.#follower.silentMs,
       unixMs: () => clock.unixMs(),
     });
     const key = `${dependencies.layout.daemonPrefix}${settings.vm}`;
-    this.#registration = new registrations.Registration(stores.registration, key, this.#entry, this.#log);
+    this.#registration = new registrations.Registration(
+      stores.registration,
+      key,
+      this.#entry,
+      this.#log,
+      () => this.#peers.activeSet.active || this.#storeReadingMode.followsClosely(performance.now()),
+    );
   }
 
   /**
--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -65,6 +65,8 @@
   readonly onNeighbourCutOff: () => void;
   /** Milliseconds for which the key-value service has not answered. */
   readonly storeSilentMs: () => number;
+  /** @returns time for which this daemon relies on the lease on the fleet's duties, in milliseconds, if it holds it */
+  readonly dutyLeaseMs: () => number | undefined;
   /** @returns delay of the event loop, in milliseconds */
   readonly lateMs: () => number;
   /** Whether this daemon follows the key-value service closely and informs others. */
@@ -364,6 +366,7 @@
       ...recordExchanges.versionFields(view, now),
       storeSilentMs: Math.round(this.#parts.storeSilentMs()),
       unixMs: BigInt(Date.now()),
+      ...this.#dutyLease,
       departures: this.#recentChanges.nextDepartures(now),
       followsClosely: this.#parts.followsClosely(),
       entries: this.#recentChanges.entries(now),
@@ -381,6 +384,11 @@
     };
   }
 
+  get #dutyLease(): { readonly dutyLeaseMs?: number } {
+    const dutyLeaseMs = this.#parts.dutyLeaseMs();
+    return dutyLeaseMs === undefined ? {} : { dutyLeaseMs: peerWorks.toUint32(dutyLeaseMs) };
+  }
+
   #configurationAge(now: number): { readonly configurationAgeMs?: number } {
     const ageMs = this.#parts.view.freshness.ageMs(now);
     return Number.isFinite(ageMs) ? { configurationAgeMs: peerWorks.toUint32(Math.ceil(ageMs)) } : {};
--- a/packages/gateway/src/peerTable.ts
+++ b/packages/gateway/src/peerTable.ts
@@ -33,6 +33,8 @@
   readonly eventsPerMs: number;
   /** Unix time by its wall clock minus monotonic time of this daemon, in milliseconds; undefined if it sends none. */
   readonly clockOffsetMs?: number | undefined;
+  /** Time until which it relies on the lease on the fleet's duties, in milliseconds; undefined if it doesn't hold it. */
+  readonly dutyLeaseUntil?: number | undefined;
   /** Time at which its last heartbeat was received, in milliseconds. */
   readonly lastReceivedAt: number;
 }
--- a/packages/gateway/src/peers/peerReceiver.ts
+++ b/packages/gateway/src/peers/peerReceiver.ts
@@ -86,6 +86,7 @@
       followsClosely: pulse.followsClosely,
       ...peerWorks.demandFrom(pulse),
       clockOffsetMs: pulse.unixMs === 0n ? undefined : Number(pulse.unixMs) - now,
+      dutyLeaseUntil: pulse.dutyLeaseMs === undefined ? undefined : now + pulse.dutyLeaseMs,
       lastReceivedAt: now,
     });
     this.#noteConfiguration(pulse, now);
--- a/packages/gateway/src/registration.ts
+++ b/packages/gateway/src/registration.ts
@@ -12,15 +12,35 @@
 /** Interval of lease renewals, in milliseconds: three fit into the time to live. */
 const RENEW_INTERVAL_MS = 3_800;
 
+/**
+ * Interval of the renewals of a daemon that nobody relies on, in milliseconds: two fit into the time to live, and half a
+ * dozen retries before it ends. It serves no callers and reads for nobody; while others rely on it, as soon as the usual
+ * interval has passed, it renews.
+ */
+const STANDBY_RENEW_INTERVAL_MS = 5_800;
+
+/** Interval at which a daemon that nobody relies on checks whether others rely on it by now, in milliseconds. */
+const STANDBY_CHECK_MS = 250;
+
 /** Delay after a failed call, in milliseconds. */
 const RETRY_PAUSE_MS = 500;
 
+/**
+ * @param sinceMs - time since the last renewal in milliseconds
+ * @param isReliedOn - whether callers are sent to this daemon, or peers get from it what it reads
+ * @returns time until the next renewal in milliseconds, as of now; 0 if it is due
+ */
+export function untilRenewalMs(sinceMs: number, isReliedOn: boolean): number {
+  return Math.max(0, (isReliedOn ? RENEW_INTERVAL_MS : STANDBY_RENEW_INTERVAL_MS) - sinceMs);
+}
+
 /** Maintains this daemon's entry in the key-value service, by which the others discover it. */
 export class Registration {
   readonly #store: ports.DurableStore;
   readonly #key: string;
   readonly #entry: daemonEntries.DaemonEntry;
   readonly #log: decisionLogs.DecisionLog;
+  readonly #isReliedOn: () => boolean;
   /** The lease for the entry, once it is granted. */
   #grantedLease: number | undefined;
   /** The same lease, once the entry is known to be written. */
@@ -32,12 +52,20 @@
    * @param key - key of the entry
    * @param entry - the entry
    * @param log - logs registration events
+   * @param isReliedOn - whether callers are sent to this daemon, or peers get from it what it reads
    */
-  constructor(store: ports.DurableStore, key: string, entry: daemonEntries.DaemonEntry, log: decisionLogs.DecisionLog) {
+  constructor(
+    store: ports.DurableStore,
+    key: string,
+    entry: daemonEntries.DaemonEntry,
+    log: decisionLogs.DecisionLog,
+    isReliedOn: () => boolean,
+  ) {
     this.#store = store;
     this.#key = key;
     this.#entry = entry;
     this.#log = log;
+    this.#isReliedOn = isReliedOn;
   }
 
   /** @returns whether the entry was written and is not known to have lapsed */
@@ -50,10 +78,19 @@
     while (!this.#stopped) {
       const succeeded =
         this.#writtenLease === undefined ? await this.#register() : await this.#renew(this.#writtenLease);
-      await new Promise((resolve) => setTimeout(resolve, succeeded ? RENEW_INTERVAL_MS : RETRY_PAUSE_MS));
+      if (succeeded) await this.#waitForRenewal();
+      else await sleep(RETRY_PAUSE_MS);
     }
   }
 
+  /** Others may begin to rely on this daemon while it waits. */
+  async #waitForRenewal(): Promise<void> {
+    const since = performance.now();
+    await sleep(RENEW_INTERVAL_MS);
+    while (!this.#stopped && untilRenewalMs(performance.now() - since, this.#isReliedOn()) > 0)
+      await sleep(STANDBY_CHECK_MS);
+  }
+
   /** Removes the entry by ending its lease, so that callers and peers turn to other daemons. */
   async end(): Promise<void> {
     this.#stopped = true;
@@ -105,3 +142,7 @@
     return false;
   }
 }
+
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- a/packages/gateway/tests/dutyLease.test.ts
+++ b/packages/gateway/tests/dutyLease.test.ts
@@ -16,6 +16,8 @@
 /** A store with one key under expiring leases, whose renewals can be made to fail. */
 class LeaseStore implements ports.DurableStore {
   unreachable = false;
+  /** Number of attempts to take the lease. */
+  attempts = 0;
   /** Time until a lease expires after its last renewal, in milliseconds; the service may end it late. */
   leaseDurationMs = LEASE_MS;
   /** Time of the last renewal that the service granted. */
@@ -31,6 +33,7 @@
   watch = this.list;
 
   write(): Promise<neverthrow.Result<number, ports.StoreProblem>> {
+    this.attempts++;
     if (this.#isHeld()) return this.#fail(ports.StoreFailure.Conflict);
     this.#revision++;
     this.#holder = { lease: this.#leases, until: performance.now() + this.leaseDurationMs };
@@ -215,4 +218,70 @@
   await holder.end();
 });
 
+/** Two daemons that are both candidates, the second of which hears from the first. */
+async function holderAndCandidate(
+  store: LeaseStore,
+  claims: (holder: dutyLeases.DutyLease) => readonly number[],
+): Promise<{ readonly holder: dutyLeases.DutyLease; readonly candidate: dutyLeases.DutyLease }> {
+  const holder = authority(store, "vm-1", true);
+  await tokenOf(holder);
+  const candidate = new dutyLeases.DutyLease({
+    isFenced: true,
+    store,
+    key: "authority",
+    vm: "vm-2",
+    log,
+    leaseMs: LEASE_MS,
+    eligible: () => true,
+    heldElsewhereUntil: () => claims(holder),
+  });
+  void candidate.run();
+  return { holder, candidate };
+}
+
+/** What the holder says in its heartbeats. */
+function claimOf(holder: dutyLeases.DutyLease): readonly number[] {
+  return holder.validMs === undefined ? [] : [performance.now() + holder.validMs];
+}
+
+// The holder keeps the lease when another daemon becomes the candidate, which tried to take it twice in each lease time:
+// more than half of the calls for the duty lease, with 24 daemons.
+suite("a candidate doesn't try to take the lease while a peer says that it holds it", async () => {
+  const store = new LeaseStore();
+  const { holder, candidate } = await holderAndCandidate(store, claimOf);
+  const { attempts } = store;
+  await sleep(LEASE_MS * 3);
+  assert.is(store.attempts, attempts);
+  await holder.end();
+  await tokenOf(candidate);
+  await candidate.end();
+});
+
+// A holder that dies says nothing more: its last claim must lapse before its lease does, so that nobody waits for it.
+suite("the claim of a holder that has died lapses before its lease", async () => {
+  const store = new LeaseStore();
+  let lastClaim: readonly number[] = [];
+  const { holder, candidate } = await holderAndCandidate(store, (each) => {
+    if (store.unreachable) return lastClaim;
+    lastClaim = claimOf(each);
+    return lastClaim;
+  });
+  await sleep(LEASE_MS);
+  store.unreachable = true;
+  const { attempts } = store;
+  const leaseEndsAt = store.renewedAt + LEASE_MS;
+  while (store.attempts === attempts) await sleep(10);
+  assert.ok((lastClaim[0] ?? 0) < leaseEndsAt);
+  await Promise.all([holder.end(), candidate.end()]);
+});
+
+// A peer with a wrong clock or other settings could keep the duties from being carried out.
+suite("a claim for longer than a lease time is left out", async () => {
+  const store = new LeaseStore();
+  const { holder, candidate } = await holderAndCandidate(store, () => [performance.now() + 2 * LEASE_MS]);
+  await holder.end();
+  await tokenOf(candidate);
+  await candidate.end();
+});
+
 suite.run();
--- a/packages/gateway/tests/peerIncarnations.test.ts
+++ b/packages/gateway/tests/peerIncarnations.test.ts
@@ -53,6 +53,7 @@
     this.view.daemons.set("vm-2", other);
     const sink = { writableLength: 0, write: (line: string) => this.lines.push(line) > 0 };
     this.#link = new peerLinks.PeerLink({
+      dutyLeaseMs: () => undefined,
       settings: { peers: address } as never,
       entry: { ...other, vm: "vm-1", peers: `127.0.0.1:${this.#port}` },
       streams: { answer: () => undefined, merge: () => undefined, publishDue: () => undefined },
--- a/packages/gateway/tests/peerLink.test.ts
+++ b/packages/gateway/tests/peerLink.test.ts
@@ -72,6 +72,7 @@
   view.configure(CONFIGURATION, new Uint8Array([1]), 1);
   view.endpointDocuments.set("e1", { value: new Uint8Array([1]), revision: 1 });
   const link = new peerLinks.PeerLink({
+    dutyLeaseMs: () => undefined,
     settings: { peers: { host: HOST, port: await freePorts.freePort() } } as never,
     streams: { answer: () => undefined, merge: () => undefined, publishDue: () => undefined },
     entry,
--- a/packages/gateway/tests/registration.test.ts
+++ b/packages/gateway/tests/registration.test.ts
@@ -57,7 +57,7 @@
 // missing from all address answers until its restart, and count itself as registered.
 suite("is written under one lease, however many answers are lost", async () => {
   const store = new LossyStore(2);
-  const registration = new registrations.Registration(store, "daemons/vm-1", ENTRY, log);
+  const registration = new registrations.Registration(store, "daemons/vm-1", ENTRY, log, () => true);
   void registration.run();
   for (let waited = 0; waited < 3_000 && !registration.registered; waited += 20) await sleep(20);
   assert.is(registration.registered, true);
@@ -65,4 +65,14 @@
   await registration.end();
 });
 
+// The interval of a daemon that serves callers or reads for others must not grow: with it, the time in which the entry may
+// lapse while the service doesn't answer would shrink.
+suite("is renewed as often as ever while others rely on the daemon, and less often otherwise", () => {
+  assert.is(registrations.untilRenewalMs(0, true), 3_800);
+  assert.is(registrations.untilRenewalMs(0, false), 5_800);
+  assert.is(registrations.untilRenewalMs(3_800, true), 0);
+  assert.ok(registrations.untilRenewalMs(3_800, false) > 0);
+  assert.is(registrations.untilRenewalMs(9_000, false), 0);
+});
+
 suite.run();
