Limit the calls at plain endpoints, and let further ones wait in the daemon

Cause: on services whose routes leave little time beyond their objective, calls beyond the slots waited in the endpoints and ended at their deadlines after they had held a slot, or were declined twice and lost. Change: GradientLimit learns how many concurrent calls an endpoint handles, from the shortest answers; CallQueue keeps calls that find no room, by deadline, 64 a service; decideCall sends to the least predicted time, lets wait, or rejects at once what would be late. A slot that a call of this daemon has left is handed on to the next that waits. Switched on where all routes of a plain service have a timeout of at most 5.5 objectives; a test shows that other services get all calls at once, as before.

--- /dev/null
+++ b/packages/experiment/src/callReplay.ts
@@ -0,0 +1,259 @@
+import * as common from "@camphorcourse/common";
+import * as serving from "@camphorcourse/serving";
+import * as callEndpoints from "./callEndpoint.js";
+import * as virtualTimes from "./virtualTime.js";
+
+/** How daemons send plain calls. */
+export enum CallPolicy {
+  /** To the least busy endpoint at once, whatever runs there. */
+  LeastBusy = "least-busy",
+  /** By predicted time, without a limit. */
+  NoLimit = "no-limit",
+  Gradient = "gradient",
+  Aimd = "aimd",
+}
+
+/** A fleet of daemons before the endpoints of a plain service. */
+export interface CallScenario {
+  readonly policy: CallPolicy;
+  readonly daemons: number;
+  readonly endpoints: readonly callEndpoints.EndpointModel[];
+  /** Requests a second that callers send to all daemons together, outside bursts. */
+  readonly requestsPerSecond: number;
+  /** Factor by which bursts raise the load, how often they begin, and how long they last, in milliseconds. */
+  readonly burst: { readonly factor: number; readonly everyMs: number; readonly forMs: number };
+  /** Time between two heartbeats of a daemon, in milliseconds. */
+  readonly heartbeatMs: number;
+  readonly objectiveMs: number;
+  readonly timeoutMs: number;
+  readonly forMs: number;
+}
+
+/** What became of the calls. */
+export interface CallOutcomes {
+  readonly offered: number;
+  readonly inObjective: number;
+  /** Answered before the deadline, objective included. */
+  readonly answered: number;
+  /** Ended at the deadline after they were sent, so that they may have run. */
+  readonly timedOut: number;
+  /** Rejected without having run. */
+  readonly rejected: number;
+  /** Most requests that ran and waited in one endpoint. */
+  readonly mostAtEndpoint: number;
+}
+
+const MS_PER_SECOND = 1_000;
+const MAX_SENDS = 2;
+
+/** Interval at which a daemon checks whether a waiting request can be sent, in milliseconds. */
+const CHECK_MS = 5;
+
+interface Call {
+  readonly arrivedAt: number;
+  readonly deadlineAt: number;
+  readonly tried: Set<string>;
+  isOver: boolean;
+}
+
+interface Daemon {
+  readonly vm: string;
+  readonly loads: serving.EngineLoadTracker;
+  readonly health: serving.EndpointHealth;
+  readonly times: serving.ServiceTimes;
+  readonly limits: Map<string, serving.ConcurrencyLimit>;
+  readonly queue: serving.CallQueue<Call>;
+}
+
+/** Replays the decisions on the calls of a plain service. */
+export class CallReplay {
+  readonly #scenario: CallScenario;
+  readonly #random: common.SeededRandom;
+  readonly #time = new virtualTimes.VirtualTime();
+  readonly #daemons: readonly Daemon[];
+  readonly #endpoints: readonly callEndpoints.EmulatedCallEndpoint[];
+  readonly #counts = { offered: 0, inObjective: 0, answered: 0, timedOut: 0, rejected: 0 };
+
+  /**
+   * @param scenario - fleet and load
+   * @param seed - equal seeds replay the same events
+   */
+  constructor(scenario: CallScenario, seed: number) {
+    this.#scenario = scenario;
+    this.#random = new common.SeededRandom(seed);
+    this.#endpoints = scenario.endpoints.map(
+      (model, index) => new callEndpoints.EmulatedCallEndpoint(`e${index}`, model, this.#time, this.#random),
+    );
+    this.#daemons = Array.from({ length: scenario.daemons }, (_, index) => ({
+      vm: `vm-${index}`,
+      loads: new serving.EngineLoadTracker(),
+      health: new serving.EndpointHealth(),
+      times: new serving.ServiceTimes(),
+      limits: new Map(this.#endpoints.map(({ endpoint }) => [endpoint.id, this.#createLimit(endpoint.slots)])),
+      queue: new serving.CallQueue<Call>(),
+    }));
+  }
+
+  /** @returns what became of the calls */
+  run(): CallOutcomes {
+    this.#scheduleArrival();
+    for (const daemon of this.#daemons) {
+      this.#time.after(this.#random.next() * this.#scenario.heartbeatMs, () => this.#heartbeat(daemon));
+      this.#time.after(this.#random.next() * CHECK_MS, () => this.#check(daemon));
+    }
+    this.#time.run(this.#scenario.forMs + this.#scenario.timeoutMs);
+    const mostAtEndpoint = Math.max(...this.#endpoints.map(({ most }) => most));
+    return { ...this.#counts, mostAtEndpoint };
+  }
+
+  #createLimit(slots: number): serving.ConcurrencyLimit {
+    const { policy } = this.#scenario;
+    if (policy === CallPolicy.Gradient) return new serving.GradientLimit(slots);
+    return policy === CallPolicy.Aimd ? new serving.AimdLimit(slots) : new serving.NoLimit();
+  }
+
+  #scheduleArrival(): void {
+    const { burst, forMs, requestsPerSecond } = this.#scenario;
+    const { now } = this.#time;
+    const factor = now % burst.everyMs < burst.forMs ? burst.factor : 1;
+    this.#time.after(this.#random.exponential(MS_PER_SECOND / (requestsPerSecond * factor)), () => {
+      if (this.#time.now > forMs) return;
+      this.#arrive();
+      this.#scheduleArrival();
+    });
+  }
+
+  #arrive(): void {
+    const daemon = this.#daemons[this.#random.integer(this.#daemons.length)];
+    if (daemon === undefined) return;
+    this.#counts.offered++;
+    const { now } = this.#time;
+    const call: Call = {
+      arrivedAt: now,
+      deadlineAt: now + this.#scenario.timeoutMs,
+      tried: new Set(),
+      isOver: false,
+    };
+    this.#time.after(this.#scenario.timeoutMs, () => {
+      if (call.isOver) return;
+      if (daemon.queue.remove(call)) this.#end(call, "rejected");
+      else this.#end(call, "timedOut");
+    });
+    this.#choose(daemon, call, daemon.queue.countBefore(call.deadlineAt));
+  }
+
+  #choose(daemon: Daemon, call: Call, ahead: number, hasWaited = false): void {
+    const { now } = this.#time;
+    const untried = this.#endpoints.map(({ endpoint }) => endpoint).filter(({ id }) => !call.tried.has(id));
+    const usable = daemon.health.selectUsable(untried, false, now);
+    if (this.#scenario.policy === CallPolicy.LeastBusy) {
+      const endpoint = serving.leastBusy({
+        endpoints: usable,
+        loads: daemon.loads,
+        health: daemon.health,
+        isLimited: () => false,
+        dataCentre: "a",
+        draw: () => this.#random.next(),
+        now,
+      });
+      if (endpoint === undefined) this.#end(call, "rejected");
+      else this.#send(daemon, call, endpoint);
+      return;
+    }
+    const decision = serving.decideCall({
+      endpoints: usable.map((endpoint) => this.#known(daemon, endpoint)),
+      ahead,
+      hasWaited,
+      isQueueFull: daemon.queue.isFull,
+      isLearned: daemon.times.isLearned("s"),
+      remainingMs: call.deadlineAt - now,
+      draw: () => this.#random.next(),
+    });
+    if (decision.isErr()) this.#end(call, "rejected");
+    else if (decision.value.endpoint === undefined) daemon.queue.add(call, call.deadlineAt);
+    else this.#send(daemon, call, decision.value.endpoint);
+  }
+
+  #known(daemon: Daemon, endpoint: serving.Endpoint): serving.CallEndpoint<serving.Endpoint> {
+    const { now } = this.#time;
+    return {
+      endpoint,
+      slots: endpoint.slots,
+      running: daemon.loads.runningRequests(endpoint.id, now),
+      limit: daemon.limits.get(endpoint.id)?.limit(now) ?? 1,
+      serviceMs: daemon.times.serviceMs(endpoint, this.#scenario.objectiveMs),
+      networkMs: 0,
+    };
+  }
+
+  #send(daemon: Daemon, call: Call, endpoint: serving.Endpoint): void {
+    const sentAt = this.#time.now;
+    call.tried.add(endpoint.id);
+    const running = daemon.loads.runningRequests(endpoint.id, sentAt) + 1;
+    const limit = daemon.limits.get(endpoint.id);
+    daemon.loads.beginRequest(endpoint.id);
+    const isAccepted = this.#endpoints
+      .find((each) => each.endpoint === endpoint)
+      ?.accept(call.deadlineAt, (isAnswer) => {
+        const { now } = this.#time;
+        daemon.loads.endRequest(endpoint.id);
+        if (isAnswer) {
+          daemon.health.recordResult(endpoint.id, serving.SendResult.Good, now);
+          daemon.times.learn(endpoint, now - sentAt, running);
+          limit?.onAnswer({ tookMs: now - sentAt, running }, now);
+          this.#end(call, "answered");
+        } else {
+          daemon.times.learnAtLeast(endpoint, now - sentAt, running);
+          limit?.onAnswer({ tookMs: now - sentAt, running }, now);
+        }
+        this.#handOn(daemon, endpoint);
+        this.#drain(daemon);
+      });
+    if (isAccepted === true) return;
+    daemon.loads.endRequest(endpoint.id);
+    daemon.health.recordResult(endpoint.id, serving.SendResult.Declined, sentAt);
+    limit?.onDeclined(sentAt);
+    if (call.tried.size >= Math.min(MAX_SENDS, this.#endpoints.length)) this.#end(call, "rejected");
+    else this.#choose(daemon, call, 0);
+  }
+
+  #heartbeat(daemon: Daemon): void {
+    const work = daemon.loads.ownWork();
+    for (const peer of this.#daemons)
+      if (peer !== daemon) peer.loads.updatePeerWork(daemon.vm, work, this.#time.now, 10 * this.#scenario.heartbeatMs);
+    this.#time.after(this.#scenario.heartbeatMs, () => this.#heartbeat(daemon));
+  }
+
+  #check(daemon: Daemon): void {
+    this.#drain(daemon);
+    this.#time.after(CHECK_MS, () => this.#check(daemon));
+  }
+
+  /** The slot that a call has left is free for certain, unlike those that are known from heartbeats. */
+  #handOn(daemon: Daemon, endpoint: serving.Endpoint): void {
+    const call = daemon.queue.inOrder().find(({ tried }) => !tried.has(endpoint.id));
+    if (call === undefined || !serving.mayHandOn(this.#known(daemon, endpoint))) return;
+    daemon.queue.remove(call);
+    this.#send(daemon, call, endpoint);
+  }
+
+  #drain(daemon: Daemon): void {
+    const { now } = this.#time;
+    for (const call of daemon.queue.inOrder()) {
+      const untried = this.#endpoints.filter(({ endpoint }) => !call.tried.has(endpoint.id));
+      const hasRoom = untried.some(({ endpoint }) => serving.hasRoom(this.#known(daemon, endpoint)));
+      const leastMs = Math.min(...untried.map(({ endpoint }) => this.#known(daemon, endpoint).serviceMs));
+      if (!hasRoom && call.deadlineAt - now >= leastMs) break;
+      daemon.queue.remove(call);
+      this.#choose(daemon, call, 0, true);
+    }
+  }
+
+  #end(call: Call, outcome: "answered" | "timedOut" | "rejected"): void {
+    if (call.isOver) return;
+    call.isOver = true;
+    this.#counts[outcome]++;
+    const isInObjective = this.#time.now - call.arrivedAt <= this.#scenario.objectiveMs;
+    if (outcome === "answered" && isInObjective) this.#counts.inObjective++;
+  }
+}
--- a/packages/experiment/src/index.ts
+++ b/packages/experiment/src/index.ts
@@ -4,6 +4,8 @@
 export * from "./emulatedEngine.js";
 export * from "./experiment.js";
 export * from "./limitDivisions.js";
+export * from "./callEndpoint.js";
+export * from "./callReplay.js";
 export * from "./limitReplay.js";
 export * from "./limitComparison.js";
 export * from "./load.js";
--- a/packages/gateway/src/activeSend.ts
+++ b/packages/gateway/src/activeSend.ts
@@ -25,6 +25,8 @@
   readonly plan: serving.EnginePlan | undefined;
   /** When it was decided on, in milliseconds. */
   readonly sentAt: number;
+  /** Requests of all daemons that run at the endpoint after the send, this one included, as far as is known. */
+  readonly runningAtSend: number;
   readonly #context: contexts.ServingContext;
   readonly #silence: silenceWatches.SilenceWatch;
   #pendingPrefill: serving.PendingPrefill | undefined;
@@ -47,6 +49,7 @@
     this.predictedMs = planned.predictedMs;
     this.plan = planned.plan;
     this.sentAt = performance.now();
+    this.runningAtSend = context.loads.runningRequests(planned.endpoint.id, this.sentAt) + 1;
     const { plan, endpoint } = planned;
     this.#pendingPrefill =
       plan === undefined ? undefined : context.loads.beginPrefill(endpoint.id, plan.workTokens, plan.urgency);
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -1,5 +1,6 @@
 import * as common from "@camphorcourse/common";
 import * as serving from "@camphorcourse/serving";
+import type * as callControls from "./calls/callControl.js";
 import type * as configurationGates from "./configuration/configurationGate.js";
 import type * as decisionLogs from "./decisionLog.js";
 import type * as crashDetectors from "./endpointCrashDetector.js";
@@ -22,6 +23,8 @@
   readonly view: fleetViews.FleetView;
   readonly loads: serving.EngineLoadTracker;
   readonly health: serving.EndpointHealth;
+  /** Controls the calls of plain services whose routes leave little time. */
+  readonly calls: callControls.CallControl;
   /** Usual times of the endpoints' answers. */
   readonly answerTimes: serving.AnswerTimes;
   /** Learnt speeds of each service's engines. */
--- a/packages/gateway/src/endpointFeedback.ts
+++ b/packages/gateway/src/endpointFeedback.ts
@@ -27,7 +27,11 @@
   recordResult(active: activeSends.ActiveSend, result: serving.SendResult): void {
     if (!this.#isCurrentIncarnation(active)) return;
     const isStream = this.#served.route.requestClass === serving.RequestClass.Stream;
-    if (result === serving.SendResult.Good && !isStream) this.#learnAnswerTime(active);
+    if (result === serving.SendResult.Good && !isStream) {
+      this.#learnAnswerTime(active);
+      this.#context.calls.noteAnswer(active.endpoint, performance.now() - active.sentAt, active.runningAtSend);
+    }
+    if (result === serving.SendResult.Declined) this.#context.calls.noteDeclined(active.endpoint);
     // A failure of the path says nothing about the endpoint.
     const isPathFailure = result === serving.SendResult.Silent || result === serving.SendResult.Failed;
     if (isPathFailure && active.isPathLost) return;
@@ -53,6 +57,7 @@
     if (!this.#isCurrentIncarnation(active)) return;
     const waitedMs = performance.now() - Math.max(active.sentAt, progress.lastEventAt);
     const expectedMs = Math.max(active.predictedMs, answerTimes.usualMs(active.endpoint.id) ?? route.objectiveMs);
+    this.#context.calls.noteUnanswered(active.endpoint, performance.now() - active.sentAt, active.runningAtSend);
     const verdict = answerTimes.judgeDeadline(active.endpoint.id, { waitedMs, expectedMs });
     if (verdict.isSilent) {
       this.recordResult(active, serving.SendResult.Silent);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,6 +4,7 @@
 import * as serving from "@camphorcourse/serving";
 import type * as hono from "hono";
 import * as fleetViewUpdaters from "./fleetViewUpdater.js";
+import * as callControls from "./calls/callControl.js";
 import * as callerListeners from "./callerListener.js";
 import * as callerAddresses from "./callers/callerAddresses.js";
 import * as configurationGates from "./configuration/configurationGate.js";
@@ -191,13 +192,23 @@
       view: this.#view,
       peers: () => this.#peers.records,
     });
+    const loads = new serving.EngineLoadTracker();
     this.#context = {
       settings,
       log: this.#log,
       metrics: this.#metrics,
       format: dependencies.format,
       view: this.#view,
-      loads: new serving.EngineLoadTracker(),
+      loads,
+      calls: new callControls.CallControl({
+        log: this.#log,
+        metrics: this.#metrics,
+        view: this.#view,
+        loads,
+        dataCentre: settings.dataCentre,
+        isLimited: (endpoint) => limits.enforcer.isLimited(endpoint),
+        draw: () => random.next(),
+      }),
       health: new serving.EndpointHealth(),
       answerTimes: new serving.AnswerTimes(),
       speeds: new serving.ServiceSpeeds(),
@@ -370,6 +381,7 @@
       cut_off: Number(this.#reachability.monitor.isCutOff),
       requests_relayed_open: this.#relayServer.open,
       stream_records: this.#context.streams.count,
+      calls_waiting: this.#context.calls.waiting,
       endpoints_resting: this.#context.statements.rests.count,
       endpoints_limited: this.#context.limits.table.limits().length,
       busy_cores: this.#utilization.share * this.#settings.capacity,
@@ -507,6 +519,7 @@
     this.#context.loads.forget(endpointId);
     this.#context.health.forget(endpointId);
     this.#context.answerTimes.forget(endpointId);
+    this.#context.calls.forget(endpointId);
     this.#context.suspects.forget(endpointId);
     this.#duties.forget(endpointId);
   }
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -1,6 +1,7 @@
 import * as serving from "@camphorcourse/serving";
 import * as activeSends from "./activeSend.js";
 import * as answerReceivers from "./answerReceiver.js";
+import type * as callControls from "./calls/callControl.js";
 import type * as decisionLogs from "./decisionLog.js";
 import type * as ports from "./ports.js";
 import type * as sendings from "./sending.js";
@@ -14,7 +15,9 @@
 const GATEWAY_TIMEOUT = 504;
 
 /** Forwards one request to endpoints, one send after the other, until one gives its final answer. */
-export class RequestForwarder implements exchangeParts.SendResultHandler, waitingRequests.WaitingRequest {
+export class RequestForwarder
+  implements exchangeParts.SendResultHandler, waitingRequests.WaitingRequest, callControls.WaitingCall
+{
   readonly #parts: exchangeParts.ExchangeParts;
   readonly #chooser: sendChoosers.SendChooser;
   #active: activeSends.ActiveSend | undefined;
@@ -83,8 +86,10 @@
   }
 
   /** Waits for an endpoint that will take the request in time by what it has said; otherwise the request is rejected. */
-  #waitOrReject({ reason, retryAfterMs, isFinal, limited, restMs }: sendChoosers.SendRejection): void {
+  #waitOrReject(rejection: sendChoosers.SendRejection): void {
+    const { reason, retryAfterMs, isFinal, limited, restMs, waitsForRoom } = rejection;
     if (isFinal === true) this.#parts.end.rejectForGood(reason);
+    else if (waitsForRoom === true) this.#parts.context.calls.wait(this);
     else if (restMs !== undefined) this.#waitForRest(restMs);
     else if (limited !== undefined) this.#waitForLimit(limited);
     else this.#parts.end.reject(reason, retryAfterMs);
@@ -132,6 +137,31 @@
     else waiting.add(served.service, this, this.#isResumed);
   }
 
+  /** {@inheritDoc callControls.WaitingCall.service} */
+  get service(): string {
+    return this.#parts.served.service;
+  }
+
+  /** {@inheritDoc callControls.WaitingCall.deadlineAt} */
+  get deadlineAt(): number {
+    return this.#parts.served.deadlineAt;
+  }
+
+  /** {@inheritDoc callControls.WaitingCall.objectiveMs} */
+  get objectiveMs(): number {
+    return this.#parts.served.route.objectiveMs;
+  }
+
+  /** {@inheritDoc callControls.WaitingCall.candidates} */
+  candidates(): readonly serving.Endpoint[] {
+    return this.#chooser.candidates();
+  }
+
+  /** {@inheritDoc callControls.WaitingCall.resumeCall} */
+  resumeCall(freed?: serving.Endpoint): void {
+    this.#chooser.asNextInQueue(() => this.sendNext(), freed);
+  }
+
   /** {@inheritDoc waitingRequests.WaitingRequest.readyInMs} */
   readyInMs(): number {
     return this.#chooser.readyInMs();
@@ -217,6 +247,7 @@
       active.release();
     }
     this.#parts.context.limits.waiting.remove(this);
+    this.#parts.context.calls.remove(this);
     this.#parts.handover.free();
     this.#parts.context.suspects.release(this.#parts.served);
   }
--- a/packages/gateway/src/sendChooser.ts
+++ b/packages/gateway/src/sendChooser.ts
@@ -35,6 +35,8 @@
   readonly limited?: serving.LimitedEndpoints;
   /** Time until the first endpoint is back if all of them rest, in milliseconds. */
   readonly restMs?: number;
+  /** Whether the request waits until one of the endpoints has room. */
+  readonly waitsForRoom?: boolean;
 }
 
 /** The endpoints that could serve a request but may not get it now, by what they have said of themselves. */
@@ -63,6 +65,8 @@
   readonly #served: servedRequests.ServedRequest;
   /** Whether the request has waited for an endpoint with a limit, and is the next one. */
   #isNextInQueue = false;
+  /** Endpoint at which a request has just ended, if that is why this one is decided on now. */
+  #freed: serving.Endpoint | undefined;
 
   /**
    * @param context - what serving needs
@@ -90,11 +94,21 @@
    * Makes the next choice for a request that has waited: it goes before those that wait for the same endpoints.
    *
    * @param choose - makes the choice
+   * @param freed - endpoint at which a request has just ended, if that is why it is made now
    */
-  asNextInQueue(choose: () => void): void {
+  asNextInQueue(choose: () => void, freed?: serving.Endpoint): void {
     this.#isNextInQueue = true;
+    this.#freed = freed;
     choose();
     this.#isNextInQueue = false;
+    this.#freed = undefined;
+  }
+
+  /** @returns the endpoints that a request which waits for room may be sent to */
+  candidates(): readonly serving.Endpoint[] {
+    const available = this.#available(this.#definition);
+    const healthy = available.filter(({ id }) => !this.#context.health.isUnhealthy(id));
+    return healthy.length > 0 ? healthy : available;
   }
 
   /** @returns time until the request may be sent in milliseconds, as far as endpoints' statements decide; 0 if it may be now */
@@ -190,6 +204,7 @@
   #chooseLeastBusy(definition: serving.Service | undefined): Choice {
     const { loads, health, limits, random, settings } = this.#context;
     const { ready, ...held } = this.#candidates(definition);
+    if (ready.length > 0 && this.#context.calls.controls(this.#served.service)) return this.#chooseControlled(ready);
     const endpoint = serving.leastBusy({
       endpoints: ready,
       loads,
@@ -202,6 +217,14 @@
     return endpoint === undefined ? neverthrow.err(this.#noneUsable("no-endpoint", held)) : answeringAt(endpoint);
   }
 
+  #chooseControlled(ready: readonly serving.Endpoint[]): Choice {
+    const { id, service, deadlineAt, route } = this.#served;
+    const { objectiveMs } = route;
+    const call = { id, service, deadlineAt, objectiveMs, isNext: this.#isNextInQueue, freed: this.#freed };
+    // No time to the first event is predicted: silence is judged by the route's objective, as for all plain calls.
+    return this.#context.calls.choose(call, ready).andThen(({ endpoint }) => answeringAt(endpoint));
+  }
+
   #chooseEngine(
     definition: serving.Service,
     limits: serving.EngineLimits,
--- a/packages/gateway/tests/helpers/exchangeHarness.ts
+++ b/packages/gateway/tests/helpers/exchangeHarness.ts
@@ -4,6 +4,7 @@
 import * as serving from "@camphorcourse/serving";
 import * as neverthrow from "neverthrow";
 import * as callerAnswers from "../../src/callerAnswer.js";
+import * as callControls from "../../src/calls/callControl.js";
 import * as configurationGates from "../../src/configuration/configurationGate.js";
 import * as contexts from "../../src/context.js";
 import * as decisionLogs from "../../src/decisionLog.js";
@@ -209,13 +210,23 @@
       view.directory.put({ id: `e${index}`, ...properties }, index + 1);
     }
     const sink = { writableLength: 0, write: (line: string) => this.#lines.push(line) > 0 };
+    const loads = new serving.EngineLoadTracker();
     this.#context = {
       settings: SETTINGS,
       log: new decisionLogs.DecisionLog("vm-1", "info", sink),
       metrics: new metricsModule.Metrics(),
       format: FORMAT,
       view,
-      loads: new serving.EngineLoadTracker(),
+      loads,
+      calls: new callControls.CallControl({
+        log: new decisionLogs.DecisionLog("vm-1", "info", sink),
+        metrics: new metricsModule.Metrics(),
+        view,
+        loads,
+        dataCentre: "a",
+        isLimited: () => false,
+        draw: () => 0,
+      }),
       health: new serving.EndpointHealth(),
       answerTimes: this.answerTimes,
       speeds: new serving.ServiceSpeeds(),
--- /dev/null
+++ b/packages/serving/tests/callDecision.test.ts
@@ -0,0 +1,121 @@
+import * as fastCheck from "fast-check";
+import * as uvu from "uvu";
+import * as assert from "uvu/assert";
+import * as serving from "../src/index.js";
+
+const suite = uvu.suite("decisions on calls of plain services");
+
+type Known = serving.CallEndpoint<string>;
+
+function known(endpoint: string, options: Partial<Known> = {}): Known {
+  return { endpoint, slots: 6, running: 0, limit: 6, serviceMs: 50, networkMs: 0, ...options };
+}
+
+function decide(
+  endpoints: readonly Known[],
+  options: Partial<serving.CallInputs<string>> = {},
+): ReturnType<typeof serving.decideCall<string>> {
+  const inputs = { ahead: 0, hasWaited: false, isQueueFull: false, isLearned: true, remainingMs: 600, draw: () => 0 };
+  return serving.decideCall({ ...inputs, endpoints, ...options });
+}
+
+const route = (timeoutMs: number, options: Partial<serving.Route> = {}): serving.Route =>
+  ({
+    requestClass: serving.RequestClass.NonIdempotent,
+    timeoutMs,
+    objectiveMs: 120,
+    shares: [{ service: "s", weight: 1 }],
+    ...options,
+  }) as serving.Route;
+
+// A service that isn't switched on must be served as before: one ample route is enough for that.
+suite("calls are controlled where all routes of the service leave little time", () => {
+  assert.ok(serving.controlsCalls([route(600)], "s"));
+  assert.ok(serving.controlsCalls([route(660), route(400)], "s"));
+  assert.not(serving.controlsCalls([route(661)], "s"));
+  assert.not(serving.controlsCalls([route(600), route(2_000)], "s"));
+  assert.not(serving.controlsCalls([route(600, { requestClass: serving.RequestClass.Stream })], "s"));
+  assert.not(serving.controlsCalls([route(600)], "other"));
+  assert.ok(serving.controlsCalls([route(600), route(2_000, { shares: [{ service: "s", weight: 0 }] })], "s"));
+});
+
+suite("the least predicted time decides, with the network and what exceeds the slots", () => {
+  const [slow, quick] = [known("slow", { serviceMs: 200 }), known("quick")];
+  assert.is(decide([slow, quick])._unsafeUnwrap().endpoint, "quick");
+  const loaded = known("loaded", { running: 11, limit: 12 });
+  assert.is(serving.predictCallMs(loaded), 100);
+  assert.is(decide([loaded, known("far", { networkMs: 2 })])._unsafeUnwrap().endpoint, "far");
+  assert.is(decide([loaded, slow])._unsafeUnwrap().endpoint, "loaded");
+});
+
+// All daemons would send what they get between two heartbeats to the endpoint that is a little quicker.
+suite("of two endpoints that are about as quick, the less used one is chosen", () => {
+  const used = known("used", { running: 4, serviceMs: 49 });
+  assert.is(decide([used, known("idle")])._unsafeUnwrap().endpoint, "idle");
+});
+
+suite("a call waits where all endpoints are at their limits, or others go before it", () => {
+  const full = known("full", { running: 6 });
+  assert.is(decide([full])._unsafeUnwrap().endpoint, undefined);
+  assert.is(decide([known("free")], { ahead: 1 })._unsafeUnwrap().endpoint, undefined);
+});
+
+// A call that would end at its deadline holds a slot in vain, and its caller learns too late that it may try again.
+suite("a call that would be answered too late is rejected with the time at which there is room", () => {
+  const full = known("full", { running: 6 });
+  const rejected = decide([full], { ahead: 63, remainingMs: 100 })._unsafeUnwrapErr();
+  assert.ok(rejected.predictedMs > 500 && rejected.retryAfterMs >= 500 && rejected.retryAfterMs <= 800);
+  assert.ok(decide([full], { isQueueFull: true }).isErr());
+  assert.ok(decide([full], { ahead: 63, remainingMs: 100, isLearned: false }).isOk(), "nothing is known");
+});
+
+// With a wrong prediction, an endpoint that nothing is sent to would never show that it is quicker.
+suite("a call that has just come is sent where there is room, and one that has waited only with time left", () => {
+  const slow = known("slow", { serviceMs: 900 });
+  assert.is(decide([slow])._unsafeUnwrap().endpoint, "slow");
+  assert.ok(decide([slow], { hasWaited: true }).isErr());
+  assert.is(decide([slow], { hasWaited: true, remainingMs: 1_000 })._unsafeUnwrap().endpoint, "slow");
+});
+
+// A decline lowers the limit by a half, and the slots that are left meanwhile would stay empty while requests wait.
+suite("a slot that was left is handed on, also under a lowered limit, and only within the slots", () => {
+  assert.ok(serving.mayHandOn({ running: 5, limit: 3, slots: 6 }));
+  assert.not(serving.mayHandOn({ running: 6, limit: 3, slots: 6 }));
+  assert.ok(serving.mayHandOn({ running: 6, limit: 8, slots: 6 }));
+});
+
+suite("an endpoint at its limit gets nothing, and a retry time is positive and bounded", () => {
+  const endpoint = fastCheck.record({
+    endpoint: fastCheck.string(),
+    slots: fastCheck.integer({ min: 1, max: 40 }),
+    running: fastCheck.integer({ min: 0, max: 90 }),
+    limit: fastCheck.integer({ min: 1, max: 80 }),
+    serviceMs: fastCheck.double({ min: 1, max: 5_000, noNaN: true }),
+    networkMs: fastCheck.double({ min: 0, max: 50, noNaN: true }),
+  });
+  const call = fastCheck.record({
+    ahead: fastCheck.integer({ min: 0, max: 64 }),
+    hasWaited: fastCheck.boolean(),
+    isQueueFull: fastCheck.boolean(),
+    isLearned: fastCheck.boolean(),
+    remainingMs: fastCheck.double({ min: 0, max: 5_000, noNaN: true }),
+    draw: fastCheck.constant(() => 0.9),
+  });
+  fastCheck.assert(
+    fastCheck.property(fastCheck.array(endpoint, { minLength: 1, maxLength: 8 }), call, (endpoints, inputs) => {
+      const decided = serving.decideCall({
+        ...inputs,
+        endpoints: endpoints.map((each) => ({ ...each, endpoint: each })),
+      });
+      if (decided.isErr()) {
+        assert.ok(decided.error.retryAfterMs >= 50 && decided.error.retryAfterMs <= 3_750);
+        return;
+      }
+      const { endpoint: chosen, predictedMs } = decided.value;
+      assert.ok(predictedMs >= 1 && Number.isFinite(predictedMs));
+      if (chosen !== undefined) assert.ok(chosen.running < chosen.limit && inputs.ahead === 0);
+    }),
+  );
+});
+
+suite.run();
