--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -1,5 +1,6 @@
 import * as common from "@camphorcourse/common";
 import * as serving from "@camphorcourse/serving";
+import type * as callControls from "./calls/callControl.js";
 import type * as configurationGates from "./configuration/configurationGate.js";
 import type * as decisionLogs from "./decisionLog.js";
 import type * as trafficCounters from "./distance/trafficCounter.js";
@@ -25,6 +26,10 @@
   readonly view: fleetViews.FleetView;
   readonly loads: serving.EngineLoadTracker;
   readonly health: serving.EndpointHealth;
+  /** Controls the calls of plain services whose routes leave little time. */
+  readonly calls: callControls.CallControl;
+  /** Usual times of the endpoints' answers. */
+  readonly answerTimes: serving.AnswerTimes;
   /** Learnt speeds of each service's engines. */
   readonly speeds: serving.ServiceSpeeds;
   /** Budgets of the decode engines for prefills beside their streams. */
--- a/packages/gateway/src/duties/duties.ts
+++ b/packages/gateway/src/duties/duties.ts
@@ -12,6 +12,8 @@
 export interface DutiesParts {
   readonly context: contexts.ServingContext;
   readonly store: ports.DurableStore;
+  /** The same service, for usage records and reports. */
+  readonly usageStore: ports.DurableStore;
   readonly layout: ports.StoreLayout;
   /** Calls to the platform; undefined if it expects none. */
   readonly calls: ports.DutyCalls | undefined;
@@ -20,6 +22,8 @@
   readonly usageCounter: serving.UsageCounter;
   /** @returns whether this daemon is the one that should carry out the duties */
   readonly eligible: () => boolean;
+  /** Called when this daemon has lost or released the lease, which its peers have to learn at once. */
+  readonly onReleased: () => void;
   /** @returns states of the live peers */
   readonly livePeers: () => readonly peerTables.PeerState[];
   /** @returns milliseconds for which the key-value service has not answered this daemon */
@@ -51,7 +55,11 @@
       leaseMs: settings.orderLeaseMs,
       isFenced: settings.areOrdersFenced ?? false,
       eligible: parts.eligible,
-      onHeldChange: (isHeld) => this.#onHeldChange(isHeld),
+      heldElsewhereUntil: () => parts.livePeers().flatMap(({ dutyLeaseUntil }) => dutyLeaseUntil ?? []),
+      onHeldChange: (isHeld) => {
+        this.#onHeldChange(isHeld);
+        if (!isHeld) parts.onReleased();
+      },
     });
     const sumOverPeers = (valueOf: (peer: peerTables.PeerState) => number): number =>
       parts.livePeers().reduce((sum, peer) => sum + valueOf(peer), 0);
@@ -78,6 +86,7 @@
     if (usage === undefined) return;
     this.#usageRecorder = new usageRecorders.UsageRecorder({
       ...parts,
+      store: parts.usageStore,
       key: `${layout.usageKeys.recordPrefix}${settings.vm}/${parts.incarnation}`,
       vm: settings.vm,
       counter: parts.usageCounter,
@@ -87,6 +96,7 @@
     });
     this.#usageReporter = new usageReporters.UsageReporter({
       ...parts,
+      store: parts.usageStore,
       calls: parts.calls,
       keys: layout.usageKeys,
       lease: this.#lease,
@@ -97,6 +107,11 @@
     });
   }
 
+  /** @returns time for which this daemon relies on the lease in milliseconds, if it holds it */
+  get leaseMs(): number | undefined {
+    return this.#lease.validMs;
+  }
+
   /** Starts acquiring the lease and carrying out the duties. */
   start(): void {
     void this.#lease.run();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,6 +3,7 @@
 import * as common from "@camphorcourse/common";
 import * as serving from "@camphorcourse/serving";
 import * as fleetViewUpdaters from "./fleetViewUpdater.js";
+import * as callControls from "./calls/callControl.js";
 import * as callerListeners from "./callerListener.js";
 import * as callerAddresses from "./callers/callerAddresses.js";
 import * as configurationGates from "./configuration/configurationGate.js";
@@ -32,6 +33,7 @@
 import * as endpointStatements from "./statements/endpointStatements.js";
 import * as streamOrigins from "./streams/streamOrigins.js";
 import * as storeReadingModes from "./storeReadingMode.js";
+import * as countedStores from "./store/countedStore.js";
 import * as storeFollowers from "./storeFollower.js";
 import * as crashProtections from "./suspects/crashProtection.js";
 
@@ -98,6 +100,7 @@
   constructor(settings: settingsModule.GatewaySettings, dependencies: GatewayDependencies) {
     this.#settings = settings;
     this.#log = new decisionLogs.DecisionLog(settings.vm, settings.logLevel, dependencies.sink);
+    const stores = countedStores.countedStores(dependencies.store, this.#metrics);
     const random = new common.SeededRandom(crypto.randomBytes(SEED_BYTES).readUInt32BE());
     this.#entry = {
       vm: settings.vm,
@@ -148,7 +151,7 @@
       this.#reachability,
     );
     this.#protection = new crashProtections.CrashProtection({
-      store: dependencies.store,
+      store: stores.suspects,
       prefix: dependencies.layout.suspectPrefix,
       log: this.#log,
       client,
@@ -177,7 +180,7 @@
       },
     });
     const configurationGate = new configurationGates.ConfigurationGate({
-      store: dependencies.store,
+      store: stores.configuration,
       layout: dependencies.layout,
       view: this.#view,
       fleetViewUpdater,
@@ -208,6 +211,15 @@
       format: dependencies.format,
       fairness: new fairnessModule.Fairness({ ...shared, ...learned, distances }),
       loads,
+      calls: new callControls.CallControl({
+        ...shared,
+        loads,
+        dataCentre: settings.dataCentre,
+        distances,
+        isLimited: (endpoint) => limits.enforcer.isLimited(endpoint),
+        draw: () => random.next(),
+      }),
+      answerTimes: new serving.AnswerTimes(),
       pacing: new pacings.Pacing({
         loads,
         speeds,
@@ -235,7 +247,7 @@
     };
     this.#listener = new callerListeners.CallerListener(this.#context);
     this.#follower = new storeFollowers.StoreFollower({
-      store: dependencies.store,
+      store: stores.follower,
       layout: dependencies.layout,
       view: this.#view,
       fleetViewUpdater,
@@ -281,6 +293,7 @@
       streams,
       onNeighbourCutOff: () => this.#reachability.monitor.checkOwnLink(),
       storeSilentMs: () => this.#follower.silentMs,
+      dutyLeaseMs: () => this.#duties.leaseMs,
       lateMs: () => this.#loopWatch.lateMs,
       followsClosely: () => this.#storeReadingMode.followsClosely(performance.now()),
       busyCores: () => this.#utilization.share * settings.capacity,
@@ -308,18 +321,26 @@
     });
     this.#duties = new dutiesModule.Duties({
       context: this.#context,
-      store: dependencies.store,
+      store: stores.duties,
+      usageStore: stores.usage,
       layout: dependencies.layout,
       calls: dependencies.dutyCalls,
       incarnation: this.#entry.incarnation,
       usageCounter,
       eligible: () => this.#isDutyCandidate(),
       livePeers: () => this.#peers.peerTable.live(performance.now()),
+      onReleased: () => this.#peers.sendHeartbeatsNow(),
       storeSilentMs: () => this.#follower.silentMs,
       unixMs: () => clock.unixMs(),
     });
     const key = `${dependencies.layout.daemonPrefix}${settings.vm}`;
-    this.#registration = new registrations.Registration(dependencies.store, key, this.#entry, this.#log);
+    this.#registration = new registrations.Registration(
+      stores.registration,
+      key,
+      this.#entry,
+      this.#log,
+      () => this.#peers.activeSet.active || this.#storeReadingMode.followsClosely(performance.now()),
+    );
   }
 
   /**
@@ -385,6 +406,7 @@
       cut_off: Number(this.#reachability.monitor.isCutOff),
       requests_relayed_open: this.#relayServer.open,
       stream_records: this.#context.streams.count,
+      calls_waiting: this.#context.calls.waiting,
       endpoints_resting: this.#context.statements.rests.count,
       endpoints_limited: this.#context.limits.table.limits().length,
       busy_cores: this.#utilization.share * this.#settings.capacity,
@@ -522,6 +544,8 @@
     this.#context.loads.forget(endpointId);
     this.#context.pacing.forget(endpointId);
     this.#context.health.forget(endpointId);
+    this.#context.answerTimes.forget(endpointId);
+    this.#context.calls.forget(endpointId);
     this.#context.suspects.forget(endpointId);
     this.#duties.forget(endpointId);
   }
--- a/packages/gateway/tests/distantHeartbeats.test.ts
+++ b/packages/gateway/tests/distantHeartbeats.test.ts
@@ -87,6 +87,7 @@
     ...paths.REACHING_ALL,
     lateMs: () => 0,
     storeSilentMs: () => 0,
+    dutyLeaseMs: () => undefined,
     followsClosely: () => false,
     busyCores: () => 0,
     onDaemon: ignore,
--- a/packages/gateway/tests/helpers/exchangeHarness.ts
+++ b/packages/gateway/tests/helpers/exchangeHarness.ts
@@ -4,6 +4,7 @@
 import * as serving from "@camphorcourse/serving";
 import * as neverthrow from "neverthrow";
 import * as callerAnswers from "../../src/callerAnswer.js";
+import * as callControls from "../../src/calls/callControl.js";
 import * as configurationGates from "../../src/configuration/configurationGate.js";
 import * as contexts from "../../src/context.js";
 import * as decisionLogs from "../../src/decisionLog.js";
@@ -174,6 +175,7 @@
 /** Serves one request of a caller, with endpoints whose answers the test provides. */
 export class ExchangeHarness {
   readonly answer = new RecordingAnswer();
+  readonly answerTimes = new serving.AnswerTimes();
   readonly exchange: exchanges.Exchange;
   readonly #lines: string[] = [];
   readonly #limits = limits.createLimits();
@@ -219,7 +221,17 @@
       format: FORMAT,
       view,
       loads,
+      calls: new callControls.CallControl({
+        log: new decisionLogs.DecisionLog("vm-1", "info", sink),
+        metrics: new metricsModule.Metrics(),
+        view,
+        loads,
+        dataCentre: "a",
+        isLimited: () => false,
+        draw: () => 0,
+      }),
       health: new serving.EndpointHealth(),
+      answerTimes: this.answerTimes,
       speeds,
       pacing: pacing.createPacing(loads, speeds),
       demand: new serving.Demand(),
@@ -346,6 +358,14 @@
     return this.#lines.filter((line) => line.includes("event=request-end"));
   }
 
+  /**
+   * @param id - an endpoint
+   * @returns whether its recent results are bad
+   */
+  isUnhealthy(id: string): boolean {
+    return this.#context.health.isUnhealthy(id);
+  }
+
   /** @returns number of requests that are counted as running, on all endpoints */
   get running(): number {
     return [...this.#context.loads.ownWork().values()].reduce((sum, work) => sum + work.running, 0);
