Decide where a run is that is moved from an engine that leaves

A release replaces engines one after the other, and streams that outlast the drain time break off. RunState decides the next call for one run that is moved, and MovePolicy which runs of a leaving engine are moved and where.

--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -39,6 +39,8 @@
 export * from "./roleBalance.js";
 export * from "./silence.js";
 export * from "./acceptanceTracker.js";
+export * from "./runs/movePolicy.js";
+export * from "./runs/runState.js";
 export * from "./statements/restTable.js";
 export * from "./statements/restingEndpoints.js";
 export * from "./statements/sendGate.js";
