Move runs from engines that leave to engines that stay

An engine that leaves goes on for a drain time only. Streams that outlast it broke off: those that may not be repeated were lost, the others were prefilled again elsewhere.

With `moves` in the engine configuration of a service, RunMover copies the KV cache of such streams to an engine of the same version while they go on, stops them with a second, short copy, and sends the request there with the source's handle and the last event's id. A run that the destination does not take goes back to its source. The time that an engine stays is the bound drain-ms of the settings file (2,000 ms if absent). Without `moves` nothing changes.

--- a/packages/gateway/src/activeSend.ts
+++ b/packages/gateway/src/activeSend.ts
@@ -23,6 +23,7 @@
   readonly stage: sendChoosers.Stage;
   readonly predictedMs: number;
   readonly plan: serving.EnginePlan | undefined;
+  readonly resume?: sendChoosers.ResumedRun;
   /** When it was decided on, in milliseconds. */
   readonly sentAt: number;
   readonly #context: contexts.ServingContext;
@@ -46,6 +47,7 @@
     this.stage = planned.stage;
     this.predictedMs = planned.predictedMs;
     this.plan = planned.plan;
+    if (planned.resume !== undefined) this.resume = planned.resume;
     this.sentAt = performance.now();
     const { plan, endpoint } = planned;
     this.#pendingPrefill =
@@ -109,6 +111,11 @@
     return first;
   }
 
+  /** @returns whether it has brought an event */
+  get hasEvents(): boolean {
+    return this.#firstEventAt !== undefined;
+  }
+
   /** @returns whether the endpoint has written events of the answer for so long that its begin is over */
   get hasWrittenForLong(): boolean {
     return this.#firstEventAt !== undefined && performance.now() - this.#firstEventAt > BEGIN_OF_ANSWER_MS;
--- a/packages/gateway/src/answerBody.ts
+++ b/packages/gateway/src/answerBody.ts
@@ -110,7 +110,18 @@
     if (this.#splitter.unfinishedBytes > 0 || !served.isStreamBegun)
       results.broken(active, serving.SendOutcome.Unknown, "the stream ended inside an event");
     else if (sendings.isFramed(this.#head.headers)) this.#complete();
-    else void this.#completeUnlessCrashed();
+    else this.#endUnframed();
+  }
+
+  /** An engine that stops a run to move it closes its stream like one that has written all of it. */
+  #endUnframed(): void {
+    const { active, context, results, served } = this.#send;
+    const complete = (): void => void this.#completeUnlessCrashed();
+    const isBeingMoved = context.runs.onClosed({ active, served }, serving.StreamClose.Unframed, {
+      complete,
+      break: () => results.broken(active, serving.SendOutcome.Unknown, "the stream closed while its run was moved"),
+    });
+    if (!isBeingMoved) complete();
   }
 
   /** An engine that crashes after an event closes the connection as one does whose answer has neither length nor chunks. */
@@ -132,9 +143,12 @@
   }
 
   #onEvent(event: eventSplitters.StreamEvent): void {
-    const { active, answer, feedback, handover, served } = this.#send;
+    const { active, answer, context, feedback, handover, served } = this.#send;
     if (active.finishPrefill()) feedback.learnPrefillTime(active);
-    else if (active.markFirstEvent()) feedback.learnHandover(active);
+    else if (active.markFirstEvent()) {
+      if (active.resume === undefined) feedback.learnHandover(active);
+      else context.runs.noteResumed({ active, served });
+    }
     const now = performance.now();
     if (!served.progress.hasBegun) this.#onFirstEvent(now);
     served.progress.recordEvent(event.id, now);
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -8,6 +8,7 @@
 import type * as endpointLimits from "./limits/endpointLimits.js";
 import type * as metricsModule from "./metrics.js";
 import type * as ports from "./ports.js";
+import type * as runMovers from "./runs/runMover.js";
 import type * as settingsModule from "./settings.js";
 import type * as endpointStatements from "./statements/endpointStatements.js";
 import type * as streamOrigins from "./streams/streamOrigins.js";
@@ -38,6 +39,8 @@
   readonly crashDetector: crashDetectors.EndpointCrashDetector;
   /** What began the streams that callers may take up. */
   readonly streams: streamOrigins.StreamOrigins;
+  /** Moves runs from engines that leave to others. */
+  readonly runs: runMovers.RunMover;
   /** Keeps requests that crash endpoints from being sent to them. */
   readonly suspects: suspectGates.SuspectGate;
   readonly budgets: RetryBudgets;
--- a/packages/gateway/src/endpointFeedback.ts
+++ b/packages/gateway/src/endpointFeedback.ts
@@ -100,6 +100,8 @@
     const { events, meanPauseMs } = this.#served.progress;
     const { prompt } = this.#served.caller.headers;
     if (prompt !== undefined) this.#context.demand.learnEvents(prompt.outputTokens, events);
+    // The pauses of a run that was moved are those of two engines, and the move.
+    if (active.resume !== undefined) return;
     if (meanPauseMs === undefined || this.#served.sends > 1 || !this.#isCurrentIncarnation(active)) return;
     const streams = this.#context.loads.runningRequests(active.endpoint.id, performance.now());
     this.#speeds().learnPause(streams, meanPauseMs);
--- a/packages/gateway/src/engineCalls.ts
+++ b/packages/gateway/src/engineCalls.ts
@@ -6,7 +6,8 @@
 /** Time for an engine to answer a call, in milliseconds. */
 const CALL_TIMEOUT_MS = 1_500;
 
-interface EngineAnswer {
+/** The complete answer of an engine to a call. */
+export interface EngineAnswer {
   readonly status: number;
   readonly body: Buffer;
 }
@@ -26,7 +27,7 @@
    */
   async fetchState(engine: serving.Endpoint): Promise<neverthrow.Result<ports.EngineState, string>> {
     const { format } = this.#context;
-    const answer = await this.#call(engine, format.engineStateCall());
+    const answer = await this.call(engine, format.engineStateCall());
     return answer === undefined ? neverthrow.err("no answer") : format.readEngineState(answer.body);
   }
 
@@ -36,16 +37,26 @@
    * @returns status of the answer, or undefined if there was none
    */
   async sendRoleOrder(engine: serving.Endpoint, order: ports.RoleOrder): Promise<number | undefined> {
-    const answer = await this.#call(engine, this.#context.format.roleOrderCall(order));
+    const answer = await this.call(engine, this.#context.format.roleOrderCall(order));
     return answer?.status;
   }
 
-  #call(engine: serving.Endpoint, call: ports.EngineCall): Promise<EngineAnswer | undefined> {
+  /**
+   * @param engine - the engine
+   * @param call - the call
+   * @param timeoutMs - time for the answer, in milliseconds
+   * @returns the answer, or undefined if there was none: the call may have been executed
+   */
+  call(
+    engine: serving.Endpoint,
+    call: ports.EngineCall,
+    timeoutMs = CALL_TIMEOUT_MS,
+  ): Promise<EngineAnswer | undefined> {
     return new Promise((resolve) => {
       const chunks: Buffer[] = [];
       let status = 0;
       // Deferred to the end of the event loop's turn: after a pause of the process, the answer may wait in the socket.
-      const timer = setTimeout(() => setImmediate(giveUp), CALL_TIMEOUT_MS);
+      const timer = setTimeout(() => setImmediate(giveUp), timeoutMs);
       const giveUp = (): void => {
         request.cancel();
         resolve(undefined);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -25,6 +25,7 @@
 import * as trueClocks from "./peers/trueClock.js";
 import type * as ports from "./ports.js";
 import * as registrations from "./registration.js";
+import * as runMovers from "./runs/runMover.js";
 import type * as settingsModule from "./settings.js";
 import * as sideServers from "./sideServers.js";
 import * as endpointStatements from "./statements/endpointStatements.js";
@@ -206,6 +207,7 @@
       streams,
       crashDetector,
       suspects,
+      runs: new runMovers.RunMover(() => this.#context),
       budgets: new contexts.RetryBudgets(settings.retryBounds, performance.now()),
       countUsage: (organisation) => {
         if (settings.usage !== undefined) usageCounter.count(organisation, clock.unixMs());
@@ -361,6 +363,7 @@
       endpoints_resting: this.#context.statements.rests.count,
       endpoints_limited: this.#context.limits.table.limits().length,
       busy_cores: this.#utilization.share * this.#settings.capacity,
+      runs_moving: this.#context.runs.underWay,
       heap_bytes: process.memoryUsage().heapUsed,
       event_loop_utilization: performance.eventLoopUtilization().utilization,
       unsent_bytes_to_callers: this.#listener.unsentBytes,
@@ -475,6 +478,7 @@
     const { revision, leavingBornAt: bornAt, isStatedLeaving: isStated = false } = update;
     if (DEPARTURES.has(update.change)) this.#peers.noteDeparture(update.id, { revision, bornAt, setAside, isStated });
     else this.#peers.noteEntry(update.id);
+    this.#context.runs.noteChange(update);
     if (update.endpoint !== undefined) this.#context.suspects.noteListed(update.endpoint);
     if (update.change === serving.EndpointChange.Gone) {
       this.#view.endpointDocuments.delete(update.id);
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -219,6 +219,16 @@
   readonly expectedOrders: number;
 }
 
+/** A call that copies a run to another engine. */
+export interface RunMove {
+  /** Id of the request that runs. */
+  readonly requestId: string;
+  /** IP:PORT of the engine that gets the copy. */
+  readonly target: string;
+  /** Whether the run stops before the copy, and its stream closes without its end. */
+  readonly isLast: boolean;
+}
+
 /** The HTTP headers, paths and bodies that callers, gateway and endpoints exchange. */
 export interface MessageFormat {
   /**
@@ -242,6 +252,14 @@
   readEngineState(body: Uint8Array): neverthrow.Result<EngineState, string>;
   /** @param order - the order; @returns the call that sends it */
   roleOrderCall(order: RoleOrder): EngineCall;
+  /** @param move - what is copied where; @returns the call to the engine that runs the request */
+  moveRunCall(move: RunMove): EngineCall;
+  /**
+   * @param status - status of the answer to {@link MessageFormat.moveRunCall}
+   * @param body - its body
+   * @returns what became of the copy
+   */
+  readMoveResult(status: number, body: Uint8Array): serving.MoveAnswer;
   /** Name of the header that tells the caller when to retry, in seconds. */
   readonly retryAfterHeader: string;
 }
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -6,6 +6,7 @@
 import type * as sendings from "./sending.js";
 import type * as exchangeParts from "./exchangeParts.js";
 import type * as waitingRequests from "./limits/waitingRequests.js";
+import type * as runMoves from "./runs/runMove.js";
 import * as prefillReceivers from "./prefillReceiver.js";
 import * as sendChoosers from "./sendChooser.js";
 
@@ -14,7 +15,9 @@
 const GATEWAY_TIMEOUT = 504;
 
 /** Forwards one request to endpoints, one send after the other, until one gives its final answer. */
-export class RequestForwarder implements exchangeParts.SendResultHandler, waitingRequests.WaitingRequest {
+export class RequestForwarder
+  implements exchangeParts.SendResultHandler, waitingRequests.WaitingRequest, runMoves.RunHost
+{
   readonly #parts: exchangeParts.ExchangeParts;
   readonly #chooser: sendChoosers.SendChooser;
   #active: activeSends.ActiveSend | undefined;
@@ -159,6 +162,8 @@
     if (outcome !== serving.SendOutcome.Withheld)
       feedback.recordResult(active, declined ? serving.SendResult.Declined : serving.SendResult.Failed);
     this.#countFailed(active, outcome);
+    const isRefused = active.resume !== undefined && outcome !== serving.SendOutcome.Unknown;
+    if (isRefused && this.#resumeElsewhere(active, outcome, detail)) return;
     if (outcome === serving.SendOutcome.Unknown) served.noteMayHaveRun();
     if (declined && active.stage === sendChoosers.Stage.Answering) handover.free();
     if (outcome === serving.SendOutcome.Unknown) handover.markTaken();
@@ -183,6 +188,11 @@
   /** {@inheritDoc exchangeParts.SendResultHandler.broken} */
   broken(active: activeSends.ActiveSend, outcome: serving.SendOutcome, detail: string): void {
     const { context, served } = this.#parts;
+    const isBeingMoved = context.runs.onClosed({ active, served }, serving.StreamClose.Broken, {
+      complete: () => undefined,
+      break: () => this.broken(active, outcome, detail),
+    });
+    if (isBeingMoved) return;
     if (active.wasDispatched) {
       if (served.route.requestClass !== serving.RequestClass.Stream) served.noteBegunToRun();
       served.noteBroken(context.suspects.isSuspected(served));
@@ -216,6 +226,7 @@
       active.cancel();
       active.release();
     }
+    this.#parts.context.runs.noteOver(this.#parts.served);
     this.#parts.context.limits.waiting.remove(this);
     this.#parts.handover.free();
     this.#parts.context.suspects.release(this.#parts.served);
@@ -258,7 +269,7 @@
     const active = new activeSends.ActiveSend(context, served, planned);
     this.#active = active;
     served.markTried(planned.endpoint.id);
-    if (planned.stage === sendChoosers.Stage.Answering) served.countSend();
+    if (planned.stage === sendChoosers.Stage.Answering && planned.resume === undefined) served.countSend();
     const urgency = planned.plan?.urgency ?? (this.#parts.handover.prefilled === undefined ? undefined : 0);
     const message = this.#message(planned, urgency);
     context.log.info("send", {
@@ -278,11 +289,29 @@
       configuration: context.view.configurationRevision,
       ...planned.admission,
     });
+    if (planned.stage === sendChoosers.Stage.Answering) context.runs.noteRunning({ active, served, host: this });
     active.start(message, this.#receiver(active), (silentMs) => {
       if (this.#active === active) this.#abandonSilent(active, silentMs);
     });
   }
 
+  /** {@inheritDoc runMoves.RunHost.resumeRun} */
+  resumeRun(planned: sendChoosers.PlannedSend & { readonly resume: sendChoosers.ResumedRun }): void {
+    const { end, handover } = this.#parts;
+    if (end.over) return;
+    handover.keep({ engine: planned.resume.source, handle: planned.resume.handle });
+    this.#dispatch(planned);
+  }
+
+  /** @returns whether a run goes on elsewhere with its handle after an engine has not taken it */
+  #resumeElsewhere(active: activeSends.ActiveSend, outcome: serving.SendOutcome, detail: string): boolean {
+    const { context, handover, served } = this.#parts;
+    if (outcome === serving.SendOutcome.Declined) served.countRejectedResume();
+    if (context.runs.onRefused(served, detail)) return true;
+    handover.free();
+    return false;
+  }
+
   #message(planned: sendChoosers.PlannedSend, urgency: number | undefined): sendings.OutgoingRequest {
     const { context, handover, served } = this.#parts;
     const source = handover.prefilled;
@@ -303,9 +332,9 @@
       });
     const body = served.body.length === 0 ? undefined : served.body;
     const { method, target: path } = served.caller;
-    const call = planned.stage === sendChoosers.Stage.Prefill ? serving.AnsweredCall.Prefill : serving.AnsweredCall.Run;
+    const call = callOf(planned);
     // The answer to HEAD names the length of a body that doesn't follow, which a peer could not pass back.
-    const passOnAs = method === "HEAD" ? {} : { passOnAs: served.id };
+    const passOnAs = method === "HEAD" || planned.resume?.isReturn === true ? {} : { passOnAs: served.id };
     return { method, path, createHeaders, body, call, sendBefore: served.deadlineAt, ...passOnAs };
   }
 
@@ -320,6 +349,8 @@
     const { context, feedback, served } = this.#parts;
     const isPrefill = active.stage === sendChoosers.Stage.Prefill;
     if (!isPrefill && !serving.mayRetry(served.route)) return;
+    // A run that is stopped to be moved is silent until its stream closes.
+    if (context.runs.isBeingStopped(served)) return;
     const outcome = isPrefill ? serving.SendOutcome.Declined : serving.SendOutcome.Unknown;
     if (isPrefill) served.countSend();
     const step = served.decideNextStep(outcome);
@@ -337,6 +368,7 @@
     });
     if (!isPrefill) served.noteMayHaveRun();
     feedback.recordResult(active, serving.SendResult.Silent);
+    if (active.resume !== undefined) this.#parts.handover.markTaken();
     active.cancel();
     if (this.end(active)) this.sendNext();
   }
@@ -344,11 +376,17 @@
   /** A send counts unless nothing of it was sent. A prefill counts only when it fails, not when the engine accepts it. */
   #countFailed(active: activeSends.ActiveSend, outcome: serving.SendOutcome): void {
     const { served } = this.#parts;
+    if (active.resume !== undefined) return;
     if (active.stage === sendChoosers.Stage.Answering && serving.isUnsent(outcome)) served.uncountSend();
     if (active.stage === sendChoosers.Stage.Prefill && !serving.isUnsent(outcome)) served.countSend();
   }
 }
 
+function callOf({ resume, stage }: sendChoosers.PlannedSend): serving.AnsweredCall {
+  if (stage === sendChoosers.Stage.Prefill) return serving.AnsweredCall.Prefill;
+  return resume?.isReturn === true ? serving.AnsweredCall.Return : serving.AnsweredCall.Run;
+}
+
 /** Age of an instant in whole milliseconds; undefined if it is 0, for never. */
 function ageMs(instant: number): number | undefined {
   return instant === 0 ? undefined : Math.round(performance.now() - instant);
--- /dev/null
+++ b/packages/gateway/src/runs/runMove.ts
@@ -0,0 +1,267 @@
+import * as serving from "@camphorcourse/serving";
+import type * as activeSends from "../activeSend.js";
+import type * as contexts from "../context.js";
+import * as sendChoosers from "../sendChooser.js";
+import type * as servedRequests from "../servedRequest.js";
+import type * as runCalls from "./runCalls.js";
+
+/** Time for the stream of a stopped run to close in milliseconds; a caller that reads slowly delays it. */
+const CLOSE_TIMEOUT_MS = 500;
+
+/**
+ * Time for the answer to the call that stops a run in milliseconds, where the stream may be repeated anyhow. Where it may not,
+ * the answer is waited for as long as a handle lives.
+ */
+const REPEATABLE_STOP_TIMEOUT_MS = 1_500;
+
+/** What serves the request of a run. */
+export interface RunHost {
+  /**
+   * Ends a send; nothing more is accepted from it.
+   *
+   * @param active - the send
+   * @returns whether it was under way, and the request has not ended
+   */
+  end(active: activeSends.ActiveSend): boolean;
+  /**
+   * Handles a stream that has broken off.
+   *
+   * @param active - the send
+   * @param outcome - whether the request may have run
+   * @param detail - what went wrong
+   */
+  broken(active: activeSends.ActiveSend, outcome: serving.SendOutcome, detail: string): void;
+  /** @param planned - a send with which a stopped run goes on */
+  resumeRun(planned: sendChoosers.PlannedSend & { readonly resume: sendChoosers.ResumedRun }): void;
+}
+
+/** A run of this daemon's caller at an engine. */
+export interface OwnRun {
+  readonly active: activeSends.ActiveSend;
+  readonly served: servedRequests.ServedRequest;
+  readonly host: RunHost;
+}
+
+/** What follows the close of a stream whose run is being moved, if it doesn't go on elsewhere. */
+export interface CloseFollowUp {
+  readonly complete: () => void;
+  readonly break: () => void;
+}
+
+/** Dependencies of {@link RunMove}. */
+export interface RunMoveParts {
+  readonly context: contexts.ServingContext;
+  readonly calls: runCalls.RunCalls;
+  readonly run: OwnRun;
+  readonly destination: serving.Endpoint;
+  /** Time for which the engines keep handles, in milliseconds. */
+  readonly handleMs: number;
+}
+
+/** Moves one run: makes the calls that {@link serving.RunState} decides on. */
+export class RunMove {
+  readonly #parts: RunMoveParts;
+  readonly #state = new serving.RunState();
+  readonly #startedAt = performance.now();
+  #closeTimer: NodeJS.Timeout | undefined;
+  #followUp: CloseFollowUp | undefined;
+  #stopSentAt = 0;
+
+  /** @param parts - dependencies */
+  constructor(parts: RunMoveParts) {
+    this.#parts = parts;
+  }
+
+  /** @returns the engine that is to take the run */
+  get destination(): serving.Endpoint {
+    return this.#parts.destination;
+  }
+
+  /** @returns the run that is moved */
+  get run(): OwnRun {
+    return this.#parts.run;
+  }
+
+  /** @returns whether it is under way: the request has not been sent again, and the move was not given up */
+  get isUnderWay(): boolean {
+    return this.#state.phase !== serving.RunPhase.Running && this.#state.phase !== serving.RunPhase.Ended;
+  }
+
+  /** @returns whether the run may go on silently stopped, so that it is not moved again */
+  get mayBeStopped(): boolean {
+    return this.#state.mayBeStopped;
+  }
+
+  /** @returns whether the source has been told to stop the run, and the request has not been sent again yet */
+  get isBeingStopped(): boolean {
+    return this.#state.isBeingStopped;
+  }
+
+  /** Begins the move. */
+  start(): void {
+    this.#apply(this.#state.begin(), "leaving");
+  }
+
+  /**
+   * @param close - how the stream at the source closed
+   * @param followUp - what follows unless the run goes on elsewhere
+   * @returns whether the move decides what follows, now or later
+   */
+  onClosed(close: serving.StreamClose, followUp: CloseFollowUp): boolean {
+    if (this.#state.phase === serving.RunPhase.Ended) return false;
+    clearTimeout(this.#closeTimer);
+    this.#followUp = followUp;
+    const step = this.#state.closed(close);
+    if (step === serving.RunStep.Break && close === serving.StreamClose.Broken) return false;
+    if (step === serving.RunStep.Complete) return false;
+    this.#apply(step, `stream-${close}`);
+    return true;
+  }
+
+  /**
+   * @param detail - why the engine that got the request with the handle didn't take it
+   * @returns whether the request goes on elsewhere with the handle
+   */
+  onRefused(detail: string): boolean {
+    const step = this.#state.refused();
+    if (step === serving.RunStep.ResumeAtSource) {
+      this.#apply(step, detail);
+      return true;
+    }
+    this.#log("ended", `refused: ${detail}`);
+    this.#parts.context.metrics.count("run_moves_failed");
+    return false;
+  }
+
+  /**
+   * The engine that got the request with the handle has brought an event.
+   *
+   * @param isReturn - whether that engine is the source
+   */
+  noteResumed(isReturn: boolean): void {
+    this.#state.end(true);
+    this.#parts.context.metrics.count(isReturn ? "run_moves_failed" : "runs_moved");
+    this.#log(isReturn ? "returned" : "moved", undefined);
+  }
+
+  /** The engine that got the request with the handle has broken it off before its first event, or fell silent. */
+  noteLost(): void {
+    this.#state.end(true);
+    this.#parts.context.metrics.count("run_moves_failed");
+    this.#log("lost", undefined);
+  }
+
+  /** The request is over. */
+  noteOver(): void {
+    clearTimeout(this.#closeTimer);
+    // Once the request has been sent with the handle, the hand-over of the request frees it.
+    const isHandedOver = this.#state.phase === serving.RunPhase.Resuming;
+    this.#apply(this.#state.end(isHandedOver), "request-over");
+  }
+
+  #apply(step: serving.RunStep, reason: string): void {
+    if (step === serving.RunStep.Wait) return;
+    this.#log(step, reason);
+    const act: Partial<Record<serving.RunStep, () => void>> = {
+      [serving.RunStep.Copy]: () => void this.#copy(),
+      [serving.RunStep.Stop]: () => void this.#stop(),
+      [serving.RunStep.ResumeAtDestination]: () => this.#resumeAt(this.#parts.destination, false),
+      [serving.RunStep.ResumeAtSource]: () => this.#resumeAt(this.run.active.endpoint, true),
+      [serving.RunStep.Abandon]: () => this.#parts.context.metrics.count("run_moves_failed"),
+      [serving.RunStep.Break]: () => this.#break(),
+      [serving.RunStep.Complete]: () => this.#followUp?.complete(),
+      [serving.RunStep.FreeHandle]: () => this.#free(),
+    };
+    act[step]?.();
+  }
+
+  async #copy(): Promise<void> {
+    const answer = await this.#call(false, this.#parts.handleMs);
+    const { mayContinue, reason } = this.#mayContinue();
+    const isCopied = answer.outcome === serving.MoveOutcome.Copied;
+    this.#apply(this.#state.copied(answer, mayContinue), isCopied ? reason : answer.outcome);
+  }
+
+  async #stop(): Promise<void> {
+    this.#stopSentAt = performance.now();
+    const { handleMs } = this.#parts;
+    const isRepeatable = serving.mayRetry(this.run.served.route);
+    const answer = await this.#call(true, isRepeatable ? Math.min(handleMs, REPEATABLE_STOP_TIMEOUT_MS) : handleMs);
+    this.#apply(this.#state.stopped(answer), answer.outcome);
+    if (this.#state.phase === serving.RunPhase.Stopped) {
+      this.#closeTimer = setTimeout(() => setImmediate(() => this.#cancelStream()), CLOSE_TIMEOUT_MS);
+    }
+  }
+
+  #call(isLast: boolean, timeoutMs: number): Promise<serving.MoveAnswer> {
+    const { calls, destination } = this.#parts;
+    const { active, served } = this.run;
+    return calls.move(active.endpoint, { requestId: served.id, target: destination.address, isLast }, timeoutMs);
+  }
+
+  /** Whether the run may still be stopped for its destination: both engines are as they were when the move began. */
+  #mayContinue(): { readonly mayContinue: boolean; readonly reason: string } {
+    const { context, destination } = this.#parts;
+    const { active, served } = this.run;
+    const { directory } = context.view;
+    const isThere = directory.availableEndpoint(destination.id)?.address === destination.address;
+    if (!isThere || !directory.isSameIncarnation(destination) || !served.mayGoOnAt(destination))
+      return { mayContinue: false, reason: "destination-unusable" };
+    if (!directory.isSameIncarnation(active.endpoint)) return { mayContinue: false, reason: "source-restarted" };
+    return { mayContinue: true, reason: "copied" };
+  }
+
+  /** The source has said that the run is stopped; what is left of its stream here is brought again by the next engine. */
+  #cancelStream(): void {
+    if (this.#state.phase !== serving.RunPhase.Stopped) return;
+    const { active, host } = this.run;
+    active.cancel();
+    if (host.end(active)) this.#apply(this.#state.cancelled(), "stream-open");
+  }
+
+  #resumeAt(endpoint: serving.Endpoint, isReturn: boolean): void {
+    const { active, host } = this.run;
+    const handle = this.#state.handle ?? "";
+    const source = active.endpoint;
+    // After a restart of the source the handle may name the run of another request.
+    if (isReturn && !this.#parts.context.view.directory.isSameIncarnation(source)) {
+      this.#apply(this.#state.refused(), "source-restarted");
+      return;
+    }
+    const resume = { source, handle, isReturn };
+    host.resumeRun({ endpoint, stage: sendChoosers.Stage.Answering, predictedMs: 0, plan: undefined, resume });
+  }
+
+  #break(): void {
+    this.#parts.context.metrics.count("run_moves_failed");
+    const { active, host } = this.run;
+    if (this.#followUp !== undefined) this.#followUp.break();
+    else host.broken(active, serving.SendOutcome.Unknown, "the run was stopped and can't go on");
+  }
+
+  #free(): void {
+    const { handle } = this.#state;
+    const { endpoint } = this.run.active;
+    if (handle !== undefined && this.#parts.context.view.directory.isSameIncarnation(endpoint))
+      this.#parts.calls.free(endpoint, handle);
+  }
+
+  #log(state: string, reason: string | undefined): void {
+    const { context, destination } = this.#parts;
+    const { active, served } = this.run;
+    const now = performance.now();
+    const { prompt } = served.caller.headers;
+    context.log.info("run-move", {
+      id: served.id,
+      state,
+      reason,
+      source: active.endpoint.id,
+      destination: destination.id,
+      tokens: prompt?.promptTokens,
+      events: served.progress.events,
+      after: served.progress.lastEventId,
+      tookMs: Math.round(now - this.#startedAt),
+      stoppedMs: this.#stopSentAt === 0 ? undefined : Math.round(now - this.#stopSentAt),
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/runs/runMover.ts
@@ -0,0 +1,245 @@
+import * as serving from "@camphorcourse/serving";
+import type * as contexts from "../context.js";
+import type * as servedRequests from "../servedRequest.js";
+import * as runCalls from "./runCalls.js";
+import * as runMoves from "./runMove.js";
+
+/** Interval at which runs of leaving engines are looked at, in milliseconds. */
+const CHECK_INTERVAL_MS = 50;
+
+/** Pause before a run is moved again after a move that failed, in milliseconds, and how often it is tried. */
+const RETRY_MS = 250;
+const MAX_TRIES = 3;
+
+/** Time for which a leaving engine goes on with its runs if the settings don't state it, in milliseconds. */
+const DEFAULT_DRAIN_MS = 2_000;
+
+/** Most engines that are known to be leaving; the oldest is dropped first. */
+const MAX_LEAVING = 1_024;
+
+/** An engine that leaves, as it is known, and since when. */
+interface LeavingEngine {
+  readonly endpoint: serving.Endpoint;
+  readonly since: number;
+}
+
+/** A run at an engine whose service allows moves, and its last move. */
+interface MovableRun {
+  readonly run: runMoves.OwnRun;
+  move: runMoves.RunMove | undefined;
+}
+
+/** The moves of a run that were tried since it last got to another engine. */
+interface Tries {
+  readonly count: number;
+  readonly nextAt: number;
+}
+
+const NO_TRIES: Tries = { count: 0, nextAt: 0 };
+
+/** A run as the policy sees it. */
+interface Candidate extends serving.LeavingRun {
+  readonly movable: MovableRun;
+}
+
+/** Moves this daemon's runs on engines that leave to engines that stay. */
+export class RunMover {
+  readonly #context: () => contexts.ServingContext;
+  readonly #leaving = new Map<string, LeavingEngine>();
+  /** Runs by request; a request has one run at a time. */
+  readonly #runs = new Map<servedRequests.ServedRequest, MovableRun>();
+  /** Moves whose request has been sent with the handle and has brought no event yet, by request. */
+  readonly #resuming = new Map<servedRequests.ServedRequest, runMoves.RunMove>();
+  readonly #tries = new Map<servedRequests.ServedRequest, Tries>();
+  #calls: runCalls.RunCalls | undefined;
+  #timer: NodeJS.Timeout | undefined;
+
+  /** @param context - what serving needs, which is created later */
+  constructor(context: () => contexts.ServingContext) {
+    this.#context = context;
+  }
+
+  /** @param update - a change of an endpoint */
+  noteChange({ change, endpoint, id }: serving.EndpointUpdate): void {
+    if (change !== serving.EndpointChange.Leaving || endpoint === undefined) {
+      this.#leaving.delete(id);
+      return;
+    }
+    const known = this.#leaving.get(id);
+    if (known !== undefined && known.endpoint.bornAt === endpoint.bornAt) return;
+    const [oldest] = this.#leaving.keys();
+    if (oldest !== undefined && this.#leaving.size >= MAX_LEAVING) this.#leaving.delete(oldest);
+    this.#leaving.set(id, { endpoint, since: performance.now() });
+    this.#check();
+  }
+
+  /** @param run - a run that begins, or goes on at another engine */
+  noteRunning(run: runMoves.OwnRun): void {
+    const { active, served } = run;
+    const former = this.#runs.get(served)?.move;
+    this.#runs.delete(served);
+    if (active.resume === undefined) this.#resuming.get(served)?.noteLost();
+    this.#resuming.delete(served);
+    if (active.resume !== undefined && former !== undefined) this.#resuming.set(served, former);
+    if (this.#mayMove(run)) this.#runs.set(served, { run, move: undefined });
+  }
+
+  /**
+   * @param run - a run whose stream has closed without the end that its framing asks for
+   * @param close - how it closed
+   * @param followUp - what follows unless the run goes on elsewhere
+   * @returns whether a move decides what follows, now or later
+   */
+  onClosed(
+    run: Pick<runMoves.OwnRun, "active" | "served">,
+    close: serving.StreamClose,
+    followUp: runMoves.CloseFollowUp,
+  ): boolean {
+    const known = this.#runs.get(run.served);
+    return known?.run.active === run.active && known.move?.onClosed(close, followUp) === true;
+  }
+
+  /**
+   * @param served - a request with which a run was to go on
+   * @param detail - why it was not taken
+   * @returns whether the request goes on elsewhere with the handle
+   */
+  onRefused(served: servedRequests.ServedRequest, detail: string): boolean {
+    const move = this.#resuming.get(served);
+    if (move === undefined) return false;
+    this.#resuming.delete(served);
+    this.#runs.set(served, { run: move.run, move });
+    if (move.onRefused(detail)) return true;
+    this.#runs.delete(served);
+    return false;
+  }
+
+  /** @param run - a run that goes on with a handle, at its first event there */
+  noteResumed({ active, served }: Pick<runMoves.OwnRun, "active" | "served">): void {
+    const isReturn = active.resume?.isReturn === true;
+    this.#resuming.get(served)?.noteResumed(isReturn);
+    this.#resuming.delete(served);
+    if (!isReturn) this.#tries.delete(served);
+  }
+
+  /** @param served - a request that is over */
+  noteOver(served: servedRequests.ServedRequest): void {
+    this.#runs.get(served)?.move?.noteOver();
+    this.#resuming.get(served)?.noteOver();
+    this.#runs.delete(served);
+    this.#resuming.delete(served);
+    this.#tries.delete(served);
+  }
+
+  /**
+   * @param served - a request
+   * @returns whether its run has been told to stop, and has not been sent again yet
+   */
+  isBeingStopped(served: servedRequests.ServedRequest): boolean {
+    return this.#runs.get(served)?.move?.isBeingStopped === true;
+  }
+
+  /** @returns number of moves under way */
+  get underWay(): number {
+    return this.#movesUnderWay().length;
+  }
+
+  #mayMove({ served }: runMoves.OwnRun): boolean {
+    const { view } = this.#context();
+    const isStream = served.route.requestClass === serving.RequestClass.Stream;
+    return isStream && view.table?.service(served.service)?.engine?.moves === true;
+  }
+
+  #check(): void {
+    clearTimeout(this.#timer);
+    this.#timer = undefined;
+    const now = performance.now();
+    const drainMs = this.#context().settings.engineDrainMs ?? DEFAULT_DRAIN_MS;
+    let isWaiting = false;
+    for (const [id, { endpoint, since }] of this.#leaving) {
+      const leftMs = since + drainMs - now;
+      const runs = [...this.#runs.values()].filter(({ run }) => isAt(run, endpoint));
+      if (leftMs <= 0) {
+        this.#leaving.delete(id);
+        continue;
+      }
+      isWaiting ||= this.#runs.size + this.#resuming.size > 0;
+      this.#moveRuns(endpoint, runs, leftMs, now);
+    }
+    if (isWaiting) this.#timer = setTimeout(() => this.#check(), CHECK_INTERVAL_MS).unref();
+  }
+
+  #moveRuns(source: serving.Endpoint, runs: readonly MovableRun[], leftMs: number, now: number): void {
+    const candidates = runs.map((movable) => this.#candidate(movable, now));
+    for (const candidate of serving.chooseRunsToMove(candidates, leftMs)) this.#move(candidate, source, now);
+  }
+
+  #candidate(movable: MovableRun, now: number): Candidate {
+    const { demand, suspects } = this.#context();
+    const { active, served } = movable.run;
+    const { progress } = served;
+    const { prompt } = served.caller.headers;
+    const { move } = movable;
+    const { count, nextAt } = this.#tries.get(served) ?? NO_TRIES;
+    return {
+      movable,
+      startedAt: active.sentAt,
+      remainingMs: served.remainingMs,
+      events: progress.events,
+      expectedEvents: prompt === undefined ? undefined : demand.expectedEvents(prompt.outputTokens),
+      pauseMs: progress.meanPauseMs,
+      isResumable: progress.isLastEventNamed && served.origin !== undefined && active.hasEvents,
+      tokens: (prompt?.promptTokens ?? 0) + (prompt?.outputTokens ?? 0),
+      isMoving: move?.isUnderWay === true,
+      // A request under which engines crashed is kept from others.
+      isExcluded: move?.mayBeStopped === true || count >= MAX_TRIES || now < nextAt || suspects.isSuspected(served),
+    };
+  }
+
+  #move(candidate: Candidate, source: serving.Endpoint, now: number): void {
+    const context = this.#context();
+    const { movable } = candidate;
+    const { run } = movable;
+    const destination = serving.chooseDestination(candidate, source, this.#destinations(candidate, now));
+    const handleMs = context.view.table?.service(run.served.service)?.engine?.handleMs;
+    const { count } = this.#tries.get(run.served) ?? NO_TRIES;
+    this.#tries.set(run.served, { count: destination === undefined ? count : count + 1, nextAt: now + RETRY_MS });
+    if (destination === undefined || handleMs === undefined) {
+      context.log.info("run-move", { id: run.served.id, state: "stays", reason: "no-destination", source: source.id });
+      return;
+    }
+    this.#calls ??= new runCalls.RunCalls(context);
+    movable.move = new runMoves.RunMove({ context, calls: this.#calls, run, destination, handleMs });
+    movable.move.start();
+  }
+
+  /** The engines that may take a run now, by all that is known of them. */
+  #destinations({ movable, tokens }: Candidate, now: number): serving.Destination[] {
+    const context = this.#context();
+    const { client, health, loads, statements, view } = context;
+    const { served } = movable.run;
+    const definition = view.table?.service(served.service);
+    const memoryTokens = definition?.engine?.memoryTokens ?? 0;
+    const available = view.directory
+      .availableEndpoints(served.service)
+      .filter((each) => serving.canAnswer(each) && served.mayGoOnAt(each) && !view.isChangingRole(each, now))
+      .filter((each) => statements.gate.waitMs(each, now) === 0)
+      .filter((each) => client.pathTo(each, now) === serving.EndpointPath.Direct)
+      .filter((each) => client.hasRoom(each.id, definition?.maxConnections ?? Infinity, context.liveDaemons()));
+    return health.selectUsable(available, false, now).map((endpoint) => {
+      const coming = this.#movesUnderWay().filter((move) => move.destination.id === endpoint.id).length;
+      const running = loads.runningRequests(endpoint.id, now) + coming;
+      // How much each request there holds isn't known: it is taken for as much as this one.
+      return { endpoint, running, freeTokens: memoryTokens - running * tokens };
+    });
+  }
+
+  #movesUnderWay(): runMoves.RunMove[] {
+    return [...this.#runs.values()].flatMap(({ move }) => (move?.isUnderWay === true ? [move] : []));
+  }
+}
+
+function isAt({ active }: runMoves.OwnRun, { address, bornAt, id }: serving.Endpoint): boolean {
+  const { endpoint } = active;
+  return endpoint.id === id && endpoint.bornAt === bornAt && endpoint.address === address;
+}
--- a/packages/gateway/src/sendChooser.ts
+++ b/packages/gateway/src/sendChooser.ts
@@ -13,6 +13,15 @@
   Answering = "answering",
 }
 
+/** A run that its engine has stopped and that goes on with the KV cache that this engine keeps. */
+export interface ResumedRun {
+  readonly source: serving.Endpoint;
+  /** Names the KV cache at the source. */
+  readonly handle: string;
+  /** Whether it goes back to the source itself. */
+  readonly isReturn: boolean;
+}
+
 /** A send that was decided on. */
 export interface PlannedSend {
   readonly endpoint: serving.Endpoint;
@@ -20,6 +29,8 @@
   /** Predicted time to the first event in milliseconds, 0 where nothing is predicted. */
   readonly predictedMs: number;
   readonly plan: serving.EnginePlan | undefined;
+  /** Present if a run goes on there that was stopped elsewhere. */
+  readonly resume?: ResumedRun;
   /** What its admission was based on, as fields of the log; absent where nothing had to be admitted. */
   readonly admission?: decisionLogs.LogFields;
 }
--- a/packages/gateway/src/servedRequest.ts
+++ b/packages/gateway/src/servedRequest.ts
@@ -213,6 +213,15 @@
     this.#sends--;
   }
 
+  /**
+   * Counts a resume that its engine rejected. It is taken from the retry budget, but doesn't wait for it: the rejection
+   * can't be foreseen, and the run has stopped.
+   */
+  countRejectedResume(): void {
+    this.#sends++;
+    this.#spendRetry();
+  }
+
   /** Records that the request may have run from now on. */
   noteMayHaveRun(): void {
     this.#mayHaveRun = true;
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -34,5 +34,7 @@
   readonly areOrdersFenced?: boolean;
   /** Duration of the lease that allows a daemon to carry out the duties of the fleet, in milliseconds. */
   readonly orderLeaseMs: number;
+  /** Time for which an engine that leaves goes on with its runs, in milliseconds; 2,000 if not set. */
+  readonly engineDrainMs?: number;
   readonly logLevel: string;
 }
--- a/packages/gateway/src/statements/endpointStatements.ts
+++ b/packages/gateway/src/statements/endpointStatements.ts
@@ -36,10 +36,12 @@
   /**
    * {@inheritDoc sendings.TrafficGuard.mayReceive}
    *
-   * Calls of the gateway itself go on to an endpoint that leaves: they free what it still keeps.
+   * Calls of the gateway itself go on to an endpoint that leaves: they free what it still keeps. So does a run that it
+   * stopped and that goes back to it.
    */
   mayReceive(endpoint: serving.Endpoint, call: serving.AnsweredCall): boolean {
-    return this.gate.mayReceive(endpoint, call !== serving.AnsweredCall.Control, performance.now());
+    const isNewWork = call === serving.AnsweredCall.Run || call === serving.AnsweredCall.Prefill;
+    return this.gate.mayReceive(endpoint, isNewWork, performance.now());
   }
 
   /** {@inheritDoc sendings.TrafficGuard.onSend} */
--- a/packages/gateway/src/streamProgress.ts
+++ b/packages/gateway/src/streamProgress.ts
@@ -5,6 +5,7 @@
   #lastEventId: string | undefined;
   #events = 0;
   #longestGapMs = 0;
+  #isLastNamed = false;
 
   /** @returns whether any event was forwarded to the caller */
   get hasBegun(): boolean {
@@ -21,6 +22,11 @@
     return this.#lastEventId;
   }
 
+  /** @returns whether the last event has an id, so that the stream can go on right after it */
+  get isLastEventNamed(): boolean {
+    return this.#isLastNamed;
+  }
+
   /** @returns number of events so far */
   get events(): number {
     return this.#events;
@@ -43,6 +49,7 @@
     else this.#longestGapMs = Math.max(this.#longestGapMs, now - this.#lastEventAt);
     this.#events++;
     this.#lastEventAt = now;
+    this.#isLastNamed = id !== undefined && id !== "";
     if (id !== undefined) this.#lastEventId = id;
   }
 
--- a/packages/gateway/tests/helpers/exchangeHarness.ts
+++ b/packages/gateway/tests/helpers/exchangeHarness.ts
@@ -16,6 +16,7 @@
 import type * as ports from "../../src/ports.js";
 import * as endpointStatements from "../../src/statements/endpointStatements.js";
 import * as streamOrigins from "../../src/streams/streamOrigins.js";
+import * as runMovers from "../../src/runs/runMover.js";
 import * as suspectGates from "../../src/suspects/suspectGate.js";
 import type * as settingsModule from "../../src/settings.js";
 import * as limits from "./limits.js";
@@ -114,6 +115,8 @@
   engineStateCall: unused,
   readEngineState: unused,
   roleOrderCall: unused,
+  moveRunCall: unused,
+  readMoveResult: unused,
 };
 
 const SETTINGS: settingsModule.GatewaySettings = {
@@ -252,6 +255,7 @@
         view,
         peers: () => ({ holders: () => [], sendRecords: unused, findStream: unused }),
       }),
+      runs: new runMovers.RunMover(() => this.#context),
       suspects: new suspectGates.SuspectGate({
         log: new decisionLogs.DecisionLog("vm-1", "info", sink),
         lastReceivedAt: () => 0,
--- a/packages/serving/src/configuration.ts
+++ b/packages/serving/src/configuration.ts
@@ -57,6 +57,10 @@
   readonly memoryTokens: number;
   /** Time for which the handle of a prefilled prompt is kept, in milliseconds. */
   readonly handleMs: number;
+  /** Whether the engines can copy a run to another engine, where it goes on. */
+  readonly moves?: boolean;
+  /** Whether the engines can keep a copy of a run at a second engine. */
+  readonly backups?: boolean;
 }
 
 /** Limits and prices of the engines of a service whose number the system controls. */
--- a/packages/serving/src/demand.ts
+++ b/packages/serving/src/demand.ts
@@ -98,6 +98,15 @@
     this.#eventsPerToken.learn(outputTokens, events);
   }
 
+  /**
+   * @param outputTokens - tokens that a request asks for
+   * @returns events that its stream is expected to have; undefined as long as too few streams have ended
+   */
+  expectedEvents(outputTokens: number): number | undefined {
+    const { ratio } = this.#eventsPerToken;
+    return ratio === 0 ? undefined : ratio * outputTokens;
+  }
+
   /**
    * Covers the streams that are to come as well as those that run. Just after a start, and while long answers
    * accumulate, the running streams are a small part of them.
--- a/packages/serving/src/limits/requestLimit.ts
+++ b/packages/serving/src/limits/requestLimit.ts
@@ -23,6 +23,8 @@
   Prefill = "prefill",
   /** A call of the gateway itself. */
   Control = "control",
+  /** A run that goes back to the engine that stopped it, which is no new work for it. */
+  Return = "return",
 }
 
 /** Largest limit that has an effect, in requests a second; a higher one could not be exceeded by all daemons together. */
