Keep what is held for callers within the VM's memory

A daemon that holds answers for callers that don't read them, or bodies for endpoints that don't answer, exceeds the memory of a small VM and ends with all its answers. HeldBytes counts both by connection. Beyond a quarter of the VM's memory bodies are rejected as not run, and the answer of the slowest reader is broken off by a reset. Within a quarter of that limit streams are read on for slow callers, as endpoints cut off what stays unread.

--- a/packages/gateway/src/answerBody.ts
+++ b/packages/gateway/src/answerBody.ts
@@ -57,12 +57,17 @@
   /** {@inheritDoc AnswerBody.onData} */
   onData(chunk: Buffer): void {
     this.#chunks.push(chunk);
+    const { answer, context } = this.#send;
+    context.memory.addAnswer(answer.connection, chunk.length);
   }
 
   /** {@inheritDoc AnswerBody.onEnd} */
   onEnd(): void {
-    const { active, answer, end, feedback, handover, results, served } = this.#send;
+    const { active, answer, context, end, feedback, handover, results, served } = this.#send;
     const { status, headers } = this.#head;
+    const body = Buffer.concat(this.#chunks);
+    // From here on it counts as unsent until the caller has read it.
+    context.memory.addAnswer(answer.connection, -body.length);
     handover.markTaken();
     const failed = status >= SERVER_ERRORS_FROM;
     const now = performance.now();
@@ -80,7 +85,7 @@
         return;
       }
     }
-    end.forward(status, headers, Buffer.concat(this.#chunks), now);
+    end.forward(status, headers, body, now);
   }
 }
 
@@ -156,7 +161,7 @@
     served.noteBegunToRun();
     handover.markTaken();
     answer.beginStream(this.#head.status, this.#head.headers);
-    if (!answer.write(event.bytes)) active.applyBackpressure(answer);
+    if (!answer.write(event.bytes) && !context.memory.mayReadAhead) active.applyBackpressure(answer);
   }
 
   #onFirstEvent(now: number): void {
--- a/packages/gateway/src/callerAnswer.ts
+++ b/packages/gateway/src/callerAnswer.ts
@@ -48,6 +48,11 @@
     return this.#state;
   }
 
+  /** @returns the caller's connection; null once it is closed */
+  get connection(): net.Socket | null {
+    return this.#response.socket;
+  }
+
   /**
    * Forwards the complete answer of an endpoint.
    *
--- a/packages/gateway/src/callerListener.ts
+++ b/packages/gateway/src/callerListener.ts
@@ -30,6 +30,9 @@
 /** Retry-After value of a stopping daemon, in seconds; the caller retries on another daemon. */
 const STOPPING_RETRY_AFTER = "0.050";
 
+/** Retry-After value while no memory is left for bodies, in seconds; the slowest readers are broken off within that time. */
+const NO_MEMORY_RETRY_AFTER = "1.000";
+
 /** Outcome in the log of a request that was open when the process ended. */
 const ENDED_BY_STOP = "cut-by-stop";
 
@@ -85,6 +88,7 @@
     });
     this.#server.on("connection", (socket: stream.Duplex) => {
       this.#connections.add(socket);
+      if (socket instanceof net.Socket) this.#context.memory.noteConnection(socket);
       if (this.#acceptDelay.noteAccepted(performance.now()) >= LONG_ACCEPT_DELAY_MS) this.#acceptedLate.add(socket);
       socket.once("close", () => this.#connections.delete(socket));
     });
@@ -230,7 +234,11 @@
       if (!response.writableFinished) onDisconnect();
     });
     this.#readingBody.add(answer);
-    const body = await callerRequests.readBody(incoming, limits.bodyBytes);
+    const body = await callerRequests.readBody(
+      incoming,
+      limits.bodyBytes,
+      this.#bodyMemory(request, incoming, response),
+    );
     // A caller's request is read before its disconnect. Without waiting for the pending reads, a request whose caller
     // disconnected while the connection waited for acceptance would still be sent to an endpoint.
     if (this.#acceptedLate.delete(incoming.socket)) await pendingReads.handled();
@@ -244,6 +252,17 @@
     } else if (body === "too-large") {
       log.info("body-too-large", { id, limit: limits.bodyBytes });
       this.#refuseUnread(incoming, answer, PAYLOAD_TOO_LARGE, "the request body exceeds the size limit");
+    } else if (body === "no-memory") {
+      this.#context.metrics.count("bodies_rejected_for_memory");
+      log.warn("no-memory", { id, heldBytes: this.#context.memory.heldBytes });
+      const retry = [format.retryAfterHeader, NO_MEMORY_RETRY_AFTER];
+      this.#refuseUnread(
+        incoming,
+        answer,
+        UNAVAILABLE,
+        "no memory is left for the body; retry after Retry-After",
+        retry,
+      );
     } else {
       const exchange = this.#accept(request, body, answer);
       if (exchange === undefined) return;
@@ -253,6 +272,28 @@
     }
   }
 
+  /** Counts the body of a request as held until the response closes. */
+  #bodyMemory(
+    { headers }: callerRequests.CallerRequest,
+    { socket }: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): callerRequests.BodyMemory {
+    const { memory } = this.#context;
+    let held = 0;
+    memory.noteRequest(socket, headers.requestId);
+    response.once("close", () => {
+      memory.addRequest(socket, -held);
+      memory.addAnswer(socket, Number.NEGATIVE_INFINITY);
+    });
+    return {
+      mayTake: (bytes) => memory.mayTake(bytes),
+      add: (bytes) => {
+        held += bytes;
+        memory.addRequest(socket, bytes);
+      },
+    };
+  }
+
   /** Shows operators what callers say and nobody reads, before it matters that nobody does. */
   #noteUnlisted({ headers }: callerRequests.CallerRequest): void {
     for (const name of headers.unlistedHeaders) {
@@ -348,8 +389,9 @@
     answer: callerAnswers.CallerAnswer,
     status: number,
     detail: string,
+    headers: readonly string[] = [],
   ): void {
-    answer.refuse(status, detail, ["connection", "close"]);
+    answer.refuse(status, detail, ["connection", "close", ...headers]);
     incoming.resume();
   }
 }
--- a/packages/gateway/src/callerRequest.ts
+++ b/packages/gateway/src/callerRequest.ts
@@ -79,21 +79,47 @@
   return values;
 }
 
+/** Where the bytes of a request's body are counted. */
+export interface BodyMemory {
+  /** @param bytes - size of a body, or of its next part; @returns whether it may be taken */
+  mayTake(bytes: number): boolean;
+  /** @param bytes - bytes that are held from now on */
+  add(bytes: number): void;
+}
+
 /**
  * Reads the body of a request.
  *
  * @param incoming - the request
  * @param limit - maximum size of the body in bytes
- * @returns the body; undefined if the caller disconnected, "too-large" if the body exceeds the limit
+ * @param memory - counts the body
+ * @returns the body; undefined if the caller disconnected, "too-large" if the body exceeds the limit, "no-memory" if there
+ *   is no memory for it
  */
-export function readBody(incoming: http.IncomingMessage, limit: number): Promise<Buffer | "too-large" | undefined> {
+export function readBody(
+  incoming: http.IncomingMessage,
+  limit: number,
+  memory: BodyMemory,
+): Promise<Buffer | "too-large" | "no-memory" | undefined> {
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
     let size = 0;
+    const statedBytes = Number(incoming.headers["content-length"] ?? 0);
+    // What exceeds the limit is too large whatever memory there is.
+    let isRejected = statedBytes <= limit && !memory.mayTake(statedBytes);
+    if (isRejected) resolve("no-memory");
     incoming.on("data", (chunk: Buffer) => {
       size += chunk.length;
+      if (isRejected) return;
       if (size > limit) resolve("too-large");
-      else chunks.push(chunk);
+      else if (memory.mayTake(chunk.length)) {
+        memory.add(chunk.length);
+        chunks.push(chunk);
+      } else {
+        isRejected = true;
+        chunks.length = 0;
+        resolve("no-memory");
+      }
     });
     incoming.once("end", () => resolve(Buffer.concat(chunks)));
     incoming.once("error", () => resolve(undefined));
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -6,6 +6,7 @@
 import type * as endpointClients from "./endpointClient.js";
 import type * as fleetViews from "./fleetView.js";
 import type * as endpointLimits from "./limits/endpointLimits.js";
+import type * as memoryGuards from "./memory/memoryGuard.js";
 import type * as metricsModule from "./metrics.js";
 import type * as ports from "./ports.js";
 import type * as runMovers from "./runs/runMover.js";
@@ -39,6 +40,8 @@
   readonly crashDetector: crashDetectors.EndpointCrashDetector;
   /** What began the streams that callers may take up. */
   readonly streams: streamOrigins.StreamOrigins;
+  /** Keeps what is held for callers within the VM's memory. */
+  readonly memory: memoryGuards.MemoryGuard;
   /** Moves runs from engines that leave to others. */
   readonly runs: runMovers.RunMover;
   /** Keeps requests that crash endpoints from being sent to them. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,6 +15,7 @@
 import * as endpointLimits from "./limits/endpointLimits.js";
 import * as loopUtilizations from "./loopUtilization.js";
 import * as loopWatches from "./loopWatch.js";
+import * as memoryGuards from "./memory/memoryGuard.js";
 import * as metricsModule from "./metrics.js";
 import * as usageCodecs from "./duties/usageCodec.js";
 import * as dutyCandidates from "./duties/dutyCandidate.js";
@@ -207,6 +208,11 @@
       streams,
       crashDetector,
       suspects,
+      memory: new memoryGuards.MemoryGuard({
+        memoryBytes: settings.memoryBytes,
+        log: this.#log,
+        metrics: this.#metrics,
+      }),
       runs: new runMovers.RunMover(() => this.#context),
       budgets: new contexts.RetryBudgets(settings.retryBounds, performance.now()),
       countUsage: (organisation) => {
@@ -363,6 +369,7 @@
       endpoints_resting: this.#context.statements.rests.count,
       endpoints_limited: this.#context.limits.table.limits().length,
       busy_cores: this.#utilization.share * this.#settings.capacity,
+      held_bytes: this.#context.memory.heldBytes,
       runs_moving: this.#context.runs.underWay,
       heap_bytes: process.memoryUsage().heapUsed,
       event_loop_utilization: performance.eventLoopUtilization().utilization,
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -36,5 +36,7 @@
   readonly orderLeaseMs: number;
   /** Time for which an engine that leaves goes on with its runs, in milliseconds; 2,000 if not set. */
   readonly engineDrainMs?: number;
+  /** Memory of the VM in bytes, if others contend for it; undefined if nothing is limited by it. */
+  readonly memoryBytes?: number | undefined;
   readonly logLevel: string;
 }
--- a/packages/gateway/tests/helpers/exchangeHarness.ts
+++ b/packages/gateway/tests/helpers/exchangeHarness.ts
@@ -12,6 +12,7 @@
 import * as endpointClients from "../../src/endpointClient.js";
 import * as exchanges from "../../src/exchange.js";
 import * as fleetViews from "../../src/fleetView.js";
+import * as memoryGuards from "../../src/memory/memoryGuard.js";
 import * as metricsModule from "../../src/metrics.js";
 import type * as ports from "../../src/ports.js";
 import * as endpointStatements from "../../src/statements/endpointStatements.js";
@@ -255,6 +256,11 @@
         view,
         peers: () => ({ holders: () => [], sendRecords: unused, findStream: unused }),
       }),
+      memory: new memoryGuards.MemoryGuard({
+        memoryBytes: undefined,
+        log: new decisionLogs.DecisionLog("vm-1", "info", sink),
+        metrics: new metricsModule.Metrics(),
+      }),
       runs: new runMovers.RunMover(() => this.#context),
       suspects: new suspectGates.SuspectGate({
         log: new decisionLogs.DecisionLog("vm-1", "info", sink),
