Place prompts where the engine's memory has room

An engine crashes if what it holds exceeds its memory. Daemons count the tokens of prompts and requested outputs that they have outstanding at each engine, heartbeats carry the sums (held_tokens), and placement leaves out engines without room unless there is no other. Moved runs go by the same counts. Only with the memory settings; otherwise nothing is counted.

--- a/packages/gateway/src/activeSend.ts
+++ b/packages/gateway/src/activeSend.ts
@@ -2,7 +2,7 @@
 import type * as callerAnswers from "./callerAnswer.js";
 import type * as contexts from "./context.js";
 import type * as sendings from "./sending.js";
-import type * as sendChoosers from "./sendChooser.js";
+import * as sendChoosers from "./sendChooser.js";
 import type * as servedRequests from "./servedRequest.js";
 import * as silenceWatches from "./silenceWatch.js";
 
@@ -28,6 +28,8 @@
   readonly sentAt: number;
   readonly #context: contexts.ServingContext;
   readonly #silence: silenceWatches.SilenceWatch;
+  /** Tokens that count as held at the endpoint while the send is under way. */
+  readonly #heldTokens: number;
   #pendingPrefill: serving.PendingPrefill | undefined;
   #request: sendings.InFlightRequest | undefined;
   #firstEventAt: number | undefined;
@@ -52,6 +54,7 @@
     const { plan, endpoint } = planned;
     this.#pendingPrefill =
       plan === undefined ? undefined : context.loads.beginPrefill(endpoint.id, plan.workTokens, plan.urgency);
+    this.#heldTokens = heldTokensOf(context, served, planned);
     this.#silence = new silenceWatches.SilenceWatch(context, served, planned, this.sentAt);
   }
 
@@ -86,7 +89,7 @@
     receiver: sendings.AnswerReceiver,
     onSilent: (silentMs: number) => void,
   ): void {
-    this.#context.loads.beginRequest(this.endpoint.id);
+    this.#context.loads.beginRequest(this.endpoint.id, this.#heldTokens);
     this.#silence.start(() => this.isPathLost, onSilent);
     this.#request = this.#context.client.send(this.endpoint, message, receiver);
   }
@@ -140,7 +143,19 @@
   /** Takes the work of a send that is over off its endpoint. */
   release(): void {
     this.finishPrefill();
-    this.#context.loads.endRequest(this.endpoint.id);
+    this.#context.loads.endRequest(this.endpoint.id, this.#heldTokens);
     this.#silence.stop();
   }
 }
+
+/** What a request holds of an engine's memory at most: its prompt, and the requested output where it is answered. */
+function heldTokensOf(
+  { settings, view }: contexts.ServingContext,
+  { caller, service }: servedRequests.ServedRequest,
+  { stage }: sendChoosers.PlannedSend,
+): number {
+  const { prompt } = caller.headers;
+  const isCounted = settings.memoryBytes !== undefined && view.table?.service(service)?.engine !== undefined;
+  if (!isCounted || prompt === undefined) return 0;
+  return prompt.promptTokens + (stage === sendChoosers.Stage.Prefill ? 0 : prompt.outputTokens);
+}
--- a/packages/gateway/src/peerWork.ts
+++ b/packages/gateway/src/peerWork.ts
@@ -60,11 +60,12 @@
   createFields(now: number): WorkFields {
     const { loads, demand } = this.#parts;
     return {
-      work: [...loads.ownWork()].map(([endpoint, { running, unread }]) =>
+      work: [...loads.ownWork()].map(([endpoint, { heldTokens = 0, running, unread }]) =>
         protobuf.create(messages.EndpointWorkSchema, {
           endpoint,
           running,
           unread: unread.map(toUint32),
+          heldTokens: toUint32(heldTokens),
         }),
       ),
       reads: this.#readMessages(),
@@ -84,7 +85,12 @@
    */
   apply(pulse: messages.Pulse, now: number, validMs: number): void {
     const { loads, view } = this.#parts;
-    const work = pulse.work.map(({ endpoint, unread, running }) => [endpoint, { unread, running }] as const);
+    const work = pulse.work.map(({ endpoint, heldTokens, unread, running }) => {
+      // Nothing is held where nothing runs.
+      const held = running === 0 || heldTokens === 0 ? {} : { heldTokens };
+      return [endpoint, { unread, running, ...held }] as const;
+    });
+    this.#logImpossible(pulse);
     loads.updatePeerWork(pulse.vm, new Map(work), now, validMs);
     for (const { endpoint, model, part, tokens, startedAtMs, isRead } of pulse.reads) {
       if (endpointIncarnations.isOtherIncarnation(view, endpoint, endpointIncarnations.fromMessage(startedAtMs)))
@@ -95,6 +101,12 @@
     this.#applySizes(pulse, now);
   }
 
+  #logImpossible({ vm, work }: messages.Pulse): void {
+    const impossible = work.filter(({ heldTokens, running }) => running === 0 && heldTokens > 0);
+    if (impossible.length > 0)
+      this.#parts.log.warn("impossible-held-tokens", { peer: vm, endpoints: impossible.length });
+  }
+
   #applySizes({ vm, sizes }: messages.Pulse, now: number): void {
     const impossible = sizes.filter((count) => !this.#parts.acceptance.addPeerCount(count, now));
     const [first] = impossible;
--- a/packages/gateway/src/runs/runMover.ts
+++ b/packages/gateway/src/runs/runMover.ts
@@ -229,8 +229,12 @@
     return health.selectUsable(available, false, now).map((endpoint) => {
       const coming = this.#movesUnderWay().filter((move) => move.destination.id === endpoint.id).length;
       const running = loads.runningRequests(endpoint.id, now) + coming;
-      // How much each request there holds isn't known: it is taken for as much as this one.
-      return { endpoint, running, freeTokens: memoryTokens - running * tokens };
+      // Where it isn't counted what the requests there hold, each is taken for as much as this one.
+      const held =
+        context.settings.memoryBytes === undefined
+          ? running * tokens
+          : loads.heldTokens(endpoint.id, now) + coming * tokens;
+      return { endpoint, running, freeTokens: memoryTokens - held };
     });
   }
 
--- a/packages/gateway/src/sendChooser.ts
+++ b/packages/gateway/src/sendChooser.ts
@@ -235,7 +235,7 @@
     const { loads, health, settings, speeds } = this.#context;
     return {
       prompt,
-      engines,
+      engines: this.#withRoom(engines, limits, prompt),
       loads,
       memoryTokens: limits.memoryTokens,
       speeds: speeds.of(definition.name),
@@ -249,6 +249,20 @@
     };
   }
 
+  /** The engines whose memory has room for the request, where the VM's settings say that memory is contended. */
+  #withRoom(
+    engines: readonly serving.Endpoint[],
+    { memoryTokens }: serving.EngineLimits,
+    { outputTokens, promptTokens }: serving.Prompt,
+  ): readonly serving.Endpoint[] {
+    const { loads, settings } = this.#context;
+    if (settings.memoryBytes === undefined) return engines;
+    const now = performance.now();
+    return serving.enginesWithRoom(engines, promptTokens + outputTokens, memoryTokens, (id) =>
+      loads.heldTokens(id, now),
+    );
+  }
+
   #placeOn(
     engines: readonly serving.Endpoint[],
     definition: serving.Service,
--- a/packages/gateway/tests/heartbeatSocket.test.ts
+++ b/packages/gateway/tests/heartbeatSocket.test.ts
@@ -79,6 +79,7 @@
     endpoint: `i-0123456789${index}`,
     running: 3,
     unread: [0, 0, 0, index * 100],
+    heldTokens: 0,
   }));
   sender.send(protobuf.create(messages.PulseSchema, { vm: "vm-1", work }), [`127.0.0.1:${PORT}`]);
   for (let turn = 0; turn < 100 && received.length === 0; turn++)
--- a/packages/serving/src/engineLoadTracker.ts
+++ b/packages/serving/src/engineLoadTracker.ts
@@ -7,6 +7,8 @@
   readonly unread: readonly number[];
   /** Requests in progress. */
   readonly running: number;
+  /** Tokens of their prompts and requested outputs; absent if they aren't counted. */
+  readonly heldTokens?: number;
 }
 
 /** A prefill in progress at an engine; it ends with the first event or with the handle of the KV cache. */
@@ -41,6 +43,7 @@
 interface PeerTotal {
   readonly unread: number[];
   running: number;
+  heldTokens: number;
 }
 
 /** Interval at which expired reports are subtracted from the totals, in milliseconds. */
@@ -52,6 +55,7 @@
 interface EndpointState {
   readonly unread: number[];
   running: number;
+  heldTokens: number;
   cache: promptParts.PromptCacheView | undefined;
 }
 
@@ -93,15 +97,34 @@
     state.unread[prefill.urgency] = Math.max(0, (state.unread[prefill.urgency] ?? 0) - prefill.tokens);
   }
 
-  /** @param endpointId - endpoint at which a request starts */
-  beginRequest(endpointId: string): void {
-    this.#state(endpointId).running++;
+  /**
+   * @param endpointId - endpoint at which a request starts
+   * @param heldTokens - tokens of its prompt and requested output, 0 if they aren't counted
+   */
+  beginRequest(endpointId: string, heldTokens = 0): void {
+    const state = this.#state(endpointId);
+    state.running++;
+    state.heldTokens += heldTokens;
   }
 
-  /** @param endpointId - endpoint at which a request has ended */
-  endRequest(endpointId: string): void {
+  /**
+   * @param endpointId - endpoint at which a request has ended
+   * @param heldTokens - tokens that were counted for it
+   */
+  endRequest(endpointId: string, heldTokens = 0): void {
     const state = this.#state(endpointId);
     state.running = Math.max(0, state.running - 1);
+    state.heldTokens = Math.max(0, state.heldTokens - heldTokens);
+  }
+
+  /**
+   * @param endpointId - the endpoint
+   * @param now - current instant in milliseconds
+   * @returns tokens of the prompts and requested outputs in progress or queued there, from all daemons that count them
+   */
+  heldTokens(endpointId: string, now: number): number {
+    this.#expire(now);
+    return (this.#states.get(endpointId)?.heldTokens ?? 0) + (this.#peerTotals.get(endpointId)?.heldTokens ?? 0);
   }
 
   /**
@@ -244,7 +267,8 @@
     const work = new Map<string, EndpointWork>();
     for (const [endpointId, state] of this.#states) {
       if (state.running === 0 && state.unread.every((tokens) => tokens === 0)) continue;
-      work.set(endpointId, { unread: [...state.unread], running: state.running });
+      const { heldTokens, running, unread } = state;
+      work.set(endpointId, { unread: [...unread], running, ...(heldTokens === 0 ? {} : { heldTokens }) });
     }
     return work;
   }
@@ -252,7 +276,8 @@
   #state(endpointId: string): EndpointState {
     let state = this.#states.get(endpointId);
     if (state === undefined) {
-      state = { unread: new Array<number>(urgencies.URGENCY_LEVELS).fill(0), running: 0, cache: undefined };
+      const unread = new Array<number>(urgencies.URGENCY_LEVELS).fill(0);
+      state = { unread, running: 0, heldTokens: 0, cache: undefined };
       this.#states.set(endpointId, state);
     }
     return state;
@@ -269,13 +294,14 @@
   }
 
   #addToTotals(work: ReadonlyMap<string, EndpointWork>, sign: 1 | -1): void {
-    for (const [endpointId, { unread, running }] of work) {
+    for (const [endpointId, { unread, running, heldTokens = 0 }] of work) {
       let total = this.#peerTotals.get(endpointId);
       if (total === undefined) {
-        total = { unread: new Array<number>(urgencies.URGENCY_LEVELS).fill(0), running: 0 };
+        total = { unread: new Array<number>(urgencies.URGENCY_LEVELS).fill(0), running: 0, heldTokens: 0 };
         this.#peerTotals.set(endpointId, total);
       }
       total.running += sign * running;
+      total.heldTokens += sign * heldTokens;
       for (const [index, tokens] of unread.entries()) total.unread[index] = (total.unread[index] ?? 0) + sign * tokens;
       if (total.running === 0 && total.unread.every((tokens) => tokens === 0)) this.#peerTotals.delete(endpointId);
     }
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -28,6 +28,7 @@
 export * from "./organisations/credential.js";
 export * from "./paths/endpointPaths.js";
 export * from "./paths/relayChoice.js";
+export * from "./memory/engineMemory.js";
 export * from "./memory/heldBytes.js";
 export * from "./placement.js";
 export * from "./prefillSite.js";
