Keep faults and refusals of a move from the source and from the daemon

A refused copy with Retry-After would have counted as a rest of the source, which then could not take its run back, and the stream would have broken off. Such a refusal concerns the destination. Exceptions in moves, which run in timers and after answers, would have ended the daemon. Runs whose send is over are not moved, and engines that state a limit are no destinations, as the limit may be used up once the run has stopped.

--- a/packages/gateway/src/engineCalls.ts
+++ b/packages/gateway/src/engineCalls.ts
@@ -45,12 +45,14 @@
    * @param engine - the engine
    * @param call - the call
    * @param timeoutMs - time for the answer, in milliseconds
+   * @param kind - what the answer is read for
    * @returns the answer, or undefined if there was none: the call may have been executed
    */
   call(
     engine: serving.Endpoint,
     call: ports.EngineCall,
     timeoutMs = CALL_TIMEOUT_MS,
+    kind = serving.AnsweredCall.Control,
   ): Promise<EngineAnswer | undefined> {
     return new Promise((resolve) => {
       const chunks: Buffer[] = [];
@@ -72,7 +74,7 @@
           path: call.path,
           createHeaders: () => call.headers(engine.id),
           body: call.body === undefined ? undefined : Buffer.from(call.body),
-          call: serving.AnsweredCall.Control,
+          call: kind,
         },
         {
           onHead: (answerStatus) => {
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -30,7 +30,7 @@
     this.#chooser = new sendChoosers.SendChooser(parts.context, parts.served);
   }
 
-  /** @returns the send that is in flight */
+  /** {@inheritDoc runMoves.RunHost.active} */
   get active(): activeSends.ActiveSend | undefined {
     return this.#active;
   }
@@ -42,9 +42,13 @@
    * this caller without an answer if the HTTP library caught it.
    */
   sendNext(): void {
+    this.#guard(() => this.#chooseAndSend());
+  }
+
+  #guard(send: () => void): void {
     const { context, end, served } = this.#parts;
     try {
-      this.#chooseAndSend();
+      send();
     } catch (error) {
       const { message, stack } = error as Error;
       context.log.warn("request-fault", { id: served.id, detail: message, stack });
@@ -300,7 +304,7 @@
     const { end, handover } = this.#parts;
     if (end.over) return;
     handover.keep({ engine: planned.resume.source, handle: planned.resume.handle });
-    this.#dispatch(planned);
+    this.#guard(() => this.#dispatch(planned));
   }
 
   /** @returns whether a run goes on elsewhere with its handle after an engine has not taken it */
--- a/packages/gateway/src/runs/runCalls.ts
+++ b/packages/gateway/src/runs/runCalls.ts
@@ -1,4 +1,4 @@
-import type * as serving from "@camphorcourse/serving";
+import * as serving from "@camphorcourse/serving";
 import * as engineCalls from "../engineCalls.js";
 import type * as contexts from "../context.js";
 import type * as ports from "../ports.js";
@@ -21,7 +21,8 @@
    * @returns what became of the copy
    */
   async move(source: serving.Endpoint, move: ports.RunMove, timeoutMs: number): Promise<serving.MoveAnswer> {
-    const answer = await this.#calls.call(source, this.#format.moveRunCall(move), timeoutMs);
+    const call = this.#format.moveRunCall(move);
+    const answer = await this.#calls.call(source, call, timeoutMs, serving.AnsweredCall.Move);
     return this.#format.readMoveResult(answer?.status ?? 0, answer?.body ?? Buffer.alloc(0));
   }
 
--- a/packages/gateway/src/runs/runMove.ts
+++ b/packages/gateway/src/runs/runMove.ts
@@ -16,6 +16,8 @@
 
 /** What serves the request of a run. */
 export interface RunHost {
+  /** The send that is in flight. */
+  readonly active: activeSends.ActiveSend | undefined;
   /**
    * Ends a send; nothing more is accepted from it.
    *
@@ -163,8 +165,8 @@
     if (step === serving.RunStep.Wait) return;
     this.#log(step, reason);
     const act: Partial<Record<serving.RunStep, () => void>> = {
-      [serving.RunStep.Copy]: () => void this.#copy(),
-      [serving.RunStep.Stop]: () => void this.#stop(),
+      [serving.RunStep.Copy]: () => void this.#copy().catch((error: unknown) => this.#onFault(error)),
+      [serving.RunStep.Stop]: () => void this.#stop().catch((error: unknown) => this.#onFault(error)),
       [serving.RunStep.ResumeAtDestination]: () => this.#resumeAt(this.#parts.destination, false),
       [serving.RunStep.ResumeAtSource]: () => this.#resumeAt(this.run.active.endpoint, true),
       [serving.RunStep.Abandon]: () => this.#parts.context.metrics.count("run_moves_failed"),
@@ -193,6 +195,14 @@
     }
   }
 
+  /** An exception in a move fails this request at most; uncaught, it would end the daemon. */
+  #onFault(error: unknown): void {
+    const { id } = this.run.served;
+    this.#parts.context.log.warn("run-move-fault", { id, detail: String(error) });
+    this.#state.end(false);
+    this.#followUp?.break();
+  }
+
   #call(isLast: boolean, timeoutMs: number): Promise<serving.MoveAnswer> {
     const { calls, destination } = this.#parts;
     const { active, served } = this.run;
--- a/packages/gateway/src/runs/runMover.ts
+++ b/packages/gateway/src/runs/runMover.ts
@@ -153,6 +153,15 @@
   #check(): void {
     clearTimeout(this.#timer);
     this.#timer = undefined;
+    try {
+      this.#moveLeaving();
+    } catch (error) {
+      // Uncaught in a timer, it would end the daemon.
+      this.#context().log.warn("run-move-fault", { detail: String(error) });
+    }
+  }
+
+  #moveLeaving(): void {
     const now = performance.now();
     const drainMs = this.#context().settings.engineDrainMs ?? DEFAULT_DRAIN_MS;
     let isWaiting = false;
@@ -176,7 +185,7 @@
 
   #candidate(movable: MovableRun, now: number): Candidate {
     const { demand, suspects } = this.#context();
-    const { active, served } = movable.run;
+    const { active, host, served } = movable.run;
     const { progress } = served;
     const { prompt } = served.caller.headers;
     const { move } = movable;
@@ -191,8 +200,13 @@
       isResumable: progress.isLastEventNamed && served.origin !== undefined && active.hasEvents,
       tokens: (prompt?.promptTokens ?? 0) + (prompt?.outputTokens ?? 0),
       isMoving: move?.isUnderWay === true,
-      // A request under which engines crashed is kept from others.
-      isExcluded: move?.mayBeStopped === true || count >= MAX_TRIES || now < nextAt || suspects.isSuspected(served),
+      // The send may be over; and a request under which engines crashed is kept from others.
+      isExcluded:
+        host.active !== active ||
+        move?.mayBeStopped === true ||
+        count >= MAX_TRIES ||
+        now < nextAt ||
+        suspects.isSuspected(served),
     };
   }
 
@@ -216,14 +230,15 @@
   /** The engines that may take a run now, by all that is known of them. */
   #destinations({ movable, tokens }: Candidate, now: number): serving.Destination[] {
     const context = this.#context();
-    const { client, health, loads, statements, view } = context;
+    const { client, health, limits, loads, statements, view } = context;
     const { served } = movable.run;
     const definition = view.table?.service(served.service);
     const memoryTokens = definition?.engine?.memoryTokens ?? 0;
     const available = view.directory
       .availableEndpoints(served.service)
       .filter((each) => serving.canAnswer(each) && served.mayGoOnAt(each) && !view.isChangingRole(each, now))
-      .filter((each) => statements.gate.waitMs(each, now) === 0)
+      // A limit that lets the request through now may be used up when the run has stopped.
+      .filter((each) => statements.gate.waitMs(each, now) === 0 && !limits.enforcer.isLimited(each))
       .filter((each) => client.pathTo(each, now) === serving.EndpointPath.Direct)
       .filter((each) => client.hasRoom(each.id, definition?.maxConnections ?? Infinity, context.liveDaemons()));
     return health.selectUsable(available, false, now).map((endpoint) => {
--- a/packages/gateway/src/statements/endpointStatements.ts
+++ b/packages/gateway/src/statements/endpointStatements.ts
@@ -47,7 +47,7 @@
   /** {@inheritDoc sendings.TrafficGuard.onSend} */
   onSend(endpoint: serving.Endpoint, request: sendings.OutgoingRequest): sendings.AnswerObserver {
     const onLimitAnswer = this.#parts.limits.onSend(endpoint, request.call);
-    return this.#observe(endpoint, onLimitAnswer);
+    return this.#observe(endpoint, onLimitAnswer, request.call !== serving.AnsweredCall.Move);
   }
 
   /** {@inheritDoc sendings.TrafficGuard.onSendForPeer} */
@@ -58,22 +58,23 @@
   #observe(
     endpoint: serving.Endpoint,
     onOwnAnswer: (status: number, head: ports.AnswerHead) => void,
+    mayStateRest = true,
   ): sendings.AnswerObserver {
     const sentAt = performance.now();
     this.rests.noteSent(endpoint, sentAt);
     return (status, headers, isForRequest) => {
       const head = this.#parts.format.readAnswer(status, headers);
       this.#noteUnlisted(endpoint, head);
-      if (!isByOther(endpoint, head)) this.#noteStatements(endpoint, head);
+      if (!isByOther(endpoint, head)) this.#noteStatements(endpoint, head, mayStateRest);
       if (!isForRequest) return;
       if (!head.notRun) this.#noteTaken(endpoint, sentAt);
       onOwnAnswer(status, head);
     };
   }
 
-  #noteStatements(endpoint: serving.Endpoint, head: ports.AnswerHead): void {
+  #noteStatements(endpoint: serving.Endpoint, head: ports.AnswerHead, mayStateRest: boolean): void {
     if (head.isLeaving) this.#parts.onLeaving(endpoint);
-    this.#noteRest(endpoint, head.rest);
+    if (mayStateRest) this.#noteRest(endpoint, head.rest);
   }
 
   #noteTaken(endpoint: serving.Endpoint, sentAt: number): void {
--- a/packages/serving/src/limits/requestLimit.ts
+++ b/packages/serving/src/limits/requestLimit.ts
@@ -23,6 +23,8 @@
   Prefill = "prefill",
   /** A call of the gateway itself. */
   Control = "control",
+  /** A call that copies a run; its refusal says that the destination can't take it, and nothing of the engine itself. */
+  Move = "move",
   /** A run that goes back to the engine that stopped it, which is no new work for it. */
   Return = "return",
 }
--- a/packages/serving/tests/movePolicy.test.ts
+++ b/packages/serving/tests/movePolicy.test.ts
@@ -67,4 +67,11 @@
   assert.is(choose({ ...idle, endpoint: source }), undefined);
 });
 
+suite("the events of a stream are expected by the requested output, once enough streams have ended", () => {
+  const demand = new serving.Demand();
+  assert.is(demand.expectedEvents(130), undefined);
+  for (let stream = 0; stream < 100; stream++) demand.learnEvents(130, 10);
+  assert.ok(Math.abs((demand.expectedEvents(650) ?? 0) - 50) < 1);
+});
+
 suite.run();
