Merge moves of runs from engines that leave, and bounds on what is held for callers

Cause: streams that outlast their engine's departure break off; slow readers' answers count as the daemon's memory.

--- a/packages/gateway/src/activeSend.ts
+++ b/packages/gateway/src/activeSend.ts
@@ -2,7 +2,7 @@
 import type * as callerAnswers from "./callerAnswer.js";
 import type * as contexts from "./context.js";
 import type * as sendings from "./sending.js";
-import type * as sendChoosers from "./sendChooser.js";
+import * as sendChoosers from "./sendChooser.js";
 import type * as servedRequests from "./servedRequest.js";
 import * as silenceWatches from "./silenceWatch.js";
 
@@ -23,12 +23,15 @@
   readonly stage: sendChoosers.Stage;
   readonly predictedMs: number;
   readonly plan: serving.EnginePlan | undefined;
+  readonly resume?: sendChoosers.ResumedRun;
   /** When it was decided on, in milliseconds. */
   readonly sentAt: number;
   /** Requests of all daemons that run at the endpoint after the send, this one included, as far as is known. */
   readonly runningAtSend: number;
   readonly #context: contexts.ServingContext;
   readonly #silence: silenceWatches.SilenceWatch;
+  /** Tokens that count as held at the endpoint while the send is under way. */
+  readonly #heldTokens: number;
   #pendingPrefill: serving.PendingPrefill | undefined;
   #request: sendings.InFlightRequest | undefined;
   #firstEventAt: number | undefined;
@@ -51,6 +54,7 @@
     this.stage = planned.stage;
     this.predictedMs = planned.predictedMs;
     this.plan = planned.plan;
+    if (planned.resume !== undefined) this.resume = planned.resume;
     this.sentAt = performance.now();
     this.#pauseMs = served.route.pauseMs;
     this.runningAtSend = context.loads.runningRequests(planned.endpoint.id, this.sentAt) + 1;
@@ -58,6 +62,7 @@
     this.#pendingPrefill =
       plan === undefined ? undefined : context.loads.beginPrefill(endpoint.id, plan.workTokens, plan.urgency);
     if (this.#pendingPrefill !== undefined) context.pacing.noteSend(endpoint, this.#pendingPrefill);
+    this.#heldTokens = heldTokensOf(context, served, planned);
     this.#silence = new silenceWatches.SilenceWatch(context, served, planned, this.sentAt);
   }
 
@@ -92,7 +97,7 @@
     receiver: sendings.AnswerReceiver,
     onSilent: (silentMs: number) => void,
   ): void {
-    this.#context.loads.beginRequest(this.endpoint.id);
+    this.#context.loads.beginRequest(this.endpoint.id, this.#heldTokens);
     this.#silence.start(() => this.isPathLost, onSilent);
     this.#request = this.#context.client.send(this.endpoint, message, receiver);
   }
@@ -124,6 +129,11 @@
     if (!this.#isHeldBack) pacing.recordEvent(this.#paced);
   }
 
+  /** @returns whether it has brought an event */
+  get hasEvents(): boolean {
+    return this.#firstEventAt !== undefined;
+  }
+
   /** @returns whether the endpoint has written events of the answer for so long that its begin is over */
   get hasWrittenForLong(): boolean {
     return this.#firstEventAt !== undefined && performance.now() - this.#firstEventAt > BEGIN_OF_ANSWER_MS;
@@ -153,8 +163,20 @@
   /** Takes the work of a send that is over off its endpoint. */
   release(): void {
     this.finishPrefill();
-    this.#context.loads.endRequest(this.endpoint.id);
+    this.#context.loads.endRequest(this.endpoint.id, this.#heldTokens);
     if (this.#paced !== undefined) this.#context.pacing.endStream(this.#paced);
     this.#silence.stop();
   }
 }
+
+/** What a request holds of an engine's memory at most: its prompt, and the requested output where it is answered. */
+function heldTokensOf(
+  { settings, view }: contexts.ServingContext,
+  { caller, service }: servedRequests.ServedRequest,
+  { stage }: sendChoosers.PlannedSend,
+): number {
+  const { prompt } = caller.headers;
+  const isCounted = settings.memoryBytes !== undefined && view.table?.service(service)?.engine !== undefined;
+  if (!isCounted || prompt === undefined) return 0;
+  return prompt.promptTokens + (stage === sendChoosers.Stage.Prefill ? 0 : prompt.outputTokens);
+}
--- a/packages/gateway/src/answerBody.ts
+++ b/packages/gateway/src/answerBody.ts
@@ -57,12 +57,17 @@
   /** {@inheritDoc AnswerBody.onData} */
   onData(chunk: Buffer): void {
     this.#chunks.push(chunk);
+    const { answer, context } = this.#send;
+    context.memory.addAnswer(answer.connection, chunk.length);
   }
 
   /** {@inheritDoc AnswerBody.onEnd} */
   onEnd(): void {
-    const { active, answer, end, feedback, handover, results, served } = this.#send;
+    const { active, answer, context, end, feedback, handover, results, served } = this.#send;
     const { status, headers } = this.#head;
+    const body = Buffer.concat(this.#chunks);
+    // From here on it counts as unsent until the caller has read it.
+    context.memory.addAnswer(answer.connection, -body.length);
     handover.markTaken();
     const failed = status >= SERVER_ERRORS_FROM;
     const now = performance.now();
@@ -80,7 +85,7 @@
         return;
       }
     }
-    end.forward(status, headers, Buffer.concat(this.#chunks), now);
+    end.forward(status, headers, body, now);
   }
 }
 
@@ -110,7 +115,18 @@
     if (this.#splitter.unfinishedBytes > 0 || !served.isStreamBegun)
       results.broken(active, serving.SendOutcome.Unknown, "the stream ended inside an event");
     else if (sendings.isFramed(this.#head.headers)) this.#complete();
-    else void this.#completeUnlessCrashed();
+    else this.#endUnframed();
+  }
+
+  /** An engine that stops a run to move it closes its stream like one that has written all of it. */
+  #endUnframed(): void {
+    const { active, context, results, served } = this.#send;
+    const complete = (): void => void this.#completeUnlessCrashed();
+    const isBeingMoved = context.runs.onClosed({ active, served }, serving.StreamClose.Unframed, {
+      complete,
+      break: () => results.broken(active, serving.SendOutcome.Unknown, "the stream closed while its run was moved"),
+    });
+    if (!isBeingMoved) complete();
   }
 
   /** An engine that crashes after an event closes the connection as one does whose answer has neither length nor chunks. */
@@ -132,9 +148,12 @@
   }
 
   #onEvent(event: eventSplitters.StreamEvent): void {
-    const { active, answer, feedback, handover, served } = this.#send;
+    const { active, answer, context, feedback, handover, served } = this.#send;
     if (active.finishPrefill()) feedback.learnPrefillTime(active);
-    else if (active.markFirstEvent()) feedback.learnHandover(active);
+    else if (active.markFirstEvent()) {
+      if (active.resume === undefined) feedback.learnHandover(active);
+      else context.runs.noteResumed({ active, served });
+    }
     if (served.caller.headers.prompt !== undefined) active.recordEvent();
     const now = performance.now();
     if (!served.progress.hasBegun) this.#onFirstEvent(now);
@@ -143,7 +162,7 @@
     served.noteBegunToRun();
     handover.markTaken();
     answer.beginStream(this.#head.status, this.#head.headers);
-    if (!answer.write(event.bytes)) active.applyBackpressure(answer);
+    if (!answer.write(event.bytes) && !context.memory.mayReadAhead) active.applyBackpressure(answer);
   }
 
   #onFirstEvent(now: number): void {
--- a/packages/gateway/src/fairness/fairness.ts
+++ b/packages/gateway/src/fairness/fairness.ts
@@ -117,7 +117,7 @@
     if (isPromoted) this.#parts.metrics.count("sessions_promoted");
     if (organisation !== undefined) {
       const { demand, speeds } = this.#parts;
-      const events = demand.expectedEvents(caller.headers.prompt?.outputTokens ?? 0);
+      const events = demand.expectedEvents(caller.headers.prompt?.outputTokens ?? 0) ?? 0;
       const engineMs = serving.predictedEngineMs(plan, events, speeds.of(service));
       if (isAccepted) this.#shares.noteAccepted(organisation, engineMs, now);
       // A request that only its organisation's share keeps out is no sign of a shortage, which would then never end.
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -17,6 +17,7 @@
 import * as endpointLimits from "./limits/endpointLimits.js";
 import * as loopUtilizations from "./loopUtilization.js";
 import * as loopWatches from "./loopWatch.js";
+import * as memoryGuards from "./memory/memoryGuard.js";
 import * as metricsModule from "./metrics.js";
 import * as usageCodecs from "./duties/usageCodec.js";
 import * as pacings from "./pacing/pacing.js";
@@ -28,6 +29,7 @@
 import * as trueClocks from "./peers/trueClock.js";
 import type * as ports from "./ports.js";
 import * as registrations from "./registration.js";
+import * as runMovers from "./runs/runMover.js";
 import type * as settingsModule from "./settings.js";
 import * as sideServers from "./sideServers.js";
 import * as endpointStatements from "./statements/endpointStatements.js";
@@ -233,6 +235,12 @@
       streams,
       crashDetector,
       suspects,
+      memory: new memoryGuards.MemoryGuard({
+        memoryBytes: settings.memoryBytes,
+        log: this.#log,
+        metrics: this.#metrics,
+      }),
+      runs: new runMovers.RunMover(() => this.#context),
       budgets: new contexts.RetryBudgets(settings.retryBounds, performance.now()),
       countUsage: (organisation) => {
         if (settings.usage !== undefined) usageCounter.count(organisation, clock.unixMs());
@@ -410,6 +418,8 @@
       endpoints_resting: this.#context.statements.rests.count,
       endpoints_limited: this.#context.limits.table.limits().length,
       busy_cores: this.#utilization.share * this.#settings.capacity,
+      held_bytes: this.#context.memory.heldBytes,
+      runs_moving: this.#context.runs.underWay,
       heap_bytes: process.memoryUsage().heapUsed,
       event_loop_utilization: performance.eventLoopUtilization().utilization,
       unsent_bytes_to_callers: this.#listener.unsentBytes,
@@ -524,6 +534,7 @@
     const { revision, leavingBornAt: bornAt, isStatedLeaving: isStated = false } = update;
     if (DEPARTURES.has(update.change)) this.#peers.noteDeparture(update.id, { revision, bornAt, setAside, isStated });
     else this.#peers.noteEntry(update.id);
+    this.#context.runs.noteChange(update);
     if (update.endpoint !== undefined) this.#context.suspects.noteListed(update.endpoint);
     if (update.change === serving.EndpointChange.Gone) {
       this.#view.endpointDocuments.delete(update.id);
--- a/packages/gateway/src/sendChooser.ts
+++ b/packages/gateway/src/sendChooser.ts
@@ -15,6 +15,15 @@
   Answering = "answering",
 }
 
+/** A run that its engine has stopped and that goes on with the KV cache that this engine keeps. */
+export interface ResumedRun {
+  readonly source: serving.Endpoint;
+  /** Names the KV cache at the source. */
+  readonly handle: string;
+  /** Whether it goes back to the source itself. */
+  readonly isReturn: boolean;
+}
+
 /** A send that was decided on. */
 export interface PlannedSend {
   readonly endpoint: serving.Endpoint;
@@ -22,6 +31,8 @@
   /** Predicted time to the first event in milliseconds, 0 where nothing is predicted. */
   readonly predictedMs: number;
   readonly plan: serving.EnginePlan | undefined;
+  /** Present if a run goes on there that was stopped elsewhere. */
+  readonly resume?: ResumedRun;
   /** What its admission was based on, as fields of the log; absent where nothing had to be admitted. */
   readonly admission?: decisionLogs.LogFields;
   /** The budget of the engine that decided, as fields of the log; absent where the prompt isn't paced. */
@@ -255,7 +266,7 @@
     const now = performance.now();
     return {
       prompt,
-      engines,
+      engines: this.#withRoom(engines, limits, prompt),
       loads,
       memoryTokens: limits.memoryTokens,
       speeds: speeds.of(definition.name),
@@ -272,6 +283,20 @@
     };
   }
 
+  /** The engines whose memory has room for the request, where the VM's settings say that memory is contended. */
+  #withRoom(
+    engines: readonly serving.Endpoint[],
+    { memoryTokens }: serving.EngineLimits,
+    { outputTokens, promptTokens }: serving.Prompt,
+  ): readonly serving.Endpoint[] {
+    const { loads, settings } = this.#context;
+    if (settings.memoryBytes === undefined) return engines;
+    const now = performance.now();
+    return serving.enginesWithRoom(engines, promptTokens + outputTokens, memoryTokens, (id) =>
+      loads.heldTokens(id, now),
+    );
+  }
+
   #placeOn(
     engines: readonly serving.Endpoint[],
     definition: serving.Service,
--- a/packages/gateway/src/statements/endpointStatements.ts
+++ b/packages/gateway/src/statements/endpointStatements.ts
@@ -36,16 +36,18 @@
   /**
    * {@inheritDoc sendings.TrafficGuard.mayReceive}
    *
-   * Calls of the gateway itself go on to an endpoint that leaves: they free what it still keeps.
+   * Calls of the gateway itself go on to an endpoint that leaves: they free what it still keeps. So does a run that it
+   * stopped and that goes back to it.
    */
   mayReceive(endpoint: serving.Endpoint, call: serving.AnsweredCall): boolean {
-    return this.gate.mayReceive(endpoint, call !== serving.AnsweredCall.Control, performance.now());
+    const isNewWork = call === serving.AnsweredCall.Run || call === serving.AnsweredCall.Prefill;
+    return this.gate.mayReceive(endpoint, isNewWork, performance.now());
   }
 
   /** {@inheritDoc sendings.TrafficGuard.onSend} */
   onSend(endpoint: serving.Endpoint, request: sendings.OutgoingRequest): sendings.AnswerObserver {
     const onLimitAnswer = this.#parts.limits.onSend(endpoint, request.call);
-    return this.#observe(endpoint, onLimitAnswer);
+    return this.#observe(endpoint, onLimitAnswer, request.call !== serving.AnsweredCall.Move);
   }
 
   /** {@inheritDoc sendings.TrafficGuard.onSendForPeer} */
@@ -56,22 +58,23 @@
   #observe(
     endpoint: serving.Endpoint,
     onOwnAnswer: (status: number, head: ports.AnswerHead) => void,
+    mayStateRest = true,
   ): sendings.AnswerObserver {
     const sentAt = performance.now();
     this.rests.noteSent(endpoint, sentAt);
     return (status, headers, isForRequest) => {
       const head = this.#parts.format.readAnswer(status, headers);
       this.#noteUnlisted(endpoint, head);
-      if (!isByOther(endpoint, head)) this.#noteStatements(endpoint, head);
+      if (!isByOther(endpoint, head)) this.#noteStatements(endpoint, head, mayStateRest);
       if (!isForRequest) return;
       if (!head.notRun) this.#noteTaken(endpoint, sentAt);
       onOwnAnswer(status, head);
     };
   }
 
-  #noteStatements(endpoint: serving.Endpoint, head: ports.AnswerHead): void {
+  #noteStatements(endpoint: serving.Endpoint, head: ports.AnswerHead, mayStateRest: boolean): void {
     if (head.isLeaving) this.#parts.onLeaving(endpoint);
-    this.#noteRest(endpoint, head.rest);
+    if (mayStateRest) this.#noteRest(endpoint, head.rest);
   }
 
   #noteTaken(endpoint: serving.Endpoint, sentAt: number): void {
--- a/packages/gateway/tests/helpers/exchangeHarness.ts
+++ b/packages/gateway/tests/helpers/exchangeHarness.ts
@@ -13,10 +13,12 @@
 import * as endpointClients from "../../src/endpointClient.js";
 import * as exchanges from "../../src/exchange.js";
 import * as fleetViews from "../../src/fleetView.js";
+import * as memoryGuards from "../../src/memory/memoryGuard.js";
 import * as metricsModule from "../../src/metrics.js";
 import type * as ports from "../../src/ports.js";
 import * as endpointStatements from "../../src/statements/endpointStatements.js";
 import * as streamOrigins from "../../src/streams/streamOrigins.js";
+import * as runMovers from "../../src/runs/runMover.js";
 import * as suspectGates from "../../src/suspects/suspectGate.js";
 import type * as settingsModule from "../../src/settings.js";
 import * as limits from "./limits.js";
@@ -117,6 +119,8 @@
   engineStateCall: unused,
   readEngineState: unused,
   roleOrderCall: unused,
+  moveRunCall: unused,
+  readMoveResult: unused,
 };
 
 const SETTINGS: settingsModule.GatewaySettings = {
@@ -270,6 +274,12 @@
         view,
         peers: () => ({ holders: () => [], sendRecords: unused, findStream: unused }),
       }),
+      memory: new memoryGuards.MemoryGuard({
+        memoryBytes: undefined,
+        log: new decisionLogs.DecisionLog("vm-1", "info", sink),
+        metrics: new metricsModule.Metrics(),
+      }),
+      runs: new runMovers.RunMover(() => this.#context),
       suspects: new suspectGates.SuspectGate({
         log: new decisionLogs.DecisionLog("vm-1", "info", sink),
         lastReceivedAt: () => 0,
--- a/packages/serving/src/demand.ts
+++ b/packages/serving/src/demand.ts
@@ -99,11 +99,12 @@
   }
 
   /**
-   * @param outputTokens - maximum number of tokens that a request asks for
-   * @returns expected events of its stream, 0 as long as too few streams have ended
+   * @param outputTokens - tokens that a request asks for
+   * @returns events that its stream is expected to have; undefined as long as too few streams have ended
    */
-  expectedEvents(outputTokens: number): number {
-    return outputTokens * this.#eventsPerToken.ratio;
+  expectedEvents(outputTokens: number): number | undefined {
+    const { ratio } = this.#eventsPerToken;
+    return ratio === 0 ? undefined : ratio * outputTokens;
   }
 
   /**
