--- a/packages/gateway/src/pacing/paceCodec.ts
+++ b/packages/gateway/src/pacing/paceCodec.ts
@@ -18,7 +18,7 @@
 /** What a received pace is checked against and applied to. */
 export interface PaceReceivers {
   readonly view: fleetViews.FleetView;
-  readonly pacing: pacings.Pacing;
+  readonly pacing: Pick<pacings.Pacing, "notePeer">;
   readonly log: decisionLogs.DecisionLog;
 }
 
--- a/packages/gateway/src/pacing/pacing.ts
+++ b/packages/gateway/src/pacing/pacing.ts
@@ -24,6 +24,7 @@
 export class Pacing {
   readonly #parts: PacingParts;
   readonly #tracker = new serving.PauseTracker();
+  readonly #reports = new serving.PaceReports();
   readonly #budget: serving.PrefillBudget;
 
   /** @param parts - dependencies */
@@ -85,13 +86,14 @@
 
   /**
    * @param now - monotonic time in milliseconds
-   * @returns what the heartbeat that is sent now tells of the engines of own streams
+   * @returns what the heartbeat that is sent now tells of the engines of own streams with a tight limit on pauses
    */
   pacesToSend(now: number): serving.EnginePace[] {
     this.#budget.noteHeartbeat();
     if (this.#isLoopLate()) return [];
     const expectedGap = (endpointId: string, service: string): number => this.#expectedGapMs(endpointId, service);
-    return this.#tracker.ownPaces(expectedGap, serving.MAX_SENT_PACES, now);
+    const paces = this.#tracker.ownPaces(expectedGap, now).filter(({ pauseMs }) => serving.isPaced(pauseMs));
+    return this.#reports.select(paces, now);
   }
 
   /**
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -27,6 +27,7 @@
 export * from "./organisations/access.js";
 export * from "./organisations/credential.js";
 export * from "./pacing/pacedPlacement.js";
+export * from "./pacing/paceReports.js";
 export * from "./pacing/pauseTracker.js";
 export * from "./pacing/placementPacing.js";
 export * from "./pacing/prefillBudget.js";
--- a/packages/serving/src/pacing/pauseTracker.ts
+++ b/packages/serving/src/pacing/pauseTracker.ts
@@ -12,9 +12,6 @@
 /** Age at which what a peer reported lapses, in milliseconds: an engine is slow for no longer. */
 export const PACE_VALID_MS = 600;
 
-/** Maximum number of engines of which a heartbeat tells: 16 take half a kilobyte. */
-export const MAX_SENT_PACES = 16;
-
 /** Gaps below this come from events that arrived together; they say nothing of the engine, in milliseconds. */
 const TOGETHER_MS = 1;
 
@@ -59,6 +56,14 @@
   readonly pause: { readonly ms: number; readonly at: number };
 }
 
+/**
+ * @param pace - gaps at an engine
+ * @returns whether the engine counts as slow
+ */
+export function isSlow({ ratio }: Pick<EnginePace, "ratio">): boolean {
+  return ratio > SLOW_RATIO;
+}
+
 /** A source of expected gaps: {@link EngineSpeeds} and the load of an engine. */
 export type ExpectedGap = (endpointId: string, service: string) => number;
 
@@ -164,7 +169,7 @@
     const silence = silentMs / expectedMs;
     if (silence > SLOW_RATIO) return { ratio: Math.max(silence, newest?.ratio ?? 0), ageMs: 0, isSlow: true };
     if (newest === undefined) return undefined;
-    return { ratio: newest.ratio, ageMs: now - newest.at, isSlow: newest.ratio > SLOW_RATIO };
+    return { ratio: newest.ratio, ageMs: now - newest.at, isSlow: isSlow(newest) };
   }
 
   /**
@@ -180,12 +185,11 @@
 
   /**
    * @param expectedGap - returns the expected gap between the events of a stream at an engine, in milliseconds
-   * @param limit - maximum number of engines
    * @param now - monotonic time in milliseconds
    * @returns what own streams show, slow engines first, then those with the tightest pause objective
    */
-  ownPaces(expectedGap: ExpectedGap, limit: number, now: number): EnginePace[] {
-    const paces: (EnginePace & { readonly isSlow: boolean })[] = [];
+  ownPaces(expectedGap: ExpectedGap, now: number): EnginePace[] {
+    const paces: EnginePace[] = [];
     for (const [endpointId, streams] of this.#streams) {
       const [first] = streams;
       if (first === undefined) continue;
@@ -194,12 +198,9 @@
       const gaps = silence > SLOW_RATIO ? { ratio: silence, at: now } : this.#ownGaps(endpointId, now);
       if (gaps === undefined) continue;
       const pauseMs = this.#ownPauseMs(endpointId);
-      paces.push({ endpointId, ratio: gaps.ratio, ageMs: now - gaps.at, pauseMs, isSlow: gaps.ratio > SLOW_RATIO });
+      paces.push({ endpointId, ratio: gaps.ratio, ageMs: now - gaps.at, pauseMs });
     }
-    paces.sort((left, right) => Number(right.isSlow) - Number(left.isSlow) || left.pauseMs - right.pauseMs);
-    return paces
-      .slice(0, limit)
-      .map(({ endpointId, ratio, ageMs, pauseMs }) => ({ endpointId, ratio, ageMs, pauseMs }));
+    return paces.sort((left, right) => Number(isSlow(right)) - Number(isSlow(left)) || left.pauseMs - right.pauseMs);
   }
 
   /** The median of the latest gaps of the own streams there: a single one may be late for reasons of its own. */
@@ -220,7 +221,7 @@
       if (lastEventAt !== undefined) heardAt = Math.max(heardAt ?? 0, lastEventAt);
     if (heardAt === undefined) return 0;
     // A peer that has seen usual gaps since then has heard the engine.
-    if (peer !== undefined && peer.ratio <= SLOW_RATIO) heardAt = Math.max(heardAt, peer.at);
+    if (peer !== undefined && !isSlow(peer)) heardAt = Math.max(heardAt, peer.at);
     return now - heardAt;
   }
 
