Keep streams off slow engines also where no decode engine has a budget left

Cause: where each decode engine had used up its budget, the decode engine of a prefilled prompt was chosen by load alone, so that a slow one could be chosen beside usual ones.

Change: among engines with a free slot, those with a budget are chosen first, then those that aren't slow, then any.

--- a/packages/serving/src/pacing/pacedPlacement.ts
+++ b/packages/serving/src/pacing/pacedPlacement.ts
@@ -1,5 +1,5 @@
 import * as admission from "../admission.js";
-import type * as directories from "../endpointDirectory.js";
+import * as directories from "../endpointDirectory.js";
 import * as placements from "../placement.js";
 
 /** A plan, and whether pacing has changed it. */
@@ -38,8 +38,8 @@
 }
 
 /**
- * Chooses the decode engine of a prompt that another engine has prefilled, among those that aren't slow, have a budget
- * and a free slot, if there are any.
+ * Chooses the decode engine of a prompt that another engine has prefilled, among those with a free slot that aren't slow
+ * and have a budget, or just aren't slow, if there are any.
  *
  * @param inputs - the prompt, the engines and what is known of them; without pacing, all engines are candidates
  * @param prefillEngine - the engine that has prefilled the prompt, if it is known
@@ -54,9 +54,12 @@
   if (usual === undefined) return undefined;
   if (pacing === undefined || pacing.hasBudget(usual)) return { engine: usual, pacedFrom: undefined };
   // A stream that waits for a slot would pause for longer than one at a slow engine.
-  const engines = inputs.engines.filter(
-    (engine) => loads.runningRequests(engine.id, now) < engine.slots && pacing.hasBudget(engine),
+  const free = inputs.engines.filter(
+    ({ id, role, slots }) => role !== directories.EngineRole.Prefill && loads.runningRequests(id, now) < slots,
   );
+  const unspent = free.filter((engine) => pacing.hasBudget(engine));
+  const engines = unspent.length > 0 ? unspent : free.filter((engine) => !pacing.isSlow(engine));
   const engine = placements.chooseDecodeEngine({ ...inputs, engines }, prefillEngine);
+  if (engine?.id === usual.id) return { engine: usual, pacedFrom: undefined };
   return engine === undefined ? { engine: usual, pacedFrom: undefined } : { engine, pacedFrom: usual };
 }
--- a/packages/serving/src/pacing/placementPacing.ts
+++ b/packages/serving/src/pacing/placementPacing.ts
@@ -39,6 +39,14 @@
     return this.#inputs.speeds.prefillMs(engine.role, workTokens) <= budgetMs - spentMs;
   }
 
+  /**
+   * @param engine - a decode engine
+   * @returns whether it counts as slow
+   */
+  isSlow(engine: directories.Endpoint): boolean {
+    return this.budgetOf(engine).gaps?.isSlow === true;
+  }
+
   /**
    * @param engine - a decode engine
    * @returns whether it isn't slow and its budget isn't used up
--- a/packages/serving/tests/pacedPlacement.test.ts
+++ b/packages/serving/tests/pacedPlacement.test.ts
@@ -200,6 +200,19 @@
   assert.is(serving.choosePacedDecodeEngine(knowledge.inputs([P1, D1, D2]), P1)?.engine, D1);
 });
 
+// Guards against streams that begin on a slow engine because the budgets of all others are used up.
+suite("where no budget is left, a stream goes to an engine that isn't slow", () => {
+  const knowledge = new Knowledge();
+  knowledge.run(D1, 2);
+  knowledge.run(D2, 4);
+  knowledge.reportSlow(D1);
+  knowledge.send(D2, 5_000);
+  assert.is(knowledge.pacing().hasBudget(D2), false);
+  const inputs = knowledge.inputs([P1, D1, D2]);
+  assert.is(serving.chooseDecodeEngine(inputs, P1), D1, "by predicted times");
+  assert.is(serving.choosePacedDecodeEngine(inputs, P1)?.engine, D2);
+});
+
 // Guards against pacing on routes that don't call for it.
 suite("prompts on routes with a limit on pauses above 150 ms are placed by predicted times alone", () => {
   assert.is(serving.isPaced(150), true);
