Test the admission's log fields with and without organisations

Cause: no test showed the line that tells operators why an organisation is rejected, nor that it is unchanged without organisations. Change: a test of the acting part, with and without organisations.

--- a/packages/gateway/tests/fairness.test.ts
+++ b/packages/gateway/tests/fairness.test.ts
@@ -5,6 +5,7 @@
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
 import type * as fairnessModule from "../src/fairness/fairness.js";
+import * as promptAdmissions from "../src/fairness/promptAdmission.js";
 import * as fairnessCodec from "../src/fairness/fairnessCodec.js";
 import * as fleetViews from "../src/fleetView.js";
 import * as fairnessHelper from "./helpers/fairness.js";
@@ -232,4 +233,31 @@
   assert.is(second.standingOf(asking("a"), 300)?.share.isShortage, true);
 });
 
+function decide(organisations: readonly serving.Organisation[] | undefined): promptAdmissions.DecidedAdmission {
+  const fairness = fairnessHelper.createFairness(viewWith(organisations));
+  const context = { acceptance: new serving.AcceptanceTracker(), fairness };
+  const request = asking("a");
+  const placement = {
+    prompt: request.caller.headers.prompt,
+    loads: new serving.EngineLoadTracker(),
+    speeds: new serving.EngineSpeeds(),
+    slowness: () => 1,
+    now: 0,
+  };
+  const limits = { kind: "chat", isLearned: true, callerTimeoutMs: 2_400, remainingMs: 5_000, draw: 0 };
+  return promptAdmissions.decideAdmission(context as never, request as never, PLAN, placement as never, limits);
+}
+
+// Guards against a log that doesn't tell why an organisation is rejected, and one that changes without organisations.
+suite("the admission's fields name organisation, rank and share where they decide, and nothing otherwise", () => {
+  const { admitted, fields } = decide([organisation("a", 1), organisation("b", 4)]);
+  assert.is(admitted.isOk(), true);
+  assert.is(fields["organisation"], "a");
+  assert.is(fields["rank"], 1);
+  assert.is(fields["share"], "0.00");
+  const without = decide(undefined);
+  assert.equal(without.fields, {});
+  assert.is(without.admitted._unsafeUnwrap(), PLAN);
+});
+
 suite.run();
