Let a daemon's first watch follow its first listing at once again

Cause: the pause before the first watch let a daemon learn 0.65 s later of an engine that left right after the start; a stream with 1.5 s of time was then too close to its deadline to be moved.

--- a/packages/gateway/src/storeFollower.ts
+++ b/packages/gateway/src/storeFollower.ts
@@ -69,7 +69,6 @@
   #unansweredSince: number | undefined;
   #unreachable = false;
   #listDueAt: number | undefined;
-  #hasListed = false;
   #stopped = false;
 
   /** @param parts - dependencies */
@@ -148,17 +147,7 @@
     this.#parts.view.versions.noteListed(started);
     this.#noteConfirmed(started);
     this.#revision = listing.value.revision;
-    return this.#pauseAfterList();
-  }
-
-  /**
-   * A daemon that has just started pauses as between two watches: a watch would return at once with the start's own
-   * registration and those of daemons that start with it, which the next read and heartbeats show as well.
-   */
-  #pauseAfterList(): number {
-    const isFirst = !this.#hasListed;
-    this.#hasListed = true;
-    return isFirst && this.#parts.view.configurationRevision > 0 ? WATCH_PAUSE_MS : 0;
+    return 0;
   }
 
   async #watch(after: number): Promise<number> {
