Pace a prompt only where its first event stays within its objective

Cause: prompts that no decode engine had a budget for went to prefill engines up to their callers' timeout. Change: a paced plan is used if its first event is predicted within the objective; otherwise the prompt is placed by predicted time.

--- a/packages/serving/src/pacing/pacedPlacement.ts
+++ b/packages/serving/src/pacing/pacedPlacement.ts
@@ -1,4 +1,3 @@
-import * as admission from "../admission.js";
 import * as directories from "../endpointDirectory.js";
 import * as placements from "../placement.js";
 
@@ -19,8 +18,8 @@
 /**
  * Places a prompt whose prefill must not make the streams at its decode engine pause for too long: on a decode engine
  * only if the engine's budget covers the prefill, otherwise on a prefill engine or a decode engine whose budget does.
- * Where neither can serve it before its caller's timeout, it is placed by predicted time alone, so that no prompt waits
- * for a budget.
+ * Where neither brings its first event within its objective, it is placed by predicted time alone: it would be late for
+ * certain, and the streams beside it might not be.
  *
  * @param inputs - the prompt, the engines and what is known of them; without pacing, only predicted times decide
  * @returns the best plan, or undefined if no engine can generate tokens
@@ -32,8 +31,7 @@
   if (pacing === undefined || plan.prefillEngine !== undefined || pacing.covers(plan.decodeEngine, plan.workTokens))
     return { plan, pacedFrom: undefined };
   const paced = placements.placePrompt(inputs, (engine, workTokens) => pacing.covers(engine, workTokens));
-  const callerTimeoutMs = admission.streamCallerTimeoutMs(inputs.objectiveMs, inputs.maxPauseMs);
-  if (paced === undefined || paced.predictedMs > callerTimeoutMs) return { plan, pacedFrom: undefined };
+  if (paced === undefined || paced.predictedMs > inputs.objectiveMs) return { plan, pacedFrom: undefined };
   return { plan: paced, pacedFrom: plan.decodeEngine };
 }
 
