Let the test runner name what failed at the end, and what kept a hanging test alive

The count equals that of a run without failures, so a file passed all of its tests and did not exit with 0; which one, and what kept it, cannot be told from the record. Change: failed files are repeated before the counts, with their exit code; a file that is ended after 120 s first prints its active resources (shown on a file with an interval: Timeout x1).

--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -7,6 +7,9 @@
 const PARALLEL = 4;
 const TIMEOUT_MS = 120_000;
 
+/** Time that a hanging test has to report what keeps it running, in milliseconds. */
+const REPORT_MS = 1_000;
+
 const workspaces = [...fs.readdirSync("packages").map((name) => path.join("packages", name)), "platform"];
 const files = workspaces
   .flatMap((workspace) => {
@@ -31,7 +34,8 @@
 function run(file) {
   return new Promise((resolve) => {
     // A separate process group, so that a hanging test is killed with all processes that it started.
-    const child = childProcess.spawn(process.execPath, [file], { detached: true });
+    const options = ["--import", import.meta.resolve("./reportActiveResources.mjs"), file];
+    const child = childProcess.spawn(process.execPath, options, { detached: true });
     const killGroup = () => {
       try {
         process.kill(-child.pid, "SIGKILL");
@@ -39,8 +43,13 @@
         // All processes of the group have exited.
       }
     };
-    const timer = setTimeout(killGroup, TIMEOUT_MS);
     let output = "";
+    const onTimeout = () => {
+      output += `still running after ${TIMEOUT_MS / 1000} s, ended by the test runner\n`;
+      child.kill("SIGUSR2");
+      timer = setTimeout(killGroup, REPORT_MS);
+    };
+    let timer = setTimeout(onTimeout, TIMEOUT_MS);
     child.stdout.on("data", (chunk) => (output += chunk));
     child.stderr.on("data", (chunk) => (output += chunk));
     child.once("exit", (code) => {
@@ -63,6 +72,7 @@
 const queue = [...files];
 let passed = 0;
 let failed = 0;
+const failedFiles = [];
 await Promise.all(
   Array.from({ length: PARALLEL }, async () => {
     for (let file = queue.shift(); file !== undefined; file = queue.shift()) {
@@ -76,11 +86,15 @@
       // Compares the whole path: test files of two packages may share a name while only one of them is listed.
       const known = knownRed.find((line) => line.startsWith(file));
       console.log(`${known ? "KNOWN RED" : "FAIL"} ${file}\n${result.output}`);
-      if (!known) failed += counts.failed;
+      if (known) continue;
+      failed += counts.failed;
+      failedFiles.push(`${file} (${counts.passed} passed, ${counts.failed} failed, exit code ${result.code})`);
     }
   }),
 );
 for (const line of knownRed) console.log(`known red: ${line}`);
+// Repeated at the end, since the output of a failure may be thousands of lines above.
+for (const text of failedFiles) console.log(`failed: ${text}`);
 console.log(`took ${((Date.now() - started) / 1000).toFixed(1)} s`);
 console.log(`${passed} passed, ${failed} failed`);
 process.exitCode = failed === 0 ? 0 : 1;
