Split the link to the other daemons by matter

Change: the dependencies are in peers/peerLinkParts.ts, the known daemons in peers/otherDaemons.ts, the common fields of heartbeats in peers/heartbeatState.ts, and the news in peers/newsSender.ts. No change of behaviour.

--- a/packages/gateway/src/distance/distantHeartbeats.ts
+++ b/packages/gateway/src/distance/distantHeartbeats.ts
@@ -1,20 +1,20 @@
 import type * as protobuf from "@bufbuild/protobuf";
 import type * as messages from "@camphorcourse/protocol/gateway";
 import type * as fleetViewUpdaters from "../fleetViewUpdater.js";
-import type * as peerLinks from "../peerLink.js";
 import * as peerWorks from "../peerWork.js";
 import * as recentChangesModule from "../peers/recentChanges.js";
 import * as distantPulses from "./distantPulses.js";
 import type * as heartbeatDistances from "./heartbeatDistances.js";
 import type * as publishedRecords from "./publishedRecords.js";
 import * as workDeltas from "./workDeltas.js";
+import type * as peerLinkParts from "../peers/peerLinkParts.js";
 
 /** Shortest interval of the heartbeats with work to other regions, in milliseconds: links between regions are narrow. */
 const DISTANT_HEARTBEAT_MS = 350;
 
 /** Dependencies of {@link DistantHeartbeats}. */
 export interface DistantHeartbeatsParts extends Pick<
-  peerLinks.PeerLinkParts,
+  peerLinkParts.PeerLinkParts,
   "distances" | "isCutOff" | "isLinkLost" | "ready" | "suspects" | "view"
 > {
   readonly work: peerWorks.PeerWork;
--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -3,32 +3,26 @@
 import * as messages from "@camphorcourse/protocol/gateway";
 import * as serving from "@camphorcourse/serving";
 import type * as fleetViewUpdaters from "./fleetViewUpdater.js";
-import * as daemonEntries from "./daemonEntry.js";
 import * as distantHeartbeats from "./distance/distantHeartbeats.js";
 import * as heartbeatDistances from "./distance/heartbeatDistances.js";
 import * as publishedRecords from "./distance/publishedRecords.js";
 import * as trafficCounters from "./distance/trafficCounter.js";
 import * as workDeltas from "./distance/workDeltas.js";
-import type * as decisionLogs from "./decisionLog.js";
-import type * as fairnessModule from "./fairness/fairness.js";
-import type * as fleetViews from "./fleetView.js";
 import type * as pathMonitors from "./paths/pathMonitor.js";
 import * as peerTables from "./peerTable.js";
 import * as peerCalls from "./peers/peerCalls.js";
 import * as heartbeatSockets from "./heartbeatSocket.js";
 import * as peerWorks from "./peerWork.js";
+import * as heartbeatStates from "./peers/heartbeatState.js";
+import * as newsSenders from "./peers/newsSender.js";
+import * as otherDaemonsModule from "./peers/otherDaemons.js";
+import type * as peerLinkParts from "./peers/peerLinkParts.js";
 import * as peerReceivers from "./peers/peerReceiver.js";
-import type * as endpointLimits from "./limits/endpointLimits.js";
 import * as recipientsModule from "./peers/recipients.js";
 import * as sendersModule from "./peers/senders.js";
 import * as activeSetTrackers from "./peers/activeSetTracker.js";
-import type * as pacings from "./pacing/pacing.js";
 import * as recordExchanges from "./streams/recordExchange.js";
-import type * as streamOrigins from "./streams/streamOrigins.js";
-import * as suspectCodec from "./suspects/suspectCodec.js";
 import * as recentChangesModule from "./peers/recentChanges.js";
-import type * as settingsModule from "./settings.js";
-import * as endpointIncarnations from "./endpointIncarnation.js";
 
 /** Longest interval between two heartbeats when nothing has changed, in milliseconds. */
 const MAX_HEARTBEAT_INTERVAL_MS = 350;
@@ -43,61 +37,6 @@
 /** Interval at which a standby daemon evaluates what it has received, in milliseconds. */
 const STANDBY_CHECK_MS = 300;
 
-/** Messages carry capacity in whole thousandths of a core. */
-const THOUSANDTHS = 1_000;
-
-/** The fields of a heartbeat. */
-type PulseFields = protobuf.MessageInitShape<typeof messages.PulseSchema>;
-
-/** Dependencies of {@link PeerLink}. */
-export interface PeerLinkParts {
-  readonly settings: settingsModule.GatewaySettings;
-  readonly entry: daemonEntries.DaemonEntry;
-  readonly view: fleetViews.FleetView;
-  readonly loads: serving.EngineLoadTracker;
-  readonly demand: serving.Demand;
-  readonly speeds: serving.ServiceSpeeds;
-  readonly pacing: pacings.Pacing;
-  readonly acceptance: serving.AcceptanceTracker;
-  readonly fairness: fairnessModule.Fairness;
-  readonly suspects: serving.SuspectTable;
-  readonly limits: endpointLimits.EndpointLimits;
-  readonly log: decisionLogs.DecisionLog;
-  /** Distances between the data centres; undefined in a deployment of one region. */
-  readonly distances?: serving.DistanceModel | undefined;
-  /** Counts the bytes that are sent, by distance. */
-  readonly traffic?: trafficCounters.TrafficCounter;
-  readonly ready: () => boolean;
-  /** Whether this daemon is cut off from endpoints that its peers reach. */
-  readonly isCutOff: () => boolean;
-  /** Whether this daemon can connect to no endpoint of some service, whatever its peers can. */
-  readonly isLinkLost: () => boolean;
-  /** Handles the calls of peers that don't reach an endpoint. */
-  readonly pathCalls: Pick<peerCalls.PeerCallHandler, "onProbe" | "onRelay">;
-  /** Keeps what began the streams of other daemons. */
-  readonly streams: Pick<streamOrigins.StreamOrigins, "answer" | "merge" | "publishDue">;
-  /** Called when a daemon of this data centre reports that it is cut off from endpoints. */
-  readonly onNeighbourCutOff: () => void;
-  /** Milliseconds for which the key-value service has not answered. */
-  readonly storeSilentMs: () => number;
-  /** @returns time for which this daemon relies on the lease on the fleet's duties, in milliseconds, if it holds it */
-  readonly dutyLeaseMs: () => number | undefined;
-  /** @returns delay of the event loop, in milliseconds */
-  readonly lateMs: () => number;
-  /** Whether this daemon follows the key-value service closely and informs others. */
-  readonly followsClosely: () => boolean;
-  /** Busy part of the VM's capacity, in cores. */
-  readonly busyCores: () => number;
-  /** Called with a daemon that sent a heartbeat, or that a peer reported. */
-  readonly onDaemon: (daemon: daemonEntries.DaemonEntry) => void;
-  /** Called with a configuration document and its revision. */
-  readonly onConfiguration: (document: Uint8Array, revision: number) => void;
-  /** Called with an endpoint's entry and its revision. */
-  readonly onEndpoint: (id: string, value: Uint8Array, revision: number) => void;
-  /** Called with an endpoint that is leaving, gone or set aside. */
-  readonly onDeparture: (id: string, departure: fleetViewUpdaters.Departure) => void;
-}
-
 /**
  * Exchanges state with the other daemons: heartbeats with work and departures over UDP, and news over RPC for daemons
  * that are behind or that the key-value service doesn't answer.
@@ -108,12 +47,15 @@
   readonly activeSet: activeSetTrackers.ActiveSetTracker;
   /** Records of streams at other daemons. */
   readonly records: recordExchanges.RecordExchange;
-  readonly #parts: PeerLinkParts;
+  readonly #parts: peerLinkParts.PeerLinkParts;
   readonly #heartbeatSocket: heartbeatSockets.HeartbeatSocket;
   readonly #peerClient = new peerCalls.PeerClient();
   readonly #work: peerWorks.PeerWork;
   readonly #receiver: peerReceivers.PeerReceiver;
   readonly #recentChanges: recentChangesModule.RecentChanges;
+  readonly #otherDaemons: otherDaemonsModule.OtherDaemons;
+  readonly #state: heartbeatStates.HeartbeatState;
+  readonly #news: newsSenders.NewsSender;
   readonly #distant: distantHeartbeats.DistantHeartbeats;
   readonly #records: publishedRecords.PublishedRecords;
   readonly #distances: heartbeatDistances.HeartbeatDistances;
@@ -132,10 +74,12 @@
   #senders: readonly string[] = [];
 
   /** @param parts - dependencies */
-  constructor(parts: PeerLinkParts) {
+  constructor(parts: peerLinkParts.PeerLinkParts) {
     this.#parts = parts;
     this.peerTable = new peerTables.PeerTable(parts.entry.vm);
     this.activeSet = new activeSetTrackers.ActiveSetTracker({ ...parts, peerTable: this.peerTable });
+    this.#otherDaemons = new otherDaemonsModule.OtherDaemons({ ...parts, peerTable: this.peerTable });
+    this.#state = new heartbeatStates.HeartbeatState({ ...parts, activeSet: this.activeSet });
     this.#work = new peerWorks.PeerWork(parts);
     this.#records = new publishedRecords.PublishedRecords(parts, parts.distances !== undefined);
     this.#distances = new heartbeatDistances.HeartbeatDistances(parts.entry.vm, parts.distances, parts.log);
@@ -146,6 +90,13 @@
       heartbeatDistances: this.#distances,
     });
     this.#recentChanges = new recentChangesModule.RecentChanges(parts.view);
+    this.#news = new newsSenders.NewsSender({
+      ...parts,
+      peerTable: this.peerTable,
+      peerClient: this.#peerClient,
+      otherDaemons: this.#otherDaemons,
+      recentChanges: this.#recentChanges,
+    });
     this.#distant = new distantHeartbeats.DistantHeartbeats({
       ...parts,
       work: this.#work,
@@ -162,7 +113,7 @@
       peerTable: this.peerTable,
       heartbeatSocket: this.#heartbeatSocket,
       peerClient: this.#peerClient,
-      otherDaemons: () => this.#otherDaemons(),
+      otherDaemons: () => this.#otherDaemons.entries(),
     });
   }
 
@@ -216,7 +167,7 @@
   noteConfiguration(): void {
     if (!this.#socketsOpen) return;
     this.sendHeartbeatsNow();
-    if (this.#parts.followsClosely()) this.#sendNews(performance.now());
+    if (this.#parts.followsClosely()) this.#news.send(performance.now());
   }
 
   /**
@@ -242,7 +193,7 @@
    * @returns its IP:PORT for the other daemons, if it is known
    */
   addressOf(vm: string): string | undefined {
-    return this.#otherDaemons().find((daemon) => daemon.vm === vm)?.peers;
+    return this.#otherDaemons.addressOf(vm);
   }
 
   /** Sends heartbeats to all recipients at once, for example when this daemon begins to leave. */
@@ -275,7 +226,7 @@
       distant: hasChanged || this.#distant.isDue(now),
       occasional: hasChanged || now - this.#lastSentAt.occasional >= this.#occasionalIntervalMs,
     });
-    if (this.#sendsNews(now)) this.#sendNews(now);
+    if (this.#sendsNews(now)) this.#news.send(now);
     this.#parts.streams.publishDue();
     this.#timer = setTimeout(() => this.#tick(), this.#updateInterval(recipients));
   }
@@ -297,7 +248,7 @@
   }
 
   #recipients(now: number): recipientsModule.Recipients {
-    const knownDaemons = this.#knownDaemons(now);
+    const knownDaemons = this.#otherDaemons.known(now);
     this.#updateSenders(knownDaemons);
     if (this.#parts.distances !== undefined)
       this.#dataCentresOfPeers = new Map(knownDaemons.map(({ entry }) => [entry.peers, entry.dataCentre]));
@@ -311,50 +262,15 @@
     return recipientsModule.chooseRecipients(own, knownDaemons, this.#round);
   }
 
-  #knownDaemons(now: number): recipientsModule.KnownDaemon[] {
-    const reportedActive = new Set(this.peerTable.live(now).flatMap((peer) => peer.activeVms));
-    return this.#otherDaemons().map((entry) => {
-      const state = this.peerTable.liveState(entry.vm, now);
-      return {
-        entry,
-        live: state !== undefined,
-        dispatching: state?.dispatching ?? false,
-        reportedActive: reportedActive.has(entry.vm),
-      };
-    });
-  }
-
   #updateSenders(knownDaemons: readonly recipientsModule.KnownDaemon[]): void {
     const senders = sendersModule.chooseSenders(this.#parts.entry, knownDaemons);
     if (senders.join() !== this.#senders.join()) this.#senders = senders;
   }
 
-  #otherDaemons(): daemonEntries.DaemonEntry[] {
-    return [...this.#parts.view.daemons.values()].filter((daemon) => daemon.vm !== this.#parts.entry.vm);
-  }
-
   #serializedWork(): string {
     return JSON.stringify([...this.#parts.loads.ownWork()]);
   }
 
-  /**
-   * Addresses of daemons that have left. They get an occasional heartbeat, so that one that restarts receives it and
-   * answers.
-   */
-  #formerAddresses(now: number): string[] {
-    const { entry, view, ready } = this.#parts;
-    if (!ready() || !this.#dispatching) return [];
-    const candidates = this.peerTable
-      .live(now)
-      .filter((peer) => peer.ready && peer.dispatching && peer.vm !== entry.vm);
-    const former = view.former.assignedTo(
-      entry.vm,
-      candidates.map((peer) => peer.vm),
-      now,
-    );
-    return former.map((daemon) => daemon.peers);
-  }
-
   #sendHeartbeats(
     now: number,
     recipients: recipientsModule.Recipients,
@@ -364,15 +280,15 @@
     const unixMs = Date.now();
     this.#distances.noteSent(unixMs, now);
     if (due.distant) {
-      const stateFields = (changes: recentChangesModule.RecentChanges): PulseFields =>
-        this.#stateFields(now, unixMs, changes);
+      const stateFields = (changes: recentChangesModule.RecentChanges): heartbeatStates.PulseFields =>
+        this.#state.createFields(now, unixMs, changes);
       const addresses = recipients.distant.map(({ peers }) => peers);
       for (const pulse of this.#distant.create(now, intervalFor(recipients), stateFields))
         this.#heartbeatSocket.send(pulse, addresses);
     }
     if (!due.frequent && !due.occasional) return;
     const state = {
-      ...this.#stateFields(now, unixMs, this.#recentChanges),
+      ...this.#state.createFields(now, unixMs, this.#recentChanges),
       ...this.#records.take(workDeltas.Audience.Near, now),
     };
     if (due.frequent) {
@@ -398,7 +314,7 @@
     const pulse = protobuf.create(messages.PulseSchema, { ...state, nextWithinMs: this.#occasionalIntervalMs });
     this.#heartbeatSocket.send(pulse, [
       ...recipients.occasional.map(({ peers }) => peers),
-      ...this.#formerAddresses(now),
+      ...(this.#dispatching ? this.#otherDaemons.formerAddresses(now) : []),
     ]);
   }
 
@@ -408,106 +324,6 @@
     const dataCentre = this.#dataCentresOfPeers.get(address);
     if (dataCentre !== undefined) traffic.add(trafficCounters.Traffic.Heartbeats, dataCentre, bytes);
   }
-
-  #stateFields(now: number, unixMs: number, changes: recentChangesModule.RecentChanges): PulseFields {
-    const { entry, view } = this.#parts;
-    return {
-      vm: entry.vm,
-      incarnation: entry.incarnation,
-      dataCentre: entry.dataCentre,
-      callers: entry.callers,
-      capacityThousandths: peerWorks.toUint32(entry.capacity * THOUSANDTHS),
-      busyThousandths: peerWorks.toUint32(this.#parts.busyCores() * THOUSANDTHS),
-      active: this.activeSet.active,
-      activeVms: [...this.activeSet.activeVms],
-      ready: this.#parts.ready(),
-      cutOff: this.#parts.isCutOff(),
-      linkLost: this.#parts.isLinkLost(),
-      configurationRevision: BigInt(view.configurationRevision),
-      ...this.#configurationAge(now),
-      ...recordExchanges.versionFields(view, now),
-      storeSilentMs: Math.round(this.#parts.storeSilentMs()),
-      unixMs: BigInt(unixMs),
-      ...this.#dutyLease,
-      departures: changes.nextDepartures(now),
-      followsClosely: this.#parts.followsClosely(),
-      entries: changes.entries(now),
-      tryingSuspect: this.#parts.suspects.isRunningTrial,
-      changing: [...view.pendingRoleChanges]
-        .filter(([, change]) => change.until > now)
-        .map(([endpoint, change]) => ({
-          endpoint,
-          role: change.role,
-          forMs: Math.round(change.until - now),
-          startedAtMs: endpointIncarnations.toMessage(change.bornAt),
-        })),
-    };
-  }
-
-  get #dutyLease(): { readonly dutyLeaseMs?: number } {
-    const dutyLeaseMs = this.#parts.dutyLeaseMs();
-    return dutyLeaseMs === undefined ? {} : { dutyLeaseMs: peerWorks.toUint32(dutyLeaseMs) };
-  }
-
-  #configurationAge(now: number): { readonly configurationAgeMs?: number } {
-    const ageMs = this.#parts.view.freshness.ageMs(now);
-    return Number.isFinite(ageMs) ? { configurationAgeMs: peerWorks.toUint32(Math.ceil(ageMs)) } : {};
-  }
-
-  #sendNews(now: number): void {
-    const { view, log } = this.#parts;
-    const sender: peerTables.SenderState = {
-      configurationRevision: view.configurationRevision,
-      storeAnswers: this.#parts.storeSilentMs() < peerTables.STORE_SILENT_MS,
-      followsClosely: this.#parts.followsClosely(),
-    };
-    for (const peer of this.peerTable.selectReceivers(sender, now)) {
-      const address = this.addressOf(peer.vm);
-      if (address === undefined) continue;
-      log.info("tell-peer", { peer: peer.vm, has: peer.configurationRevision, tells: view.configurationRevision });
-      this.#peerClient.send(address, this.#newsFor(peer, now)).catch((error: unknown) => {
-        log.warn("tell-peer-failed", { peer: peer.vm, detail: String(error) });
-      });
-    }
-  }
-
-  #newsFor(peer: peerTables.PeerState, now: number): Omit<messages.News, "$typeName" | "$unknown"> {
-    const { view, entry } = this.#parts;
-    const behind = peer.configurationRevision < view.configurationRevision;
-    // The list of endpoints is many times larger than the configuration. A peer that the key-value service answers
-    // reads the list there, and learns of changes from heartbeats.
-    const needsList = peer.configurationRevision === 0 || peer.storeSilentMs > peerTables.STORE_SILENT_MS;
-    return {
-      vm: entry.vm,
-      configurationRevision: BigInt(view.configurationRevision),
-      configuration: behind ? (view.configurationDocument ?? new Uint8Array()) : new Uint8Array(),
-      endpoints: needsList ? this.#allEntries() : [],
-      departures: this.#recentChanges.allDepartures(now),
-      daemons: peer.configurationRevision === 0 ? this.#liveDaemons(now) : [],
-      suspects: this.#parts.suspects.snapshotRecords(now).map(suspectCodec.toMessage),
-    };
-  }
-
-  #allEntries(): messages.EndpointEntry[] {
-    return [...this.#parts.view.endpointDocuments].map(([id, { value, revision }]) =>
-      protobuf.create(messages.EndpointEntrySchema, { id, value, revision: BigInt(revision) }),
-    );
-  }
-
-  /**
-   * Addresses of the live daemons, which a daemon that has just started would otherwise read from the key-value
-   * service.
-   */
-  #liveDaemons(now: number): messages.DaemonAddress[] {
-    const { entry } = this.#parts;
-    const live = new Set(this.peerTable.live(now).map((peer) => peer.vm)).add(entry.vm);
-    return [...this.#otherDaemons(), entry]
-      .filter((daemon) => live.has(daemon.vm))
-      .map(({ capacity, ...daemon }) => {
-        const capacityThousandths = peerWorks.toUint32(capacity * THOUSANDTHS);
-        return protobuf.create(messages.DaemonAddressSchema, { ...daemon, capacityThousandths });
-      });
-  }
 }
 
 /** Interval of the checks whether a heartbeat is due, in milliseconds: the same whether or not some recipients are distant. */
--- a/packages/gateway/src/peers/peerReceiver.ts
+++ b/packages/gateway/src/peers/peerReceiver.ts
@@ -4,11 +4,11 @@
 import type * as heartbeatDistances from "../distance/heartbeatDistances.js";
 import * as endpointIncarnations from "../endpointIncarnation.js";
 import * as limitCodec from "../limits/limitCodec.js";
-import type * as peerLinks from "../peerLink.js";
 import type * as peerTables from "../peerTable.js";
 import * as peerWorks from "../peerWork.js";
 import * as streamRecordCodec from "../streams/streamRecordCodec.js";
 import * as suspectCodec from "../suspects/suspectCodec.js";
+import type * as peerLinkParts from "./peerLinkParts.js";
 
 /** Messages carry capacity in whole thousandths of a core. */
 const THOUSANDTHS = 1_000;
@@ -18,7 +18,7 @@
 
 /** Dependencies of {@link PeerReceiver}. */
 export interface PeerReceiverParts extends Pick<
-  peerLinks.PeerLinkParts,
+  peerLinkParts.PeerLinkParts,
   | "entry"
   | "view"
   | "suspects"
