End the cycle of imports through the serving context

Cause: the shared context named the mover of runs and modules that use a request's state, and these named the context; seventeen modules could only be read together.

No change of behaviour.

--- a/packages/gateway/src/activeSend.ts
+++ b/packages/gateway/src/activeSend.ts
@@ -2,7 +2,7 @@
 import type * as callerAnswers from "./callerAnswer.js";
 import type * as contexts from "./context.js";
 import type * as sendings from "./sending.js";
-import * as sendChoosers from "./sendChooser.js";
+import * as plannedSends from "./sends/plannedSend.js";
 import type * as servedRequests from "./servedRequest.js";
 import * as silenceWatches from "./silenceWatch.js";
 
@@ -18,12 +18,12 @@
 }
 
 /** One send of a request to an endpoint, while it is in flight. */
-export class ActiveSend implements sendChoosers.PlannedSend {
+export class ActiveSend implements plannedSends.PlannedSend {
   readonly endpoint: serving.Endpoint;
-  readonly stage: sendChoosers.Stage;
+  readonly stage: plannedSends.Stage;
   readonly predictedMs: number;
   readonly plan: serving.EnginePlan | undefined;
-  readonly resume?: sendChoosers.ResumedRun;
+  readonly resume?: plannedSends.ResumedRun;
   /** When it was decided on, in milliseconds. */
   readonly sentAt: number;
   /** Requests of all daemons that run at the endpoint after the send, this one included, as far as is known. */
@@ -47,7 +47,7 @@
   constructor(
     context: contexts.ServingContext,
     served: servedRequests.ServedRequest,
-    planned: sendChoosers.PlannedSend,
+    planned: plannedSends.PlannedSend,
   ) {
     this.#context = context;
     this.endpoint = planned.endpoint;
@@ -173,10 +173,10 @@
 function heldTokensOf(
   { settings, view }: contexts.ServingContext,
   { caller, service }: servedRequests.ServedRequest,
-  { stage }: sendChoosers.PlannedSend,
+  { stage }: plannedSends.PlannedSend,
 ): number {
   const { prompt } = caller.headers;
   const isCounted = settings.memoryBytes !== undefined && view.table?.service(service)?.engine !== undefined;
   if (!isCounted || prompt === undefined) return 0;
-  return prompt.promptTokens + (stage === sendChoosers.Stage.Prefill ? 0 : prompt.outputTokens);
+  return prompt.promptTokens + (stage === plannedSends.Stage.Prefill ? 0 : prompt.outputTokens);
 }
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -1,5 +1,5 @@
-import * as common from "@camphorcourse/common";
-import * as serving from "@camphorcourse/serving";
+import type * as common from "@camphorcourse/common";
+import type * as serving from "@camphorcourse/serving";
 import type * as callControls from "./calls/callControl.js";
 import type * as configurationGates from "./configuration/configurationGate.js";
 import type * as decisionLogs from "./decisionLog.js";
@@ -13,7 +13,8 @@
 import type * as metricsModule from "./metrics.js";
 import type * as pacings from "./pacing/pacing.js";
 import type * as ports from "./ports.js";
-import type * as runMovers from "./runs/runMover.js";
+import type * as retryBudgets from "./requests/retryBudgets.js";
+import type * as ownRuns from "./runs/ownRuns.js";
 import type * as settingsModule from "./settings.js";
 import type * as endpointStatements from "./statements/endpointStatements.js";
 import type * as streamOrigins from "./streams/streamOrigins.js";
@@ -55,10 +56,10 @@
   /** Keeps what is held for callers within the VM's memory. */
   readonly memory: memoryGuards.MemoryGuard;
   /** Moves runs from engines that leave to others. */
-  readonly runs: runMovers.RunMover;
+  readonly runs: ownRuns.OwnRuns;
   /** Keeps requests that crash endpoints from being sent to them. */
   readonly suspects: suspectGates.SuspectGate;
-  readonly budgets: RetryBudgets;
+  readonly budgets: retryBudgets.RetryBudgets;
   /** Counts an organisation's request that begins to run now. */
   readonly countUsage: (organisation: string) => void;
   /** Distances between the data centres; undefined in a deployment of one region. */
@@ -78,32 +79,3 @@
   /** @returns upper bound of the number of live daemons, including this one */
   liveDaemons(): number;
 }
-
-/** The retry budgets of all services. */
-export class RetryBudgets {
-  readonly #budgets = new Map<string, serving.SharedRetryBudget>();
-  readonly #bounds: serving.RetryBounds;
-  readonly #startedAt: number;
-
-  /**
-   * @param bounds - the limits that the operator set
-   * @param startedAt - start of the process, in milliseconds
-   */
-  constructor(bounds: serving.RetryBounds, startedAt: number) {
-    this.#bounds = bounds;
-    this.#startedAt = startedAt;
-  }
-
-  /**
-   * @param service - name of the service
-   * @returns the retry budget of the service, created on first use
-   */
-  of(service: string): serving.SharedRetryBudget {
-    let budget = this.#budgets.get(service);
-    if (budget === undefined) {
-      budget = new serving.SharedRetryBudget(this.#bounds, this.#startedAt);
-      this.#budgets.set(service, budget);
-    }
-    return budget;
-  }
-}
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -6,7 +6,7 @@
 import type * as ports from "./ports.js";
 import * as prefillHandovers from "./prefillHandover.js";
 import * as requestEnds from "./requestEnd.js";
-import * as sendChoosers from "./sendChooser.js";
+import * as plannedSends from "./sends/plannedSend.js";
 import * as requestForwarders from "./requestForwarder.js";
 import * as servedRequests from "./servedRequest.js";
 
@@ -126,7 +126,7 @@
   /** @returns whether a send may have run the request, including the one under way */
   #mayHaveRun(): boolean {
     const { active } = this.#forwarder;
-    const mayBeRunning = active?.stage === sendChoosers.Stage.Answering && active.wasDispatched;
+    const mayBeRunning = active?.stage === plannedSends.Stage.Answering && active.wasDispatched;
     return this.#served.mayHaveRun || mayBeRunning;
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -8,6 +8,7 @@
 import * as callerAddresses from "./callers/callerAddresses.js";
 import * as configurationGates from "./configuration/configurationGate.js";
 import * as contexts from "./context.js";
+import * as retryBudgets from "./requests/retryBudgets.js";
 import * as decisionLogs from "./decisionLog.js";
 import * as trafficCounters from "./distance/trafficCounter.js";
 import * as endpointClients from "./endpointClient.js";
@@ -241,7 +242,7 @@
         metrics: this.#metrics,
       }),
       runs: new runMovers.RunMover(() => this.#context),
-      budgets: new contexts.RetryBudgets(settings.retryBounds, performance.now()),
+      budgets: new retryBudgets.RetryBudgets(settings.retryBounds, performance.now()),
       countUsage: (organisation) => {
         if (settings.usage !== undefined) usageCounter.count(organisation, clock.unixMs());
       },
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -8,9 +8,10 @@
 import type * as sendings from "./sending.js";
 import type * as exchangeParts from "./exchangeParts.js";
 import type * as waitingRequests from "./limits/waitingRequests.js";
-import type * as runMoves from "./runs/runMove.js";
+import type * as ownRuns from "./runs/ownRuns.js";
 import * as prefillReceivers from "./prefillReceiver.js";
 import * as sendChoosers from "./sendChooser.js";
+import * as plannedSends from "./sends/plannedSend.js";
 
 const NOT_FOUND = 404;
 const BAD_GATEWAY = 502;
@@ -18,7 +19,7 @@
 
 /** Forwards one request to endpoints, one send after the other, until one gives its final answer. */
 export class RequestForwarder
-  implements exchangeParts.SendResultHandler, waitingRequests.WaitingRequest, callControls.WaitingCall, runMoves.RunHost
+  implements exchangeParts.SendResultHandler, waitingRequests.WaitingRequest, callControls.WaitingCall, ownRuns.RunHost
 {
   readonly #parts: exchangeParts.ExchangeParts;
   readonly #chooser: sendChoosers.SendChooser;
@@ -32,7 +33,7 @@
     this.#chooser = new sendChoosers.SendChooser(parts.context, parts.served);
   }
 
-  /** {@inheritDoc runMoves.RunHost.active} */
+  /** {@inheritDoc ownRuns.RunHost.active} */
   get active(): activeSends.ActiveSend | undefined {
     return this.#active;
   }
@@ -54,7 +55,7 @@
     } catch (error) {
       const { message, stack } = error as Error;
       context.log.warn("request-fault", { id: served.id, detail: message, stack });
-      if (this.#active?.wasDispatched === true && this.#active.stage === sendChoosers.Stage.Answering)
+      if (this.#active?.wasDispatched === true && this.#active.stage === plannedSends.Stage.Answering)
         served.noteMayHaveRun();
       end.reject("request-fault");
     }
@@ -92,7 +93,7 @@
   }
 
   /** Waits for an endpoint that will take the request in time by what it has said; otherwise the request is rejected. */
-  #waitOrReject(rejection: sendChoosers.SendRejection): void {
+  #waitOrReject(rejection: plannedSends.SendRejection): void {
     const { reason, retryAfterMs, isFinal, limited, restMs, waitsForRoom } = rejection;
     if (isFinal === true) this.#parts.end.rejectForGood(reason);
     else if (waitsForRoom === true) this.#parts.context.calls.wait(this);
@@ -198,7 +199,7 @@
     const isRefused = active.resume !== undefined && outcome !== serving.SendOutcome.Unknown;
     if (isRefused && this.#resumeElsewhere(active, outcome, detail)) return;
     if (outcome === serving.SendOutcome.Unknown) served.noteMayHaveRun();
-    if (declined && active.stage === sendChoosers.Stage.Answering) handover.free();
+    if (declined && active.stage === plannedSends.Stage.Answering) handover.free();
     if (outcome === serving.SendOutcome.Unknown) handover.markTaken();
     const step = served.decideNextStep(outcome);
     context.log.info("send-failed", {
@@ -246,7 +247,7 @@
     const { content, contentAndCaller } = served.fingerprints;
     const scope = serving.SuspectScope.Request;
     const requests = [content, contentAndCaller].map((fingerprint) => ({ fingerprint, scope }));
-    const isReading = active.stage === sendChoosers.Stage.Prefill;
+    const isReading = active.stage === plannedSends.Stage.Prefill;
     return isReading || active.hasWrittenForLong ? requests : [...requests, ...served.partNames];
   }
 
@@ -297,13 +298,13 @@
     else end.reject("handle-lost");
   }
 
-  #dispatch(planned: sendChoosers.PlannedSend): void {
+  #dispatch(planned: plannedSends.PlannedSend): void {
     const { context, served } = this.#parts;
     const remainingMs = Math.floor(served.remainingMs);
     const active = new activeSends.ActiveSend(context, served, planned);
     this.#active = active;
     served.markTried(planned.endpoint.id);
-    if (planned.stage === sendChoosers.Stage.Answering && planned.resume === undefined) served.countSend();
+    if (planned.stage === plannedSends.Stage.Answering && planned.resume === undefined) served.countSend();
     const urgency = planned.plan?.urgency ?? (this.#parts.handover.prefilled === undefined ? undefined : 0);
     const message = this.#message(planned, urgency);
     const { dataCentre } = planned.endpoint;
@@ -327,14 +328,14 @@
       ...planned.admission,
       ...planned.pacing,
     });
-    if (planned.stage === sendChoosers.Stage.Answering) context.runs.noteRunning({ active, served, host: this });
+    if (planned.stage === plannedSends.Stage.Answering) context.runs.noteRunning({ active, served, host: this });
     active.start(message, this.#receiver(active), (silentMs) => {
       if (this.#active === active) this.#abandonSilent(active, silentMs);
     });
   }
 
-  /** {@inheritDoc runMoves.RunHost.resumeRun} */
-  resumeRun(planned: sendChoosers.PlannedSend & { readonly resume: sendChoosers.ResumedRun }): void {
+  /** {@inheritDoc ownRuns.RunHost.resumeRun} */
+  resumeRun(planned: plannedSends.PlannedSend & { readonly resume: plannedSends.ResumedRun }): void {
     const { end, handover } = this.#parts;
     if (end.over) return;
     handover.keep({ engine: planned.resume.source, handle: planned.resume.handle });
@@ -350,7 +351,7 @@
     return false;
   }
 
-  #message(planned: sendChoosers.PlannedSend, urgency: number | undefined): sendings.OutgoingRequest {
+  #message(planned: plannedSends.PlannedSend, urgency: number | undefined): sendings.OutgoingRequest {
     const { context, handover, served } = this.#parts;
     const source = handover.prefilled;
     const { lastEventId } = served.progress;
@@ -358,7 +359,7 @@
       endpointId: planned.endpoint.id,
       access: served.access,
       ...(urgency === undefined ? {} : { urgency }),
-      ...(planned.stage === sendChoosers.Stage.Prefill ? { prefillOnly: true } : {}),
+      ...(planned.stage === plannedSends.Stage.Prefill ? { prefillOnly: true } : {}),
       ...(source === undefined ? {} : { source: { address: source.engine.address, handle: source.handle } }),
       ...(planned.plan?.copySource === undefined ? {} : { copyFrom: planned.plan.copySource.address }),
       ...(lastEventId === undefined ? {} : { lastEventId }),
@@ -378,14 +379,14 @@
 
   #receiver(active: activeSends.ActiveSend): sendings.AnswerReceiver {
     const send: exchangeParts.AnsweredSend = { ...this.#parts, active, results: this };
-    if (active.stage === sendChoosers.Stage.Prefill) return new prefillReceivers.PrefillReceiver(send);
+    if (active.stage === plannedSends.Stage.Prefill) return new prefillReceivers.PrefillReceiver(send);
     return new answerReceivers.AnswerReceiver(send);
   }
 
   /** Sends the request elsewhere if that is allowed; otherwise the send to the silent endpoint goes on. */
   #abandonSilent(active: activeSends.ActiveSend, silentMs: number): void {
     const { context, feedback, served } = this.#parts;
-    const isPrefill = active.stage === sendChoosers.Stage.Prefill;
+    const isPrefill = active.stage === plannedSends.Stage.Prefill;
     if (!isPrefill && !serving.mayRetry(served.route)) return;
     // A run that is stopped to be moved is silent until its stream closes.
     if (context.runs.isBeingStopped(served)) return;
@@ -415,13 +416,13 @@
   #countFailed(active: activeSends.ActiveSend, outcome: serving.SendOutcome): void {
     const { served } = this.#parts;
     if (active.resume !== undefined) return;
-    if (active.stage === sendChoosers.Stage.Answering && serving.isUnsent(outcome)) served.uncountSend();
-    if (active.stage === sendChoosers.Stage.Prefill && !serving.isUnsent(outcome)) served.countSend();
+    if (active.stage === plannedSends.Stage.Answering && serving.isUnsent(outcome)) served.uncountSend();
+    if (active.stage === plannedSends.Stage.Prefill && !serving.isUnsent(outcome)) served.countSend();
   }
 }
 
-function callOf({ resume, stage }: sendChoosers.PlannedSend): serving.AnsweredCall {
-  if (stage === sendChoosers.Stage.Prefill) return serving.AnsweredCall.Prefill;
+function callOf({ resume, stage }: plannedSends.PlannedSend): serving.AnsweredCall {
+  if (stage === plannedSends.Stage.Prefill) return serving.AnsweredCall.Prefill;
   return resume?.isReturn === true ? serving.AnsweredCall.Return : serving.AnsweredCall.Run;
 }
 
--- a/packages/gateway/src/runs/runMove.ts
+++ b/packages/gateway/src/runs/runMove.ts
@@ -1,8 +1,7 @@
 import * as serving from "@camphorcourse/serving";
-import type * as activeSends from "../activeSend.js";
 import type * as contexts from "../context.js";
-import * as sendChoosers from "../sendChooser.js";
-import type * as servedRequests from "../servedRequest.js";
+import * as plannedSends from "../sends/plannedSend.js";
+import type * as ownRuns from "./ownRuns.js";
 import type * as runCalls from "./runCalls.js";
 
 /** Time for the stream of a stopped run to close in milliseconds; a caller that reads slowly delays it. */
@@ -14,47 +13,11 @@
  */
 const REPEATABLE_STOP_TIMEOUT_MS = 1_500;
 
-/** What serves the request of a run. */
-export interface RunHost {
-  /** The send that is in flight. */
-  readonly active: activeSends.ActiveSend | undefined;
-  /**
-   * Ends a send; nothing more is accepted from it.
-   *
-   * @param active - the send
-   * @returns whether it was under way, and the request has not ended
-   */
-  end(active: activeSends.ActiveSend): boolean;
-  /**
-   * Handles a stream that has broken off.
-   *
-   * @param active - the send
-   * @param outcome - whether the request may have run
-   * @param detail - what went wrong
-   */
-  broken(active: activeSends.ActiveSend, outcome: serving.SendOutcome, detail: string): void;
-  /** @param planned - a send with which a stopped run goes on */
-  resumeRun(planned: sendChoosers.PlannedSend & { readonly resume: sendChoosers.ResumedRun }): void;
-}
-
-/** A run of this daemon's caller at an engine. */
-export interface OwnRun {
-  readonly active: activeSends.ActiveSend;
-  readonly served: servedRequests.ServedRequest;
-  readonly host: RunHost;
-}
-
-/** What follows the close of a stream whose run is being moved, if it doesn't go on elsewhere. */
-export interface CloseFollowUp {
-  readonly complete: () => void;
-  readonly break: () => void;
-}
-
 /** Dependencies of {@link RunMove}. */
 export interface RunMoveParts {
   readonly context: contexts.ServingContext;
   readonly calls: runCalls.RunCalls;
-  readonly run: OwnRun;
+  readonly run: ownRuns.OwnRun;
   readonly destination: serving.Endpoint;
   /** Time for which the engines keep handles, in milliseconds. */
   readonly handleMs: number;
@@ -68,7 +31,7 @@
   readonly #state = new serving.RunState();
   readonly #startedAt = performance.now();
   #closeTimer: NodeJS.Timeout | undefined;
-  #followUp: CloseFollowUp | undefined;
+  #followUp: ownRuns.CloseFollowUp | undefined;
   #stopSentAt = 0;
 
   /** @param parts - dependencies */
@@ -82,7 +45,7 @@
   }
 
   /** @returns the run that is moved */
-  get run(): OwnRun {
+  get run(): ownRuns.OwnRun {
     return this.#parts.run;
   }
 
@@ -111,7 +74,7 @@
    * @param followUp - what follows unless the run goes on elsewhere
    * @returns whether the move decides what follows, now or later
    */
-  onClosed(close: serving.StreamClose, followUp: CloseFollowUp): boolean {
+  onClosed(close: serving.StreamClose, followUp: ownRuns.CloseFollowUp): boolean {
     if (this.#state.phase === serving.RunPhase.Ended) return false;
     clearTimeout(this.#closeTimer);
     this.#followUp = followUp;
@@ -241,7 +204,7 @@
       return;
     }
     const resume = { source, handle, isReturn };
-    host.resumeRun({ endpoint, stage: sendChoosers.Stage.Answering, predictedMs: 0, plan: undefined, resume });
+    host.resumeRun({ endpoint, stage: plannedSends.Stage.Answering, predictedMs: 0, plan: undefined, resume });
   }
 
   #obstacleToReturn(source: serving.Endpoint): string | undefined {
--- a/packages/gateway/src/runs/runMover.ts
+++ b/packages/gateway/src/runs/runMover.ts
@@ -1,6 +1,7 @@
 import * as serving from "@camphorcourse/serving";
 import type * as contexts from "../context.js";
 import type * as servedRequests from "../servedRequest.js";
+import type * as ownRuns from "./ownRuns.js";
 import * as runCalls from "./runCalls.js";
 import * as runMoves from "./runMove.js";
 
@@ -28,7 +29,7 @@
 
 /** A run at an engine whose service allows moves, and its last move. */
 interface MovableRun {
-  readonly run: runMoves.OwnRun;
+  readonly run: ownRuns.OwnRun;
   move: runMoves.RunMove | undefined;
 }
 
@@ -46,7 +47,7 @@
 }
 
 /** Moves this daemon's runs on engines that leave to engines that stay. */
-export class RunMover {
+export class RunMover implements ownRuns.OwnRuns {
   readonly #context: () => contexts.ServingContext;
   readonly #leaving = new Map<string, LeavingEngine>();
   /** Runs by request; a request has one run at a time. */
@@ -62,7 +63,7 @@
     this.#context = context;
   }
 
-  /** @param update - a change of an endpoint */
+  /** {@inheritDoc ownRuns.OwnRuns.noteChange} */
   noteChange({ change, endpoint, id }: serving.EndpointUpdate): void {
     if (change !== serving.EndpointChange.Leaving || endpoint === undefined) {
       this.#leaving.delete(id);
@@ -76,8 +77,8 @@
     this.#check();
   }
 
-  /** @param run - a run that begins, or goes on at another engine */
-  noteRunning(run: runMoves.OwnRun): void {
+  /** {@inheritDoc ownRuns.OwnRuns.noteRunning} */
+  noteRunning(run: ownRuns.OwnRun): void {
     const { active, served } = run;
     const former = this.#runs.get(served)?.move;
     this.#runs.delete(served);
@@ -87,26 +88,17 @@
     if (this.#mayMove(run)) this.#runs.set(served, { run, move: undefined });
   }
 
-  /**
-   * @param run - a run whose stream has closed without the end that its framing asks for
-   * @param close - how it closed
-   * @param followUp - what follows unless the run goes on elsewhere
-   * @returns whether a move decides what follows, now or later
-   */
+  /** {@inheritDoc ownRuns.OwnRuns.onClosed} */
   onClosed(
-    run: Pick<runMoves.OwnRun, "active" | "served">,
+    run: Pick<ownRuns.OwnRun, "active" | "served">,
     close: serving.StreamClose,
-    followUp: runMoves.CloseFollowUp,
+    followUp: ownRuns.CloseFollowUp,
   ): boolean {
     const known = this.#runs.get(run.served);
     return known?.run.active === run.active && known.move?.onClosed(close, followUp) === true;
   }
 
-  /**
-   * @param served - a request with which a run was to go on
-   * @param detail - why it was not taken
-   * @returns whether the request goes on elsewhere with the handle
-   */
+  /** {@inheritDoc ownRuns.OwnRuns.onRefused} */
   onRefused(served: servedRequests.ServedRequest, detail: string): boolean {
     const move = this.#resuming.get(served);
     if (move === undefined) return false;
@@ -117,15 +109,15 @@
     return false;
   }
 
-  /** @param run - a run that goes on with a handle, at its first event there */
-  noteResumed({ active, served }: Pick<runMoves.OwnRun, "active" | "served">): void {
+  /** {@inheritDoc ownRuns.OwnRuns.noteResumed} */
+  noteResumed({ active, served }: Pick<ownRuns.OwnRun, "active" | "served">): void {
     const isReturn = active.resume?.isReturn === true;
     this.#resuming.get(served)?.noteResumed(isReturn);
     this.#resuming.delete(served);
     if (!isReturn) this.#tries.delete(served);
   }
 
-  /** @param served - a request that is over */
+  /** {@inheritDoc ownRuns.OwnRuns.noteOver} */
   noteOver(served: servedRequests.ServedRequest): void {
     this.#runs.get(served)?.move?.noteOver();
     this.#resuming.get(served)?.noteOver();
@@ -134,20 +126,17 @@
     this.#tries.delete(served);
   }
 
-  /**
-   * @param served - a request
-   * @returns whether its run has been told to stop, and has not been sent again yet
-   */
+  /** {@inheritDoc ownRuns.OwnRuns.isBeingStopped} */
   isBeingStopped(served: servedRequests.ServedRequest): boolean {
     return this.#runs.get(served)?.move?.isBeingStopped === true;
   }
 
-  /** @returns number of moves under way */
+  /** {@inheritDoc ownRuns.OwnRuns.underWay} */
   get underWay(): number {
     return this.#movesUnderWay().length;
   }
 
-  #mayMove({ served }: runMoves.OwnRun): boolean {
+  #mayMove({ served }: ownRuns.OwnRun): boolean {
     const { view } = this.#context();
     const isStream = served.route.requestClass === serving.RequestClass.Stream;
     return isStream && view.table?.service(served.service)?.engine?.moves === true;
@@ -263,7 +252,7 @@
   }
 }
 
-function isAt({ active }: runMoves.OwnRun, { address, bornAt, id }: serving.Endpoint): boolean {
+function isAt({ active }: ownRuns.OwnRun, { address, bornAt, id }: serving.Endpoint): boolean {
   const { endpoint } = active;
   return endpoint.id === id && endpoint.bornAt === bornAt && endpoint.address === address;
 }
--- a/packages/gateway/src/sendChooser.ts
+++ b/packages/gateway/src/sendChooser.ts
@@ -5,57 +5,11 @@
 import type * as decisionLogs from "./decisionLog.js";
 import * as promptAdmissions from "./fairness/promptAdmission.js";
 import * as pacings from "./pacing/pacing.js";
+import * as plannedSends from "./sends/plannedSend.js";
 import type * as servedRequests from "./servedRequest.js";
 
-/** What a send asks of its endpoint. */
-export enum Stage {
-  /** An engine prefills the prompt for another one. */
-  Prefill = "reading",
-  /** An endpoint answers the request. */
-  Answering = "answering",
-}
-
-/** A run that its engine has stopped and that goes on with the KV cache that this engine keeps. */
-export interface ResumedRun {
-  readonly source: serving.Endpoint;
-  /** Names the KV cache at the source. */
-  readonly handle: string;
-  /** Whether it goes back to the source itself. */
-  readonly isReturn: boolean;
-}
-
-/** A send that was decided on. */
-export interface PlannedSend {
-  readonly endpoint: serving.Endpoint;
-  readonly stage: Stage;
-  /** Predicted time to the first event in milliseconds, 0 where nothing is predicted. */
-  readonly predictedMs: number;
-  readonly plan: serving.EnginePlan | undefined;
-  /** Present if a run goes on there that was stopped elsewhere. */
-  readonly resume?: ResumedRun;
-  /** What its admission was based on, as fields of the log; absent where nothing had to be admitted. */
-  readonly admission?: decisionLogs.LogFields;
-  /** The budget of the engine that decided, as fields of the log; absent where the prompt isn't paced. */
-  readonly pacing?: decisionLogs.LogFields;
-}
-
-/** Why a request is sent to no endpoint. */
-export interface SendRejection {
-  readonly reason: string;
-  /** Time after which the caller may retry in milliseconds, or undefined for the default. */
-  readonly retryAfterMs?: number;
-  /** Whether nothing is known that would let a retry succeed. */
-  readonly isFinal?: boolean;
-  /** The endpoints that could serve it if their limits let it through, if there are any. */
-  readonly limited?: serving.LimitedEndpoints;
-  /** Time until the first endpoint is back if all of them rest, in milliseconds. */
-  readonly restMs?: number;
-  /** Whether the request waits until one of the endpoints has room. */
-  readonly waitsForRoom?: boolean;
-}
-
 /** The endpoints that could serve a request but may not get it now, by what they have said of themselves. */
-type HeldEndpoints = Pick<SendRejection, "limited" | "restMs">;
+type HeldEndpoints = Pick<plannedSends.SendRejection, "limited" | "restMs">;
 
 /** The endpoints that may get a request now, and what holds back the others if none of these can answer. */
 interface Candidates extends HeldEndpoints {
@@ -65,9 +19,6 @@
 /** Spread of the callers that return to endpoints that are out of reach, in milliseconds. */
 const RETRY_SPREAD_MS = 300;
 
-/** A planned send, or why there is none. */
-export type Choice = neverthrow.Result<PlannedSend, SendRejection>;
-
 /** A decided admission, and what it was based on if there was something to decide. */
 interface LoggedAdmission {
   readonly admitted: neverthrow.Result<serving.EnginePlan, serving.Rejection>;
@@ -98,7 +49,7 @@
    * @param prefillEngine - the engine that has prefilled the prompt, if one has, so that another can decode from there
    * @returns the send, or why there is none
    */
-  choose(prefillEngine: serving.Endpoint | undefined): Choice {
+  choose(prefillEngine: serving.Endpoint | undefined): plannedSends.Choice {
     const definition = this.#definition;
     const prompt = this.#served.caller.headers.prompt;
     if (definition?.engine === undefined || prompt === undefined) return this.#chooseLeastBusy(definition);
@@ -147,7 +98,7 @@
    *
    * @returns the send, or why there is none
    */
-  chooseIsolated(): Choice {
+  chooseIsolated(): plannedSends.Choice {
     const { loads, crashDetector } = this.#context;
     const definition = this.#definition;
     const prompt = this.#served.caller.headers.prompt;
@@ -190,7 +141,7 @@
    * Why no endpoint is chosen: with all of them out of reach for this daemon and its peers, the caller is told to return
    * when they are tried again.
    */
-  #noneUsable(reason: string, held: HeldEndpoints): SendRejection {
+  #noneUsable(reason: string, held: HeldEndpoints): plannedSends.SendRejection {
     const { client, random, view } = this.#context;
     const now = performance.now();
     if (this.#served.isStreamBegun && !this.#served.canGoOn) return { reason: "version-gone", isFinal: true };
@@ -216,7 +167,7 @@
       );
   }
 
-  #chooseLeastBusy(definition: serving.Service | undefined): Choice {
+  #chooseLeastBusy(definition: serving.Service | undefined): plannedSends.Choice {
     const { loads, health, limits, random, settings } = this.#context;
     const { ready, ...held } = this.#candidates(definition);
     if (ready.length > 0 && this.#context.calls.controls(this.#served.service)) return this.#chooseControlled(ready);
@@ -233,7 +184,7 @@
     return endpoint === undefined ? neverthrow.err(this.#noneUsable("no-endpoint", held)) : answeringAt(endpoint);
   }
 
-  #chooseControlled(ready: readonly serving.Endpoint[]): Choice {
+  #chooseControlled(ready: readonly serving.Endpoint[]): plannedSends.Choice {
     const { id, service, deadlineAt, route } = this.#served;
     const { objectiveMs } = route;
     const call = { id, service, deadlineAt, objectiveMs, isNext: this.#isNextInQueue, freed: this.#freed };
@@ -246,7 +197,7 @@
     limits: serving.EngineLimits,
     prompt: serving.Prompt,
     prefillEngine: serving.Endpoint | undefined,
-  ): Choice {
+  ): plannedSends.Choice {
     const { ready, ...held } = this.#candidates(definition);
     if (prefillEngine === undefined) return this.#placeOn(ready, definition, limits, prompt, held);
     const inputs = this.#placementInputs(ready, definition, limits, prompt);
@@ -303,7 +254,7 @@
     limits: serving.EngineLimits,
     prompt: serving.Prompt,
     held: HeldEndpoints = {},
-  ): Choice {
+  ): plannedSends.Choice {
     const inputs = this.#placementInputs(engines, definition, limits, prompt);
     const placed = this.#placeWithinBudget(inputs);
     if (placed === undefined) return neverthrow.err(this.#noneUsable("no-engine", held));
@@ -317,7 +268,7 @@
     if (placed.pacedFrom !== undefined) this.#context.metrics.count("prefills_paced");
     const firstEngine = plan.prefillEngine ?? plan.decodeEngine;
     this.#context.loads.noteCachedPrompt(firstEngine.id, limits.memoryTokens, prompt);
-    const stage = plan.prefillEngine === undefined ? Stage.Answering : Stage.Prefill;
+    const stage = plan.prefillEngine === undefined ? plannedSends.Stage.Answering : plannedSends.Stage.Prefill;
     const { fields } = decision;
     const admission = fields === undefined ? {} : { admission: fields };
     const logged = { ...admission, ...pacings.planFields(inputs, placed) };
@@ -402,6 +353,6 @@
   }
 }
 
-function answeringAt(endpoint: serving.Endpoint): Choice {
-  return neverthrow.ok({ endpoint, stage: Stage.Answering, predictedMs: 0, plan: undefined });
+function answeringAt(endpoint: serving.Endpoint): plannedSends.Choice {
+  return neverthrow.ok({ endpoint, stage: plannedSends.Stage.Answering, predictedMs: 0, plan: undefined });
 }
--- a/packages/gateway/src/servedRequest.ts
+++ b/packages/gateway/src/servedRequest.ts
@@ -1,6 +1,6 @@
 import * as serving from "@camphorcourse/serving";
 import type * as callerRequests from "./callerRequest.js";
-import type * as contexts from "./context.js";
+import type * as requestContexts from "./requests/requestContext.js";
 import * as streamProgresses from "./streamProgress.js";
 
 /** Number of sends of one request whose connection may break before the request is given up. */
@@ -8,7 +8,7 @@
 
 /** State of a request while it is served: its route and service, the endpoints tried, and whether it may have run. */
 export class ServedRequest {
-  readonly #context: contexts.ServingContext;
+  readonly #context: requestContexts.RequestContext;
   readonly #caller: callerRequests.CallerRequest;
   readonly #body: Buffer;
   readonly #access: serving.Access;
@@ -37,7 +37,7 @@
    * @param access - on whose behalf it is served
    */
   constructor(
-    context: contexts.ServingContext,
+    context: requestContexts.RequestContext,
     caller: callerRequests.CallerRequest,
     route: serving.Route,
     body: Buffer,
--- a/packages/gateway/src/silenceWatch.ts
+++ b/packages/gateway/src/silenceWatch.ts
@@ -1,6 +1,6 @@
 import * as serving from "@camphorcourse/serving";
 import type * as contexts from "./context.js";
-import type * as sendChoosers from "./sendChooser.js";
+import type * as plannedSends from "./sends/plannedSend.js";
 import type * as servedRequests from "./servedRequest.js";
 
 /** Interval at which a send is checked for silence, in milliseconds. */
@@ -17,7 +17,7 @@
 export class SilenceWatch {
   readonly #context: contexts.ServingContext;
   readonly #served: servedRequests.ServedRequest;
-  readonly #planned: sendChoosers.PlannedSend;
+  readonly #planned: plannedSends.PlannedSend;
   readonly #sentAt: number;
   readonly #limits: serving.SilenceLimits;
   #timer: NodeJS.Timeout | undefined;
@@ -32,7 +32,7 @@
   constructor(
     context: contexts.ServingContext,
     served: servedRequests.ServedRequest,
-    planned: sendChoosers.PlannedSend,
+    planned: plannedSends.PlannedSend,
     sentAt: number,
   ) {
     this.#context = context;
--- a/packages/gateway/src/suspects/suspectGate.ts
+++ b/packages/gateway/src/suspects/suspectGate.ts
@@ -3,7 +3,7 @@
 import * as neverthrow from "neverthrow";
 import type * as decisionLogs from "../decisionLog.js";
 import type * as crashDetectors from "../endpointCrashDetector.js";
-import type * as sendChoosers from "../sendChooser.js";
+import type * as plannedSends from "../sends/plannedSend.js";
 import type * as servedRequests from "../servedRequest.js";
 
 /** Time after a reported crash from which data received from the endpoint refutes it, in milliseconds: a lagging event loop processes data late. */
@@ -55,7 +55,7 @@
    * @param served - a request that is about to be sent
    * @returns whether it has to run alone, or why it is not sent
    */
-  admit(served: servedRequests.ServedRequest): neverthrow.Result<boolean, sendChoosers.SendRejection> {
+  admit(served: servedRequests.ServedRequest): neverthrow.Result<boolean, plannedSends.SendRejection> {
     if (this.#trials.has(served)) return neverthrow.ok(true);
     if (this.table.isEmpty) return neverthrow.ok(false);
     const now = performance.now();
@@ -145,7 +145,7 @@
     fingerprint: string,
     suspicion: serving.Suspicion,
     now: number,
-  ): neverthrow.Result<boolean, sendChoosers.SendRejection> {
+  ): neverthrow.Result<boolean, plannedSends.SendRejection> {
     const isQuarantined = suspicion === serving.Suspicion.Quarantined;
     const rejectedForMs = Math.round(this.table.rejectedForMs(fingerprint, now));
     this.#parts.log.info("suspect-rejected", {
--- a/packages/gateway/tests/helpers/exchangeHarness.ts
+++ b/packages/gateway/tests/helpers/exchangeHarness.ts
@@ -7,6 +7,7 @@
 import * as callControls from "../../src/calls/callControl.js";
 import * as configurationGates from "../../src/configuration/configurationGate.js";
 import * as contexts from "../../src/context.js";
+import * as retryBudgets from "../../src/requests/retryBudgets.js";
 import * as decisionLogs from "../../src/decisionLog.js";
 import type * as sendings from "../../src/sending.js";
 import * as crashDetectors from "../../src/endpointCrashDetector.js";
@@ -306,7 +307,7 @@
         onEscalated: () => undefined,
         onQuarantined: () => undefined,
       }),
-      budgets: new contexts.RetryBudgets(SETTINGS.retryBounds, performance.now() - PROCESS_AGE_MS),
+      budgets: new retryBudgets.RetryBudgets(SETTINGS.retryBounds, performance.now() - PROCESS_AGE_MS),
       random: new common.SeededRandom(SEED),
       onMisdirected: () => undefined,
       countUsage: () => undefined,
