Send heartbeats to other regions through one daemon of each, in turn

Cause: a heartbeat with work is sent to every dispatching daemon of every other region, each 350 ms. Change: one daemon of the region gets it, a different one each time, and forwards it to those of its region that forward themselves. Changes of state, daemons of older software and regions with fewer than three go directly. Forwarded heartbeats are numbered, so that a late one brings nothing back. With one region nothing is sent that was not before.

--- a/packages/gateway/src/distance/distantHeartbeats.ts
+++ b/packages/gateway/src/distance/distantHeartbeats.ts
@@ -42,6 +42,7 @@
   #changedEndpoints = 0;
   #lastSentAt = 0;
   #lastState = "";
+  #sequence = 0;
 
   /** @param parts - dependencies */
   constructor(parts: DistantHeartbeatsParts) {
@@ -77,7 +78,15 @@
    */
   isDue(now: number): boolean {
     if (this.#parts.distances === undefined) return false;
-    return now - this.#lastSentAt >= DISTANT_HEARTBEAT_MS || this.#state(now) !== this.#lastState;
+    return now - this.#lastSentAt >= DISTANT_HEARTBEAT_MS || this.hasChanged(now);
+  }
+
+  /**
+   * @param now - current time in milliseconds
+   * @returns whether the state has changed that other regions have to learn at once
+   */
+  hasChanged(now: number): boolean {
+    return this.#state(now) !== this.#lastState;
   }
 
   /**
@@ -100,6 +109,7 @@
       ...work.createFields(workDeltas.Audience.Distant, now),
       echoes: this.#parts.heartbeatDistances.takeEchoes(true, now),
       nextWithinMs: peerWorks.toUint32(distantIntervalMs(intervalMs)),
+      sequence: ++this.#sequence,
     };
     return distantPulses.dividePulse(state, work.takeDeltas(workDeltas.Audience.Distant));
   }
--- a/packages/gateway/src/distance/distantPulses.ts
+++ b/packages/gateway/src/distance/distantPulses.ts
@@ -5,6 +5,9 @@
 /** Largest datagram that passes common networks without fragmentation, in bytes. */
 const MAX_DATAGRAM_BYTES = 1_400;
 
+/** Bytes that a daemon that forwards the message adds: IP:PORT of the sender, and longer ages. */
+const FORWARDING_BYTES = 32;
+
 /** Bytes that a field of a message takes beside its content. */
 const FIELD_OVERHEAD_BYTES = 4;
 
@@ -33,7 +36,7 @@
   const divided: workDeltas.Deltas[] = [emptyDeltas()];
   let usedBytes = stateBytes;
   for (const item of itemsOf(deltas)) {
-    if (usedBytes + item.bytes > MAX_DATAGRAM_BYTES) {
+    if (usedBytes + item.bytes > MAX_DATAGRAM_BYTES - FORWARDING_BYTES) {
       divided.push(emptyDeltas());
       usedBytes = otherBytes;
     }
--- a/packages/gateway/src/distance/trafficCounter.ts
+++ b/packages/gateway/src/distance/trafficCounter.ts
@@ -36,4 +36,14 @@
     if (this.#distances === undefined) return;
     this.#metrics.count(`${traffic}_bytes_${WAY_NAMES[this.#distances.wayTo(dataCentre)]}`, bytes);
   }
+
+  /** Counts a heartbeat of another region that was forwarded. */
+  noteForwarded(): void {
+    this.#metrics.count("heartbeats_forwarded");
+  }
+
+  /** Counts a forwarded heartbeat that arrived after a later one of its sender. */
+  noteOutdated(): void {
+    this.#metrics.count("forwarded_heartbeats_outdated");
+  }
 }
--- a/packages/gateway/src/heartbeatSocket.ts
+++ b/packages/gateway/src/heartbeatSocket.ts
@@ -82,6 +82,7 @@
    * @param addresses - IP:PORT of the receivers
    */
   send(pulse: messages.Pulse, addresses: readonly string[]): void {
+    if (addresses.length === 0) return;
     if (pulse.departures.length > MAX_DEPARTURES_IN_HEARTBEAT)
       this.#sendBytes(this.#encode(departuresOnly(pulse)), addresses);
     this.#sendBytes(this.#encodeToFit(pulse), addresses);
--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -6,6 +6,7 @@
 import * as distantHeartbeats from "./distance/distantHeartbeats.js";
 import * as heartbeatDistances from "./distance/heartbeatDistances.js";
 import * as publishedRecords from "./distance/publishedRecords.js";
+import * as regionRelays from "./distance/regionRelays.js";
 import * as trafficCounters from "./distance/trafficCounter.js";
 import * as workDeltas from "./distance/workDeltas.js";
 import type * as pathMonitors from "./paths/pathMonitor.js";
@@ -59,6 +60,7 @@
   readonly #distant: distantHeartbeats.DistantHeartbeats;
   readonly #records: publishedRecords.PublishedRecords;
   readonly #distances: heartbeatDistances.HeartbeatDistances;
+  readonly #relays: regionRelays.RegionRelays;
   #server: http.Server | undefined;
   #timer: NodeJS.Timeout | undefined;
   /**
@@ -83,12 +85,6 @@
     this.#work = new peerWorks.PeerWork(parts);
     this.#records = new publishedRecords.PublishedRecords(parts, parts.distances !== undefined);
     this.#distances = new heartbeatDistances.HeartbeatDistances(parts.entry.vm, parts.distances, parts.log);
-    this.#receiver = new peerReceivers.PeerReceiver({
-      ...parts,
-      peerTable: this.peerTable,
-      work: this.#work,
-      heartbeatDistances: this.#distances,
-    });
     this.#recentChanges = new recentChangesModule.RecentChanges(parts.view);
     this.#news = new newsSenders.NewsSender({
       ...parts,
@@ -108,6 +104,18 @@
       (detail) => parts.log.warn("peer-datagram-failed", { detail }),
       (address, bytes) => this.#countSent(address, bytes),
     );
+    this.#relays = new regionRelays.RegionRelays({
+      ...parts,
+      peerTable: this.peerTable,
+      heartbeatSocket: this.#heartbeatSocket,
+    });
+    this.#receiver = new peerReceivers.PeerReceiver({
+      ...parts,
+      peerTable: this.peerTable,
+      work: this.#work,
+      heartbeatDistances: this.#distances,
+      relays: this.#relays,
+    });
     this.records = new recordExchanges.RecordExchange({
       entry: parts.entry,
       peerTable: this.peerTable,
@@ -259,7 +267,9 @@
       isStandbyContact: this.activeSet.isStandbyContact,
       isDistant: (dataCentre: string) => this.#distances.isDistant(dataCentre),
     };
-    return recipientsModule.chooseRecipients(own, knownDaemons, this.#round);
+    const recipients = recipientsModule.chooseRecipients(own, knownDaemons, this.#round);
+    this.#relays.updateNear(recipients.frequent, now);
+    return recipients;
   }
 
   #updateSenders(knownDaemons: readonly recipientsModule.KnownDaemon[]): void {
@@ -282,9 +292,9 @@
     if (due.distant) {
       const stateFields = (changes: recentChangesModule.RecentChanges): heartbeatStates.PulseFields =>
         this.#state.createFields(now, unixMs, changes);
-      const addresses = recipients.distant.map(({ peers }) => peers);
-      for (const pulse of this.#distant.create(now, intervalFor(recipients), stateFields))
-        this.#heartbeatSocket.send(pulse, addresses);
+      const hasChanged = this.#distant.hasChanged(now);
+      const pulses = this.#distant.create(now, intervalFor(recipients), stateFields);
+      this.#relays.send(pulses, recipients.distant, hasChanged, now);
     }
     if (!due.frequent && !due.occasional) return;
     const state = {
--- a/packages/gateway/src/peerTable.ts
+++ b/packages/gateway/src/peerTable.ts
@@ -35,6 +35,10 @@
   readonly clockOffsetMs?: number | undefined;
   /** Time until which it relies on the lease on the fleet's duties, in milliseconds; undefined if it doesn't hold it. */
   readonly dutyLeaseUntil?: number | undefined;
+  /** Whether it forwards heartbeats of other regions to the daemons of its own. */
+  readonly forwards?: boolean;
+  /** Number of its last heartbeat among those that it sent to other regions; 0 for others. */
+  readonly sequence?: number;
   /** Time at which its last heartbeat was received, in milliseconds. */
   readonly lastReceivedAt: number;
 }
--- a/packages/gateway/src/peers/heartbeatState.ts
+++ b/packages/gateway/src/peers/heartbeatState.ts
@@ -16,6 +16,7 @@
 /** Dependencies of {@link HeartbeatState}. */
 export interface HeartbeatStateParts extends Pick<
   peerLinkParts.PeerLinkParts,
+  | "distances"
   | "entry"
   | "view"
   | "suspects"
@@ -67,6 +68,7 @@
       ...this.#dutyLease,
       departures: changes.nextDepartures(now),
       followsClosely: this.#parts.followsClosely(),
+      forwards: this.#parts.distances !== undefined,
       entries: changes.entries(now),
       tryingSuspect: this.#parts.suspects.isRunningTrial,
       changing: [...view.pendingRoleChanges]
--- a/packages/gateway/src/peers/peerReceiver.ts
+++ b/packages/gateway/src/peers/peerReceiver.ts
@@ -1,7 +1,9 @@
 import type * as messages from "@camphorcourse/protocol/gateway";
 import * as serving from "@camphorcourse/serving";
 import * as daemonEntries from "../daemonEntry.js";
+import * as socketAddresses from "../address.js";
 import type * as heartbeatDistances from "../distance/heartbeatDistances.js";
+import type * as regionRelays from "../distance/regionRelays.js";
 import * as endpointIncarnations from "../endpointIncarnation.js";
 import * as limitCodec from "../limits/limitCodec.js";
 import type * as peerTables from "../peerTable.js";
@@ -31,7 +33,9 @@
   | "onDeparture"
   | "onNeighbourCutOff"
   | "lateMs"
+  | "traffic"
 > {
+  readonly relays: Pick<regionRelays.RegionRelays, "forward">;
   readonly heartbeatDistances: heartbeatDistances.HeartbeatDistances;
   readonly peerTable: peerTables.PeerTable;
   readonly work: peerWorks.PeerWork;
@@ -48,17 +52,22 @@
 
   /**
    * @param pulse - a received heartbeat
-   * @param sender - IP:PORT of its sender
+   * @param sentFrom - IP:PORT from which it was sent: that of its sender, or of the daemon that forwards it
    */
-  applyHeartbeat(pulse: messages.Pulse, sender: string): void {
+  applyHeartbeat(pulse: messages.Pulse, sentFrom: string): void {
     const now = performance.now();
+    this.#parts.relays.forward(pulse, sentFrom);
     if (pulse.changesOnly) {
-      this.#parts.work.applyDeltas(pulse, now);
-      this.#applyChanges(pulse);
-      this.#applyStreamRecords(pulse.streamRecords, now);
+      this.#applyParts(pulse, now);
       return;
     }
-    this.#parts.heartbeatDistances.apply(pulse, now);
+    const sender = this.#senderOf(pulse, sentFrom, now);
+    if (sender === undefined) {
+      // What it reports once is not repeated, and holds in any order.
+      this.#applyParts(pulse, now);
+      return;
+    }
+    if (sender === sentFrom) this.#parts.heartbeatDistances.apply(pulse, now);
     // A daemon in a planned stop still sends heartbeats but has left; one without a configuration has just started.
     const stays = pulse.ready || pulse.configurationRevision === 0n;
     const { vm, incarnation, dataCentre, callers } = pulse;
@@ -90,6 +99,8 @@
       followsClosely: pulse.followsClosely,
       ...peerWorks.demandFrom(pulse),
       clockOffsetMs: pulse.unixMs === 0n ? undefined : Number(pulse.unixMs) - now,
+      forwards: pulse.forwards,
+      sequence: this.#lastSequence(pulse, now),
       dutyLeaseUntil: pulse.dutyLeaseMs === undefined ? undefined : now + pulse.dutyLeaseMs,
       lastReceivedAt: now,
     });
@@ -108,6 +119,32 @@
     this.#parts.suspects.notePeerTrial(pulse.vm, pulse.tryingSuspect, now);
   }
 
+  /** IP:PORT of the daemon whose heartbeat it is; undefined if the heartbeat was forwarded and a later one has arrived. */
+  #senderOf(pulse: messages.Pulse, sentFrom: string, now: number): string | undefined {
+    const { forwardedFrom, incarnation, sequence, vm } = pulse;
+    if (forwardedFrom === "") return sentFrom;
+    const last = this.#parts.peerTable.liveState(vm, now);
+    const isNewer = serving.isNewerState(
+      { incarnation, sequence },
+      last === undefined ? undefined : { incarnation: last.incarnation, sequence: last.sequence ?? 0 },
+    );
+    if (isNewer && socketAddresses.isAddress(forwardedFrom)) return forwardedFrom;
+    this.#parts.traffic?.noteOutdated();
+    return undefined;
+  }
+
+  /** Heartbeats without work, which have no number, come between those to other regions. */
+  #lastSequence({ incarnation, sequence, vm }: messages.Pulse, now: number): number {
+    const last = this.#parts.peerTable.liveState(vm, now);
+    return last?.incarnation === incarnation ? Math.max(last.sequence ?? 0, sequence) : sequence;
+  }
+
+  #applyParts(pulse: messages.Pulse, now: number): void {
+    this.#parts.work.applyDeltas(pulse, now);
+    this.#applyChanges(pulse);
+    this.#applyStreamRecords(pulse.streamRecords, now);
+  }
+
   /** The heartbeat may have waited in its socket for as long as the event loop was late. */
   #noteConfiguration({ configurationAgeMs, configurationRevision }: messages.Pulse, now: number): void {
     const { freshness } = this.#parts.view;
--- a/packages/gateway/tests/distantHeartbeats.test.ts
+++ b/packages/gateway/tests/distantHeartbeats.test.ts
@@ -1,128 +1,27 @@
-import * as datagrams from "node:dgram";
-import * as protobuf from "@bufbuild/protobuf";
-import * as messages from "@camphorcourse/protocol/gateway";
 import * as serving from "@camphorcourse/serving";
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
-import * as decisionLogs from "../src/decisionLog.js";
-import * as trafficCounters from "../src/distance/trafficCounter.js";
-import * as fleetViews from "../src/fleetView.js";
-import * as metricsModule from "../src/metrics.js";
-import * as peerLinks from "../src/peerLink.js";
-import * as freePorts from "./helpers/freePort.js";
-import * as limits from "./helpers/limits.js";
-import * as fairnessHelper from "./helpers/fairness.js";
-import * as pacing from "./helpers/pacing.js";
-import * as paths from "./helpers/paths.js";
+import * as linkedDaemons from "./helpers/linkedDaemons.js";
 
 const suite = uvu.suite("heartbeats to daemons of other regions");
 
-const HOST = "127.0.0.1";
 const REGIONS = { a1: "a", b1: "b" };
 const PROMPT: serving.Prompt = { model: "m", parts: [], promptTokens: 0, outputTokens: 1 };
 
-/** A daemon that only receives heartbeats. */
-class Receiver {
-  readonly pulses: messages.Pulse[] = [];
-  readonly #socket = datagrams.createSocket("udp4");
-
-  async listen(): Promise<string> {
-    const port = await freePorts.freePort();
-    this.#socket.on("message", (bytes) => this.pulses.push(protobuf.fromBinary(messages.PulseSchema, bytes)));
-    await new Promise<void>((resolve) => this.#socket.bind(port, HOST, resolve));
-    return `${HOST}:${port}`;
-  }
-
-  /** Heartbeats with the state and the work. */
-  get heartbeats(): messages.Pulse[] {
-    return this.pulses.filter(({ changesOnly }) => !changesOnly);
-  }
-
-  get parts(): string[] {
-    return this.pulses.flatMap(({ reads }) => reads.map(({ part }) => part));
-  }
-
-  close(): void {
-    this.#socket.close();
-  }
-}
-
-interface Setup {
-  readonly link: peerLinks.PeerLink;
-  readonly loads: serving.EngineLoadTracker;
-  readonly metrics: metricsModule.Metrics;
-  readonly near: Receiver;
-  readonly distant: Receiver;
-  close(): void;
+interface Setup extends linkedDaemons.LinkedDaemons {
+  readonly near: linkedDaemons.Receiver;
+  readonly distant: linkedDaemons.Receiver;
 }
 
 async function setUp(dataCentres: Readonly<Record<string, string>>): Promise<Setup> {
-  const ignore = (): void => undefined;
-  const near = new Receiver();
-  const distant = new Receiver();
-  const view = new fleetViews.FleetView();
-  const entry = { vm: "vm-1", incarnation: "i", dataCentre: "a1", callers: "", peers: "", capacity: 1 };
-  view.daemons.set("vm-near", { ...entry, vm: "vm-near", peers: await near.listen() });
-  view.daemons.set("vm-distant", { ...entry, vm: "vm-distant", dataCentre: "b1", peers: await distant.listen() });
-  const loads = new serving.EngineLoadTracker();
-  const metrics = new metricsModule.Metrics();
-  const distances = serving.distancesBetweenRegions({ dataCentre: "a1", dataCentres });
-  const link = new peerLinks.PeerLink({
-    settings: { peers: { host: HOST, port: await freePorts.freePort() } } as never,
-    streams: { answer: () => undefined, merge: () => undefined, publishDue: () => undefined },
-    entry,
-    view,
-    loads,
-    distances,
-    traffic: new trafficCounters.TrafficCounter(distances, metrics),
-    demand: new serving.Demand(),
-    pacing: pacing.createPacing(),
-    fairness: fairnessHelper.createFairness(view),
-    speeds: new serving.ServiceSpeeds(),
-    suspects: new serving.SuspectTable({ isRefuted: () => false, onChange: () => undefined }),
-    limits: limits.createLimits(),
-    acceptance: new serving.AcceptanceTracker(),
-    log: new decisionLogs.DecisionLog("vm-1", "fatal", { writableLength: 0, write: () => true }),
-    ready: () => true,
-    ...paths.REACHING_ALL,
-    lateMs: () => 0,
-    storeSilentMs: () => 0,
-    dutyLeaseMs: () => undefined,
-    followsClosely: () => false,
-    busyCores: () => 0,
-    onDaemon: ignore,
-    onConfiguration: ignore,
-    onEndpoint: ignore,
-    onDeparture: ignore,
-  });
-  for (const { vm, dataCentre } of view.daemons.values()) {
-    link.peerTable.record({
-      vm,
-      incarnation: "i",
-      dataCentre,
-      active: true,
-      dispatching: true,
-      cutOff: false,
-      linkLost: false,
-      activeVms: [],
-      capacity: 1,
-      busyCores: 0,
-      nextWithinMs: 60_000,
-      ready: true,
-      configurationRevision: 0,
-      storeSilentMs: 0,
-      followsClosely: false,
-      readingLoad: 0,
-      eventsPerMs: 0,
-      lastReceivedAt: performance.now(),
-    });
-  }
-  const close = (): void => {
-    link.stop();
-    near.close();
-    distant.close();
-  };
-  return { link, loads, metrics, near, distant, close };
+  const linked = await linkedDaemons.linkDaemons(dataCentres, [
+    { vm: "vm-near", dataCentre: "a1" },
+    { vm: "vm-distant", dataCentre: "b1" },
+  ]);
+  const near = linked.receivers.get("vm-near");
+  const distant = linked.receivers.get("vm-distant");
+  assert.ok(near !== undefined && distant !== undefined);
+  return { ...linked, near, distant };
 }
 
 function addRead(loads: serving.EngineLoadTracker, index: number): void {
@@ -137,7 +36,7 @@
     addRead(setup.loads, count++);
     await new Promise((resolve) => setTimeout(resolve, 10));
   }
-  const hasAll = ({ parts }: Receiver): boolean => parts.includes(`part-${count - 1}`);
+  const hasAll = ({ parts }: linkedDaemons.Receiver): boolean => parts.includes(`part-${count - 1}`);
   while (!hasAll(setup.near) || !hasAll(setup.distant)) await new Promise((resolve) => setTimeout(resolve, 10));
   return count;
 }
@@ -191,7 +90,7 @@
     while (distant.heartbeats.length === 0) await turn();
     const before = { near: near.heartbeats.length, distant: distant.heartbeats.length };
     link.noteDeparture("engine-9", { revision: 5, bornAt: undefined, setAside: false, isStated: false });
-    const has = ({ pulses }: Receiver): boolean => pulses.some(({ departures }) => departures.length > 0);
+    const has = ({ pulses }: linkedDaemons.Receiver): boolean => pulses.some(({ departures }) => departures.length > 0);
     while (!has(distant)) await turn();
     assert.is(
       distant.heartbeats.findIndex(({ departures }) => departures.length > 0),
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -15,6 +15,7 @@
 export * from "./distance/hotParts.js";
 export * from "./distance/networkCosts.js";
 export * from "./distance/overflow.js";
+export * from "./distance/regionRelays.js";
 export * from "./distance/regionalPlacement.js";
 export * from "./distance/roleShares.js";
 export * from "./distance/roundTripEstimate.js";
