Split the gateway by matter

Change: shutting down and watching the event loop are in lifecycle/, what follows a change of an endpoint in endpoints/endpointChanges.ts, the gauges in metrics/gauges.ts, the creation of the serving context in requests/servingContext.ts, and that of a daemon's entry in daemonEntry.ts. No change of behaviour.

--- a/packages/gateway/src/daemonEntry.ts
+++ b/packages/gateway/src/daemonEntry.ts
@@ -1,6 +1,8 @@
+import * as crypto from "node:crypto";
 import * as serving from "@camphorcourse/serving";
 import * as neverthrow from "neverthrow";
 import * as addresses from "./address.js";
+import type * as settingsModule from "./settings.js";
 
 /** A daemon's registration entry. */
 export interface DaemonEntry {
@@ -70,3 +72,18 @@
     return neverthrow.err(String(error));
   }
 }
+
+/**
+ * @param settings - settings of this daemon
+ * @returns its entry, with a new incarnation
+ */
+export function createEntry(settings: settingsModule.GatewaySettings): DaemonEntry {
+  return {
+    vm: settings.vm,
+    incarnation: crypto.randomUUID(),
+    dataCentre: settings.dataCentre,
+    callers: `${settings.callers.host}:${settings.callers.port}`,
+    peers: `${settings.peers.host}:${settings.peers.port}`,
+    capacity: settings.capacity,
+  };
+}
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -10,6 +10,7 @@
 export * from "./eventSplitter.js";
 export * from "./fleetView.js";
 export * from "./gateway.js";
+export * from "./lifecycle/gatewayDependencies.js";
 export * from "./metrics.js";
 export * as connectors from "./paths/connector.js";
 export * from "./ports.js";
