Move runs of engines whose entries are written again, and only to healthy engines

Cause: three faults in moves, found in a review. - A change of the entry of an engine that has said that it leaves, as when it is written again after an outage of the key-value service, ended the moves of its runs. They broke off with the engine. - The destinations were chosen like the engines of new requests, which probe an unhealthy engine and choose it alone then. A run went to an engine that had declined all requests, and the probe was used up. - An event without an id that came between the copy and the stop would be brought twice, as the stream goes on after the last event with an id.

Change: RunMover keeps an engine as leaving while its own statement holds. destinations.ts, taken out of RunMover, leaves out unhealthy engines without probing them. RunMove doesn't stop a run whose last event has no id.

The first test of unusualMoves fails without the first change, the second one without the third change.

--- a/packages/gateway/src/runs/runMove.ts
+++ b/packages/gateway/src/runs/runMove.ts
@@ -220,6 +220,8 @@
     if (!isThere || !directory.isSameIncarnation(destination) || !served.mayGoOnAt(destination))
       return { mayContinue: false, reason: "destination-unusable" };
     if (!directory.isSameIncarnation(active.endpoint)) return { mayContinue: false, reason: "source-restarted" };
+    // Resumed after an earlier event that has an id, the stream would bring the last one twice.
+    if (!served.progress.isLastEventNamed) return { mayContinue: false, reason: "not-resumable" };
     return { mayContinue: true, reason: "copied" };
   }
 
--- a/packages/gateway/src/runs/runMover.ts
+++ b/packages/gateway/src/runs/runMover.ts
@@ -1,6 +1,7 @@
 import * as serving from "@camphorcourse/serving";
 import type * as contexts from "../context.js";
 import type * as servedRequests from "../servedRequest.js";
+import * as destinations from "./destinations.js";
 import * as runCalls from "./runCalls.js";
 import * as runMoves from "./runMove.js";
 
@@ -64,11 +65,13 @@
 
   /** @param update - a change of an endpoint */
   noteChange({ change, endpoint, id }: serving.EndpointUpdate): void {
+    const known = this.#leaving.get(id);
     if (change !== serving.EndpointChange.Leaving || endpoint === undefined) {
-      this.#leaving.delete(id);
+      // An engine that has said that it leaves still does if its entry is changed, or expires and is written again.
+      const { directory } = this.#context().view;
+      if (known !== undefined && !directory.isStatedLeaving(known.endpoint)) this.#leaving.delete(id);
       return;
     }
-    const known = this.#leaving.get(id);
     if (known !== undefined && known.endpoint.bornAt === endpoint.bornAt) return;
     const [oldest] = this.#leaving.keys();
     if (oldest !== undefined && this.#leaving.size >= MAX_LEAVING) this.#leaving.delete(oldest);
@@ -232,30 +235,10 @@
     movable.move.start();
   }
 
-  /** The engines that may take a run now, by all that is known of them. */
   #destinations({ movable, tokens }: Candidate, now: number): serving.Destination[] {
-    const context = this.#context();
-    const { client, health, limits, loads, statements, view } = context;
-    const { served } = movable.run;
-    const definition = view.table?.service(served.service);
-    const memoryTokens = definition?.engine?.memoryTokens ?? 0;
-    const available = view.directory
-      .availableEndpoints(served.service)
-      .filter((each) => serving.canAnswer(each) && served.mayGoOnAt(each) && !view.isChangingRole(each, now))
-      // A limit that lets the request through now may be used up when the run has stopped.
-      .filter((each) => statements.gate.waitMs(each, now) === 0 && !limits.enforcer.isLimited(each))
-      .filter((each) => client.pathTo(each, now) === serving.EndpointPath.Direct)
-      .filter((each) => client.hasRoom(each.id, definition?.maxConnections ?? Infinity, context.liveDaemons()));
-    return health.selectUsable(available, false, now).map((endpoint) => {
-      const coming = this.#movesUnderWay().filter((move) => move.destination.id === endpoint.id).length;
-      const running = loads.runningRequests(endpoint.id, now) + coming;
-      // Where it isn't counted what the requests there hold, each is taken for as much as this one.
-      const held =
-        context.settings.memoryBytes === undefined
-          ? running * tokens
-          : loads.heldTokens(endpoint.id, now) + coming * tokens;
-      return { endpoint, running, freeTokens: memoryTokens - held };
-    });
+    const moving = this.#movesUnderWay();
+    const coming = (engineId: string): number => moving.filter(({ destination }) => destination.id === engineId).length;
+    return destinations.destinationsOf(this.#context(), movable.run.served, tokens, coming, now);
   }
 
   #movesUnderWay(): runMoves.RunMove[] {
