--- a/packages/experiment/src/updateExchange.ts
+++ b/packages/experiment/src/updateExchange.ts
@@ -58,7 +58,7 @@
     const work = daemon.loads.ownWork();
     const paces = daemon.pacing.takePaces();
     const near: Deltas = {
-      reads: daemon.loads.takeUnsentReads(),
+      reads: withoutRepetitions(daemon.loads.takeUnsentReads()),
       observations: daemon.speeds.takeUnsentObservations(),
       sizes: daemon.acceptance.takeUnsentCounts(),
     };
@@ -103,3 +103,18 @@
 
 /** Time for which the work that a daemon of another region reported is valid, in milliseconds. */
 const DISTANT_WORK_EXPIRY_MS = 860;
+
+/**
+ * @param reads - reads of one update, in order
+ * @returns the last read of each part at each engine: earlier ones change neither what the engine caches nor its order
+ */
+function withoutRepetitions(reads: readonly serving.PartRead[]): serving.PartRead[] {
+  const last = new Map<string, serving.PartRead>();
+  for (const read of reads) {
+    const key = `${read.endpointId} ${read.model} ${read.part.id}`;
+    const isRead = read.isRead || last.get(key)?.isRead === true;
+    last.delete(key);
+    last.set(key, isRead === read.isRead ? read : { ...read, isRead });
+  }
+  return [...last.values()];
+}
--- a/packages/serving/src/engineLoadTracker.ts
+++ b/packages/serving/src/engineLoadTracker.ts
@@ -302,7 +302,9 @@
       }
       total.running += sign * running;
       total.heldTokens += sign * heldTokens;
-      for (const [index, tokens] of unread.entries()) total.unread[index] = (total.unread[index] ?? 0) + sign * tokens;
+      for (let index = 0; index < unread.length; index++) {
+        total.unread[index] = (total.unread[index] ?? 0) + sign * (unread[index] ?? 0);
+      }
       if (total.running === 0 && total.unread.every((tokens) => tokens === 0)) this.#peerTotals.delete(endpointId);
     }
   }
--- a/packages/serving/src/promptParts.ts
+++ b/packages/serving/src/promptParts.ts
@@ -24,7 +24,7 @@
 interface CachedPart {
   readonly tokens: number;
   /** Whether the part has been prefilled; until then there is nothing to copy. */
-  readonly isRead: boolean;
+  isRead: boolean;
 }
 
 /**
@@ -57,9 +57,11 @@
    */
   addPart(model: string, part: PromptPart, isRead = true): void {
     if (part.tokens <= 0) return;
-    const key = cacheKey(model, part.id);
-    const wasRead = this.#parts.get(key)?.isRead === true;
-    this.#parts.set(key, { tokens: part.tokens, isRead: isRead || wasRead });
+    const key = cacheKey(model, part);
+    const cached = this.#parts.get(key);
+    // Looking a part up makes it the most recently used one; most parts that peers report are known with the same size.
+    if (cached?.tokens === part.tokens) cached.isRead ||= isRead;
+    else this.#parts.set(key, { tokens: part.tokens, isRead: isRead || cached?.isRead === true });
   }
 
   /**
@@ -69,7 +71,7 @@
   copyableTokens(prompt: Prompt): number {
     let copyable = 0;
     for (const part of prompt.parts) {
-      const cached = this.#parts.get(cacheKey(prompt.model, part.id));
+      const cached = this.#parts.get(cacheKey(prompt.model, part));
       if (cached?.isRead !== true) break;
       copyable += part.tokens;
     }
@@ -83,13 +85,20 @@
   cachedTokens(prompt: Prompt): number {
     let cached = 0;
     for (const part of prompt.parts) {
-      if (!this.#parts.has(cacheKey(prompt.model, part.id))) break;
+      if (!this.#parts.has(cacheKey(prompt.model, part))) break;
       cached += part.tokens;
     }
     return Math.min(cached, Math.max(0, prompt.promptTokens - 1));
   }
 }
 
-function cacheKey(model: string, part: string): string {
-  return `${model}\u0000${part}`;
+/** Keys of parts that were looked up: a placement looks each part of a prompt up in the view of every engine. */
+const keys = new WeakMap<PromptPart, { readonly model: string; readonly key: string }>();
+
+function cacheKey(model: string, part: PromptPart): string {
+  const known = keys.get(part);
+  if (known?.model === model) return known.key;
+  const key = `${model}\u0000${part.id}`;
+  keys.set(part, { model, key });
+  return key;
 }
