--- a/packages/gateway/src/answerBody.ts
+++ b/packages/gateway/src/answerBody.ts
@@ -132,9 +132,9 @@
   /** An engine that crashes after an event closes the connection as one does whose answer has neither length nor chunks. */
   async #completeUnlessCrashed(): Promise<void> {
     const { active, context, end, results } = this.#send;
-    const hasCrashed = await context.crashDetector.hasJustCrashed(active.endpoint);
+    const mayHaveCrashed = await context.crashDetector.mayHaveCrashed(active.endpoint);
     if (end.over) return;
-    if (hasCrashed) results.broken(active, serving.SendOutcome.Unknown, "the endpoint crashed as the stream ended");
+    if (mayHaveCrashed) results.broken(active, serving.SendOutcome.Unknown, "the endpoint is gone as the stream ended");
     else this.#complete();
   }
 
--- a/packages/gateway/src/endpointCrashDetector.ts
+++ b/packages/gateway/src/endpointCrashDetector.ts
@@ -41,10 +41,19 @@
   readonly onCrashed: (endpoint: serving.Endpoint, runs: readonly BrokenRun[]) => void;
 }
 
+/** What a check of an endpoint finds. */
+enum CheckFinding {
+  /** It accepts connections, or is expected to end. */
+  Serving = "serving",
+  /** Nothing listens there any more. */
+  Crashed = "crashed",
+  /** This daemon can't connect, and whether the endpoint or the path has failed isn't known. */
+  Unreached = "unreached",
+}
+
 interface Check {
   readonly runs: BrokenRun[];
-  /** Whether it finds that the endpoint has crashed. */
-  readonly hasCrashed: Promise<boolean>;
+  readonly finding: Promise<CheckFinding>;
 }
 
 /**
@@ -74,11 +83,15 @@
   }
 
   /**
+   * An answer without a length or chunks is whole only if its endpoint goes on. A peer that is asked may not know yet that
+   * the endpoint has crashed: its own connections to it still look open while its event loop lags. That blames no request,
+   * but proves no answer whole either.
+   *
    * @param endpoint - an endpoint that has closed a connection in order
-   * @returns whether it did so because it has crashed
+   * @returns whether it may have done so because it has crashed: it can't be reached, and no peer reaches it
    */
-  hasJustCrashed(endpoint: serving.Endpoint): Promise<boolean> {
-    return this.#checkOf(endpoint).hasCrashed;
+  async mayHaveCrashed(endpoint: serving.Endpoint): Promise<boolean> {
+    return (await this.#checkOf(endpoint).finding) !== CheckFinding.Serving;
   }
 
   /**
@@ -98,28 +111,23 @@
     let check = this.#checks.get(endpoint.id);
     if (check === undefined) {
       const runs: BrokenRun[] = [];
-      check = { runs, hasCrashed: this.#check(endpoint, runs) };
+      check = { runs, finding: this.#check(endpoint, runs) };
       this.#checks.set(endpoint.id, check);
     }
     return check;
   }
 
-  async #check(endpoint: serving.Endpoint, runs: readonly BrokenRun[]): Promise<boolean> {
+  async #check(endpoint: serving.Endpoint, runs: readonly BrokenRun[]): Promise<CheckFinding> {
     await new Promise((resolve) => setTimeout(resolve, CHECK_DELAY_MS));
     // A lagging event loop runs this timer before it has seen that the other connections have broken as well.
     await pendingReads.handled();
     const isKnown = this.hasCrashed(endpoint, performance.now());
-    const hasCrashed = isKnown || (await this.#isGone(endpoint));
+    const finding = isKnown ? CheckFinding.Crashed : await this.#connect(endpoint);
     this.#checks.delete(endpoint.id);
-    if (!hasCrashed) return false;
+    if (finding !== CheckFinding.Crashed) return finding;
     if (!isKnown) this.#noteCrashed(endpoint, runs);
     this.#parts.onCrashed(endpoint, runs);
-    return true;
-  }
-
-  async #isGone(endpoint: serving.Endpoint): Promise<boolean> {
-    if (this.#parts.hasLiveConnection(endpoint.id) || this.#parts.isLeaving(endpoint)) return false;
-    return this.#isRefusedEverywhere(endpoint);
+    return finding;
   }
 
   #noteCrashed(endpoint: serving.Endpoint, runs: readonly BrokenRun[]): void {
@@ -137,14 +145,15 @@
   }
 
   /**
-   * Whether nothing listens at the endpoint's address. A connection that is accepted and then reset may have exceeded a
-   * limit. What a peer finds goes first: a refusal on this daemon's path alone is a fault of the path, which must not be
-   * blamed on the requests that ran, and a path that hangs must not hide that the endpoint has crashed.
+   * Finds out whether nothing listens at the endpoint's address. A connection that is accepted and then reset may have
+   * exceeded a limit. What a peer finds goes first: a refusal on this daemon's path alone is a fault of the path, which must
+   * not be blamed on the requests that ran, and a path that hangs must not hide that the endpoint has crashed.
    */
-  async #isRefusedEverywhere(endpoint: serving.Endpoint): Promise<boolean> {
+  async #connect(endpoint: serving.Endpoint): Promise<CheckFinding> {
+    if (this.#parts.hasLiveConnection(endpoint.id) || this.#parts.isLeaving(endpoint)) return CheckFinding.Serving;
     const { error, finding } = await this.#parts.probe(endpoint);
-    if (error === undefined) return false;
-    return finding?.refused ?? error.code === REFUSED;
+    if (error === undefined || finding?.reached === true) return CheckFinding.Serving;
+    return (finding?.refused ?? error.code === REFUSED) ? CheckFinding.Crashed : CheckFinding.Unreached;
   }
 }
 
--- a/packages/gateway/tests/endpointCrashDetector.test.ts
+++ b/packages/gateway/tests/endpointCrashDetector.test.ts
@@ -132,4 +132,26 @@
   assert.equal(crashed, [["e1", 1]]);
 });
 
+// Guards against a stream that was cut off and looks whole: the asked peer lagged and still took its connections for open.
+suite(
+  "an endpoint that refuses this daemon, and that no peer reaches, may have crashed, and blames no request",
+  async () => {
+    const { detector, crashed } = createFixture({ finding: { reached: false, refused: false } });
+    assert.is(await detector.mayHaveCrashed(endpointAt(await closedPort())), true);
+    assert.equal(crashed, []);
+  },
+);
+
+suite(
+  "an endpoint that a peer reaches, that leaves or that accepts connections has ended its answer by itself",
+  async () => {
+    const reached = createFixture({ finding: { reached: true, refused: false } }).detector;
+    assert.is(await reached.mayHaveCrashed(endpointAt(await closedPort())), false);
+    assert.is(await createFixture({ isLeaving: true }).detector.mayHaveCrashed(endpointAt(await closedPort())), false);
+    const server = await listening();
+    assert.is(await createFixture().detector.mayHaveCrashed(endpointAt(portOf(server))), false);
+    server.close();
+  },
+);
+
 suite.run();
