Encode and decode heartbeats without reflection

Cause: the protobuf library looks each field of a heartbeat up by reflection, and writes into chunks that it joins. A daemon among 30 does so several hundred times a second, mostly in code that is not compiled yet.

Change: MessageCodec determines each field's functions once from the schema.

--- a/packages/gateway/src/heartbeatSocket.ts
+++ b/packages/gateway/src/heartbeatSocket.ts
@@ -3,6 +3,9 @@
 import * as messages from "@camphorcourse/protocol/gateway";
 import * as socketAddresses from "./address.js";
 import type * as settingsModule from "./settings.js";
+import * as messageCodecs from "./wire/messageCodec.js";
+
+const CODEC = new messageCodecs.MessageCodec(messages.PulseSchema);
 
 /** Largest datagram that passes common networks without fragmentation, in bytes. */
 const MAX_DATAGRAM_BYTES = 1_400;
@@ -127,7 +130,7 @@
    */
   #encode(pulse: messages.Pulse): Uint8Array {
     try {
-      return protobuf.toBinary(messages.PulseSchema, pulse);
+      return CODEC.encode(pulse);
     } catch (error) {
       this.#onError(`heartbeat sent without its numeric fields: ${String(error)}`);
       const withoutNumbers = {
@@ -146,7 +149,7 @@
         busyThousandths: 0,
         nextWithinMs: 0,
       };
-      return protobuf.toBinary(messages.PulseSchema, { ...pulse, ...withoutNumbers });
+      return CODEC.encode({ ...pulse, ...withoutNumbers });
     }
   }
 
@@ -157,7 +160,7 @@
 
   #receive(bytes: Uint8Array, sender: string): void {
     try {
-      this.#onPulse(protobuf.fromBinary(messages.PulseSchema, bytes), sender);
+      this.#onPulse(CODEC.decode(bytes), sender);
     } catch (error) {
       this.#onError(`received datagram can't be decoded: ${String(error)}`);
     }
