Keep copies of streams on engines that are likely to be lost, and go on with them

Change: with backups in the engine configuration, BackupPolicy chooses which streams get a copy at a second engine, and where; the request names that engine (X-Kv-Backup). Without backups in the configuration, requests are as before.

--- a/packages/gateway/src/answerBody.ts
+++ b/packages/gateway/src/answerBody.ts
@@ -152,7 +152,10 @@
     if (active.finishPrefill()) feedback.learnPrefillTime(active);
     else if (active.markFirstEvent()) {
       if (active.resume === undefined) feedback.learnHandover(active);
-      else context.runs.noteResumed({ active, served });
+      else {
+        context.runs.noteResumed({ active, served });
+        context.backups.noteResumed(served);
+      }
     }
     if (served.caller.headers.prompt !== undefined) active.recordEvent();
     const now = performance.now();
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -13,6 +13,7 @@
 import type * as metricsModule from "./metrics.js";
 import type * as pacings from "./pacing/pacing.js";
 import type * as ports from "./ports.js";
+import type * as runBackups from "./runs/backups.js";
 import type * as runMovers from "./runs/runMover.js";
 import type * as settingsModule from "./settings.js";
 import type * as endpointStatements from "./statements/endpointStatements.js";
@@ -56,6 +57,8 @@
   readonly memory: memoryGuards.MemoryGuard;
   /** Moves runs from engines that leave to others. */
   readonly runs: runMovers.RunMover;
+  /** Has copies kept of runs on engines that are likely to be lost. */
+  readonly backups: runBackups.Backups;
   /** Keeps requests that crash endpoints from being sent to them. */
   readonly suspects: suspectGates.SuspectGate;
   readonly budgets: RetryBudgets;
--- a/packages/gateway/src/endpointCrashDetector.ts
+++ b/packages/gateway/src/endpointCrashDetector.ts
@@ -94,6 +94,19 @@
     return false;
   }
 
+  /**
+   * @param endpoint - an endpoint to which a connection has broken
+   * @returns whether it is known to have ended because nothing listens at its address. This daemon's own attempt must be
+   *   refused; a peer is asked as well, which knows nothing of an endpoint that is leaving or gone.
+   */
+  async isRefusing(endpoint: serving.Endpoint): Promise<boolean> {
+    const { hasLiveConnection, isLeaving, probe } = this.#parts;
+    if (hasLiveConnection(endpoint.id)) return false;
+    const { error, finding } = await probe(endpoint);
+    if (error?.code !== REFUSED || finding?.reached === true) return false;
+    return finding === undefined || finding.refused || isLeaving(endpoint);
+  }
+
   #checkOf(endpoint: serving.Endpoint): Check {
     let check = this.#checks.get(endpoint.id);
     if (check === undefined) {
--- a/packages/gateway/src/endpointFeedback.ts
+++ b/packages/gateway/src/endpointFeedback.ts
@@ -39,6 +39,7 @@
     const changed = this.#context.health.recordResult(active.endpoint.id, result, performance.now());
     if (!changed) return;
     const isUnhealthy = this.#context.health.isUnhealthy(active.endpoint.id);
+    if (isUnhealthy) this.#context.backups.noteUnreliable(active.endpoint);
     this.#context.log.warn(isUnhealthy ? "endpoint-bad" : "endpoint-good", {
       endpoint: active.endpoint.id,
       result,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -29,6 +29,7 @@
 import * as trueClocks from "./peers/trueClock.js";
 import type * as ports from "./ports.js";
 import * as registrations from "./registration.js";
+import * as runBackups from "./runs/backups.js";
 import * as runMovers from "./runs/runMover.js";
 import type * as settingsModule from "./settings.js";
 import * as sideServers from "./sideServers.js";
@@ -159,7 +160,10 @@
       client,
       directory: this.#view.directory,
       probe: (endpoint) => monitor.probe(endpoint),
-      onCrashed: () => this.#metrics.count("endpoints_ended"),
+      onCrashed: (endpoint) => {
+        this.#metrics.count("endpoints_ended");
+        this.#context.backups.noteUnreliable(endpoint);
+      },
       onEscalated: () => this.#peers.sendHeartbeatsNow(),
     });
     const { crashDetector, gate: suspects } = this.#protection;
@@ -241,6 +245,7 @@
         metrics: this.#metrics,
       }),
       runs: new runMovers.RunMover(() => this.#context),
+      backups: new runBackups.Backups(() => this.#context),
       budgets: new contexts.RetryBudgets(settings.retryBounds, performance.now()),
       countUsage: (organisation) => {
         if (settings.usage !== undefined) usageCounter.count(organisation, clock.unixMs());
@@ -420,6 +425,7 @@
       busy_cores: this.#utilization.share * this.#settings.capacity,
       held_bytes: this.#context.memory.heldBytes,
       runs_moving: this.#context.runs.underWay,
+      runs_with_backup: this.#context.backups.count,
       heap_bytes: process.memoryUsage().heapUsed,
       event_loop_utilization: performance.eventLoopUtilization().utilization,
       unsent_bytes_to_callers: this.#listener.unsentBytes,
@@ -535,6 +541,7 @@
     if (DEPARTURES.has(update.change)) this.#peers.noteDeparture(update.id, { revision, bornAt, setAside, isStated });
     else this.#peers.noteEntry(update.id);
     this.#context.runs.noteChange(update);
+    this.#context.backups.noteChange(update);
     if (update.endpoint !== undefined) this.#context.suspects.noteListed(update.endpoint);
     if (update.change === serving.EndpointChange.Gone) {
       this.#view.endpointDocuments.delete(update.id);
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -162,6 +162,8 @@
   readonly source?: { readonly address: string; readonly handle: string };
   /** Engine whose cached part of the prompt is copied before the rest is prefilled. */
   readonly copyFrom?: string;
+  /** IP:PORT of the engine at which a copy of the run is kept. */
+  readonly backup?: string;
   /** Resume the stream after this event instead of the one that the caller named. */
   readonly lastEventId?: string;
 }
--- a/packages/gateway/src/requestEnd.ts
+++ b/packages/gateway/src/requestEnd.ts
@@ -81,6 +81,7 @@
   endStream(): void {
     this.#answer.endStream();
     this.#context.streams.noteComplete(this.#served);
+    this.#context.backups.noteComplete(this.#served);
     this.#context.suspects.noteSuccess(this.#served);
     this.#context.suspects.noteWritten(this.#served);
     this.#finish("answered", HTTP_OK);
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -234,7 +234,9 @@
         brokeAt: performance.now(),
       });
     }
-    this.failed(active, outcome, detail);
+    const giveUp = (): void => this.failed(active, outcome, detail);
+    const mayHaveRun = outcome === serving.SendOutcome.Unknown;
+    if (!mayHaveRun || !context.backups.onBroken({ active, served }, giveUp)) giveUp();
   }
 
   /**
@@ -260,6 +262,7 @@
       active.release();
     }
     this.#parts.context.runs.noteOver(this.#parts.served);
+    this.#parts.context.backups.noteOver(this.#parts.served);
     this.#parts.context.limits.waiting.remove(this);
     this.#parts.context.calls.remove(this);
     this.#parts.handover.free();
@@ -303,9 +306,11 @@
     const active = new activeSends.ActiveSend(context, served, planned);
     this.#active = active;
     served.markTried(planned.endpoint.id);
-    if (planned.stage === sendChoosers.Stage.Answering && planned.resume === undefined) served.countSend();
+    const isAnswering = planned.stage === sendChoosers.Stage.Answering;
+    if (isAnswering && planned.resume === undefined) served.countSend();
     const urgency = planned.plan?.urgency ?? (this.#parts.handover.prefilled === undefined ? undefined : 0);
-    const message = this.#message(planned, urgency);
+    const backup = isAnswering ? context.backups.noteSend({ active, served, host: this }) : undefined;
+    const message = this.#message(planned, urgency, backup);
     const { dataCentre } = planned.endpoint;
     context.traffic?.add(trafficCounters.Traffic.Requests, dataCentre, message.body?.length ?? 0);
     context.log.info("send", {
@@ -327,7 +332,7 @@
       ...planned.admission,
       ...planned.pacing,
     });
-    if (planned.stage === sendChoosers.Stage.Answering) context.runs.noteRunning({ active, served, host: this });
+    if (isAnswering) context.runs.noteRunning({ active, served, host: this });
     active.start(message, this.#receiver(active), (silentMs) => {
       if (this.#active === active) this.#abandonSilent(active, silentMs);
     });
@@ -341,18 +346,35 @@
     this.#guard(() => this.#dispatch(planned));
   }
 
+  /** {@inheritDoc runMoves.RunHost.resumeAtBackup} */
+  resumeAtBackup(planned: sendChoosers.PlannedSend, lost: activeSends.ActiveSend): void {
+    const { end, feedback, handover, served } = this.#parts;
+    if (end.over) return;
+    feedback.recordResult(lost, serving.SendResult.Failed);
+    served.noteMayHaveRun();
+    handover.markTaken();
+    this.#guard(() => this.#dispatch(planned));
+  }
+
   /** @returns whether a run goes on elsewhere with its handle after an engine has not taken it */
   #resumeElsewhere(active: activeSends.ActiveSend, outcome: serving.SendOutcome, detail: string): boolean {
     const { context, handover, served } = this.#parts;
     if (outcome === serving.SendOutcome.Declined) served.countRejectedResume();
+    context.backups.onRefused(served, detail);
     if (context.runs.onRefused(served, detail)) return true;
     handover.free();
     return false;
   }
 
-  #message(planned: sendChoosers.PlannedSend, urgency: number | undefined): sendings.OutgoingRequest {
+  #message(
+    planned: sendChoosers.PlannedSend,
+    urgency: number | undefined,
+    backup: serving.Endpoint | undefined,
+  ): sendings.OutgoingRequest {
     const { context, handover, served } = this.#parts;
-    const source = handover.prefilled;
+    const { resume } = planned;
+    // The copy at a backup has no handle of its own that would be freed.
+    const source = resume?.isBackup === true ? { engine: resume.source, handle: resume.handle } : handover.prefilled;
     const { lastEventId } = served.progress;
     const sendHeaders: Omit<ports.SendHeaders, "deadlineMs"> = {
       endpointId: planned.endpoint.id,
@@ -361,6 +383,7 @@
       ...(planned.stage === sendChoosers.Stage.Prefill ? { prefillOnly: true } : {}),
       ...(source === undefined ? {} : { source: { address: source.engine.address, handle: source.handle } }),
       ...(planned.plan?.copySource === undefined ? {} : { copyFrom: planned.plan.copySource.address }),
+      ...(backup === undefined ? {} : { backup: backup.address }),
       ...(lastEventId === undefined ? {} : { lastEventId }),
     };
     const createHeaders = (): string[] =>
--- a/packages/gateway/src/runs/runMove.ts
+++ b/packages/gateway/src/runs/runMove.ts
@@ -35,6 +35,11 @@
   broken(active: activeSends.ActiveSend, outcome: serving.SendOutcome, detail: string): void;
   /** @param planned - a send with which a stopped run goes on */
   resumeRun(planned: sendChoosers.PlannedSend & { readonly resume: sendChoosers.ResumedRun }): void;
+  /**
+   * @param planned - a send with which a run goes on at the engine that has a copy
+   * @param lost - the send whose engine has ended
+   */
+  resumeAtBackup(planned: sendChoosers.PlannedSend, lost: activeSends.ActiveSend): void;
 }
 
 /** A run of this daemon's caller at an engine. */
--- a/packages/gateway/src/runs/runMover.ts
+++ b/packages/gateway/src/runs/runMover.ts
@@ -84,9 +84,10 @@
     const { active, served } = run;
     const former = this.#runs.get(served)?.move;
     this.#runs.delete(served);
-    if (active.resume === undefined) this.#resuming.get(served)?.noteLost();
+    const isMoved = active.resume !== undefined && active.resume.isBackup !== true;
+    if (!isMoved) this.#resuming.get(served)?.noteLost();
     this.#resuming.delete(served);
-    if (active.resume !== undefined && former !== undefined) this.#resuming.set(served, former);
+    if (isMoved && former !== undefined) this.#resuming.set(served, former);
     if (this.#mayMove(run)) this.#runs.set(served, { run, move: undefined });
   }
 
--- a/packages/gateway/src/sendChooser.ts
+++ b/packages/gateway/src/sendChooser.ts
@@ -15,13 +15,15 @@
   Answering = "answering",
 }
 
-/** A run that its engine has stopped and that goes on with the KV cache that this engine keeps. */
+/** A run that goes on with the KV cache that an engine keeps: the one that has stopped it, or the one that has a copy. */
 export interface ResumedRun {
   readonly source: serving.Endpoint;
   /** Names the KV cache at the source. */
   readonly handle: string;
   /** Whether it goes back to the source itself. */
   readonly isReturn: boolean;
+  /** Whether the source is the engine that has a copy, where the run goes on after its own engine has ended. */
+  readonly isBackup?: boolean;
 }
 
 /** A send that was decided on. */
--- a/packages/gateway/src/suspects/crashProtection.ts
+++ b/packages/gateway/src/suspects/crashProtection.ts
@@ -17,7 +17,7 @@
   /** Tries to connect to an endpoint, and asks a peer if that fails. */
   readonly probe: crashDetectors.EndpointCrashDetectorParts["probe"];
   /** Called for each endpoint that has crashed. */
-  readonly onCrashed: () => void;
+  readonly onCrashed: (endpoint: serving.Endpoint) => void;
   /** Called when a suspect has to be reported to the peers at once. */
   readonly onEscalated: () => void;
 }
@@ -49,7 +49,7 @@
       probe,
       isLeaving: ({ id }) => !directory.isAvailable(id),
       onCrashed: (endpoint, runs) => {
-        onCrashed();
+        onCrashed(endpoint);
         this.gate.noteCrashed(endpoint, runs);
       },
     });
--- a/packages/gateway/tests/endpointCrashDetector.test.ts
+++ b/packages/gateway/tests/endpointCrashDetector.test.ts
@@ -132,4 +132,24 @@
   assert.equal(crashed, [["e1", 1]]);
 });
 
+// A run goes on at a second engine once its engine refuses connections: the engine must not be working on it then.
+suite("refuses connections if this daemon's own attempt is refused, and no peer says otherwise", async () => {
+  const closed = endpointAt(await closedPort());
+  const unreached = { reached: false, refused: false };
+  const isRefusing = (options: Options): Promise<boolean> => createFixture(options).detector.isRefusing(closed);
+  assert.ok(await isRefusing({}));
+  assert.ok(await isRefusing({ finding: { reached: false, refused: true } }));
+  assert.not.ok(await isRefusing({ hasLiveConnection: true }));
+  assert.not.ok(await isRefusing({ finding: { reached: true, refused: false }, isLeaving: true }));
+  assert.not.ok(await isRefusing({ error: "ETIMEDOUT", finding: { reached: false, refused: true } }));
+  assert.not.ok(await isRefusing({ finding: unreached }));
+  assert.ok(await isRefusing({ finding: unreached, isLeaving: true }), "of which the peer knows nothing");
+});
+
+suite("doesn't refuse connections while it accepts them", async () => {
+  const server = await listening();
+  assert.not.ok(await createFixture().detector.isRefusing(endpointAt(portOf(server))));
+  server.close();
+});
+
 suite.run();
--- a/packages/gateway/tests/helpers/exchangeHarness.ts
+++ b/packages/gateway/tests/helpers/exchangeHarness.ts
@@ -19,6 +19,7 @@
 import type * as ports from "../../src/ports.js";
 import * as endpointStatements from "../../src/statements/endpointStatements.js";
 import * as streamOrigins from "../../src/streams/streamOrigins.js";
+import * as runBackups from "../../src/runs/backups.js";
 import * as runMovers from "../../src/runs/runMover.js";
 import * as suspectGates from "../../src/suspects/suspectGate.js";
 import type * as settingsModule from "../../src/settings.js";
@@ -300,6 +301,7 @@
         metrics: new metricsModule.Metrics(),
       }),
       runs: new runMovers.RunMover(() => this.#context),
+      backups: new runBackups.Backups(() => this.#context),
       suspects: new suspectGates.SuspectGate({
         log: new decisionLogs.DecisionLog("vm-1", "info", sink),
         lastReceivedAt: () => 0,
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -71,6 +71,7 @@
 export * from "./roleBalance.js";
 export * from "./silence.js";
 export * from "./acceptanceTracker.js";
+export * from "./runs/backupPolicy.js";
 export * from "./runs/movePolicy.js";
 export * from "./runs/runState.js";
 export * from "./statements/restTable.js";
--- a/packages/serving/src/runs/runState.ts
+++ b/packages/serving/src/runs/runState.ts
@@ -1,4 +1,4 @@
-/** Where a run is that is moved from one engine to another. */
+/** Where a run is that goes on at another engine than the one it began at. */
 export enum RunPhase {
   /** It runs at the source, and nothing is under way. */
   Running = "running",
@@ -8,7 +8,9 @@
   Stopping = "stopping",
   /** The source has stopped it and keeps its KV cache; its stream is still open here. */
   Stopped = "stopped",
-  /** The request has been sent with the source's handle. */
+  /** Its stream has broken off, a second engine has a copy, and it isn't known yet whether the source has ended. */
+  Confirming = "confirming",
+  /** The request has been sent with the source's handle, or to the engine that has a copy. */
   Resuming = "resuming",
   /** Nothing is moved any more. */
   Ended = "ended",
@@ -52,6 +54,10 @@
   Stop = "stop",
   ResumeAtDestination = "resume-at-destination",
   ResumeAtSource = "resume-at-source",
+  /** Find out whether the source has ended. */
+  ConfirmEnd = "confirm-end",
+  /** Send the request to the engine that has a copy. */
+  ResumeAtBackup = "resume-at-backup",
   /** The move is given up, and the stream goes on as if there had been none. */
   Abandon = "abandon",
   /** The stream has broken off, and no handle lets it go on. */
@@ -64,11 +70,12 @@
 
 /**
  * One run that is moved to another engine, for planned departures that outpace long streams: a release that replaces half of
- * the engines one after the other.
+ * the engines one after the other. Or one whose engine is lost and that goes on with the copy at a second engine.
  *
  * The request is sent with a handle only after the source has said that it stopped the run, and after the run's stream has
  * closed or was cancelled. So the run is never active at two engines. Where the answer to the stopping call is lost, nothing is
- * known: the stream is then handled as any that breaks off.
+ * known: the stream is then handled as any that breaks off. Without a handle, the request is sent to the engine with the copy only
+ * after the source is confirmed to have ended: a source whose connection broke may still work on the run.
  */
 export class RunState {
   #phase = RunPhase.Running;
@@ -147,6 +154,40 @@
     return this.#afterClose(close);
   }
 
+  /**
+   * The stream has broken off while nothing was moved, and a second engine has a copy of the run.
+   *
+   * @returns the next step
+   */
+  lost(): RunStep {
+    if (this.#phase !== RunPhase.Running) return RunStep.Wait;
+    this.#phase = RunPhase.Confirming;
+    return RunStep.ConfirmEnd;
+  }
+
+  /**
+   * The source has ended: its connections are refused, or another incarnation is at its address.
+   *
+   * @param mayResume - whether the engine with the copy may still take the run
+   * @returns the next step
+   */
+  confirmed(mayResume: boolean): RunStep {
+    if (this.#phase !== RunPhase.Confirming) return RunStep.Wait;
+    this.#phase = mayResume ? RunPhase.Resuming : RunPhase.Ended;
+    return mayResume ? RunStep.ResumeAtBackup : RunStep.Break;
+  }
+
+  /**
+   * There was no confirmation in time: the source may still work on the run.
+   *
+   * @returns the next step
+   */
+  unconfirmed(): RunStep {
+    if (this.#phase !== RunPhase.Confirming) return RunStep.Wait;
+    this.#phase = RunPhase.Ended;
+    return RunStep.Break;
+  }
+
   /**
    * The stream of a stopped run is still open, and has been cancelled for that.
    *
@@ -157,7 +198,7 @@
   }
 
   /**
-   * The engine that got the request with the handle said that it did not run it, or nothing was sent.
+   * The engine that got the request to go on said that it did not run it, or nothing was sent.
    *
    * @returns the next step
    */
