--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -57,6 +57,8 @@
   readonly memory: memoryGuards.MemoryGuard;
   /** Moves runs from engines that leave to others. */
   readonly runs: ownRuns.OwnRuns;
+  /** Has copies kept of runs on engines that are likely to be lost. */
+  readonly backups: ownRuns.RunBackups;
   /** Keeps requests that crash endpoints from being sent to them. */
   readonly suspects: suspectGates.SuspectGate;
   readonly budgets: retryBudgets.RetryBudgets;
--- a/packages/gateway/src/endpoints/endpointChanges.ts
+++ b/packages/gateway/src/endpoints/endpointChanges.ts
@@ -36,6 +36,7 @@
     if (DEPARTURES.has(update.change)) peers.noteDeparture(update.id, { revision, bornAt, setAside, isStated });
     else peers.noteEntry(update.id);
     context.runs.noteChange(update);
+    context.backups.noteChange(update);
     if (update.endpoint !== undefined) context.suspects.noteListed(update.endpoint);
     if (update.change === serving.EndpointChange.Gone) {
       context.view.endpointDocuments.delete(update.id);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -127,7 +127,10 @@
       client,
       directory: this.#view.directory,
       probe: (endpoint) => monitor.probe(endpoint),
-      onCrashed: () => this.#metrics.count("endpoints_ended"),
+      onCrashed: (endpoint) => {
+        this.#metrics.count("endpoints_ended");
+        this.#context.backups.noteUnreliable(endpoint);
+      },
       onEscalated: () => this.#peers.sendHeartbeatsNow(),
     });
     const { crashDetector, gate: suspects } = protection;
--- a/packages/gateway/src/metrics/gauges.ts
+++ b/packages/gateway/src/metrics/gauges.ts
@@ -48,6 +48,7 @@
     busy_cores: loop.busyShare * context.settings.capacity,
     held_bytes: context.memory.heldBytes,
     runs_moving: context.runs.underWay,
+    runs_with_backup: context.backups.count,
     heap_bytes: process.memoryUsage().heapUsed,
     event_loop_utilization: performance.eventLoopUtilization().utilization,
     unsent_bytes_to_callers: listener.unsentBytes,
--- a/packages/gateway/src/requests/servingContext.ts
+++ b/packages/gateway/src/requests/servingContext.ts
@@ -4,6 +4,7 @@
 import * as fairnessModule from "../fairness/fairness.js";
 import * as memoryGuards from "../memory/memoryGuard.js";
 import * as pacings from "../pacing/pacing.js";
+import * as runBackups from "../runs/backups.js";
 import * as runMovers from "../runs/runMover.js";
 import * as retryBudgets from "./retryBudgets.js";
 
@@ -66,6 +67,7 @@
     health: new serving.EndpointHealth(),
     memory: new memoryGuards.MemoryGuard({ memoryBytes: settings.memoryBytes, log, metrics }),
     runs: new runMovers.RunMover(() => context),
+    backups: new runBackups.Backups(() => context),
     budgets: new retryBudgets.RetryBudgets(settings.retryBounds, performance.now()),
     hotParts: distances && new serving.HotParts(),
     liveDaemons: () => view.daemonsUpperBound,
--- a/packages/gateway/src/runs/ownRuns.ts
+++ b/packages/gateway/src/runs/ownRuns.ts
@@ -33,6 +33,11 @@
   broken(active: RunningSend, outcome: serving.SendOutcome, detail: string): void;
   /** @param planned - a send with which a stopped run goes on */
   resumeRun(planned: plannedSends.PlannedSend & { readonly resume: plannedSends.ResumedRun }): void;
+  /**
+   * @param planned - a send with which a run goes on at the engine that has a copy
+   * @param lost - the send whose engine has ended
+   */
+  resumeAtBackup(planned: plannedSends.PlannedSend, lost: RunningSend): void;
 }
 
 /** A run of this daemon's caller at an engine. */
@@ -86,3 +91,43 @@
   /** Number of moves under way. */
   readonly underWay: number;
 }
+
+/** Copies of this daemon's runs at second engines. */
+export interface RunBackups {
+  /** Number of streams that have a copy at a second engine. */
+  readonly count: number;
+
+  /** @param endpoint - an endpoint that has ended or is suspected, or that has restarted */
+  noteUnreliable(endpoint: Pick<serving.Endpoint, "address">): void;
+
+  /** @param update - a change of an endpoint */
+  noteChange(update: serving.EndpointUpdate): void;
+
+  /**
+   * @param run - a run whose request is about to be sent
+   * @returns the engine that is to keep a copy of it, if there is one
+   */
+  noteSend(run: OwnRun): serving.Endpoint | undefined;
+
+  /**
+   * @param run - a run whose stream has broken off, so that its request may have run
+   * @param giveUp - ends the stream; called if the run doesn't go on with its copy
+   * @returns whether that is decided later
+   */
+  onBroken(run: Pick<OwnRun, "active" | "served">, giveUp: () => void): boolean;
+
+  /**
+   * @param served - a request with which a run was to go on at the engine with its copy
+   * @param detail - why it was not taken
+   */
+  onRefused(served: servedRequests.ServedRequest, detail: string): void;
+
+  /** @param served - a request that goes on with a handle or a copy, at its first event there */
+  noteResumed(served: servedRequests.ServedRequest): void;
+
+  /** @param served - a request whose stream is complete, so that the copy is dropped */
+  noteComplete(served: servedRequests.ServedRequest): void;
+
+  /** @param served - a request that is over */
+  noteOver(served: servedRequests.ServedRequest): void;
+}
