Let paced prompts leave a region whose prefill engines are behind

The predicted time of a prompt covers the work sent before it. Prompts of over 4,096 unread tokens were predicted at 65 to 520 ms and waited for up to 2 s, as shorter ones that came later overtook them. In a shortage, a prompt that no budget covers in time falls back to a decode engine, whose short predicted time hides the shortage and makes the streams there pause for too long.

Change, only with several regions and for paced prompts: regions are compared by all work at the engine, with more weight on more urgent work; a plan beyond the budgets counts with the time of the best plan within them, and never draws prompts from another region; a longer prefill in the other region (its shared parts aren't cached) counts against it; the share grows faster where the other region has room; prompts of 4,097 to 8,192 tokens are in one order with those half as long while all there are in time.

--- a/packages/serving/src/distance/overflow.ts
+++ b/packages/serving/src/distance/overflow.ts
@@ -24,11 +24,12 @@
  * @param ownMs - predicted time to the first event in the caller's region, in milliseconds
  * @param otherMs - the same in the other region, distance and transfer included
  * @param objectiveMs - latency objective of the first event, in milliseconds
+ * @param fullShareGain - gain beyond the margin at which all prompts leave, in objectives
  * @returns the share, from 0 to 1
  */
-export function promptOverflowShare(ownMs: number, otherMs: number, objectiveMs: number): number {
+export function promptOverflowShare(ownMs: number, otherMs: number, objectiveMs: number, fullShareGain = 1): number {
   const excessMs = ownMs - otherMs - OVERFLOW_MARGIN_SHARE * objectiveMs;
-  return Math.min(1, Math.max(0, excessMs / objectiveMs));
+  return Math.min(1, Math.max(0, excessMs / (fullShareGain * objectiveMs)));
 }
 
 /**
--- a/packages/serving/src/distance/regionalPlacement.ts
+++ b/packages/serving/src/distance/regionalPlacement.ts
@@ -3,6 +3,7 @@
 import type * as placements from "../placement.js";
 import type * as distanceModels from "./distanceModel.js";
 import * as overflows from "./overflow.js";
+import * as pacedOverflows from "./pacedOverflow.js";
 
 /**
  * Places a prompt on the engines of the caller's region, or on those of another region if that gains enough. Both engines
@@ -19,21 +20,34 @@
 ): pacedPlacements.PacedPlan | undefined {
   const { distances } = inputs;
   if (distances === undefined) return pacedPlacements.placePaced(inputs);
+  const placed = placeInRegion(inputs, distances, draw);
+  return placed && pacedOverflows.withPacedUrgency(inputs, placed);
+}
+
+function placeInRegion(
+  inputs: placements.PlacementInputs,
+  distances: distanceModels.DistanceModel,
+  draw: number,
+): pacedPlacements.PacedPlan | undefined {
   const regions = enginesByRegion(distances, inputs.engines);
   const local = regions.get(distances.region);
   regions.delete(distances.region);
   const own = local === undefined ? undefined : pacedPlacements.placePaced({ ...inputs, engines: local });
-  if (own !== undefined && !mayOverflow(own.plan, inputs.objectiveMs)) return own;
+  if (own !== undefined && !mayOverflow(inputs, own)) return own;
   // The engines of a silent region look idle, as its daemons don't report their work.
   const heard = [...regions].filter(([region]) => !distances.isSilent(region));
   const plans = (heard.length > 0 || own !== undefined ? heard : [...regions]).map(([, engines]) =>
     pacedPlacements.placePaced({ ...inputs, engines }),
   );
-  const other = fastest(plans);
+  // Another region is no better if it has no budget for the prompt either.
+  const other = fastest(
+    own === undefined ? plans : plans.filter((plan) => plan?.withinBudgetMs === undefined),
+    (plan) => pacedOverflows.otherRegionMs(inputs, own, plan),
+  );
   // A region with engines of one role only gets its decode engine from another one.
   if (own === undefined) return other ?? pacedPlacements.placePaced(inputs);
   if (other === undefined) return own;
-  const share = overflows.promptOverflowShare(own.plan.predictedMs, other.plan.predictedMs, inputs.objectiveMs);
+  const share = pacedOverflows.overflowShare(inputs, own, other);
   return draw < share ? other : own;
 }
 
@@ -50,16 +64,17 @@
 }
 
 /** Whether another region could be faster by more than the margin, so that it is worth computing. */
-function mayOverflow(own: placements.EnginePlan, objectiveMs: number): boolean {
-  return own.predictedMs > overflows.OVERFLOW_MARGIN_SHARE * objectiveMs;
+function mayOverflow(inputs: placements.PlacementInputs, own: pacedPlacements.PacedPlan): boolean {
+  return pacedOverflows.comparedMs(inputs, own) > overflows.OVERFLOW_MARGIN_SHARE * inputs.objectiveMs;
 }
 
-function fastest(plans: readonly (pacedPlacements.PacedPlan | undefined)[]): pacedPlacements.PacedPlan | undefined {
+function fastest(
+  plans: readonly (pacedPlacements.PacedPlan | undefined)[],
+  timeOf: (plan: pacedPlacements.PacedPlan) => number,
+): pacedPlacements.PacedPlan | undefined {
   let chosen: pacedPlacements.PacedPlan | undefined;
-  for (const plan of plans) {
-    const chosenMs = chosen?.plan.predictedMs ?? Number.POSITIVE_INFINITY;
-    if (plan !== undefined && plan.plan.predictedMs < chosenMs) chosen = plan;
-  }
+  for (const plan of plans)
+    if (plan !== undefined && (chosen === undefined || timeOf(plan) < timeOf(chosen))) chosen = plan;
   return chosen;
 }
 
--- a/packages/serving/src/pacing/pacedPlacement.ts
+++ b/packages/serving/src/pacing/pacedPlacement.ts
@@ -6,6 +6,11 @@
   readonly plan: placements.EnginePlan;
   /** The decode engine that would have prefilled the prompt but has no budget for it, if there is one. */
   readonly pacedFrom: directories.Endpoint | undefined;
+  /**
+   * Set if the decode engine prefills the prompt although its budget doesn't cover that: predicted time of the best plan
+   * within the budgets, which misses the objective, in milliseconds; the objective if there is no such plan.
+   */
+  readonly withinBudgetMs?: number;
 }
 
 /** The decode engine chosen for a prompt that another engine has prefilled. */
@@ -31,7 +36,8 @@
   if (pacing === undefined || plan.prefillEngine !== undefined || pacing.covers(plan.decodeEngine, plan.workTokens))
     return { plan, pacedFrom: undefined };
   const paced = placements.placePrompt(inputs, (engine, workTokens) => pacing.covers(engine, workTokens));
-  if (paced === undefined || paced.predictedMs > inputs.objectiveMs) return { plan, pacedFrom: undefined };
+  const withinBudgetMs = paced?.predictedMs ?? inputs.objectiveMs;
+  if (paced === undefined || withinBudgetMs > inputs.objectiveMs) return { plan, pacedFrom: undefined, withinBudgetMs };
   return { plan: paced, pacedFrom: plan.decodeEngine };
 }
 
