Estimate peers' calls by the age of their counts, and send calls in their objective first

Cause: the replay of calls used heartbeats of 30 and 60 ms; fleets of 16, 69 and 690 daemons that all serve callers have 90 ms, 925 ms and 1 s. By deadline alone, calls of a burst waited so long that few were in their objective.

Change: RunningEstimates replaces peers' counts by an endpoint's mean as far as the reported requests have ended; the limit is relaxed by the same measure, and requests are spread by chance. Calls that can be in their objective go first; late ones leave half of the slots free. The replay has one tracker for the reports of all daemons, and the same calls for all policies.

No pattern of 1, 16, 69 and 690 daemons is answered less often or is over 0.05 below in the objective.

--- a/packages/experiment/src/callEndpoint.ts
+++ b/packages/experiment/src/callEndpoint.ts
@@ -14,7 +14,17 @@
 /** Duration of the two kinds of work in milliseconds, the share of the longer, and the tail. */
 const WORK = { shortMs: 21, longMs: 86, longShare: 0.3, tailShare: 0.05, tailFactor: 5 };
 
+/**
+ * @param random - draws the work
+ * @returns duration of a call's work at an endpoint that isn't slow, in milliseconds
+ */
+export function drawWork(random: common.SeededRandom): number {
+  const workMs = random.next() < WORK.longShare ? WORK.longMs : WORK.shortMs;
+  return workMs * (random.next() < WORK.tailShare ? WORK.tailFactor : 1);
+}
+
 interface Accepted {
+  readonly workMs: number;
   readonly deadlineAt: number;
   /** Called once with whether the answer came before the deadline. */
   readonly onEnd: (isAnswer: boolean) => void;
@@ -28,7 +38,6 @@
   most = 0;
   readonly #model: EndpointModel;
   readonly #time: virtualTimes.VirtualTime;
-  readonly #random: common.SeededRandom;
   readonly #waiting: Accepted[] = [];
   #running = 0;
 
@@ -36,12 +45,10 @@
    * @param id - the endpoint
    * @param model - how it works
    * @param time - the clock
-   * @param random - draws its work
    */
-  constructor(id: string, model: EndpointModel, time: virtualTimes.VirtualTime, random: common.SeededRandom) {
+  constructor(id: string, model: EndpointModel, time: virtualTimes.VirtualTime) {
     this.#model = model;
     this.#time = time;
-    this.#random = random;
     this.endpoint = {
       id,
       service: "s",
@@ -54,14 +61,15 @@
   }
 
   /**
+   * @param workMs - duration of its work at an endpoint that isn't slow, in milliseconds
    * @param deadlineAt - when the daemon gives the request up, in milliseconds
    * @param onEnd - called at the answer or the deadline, whichever comes first, with whether it is the answer
    * @returns whether the endpoint takes the request
    */
-  accept(deadlineAt: number, onEnd: (isAnswer: boolean) => void): boolean {
+  accept(workMs: number, deadlineAt: number, onEnd: (isAnswer: boolean) => void): boolean {
     const isBusy = this.#running >= this.#model.slots;
     if (isBusy && this.#model.rejects) return false;
-    const accepted: Accepted = { deadlineAt, onEnd, isOver: false };
+    const accepted: Accepted = { workMs, deadlineAt, onEnd, isOver: false };
     this.#time.after(deadlineAt - this.#time.now, () => end(accepted, false));
     if (isBusy) this.#waiting.push(accepted);
     else this.#run(accepted);
@@ -71,7 +79,7 @@
 
   #run(accepted: Accepted): void {
     this.#running++;
-    this.#time.after(this.#drawWork(), () => {
+    this.#time.after(accepted.workMs * this.#model.slownessAt(this.#time.now), () => {
       this.#running--;
       end(accepted, true);
       let next = this.#waiting.shift();
@@ -79,12 +87,6 @@
       if (next !== undefined) this.#run(next);
     });
   }
-
-  #drawWork(): number {
-    const workMs = this.#random.next() < WORK.longShare ? WORK.longMs : WORK.shortMs;
-    const tail = this.#random.next() < WORK.tailShare ? WORK.tailFactor : 1;
-    return workMs * tail * this.#model.slownessAt(this.#time.now);
-  }
 }
 
 function end(accepted: Accepted, isAnswer: boolean): void {
--- a/packages/experiment/src/callReplay.ts
+++ b/packages/experiment/src/callReplay.ts
@@ -1,6 +1,7 @@
 import * as common from "@camphorcourse/common";
 import * as serving from "@camphorcourse/serving";
 import * as callEndpoints from "./callEndpoint.js";
+import * as callViews from "./callView.js";
 import * as virtualTimes from "./virtualTime.js";
 
 /** How daemons send plain calls. */
@@ -51,25 +52,36 @@
 
 interface Call {
   readonly arrivedAt: number;
+  readonly place: serving.CallPlace;
   readonly deadlineAt: number;
+  readonly workMs: number;
   readonly tried: Set<string>;
   isOver: boolean;
 }
 
+interface Known {
+  readonly freshness: number;
+  readonly endpoints: readonly serving.CallEndpoint<serving.Endpoint>[];
+}
+
 interface Daemon {
-  readonly vm: string;
-  readonly loads: serving.EngineLoadTracker;
+  readonly loads: callViews.CallView;
   readonly health: serving.EndpointHealth;
+  readonly estimates: serving.RunningEstimates;
   readonly times: serving.ServiceTimes;
   readonly limits: Map<string, serving.ConcurrencyLimit>;
   readonly queue: serving.CallQueue<Call>;
+  isChecking: boolean;
 }
 
 /** Replays the decisions on the calls of a plain service. */
 export class CallReplay {
   readonly #scenario: CallScenario;
+  /** Draws what callers ask for: the same for all policies, so that they can be compared. */
+  readonly #callers: common.SeededRandom;
   readonly #random: common.SeededRandom;
   readonly #time = new virtualTimes.VirtualTime();
+  readonly #reports = new serving.EngineLoadTracker();
   readonly #daemons: readonly Daemon[];
   readonly #endpoints: readonly callEndpoints.EmulatedCallEndpoint[];
   readonly #counts = { offered: 0, inObjective: 0, answered: 0, timedOut: 0, rejected: 0 };
@@ -80,17 +92,19 @@
    */
   constructor(scenario: CallScenario, seed: number) {
     this.#scenario = scenario;
-    this.#random = new common.SeededRandom(seed);
+    this.#callers = new common.SeededRandom(seed);
+    this.#random = new common.SeededRandom(seed + 1_000_000);
     this.#endpoints = scenario.endpoints.map(
-      (model, index) => new callEndpoints.EmulatedCallEndpoint(`e${index}`, model, this.#time, this.#random),
+      (model, index) => new callEndpoints.EmulatedCallEndpoint(`e${index}`, model, this.#time),
     );
     this.#daemons = Array.from({ length: scenario.daemons }, (_, index) => ({
-      vm: `vm-${index}`,
-      loads: new serving.EngineLoadTracker(),
+      loads: new callViews.CallView(this.#reports, `vm-${index}`),
       health: new serving.EndpointHealth(),
+      estimates: new serving.RunningEstimates(),
       times: new serving.ServiceTimes(),
       limits: new Map(this.#endpoints.map(({ endpoint }) => [endpoint.id, this.#createLimit(endpoint.slots)])),
       queue: new serving.CallQueue<Call>(),
+      isChecking: false,
     }));
   }
 
@@ -99,7 +113,6 @@
     this.#scheduleArrival();
     for (const daemon of this.#daemons) {
       this.#time.after(this.#random.next() * this.#scenario.heartbeatMs, () => this.#heartbeat(daemon));
-      this.#time.after(this.#random.next() * CHECK_MS, () => this.#check(daemon));
     }
     this.#time.run(this.#scenario.forMs + this.#scenario.timeoutMs);
     const mostAtEndpoint = Math.max(...this.#endpoints.map(({ most }) => most));
@@ -116,7 +129,7 @@
     const { burst, forMs, requestsPerSecond } = this.#scenario;
     const { now } = this.#time;
     const factor = now % burst.everyMs < burst.forMs ? burst.factor : 1;
-    this.#time.after(this.#random.exponential(MS_PER_SECOND / (requestsPerSecond * factor)), () => {
+    this.#time.after(this.#callers.exponential(MS_PER_SECOND / (requestsPerSecond * factor)), () => {
       if (this.#time.now > forMs) return;
       this.#arrive();
       this.#scheduleArrival();
@@ -124,22 +137,33 @@
   }
 
   #arrive(): void {
-    const daemon = this.#daemons[this.#random.integer(this.#daemons.length)];
+    const daemon = this.#daemons[this.#callers.integer(this.#daemons.length)];
     if (daemon === undefined) return;
     this.#counts.offered++;
     const { now } = this.#time;
+    const { timeoutMs } = this.#scenario;
     const call: Call = {
       arrivedAt: now,
-      deadlineAt: now + this.#scenario.timeoutMs,
+      deadlineAt: now + timeoutMs,
+      place: { level: 0, deadlineAt: now + timeoutMs, inTimeUntil: this.#inTimeUntil(daemon) },
+      workMs: callEndpoints.drawWork(this.#callers),
       tried: new Set(),
       isOver: false,
     };
-    this.#time.after(this.#scenario.timeoutMs, () => {
+    this.#time.after(timeoutMs, () => {
       if (call.isOver) return;
       if (daemon.queue.remove(call)) this.#end(call, "rejected");
       else this.#end(call, "timedOut");
     });
-    this.#choose(daemon, call, daemon.queue.countBefore(call.deadlineAt));
+    this.#choose(daemon, call, daemon.queue.countBefore(call.place, now));
+  }
+
+  #inTimeUntil(daemon: Daemon): number {
+    const { endpoints } = this.#known(
+      daemon,
+      this.#endpoints.map(({ endpoint }) => endpoint),
+    );
+    return serving.inTimeUntil({ arrivedAt: this.#time.now, objectiveMs: this.#scenario.objectiveMs }, endpoints);
   }
 
   #choose(daemon: Daemon, call: Call, ahead: number, hasWaited = false): void {
@@ -160,8 +184,10 @@
       else this.#send(daemon, call, endpoint);
       return;
     }
+    const known = this.#known(daemon, usable);
     const decision = serving.decideCall({
-      endpoints: usable.map((endpoint) => this.#known(daemon, endpoint)),
+      ...known,
+      isLate: now > call.place.inTimeUntil,
       ahead,
       hasWaited,
       isQueueFull: daemon.queue.isFull,
@@ -170,19 +196,31 @@
       draw: () => this.#random.next(),
     });
     if (decision.isErr()) this.#end(call, "rejected");
-    else if (decision.value.endpoint === undefined) daemon.queue.add(call, call.deadlineAt);
+    else if (decision.value.endpoint === undefined) this.#wait(daemon, call);
     else this.#send(daemon, call, decision.value.endpoint);
   }
 
-  #known(daemon: Daemon, endpoint: serving.Endpoint): serving.CallEndpoint<serving.Endpoint> {
+  /** What a daemon knows of some endpoints, from its own requests and its peers' heartbeats. */
+  #known(daemon: Daemon, endpoints: readonly serving.Endpoint[]): Known {
     const { now } = this.#time;
+    const { objectiveMs, heartbeatMs } = this.#scenario;
+    const counted = endpoints.map((endpoint) => {
+      const own = daemon.loads.ownRunning(endpoint.id);
+      const peers = daemon.loads.runningRequests(endpoint.id, now) - own;
+      const { id, slots } = endpoint;
+      return { id, slots, own, peers, serviceMs: daemon.times.serviceMs(endpoint, objectiveMs) };
+    });
+    const { freshness, running } = daemon.estimates.estimate(counted, this.#daemons.length > 1 ? heartbeatMs : 0, now);
     return {
-      endpoint,
-      slots: endpoint.slots,
-      running: daemon.loads.runningRequests(endpoint.id, now),
-      limit: daemon.limits.get(endpoint.id)?.limit(now) ?? 1,
-      serviceMs: daemon.times.serviceMs(endpoint, this.#scenario.objectiveMs),
-      networkMs: 0,
+      freshness,
+      endpoints: endpoints.map((endpoint, index) => ({
+        endpoint,
+        slots: endpoint.slots,
+        running: running[index] ?? 0,
+        limit: daemon.limits.get(endpoint.id)?.limit(now) ?? 1,
+        serviceMs: counted[index]?.serviceMs ?? 0,
+        networkMs: 0,
+      })),
     };
   }
 
@@ -194,7 +232,7 @@
     daemon.loads.beginRequest(endpoint.id);
     const isAccepted = this.#endpoints
       .find((each) => each.endpoint === endpoint)
-      ?.accept(call.deadlineAt, (isAnswer) => {
+      ?.accept(call.workMs, call.deadlineAt, (isAnswer) => {
         const { now } = this.#time;
         daemon.loads.endRequest(endpoint.id);
         if (isAnswer) {
@@ -218,32 +256,47 @@
   }
 
   #heartbeat(daemon: Daemon): void {
-    const work = daemon.loads.ownWork();
-    for (const peer of this.#daemons)
-      if (peer !== daemon) peer.loads.updatePeerWork(daemon.vm, work, this.#time.now, 10 * this.#scenario.heartbeatMs);
+    daemon.loads.report(this.#time.now, 10 * this.#scenario.heartbeatMs);
     this.#time.after(this.#scenario.heartbeatMs, () => this.#heartbeat(daemon));
   }
 
+  #wait(daemon: Daemon, call: Call): void {
+    daemon.queue.add(call, call.place);
+    this.#scheduleCheck(daemon);
+  }
+
+  #scheduleCheck(daemon: Daemon): void {
+    if (daemon.isChecking || daemon.queue.size === 0) return;
+    daemon.isChecking = true;
+    this.#time.after(CHECK_MS, () => this.#check(daemon));
+  }
+
   #check(daemon: Daemon): void {
+    daemon.isChecking = false;
     this.#drain(daemon);
-    this.#time.after(CHECK_MS, () => this.#check(daemon));
+    this.#scheduleCheck(daemon);
   }
 
   /** The slot that a call has left is free for certain, unlike those that are known from heartbeats. */
   #handOn(daemon: Daemon, endpoint: serving.Endpoint): void {
-    const call = daemon.queue.inOrder().find(({ tried }) => !tried.has(endpoint.id));
-    if (call === undefined || !serving.mayHandOn(this.#known(daemon, endpoint))) return;
+    const { now } = this.#time;
+    const call = daemon.queue.inOrder(now).find(({ tried }) => !tried.has(endpoint.id));
+    if (call === undefined) return;
+    const { freshness, endpoints } = this.#known(daemon, [endpoint]);
+    const inputs = { freshness, isLate: now > call.place.inTimeUntil };
+    if (!endpoints.every((each) => serving.mayHandOn(each, inputs))) return;
     daemon.queue.remove(call);
     this.#send(daemon, call, endpoint);
   }
 
   #drain(daemon: Daemon): void {
     const { now } = this.#time;
-    for (const call of daemon.queue.inOrder()) {
-      const untried = this.#endpoints.filter(({ endpoint }) => !call.tried.has(endpoint.id));
-      const hasRoom = untried.some(({ endpoint }) => serving.hasRoom(this.#known(daemon, endpoint)));
-      const leastMs = Math.min(...untried.map(({ endpoint }) => this.#known(daemon, endpoint).serviceMs));
-      if (!hasRoom && call.deadlineAt - now >= leastMs) break;
+    for (const call of daemon.queue.inOrder(now)) {
+      const untried = this.#endpoints.map(({ endpoint }) => endpoint).filter(({ id }) => !call.tried.has(id));
+      const { freshness, endpoints } = this.#known(daemon, untried);
+      const inputs = { freshness, isLate: now > call.place.inTimeUntil };
+      const leastMs = Math.min(...endpoints.map(({ serviceMs }) => serviceMs));
+      if (!endpoints.some((each) => serving.hasRoom(each, inputs)) && call.deadlineAt - now >= leastMs) break;
       daemon.queue.remove(call);
       this.#choose(daemon, call, 0, true);
     }
--- a/packages/experiment/tests/callReplay.test.ts
+++ b/packages/experiment/tests/callReplay.test.ts
@@ -1,5 +1,6 @@
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
+import * as serving from "@camphorcourse/serving";
 import * as experiment from "../src/index.js";
 
 const { Aimd, Gradient, LeastBusy, NoLimit } = experiment.CallPolicy;
@@ -85,14 +86,36 @@
   assert.ok(calm.answered > 0.995, JSON.stringify(calm));
 });
 
-// With many daemons, each knows of the others' calls only what heartbeats say, and learns little by itself.
-suite("one daemon and 69 daemons answer more calls with limits than without", () => {
-  for (const daemons of [1, 69]) {
-    const options = { daemons, heartbeatMs: daemons > 16 ? 60 : 30, forMs: 7_000 };
-    const [before, limited] = [replay(LeastBusy, PLAIN, options), replay(Gradient, PLAIN, options)];
-    assert.ok(limited.timedOut < before.timedOut / 2, JSON.stringify({ daemons, before, limited }));
-    assert.ok(limited.inObjective > before.inObjective, JSON.stringify({ daemons, before, limited }));
-  }
-});
+/** Fleets whose daemons all send calls: a short heartbeat, and the one that a fleet of that size has. */
+const FLEETS = [
+  [1, 40],
+  [16, 30],
+  [16, serving.heartbeatIntervalMs(15)],
+  [69, 60],
+  [69, serving.heartbeatIntervalMs(68)],
+  [690, serving.heartbeatIntervalMs(689)],
+] as const;
+
+const ONE_REJECTS = endpoints({ rejects: true });
+
+// With many daemons, each knows of the others' calls only what heartbeats say: by counts that are a second old, calls
+// waited before free slots, and 690 daemons answered 0.46 of them where `leastBusy` answers 0.70. With 16 daemons, more
+// were answered, but by deadline alone all waited so long that fewer were in their objective.
+for (const [daemons, heartbeatMs] of FLEETS)
+  suite(
+    `${daemons} daemons, heartbeats of ${Math.round(heartbeatMs)} ms: no fewer calls are answered than without limits`,
+    () => {
+      for (const [name, models] of Object.entries({ PLAIN, SLOW, ONE_REJECTS, ALL_REJECT })) {
+        const [before, limited] = [
+          replay(LeastBusy, models, { daemons, heartbeatMs }),
+          replay(Gradient, models, { daemons, heartbeatMs }),
+        ];
+        const details = JSON.stringify({ name, before, limited });
+        assert.ok(limited.answered >= before.answered, details);
+        assert.ok(limited.inObjective >= before.inObjective - 0.05, details);
+        assert.ok(limited.timedOut <= before.timedOut / 2 + 0.001, details);
+      }
+    },
+  );
 
 suite.run();
--- a/packages/gateway/src/calls/callControl.ts
+++ b/packages/gateway/src/calls/callControl.ts
@@ -7,6 +7,8 @@
 /** A request that waits until an endpoint of its service has room. */
 export interface WaitingCall {
   readonly service: string;
+  /** When the daemon received it, in milliseconds. */
+  readonly arrivedAt: number;
   readonly deadlineAt: number;
   readonly objectiveMs: number;
   /** @returns the endpoints that it may be sent to */
@@ -20,11 +22,8 @@
 }
 
 /** A request that is decided on. */
-export interface DecidedCall {
+export interface DecidedCall extends Pick<WaitingCall, "service" | "arrivedAt" | "deadlineAt" | "objectiveMs"> {
   readonly id: string;
-  readonly service: string;
-  readonly deadlineAt: number;
-  readonly objectiveMs: number;
   /** Whether it has waited, and is the next one. */
   readonly isNext: boolean;
   /** Endpoint at which a request has just ended, if that is why it is decided on now. */
@@ -48,6 +47,8 @@
   readonly dataCentre: string;
   /** Distances between the data centres; undefined in a deployment of one region. */
   readonly distances?: serving.DistanceModel | undefined;
+  /** @returns number of daemons that send requests to endpoints, this one included */
+  readonly senders: () => number;
   readonly isLimited: (endpoint: serving.Endpoint) => boolean;
   /** @returns a uniform random number in [0, 1) */
   readonly draw: () => number;
@@ -56,6 +57,12 @@
 /** Network time there and back between data centres of a deployment of one region, in milliseconds. */
 const REMOTE_MS = 2;
 
+/** Endpoints as a request finds them. */
+interface KnownEndpoints {
+  readonly freshness: number;
+  readonly endpoints: readonly serving.CallEndpoint<serving.Endpoint>[];
+}
+
 /**
  * Interval at which waiting requests are checked, in milliseconds: peers' requests end at any time, and the shortest work
  * takes a few times as long.
@@ -70,6 +77,7 @@
   readonly #parts: CallControlParts;
   readonly #limits = new Map<string, { readonly slots: number; readonly limit: serving.ConcurrencyLimit }>();
   readonly #times = new serving.ServiceTimes();
+  readonly #estimates = new serving.RunningEstimates();
   readonly #queues = new Map<string, serving.CallQueue<WaitingCall>>();
   #controlled = new Map<string, boolean>();
   #controlledBy: unknown;
@@ -117,16 +125,19 @@
   ): neverthrow.Result<{ readonly endpoint: serving.Endpoint; readonly predictedMs: number }, CallRefusal> {
     const { draw, isLimited, metrics } = this.#parts;
     const now = performance.now();
-    const all = ready.map((endpoint) => this.#known(endpoint, call.objectiveMs, now));
+    const { freshness, endpoints: all } = this.#known(ready, call.objectiveMs, now);
     const endpoints = serving.preferOwnRegion(this.#parts.distances, all);
+    const place = this.#placeOf(call, all);
+    const room = { freshness, isLate: now > place.inTimeUntil };
     const freed = all.find(({ endpoint }) => endpoint.id === call.freed?.id);
     const freedMs = freed === undefined ? Infinity : serving.predictCallMs(freed);
-    if (freed !== undefined && serving.mayHandOn(freed) && freedMs <= call.deadlineAt - now)
+    if (freed !== undefined && serving.mayHandOn(freed, room) && freedMs <= call.deadlineAt - now)
       return neverthrow.ok({ endpoint: freed.endpoint, predictedMs: freedMs });
     const queue = this.#queues.get(call.service);
     const decided = serving.decideCall({
+      ...room,
       endpoints: endpoints.map((each) => ({ ...each, isLimited: isLimited(each.endpoint) })),
-      ahead: call.isNext ? 0 : (queue?.countBefore(call.deadlineAt) ?? 0),
+      ahead: call.isNext ? 0 : (queue?.countBefore(place, now) ?? 0),
       hasWaited: call.isNext,
       isQueueFull: queue?.isFull ?? false,
       isLearned: this.#times.isLearned(call.service),
@@ -148,7 +159,8 @@
   wait(call: WaitingCall): void {
     const queue = this.#queues.get(call.service) ?? new serving.CallQueue<WaitingCall>();
     this.#queues.set(call.service, queue);
-    queue.add(call, call.deadlineAt);
+    const { endpoints } = this.#known(call.candidates(), call.objectiveMs, performance.now());
+    queue.add(call, this.#placeOf(call, endpoints));
     this.#scheduleCheck();
   }
 
@@ -195,17 +207,36 @@
   forget(endpointId: string): void {
     this.#limits.delete(endpointId);
     this.#times.forget(endpointId);
+    this.#estimates.forget(endpointId);
   }
 
-  #known(endpoint: serving.Endpoint, objectiveMs: number, now: number): serving.CallEndpoint<serving.Endpoint> {
-    return {
+  #known(endpoints: readonly serving.Endpoint[], objectiveMs: number, now: number): KnownEndpoints {
+    const { loads } = this.#parts;
+    const counted = endpoints.map((endpoint) => {
+      const { id, slots } = endpoint;
+      const own = loads.ownRunning(id);
+      const peers = Math.max(0, loads.runningRequests(id, now) - own);
+      return { id, slots, own, peers, serviceMs: this.#times.serviceMs(endpoint, objectiveMs) };
+    });
+    const peers = this.#parts.senders() - 1;
+    const heartbeatMs = peers <= 0 ? 0 : serving.heartbeatIntervalMs(peers);
+    const { freshness, running } = this.#estimates.estimate(counted, heartbeatMs, now);
+    const known = endpoints.map((endpoint, index) => ({
       endpoint,
       slots: endpoint.slots,
-      running: this.#parts.loads.runningRequests(endpoint.id, now),
+      running: running[index] ?? 0,
       limit: this.#limitOf(endpoint).limit(now),
-      serviceMs: this.#times.serviceMs(endpoint, objectiveMs),
+      serviceMs: counted[index]?.serviceMs ?? objectiveMs,
       networkMs: this.#networkMs(endpoint),
-    };
+    }));
+    return { freshness, endpoints: known };
+  }
+
+  #placeOf(
+    call: Pick<WaitingCall, "arrivedAt" | "deadlineAt" | "objectiveMs">,
+    endpoints: KnownEndpoints["endpoints"],
+  ): serving.CallPlace {
+    return { level: 0, deadlineAt: call.deadlineAt, inTimeUntil: serving.inTimeUntil(call, endpoints) };
   }
 
   /** An endpoint that states other slots has another capacity, and its limit is learned anew. */
@@ -224,10 +255,13 @@
   }
 
   #handOn(endpoint: serving.Endpoint): void {
+    const now = performance.now();
     const queue = this.#queues.get(endpoint.service);
-    const next = queue?.inOrder().find((call) => call.candidates().some(({ id }) => id === endpoint.id));
+    const next = queue?.inOrder(now).find((call) => call.candidates().some(({ id }) => id === endpoint.id));
     if (next === undefined) return;
-    if (!serving.mayHandOn(this.#known(endpoint, next.objectiveMs, performance.now()))) return;
+    const { freshness, endpoints } = this.#known([endpoint], next.objectiveMs, now);
+    const room = { freshness, isLate: now > this.#placeOf(next, endpoints).inTimeUntil };
+    if (!endpoints.every((each) => serving.mayHandOn(each, room))) return;
     this.#resume(next, endpoint);
     this.#dropIfEmpty(endpoint.service);
   }
@@ -245,11 +279,13 @@
   /** Resumes the requests for which there is room, and those that can no longer be answered in time. */
   #check(service: string): void {
     const queue = this.#queues.get(service);
-    for (const call of queue?.inOrder() ?? []) {
+    for (const call of queue?.inOrder(performance.now()) ?? []) {
       const now = performance.now();
-      const endpoints = call.candidates().map((endpoint) => this.#known(endpoint, call.objectiveMs, now));
+      const { freshness, endpoints } = this.#known(call.candidates(), call.objectiveMs, now);
+      const room = { freshness, isLate: now > this.#placeOf(call, endpoints).inTimeUntil };
       const leastMs = Math.min(...endpoints.map(({ serviceMs, networkMs }) => serviceMs + networkMs));
-      if (!endpoints.some(serving.hasRoom) && call.deadlineAt - now >= leastMs) break;
+      const hasRoom = endpoints.some((each) => serving.hasRoom(each, room));
+      if (!hasRoom && call.deadlineAt - now >= leastMs) break;
       if (!this.#resume(call)) break;
     }
     this.#dropIfEmpty(service);
@@ -260,7 +296,7 @@
     const queue = this.#queues.get(call.service);
     if (queue?.remove(call) !== true) return true;
     call.resumeCall(freed);
-    return !queue.inOrder().includes(call);
+    return !queue.has(call);
   }
 
   #dropIfEmpty(service: string): void {
@@ -280,7 +316,7 @@
       service: call.service,
       endpoints: endpoints.length,
       limit: sumOf(({ limit }) => limit),
-      running: sumOf(({ running }) => running),
+      running: Math.round(sumOf(({ running }) => running)),
       waiting: this.#queues.get(call.service)?.size ?? 0,
       isLearned: this.#times.isLearned(call.service),
       predictedMs: Math.round(decided.predictedMs),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -218,6 +218,7 @@
         loads,
         dataCentre: settings.dataCentre,
         distances,
+        senders: () => this.#peers.senders.length,
         isLimited: (endpoint) => limits.enforcer.isLimited(endpoint),
         draw: () => random.next(),
       }),
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -148,6 +148,11 @@
     return this.#parts.served.service;
   }
 
+  /** {@inheritDoc callControls.WaitingCall.arrivedAt} */
+  get arrivedAt(): number {
+    return this.#parts.served.caller.arrivedAt;
+  }
+
   /** {@inheritDoc callControls.WaitingCall.deadlineAt} */
   get deadlineAt(): number {
     return this.#parts.served.deadlineAt;
--- a/packages/gateway/src/sendChooser.ts
+++ b/packages/gateway/src/sendChooser.ts
@@ -236,7 +236,8 @@
   #chooseControlled(ready: readonly serving.Endpoint[]): Choice {
     const { id, service, deadlineAt, route } = this.#served;
     const { objectiveMs } = route;
-    const call = { id, service, deadlineAt, objectiveMs, isNext: this.#isNextInQueue, freed: this.#freed };
+    const { arrivedAt } = this.#served.caller;
+    const call = { id, service, arrivedAt, deadlineAt, objectiveMs, isNext: this.#isNextInQueue, freed: this.#freed };
     // No time to the first event is predicted: silence is judged by the route's objective, as for all plain calls.
     return this.#context.calls.choose(call, ready).andThen(({ endpoint }) => answeringAt(endpoint));
   }
--- a/packages/gateway/tests/helpers/exchangeHarness.ts
+++ b/packages/gateway/tests/helpers/exchangeHarness.ts
@@ -251,6 +251,7 @@
         view,
         loads,
         dataCentre: "a",
+        senders: () => 1,
         isLimited: () => false,
         draw: () => 0,
       }),
--- a/packages/serving/src/calls/callDecision.ts
+++ b/packages/serving/src/calls/callDecision.ts
@@ -6,7 +6,7 @@
 export interface CallEndpoint<Endpoint> {
   readonly endpoint: Endpoint;
   readonly slots: number;
-  /** Requests of all daemons that run there. */
+  /** Requests of all daemons that run there; an estimate may be fractional. */
   readonly running: number;
   /** Concurrent requests that it can handle. */
   readonly limit: number;
@@ -25,6 +25,10 @@
   readonly ahead: number;
   /** Whether the request has waited, and none goes before it. */
   readonly hasWaited: boolean;
+  /** Whether it has waited for so long that its answer is no longer expected within its objective. */
+  readonly isLate?: boolean;
+  /** Part of the peers' reported requests that still run, from 0 to 1; 1 if left out. */
+  readonly freshness?: number;
   /** Whether no further request may wait. */
   readonly isQueueFull: boolean;
   /** Whether the service times were learned, so that a prediction may reject a request. */
@@ -65,6 +69,32 @@
  */
 const USE_COST = 0.5;
 
+/**
+ * Freshness below which an endpoint's limit is not applied: more than half of the reported requests have ended, and requests
+ * would wait before free slots until the next heartbeats. In the replay of 69 daemons with heartbeats of 925 ms, 0.80 of the
+ * calls were answered with a bound of 0.3 and 0.85 with 0.5.
+ */
+const MIN_FRESHNESS = 0.5;
+
+/**
+ * Part of the limit by which requests may exceed it for each part of the reported requests that has ended. An estimate that
+ * is too high leaves slots empty; in the replay of 69 daemons with heartbeats of 60 ms, 0.01 fewer calls were answered
+ * with a value of 1.
+ */
+const UNCERTAINTY_ROOM = 2;
+
+/** Spread by chance of the requests of daemons whose counts are old, in multiples of the slots. */
+const STALE_SPREAD = 0.5;
+
+/**
+ * Part of the slots that requests leave free that can no longer be answered within their objective. What waits in other
+ * daemons isn't known here, and can still be in time.
+ */
+const LATE_ROOM = 0.5;
+
+/** Service times that a request has to have left to count as in time: the 0.9 quantile of an exponential is 2.3. */
+const IN_TIME_SERVICES = 2;
+
 /** Cost of an endpoint that limits its requests, in service times. */
 const LIMITED_COST = 0.5;
 
@@ -97,12 +127,22 @@
   return serviceMs * (1 + beyond / Math.max(1, slots)) + networkMs;
 }
 
+/** What room at an endpoint depends on, besides the endpoint. */
+export type RoomInputs = Pick<CallInputs<unknown>, "isLate" | "freshness">;
+
 /**
  * @param endpoint - an endpoint
+ * @param inputs - the request, and how old the counts are
  * @returns whether it may get another request
  */
-export function hasRoom({ limit, running }: Pick<CallEndpoint<unknown>, "limit" | "running">): boolean {
-  return running < limit;
+export function hasRoom(
+  endpoint: Pick<CallEndpoint<unknown>, "limit" | "running" | "slots">,
+  inputs: RoomInputs = {},
+): boolean {
+  const { freshness = 1 } = inputs;
+  if (freshness < MIN_FRESHNESS) return true;
+  const limit = endpoint.limit * (1 + UNCERTAINTY_ROOM * (1 - freshness));
+  return endpoint.running < limit - keptFree(endpoint, inputs);
 }
 
 /**
@@ -110,14 +150,32 @@
  * requests old. So it goes to a request that waits in the daemon, also after a decline that has lowered the limit.
  *
  * @param endpoint - an endpoint that has just answered
+ * @param inputs - the request, and how old the counts are
  * @returns whether it may get the next request that waits
  */
-export function mayHandOn({
-  limit,
-  running,
-  slots,
-}: Pick<CallEndpoint<unknown>, "limit" | "running" | "slots">): boolean {
-  return running < Math.max(limit, slots);
+export function mayHandOn(
+  endpoint: Pick<CallEndpoint<unknown>, "limit" | "running" | "slots">,
+  inputs: RoomInputs = {},
+): boolean {
+  return endpoint.running < Math.max(endpoint.limit, endpoint.slots) - keptFree(endpoint, inputs);
+}
+
+function keptFree({ slots }: Pick<CallEndpoint<unknown>, "slots">, { isLate, freshness = 1 }: RoomInputs): number {
+  return isLate === true ? LATE_ROOM * slots * freshness : 0;
+}
+
+/**
+ * @param call - when a request came, in milliseconds, and the objective of its route
+ * @param endpoints - the endpoints that it may be sent to, at least one
+ * @returns last instant at which it can be sent so that its answer is expected within the objective, in milliseconds;
+ *   infinite where the work takes about as long as the objective, so that no request could wait at all
+ */
+export function inTimeUntil(
+  call: { readonly arrivedAt: number; readonly objectiveMs: number },
+  endpoints: readonly Pick<CallEndpoint<unknown>, "serviceMs" | "networkMs">[],
+): number {
+  const neededMs = Math.min(...endpoints.map(({ serviceMs, networkMs }) => IN_TIME_SERVICES * serviceMs + networkMs));
+  return neededMs < call.objectiveMs ? call.arrivedAt + call.objectiveMs - neededMs : Number.POSITIVE_INFINITY;
 }
 
 /**
@@ -147,13 +205,15 @@
   return neverthrow.err({ predictedMs, retryAfterMs: baseMs * (1 + inputs.draw() * RETRY_JITTER) });
 }
 
-function leastPredicted<Endpoint>({ draw, endpoints }: CallInputs<Endpoint>): CallEndpoint<Endpoint> | undefined {
+function leastPredicted<Endpoint>(inputs: CallInputs<Endpoint>): CallEndpoint<Endpoint> | undefined {
+  const { draw, endpoints, freshness = 1 } = inputs;
   let chosen: CallEndpoint<Endpoint> | undefined;
   let chosenCost = Number.POSITIVE_INFINITY;
   for (const each of endpoints) {
-    if (!hasRoom(each)) continue;
-    const use = (USE_COST * (each.running + draw())) / each.slots + (each.isLimited === true ? LIMITED_COST : 0);
-    const cost = predictCallMs(each) + each.serviceMs * use;
+    if (!hasRoom(each, inputs)) continue;
+    const running = each.running + STALE_SPREAD * (1 - freshness) * draw() * each.slots;
+    const use = (USE_COST * (running + draw())) / each.slots + (each.isLimited === true ? LIMITED_COST : 0);
+    const cost = predictCallMs({ ...each, running }) + each.serviceMs * use;
     if (cost >= chosenCost) continue;
     chosen = each;
     chosenCost = cost;
--- a/packages/serving/src/calls/callQueue.ts
+++ b/packages/serving/src/calls/callQueue.ts
@@ -1,13 +1,26 @@
 /** Maximum number of requests that wait for one service in one daemon. */
 export const MAX_WAITING_CALLS = 64;
 
-interface Entry<Call> {
-  readonly call: Call;
+/** What the place of a request in the queue depends on. */
+export interface CallPlace {
+  /** Levels by which rank and share set it back; 0 without ranks. */
+  readonly level: number;
   readonly deadlineAt: number;
+  /** Last instant at which it can be sent so that its answer is expected within the objective, in milliseconds. */
+  readonly inTimeUntil: number;
+}
+
+interface Entry<Call> extends CallPlace {
+  readonly call: Call;
 }
 
-/** Requests that wait until an endpoint of their service has room, ordered by deadline. */
+/**
+ * Requests that wait until an endpoint of their service has room, ordered by level, and in each level by deadline. Those that
+ * can still be answered within their objective go before those that can't: ordered by deadline alone, all requests of a
+ * burst wait for almost as long as they may, and hardly one is answered within its objective.
+ */
 export class CallQueue<Call> {
+  /** In the order in which they came. */
   #entries: Entry<Call>[] = [];
 
   /** @returns number of requests that wait */
@@ -21,22 +34,22 @@
   }
 
   /**
-   * @param deadlineAt - deadline of a request in milliseconds
-   * @returns number of requests that go before it; among equal deadlines, those that came first
+   * @param place - place of a request that isn't in the queue
+   * @param now - current instant in milliseconds
+   * @returns number of requests that go before it; among equal places, those that came first
    */
-  countBefore(deadlineAt: number): number {
-    const index = this.#entries.findIndex((entry) => entry.deadlineAt > deadlineAt);
-    return index < 0 ? this.#entries.length : index;
+  countBefore(place: CallPlace, now: number): number {
+    return this.#entries.filter((entry) => compare(entry, place, now) <= 0).length;
   }
 
   /**
    * @param call - a request that is not in the queue
-   * @param deadlineAt - its deadline in milliseconds
+   * @param place - its place
    * @returns whether it waits now; false if the queue is full
    */
-  add(call: Call, deadlineAt: number): boolean {
+  add(call: Call, place: CallPlace): boolean {
     if (this.isFull) return false;
-    this.#entries.splice(this.countBefore(deadlineAt), 0, { call, deadlineAt });
+    this.#entries.push({ ...place, call });
     return true;
   }
 
@@ -50,8 +63,24 @@
     return this.#entries.length < before;
   }
 
-  /** @returns the requests in the order in which they are to be sent */
-  inOrder(): readonly Call[] {
-    return this.#entries.map(({ call }) => call);
+  /**
+   * @param call - a request
+   * @returns whether it waits
+   */
+  has(call: Call): boolean {
+    return this.#entries.some((entry) => entry.call === call);
+  }
+
+  /**
+   * @param now - current instant in milliseconds
+   * @returns the requests in the order in which they are to be sent
+   */
+  inOrder(now: number): readonly Call[] {
+    return [...this.#entries].sort((left, right) => compare(left, right, now)).map(({ call }) => call);
   }
 }
+
+function compare(left: CallPlace, right: CallPlace, now: number): number {
+  const lateness = Number(now > left.inTimeUntil) - Number(now > right.inTimeUntil);
+  return left.level - right.level || lateness || left.deadlineAt - right.deadlineAt;
+}
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -23,6 +23,7 @@
 export * from "./calls/callQueue.js";
 export * from "./calls/concurrencyLimit.js";
 export * from "./calls/regionalCalls.js";
+export * from "./calls/runningEstimates.js";
 export * from "./calls/serviceTimes.js";
 export * from "./endpointDirectory.js";
 export * from "./endpointHealth.js";
--- a/packages/serving/src/leastBusy.ts
+++ b/packages/serving/src/leastBusy.ts
@@ -16,7 +16,7 @@
 /** What the choice is computed from. */
 export interface LeastBusyInputs {
   readonly endpoints: readonly directories.Endpoint[];
-  readonly loads: loadTrackers.EngineLoadTracker;
+  readonly loads: Pick<loadTrackers.EngineLoadTracker, "runningRequests">;
   readonly health: healths.EndpointHealth;
   /** Whether an endpoint limits its requests. */
   readonly isLimited: (endpoint: directories.Endpoint) => boolean;
--- a/packages/serving/tests/callDecision.test.ts
+++ b/packages/serving/tests/callDecision.test.ts
@@ -1,3 +1,4 @@
+import * as common from "@camphorcourse/common";
 import * as fastCheck from "fast-check";
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
@@ -95,6 +96,43 @@
   assert.ok(serving.mayHandOn({ running: 6, limit: 8, slots: 6 }));
 });
 
+// Counts of which most requests have ended let calls wait before free slots until the next heartbeats.
+suite("the limit is exceeded as far as the counts are old, and not applied if most of what they say has ended", () => {
+  const full = known("full", { running: 6 });
+  assert.not(serving.hasRoom(full));
+  assert.ok(serving.hasRoom(full, { freshness: 0.9 }));
+  assert.not(serving.hasRoom({ ...full, running: 8 }, { freshness: 0.9 }));
+  assert.ok(serving.hasRoom({ ...full, running: 40 }, { freshness: 0.4 }));
+});
+
+// Otherwise all daemons send to the endpoint that the same old counts show as the least busy one.
+suite("requests are spread by chance as far as the counts are old", () => {
+  const endpoints = [known("busier", { running: 7, limit: 12 }), known("idle", { running: 6, limit: 12 })];
+  const chosenWith = (freshness: number): ReadonlySet<string | undefined> => {
+    const random = new common.SeededRandom(1);
+    const draws = Array.from({ length: 50 }, () => decide(endpoints, { freshness, draw: () => random.next() }));
+    return new Set(draws.map((each) => accepted(each).endpoint));
+  };
+  assert.equal([...chosenWith(1)], ["idle"]);
+  assert.equal([...chosenWith(0)].sort(), ["busier", "idle"]);
+});
+
+// In a burst, those that are late anyway would take the slots from calls of other daemons that can still be in time.
+suite("a call that is late leaves half of the slots free, as far as the counts tell", () => {
+  const used = known("used", { running: 3 });
+  assert.ok(serving.hasRoom(used));
+  assert.not(serving.hasRoom(used, { isLate: true }));
+  assert.ok(serving.hasRoom({ ...used, running: 2 }, { isLate: true }));
+  assert.not(serving.mayHandOn(used, { isLate: true }));
+  assert.is(accepted(decide([used], { hasWaited: true, isLate: true })).endpoint, undefined);
+});
+
+suite("a call is in time as long as two service times are left, and always where the work takes as long", () => {
+  const endpoints = [known("slow", { serviceMs: 90 }), known("quick", { serviceMs: 40, networkMs: 2 })];
+  assert.is(serving.inTimeUntil({ arrivedAt: 1_000, objectiveMs: 120 }, endpoints), 1_038);
+  assert.is(serving.inTimeUntil({ arrivedAt: 1_000, objectiveMs: 80 }, endpoints), Number.POSITIVE_INFINITY);
+});
+
 suite("an endpoint at its limit gets nothing, and a retry time is positive and bounded", () => {
   const endpoint = fastCheck.record({
     endpoint: fastCheck.string(),
