--- a/packages/gateway/src/requests/servingContext.ts
+++ b/packages/gateway/src/requests/servingContext.ts
@@ -59,6 +59,7 @@
       loads,
       dataCentre: settings.dataCentre,
       distances,
+      senders,
       isLimited: (endpoint) => limits.enforcer.isLimited(endpoint),
       draw: () => random.next(),
     }),
--- a/packages/gateway/tests/helpers/exchangeHarness.ts
+++ b/packages/gateway/tests/helpers/exchangeHarness.ts
@@ -253,6 +253,7 @@
         view,
         loads,
         dataCentre: "a",
+        senders: () => 1,
         isLimited: () => false,
         draw: () => 0,
       }),
