Load fewer of Node's modules at the start of the bundled daemon

Cause: libraries load HTTPS with TLS, compression and assertions, and the command line library opens the standard input, which a daemon doesn't use before its first request, if ever.

Change: the bundle has stand-ins that load compression and assertions at their first use, none of HTTPS, and no standard input. The bundle is a function in ASCII, so that the loader neither decodes nor copies it.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -50,9 +50,26 @@
   process.stderr.write(`no code cache was written in ${CACHE_ATTEMPTS} attempts; the daemon starts more slowly\n`);
 }
 
+/**
+ * Omits the standard input from the default context of the command line library: it opens a stream at each start, which
+ * takes 5 ms, and no command reads it.
+ */
+const withoutStandardInput = {
+  name: "without-standard-input",
+  setup(build) {
+    const opening = "stdin: process.stdin,";
+    build.onLoad({ filter: /clipanion\/lib\/advanced\/Cli\.js$/ }, ({ path }) => {
+      const source = fs.readFileSync(path, "utf8");
+      if (!source.includes(opening)) throw new Error(`${path} does not open the standard input as expected`);
+      return { contents: source.replace(opening, "stdin: undefined,") };
+    });
+  },
+};
+
 const { outputFiles } = await esbuild.build({
   // The alias files import parts of these packages, which must resolve to the packages and not to the aliases again.
   plugins: [
+    withoutStandardInput,
     {
       name: "package-parts",
       setup(build) {
@@ -68,6 +85,10 @@
   platform: "node",
   format: "cjs",
   target: "node20",
+  // The loader compiles the file as it is, and reads it as one byte a character.
+  charset: "ascii",
+  banner: { js: "(function (exports, require, module, __filename, __dirname) {" },
+  footer: { js: "})" },
   minifySyntax: true,
   minifyWhitespace: true,
   alias: {
@@ -75,6 +96,11 @@
     "hdr-histogram-js": "./scripts/histogramBuilder.cjs",
     http2: "./scripts/http2Stub.cjs",
     "node:http2": "./scripts/http2Stub.cjs",
+    https: "./scripts/httpsStub.cjs",
+    "node:https": "./scripts/httpsStub.cjs",
+    "node:zlib": "./scripts/lazyZlib.cjs",
+    assert: "./scripts/lazyAssert.cjs",
+    "node:assert": "./scripts/lazyAssert.cjs",
   },
   external: ["dtrace-provider", "source-map-support", "mv", "safe-json-stringify", "moment"],
 });
--- a/scripts/loadBundle.cjs
+++ b/scripts/loadBundle.cjs
@@ -1,7 +1,7 @@
 // Runs the bundled daemon with the code cache of its build: compiling the bundle would
 // take half of the processor time that the start takes beyond that of Node.js itself.
 const fs = require("node:fs");
-const { isBuiltin, wrap } = require("node:module");
+const { isBuiltin } = require("node:module");
 const path = require("node:path");
 const vm = require("node:vm");
 
@@ -26,7 +26,8 @@
 }
 
 const cachedData = readCache();
-const script = new vm.Script(wrap(fs.readFileSync(filename, "utf8")), {
+// The bundle is a function in ASCII, see bundle.mjs: it needs no decoding.
+const script = new vm.Script(fs.readFileSync(filename, "latin1"), {
   filename,
   ...(cachedData === undefined ? {} : { cachedData }),
 });
--- a/scripts/writeCodeCache.cjs
+++ b/scripts/writeCodeCache.cjs
@@ -2,7 +2,7 @@
 // functions that have been compiled, and most of them are compiled when they are first called.
 // Usage: node scripts/writeCodeCache.cjs BUNDLE CACHE PORT, where PORT and the next one are free
 const fs = require("node:fs");
-const { isBuiltin, wrap } = require("node:module");
+const { isBuiltin } = require("node:module");
 const os = require("node:os");
 const path = require("node:path");
 const vm = require("node:vm");
@@ -12,7 +12,7 @@
 
 const [, , bundlePath, cachePath, port] = process.argv;
 const filename = path.resolve(bundlePath);
-const script = new vm.Script(wrap(fs.readFileSync(filename, "utf8")), { filename });
+const script = new vm.Script(fs.readFileSync(filename, "latin1"), { filename });
 
 /** Settings of a daemon that reaches no key-value service; port 0 lets the system choose a free one. */
 function writeSettings() {
