--- a/packages/gateway/src/heartbeatSocket.ts
+++ b/packages/gateway/src/heartbeatSocket.ts
@@ -3,9 +3,6 @@
 import * as messages from "@camphorcourse/protocol/gateway";
 import * as socketAddresses from "./address.js";
 import type * as settingsModule from "./settings.js";
-import * as messageCodecs from "./wire/messageCodec.js";
-
-const CODEC = new messageCodecs.MessageCodec(messages.PulseSchema);
 
 /** Largest datagram that passes common networks without fragmentation, in bytes. */
 const MAX_DATAGRAM_BYTES = 1_400;
@@ -131,7 +128,7 @@
    */
   #encode(pulse: messages.Pulse): Uint8Array {
     try {
-      return CODEC.encode(pulse);
+      return protobuf.toBinary(messages.PulseSchema, pulse);
     } catch (error) {
       this.#onError(`heartbeat sent without its numeric fields: ${String(error)}`);
       const withoutNumbers = {
@@ -150,7 +147,7 @@
         busyThousandths: 0,
         nextWithinMs: 0,
       };
-      return CODEC.encode({ ...pulse, ...withoutNumbers });
+      return protobuf.toBinary(messages.PulseSchema, { ...pulse, ...withoutNumbers });
     }
   }
 
@@ -161,7 +158,7 @@
 
   #receive(bytes: Uint8Array, sender: string): void {
     try {
-      this.#onPulse(CODEC.decode(bytes), sender);
+      this.#onPulse(protobuf.fromBinary(messages.PulseSchema, bytes), sender);
     } catch (error) {
       this.#onError(`received datagram can't be decoded: ${String(error)}`);
     }
