--- a/packages/experiment/src/emulatedDaemon.ts
+++ b/packages/experiment/src/emulatedDaemon.ts
@@ -1,6 +1,7 @@
 import * as common from "@camphorcourse/common";
 import * as serving from "@camphorcourse/serving";
 import type * as descriptions from "./description.js";
+import * as emulatedCallers from "./emulatedCaller.js";
 import type * as emulatedEngines from "./emulatedEngine.js";
 import * as emulatedPacings from "./emulatedPacing.js";
 import type * as loads from "./load.js";
@@ -24,7 +25,7 @@
   readonly statistics: outcomes.OutcomeStatistics;
   readonly regions: regionsModule.EmulatedRegions;
   /** @param caller - a caller whose request was rejected and that retries it at any daemon */
-  readonly retry: (caller: EmulatedCaller) => void;
+  readonly retry: (caller: emulatedCallers.EmulatedCaller) => void;
 }
 
 /** Maximum retry delay that callers accept, as a share of the time until their deadline. */
@@ -116,7 +117,7 @@
    */
   receive(request: loads.LoadRequest): void {
     const { time, statistics } = this.#parts;
-    this.#read(new EmulatedCaller(request, time, statistics));
+    this.#read(new emulatedCallers.EmulatedCaller(request, time, statistics));
   }
 
   /**
@@ -124,13 +125,13 @@
    *
    * @param caller - its caller
    */
-  receiveAgain(caller: EmulatedCaller): void {
+  receiveAgain(caller: emulatedCallers.EmulatedCaller): void {
     caller.startRetry();
     this.#read(caller);
   }
 
   /** Serves a request once it has been read, which takes a small VM longer than the network does. */
-  #read(caller: EmulatedCaller): void {
+  #read(caller: emulatedCallers.EmulatedCaller): void {
     const { description, time } = this.#parts;
     if (description.readDelayMs === undefined) this.serve(caller);
     else
@@ -145,7 +146,7 @@
    *
    * @param caller - caller of the new or retried request
    */
-  serve(caller: EmulatedCaller): void {
+  serve(caller: emulatedCallers.EmulatedCaller): void {
     const { request } = caller;
     const { kind } = request;
     const { ready, limited } = this.#selectReady();
@@ -171,7 +172,7 @@
   }
 
   /** The request waits for an engine whose limit lets it through, or is rejected. */
-  #waitOrReject(caller: EmulatedCaller, limited: serving.LimitedEndpoints | undefined): void {
+  #waitOrReject(caller: emulatedCallers.EmulatedCaller, limited: serving.LimitedEndpoints | undefined): void {
     const { time } = this.#parts;
     const { kind } = caller.request;
     if (limited === undefined) {
@@ -186,7 +187,7 @@
     else time.after(Math.max(1, decision.value), () => caller.hasEnded || this.serve(caller));
   }
 
-  #reject(caller: EmulatedCaller, rejection: serving.Rejection): void {
+  #reject(caller: emulatedCallers.EmulatedCaller, rejection: serving.Rejection): void {
     const { retry, time } = this.#parts;
     const { retryAfterMs } = rejection;
     if (!caller.mayRetry || retryAfterMs > caller.remainingMs * MAX_RETRY_DELAY_SHARE) {
@@ -197,7 +198,7 @@
     time.after(retryAfterMs, () => retry(caller));
   }
 
-  #prefill(request: loads.LoadRequest, plan: serving.EnginePlan, caller: EmulatedCaller): void {
+  #prefill(request: loads.LoadRequest, plan: serving.EnginePlan, caller: emulatedCallers.EmulatedCaller): void {
     const { time, description } = this.#parts;
     const { prompt } = request;
     const endpoint = plan.prefillEngine ?? plan.decodeEngine;
@@ -237,7 +238,7 @@
     return this.#parts.regions.roundTripMs(this.dataCentre, endpoint.dataCentre);
   }
 
-  #handOver(request: loads.LoadRequest, caller: EmulatedCaller, prefillEngine: serving.Endpoint): void {
+  #handOver(request: loads.LoadRequest, caller: emulatedCallers.EmulatedCaller, prefillEngine: serving.Endpoint): void {
     const { regions, time } = this.#parts;
     const hasRegions = this.#parts.description.regions !== undefined;
     const placement = this.#placementInputs(request, this.#selectReady().ready);
@@ -259,7 +260,11 @@
     else receive();
   }
 
-  #stream(engine: emulatedEngines.EmulatedEngine, request: loads.LoadRequest, caller: EmulatedCaller): void {
+  #stream(
+    engine: emulatedEngines.EmulatedEngine,
+    request: loads.LoadRequest,
+    caller: emulatedCallers.EmulatedCaller,
+  ): void {
     this.loads.beginRequest(engine.id);
     const paced = this.pacing.beginStream(engine.id, request.kind);
     engine.stream({
@@ -340,100 +345,3 @@
     return engine;
   }
 }
-
-/** The caller of one request: its timeout, its retries and what it observes of the answer. */
-export class EmulatedCaller {
-  /** Called when the caller times out before the first event. */
-  onDisconnect: () => void = () => undefined;
-  readonly request: loads.LoadRequest;
-  readonly #time: virtualTimes.VirtualTime;
-  readonly #statistics: outcomes.OutcomeStatistics;
-  readonly #startedAt: number;
-  #firstEventMs: number | undefined;
-  #maxPauseMs = 0;
-  #totalPauseMs = 0;
-  #events = 0;
-  #hasEnded = false;
-  #retries = 0;
-  #attempts = 0;
-
-  /**
-   * @param request - the request
-   * @param time - the virtual time of the experiment
-   * @param statistics - records the outcome
-   */
-  constructor(request: loads.LoadRequest, time: virtualTimes.VirtualTime, statistics: outcomes.OutcomeStatistics) {
-    this.request = request;
-    this.#time = time;
-    this.#statistics = statistics;
-    this.#startedAt = time.now;
-    this.#startTimeout();
-  }
-
-  /** @returns the time until the caller's deadline, in milliseconds */
-  get remainingMs(): number {
-    return this.#startedAt + this.request.kind.deadlineMs - this.#time.now;
-  }
-
-  /** @returns whether the caller retries if its request is rejected */
-  get mayRetry(): boolean {
-    return this.#retries < this.request.kind.returns;
-  }
-
-  /** Counts a rejection that the caller will retry; the current timeout no longer applies. */
-  noteRejection(): void {
-    this.#retries++;
-    this.#attempts++;
-  }
-
-  /** Starts the timeout of a retry. */
-  startRetry(): void {
-    this.#startTimeout();
-  }
-
-  #startTimeout(): void {
-    const attempts = this.#attempts;
-    const { objectiveMs, pauseMs } = this.request.kind;
-    const callerTimeoutMs = Math.min(this.remainingMs, serving.streamCallerTimeoutMs(objectiveMs, pauseMs));
-    this.#time.after(callerTimeoutMs, () => {
-      if (this.#hasEnded || this.#firstEventMs !== undefined || this.#attempts !== attempts) return;
-      this.onDisconnect();
-      this.end(outcomes.RequestOutcome.Failed);
-    });
-  }
-
-  /** @returns whether the request was answered, rejected or given up */
-  get hasEnded(): boolean {
-    return this.#hasEnded;
-  }
-
-  /** @returns the mean pause between two events in milliseconds; undefined before the second event */
-  get meanPauseMs(): number | undefined {
-    return this.#events < 2 ? undefined : this.#totalPauseMs / (this.#events - 1);
-  }
-
-  /** @param pauseMs - pause before the event in milliseconds, 0 for the first event */
-  recordEvent(pauseMs: number): void {
-    this.#firstEventMs ??= this.#time.now - this.#startedAt + NETWORK_DELAY_MS;
-    this.#maxPauseMs = Math.max(this.#maxPauseMs, pauseMs);
-    this.#totalPauseMs += pauseMs;
-    this.#events++;
-  }
-
-  /**
-   * Records the outcome; calls after the first have no effect.
-   *
-   * @param outcome - how the request ended
-   */
-  end(outcome: outcomes.RequestOutcome): void {
-    if (this.#hasEnded) return;
-    this.#hasEnded = true;
-    const { kind, atMs, prompt } = this.request;
-    const beganInTime = (this.#firstEventMs ?? 0) <= kind.objectiveMs;
-    const pausedTooLong = this.#maxPauseMs > kind.pauseMs;
-    const inTime = beganInTime && !pausedTooLong;
-    const hasReturned = this.#retries > 0;
-    const ended = { kind, atMs, promptTokens: prompt.promptTokens, outcome, inTime, hasReturned };
-    this.#statistics.record({ ...ended, beganInTime, pausedTooLong });
-  }
-}
--- a/packages/experiment/src/experiment.ts
+++ b/packages/experiment/src/experiment.ts
@@ -1,6 +1,7 @@
 import * as common from "@camphorcourse/common";
 import * as serving from "@camphorcourse/serving";
 import type * as descriptions from "./description.js";
+import type * as emulatedCallers from "./emulatedCaller.js";
 import * as emulatedDaemons from "./emulatedDaemon.js";
 import * as emulatedEngines from "./emulatedEngine.js";
 import * as loads from "./load.js";
@@ -123,7 +124,7 @@
     return this.#daemons[0]?.speeds;
   }
 
-  readonly #retry = (caller: emulatedDaemons.EmulatedCaller): void => {
+  readonly #retry = (caller: emulatedCallers.EmulatedCaller): void => {
     const near = this.#daemonsNear(caller.request.kind.dataCentre);
     near[this.#retries++ % near.length]?.receiveAgain(caller);
   };
--- a/packages/experiment/src/index.ts
+++ b/packages/experiment/src/index.ts
@@ -1,5 +1,6 @@
 /** Simulations of loads with the production decision code, on emulated engines in virtual time. */
 export * from "./description.js";
+export * from "./emulatedCaller.js";
 export * from "./emulatedDaemon.js";
 export * from "./emulatedEngine.js";
 export * from "./experiment.js";
