Move streams off engines that stay slow

Cause: streams whose route allows pauses of at most 150 ms pause for longer on an engine that stays slow for seconds. They were placed elsewhere only at their start.

Change: with moves in the engine configuration, such a stream is moved once its engine has been slow without interruption for more than 700 ms, as transient slowdowns last 600 ms: the oldest with at least 500 ms left, one at a time for each source and daemon, none twice within 2 s, to an engine with room that isn't known to be slow. SlowEngines and chooseRunOffSlow decide, RunMover acts. A run may go back to a slow engine at any time; if that leaves meanwhile, until its drain time ends.

--- a/packages/gateway/src/pacing/pacing.ts
+++ b/packages/gateway/src/pacing/pacing.ts
@@ -79,6 +79,15 @@
     this.#tracker.endStream(stream);
   }
 
+  /**
+   * @param endpoint - an engine
+   * @param now - monotonic time in milliseconds
+   * @returns its latest gaps; undefined if none are known, or if this daemon is too late to judge them
+   */
+  gapsOf({ id, service }: serving.Endpoint, now: number): serving.EngineGaps | undefined {
+    return this.#isLoopLate() ? undefined : this.#tracker.gapsOf(id, this.#expectedGapMs(id, service), now);
+  }
+
   /** @param endpointId - an endpoint that is gone or has restarted */
   forget(endpointId: string): void {
     this.#tracker.forget(endpointId);
--- a/packages/gateway/src/runs/runMove.ts
+++ b/packages/gateway/src/runs/runMove.ts
@@ -63,8 +63,9 @@
   readonly destination: serving.Endpoint;
   /** Time for which the engines keep handles, in milliseconds. */
   readonly handleMs: number;
-  /** Instant until which the run may go back to its source, which leaves, in milliseconds. */
-  readonly returnBefore: number;
+  readonly reason: serving.MoveReason;
+  /** @returns instant until which the run may go back to its source, in milliseconds; infinite if the source stays */
+  readonly returnBefore: () => number;
 }
 
 /** Moves one run: makes the calls that {@link serving.RunState} decides on. */
@@ -108,7 +109,7 @@
 
   /** Begins the move. */
   start(): void {
-    this.#apply(this.#state.begin(), "leaving");
+    this.#apply(this.#state.begin(), this.#parts.reason);
   }
 
   /**
@@ -149,8 +150,11 @@
    */
   noteResumed(isReturn: boolean): void {
     this.#state.end(true);
-    this.#parts.context.metrics.count(isReturn ? "run_moves_failed" : "runs_moved");
-    this.#log(isReturn ? "returned" : "moved", undefined);
+    const { context, reason } = this.#parts;
+    const isSlow = reason === serving.MoveReason.Slow;
+    context.metrics.count(isReturn ? "run_moves_failed" : "runs_moved");
+    if (isSlow && !isReturn) context.metrics.count("runs_moved_off_slow");
+    this.#log(isReturn ? "returned" : "moved", isSlow ? reason : undefined);
   }
 
   /** The engine that got the request with the handle has broken it off before its first event, or fell silent. */
@@ -255,7 +259,7 @@
     // After a restart of the source the handle may name the run of another request.
     if (!this.#parts.context.view.directory.isSameIncarnation(source)) return "source-restarted";
     // An engine may exit at any time once its drain time is over, and must get nothing from then on.
-    return performance.now() < this.#parts.returnBefore ? undefined : "source-drained";
+    return performance.now() < this.#parts.returnBefore() ? undefined : "source-drained";
   }
 
   #break(): void {
--- a/packages/gateway/src/runs/runMover.ts
+++ b/packages/gateway/src/runs/runMover.ts
@@ -1,7 +1,7 @@
 import * as serving from "@camphorcourse/serving";
 import type * as contexts from "../context.js";
 import type * as servedRequests from "../servedRequest.js";
-import * as destinations from "./destinations.js";
+import * as runDestinations from "./destinations.js";
 import * as runCalls from "./runCalls.js";
 import * as runMoves from "./runMove.js";
 
@@ -46,7 +46,10 @@
   readonly movable: MovableRun;
 }
 
-/** Moves this daemon's runs on engines that leave to engines that stay. */
+/** What a move is for. */
+type MovePlan = Pick<runMoves.RunMoveParts, "reason" | "returnBefore"> & { readonly source: serving.Endpoint };
+
+/** Moves this daemon's runs on engines that leave to engines that stay, and off engines that stay slow. */
 export class RunMover {
   readonly #context: () => contexts.ServingContext;
   readonly #leaving = new Map<string, LeavingEngine>();
@@ -55,6 +58,9 @@
   /** Moves whose request has been sent with the handle and has brought no event yet, by request. */
   readonly #resuming = new Map<servedRequests.ServedRequest, runMoves.RunMove>();
   readonly #tries = new Map<servedRequests.ServedRequest, Tries>();
+  readonly #slowEngines = new serving.SlowEngines();
+  /** When the last move of a run off a slow engine began, in milliseconds. */
+  readonly #movedOffSlowAt = new WeakMap<servedRequests.ServedRequest, number>();
   #calls: runCalls.RunCalls | undefined;
   #timer: NodeJS.Timeout | undefined;
 
@@ -88,7 +94,9 @@
     if (!isMoved) this.#resuming.get(served)?.noteLost();
     this.#resuming.delete(served);
     if (isMoved && former !== undefined) this.#resuming.set(served, former);
-    if (this.#mayMove(run)) this.#runs.set(served, { run, move: undefined });
+    if (!this.#mayMove(run)) return;
+    this.#runs.set(served, { run, move: undefined });
+    if (isPaced(run)) this.#schedule();
   }
 
   /**
@@ -161,19 +169,24 @@
     clearTimeout(this.#timer);
     this.#timer = undefined;
     try {
-      this.#moveLeaving();
+      const isAnyLeaving = this.#moveLeaving();
+      if (this.#moveOffSlow() || isAnyLeaving) this.#schedule();
     } catch (error) {
       // Uncaught in a timer, it would end the daemon.
       this.#context().log.warn("run-move-fault", { detail: String(error) });
     }
   }
 
-  #moveLeaving(): void {
+  #schedule(): void {
+    this.#timer ??= setTimeout(() => this.#check(), CHECK_INTERVAL_MS).unref();
+  }
+
+  /** Returns whether it has to be called again. */
+  #moveLeaving(): boolean {
     const now = performance.now();
-    const drainMs = this.#context().settings.engineDrainMs ?? DEFAULT_DRAIN_MS;
     let isWaiting = false;
     for (const [id, { endpoint, since }] of this.#leaving) {
-      const leftMs = since + drainMs - now;
+      const leftMs = since + this.#drainMs - now;
       const runs = [...this.#runs.values()].filter(({ run }) => isAt(run, endpoint));
       if (leftMs <= 0) {
         this.#leaving.delete(id);
@@ -182,23 +195,79 @@
       isWaiting ||= this.#runs.size + this.#resuming.size > 0;
       this.#moveRuns(endpoint, runs, leftMs, now);
     }
-    if (isWaiting) this.#timer = setTimeout(() => this.#check(), CHECK_INTERVAL_MS).unref();
+    return isWaiting;
+  }
+
+  get #drainMs(): number {
+    return this.#context().settings.engineDrainMs ?? DEFAULT_DRAIN_MS;
   }
 
   #moveRuns(source: serving.Endpoint, runs: readonly MovableRun[], leftMs: number, now: number): void {
-    const candidates = runs.map((movable) => this.#candidate(movable, now));
+    const candidates = runs.map((movable) => {
+      const candidate = this.#candidate(movable);
+      const { count, nextAt } = this.#tries.get(movable.run.served) ?? NO_TRIES;
+      return { ...candidate, isExcluded: candidate.isExcluded || count >= MAX_TRIES || now < nextAt };
+    });
     const returnBefore = now + leftMs - RETURN_MARGIN_MS;
-    for (const candidate of serving.chooseRunsToMove(candidates, leftMs))
-      this.#move(candidate, source, returnBefore, now);
+    for (const candidate of serving.chooseRunsToMove(candidates, leftMs)) {
+      const { served } = candidate.movable.run;
+      const { count } = this.#tries.get(served) ?? NO_TRIES;
+      const plan = { source, reason: serving.MoveReason.Leaving, returnBefore: () => returnBefore };
+      const isBegun = this.#move(candidate, plan, this.#destinations(candidate, now));
+      this.#tries.set(served, { count: isBegun ? count + 1 : count, nextAt: now + RETRY_MS });
+    }
   }
 
-  #candidate(movable: MovableRun, now: number): Candidate {
+  /** Returns whether it has to be called again. */
+  #moveOffSlow(): boolean {
+    const now = performance.now();
+    const { pacing, view } = this.#context();
+    const paced = [...this.#runs.values()].filter(({ run }) => isPaced(run));
+    const sources = new Map(paced.map(({ run }) => [run.active.endpoint.id, run.active.endpoint]));
+    this.#slowEngines.removeUnseen(now);
+    for (const source of sources.values()) {
+      this.#slowEngines.note(source.id, pacing.gapsOf(source, now)?.isSlow === true, now);
+      // Runs of an engine that leaves are moved for that.
+      if (view.directory.isAvailable(source.id) && this.#slowEngines.isLasting(source.id, now))
+        this.#moveOneOff(source, now);
+    }
+    return paced.length > 0;
+  }
+
+  #moveOneOff(source: serving.Endpoint, now: number): void {
+    const isResuming = [...this.#resuming.values()].some(({ run }) => isAt(run, source));
+    if (isResuming) return;
+    const candidates = [...this.#runs.values()]
+      .filter(({ run }) => isAt(run, source))
+      .map((movable) => ({
+        ...this.#candidate(movable),
+        pauseLimitMs: movable.run.served.route.pauseMs,
+        movedAt: this.#movedOffSlowAt.get(movable.run.served),
+      }));
+    const candidate = serving.chooseRunOffSlow(candidates, now);
+    if (candidate === undefined) return;
+    const { pacing } = this.#context();
+    const usable = this.#destinations(candidate, now).filter(
+      ({ endpoint }) => pacing.gapsOf(endpoint, now)?.isSlow !== true,
+    );
+    const returnBefore = (): number => this.#slowReturnBefore(source);
+    this.#movedOffSlowAt.set(candidate.movable.run.served, now);
+    this.#move(candidate, { source, reason: serving.MoveReason.Slow, returnBefore }, usable);
+  }
+
+  /** A slow engine may take its run back at any time, unless it leaves meanwhile. */
+  #slowReturnBefore({ id }: serving.Endpoint): number {
+    if (this.#context().view.directory.isAvailable(id)) return Number.POSITIVE_INFINITY;
+    const leaving = this.#leaving.get(id);
+    return leaving === undefined ? 0 : leaving.since + this.#drainMs - RETURN_MARGIN_MS;
+  }
+
+  #candidate(movable: MovableRun): Candidate {
     const { demand, suspects } = this.#context();
     const { active, host, served } = movable.run;
     const { progress } = served;
     const { prompt } = served.caller.headers;
     const { move } = movable;
-    const { count, nextAt } = this.#tries.get(served) ?? NO_TRIES;
     return {
       movable,
       startedAt: active.sentAt,
@@ -210,36 +279,33 @@
       tokens: (prompt?.promptTokens ?? 0) + (prompt?.outputTokens ?? 0),
       isMoving: move?.isUnderWay === true,
       // The send may be over; and a request under which engines crashed is kept from others.
-      isExcluded:
-        host.active !== active ||
-        move?.mayBeStopped === true ||
-        count >= MAX_TRIES ||
-        now < nextAt ||
-        suspects.isSuspected(served),
+      isExcluded: host.active !== active || move?.mayBeStopped === true || suspects.isSuspected(served),
     };
   }
 
-  #move(candidate: Candidate, source: serving.Endpoint, returnBefore: number, now: number): void {
+  /** Returns whether a move has begun. */
+  #move(candidate: Candidate, plan: MovePlan, destinations: readonly serving.Destination[]): boolean {
     const context = this.#context();
     const { movable } = candidate;
     const { run } = movable;
-    const destination = serving.chooseDestination(candidate, source, this.#destinations(candidate, now));
+    const { source, reason, returnBefore } = plan;
+    const destination = serving.chooseDestination(candidate, source, destinations);
     const handleMs = context.view.table?.service(run.served.service)?.engine?.handleMs;
-    const { count } = this.#tries.get(run.served) ?? NO_TRIES;
-    this.#tries.set(run.served, { count: destination === undefined ? count : count + 1, nextAt: now + RETRY_MS });
     if (destination === undefined || handleMs === undefined) {
       context.log.info("run-move", { id: run.served.id, state: "stays", reason: "no-destination", source: source.id });
-      return;
+      return false;
     }
     this.#calls ??= new runCalls.RunCalls(context);
-    movable.move = new runMoves.RunMove({ context, calls: this.#calls, run, destination, handleMs, returnBefore });
+    const parts = { context, calls: this.#calls, run, destination, handleMs, reason, returnBefore };
+    movable.move = new runMoves.RunMove(parts);
     movable.move.start();
+    return true;
   }
 
   #destinations({ movable, tokens }: Candidate, now: number): serving.Destination[] {
     const moving = this.#movesUnderWay();
     const coming = (engineId: string): number => moving.filter(({ destination }) => destination.id === engineId).length;
-    return destinations.destinationsOf(this.#context(), movable.run.served, tokens, coming, now);
+    return runDestinations.destinationsOf(this.#context(), movable.run.served, tokens, coming, now);
   }
 
   #movesUnderWay(): runMoves.RunMove[] {
@@ -247,6 +313,10 @@
   }
 }
 
+function isPaced({ served }: runMoves.OwnRun): boolean {
+  return serving.isPaced(served.route.pauseMs);
+}
+
 function isAt({ active }: runMoves.OwnRun, { address, bornAt, id }: serving.Endpoint): boolean {
   const { endpoint } = active;
   return endpoint.id === id && endpoint.bornAt === bornAt && endpoint.address === address;
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -74,6 +74,7 @@
 export * from "./runs/backupPolicy.js";
 export * from "./runs/movePolicy.js";
 export * from "./runs/runState.js";
+export * from "./runs/slowMoves.js";
 export * from "./statements/restTable.js";
 export * from "./statements/restingEndpoints.js";
 export * from "./statements/sendGate.js";
--- a/packages/serving/src/runs/movePolicy.ts
+++ b/packages/serving/src/runs/movePolicy.ts
@@ -6,6 +6,14 @@
 /** Time before the deadline of a request within which a move no longer helps its caller, in milliseconds. */
 const MIN_REMAINING_MS = 300;
 
+/** Why a run is moved. */
+export enum MoveReason {
+  /** Its engine leaves. */
+  Leaving = "leaving",
+  /** Its engine stays slow. */
+  Slow = "slow",
+}
+
 /** A run of a leaving engine. */
 export interface LeavingRun {
   readonly startedAt: number;
