Order plain calls by rank and share, and answer no rank less often than a less urgent one

Cause: calls waited and were rejected by deadline alone, so that a flood of the lowest rank took the room of the others.

Change: callOrder gives a call a level from the standing that prompts have as well, under the same conditions. The queue is ordered by level first; a full queue takes a call of a lower level in place of the last one of a higher level; a call that is set back leaves half of the slots free in a shortage, and is never rejected while there is room. Shares of calls are counted by each daemon for itself, apart from prompts. Metric calls_displaced; rank and share on call-wait and call-rejected.

--- a/packages/experiment/src/callReplay.ts
+++ b/packages/experiment/src/callReplay.ts
@@ -14,6 +14,15 @@
   Aimd = "aimd",
 }
 
+/** Calls of the organisations of one rank. */
+export interface CallClass {
+  readonly organisation: string;
+  /** Rank of the organisation, 0 for the first. */
+  readonly rank: number;
+  /** Part of all calls. */
+  readonly part: number;
+}
+
 /** A fleet of daemons before the endpoints of a plain service. */
 export interface CallScenario {
   readonly policy: CallPolicy;
@@ -28,6 +37,10 @@
   readonly objectiveMs: number;
   readonly timeoutMs: number;
   readonly forMs: number;
+  /** Organisations of the callers; left out, there are none. */
+  readonly classes?: readonly CallClass[];
+  /** Whether ranks and shares decide; the organisations are known in any case. */
+  readonly isRanked?: boolean;
 }
 
 /** What became of the calls. */
@@ -42,6 +55,8 @@
   readonly rejected: number;
   /** Most requests that ran and waited in one endpoint. */
   readonly mostAtEndpoint: number;
+  /** Calls of each organisation, and those that were answered. */
+  readonly byOrganisation: ReadonlyMap<string, { readonly offered: number; readonly answered: number }>;
 }
 
 const MS_PER_SECOND = 1_000;
@@ -51,6 +66,7 @@
 const CHECK_MS = 5;
 
 interface Call {
+  readonly asking: serving.AskingRequest;
   readonly arrivedAt: number;
   readonly place: serving.CallPlace;
   readonly deadlineAt: number;
@@ -65,6 +81,8 @@
 }
 
 interface Daemon {
+  /** Ranks and shares of the calls; the counts of ranks are shared by all daemons, as heartbeats exchange them. */
+  readonly order: serving.OrganisationOrder;
   readonly loads: callViews.CallView;
   readonly health: serving.EndpointHealth;
   readonly estimates: serving.RunningEstimates;
@@ -81,6 +99,8 @@
   readonly #callers: common.SeededRandom;
   readonly #random: common.SeededRandom;
   readonly #time = new virtualTimes.VirtualTime();
+  readonly #acceptance = new serving.AcceptanceTracker();
+  readonly #byOrganisation = new Map<string, { offered: number; answered: number }>();
   readonly #reports = new serving.EngineLoadTracker();
   readonly #daemons: readonly Daemon[];
   readonly #endpoints: readonly callEndpoints.EmulatedCallEndpoint[];
@@ -98,6 +118,7 @@
       (model, index) => new callEndpoints.EmulatedCallEndpoint(`e${index}`, model, this.#time),
     );
     this.#daemons = Array.from({ length: scenario.daemons }, (_, index) => ({
+      order: this.#createOrder(),
       loads: new callViews.CallView(this.#reports, `vm-${index}`),
       health: new serving.EndpointHealth(),
       estimates: new serving.RunningEstimates(),
@@ -116,7 +137,7 @@
     }
     this.#time.run(this.#scenario.forMs + this.#scenario.timeoutMs);
     const mostAtEndpoint = Math.max(...this.#endpoints.map(({ most }) => most));
-    return { ...this.#counts, mostAtEndpoint };
+    return { ...this.#counts, mostAtEndpoint, byOrganisation: this.#byOrganisation };
   }
 
   #createLimit(slots: number): serving.ConcurrencyLimit {
@@ -125,6 +146,15 @@
     return policy === CallPolicy.Aimd ? new serving.AimdLimit(slots) : new serving.NoLimit();
   }
 
+  #createOrder(): serving.OrganisationOrder {
+    const { classes = [], isRanked = false } = this.#scenario;
+    const order = new serving.OrganisationOrder(this.#acceptance);
+    const organisations = classes.map(({ organisation, rank }) => ({ name: organisation, priority: rank }));
+    const configuration = { organisations, routes: [], services: [{ name: "s" }] } as unknown as serving.Configuration;
+    if (isRanked) order.configure(new serving.RankOrder(configuration));
+    return order;
+  }
+
   #scheduleArrival(): void {
     const { burst, forMs, requestsPerSecond } = this.#scenario;
     const { now } = this.#time;
@@ -142,7 +172,9 @@
     this.#counts.offered++;
     const { now } = this.#time;
     const { timeoutMs } = this.#scenario;
+    const asking = this.#drawAsking();
     const call: Call = {
+      asking,
       arrivedAt: now,
       deadlineAt: now + timeoutMs,
       place: { level: 0, deadlineAt: now + timeoutMs, inTimeUntil: this.#inTimeUntil(daemon) },
@@ -155,7 +187,20 @@
       if (daemon.queue.remove(call)) this.#end(call, "rejected");
       else this.#end(call, "timedOut");
     });
-    this.#choose(daemon, call, daemon.queue.countBefore(call.place, now));
+    this.#choose(daemon, call, daemon.queue.countBefore(this.#placeOf(daemon, call).place, now));
+  }
+
+  #drawAsking(): serving.AskingRequest {
+    const { classes = [] } = this.#scenario;
+    let drawn = classes.length === 0 ? 0 : this.#callers.next();
+    const chosen = classes.find(({ part }) => (drawn -= part) < 0) ?? classes.at(-1);
+    return { service: "s", route: { priority: 0 }, organisation: chosen?.organisation, session: undefined };
+  }
+
+  /** Rank and share change while a call waits, so that its place does. */
+  #placeOf(daemon: Daemon, call: Call): { readonly order: serving.CallOrder; readonly place: serving.CallPlace } {
+    const order = serving.callOrder(daemon.order.standingOf(call.asking, this.#time.now));
+    return { order, place: { ...call.place, level: order.level } };
   }
 
   #inTimeUntil(daemon: Daemon): number {
@@ -185,19 +230,24 @@
       return;
     }
     const known = this.#known(daemon, usable);
+    const { order, place } = this.#placeOf(daemon, call);
+    const displaced = daemon.queue.displacedBy(place, now);
     const decision = serving.decideCall({
       ...known,
       isLate: now > call.place.inTimeUntil,
+      isSetBack: order.isSetBack,
       ahead,
       hasWaited,
-      isQueueFull: daemon.queue.isFull,
+      isQueueFull: daemon.queue.isFull && displaced === undefined,
       isLearned: daemon.times.isLearned("s"),
       remainingMs: call.deadlineAt - now,
       draw: () => this.#random.next(),
     });
+    const isWaiting = decision.isOk() && decision.value.endpoint === undefined;
+    if (!isWaiting && call.tried.size === 0) this.#noteDecision(daemon, call, decision.isOk());
     if (decision.isErr()) this.#end(call, "rejected");
-    else if (decision.value.endpoint === undefined) this.#wait(daemon, call);
-    else this.#send(daemon, call, decision.value.endpoint);
+    else if (decision.value.endpoint !== undefined) this.#send(daemon, call, decision.value.endpoint);
+    else this.#wait(daemon, call, place, displaced);
   }
 
   /** What a daemon knows of some endpoints, from its own requests and its peers' heartbeats. */
@@ -260,9 +310,16 @@
     this.#time.after(this.#scenario.heartbeatMs, () => this.#heartbeat(daemon));
   }
 
-  #wait(daemon: Daemon, call: Call): void {
-    daemon.queue.add(call, call.place);
+  #noteDecision(daemon: Daemon, call: Call, isAccepted: boolean): void {
+    const outcome = { isAccepted, isShort: !isAccepted, isPromoted: false, engineMs: 1 };
+    daemon.order.noteDecision(call.asking, outcome, this.#time.now);
+  }
+
+  #wait(daemon: Daemon, call: Call, place: serving.CallPlace, displaced: Call | undefined): void {
+    if (displaced !== undefined) daemon.queue.remove(displaced);
+    daemon.queue.add(call, place);
     this.#scheduleCheck(daemon);
+    if (displaced !== undefined) this.#choose(daemon, displaced, 0, true);
   }
 
   #scheduleCheck(daemon: Daemon): void {
@@ -283,9 +340,10 @@
     const call = daemon.queue.inOrder(now).find(({ tried }) => !tried.has(endpoint.id));
     if (call === undefined) return;
     const { freshness, endpoints } = this.#known(daemon, [endpoint]);
-    const inputs = { freshness, isLate: now > call.place.inTimeUntil };
+    const inputs = { freshness, isLate: now > call.place.inTimeUntil, ...this.#placeOf(daemon, call).order };
     if (!endpoints.every((each) => serving.mayHandOn(each, inputs))) return;
     daemon.queue.remove(call);
+    if (call.tried.size === 0) this.#noteDecision(daemon, call, true);
     this.#send(daemon, call, endpoint);
   }
 
@@ -294,7 +352,7 @@
     for (const call of daemon.queue.inOrder(now)) {
       const untried = this.#endpoints.map(({ endpoint }) => endpoint).filter(({ id }) => !call.tried.has(id));
       const { freshness, endpoints } = this.#known(daemon, untried);
-      const inputs = { freshness, isLate: now > call.place.inTimeUntil };
+      const inputs = { freshness, isLate: now > call.place.inTimeUntil, ...this.#placeOf(daemon, call).order };
       const leastMs = Math.min(...endpoints.map(({ serviceMs }) => serviceMs));
       if (!endpoints.some((each) => serving.hasRoom(each, inputs)) && call.deadlineAt - now >= leastMs) break;
       daemon.queue.remove(call);
@@ -306,6 +364,10 @@
     if (call.isOver) return;
     call.isOver = true;
     this.#counts[outcome]++;
+    const { organisation = "" } = call.asking;
+    const counts = this.#byOrganisation.get(organisation) ?? { offered: 0, answered: 0 };
+    const answered = counts.answered + (outcome === "answered" ? 1 : 0);
+    this.#byOrganisation.set(organisation, { offered: counts.offered + 1, answered });
     const isInObjective = this.#time.now - call.arrivedAt <= this.#scenario.objectiveMs;
     if (outcome === "answered" && isInObjective) this.#counts.inObjective++;
   }
--- a/packages/gateway/src/calls/callControl.ts
+++ b/packages/gateway/src/calls/callControl.ts
@@ -11,6 +11,8 @@
   readonly arrivedAt: number;
   readonly deadlineAt: number;
   readonly objectiveMs: number;
+  /** Its place by rank and share. */
+  readonly order: serving.CallOrder;
   /** @returns the endpoints that it may be sent to */
   candidates(): readonly serving.Endpoint[];
   /**
@@ -22,7 +24,12 @@
 }
 
 /** A request that is decided on. */
-export interface DecidedCall extends Pick<WaitingCall, "service" | "arrivedAt" | "deadlineAt" | "objectiveMs"> {
+export interface DecidedCall extends Pick<
+  WaitingCall,
+  "service" | "arrivedAt" | "deadlineAt" | "objectiveMs" | "order"
+> {
+  /** What its order is based on, for the log. */
+  readonly standing: decisionLogs.LogFields;
   readonly id: string;
   /** Whether it has waited, and is the next one. */
   readonly isNext: boolean;
@@ -128,7 +135,7 @@
     const { freshness, endpoints: all } = this.#known(ready, call.objectiveMs, now);
     const endpoints = serving.preferOwnRegion(this.#parts.distances, all);
     const place = this.#placeOf(call, all);
-    const room = { freshness, isLate: now > place.inTimeUntil };
+    const room = { freshness, isLate: now > place.inTimeUntil, isSetBack: call.order.isSetBack };
     const freed = all.find(({ endpoint }) => endpoint.id === call.freed?.id);
     const freedMs = freed === undefined ? Infinity : serving.predictCallMs(freed);
     if (freed !== undefined && serving.mayHandOn(freed, room) && freedMs <= call.deadlineAt - now)
@@ -139,7 +146,7 @@
       endpoints: endpoints.map((each) => ({ ...each, isLimited: isLimited(each.endpoint) })),
       ahead: call.isNext ? 0 : (queue?.countBefore(place, now) ?? 0),
       hasWaited: call.isNext,
-      isQueueFull: queue?.isFull ?? false,
+      isQueueFull: queue !== undefined && queue.isFull && queue.displacedBy(place, now) === undefined,
       isLearned: this.#times.isLearned(call.service),
       remainingMs: call.deadlineAt - now,
       draw,
@@ -159,9 +166,16 @@
   wait(call: WaitingCall): void {
     const queue = this.#queues.get(call.service) ?? new serving.CallQueue<WaitingCall>();
     this.#queues.set(call.service, queue);
-    const { endpoints } = this.#known(call.candidates(), call.objectiveMs, performance.now());
-    queue.add(call, this.#placeOf(call, endpoints));
+    const now = performance.now();
+    const { endpoints } = this.#known(call.candidates(), call.objectiveMs, now);
+    const place = this.#placeOf(call, endpoints);
+    const displaced = queue.displacedBy(place, now);
+    if (displaced !== undefined) queue.remove(displaced);
+    queue.add(call, place);
     this.#scheduleCheck();
+    if (displaced === undefined) return;
+    this.#parts.metrics.count("calls_displaced");
+    displaced.resumeCall();
   }
 
   /** @param call - a request that is over */
@@ -233,10 +247,10 @@
   }
 
   #placeOf(
-    call: Pick<WaitingCall, "arrivedAt" | "deadlineAt" | "objectiveMs">,
+    call: Pick<WaitingCall, "arrivedAt" | "deadlineAt" | "objectiveMs" | "order">,
     endpoints: KnownEndpoints["endpoints"],
   ): serving.CallPlace {
-    return { level: 0, deadlineAt: call.deadlineAt, inTimeUntil: serving.inTimeUntil(call, endpoints) };
+    return { level: call.order.level, deadlineAt: call.deadlineAt, inTimeUntil: serving.inTimeUntil(call, endpoints) };
   }
 
   /** An endpoint that states other slots has another capacity, and its limit is learned anew. */
@@ -260,7 +274,7 @@
     const next = queue?.inOrder(now).find((call) => call.candidates().some(({ id }) => id === endpoint.id));
     if (next === undefined) return;
     const { freshness, endpoints } = this.#known([endpoint], next.objectiveMs, now);
-    const room = { freshness, isLate: now > this.#placeOf(next, endpoints).inTimeUntil };
+    const room = { freshness, isLate: now > this.#placeOf(next, endpoints).inTimeUntil, ...next.order };
     if (!endpoints.every((each) => serving.mayHandOn(each, room))) return;
     this.#resume(next, endpoint);
     this.#dropIfEmpty(endpoint.service);
@@ -282,7 +296,7 @@
     for (const call of queue?.inOrder(performance.now()) ?? []) {
       const now = performance.now();
       const { freshness, endpoints } = this.#known(call.candidates(), call.objectiveMs, now);
-      const room = { freshness, isLate: now > this.#placeOf(call, endpoints).inTimeUntil };
+      const room = { freshness, isLate: now > this.#placeOf(call, endpoints).inTimeUntil, ...call.order };
       const leastMs = Math.min(...endpoints.map(({ serviceMs, networkMs }) => serviceMs + networkMs));
       const hasRoom = endpoints.some((each) => serving.hasRoom(each, room));
       if (!hasRoom && call.deadlineAt - now >= leastMs) break;
@@ -314,6 +328,7 @@
     this.#parts.log.info(event, {
       id: call.id,
       service: call.service,
+      ...call.standing,
       endpoints: endpoints.length,
       limit: sumOf(({ limit }) => limit),
       running: Math.round(sumOf(({ running }) => running)),
--- a/packages/gateway/src/fairness/fairness.ts
+++ b/packages/gateway/src/fairness/fairness.ts
@@ -45,6 +45,11 @@
 export class Fairness {
   readonly #parts: FairnessParts;
   readonly #order: serving.OrganisationOrder;
+  /**
+   * Calls of plain services, counted apart from prompts: a shortage of plain endpoints says nothing of the engines. Shares
+   * are those of this daemon's callers; the counts of ranks are exchanged with those of prompts.
+   */
+  readonly #calls: serving.OrganisationOrder;
   /** When each audience last got the shares. */
   readonly #reportedAt = new Map<workDeltas.Audience, number>();
   /** Rejected sessions that an audience hasn't got yet. */
@@ -55,6 +60,7 @@
   constructor(parts: FairnessParts) {
     this.#parts = parts;
     this.#order = new serving.OrganisationOrder(parts.acceptance);
+    this.#calls = new serving.OrganisationOrder(parts.acceptance);
   }
 
   /**
@@ -79,6 +85,28 @@
     return this.#isConfigured ? this.#order.standingOf(askingOf(asking), now) : undefined;
   }
 
+  /**
+   * @param asking - a call of a plain service
+   * @param now - current instant in milliseconds
+   * @returns how it stands among the other calls; undefined where neither ranks nor shares decide
+   */
+  callStandingOf(asking: Asking, now: number): serving.Standing | undefined {
+    return this.#isConfigured ? this.#calls.standingOf(callOf(asking), now) : undefined;
+  }
+
+  /**
+   * Counts a call of a plain service that was sent or rejected. All calls count alike, as their work isn't known before.
+   *
+   * @param asking - the call
+   * @param isAccepted - whether it was sent
+   * @param now - current instant in milliseconds
+   */
+  noteCall(asking: Asking, isAccepted: boolean, now: number): void {
+    if (!this.#isConfigured) return;
+    const outcome = { isAccepted, isShort: !isAccepted, isPromoted: false, engineMs: 1 };
+    this.#calls.noteDecision(callOf(asking), outcome, now);
+  }
+
   /**
    * Counts a decided admission.
    *
@@ -163,12 +191,19 @@
     const { table } = this.#parts.view;
     if (table !== undefined && table !== this.#table) {
       this.#table = table;
-      this.#order.configure(new serving.RankOrder(table.configuration));
+      const ranks = new serving.RankOrder(table.configuration);
+      this.#order.configure(ranks);
+      this.#calls.configure(ranks);
     }
     return this.#order.isConfigured;
   }
 }
 
+/** Calls have no sessions. */
+function callOf({ access, route, service }: Asking): serving.AskingRequest {
+  return { service, route, organisation: access.organisation?.name, session: undefined };
+}
+
 function askingOf({ access, caller, route, service }: Asking): serving.AskingRequest {
   const organisation = access.organisation?.name;
   const part = caller.headers.prompt?.parts.at(-1)?.id;
--- a/packages/gateway/src/fairness/promptAdmission.ts
+++ b/packages/gateway/src/fairness/promptAdmission.ts
@@ -10,6 +10,25 @@
   readonly fields: decisionLogs.LogFields;
 }
 
+/**
+ * @param served - a call of a plain service
+ * @param standing - how it stands among the others; undefined where neither ranks nor shares decide
+ * @returns what its order is based on, for the log
+ */
+export function callFields(
+  served: servedRequests.ServedRequest,
+  standing: serving.Standing | undefined,
+): decisionLogs.LogFields {
+  if (standing === undefined) return {};
+  return {
+    organisation: served.access.organisation?.name,
+    rank: standing.rank,
+    share: standing.share.ofFairShare.toFixed(2),
+    isShortage: standing.share.isShortage,
+    balance: standing.balance,
+  };
+}
+
 /**
  * Accepts or rejects a placed prompt: by rank, share and size where the configuration's organisations call for it,
  * otherwise by size alone. The outcome is counted.
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -153,6 +153,12 @@
     return this.#parts.served.caller.arrivedAt;
   }
 
+  /** {@inheritDoc callControls.WaitingCall.order} */
+  get order(): serving.CallOrder {
+    const { context, served } = this.#parts;
+    return serving.callOrder(context.fairness.callStandingOf(served, performance.now()));
+  }
+
   /** {@inheritDoc callControls.WaitingCall.deadlineAt} */
   get deadlineAt(): number {
     return this.#parts.served.deadlineAt;
--- a/packages/gateway/src/sendChooser.ts
+++ b/packages/gateway/src/sendChooser.ts
@@ -237,9 +237,17 @@
     const { id, service, deadlineAt, route } = this.#served;
     const { objectiveMs } = route;
     const { arrivedAt } = this.#served.caller;
-    const call = { id, service, arrivedAt, deadlineAt, objectiveMs, isNext: this.#isNextInQueue, freed: this.#freed };
+    const now = performance.now();
+    const { calls, fairness } = this.#context;
+    const known = fairness.callStandingOf(this.#served, now);
+    const times = { arrivedAt, deadlineAt, objectiveMs };
+    const place = { order: serving.callOrder(known), standing: promptAdmissions.callFields(this.#served, known) };
+    const call = { id, service, ...times, ...place, isNext: this.#isNextInQueue, freed: this.#freed };
+    const chosen = calls.choose(call, ready);
+    const isDecided = chosen.isOk() || chosen.error.waitsForRoom !== true;
+    if (isDecided && this.#served.sends === 0) fairness.noteCall(this.#served, chosen.isOk(), now);
     // No time to the first event is predicted: silence is judged by the route's objective, as for all plain calls.
-    return this.#context.calls.choose(call, ready).andThen(({ endpoint }) => answeringAt(endpoint));
+    return chosen.andThen(({ endpoint }) => answeringAt(endpoint));
   }
 
   #chooseEngine(
--- a/packages/serving/src/calls/callDecision.ts
+++ b/packages/serving/src/calls/callDecision.ts
@@ -27,6 +27,8 @@
   readonly hasWaited: boolean;
   /** Whether it has waited for so long that its answer is no longer expected within its objective. */
   readonly isLate?: boolean;
+  /** Whether its rank or its organisation's share sets it back while calls are rejected. */
+  readonly isSetBack?: boolean;
   /** Part of the peers' reported requests that still run, from 0 to 1; 1 if left out. */
   readonly freshness?: number;
   /** Whether no further request may wait. */
@@ -87,8 +89,8 @@
 const STALE_SPREAD = 0.5;
 
 /**
- * Part of the slots that requests leave free that can no longer be answered within their objective. What waits in other
- * daemons isn't known here, and can still be in time.
+ * Part of the slots that requests leave free that can no longer be answered within their objective, or that are set back.
+ * What waits in other daemons isn't known here, and can still be in time or of a more urgent rank.
  */
 const LATE_ROOM = 0.5;
 
@@ -128,7 +130,7 @@
 }
 
 /** What room at an endpoint depends on, besides the endpoint. */
-export type RoomInputs = Pick<CallInputs<unknown>, "isLate" | "freshness">;
+export type RoomInputs = Pick<CallInputs<unknown>, "isLate" | "isSetBack" | "freshness">;
 
 /**
  * @param endpoint - an endpoint
@@ -160,8 +162,11 @@
   return endpoint.running < Math.max(endpoint.limit, endpoint.slots) - keptFree(endpoint, inputs);
 }
 
-function keptFree({ slots }: Pick<CallEndpoint<unknown>, "slots">, { isLate, freshness = 1 }: RoomInputs): number {
-  return isLate === true ? LATE_ROOM * slots * freshness : 0;
+function keptFree(
+  { slots }: Pick<CallEndpoint<unknown>, "slots">,
+  { isLate, isSetBack, freshness = 1 }: RoomInputs,
+): number {
+  return isLate === true || isSetBack === true ? LATE_ROOM * slots * freshness : 0;
 }
 
 /**
@@ -201,6 +206,8 @@
   const predictedMs = waitMs + Math.min(...endpoints.map(({ serviceMs, networkMs }) => serviceMs + networkMs));
   const isTooLate = (isLearned || inputs.hasWaited) && predictedMs > remainingMs;
   if (!isTooLate && !isQueueFull) return neverthrow.ok({ endpoint: undefined, predictedMs });
+  // Rejections while there is room would count as a shortage, which would then never end.
+  if (inputs.isSetBack === true) return decideCall({ ...inputs, isSetBack: false });
   const baseMs = Math.max(RETRY_AFTER_MS.min, Math.min(RETRY_AFTER_MS.max, waitMs));
   return neverthrow.err({ predictedMs, retryAfterMs: baseMs * (1 + inputs.draw() * RETRY_JITTER) });
 }
--- a/packages/serving/src/calls/callQueue.ts
+++ b/packages/serving/src/calls/callQueue.ts
@@ -42,6 +42,19 @@
     return this.#entries.filter((entry) => compare(entry, place, now) <= 0).length;
   }
 
+  /**
+   * Tells which request gives way to a further one, so that a flood of a low rank doesn't fill the queue for all.
+   *
+   * @param place - place of a request that isn't in the queue
+   * @param now - current instant in milliseconds
+   * @returns the last request, if the queue is full and that one is of a higher level; otherwise undefined
+   */
+  displacedBy(place: CallPlace, now: number): Call | undefined {
+    if (!this.isFull) return undefined;
+    const last = this.#entries.toSorted((left, right) => compare(left, right, now)).at(-1);
+    return last !== undefined && last.level > place.level ? last.call : undefined;
+  }
+
   /**
    * @param call - a request that is not in the queue
    * @param place - its place
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -39,6 +39,7 @@
 export * from "./limits/limitedWait.js";
 export * from "./limits/requestLimit.js";
 export * from "./limits/sendAllowance.js";
+export * from "./fairness/callOrder.js";
 export * from "./fairness/engineTime.js";
 export * from "./fairness/engineTimeShares.js";
 export * from "./fairness/fairAdmission.js";
--- a/packages/serving/tests/callDecision.test.ts
+++ b/packages/serving/tests/callDecision.test.ts
@@ -127,6 +127,14 @@
   assert.is(accepted(decide([used], { hasWaited: true, isLate: true })).endpoint, undefined);
 });
 
+// Calls that are set back leave slots free for others; rejected while there is room, they would keep up the shortage.
+suite("a call that is set back leaves slots free, and is sent before it would be rejected", () => {
+  const used = known("used", { running: 3 });
+  assert.is(accepted(decide([used], { isSetBack: true })).endpoint, undefined);
+  assert.is(accepted(decide([used], { isSetBack: true, remainingMs: 10 })).endpoint, "used");
+  assert.ok(decide([known("full", { running: 6 })], { isSetBack: true, remainingMs: 10 }).isErr());
+});
+
 suite("a call is in time as long as two service times are left, and always where the work takes as long", () => {
   const endpoints = [known("slow", { serviceMs: 90 }), known("quick", { serviceMs: 40, networkMs: 2 })];
   assert.is(serving.inTimeUntil({ arrivedAt: 1_000, objectiveMs: 120 }, endpoints), 1_038);
