Move the waits for stated limits and rests out of the request forwarder

Change: sends/statedWait.ts decides whether a request waits for a rest or a limit. No change of behaviour.

--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -12,6 +12,7 @@
 import * as prefillReceivers from "./prefillReceiver.js";
 import * as sendChoosers from "./sendChooser.js";
 import * as plannedSends from "./sends/plannedSend.js";
+import * as statedWaits from "./sends/statedWait.js";
 
 const NOT_FOUND = 404;
 const BAD_GATEWAY = 502;
@@ -97,53 +98,11 @@
     const { reason, retryAfterMs, isFinal, limited, restMs, waitsForRoom } = rejection;
     if (isFinal === true) this.#parts.end.rejectForGood(reason);
     else if (waitsForRoom === true) this.#parts.context.calls.wait(this);
-    else if (restMs !== undefined) this.#waitForRest(restMs);
-    else if (limited !== undefined) this.#waitForLimit(limited);
+    else if (restMs !== undefined) statedWaits.waitForRest(restMs, this.#parts, this, this.#isResumed);
+    else if (limited !== undefined) statedWaits.waitForLimit(limited, this.#parts, this, this.#isResumed);
     else this.#parts.end.reject(reason, retryAfterMs);
   }
 
-  #waitForRest(restMs: number): void {
-    const { context, end, served } = this.#parts;
-    const { arrivedAt } = served.caller;
-    const { remainingMs, route } = served;
-    const elapsedMs = performance.now() - arrivedAt;
-    const inputs = { restMs, remainingMs, elapsedMs, route, draw: context.random.next() };
-    const decision = serving.decideRestWait(inputs);
-    context.log.info("rest-wait", {
-      id: served.id,
-      service: served.service,
-      restMs: Math.round(restMs),
-      elapsedMs: Math.round(elapsedMs),
-      returnAfterMs: decision.isErr() ? Math.round(decision.error.retryAfterMs) : undefined,
-    });
-    if (decision.isErr()) end.reject("endpoints-resting", decision.error.retryAfterMs);
-    else context.limits.waiting.add(served.service, this, this.#isResumed);
-  }
-
-  #waitForLimit(limited: serving.LimitedEndpoints): void {
-    const { context, end, served } = this.#parts;
-    const { waiting } = context.limits;
-    const elapsedMs = performance.now() - served.caller.arrivedAt;
-    const ahead = this.#isResumed ? 0 : waiting.count(served.service);
-    const decision = serving.decideLimitedWait({
-      ...limited,
-      ahead,
-      maxWaitMs: serving.longestLimitedWaitMs(served.route, served.remainingMs, elapsedMs),
-      draw: context.random.next(),
-    });
-    context.log.info("limited-wait", {
-      id: served.id,
-      service: served.service,
-      readyInMs: Math.round(limited.readyInMs),
-      ahead,
-      ownRate: limited.ownRatePerSecond.toFixed(2),
-      waitMs: decision.isOk() ? Math.round(decision.value) : undefined,
-      returnAfterMs: decision.isErr() ? Math.round(decision.error.retryAfterMs) : undefined,
-    });
-    if (decision.isErr()) end.reject("endpoints-limited", decision.error.retryAfterMs);
-    else waiting.add(served.service, this, this.#isResumed);
-  }
-
   /** {@inheritDoc callControls.WaitingCall.service} */
   get service(): string {
     return this.#parts.served.service;
