--- a/packages/serving/src/calls/callDecision.ts
+++ b/packages/serving/src/calls/callDecision.ts
@@ -73,15 +73,13 @@
 
 /**
  * Freshness below which an endpoint's limit is not applied: more than half of the reported requests have ended, and requests
- * would wait before free slots until the next heartbeats. In the replay of 69 daemons with heartbeats of 925 ms, 0.80 of the
- * calls were answered with a bound of 0.3 and 0.85 with 0.5.
+ * would wait before free slots until the next heartbeats.
  */
 const MIN_FRESHNESS = 0.5;
 
 /**
  * Part of the limit by which requests may exceed it for each part of the reported requests that has ended. An estimate that
- * is too high leaves slots empty; in the replay of 69 daemons with heartbeats of 60 ms, 0.01 fewer calls were answered
- * with a value of 1.
+ * is too high leaves slots empty, which costs more answers than one that is too low.
  */
 const UNCERTAINTY_ROOM = 2;
 
--- a/packages/serving/src/calls/runningEstimates.ts
+++ b/packages/serving/src/calls/runningEstimates.ts
@@ -19,8 +19,8 @@
 }
 
 /**
- * Time constant of an endpoint's mean, in milliseconds: four heartbeats of a large fleet. With 2,000 ms, the daemons of the
- * replay still all turned to the same endpoint for some heartbeats.
+ * Time constant of an endpoint's mean, in milliseconds: four heartbeats of a large fleet. A shorter one lets all daemons
+ * turn to the same endpoint for some heartbeats.
  */
 const MEAN_MS = 4_000;
 
