Log why an answer that had begun was aborted, and how late the process was when an endpoint counts as silent

Cause: after the fact nothing told which decision ended a stream, after how many events, under which configuration it had begun, whether anything had been heard from other endpoints, and whether the process itself had stood still. Change: the line answer-aborted and its counter; endpoint-silent and send-failed carry the delay of the event loop, endpoint-silent the events and the configurations as well.

--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -80,4 +80,6 @@
   onMisdirected(endpoint: serving.Endpoint, answeredBy: string | undefined): void;
   /** @returns upper bound of the number of live daemons, including this one */
   liveDaemons(): number;
+  /** @returns delay of the event loop, in milliseconds */
+  lateMs(): number;
 }
--- a/packages/gateway/src/requestEnd.ts
+++ b/packages/gateway/src/requestEnd.ts
@@ -138,11 +138,32 @@
    */
   fail(status: number, reason: string, detail: string, headers: readonly string[] = []): void {
     if (this.#over) return;
-    if (this.#answer.state === callerAnswers.AnswerState.Streaming) this.#answer.abort();
+    if (this.#answer.state === callerAnswers.AnswerState.Streaming) this.#abort(reason, detail);
     else this.#answer.refuse(status, detail, headers);
     this.#finish(reason, status);
   }
 
+  #abort(reason: string, detail: string): void {
+    const { client, log, metrics, view } = this.#context;
+    const { acceptedUnder, id, progress, service, triedEndpoints } = this.#served;
+    const heardAt = client.lastReceivedFromAnyAt;
+    metrics.count("answers_aborted");
+    log.warn("answer-aborted", {
+      id,
+      reason,
+      detail,
+      service,
+      endpoints: triedEndpoints.join(" "),
+      events: progress.events,
+      after: progress.lastEventId,
+      anyHeardMs: heardAt === 0 ? undefined : Math.round(performance.now() - heardAt),
+      loopLateMs: Math.round(this.#context.lateMs()),
+      acceptedUnder,
+      configuration: view.configurationRevision,
+    });
+    this.#answer.abort();
+  }
+
   #finish(outcome: string, status: number): void {
     this.#logEnd(outcome, status);
     this.#over = true;
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -251,12 +251,16 @@
     });
   }
 
-  /** Ages of the last data from the endpoint and from any: only together they tell a failed endpoint from a lost link. */
+  /**
+   * Ages of the last data from the endpoint and from any, and the delay of the event loop: only together they tell a failed
+   * endpoint from a lost link and from a paused process.
+   */
   #silenceFields({ endpoint }: activeSends.ActiveSend): decisionLogs.LogFields {
     const { client } = this.#parts.context;
     return {
       endpointHeardMs: ageMs(client.lastReceivedAt(endpoint.id)),
       anyHeardMs: ageMs(client.lastReceivedFromAnyAt),
+      loopLateMs: Math.round(this.#parts.context.lateMs()),
     };
   }
 
@@ -397,6 +401,9 @@
       silentMs: Math.round(silentMs),
       step,
       ...this.#silenceFields(active),
+      events: served.progress.events,
+      acceptedUnder: served.acceptedUnder,
+      configuration: context.view.configurationRevision,
     });
     if (!isPrefill) served.noteMayHaveRun();
     feedback.recordResult(active, serving.SendResult.Silent);
--- a/packages/gateway/src/requests/servingContext.ts
+++ b/packages/gateway/src/requests/servingContext.ts
@@ -51,6 +51,7 @@
   const shared = { log, metrics, view };
   const context: contexts.ServingContext = {
     ...given,
+    lateMs,
     ...learned,
     fairness: new fairnessModule.Fairness({ ...shared, ...learned, distances }),
     loads,
--- a/packages/gateway/src/servedRequest.ts
+++ b/packages/gateway/src/servedRequest.ts
@@ -15,6 +15,7 @@
   readonly #progress = new streamProgresses.StreamProgress();
   readonly #deadlineAt: number;
   readonly #triedEndpoints = new Set<string>();
+  readonly #acceptedUnder: number;
   #route: serving.Route;
   #service = "";
   #fingerprints: serving.Fingerprints | undefined;
@@ -48,6 +49,7 @@
     this.#route = route;
     this.#body = body;
     this.#access = access;
+    this.#acceptedUnder = context.view.configurationRevision;
     const timeoutMs = Math.min(caller.headers.deadlineMs ?? route.timeoutMs, route.timeoutMs);
     this.#deadlineAt = caller.arrivedAt + timeoutMs;
   }
@@ -108,6 +110,16 @@
     return this.#service;
   }
 
+  /** @returns revision of the configuration under which the request was accepted */
+  get acceptedUnder(): number {
+    return this.#acceptedUnder;
+  }
+
+  /** @returns the endpoints marked as tried, in the order of the sends */
+  get triedEndpoints(): readonly string[] {
+    return [...this.#triedEndpoints];
+  }
+
   /** @returns number of sends that count towards the route's attempts */
   get sends(): number {
     return this.#sends;
--- a/packages/gateway/tests/exchange.test.ts
+++ b/packages/gateway/tests/exchange.test.ts
@@ -136,4 +136,18 @@
   }
 });
 
+// Guards against an aborted answer whose cause no log tells.
+suite("the log of an aborted answer names the decision, the endpoints, the events and the configurations", () => {
+  const harness = startedExchange(Stream, [Decode]);
+  const { endpoint, receiver } = harness.send(0);
+  assert.ok(receiver.onHead(200, { sealed: "yes" }));
+  receiver.onData(Buffer.from("id: 7\ndata: a\n\n"));
+  receiver.onBroken(serving.SendOutcome.Unknown, "reset");
+  assert.is(harness.answer.aborts, 1);
+  const [line = ""] = harness.linesOf("answer-aborted");
+  assert.match(line, new RegExp(`reason=endpoint-failed .*endpoints=${endpoint.id} events=1 after=7 .*loopLateMs=0`));
+  assert.match(line, /acceptedUnder=1 configuration=1/);
+  assert.match(harness.metricsText, /answers_aborted 1/);
+});
+
 suite.run();
--- a/packages/gateway/tests/helpers/exchangeHarness.ts
+++ b/packages/gateway/tests/helpers/exchangeHarness.ts
@@ -315,6 +315,7 @@
       onMisdirected: () => undefined,
       countUsage: () => undefined,
       liveDaemons: () => 1,
+      lateMs: () => 0,
     };
     const prompt = engine === undefined ? undefined : PROMPT;
     const headers = {
@@ -412,14 +413,22 @@
     return this.#context.metrics.text({});
   }
 
+  /**
+   * @param event - name of an event
+   * @returns its log lines
+   */
+  linesOf(event: string): string[] {
+    return this.#lines.filter((line) => line.includes(`event=${event} `));
+  }
+
   /** @returns the log lines of the sends */
   get sendLines(): string[] {
-    return this.#lines.filter((line) => line.includes("event=send "));
+    return this.linesOf("send");
   }
 
   /** @returns the request-end log lines */
   get endLines(): string[] {
-    return this.#lines.filter((line) => line.includes("event=request-end"));
+    return this.linesOf("request-end");
   }
 
   /**
