Keep the send to a silent endpoint until another one has brought a part of the answer

What callers see: a stream is aborted in the middle although its endpoint goes on a moment later, several at once on several endpoints when a link or a VM stands still for a second. Cause: a send was cancelled as soon as any untried endpoint was listed. Whether that one might be sent to, took the request and answered was found out afterwards, and each refusal or failure ended the stream (break before make). Change: a second endpoint is chosen first, with a retry of the budget; both sends go on, and the first that brings an event, a handle or a whole answer goes on alone; the other one is cancelled. A rejection or a failure ends the request only if no other send is in flight whose endpoint isn't known to have ended. The silent endpoint is marked at once only while others are heard, otherwise once the second one has brought something. The copy of a run at a backup is kept until then. Why it works: nothing that may still answer is given up; each event is forwarded once, as the sends are settled before an event is written. Two runs at a time are bounded by the attempts and the retry budget as before.

--- a/packages/gateway/src/answerBody.ts
+++ b/packages/gateway/src/answerBody.ts
@@ -79,6 +79,7 @@
     }
     if (failed) {
       served.noteMayHaveRun();
+      if (results.isAnswerAwaited) return;
       const step = served.decideNextStep(serving.SendOutcome.Unknown);
       if (step === serving.NextStep.SendAgain) {
         results.sendNext();
@@ -148,7 +149,8 @@
   }
 
   #onEvent(event: eventSplitters.StreamEvent): void {
-    const { active, answer, context, feedback, handover, served } = this.#send;
+    const { active, answer, context, feedback, handover, results, served } = this.#send;
+    results.settle(active);
     if (active.finishPrefill()) feedback.learnPrefillTime(active);
     else if (active.markFirstEvent()) {
       if (active.resume === undefined) feedback.learnHandover(active);
--- a/packages/gateway/src/exchangeParts.ts
+++ b/packages/gateway/src/exchangeParts.ts
@@ -42,6 +42,14 @@
    * @param detail - what went wrong
    */
   broken(active: activeSends.ActiveSend, outcome: serving.SendOutcome, detail: string): void;
+  /**
+   * Cancels the other sends of the request, as one has brought a part of the answer.
+   *
+   * @param active - that send
+   */
+  settle(active: activeSends.ActiveSend): void;
+  /** Whether a send is in flight whose endpoint isn't known to have ended: the answer may still come from there. */
+  readonly isAnswerAwaited: boolean;
   /** Continues the request with another send. */
   sendNext(): void;
 }
--- a/packages/gateway/src/prefillReceiver.ts
+++ b/packages/gateway/src/prefillReceiver.ts
@@ -34,9 +34,10 @@
   /** {@inheritDoc sendings.AnswerReceiver.onEnd} */
   onEnd(): void {
     const { active, results, context, served, handover, feedback } = this.#send;
-    if (!results.end(active)) return;
     const body = Buffer.concat(this.#chunks);
     const result = this.#status === HTTP_OK ? context.format.readHandle(body) : undefined;
+    if (result?.isOk() === true) results.settle(active);
+    if (!results.end(active)) return;
     if (result?.isOk() === true) {
       feedback.recordResult(active, serving.SendResult.Good);
       feedback.learnPrefillTime(active);
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -4,13 +4,14 @@
 import * as answerReceivers from "./answerReceiver.js";
 import type * as callControls from "./calls/callControl.js";
 import type * as decisionLogs from "./decisionLog.js";
-import type * as ports from "./ports.js";
 import type * as sendings from "./sending.js";
 import type * as exchangeParts from "./exchangeParts.js";
 import type * as waitingRequests from "./limits/waitingRequests.js";
 import type * as ownRuns from "./runs/ownRuns.js";
 import * as prefillReceivers from "./prefillReceiver.js";
 import * as sendChoosers from "./sendChooser.js";
+import * as hedgedSends from "./sends/hedgedSends.js";
+import * as outgoingMessages from "./sends/outgoingMessage.js";
 import * as plannedSends from "./sends/plannedSend.js";
 import * as statedWaits from "./sends/statedWait.js";
 
@@ -18,13 +19,16 @@
 const BAD_GATEWAY = 502;
 const GATEWAY_TIMEOUT = 504;
 
+/** Step in the log after a failed send while another one of the request is in flight. */
+const ANOTHER_AWAITED = "another-awaited";
+
 /** Forwards one request to endpoints, one send after the other, until one gives its final answer. */
 export class RequestForwarder
   implements exchangeParts.SendResultHandler, waitingRequests.WaitingRequest, callControls.WaitingCall, ownRuns.RunHost
 {
   readonly #parts: exchangeParts.ExchangeParts;
   readonly #chooser: sendChoosers.SendChooser;
-  #active: activeSends.ActiveSend | undefined;
+  readonly #sends: hedgedSends.HedgedSends;
   /** Whether the request has waited for an endpoint that it may get to now, and is being sent. */
   #isResumed = false;
 
@@ -32,11 +36,12 @@
   constructor(parts: exchangeParts.ExchangeParts) {
     this.#parts = parts;
     this.#chooser = new sendChoosers.SendChooser(parts.context, parts.served);
+    this.#sends = new hedgedSends.HedgedSends(parts);
   }
 
   /** {@inheritDoc ownRuns.RunHost.active} */
   get active(): activeSends.ActiveSend | undefined {
-    return this.#active;
+    return this.#sends.latest;
   }
 
   /**
@@ -50,18 +55,21 @@
   }
 
   #guard(send: () => void): void {
-    const { context, end, served } = this.#parts;
     try {
       send();
     } catch (error) {
-      const { message, stack } = error as Error;
-      context.log.warn("request-fault", { id: served.id, detail: message, stack });
-      if (this.#active?.wasDispatched === true && this.#active.stage === plannedSends.Stage.Answering)
-        served.noteMayHaveRun();
-      end.reject("request-fault");
+      this.#logFault(error as Error);
+      const { active } = this;
+      if (active?.wasDispatched === true && active.stage === plannedSends.Stage.Answering)
+        this.#parts.served.noteMayHaveRun();
+      this.#parts.end.reject("request-fault");
     }
   }
 
+  #logFault({ message, stack }: Error): void {
+    this.#parts.context.log.warn("request-fault", { id: this.#parts.served.id, detail: message, stack });
+  }
+
   #chooseAndSend(): void {
     const { end, handover, served } = this.#parts;
     if (end.over) return;
@@ -153,29 +161,58 @@
 
   /** {@inheritDoc exchangeParts.SendResultHandler.end} */
   end(active: activeSends.ActiveSend): boolean {
-    if (this.#active !== active) return false;
-    this.#active = undefined;
-    active.release();
-    return !this.#parts.end.over;
+    return this.#sends.end(active) && !this.#parts.end.over;
+  }
+
+  /** {@inheritDoc exchangeParts.SendResultHandler.settle} */
+  settle(active: activeSends.ActiveSend): void {
+    const { context, served } = this.#parts;
+    const losers = this.#sends.settle(active);
+    if (losers.length === 0 || active.stage !== plannedSends.Stage.Answering) return;
+    // The copy at a backup is that of the first run.
+    if (losers.some(({ sentAt }) => sentAt < active.sentAt)) context.backups.noteOver(served);
+    context.runs.noteRunning({ active, served, host: this });
+  }
+
+  /** {@inheritDoc exchangeParts.SendResultHandler.isAnswerAwaited} */
+  get isAnswerAwaited(): boolean {
+    return this.#sends.isAnyAlive;
   }
 
   /** {@inheritDoc exchangeParts.SendResultHandler.failed} */
   failed(active: activeSends.ActiveSend, outcome: serving.SendOutcome, detail: string): void {
-    const { context, end, feedback, handover, served } = this.#parts;
+    const { end, feedback, handover, served } = this.#parts;
     const declined = outcome === serving.SendOutcome.Declined;
     if (outcome !== serving.SendOutcome.Withheld)
       feedback.recordResult(active, declined ? serving.SendResult.Declined : serving.SendResult.Failed);
     this.#countFailed(active, outcome);
+    if (outcome === serving.SendOutcome.Unknown) served.noteMayHaveRun();
+    if (this.isAnswerAwaited) {
+      // The endpoint of another send may still take the handle over, so that it isn't freed.
+      if (outcome !== serving.SendOutcome.NotSent) handover.markTaken();
+      this.#logFailed(active, outcome, detail, ANOTHER_AWAITED);
+      return;
+    }
+    // What is left in flight is at endpoints that have ended.
+    this.#sends.cancelAll();
     const isRefused = active.resume !== undefined && outcome !== serving.SendOutcome.Unknown;
     if (isRefused && this.#resumeElsewhere(active, outcome, detail)) return;
-    if (outcome === serving.SendOutcome.Unknown) served.noteMayHaveRun();
     if (declined && active.stage === plannedSends.Stage.Answering) handover.free();
     if (outcome === serving.SendOutcome.Unknown) handover.markTaken();
     const step = served.decideNextStep(outcome);
+    this.#logFailed(active, outcome, detail, step);
+    if (step === serving.NextStep.SendAgain) this.sendNext();
+    else if (step === serving.NextStep.Reject) end.reject(`send-${outcome}`);
+    else if (step === serving.NextStep.TimedOut) end.fail(GATEWAY_TIMEOUT, "timed-out", "the deadline has passed");
+    else end.fail(BAD_GATEWAY, "endpoint-failed", "the request may have run and its answer is lost");
+  }
+
+  #logFailed(active: activeSends.ActiveSend, fate: serving.SendOutcome, detail: string, step: string): void {
+    const { context, served } = this.#parts;
     context.log.info("send-failed", {
       id: served.id,
       endpoint: active.endpoint.id,
-      fate: outcome,
+      fate,
       detail,
       sends: served.sends,
       step,
@@ -183,10 +220,6 @@
       tookMs: Math.round(performance.now() - active.sentAt),
       ...this.#silenceFields(active),
     });
-    if (step === serving.NextStep.SendAgain) this.sendNext();
-    else if (step === serving.NextStep.Reject) end.reject(`send-${outcome}`);
-    else if (step === serving.NextStep.TimedOut) end.fail(GATEWAY_TIMEOUT, "timed-out", "the deadline has passed");
-    else end.fail(BAD_GATEWAY, "endpoint-failed", "the request may have run and its answer is lost");
   }
 
   /** {@inheritDoc exchangeParts.SendResultHandler.broken} */
@@ -206,8 +239,8 @@
       });
     }
     const giveUp = (): void => this.failed(active, outcome, detail);
-    const mayHaveRun = outcome === serving.SendOutcome.Unknown;
-    if (!mayHaveRun || !context.backups.onBroken({ active, served }, giveUp)) giveUp();
+    const mayGoOnAtBackup = outcome === serving.SendOutcome.Unknown && !this.isAnswerAwaited;
+    if (!mayGoOnAtBackup || !context.backups.onBroken({ active, served }, giveUp)) giveUp();
   }
 
   /**
@@ -223,15 +256,9 @@
     return isReading || active.hasWrittenForLong ? requests : [...requests, ...served.partNames];
   }
 
-  /** Cancels the send in flight and frees what is kept for the request, which is over. */
+  /** Cancels the sends in flight and frees what is kept for the request, which is over. */
   stop(): void {
-    const active = this.#active;
-    this.#active = undefined;
-    if (active !== undefined) {
-      this.#logCancelled(active);
-      active.cancel();
-      active.release();
-    }
+    this.#sends.cancelAll();
     this.#parts.context.runs.noteOver(this.#parts.served);
     this.#parts.context.backups.noteOver(this.#parts.served);
     this.#parts.context.limits.waiting.remove(this);
@@ -240,17 +267,6 @@
     this.#parts.context.suspects.release(this.#parts.served);
   }
 
-  #logCancelled(active: activeSends.ActiveSend): void {
-    const { context, served } = this.#parts;
-    context.log.info("send-cancelled", {
-      id: served.id,
-      endpoint: active.endpoint.id,
-      stage: active.stage,
-      ...active.dispatchFields,
-      tookMs: Math.round(performance.now() - active.sentAt),
-    });
-  }
-
   /**
    * Ages of the last data from the endpoint and from any, and the delay of the event loop: only together they tell a failed
    * endpoint from a lost link and from a paused process.
@@ -275,17 +291,23 @@
     else end.reject("handle-lost");
   }
 
-  #dispatch(planned: plannedSends.PlannedSend): void {
+  /**
+   * @param planned - the send
+   * @param replaced - the send in flight that it is to replace, if there is one
+   */
+  #dispatch(planned: plannedSends.PlannedSend, replaced?: activeSends.ActiveSend): void {
     const { context, served } = this.#parts;
     const remainingMs = Math.floor(served.remainingMs);
     const active = new activeSends.ActiveSend(context, served, planned);
-    this.#active = active;
+    this.#sends.begin(active);
     served.markTried(planned.endpoint.id);
     const isAnswering = planned.stage === plannedSends.Stage.Answering;
     if (isAnswering && planned.resume === undefined) served.countSend();
     const urgency = planned.plan?.urgency ?? (this.#parts.handover.prefilled === undefined ? undefined : 0);
-    const backup = isAnswering ? context.backups.noteSend({ active, served, host: this }) : undefined;
-    const message = this.#message(planned, urgency, backup);
+    // The copy of a run that may still go on is kept until another run has taken its place.
+    const backup =
+      isAnswering && replaced === undefined ? context.backups.noteSend({ active, served, host: this }) : undefined;
+    const message = outgoingMessages.createMessage(this.#parts, planned, urgency, backup);
     const { dataCentre } = planned.endpoint;
     context.traffic?.add(trafficCounters.Traffic.Requests, dataCentre, message.body?.length ?? 0);
     context.log.info("send", {
@@ -301,16 +323,15 @@
       predictedMs: Math.round(planned.predictedMs),
       unread: planned.plan?.unreadTokens,
       copyFrom: planned.plan?.copySource?.id,
+      replaces: replaced?.endpoint.id,
       urgency,
       entryRevision: context.view.directory.revision,
       configuration: context.view.configurationRevision,
       ...planned.admission,
       ...planned.pacing,
     });
-    if (isAnswering) context.runs.noteRunning({ active, served, host: this });
-    active.start(message, this.#receiver(active), (silentMs) => {
-      if (this.#active === active) this.#abandonSilent(active, silentMs);
-    });
+    if (isAnswering && replaced === undefined) context.runs.noteRunning({ active, served, host: this });
+    active.start(message, this.#receiver(active), (silentMs) => this.#onSilent(active, silentMs));
   }
 
   /** {@inheritDoc ownRuns.RunHost.resumeRun} */
@@ -341,75 +362,64 @@
     return false;
   }
 
-  #message(
-    planned: plannedSends.PlannedSend,
-    urgency: number | undefined,
-    backup: serving.Endpoint | undefined,
-  ): sendings.OutgoingRequest {
-    const { context, handover, served } = this.#parts;
-    const { resume } = planned;
-    // The copy at a backup has no handle of its own that would be freed.
-    const source = resume?.isBackup === true ? { engine: resume.source, handle: resume.handle } : handover.prefilled;
-    const { lastEventId } = served.progress;
-    const sendHeaders: Omit<ports.SendHeaders, "deadlineMs"> = {
-      endpointId: planned.endpoint.id,
-      access: served.access,
-      ...(urgency === undefined ? {} : { urgency }),
-      ...(planned.stage === plannedSends.Stage.Prefill ? { prefillOnly: true } : {}),
-      ...(source === undefined ? {} : { source: { address: source.engine.address, handle: source.handle } }),
-      ...(planned.plan?.copySource === undefined ? {} : { copyFrom: planned.plan.copySource.address }),
-      ...(backup === undefined ? {} : { backup: backup.address }),
-      ...(lastEventId === undefined ? {} : { lastEventId }),
-    };
-    const createHeaders = (): string[] =>
-      context.format.writeRequestHeaders(served.caller.headers, {
-        ...sendHeaders,
-        deadlineMs: Math.max(0, Math.floor(served.remainingMs)),
-      });
-    const body = served.body.length === 0 ? undefined : served.body;
-    const { method, target: path } = served.caller;
-    const call = callOf(planned);
-    // The answer to HEAD names the length of a body that doesn't follow, which a peer could not pass back.
-    const passOnAs = method === "HEAD" || planned.resume?.isReturn === true ? {} : { passOnAs: served.id };
-    return { method, path, createHeaders, body, call, sendBefore: served.deadlineAt, ...passOnAs };
-  }
-
   #receiver(active: activeSends.ActiveSend): sendings.AnswerReceiver {
     const send: exchangeParts.AnsweredSend = { ...this.#parts, active, results: this };
     if (active.stage === plannedSends.Stage.Prefill) return new prefillReceivers.PrefillReceiver(send);
     return new answerReceivers.AnswerReceiver(send);
   }
 
-  /** Sends the request elsewhere if that is allowed; otherwise the send to the silent endpoint goes on. */
-  #abandonSilent(active: activeSends.ActiveSend, silentMs: number): void {
-    const { context, feedback, served } = this.#parts;
+  /** Sends the request to a second endpoint as well, if one may take it; the silent send goes on until that brings something. */
+  #onSilent(active: activeSends.ActiveSend, silentMs: number): void {
+    if (!this.#sends.shouldReplace(active)) return;
+    try {
+      this.#replace(active, silentMs);
+    } catch (error) {
+      this.#logFault(error as Error);
+      const { latest } = this.#sends;
+      if (latest !== undefined && latest !== active) this.#sends.end(latest);
+    }
+  }
+
+  #replace(active: activeSends.ActiveSend, silentMs: number): void {
+    const { context, handover, served } = this.#parts;
     const isPrefill = active.stage === plannedSends.Stage.Prefill;
-    if (!isPrefill && !serving.mayRetry(served.route)) return;
-    // A run that is stopped to be moved is silent until its stream closes.
-    if (context.runs.isBeingStopped(served)) return;
-    const outcome = isPrefill ? serving.SendOutcome.Declined : serving.SendOutcome.Unknown;
     if (isPrefill) served.countSend();
-    const step = served.decideNextStep(outcome);
-    if (step !== serving.NextStep.SendAgain) {
+    const planned = this.#chooseReplacement(isPrefill);
+    if (planned === undefined) {
       if (isPrefill) served.uncountSend();
       return;
     }
+    const anyReceivedMs = performance.now() - context.client.lastReceivedFromAnyAt;
     context.log.warn("endpoint-silent", {
       id: served.id,
       endpoint: active.endpoint.id,
       stage: active.stage,
       silentMs: Math.round(silentMs),
-      step,
+      replacement: planned.endpoint.id,
       ...this.#silenceFields(active),
       events: served.progress.events,
       acceptedUnder: served.acceptedUnder,
       configuration: context.view.configurationRevision,
     });
     if (!isPrefill) served.noteMayHaveRun();
-    feedback.recordResult(active, serving.SendResult.Silent);
-    if (active.resume !== undefined) this.#parts.handover.markTaken();
-    active.cancel();
-    if (this.end(active)) this.sendNext();
+    this.#sends.blame(active, anyReceivedMs);
+    if (active.resume !== undefined) handover.markTaken();
+    context.runs.noteOver(served);
+    this.#dispatch(planned, active);
+  }
+
+  /** The send that may replace a silent one, for which a retry is then spent; undefined if there is none now. */
+  #chooseReplacement(isPrefill: boolean): plannedSends.PlannedSend | undefined {
+    const { context, handover, served } = this.#parts;
+    const outcome = isPrefill ? serving.SendOutcome.Declined : serving.SendOutcome.Unknown;
+    if (!served.followConfiguration() || !served.allowsRetry(outcome)) return undefined;
+    handover.dropIfLost();
+    const admitted = context.suspects.admit(served);
+    if (admitted.isErr()) return undefined;
+    const choice = admitted.value ? this.#chooser.chooseIsolated() : this.#chooser.choose(handover.prefilled?.engine);
+    if (choice.isErr() || !served.spendRetry()) return undefined;
+    if (admitted.value) handover.markTaken();
+    return choice.value;
   }
 
   /** A send counts unless nothing of it was sent. A prefill counts only when it fails, not when the engine accepts it. */
@@ -421,11 +431,6 @@
   }
 }
 
-function callOf({ resume, stage }: plannedSends.PlannedSend): serving.AnsweredCall {
-  if (stage === plannedSends.Stage.Prefill) return serving.AnsweredCall.Prefill;
-  return resume?.isReturn === true ? serving.AnsweredCall.Return : serving.AnsweredCall.Run;
-}
-
 /** Age of an instant in whole milliseconds; undefined if it is 0, for never. */
 function ageMs(instant: number): number | undefined {
   return instant === 0 ? undefined : Math.round(performance.now() - instant);
--- a/packages/gateway/src/servedRequest.ts
+++ b/packages/gateway/src/servedRequest.ts
@@ -231,7 +231,7 @@
    */
   countRejectedResume(): void {
     this.#sends++;
-    this.#spendRetry();
+    this.spendRetry();
   }
 
   /** Records that the request may have run from now on. */
@@ -258,7 +258,7 @@
    */
   mayPrefill(): boolean {
     if (this.#prefillsAccepted === 0 || this.#isPrefillPaid) return true;
-    return this.#spendRetry();
+    return this.spendRetry();
   }
 
   /** Records that an endpoint has begun to run the request, which counts once as its organisation's usage. */
@@ -288,6 +288,18 @@
    * @returns the next step
    */
   decideNextStep(outcome: serving.SendOutcome): serving.NextStep {
+    return this.#nextStep(outcome, () => this.spendRetry());
+  }
+
+  /**
+   * @param outcome - what is known of the sends so far
+   * @returns whether a further send is allowed and useful, apart from the retry budget
+   */
+  allowsRetry(outcome: serving.SendOutcome): boolean {
+    return this.#nextStep(outcome, () => true) === serving.NextStep.SendAgain;
+  }
+
+  #nextStep(outcome: serving.SendOutcome, spendRetry: () => boolean): serving.NextStep {
     const { view } = this.#context;
     const hasUntried = view.directory
       .availableEndpoints(this.#service)
@@ -301,11 +313,12 @@
       attempts: this.#mayBeSentAgain ? this.#route.attempts : 0,
       remainingMs: this.remainingMs,
       hasOtherEndpoint: hasUntried,
-      spendRetry: () => this.#spendRetry(),
+      spendRetry,
     });
   }
 
-  #spendRetry(): boolean {
+  /** @returns whether the service's budget allows one more retry, which then counts as spent */
+  spendRetry(): boolean {
     const { budgets } = this.#context;
     return budgets.of(this.#service).spend(performance.now(), this.#context.liveDaemons());
   }
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -31,6 +31,8 @@
 export * from "./endpointIncarnations.js";
 export * from "./engineLoadTracker.js";
 export * from "./engineSpeeds.js";
+export * from "./hedging/sendRace.js";
+export * from "./hedging/silenceDecision.js";
 export * from "./retryDecision.js";
 export * from "./leastBusy.js";
 export * from "./limits/limitDivision.js";
