Bind a stream that has begun to the route under which it began

What callers see: a stream whose endpoint has failed is aborted because a configuration came meanwhile that drops its route, gives it to another service or lowers its attempts, although another endpoint of its service would go on with it. Cause: the route is looked up again before each send, also for an answer that began under an older configuration. Change: a stream that has begun keeps its route; where and by whom it may be run is still decided by the entries. Why it works: no rule of a later configuration applies to a request that was sent before it, and the stream may only go on at the service that began it.

--- a/packages/gateway/src/servedRequest.ts
+++ b/packages/gateway/src/servedRequest.ts
@@ -185,11 +185,13 @@
   }
 
   /**
-   * Updates route and service, as a new configuration may have moved or removed the route.
+   * Updates route and service, as a new configuration may have moved or removed the route. A stream that has begun keeps the
+   * route under which it began.
    *
    * @returns whether a route still matches the request
    */
   followConfiguration(): boolean {
+    if (this.#isStreamBegun) return true;
     const route = this.#context.view.table?.find(this.#caller.host, this.#caller.path);
     if (route === undefined) return false;
     this.#route = route;
