Bound what is read of an answer, and send its request elsewhere beyond that

What callers see: beside one endpoint that sends bytes without end, streams that hang until their deadline, and a daemon that is busy or out of memory for all its callers. Cause: nothing but the deadline bounded an answer. Bodies were kept whole, an incomplete event was joined with all that came before each piece, and interim answers and extensions of chunks were read without being counted. Why it works: what the HTTP client doesn't hand on is counted at the socket; beyond a bound the connection is closed and the send fails as any broken one does.

--- a/packages/gateway/src/activeSend.ts
+++ b/packages/gateway/src/activeSend.ts
@@ -38,6 +38,7 @@
   readonly #pauseMs: number;
   #paced: serving.PacedStream | undefined;
   #isHeldBack = false;
+  #onReleased: () => void = () => undefined;
 
   /**
    * @param context - what serving needs
@@ -160,8 +161,14 @@
     this.#request?.cancel();
   }
 
+  /** @param onReleased - called once the send is over, to drop what is held of its answer */
+  onReleased(onReleased: () => void): void {
+    this.#onReleased = onReleased;
+  }
+
   /** Takes the work of a send that is over off its endpoint. */
   release(): void {
+    this.#onReleased();
     this.finishPrefill();
     this.#context.loads.endRequest(this.endpoint.id, this.#heldTokens);
     if (this.#paced !== undefined) this.#context.pacing.endStream(this.#paced);
--- a/packages/gateway/src/answerBody.ts
+++ b/packages/gateway/src/answerBody.ts
@@ -1,13 +1,18 @@
 import * as serving from "@camphorcourse/serving";
 import * as callerAnswers from "./callerAnswer.js";
+import * as boundedBuffers from "./answers/boundedBuffer.js";
 import type * as contexts from "./context.js";
 import * as sendings from "./sending.js";
 import * as eventSplitters from "./eventSplitter.js";
 import type * as exchangeParts from "./exchangeParts.js";
 import * as metricsModule from "./metrics.js";
 
+const CLIENT_ERRORS_FROM = 400;
 const SERVER_ERRORS_FROM = 500;
 
+/** Largest body of an error in bytes; it says in some lines what went wrong. */
+const MAX_ERROR_BYTES = 1_048_576;
+
 /** Status and headers of an endpoint's answer. */
 export interface ReceivedHead {
   readonly status: number;
@@ -31,10 +36,17 @@
   return view.directory.softwareVersionOf(endpoint);
 }
 
+function maxBodyBytes(status: number): number {
+  return status < CLIENT_ERRORS_FROM ? serving.MAX_ANSWER_BYTES : MAX_ERROR_BYTES;
+}
+
 /** Handles the body of an endpoint's answer. */
 export interface AnswerBody {
-  /** @param chunk - the next bytes */
-  onData(chunk: Buffer): void;
+  /**
+   * @param chunk - the next bytes
+   * @returns false if the answer is larger than may be buffered and is to be given up
+   */
+  onData(chunk: Buffer): boolean;
   /** Handles the end of an answer that was received completely and whose headers were accepted. */
   onEnd(): void;
 }
@@ -43,7 +55,7 @@
 export class BufferedBody implements AnswerBody {
   readonly #send: exchangeParts.AnsweredSend;
   readonly #head: ReceivedHead;
-  readonly #chunks: Buffer[] = [];
+  readonly #buffer: boundedBuffers.BoundedBuffer;
 
   /**
    * @param send - the send that is answered
@@ -52,22 +64,27 @@
   constructor(send: exchangeParts.AnsweredSend, head: ReceivedHead) {
     this.#send = send;
     this.#head = head;
+    const { active, answer, context } = send;
+    this.#buffer = new boundedBuffers.BoundedBuffer(context.answerMemory, maxBodyBytes(head.status));
+    active.onReleased(() => {
+      this.#buffer.close();
+      // From here on it counts as unsent until the caller has read it, if it is forwarded.
+      context.memory.addAnswer(answer.connection, -this.#buffer.bytes.length);
+    });
   }
 
   /** {@inheritDoc AnswerBody.onData} */
-  onData(chunk: Buffer): void {
-    this.#chunks.push(chunk);
+  onData(chunk: Buffer): boolean {
+    if (!this.#buffer.push(chunk)) return false;
     const { answer, context } = this.#send;
     context.memory.addAnswer(answer.connection, chunk.length);
+    return true;
   }
 
   /** {@inheritDoc AnswerBody.onEnd} */
   onEnd(): void {
-    const { active, answer, context, end, feedback, handover, results, served } = this.#send;
+    const { active, answer, end, feedback, handover, results, served } = this.#send;
     const { status, headers } = this.#head;
-    const body = Buffer.concat(this.#chunks);
-    // From here on it counts as unsent until the caller has read it.
-    context.memory.addAnswer(answer.connection, -body.length);
     handover.markTaken();
     const failed = status >= SERVER_ERRORS_FROM;
     const now = performance.now();
@@ -86,7 +103,7 @@
         return;
       }
     }
-    end.forward(status, headers, body, now);
+    end.forward(status, headers, this.#buffer.bytes, now);
   }
 }
 
@@ -95,6 +112,7 @@
   readonly #send: exchangeParts.AnsweredSend;
   readonly #head: ReceivedHead;
   readonly #splitter = new eventSplitters.EventSplitter();
+  readonly #incomplete: serving.AnswerHolding;
 
   /**
    * @param send - the send that is answered
@@ -103,11 +121,16 @@
   constructor(send: exchangeParts.AnsweredSend, head: ReceivedHead) {
     this.#send = send;
     this.#head = head;
+    const { active, context } = send;
+    this.#incomplete = context.answerMemory.open();
+    active.onReleased(() => context.answerMemory.close(this.#incomplete));
   }
 
   /** {@inheritDoc AnswerBody.onData} */
-  onData(chunk: Buffer): void {
+  onData(chunk: Buffer): boolean {
     for (const event of this.#splitter.push(chunk)) this.#onEvent(event);
+    const { answerMemory } = this.#send.context;
+    return answerMemory.hold(this.#incomplete, this.#splitter.unfinishedBytes, serving.MAX_EVENT_BYTES);
   }
 
   /** {@inheritDoc AnswerBody.onEnd} */
--- a/packages/gateway/src/answerReceiver.ts
+++ b/packages/gateway/src/answerReceiver.ts
@@ -41,8 +41,8 @@
   }
 
   /** {@inheritDoc sendings.AnswerReceiver.onData} */
-  onData(chunk: Buffer): void {
-    this.#body?.onData(chunk);
+  onData(chunk: Buffer): boolean {
+    return this.#body?.onData(chunk) ?? false;
   }
 
   /** {@inheritDoc sendings.AnswerReceiver.onEnd} */
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -53,6 +53,8 @@
   readonly crashDetector: crashDetectors.EndpointCrashDetector;
   /** What began the streams that callers may take up. */
   readonly streams: streamOrigins.StreamOrigins;
+  /** Bounds what is buffered of incomplete answers. */
+  readonly answerMemory: serving.AnswerMemory;
   /** Keeps what is held for callers within the VM's memory. */
   readonly memory: memoryGuards.MemoryGuard;
   /** Moves runs from engines that leave to others. */
--- a/packages/gateway/src/endpointClient.ts
+++ b/packages/gateway/src/endpointClient.ts
@@ -134,6 +134,7 @@
       isLoopLagging: this.#isLoopLagging,
       mayDispatch: () => this.#guard.mayReceive(endpoint, request.call),
       onBroken: (wasDispatched) => this.#noteBroken(endpoint, wasDispatched),
+      onOversized: () => this.#count("oversized_answers"),
       onRelayed: (change) => this.#relayed.set(id, (this.#relayed.get(id) ?? 0) + change),
       onRelayedData: () => this.#relayedDataAt.set(id, performance.now()),
     });
@@ -160,6 +161,7 @@
       receiver: new ObservedReceiver(receiver, this.#guard.onSendForPeer(endpoint)),
       isLoopLagging: this.#isLoopLagging,
       onBroken: (wasDispatched) => this.#noteBroken(endpoint, wasDispatched),
+      onOversized: () => this.#count("oversized_answers"),
     });
   }
 
@@ -239,8 +241,8 @@
     return isForRequest;
   }
 
-  onData(chunk: Buffer): void {
-    this.#receiver.onData(chunk);
+  onData(chunk: Buffer): boolean {
+    return this.#receiver.onData(chunk);
   }
 
   onEnd(): void {
--- a/packages/gateway/src/endpointConnectionPool.ts
+++ b/packages/gateway/src/endpointConnectionPool.ts
@@ -24,6 +24,8 @@
   readonly client: undici.Client;
   socket: net.Socket | undefined;
   usedAt: number;
+  /** Called when bytes have arrived, before the HTTP client parses them, while a request is under way. */
+  onReadable: ((socket: net.Socket) => void) | undefined;
   /** Whether the socket reported an error instead of a regular close. */
   reset: boolean;
 }
@@ -44,6 +46,7 @@
     socket: undefined,
     usedAt: 0,
     reset: false,
+    onReadable: undefined,
     client: new undici.Client(`http://${address}`, {
       pipelining: 1,
       headersTimeout: 0,
@@ -61,6 +64,7 @@
           }
           listener?.onConnected();
           connection.socket = socket;
+          socket.on("readable", () => connection.onReadable?.(socket));
           socket.on("error", () => {
             connection.reset = true;
           });
@@ -147,6 +151,7 @@
    */
   release(connection: PooledConnection, now: number): void {
     this.#busy.delete(connection);
+    connection.onReadable = undefined;
     connection.usedAt = now;
     this.#idle.push(connection);
   }
@@ -159,6 +164,7 @@
    */
   discard(connection: PooledConnection): void {
     this.#busy.delete(connection);
+    connection.onReadable = undefined;
     connection.client.destroy().catch(() => undefined);
   }
 
--- a/packages/gateway/src/endpointSend.ts
+++ b/packages/gateway/src/endpointSend.ts
@@ -1,3 +1,4 @@
+import type * as net from "node:net";
 import * as serving from "@camphorcourse/serving";
 import type * as undici from "undici";
 import type * as sendings from "./sending.js";
@@ -13,6 +14,8 @@
   readonly isLoopLagging: () => boolean;
   /** Whether the endpoint still takes the request; asked again once the connection is ready. */
   readonly mayDispatch: () => boolean;
+  /** Called when the answer exceeds a bound, before its connection is closed. */
+  readonly onOversized: () => void;
   /** Called when its connection breaks, with whether the request had been sent, or can't be established. */
   readonly onBroken: (wasDispatched: boolean) => void;
 }
@@ -24,6 +27,8 @@
 export class EndpointSend implements Omit<sendings.InFlightRequest, "isPathLost"> {
   readonly #parts: SendParts;
   readonly #connection: connectionPools.PooledConnection;
+  readonly #framing = new serving.AnswerFraming();
+  #bytesReadBefore = 0;
   #deferredDispatch: pendingReads.DeferredStep | undefined;
   #controller: undici.Dispatcher.DispatchController | undefined;
   #dispatchedAt: number | undefined;
@@ -113,8 +118,11 @@
     }
     // After a pause of the process, the connection may become ready only after the deadline: the endpoint would run the
     // request for a caller that no longer waits.
-    if (now < (this.#parts.request.sendBefore ?? Infinity)) this.#dispatchedAt = now;
-    else controller.abort(new Error("the connection was established after the request's deadline"));
+    if (now < (this.#parts.request.sendBefore ?? Infinity)) {
+      this.#dispatchedAt = now;
+      this.#bytesReadBefore = this.#connection.socket?.bytesRead ?? 0;
+      this.#connection.onReadable = (socket) => this.#onReadable(socket);
+    } else controller.abort(new Error("the connection was established after the request's deadline"));
   }
 
   #onHead(status: number, headers: sendings.AnswerHeaders): void {
@@ -128,7 +136,20 @@
   #onData(chunk: Buffer): void {
     if (this.#over) return;
     this.#noteReceived();
-    this.#parts.receiver.onData(chunk);
+    this.#framing.noteBody(chunk.length);
+    if (!this.#parts.receiver.onData(chunk)) this.#breakOversized("the answer is larger than may be buffered");
+  }
+
+  /** Checks what has arrived before the HTTP client parses it. */
+  #onReadable(socket: net.Socket): void {
+    if (!this.#over && !this.#framing.noteReceived(socket.bytesRead - this.#bytesReadBefore))
+      this.#breakOversized("the answer has too many bytes beside its body");
+  }
+
+  #breakOversized(detail: string): void {
+    if (this.#over) return;
+    this.#parts.onOversized();
+    this.#break(serving.SendOutcome.Unknown, detail);
   }
 
   #onEnd(): void {
--- a/packages/gateway/src/engineCalls.ts
+++ b/packages/gateway/src/engineCalls.ts
@@ -1,5 +1,6 @@
 import * as serving from "@camphorcourse/serving";
 import * as neverthrow from "neverthrow";
+import * as boundedBuffers from "./answers/boundedBuffer.js";
 import type * as contexts from "./context.js";
 import type * as ports from "./ports.js";
 
@@ -55,16 +56,17 @@
     kind = serving.AnsweredCall.Control,
   ): Promise<EngineAnswer | undefined> {
     return new Promise((resolve) => {
-      const chunks: Buffer[] = [];
+      const buffer = new boundedBuffers.BoundedBuffer(this.#context.answerMemory, serving.MAX_CALL_ANSWER_BYTES);
       let status = 0;
       // Deferred to the end of the event loop's turn: after a pause of the process, the answer may wait in the socket.
       const timer = setTimeout(() => setImmediate(giveUp), timeoutMs);
       const giveUp = (): void => {
         request.cancel();
-        resolve(undefined);
+        finish(undefined);
       };
       const finish = (answer: EngineAnswer | undefined): void => {
         clearTimeout(timer);
+        buffer.close();
         resolve(answer);
       };
       const request = this.#context.client.send(
@@ -81,8 +83,8 @@
             status = answerStatus;
             return true;
           },
-          onData: (chunk) => chunks.push(chunk),
-          onEnd: () => finish({ status, body: Buffer.concat(chunks) }),
+          onData: (chunk) => buffer.push(chunk),
+          onEnd: () => finish({ status, body: buffer.bytes }),
           onBroken: () => finish(undefined),
         },
       );
--- a/packages/gateway/src/metrics/gauges.ts
+++ b/packages/gateway/src/metrics/gauges.ts
@@ -46,6 +46,7 @@
     endpoints_resting: context.statements.rests.count,
     endpoints_limited: context.limits.table.limits().length,
     busy_cores: loop.busyShare * context.settings.capacity,
+    incomplete_answer_bytes: context.answerMemory.total,
     held_bytes: context.memory.heldBytes,
     runs_moving: context.runs.underWay,
     runs_with_backup: context.backups.count,
--- a/packages/gateway/src/paths/relayServer.ts
+++ b/packages/gateway/src/paths/relayServer.ts
@@ -195,9 +195,10 @@
         return true;
       },
       onData: (chunk) => {
-        if (response.write(chunk)) return;
+        if (response.write(chunk)) return true;
         inFlight().pause();
         response.once("drain", () => inFlight().resume());
+        return true;
       },
       onEnd: () => response.end(),
       onBroken: (outcome) => {
--- a/packages/gateway/src/paths/routedSend.ts
+++ b/packages/gateway/src/paths/routedSend.ts
@@ -31,6 +31,8 @@
   readonly mayDispatch: () => boolean;
   /** Called when a connection to the endpoint breaks, with whether the request had been sent. */
   readonly onBroken: (wasDispatched: boolean) => void;
+  /** Called when an answer exceeds a bound. */
+  readonly onOversized: () => void;
   /** Called when the request begins and ceases to use a peer, with 1 and -1. */
   readonly onRelayed: (change: 1 | -1) => void;
   /** Called when data of the endpoint has come through a peer. */
@@ -111,13 +113,14 @@
 
   #sendDirect(): void {
     this.#hasTriedDirect = true;
-    const { isLoopLagging, mayDispatch, onBroken, pool, receiver, request } = this.#parts;
+    const { isLoopLagging, mayDispatch, onBroken, onOversized, pool, receiver, request } = this.#parts;
     this.#attempt = new endpointSends.EndpointSend({
       pool,
       request,
       isLoopLagging,
       mayDispatch,
       onBroken,
+      onOversized,
       receiver: {
         onHead: (status, headers) => receiver.onHead(status, headers),
         onData: (chunk) => receiver.onData(chunk),
@@ -142,7 +145,7 @@
 
   /** @returns whether there is a peer that may reach the endpoint */
   #tryPeer(): boolean {
-    const { endpoint, onRelayed, relays } = this.#parts;
+    const { endpoint, onOversized, onRelayed, relays } = this.#parts;
     const relay = this.#askedPeers.size < MAX_PEERS ? relays.choose(endpoint.id, this.#askedPeers) : undefined;
     if (relay === undefined) return false;
     this.#askedPeers.add(relay.vm);
@@ -154,6 +157,7 @@
       isLoopLagging: this.#parts.isLoopLagging,
       mayDispatch: this.#parts.mayDispatch,
       onBroken: () => undefined,
+      onOversized,
       receiver: this.#relayReceiver(),
     });
     return true;
@@ -173,9 +177,10 @@
         return receiver.onHead(status, headers);
       },
       onData: (chunk) => {
-        if (result !== relayMessages.RelayResult.Answer) return;
+        // A statement of the peer has no body.
+        if (result !== relayMessages.RelayResult.Answer) return false;
         onRelayedData();
-        receiver.onData(chunk);
+        return receiver.onData(chunk);
       },
       onEnd: () => {
         if (result === relayMessages.RelayResult.Answer) this.#end(() => receiver.onEnd());
--- a/packages/gateway/src/peers/peerCalls.ts
+++ b/packages/gateway/src/peers/peerCalls.ts
@@ -9,6 +9,9 @@
 import type * as streamOrigins from "../streams/streamOrigins.js";
 import * as streamRecordCodec from "../streams/streamRecordCodec.js";
 
+/** Largest message of a peer in bytes: the largest configuration, and the entries of hundreds of endpoints and daemons. */
+const MAX_MESSAGE_BYTES = 16_777_216;
+
 /** Timeout for sending news to one peer, in milliseconds. */
 const SEND_TIMEOUT_MS = 800;
 
@@ -46,6 +49,7 @@
         },
       });
     },
+    readMaxBytes: MAX_MESSAGE_BYTES,
   });
   const server = http.createServer((incoming, response) => {
     if (incoming.url === relayMessages.RELAY_PATH) handler.onRelay(incoming, response);
@@ -104,7 +108,11 @@
   #client(address: string): connect.Client<typeof messages.GatewayPeer> {
     let client = this.#clients.get(address);
     if (client === undefined) {
-      const transport = connectNode.createConnectTransport({ baseUrl: `http://${address}`, httpVersion: "1.1" });
+      const transport = connectNode.createConnectTransport({
+        baseUrl: `http://${address}`,
+        httpVersion: "1.1",
+        readMaxBytes: MAX_MESSAGE_BYTES,
+      });
       client = connect.createClient(messages.GatewayPeer, transport);
       this.#clients.set(address, client);
     }
--- a/packages/gateway/src/prefillHandover.ts
+++ b/packages/gateway/src/prefillHandover.ts
@@ -54,6 +54,8 @@
     if (prefilled === undefined || !this.#isKept(prefilled)) return;
     const call = this.#context.format.freeHandleCall(prefilled.handle);
     const ignore = (): void => undefined;
+    let receivedBytes = 0;
+    const onData = (chunk: Buffer): boolean => (receivedBytes += chunk.length) <= serving.MAX_CALL_ANSWER_BYTES;
     this.#context.client.send(
       prefilled.engine,
       {
@@ -64,7 +66,7 @@
         call: serving.AnsweredCall.Control,
         passOnAs: prefilled.handle,
       },
-      { onHead: () => true, onData: ignore, onEnd: ignore, onBroken: ignore },
+      { onHead: () => true, onData, onEnd: ignore, onBroken: ignore },
     );
   }
 
--- a/packages/gateway/src/prefillReceiver.ts
+++ b/packages/gateway/src/prefillReceiver.ts
@@ -1,4 +1,5 @@
 import * as serving from "@camphorcourse/serving";
+import * as boundedBuffers from "./answers/boundedBuffer.js";
 import type * as sendings from "./sending.js";
 import type * as exchangeParts from "./exchangeParts.js";
 
@@ -7,13 +8,16 @@
 /** Receives the answer to a prefill: a handle with which another engine can decode. */
 export class PrefillReceiver implements sendings.AnswerReceiver {
   readonly #send: exchangeParts.AnsweredSend;
-  readonly #chunks: Buffer[] = [];
+  readonly #buffer: boundedBuffers.BoundedBuffer;
   #status = 0;
   #notRun = false;
 
   /** @param send - the send that is answered */
   constructor(send: exchangeParts.AnsweredSend) {
     this.#send = send;
+    const { active, context } = send;
+    this.#buffer = new boundedBuffers.BoundedBuffer(context.answerMemory, serving.MAX_CALL_ANSWER_BYTES);
+    active.onReleased(() => this.#buffer.close());
   }
 
   /** {@inheritDoc sendings.AnswerReceiver.onHead} */
@@ -27,15 +31,14 @@
   }
 
   /** {@inheritDoc sendings.AnswerReceiver.onData} */
-  onData(chunk: Buffer): void {
-    this.#chunks.push(chunk);
+  onData(chunk: Buffer): boolean {
+    return this.#buffer.push(chunk);
   }
 
   /** {@inheritDoc sendings.AnswerReceiver.onEnd} */
   onEnd(): void {
     const { active, results, context, served, handover, feedback } = this.#send;
-    const body = Buffer.concat(this.#chunks);
-    const result = this.#status === HTTP_OK ? context.format.readHandle(body) : undefined;
+    const result = this.#status === HTTP_OK ? context.format.readHandle(this.#buffer.bytes) : undefined;
     if (result?.isOk() === true) results.settle(active);
     if (!results.end(active)) return;
     if (result?.isOk() === true) {
--- a/packages/gateway/src/requests/servingContext.ts
+++ b/packages/gateway/src/requests/servingContext.ts
@@ -64,6 +64,7 @@
       isLimited: (endpoint) => limits.enforcer.isLimited(endpoint),
       draw: () => random.next(),
     }),
+    answerMemory: new serving.AnswerMemory(),
     answerTimes: new serving.AnswerTimes(),
     pacing: new pacings.Pacing({ loads, speeds, lateMs, senders }),
     health: new serving.EndpointHealth(),
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -29,7 +29,8 @@
 export interface AnswerReceiver {
   /** @returns false to close the connection because the answer isn't for this request */
   onHead(status: number, headers: AnswerHeaders): boolean;
-  onData(chunk: Buffer): void;
+  /** @returns false to close the connection because the answer is larger than may be buffered */
+  onData(chunk: Buffer): boolean;
   /** The answer is complete. */
   onEnd(): void;
   /**
--- a/packages/gateway/tests/eventSplitter.test.ts
+++ b/packages/gateway/tests/eventSplitter.test.ts
@@ -47,4 +47,27 @@
   );
 });
 
+// Guards against work that grows with the square of an event's bytes: each piece was joined with all before it.
+suite("an event in many small pieces is copied a few times at most", () => {
+  const copy = Buffer.prototype.copy;
+  let copied = 0;
+  Buffer.prototype.copy = function (this: Buffer, ...parameters: Parameters<Buffer["copy"]>): number {
+    const count = copy.apply(this, parameters);
+    copied += count;
+    return count;
+  };
+  const splitter = new eventSplitters.EventSplitter();
+  const piece = Buffer.alloc(100, "a");
+  const pieces = 10_000;
+  try {
+    for (let index = 0; index < pieces; index++) splitter.push(piece);
+  } finally {
+    Buffer.prototype.copy = copy;
+  }
+  const [event] = splitter.push(Buffer.from("\n\nid: 1\n"));
+  assert.is(event?.bytes.length, pieces * piece.length + 2);
+  assert.is(splitter.unfinishedBytes, 6);
+  assert.ok(copied <= 4 * pieces * piece.length, `${copied} bytes`);
+});
+
 suite.run();
--- a/packages/gateway/tests/helpers/exchangeHarness.ts
+++ b/packages/gateway/tests/helpers/exchangeHarness.ts
@@ -258,6 +258,7 @@
         draw: () => 0,
       }),
       health: new serving.EndpointHealth(),
+      answerMemory: new serving.AnswerMemory(),
       answerTimes: this.answerTimes,
       speeds,
       pacing: pacing.createPacing(loads, speeds),
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -63,6 +63,8 @@
 export * from "./pacing/prefillBudget.js";
 export * from "./paths/endpointPaths.js";
 export * from "./paths/relayChoice.js";
+export * from "./memory/answerFraming.js";
+export * from "./memory/answerMemory.js";
 export * from "./memory/engineMemory.js";
 export * from "./memory/heldBytes.js";
 export * from "./placement.js";
