Don't take an endpoint for silent while a slow caller holds its answer back

What callers see: nothing; the request of a caller that reads slowly ran a second time after 1.1 s. Cause: reading is paused until the caller has read, and what isn't read counted as silence. Evidence: the test sends the request to a second engine without the mend. Why it works: silence is judged only while the answer is being read.

--- a/packages/gateway/src/activeSend.ts
+++ b/packages/gateway/src/activeSend.ts
@@ -99,7 +99,13 @@
     onSilent: (silentMs: number) => void,
   ): void {
     this.#context.loads.beginRequest(this.endpoint.id, this.#heldTokens);
-    this.#silence.start(() => this.isPathLost, onSilent);
+    // Nothing is read while the caller reads too slowly, so that silence says nothing.
+    this.#silence.start(
+      () => this.isPathLost,
+      (silentMs) => {
+        if (!this.#isHeldBack) onSilent(silentMs);
+      },
+    );
     this.#request = this.#context.client.send(this.endpoint, message, receiver);
   }
 
--- a/packages/gateway/tests/hedgedSends.test.ts
+++ b/packages/gateway/tests/hedgedSends.test.ts
@@ -178,4 +178,14 @@
   assert.match(harness.endLines[0] ?? "", /outcome=answered status=200/);
 });
 
+// Guards against a second run for a caller that reads slowly, which holds back the first one.
+suite("a send that a slow caller holds back isn't silent", async () => {
+  const harness = startedExchange(serving.RequestClass.Stream, [Decode, Decode]);
+  assert.ok(harness.send(0).receiver.onHead(200, HEAD));
+  harness.answer.isFull = true;
+  writeEvent(harness.send(0), 1);
+  await becomeSilent();
+  assert.is(harness.sends.length, 1);
+});
+
 suite.run();
