Check an endpoint anew that was found crashed and has sent data since

What callers see: complete streams without a length that are cut as they end, for 5 s after all daemons had lost their paths. Cause: refused connections at all daemons look like a crash of each endpoint, and the finding counted for 5 s, also once the endpoint served again: a finding of before ended answers that had begun after it. Why it works: data that came from the same incarnation after the finding disproves it; the endpoint is connected to again.

--- a/packages/gateway/src/endpointCrashDetector.ts
+++ b/packages/gateway/src/endpointCrashDetector.ts
@@ -31,6 +31,8 @@
 /** What detecting crashed endpoints needs. */
 export interface EndpointCrashDetectorParts {
   readonly log: decisionLogs.DecisionLog;
+  /** @returns instant at which data last came from the endpoint, directly or through a peer, in milliseconds */
+  readonly lastReceivedAt: (endpointId: string) => number;
   /** @returns whether an idle connection to the endpoint is open */
   readonly hasLiveConnection: (endpointId: string) => boolean;
   /** Tries to connect to the endpoint, and asks a peer if that fails. */
@@ -63,8 +65,8 @@
 export class EndpointCrashDetector {
   readonly #parts: EndpointCrashDetectorParts;
   readonly #checks = new Map<string, Check>();
-  /** Start of each incarnation that has crashed, by endpoint id, and the instant until which it counts as crashed. */
-  readonly #crashed = new Map<string, { readonly bornAt: number | undefined; readonly until: number }>();
+  /** Start of each incarnation that has crashed, by endpoint id, and when that was found, in milliseconds. */
+  readonly #crashed = new Map<string, { readonly bornAt: number | undefined; readonly at: number }>();
 
   /** @param parts - what it needs */
   constructor(parts: EndpointCrashDetectorParts) {
@@ -102,7 +104,10 @@
   hasCrashed(endpoint: serving.Endpoint, now: number): boolean {
     const crash = this.#crashed.get(endpoint.id);
     if (crash === undefined) return false;
-    if (crash.until > now && crash.bornAt === endpoint.bornAt) return true;
+    const isRecent = now < crash.at + CRASHED_MS;
+    // A lost path to all endpoints looks like a crash of each; one that has sent data since is serving.
+    const isHeardSince = this.#parts.lastReceivedAt(endpoint.id) > crash.at;
+    if (isRecent && !isHeardSince && crash.bornAt === endpoint.bornAt) return true;
     this.#crashed.delete(endpoint.id);
     return false;
   }
@@ -145,7 +150,7 @@
 
   #noteCrashed(endpoint: serving.Endpoint, runs: readonly BrokenRun[]): void {
     if (this.#crashed.size >= MAX_CRASHED) this.#crashed.clear();
-    this.#crashed.set(endpoint.id, { bornAt: endpoint.bornAt, until: performance.now() + CRASHED_MS });
+    this.#crashed.set(endpoint.id, { bornAt: endpoint.bornAt, at: performance.now() });
     const suspects = runs.flatMap((run) => run.suspects);
     this.#parts.log.warn("endpoint-ended", {
       endpoint: endpoint.id,
--- a/packages/gateway/src/suspects/crashProtection.ts
+++ b/packages/gateway/src/suspects/crashProtection.ts
@@ -45,6 +45,7 @@
     });
     this.crashDetector = new crashDetectors.EndpointCrashDetector({
       log,
+      lastReceivedAt: (endpointId) => client.lastReceivedAt(endpointId),
       hasLiveConnection: (endpointId) => client.hasLiveConnection(endpointId),
       probe,
       isLeaving: ({ id }) => !directory.isAvailable(id),
--- a/packages/gateway/tests/endpointCrashDetector.test.ts
+++ b/packages/gateway/tests/endpointCrashDetector.test.ts
@@ -20,6 +20,7 @@
 }
 
 interface Options {
+  lastReceivedAt?: number;
   readonly isLeaving?: boolean;
   readonly hasLiveConnection?: boolean;
   /** Error code of a failed connection, instead of the real one. */
@@ -32,6 +33,7 @@
   const lines: string[] = [];
   const detector = new crashDetectors.EndpointCrashDetector({
     log: new decisionLogs.DecisionLog("vm-1", "info", { writableLength: 0, write: (line) => lines.push(line) > 0 }),
+    lastReceivedAt: () => options.lastReceivedAt ?? 0,
     hasLiveConnection: () => options.hasLiveConnection ?? false,
     probe: async ({ address }) => {
       const error = await pathMonitors.connectOnce(address);
@@ -174,4 +176,22 @@
   server.close();
 });
 
+// Guards against streams that are cut as they end, for 5 s after all paths were lost: the endpoint counted as crashed although
+// it served again.
+suite("an endpoint that was found crashed and has sent data since is checked anew", async () => {
+  const server = await listening();
+  const port = portOf(server);
+  await new Promise((resolve) => server.close(resolve));
+  const options: Options = { finding: { reached: false, refused: true } };
+  const { detector } = createFixture(options);
+  const endpoint = endpointAt(port);
+  assert.ok(await detector.mayHaveCrashed(endpoint));
+  assert.ok(detector.hasCrashed(endpoint, performance.now()));
+  await new Promise<void>((resolve) => server.listen(port, "127.0.0.1", resolve));
+  options.lastReceivedAt = performance.now();
+  assert.not.ok(detector.hasCrashed(endpoint, performance.now()));
+  assert.not.ok(await detector.mayHaveCrashed(endpoint));
+  await new Promise((resolve) => server.close(resolve));
+});
+
 suite.run();
--- a/packages/gateway/tests/helpers/exchangeHarness.ts
+++ b/packages/gateway/tests/helpers/exchangeHarness.ts
@@ -287,6 +287,7 @@
       }),
       crashDetector: new crashDetectors.EndpointCrashDetector({
         log: new decisionLogs.DecisionLog("vm-1", "info", sink),
+        lastReceivedAt: () => 0,
         hasLiveConnection: () => true,
         probe: () => Promise.resolve({ error: undefined, finding: undefined }),
         isLeaving: () => false,
