Let answers that state their length be larger, and count what buffers take

Cause: a plain answer of 40 MB, which a test of slow readers promises, was larger than the bound of 8 MiB for any answer; buffers that double took up to twice what was counted. Change: an answer that states its length ends by itself and may have 48 MiB. Plain answers are collected in blocks, and for events the buffer counts. All incomplete answers without a length hold 32 MiB at most.

--- a/packages/gateway/src/answerBody.ts
+++ b/packages/gateway/src/answerBody.ts
@@ -10,9 +10,6 @@
 const CLIENT_ERRORS_FROM = 400;
 const SERVER_ERRORS_FROM = 500;
 
-/** Largest body of an error in bytes; it says in some lines what went wrong. */
-const MAX_ERROR_BYTES = 1_048_576;
-
 /** Status and headers of an endpoint's answer. */
 export interface ReceivedHead {
   readonly status: number;
@@ -36,8 +33,10 @@
   return view.directory.softwareVersionOf(endpoint);
 }
 
-function maxBodyBytes(status: number): number {
-  return status < CLIENT_ERRORS_FROM ? serving.MAX_ANSWER_BYTES : MAX_ERROR_BYTES;
+function limitsOf({ headers, status }: ReceivedHead): serving.BufferLimits {
+  if (status >= CLIENT_ERRORS_FROM) return serving.SHORT_ANSWER;
+  const stated = headers["content-length"];
+  return stated === undefined ? serving.UNSTATED_ANSWER : serving.statedAnswer(Number(stated));
 }
 
 /** Handles the body of an endpoint's answer. */
@@ -65,11 +64,11 @@
     this.#send = send;
     this.#head = head;
     const { active, answer, context } = send;
-    this.#buffer = new boundedBuffers.BoundedBuffer(context.answerMemory, maxBodyBytes(head.status));
+    this.#buffer = new boundedBuffers.BoundedBuffer(context.answerMemory, limitsOf(head));
     active.onReleased(() => {
       this.#buffer.close();
       // From here on it counts as unsent until the caller has read it, if it is forwarded.
-      context.memory.addAnswer(answer.connection, -this.#buffer.bytes.length);
+      context.memory.addAnswer(answer.connection, -this.#buffer.length);
     });
   }
 
@@ -103,7 +102,7 @@
         return;
       }
     }
-    end.forward(status, headers, this.#buffer.bytes, now);
+    end.forward(status, headers, this.#buffer.join(), now);
   }
 }
 
@@ -130,7 +129,7 @@
   onData(chunk: Buffer): boolean {
     for (const event of this.#splitter.push(chunk)) this.#onEvent(event);
     const { answerMemory } = this.#send.context;
-    return answerMemory.hold(this.#incomplete, this.#splitter.unfinishedBytes, serving.MAX_EVENT_BYTES);
+    return answerMemory.hold(this.#incomplete, this.#splitter.heldBytes, serving.STREAM_EVENT);
   }
 
   /** {@inheritDoc AnswerBody.onEnd} */
--- a/packages/gateway/src/answers/boundedBuffer.ts
+++ b/packages/gateway/src/answers/boundedBuffer.ts
@@ -1,26 +1,31 @@
 import type * as serving from "@camphorcourse/serving";
-import * as byteBuffers from "./byteBuffer.js";
+import * as blockBuffers from "./blockBuffer.js";
 
 /** Buffers one answer, within its own bound and that of all answers together. */
 export class BoundedBuffer {
   readonly #memory: serving.AnswerMemory;
   readonly #holding: serving.AnswerHolding;
-  readonly #maxBytes: number;
-  readonly #buffer = new byteBuffers.ByteBuffer();
+  readonly #limits: serving.BufferLimits;
+  readonly #buffer = new blockBuffers.BlockBuffer();
 
   /**
    * @param memory - bounds all answers together
-   * @param maxBytes - bound of this one, in bytes
+   * @param limits - how much of it is buffered
    */
-  constructor(memory: serving.AnswerMemory, maxBytes: number) {
+  constructor(memory: serving.AnswerMemory, limits: serving.BufferLimits) {
     this.#memory = memory;
-    this.#maxBytes = maxBytes;
+    this.#limits = limits;
     this.#holding = memory.open();
   }
 
+  /** @returns number of bytes that have been buffered */
+  get length(): number {
+    return this.#buffer.length;
+  }
+
   /** @returns what has been buffered */
-  get bytes(): Buffer {
-    return this.#buffer.bytes;
+  join(): Buffer {
+    return this.#buffer.join();
   }
 
   /**
@@ -28,7 +33,7 @@
    * @returns false if the answer is too large to be buffered and is to be given up
    */
   push(chunk: Buffer): boolean {
-    if (!this.#memory.hold(this.#holding, this.#buffer.length + chunk.length, this.#maxBytes)) return false;
+    if (!this.#memory.hold(this.#holding, this.#buffer.length + chunk.length, this.#limits)) return false;
     this.#buffer.append(chunk);
     return true;
   }
--- a/packages/gateway/src/answers/byteBuffer.ts
+++ b/packages/gateway/src/answers/byteBuffer.ts
@@ -8,6 +8,11 @@
     return this.#length;
   }
 
+  /** @returns size of its storage, in bytes */
+  get capacity(): number {
+    return this.#storage.length;
+  }
+
   /** @returns the bytes; they change with the next call */
   get bytes(): Buffer {
     return this.#storage.subarray(0, this.#length);
--- a/packages/gateway/src/engineCalls.ts
+++ b/packages/gateway/src/engineCalls.ts
@@ -56,7 +56,7 @@
     kind = serving.AnsweredCall.Control,
   ): Promise<EngineAnswer | undefined> {
     return new Promise((resolve) => {
-      const buffer = new boundedBuffers.BoundedBuffer(this.#context.answerMemory, serving.MAX_CALL_ANSWER_BYTES);
+      const buffer = new boundedBuffers.BoundedBuffer(this.#context.answerMemory, serving.SHORT_ANSWER);
       let status = 0;
       // Deferred to the end of the event loop's turn: after a pause of the process, the answer may wait in the socket.
       const timer = setTimeout(() => setImmediate(giveUp), timeoutMs);
@@ -84,7 +84,7 @@
             return true;
           },
           onData: (chunk) => buffer.push(chunk),
-          onEnd: () => finish({ status, body: buffer.bytes }),
+          onEnd: () => finish({ status, body: buffer.join() }),
           onBroken: () => finish(undefined),
         },
       );
--- a/packages/gateway/src/eventSplitter.ts
+++ b/packages/gateway/src/eventSplitter.ts
@@ -25,6 +25,11 @@
     return this.#incomplete.length;
   }
 
+  /** @returns memory that the incomplete event takes, in bytes */
+  get heldBytes(): number {
+    return this.#incomplete.capacity;
+  }
+
   /**
    * @param chunk - the next bytes
    * @returns the events that they complete
--- a/packages/gateway/src/prefillHandover.ts
+++ b/packages/gateway/src/prefillHandover.ts
@@ -55,7 +55,7 @@
     const call = this.#context.format.freeHandleCall(prefilled.handle);
     const ignore = (): void => undefined;
     let receivedBytes = 0;
-    const onData = (chunk: Buffer): boolean => (receivedBytes += chunk.length) <= serving.MAX_CALL_ANSWER_BYTES;
+    const onData = (chunk: Buffer): boolean => (receivedBytes += chunk.length) <= serving.SHORT_ANSWER.maxBytes;
     this.#context.client.send(
       prefilled.engine,
       {
--- a/packages/gateway/src/prefillReceiver.ts
+++ b/packages/gateway/src/prefillReceiver.ts
@@ -16,7 +16,7 @@
   constructor(send: exchangeParts.AnsweredSend) {
     this.#send = send;
     const { active, context } = send;
-    this.#buffer = new boundedBuffers.BoundedBuffer(context.answerMemory, serving.MAX_CALL_ANSWER_BYTES);
+    this.#buffer = new boundedBuffers.BoundedBuffer(context.answerMemory, serving.SHORT_ANSWER);
     active.onReleased(() => this.#buffer.close());
   }
 
@@ -38,7 +38,7 @@
   /** {@inheritDoc sendings.AnswerReceiver.onEnd} */
   onEnd(): void {
     const { active, results, context, served, handover, feedback } = this.#send;
-    const result = this.#status === HTTP_OK ? context.format.readHandle(this.#buffer.bytes) : undefined;
+    const result = this.#status === HTTP_OK ? context.format.readHandle(this.#buffer.join()) : undefined;
     if (result?.isOk() === true) results.settle(active);
     if (!results.end(active)) return;
     if (result?.isOk() === true) {
--- a/packages/serving/src/memory/answerMemory.ts
+++ b/packages/serving/src/memory/answerMemory.ts
@@ -1,17 +1,33 @@
-/** Largest answer that is buffered as a whole, in bytes: an eighth of a daemon's memory of 64 MiB. */
-export const MAX_ANSWER_BYTES = 8_388_608;
+/** Bytes that are buffered of all incomplete answers without a stated length: half of a daemon's memory of 64 MiB. */
+const MAX_UNSTATED_TOTAL_BYTES = 33_554_432;
 
-/** Largest event of a stream in bytes; an event holds a few tokens. */
-export const MAX_EVENT_BYTES = 1_048_576;
+/** Bytes that are buffered of all incomplete answers: three quarters of a daemon's memory of 64 MiB. */
+export const MAX_STATED_BYTES = 50_331_648;
 
-/** Largest answer to a call of the gateway itself in bytes; an engine's state is a few kilobytes. */
-export const MAX_CALL_ANSWER_BYTES = 1_048_576;
+/** How much of an answer is buffered. */
+export interface BufferLimits {
+  /** Bytes of this answer. */
+  readonly maxBytes: number;
+  /** Bytes of all incomplete answers together beyond which this one is held to an equal share. */
+  readonly maxTotalBytes: number;
+}
+
+/** Limits of an answer without a stated length, which may never end: an eighth of a daemon's memory. */
+export const UNSTATED_ANSWER: BufferLimits = { maxBytes: 8_388_608, maxTotalBytes: MAX_UNSTATED_TOTAL_BYTES };
+
+/** Limits of one event of a stream, in a buffer that doubles; an event holds a few tokens. */
+export const STREAM_EVENT: BufferLimits = { maxBytes: 2_097_152, maxTotalBytes: MAX_UNSTATED_TOTAL_BYTES };
+
+/** Limits of an error, and of an answer to a call of the gateway itself: an engine's state is a few kilobytes. */
+export const SHORT_ANSWER: BufferLimits = { maxBytes: 1_048_576, maxTotalBytes: MAX_UNSTATED_TOTAL_BYTES };
 
 /**
- * Bytes that are buffered of all incomplete answers together: a quarter of a daemon's memory of 64 MiB, as buffers that grow take
- * up to twice as much.
+ * @param bytes - length that an answer states
+ * @returns its limits; an answer that is too long is given up at its first byte
  */
-const MAX_TOTAL_BYTES = 16_777_216;
+export function statedAnswer(bytes: number): BufferLimits {
+  return { maxBytes: bytes > MAX_STATED_BYTES ? 0 : bytes, maxTotalBytes: MAX_STATED_BYTES };
+}
 
 /** What one answer holds in memory. */
 export interface AnswerHolding {
@@ -25,15 +41,9 @@
  * Answers the load pattern in which endpoints send bytes without end to many requests at once.
  */
 export class AnswerMemory {
-  readonly #maxTotalBytes: number;
   readonly #holdings = new Set<AnswerHolding>();
   #total = 0;
 
-  /** @param maxTotalBytes - bound of all answers together, in bytes */
-  constructor(maxTotalBytes = MAX_TOTAL_BYTES) {
-    this.#maxTotalBytes = maxTotalBytes;
-  }
-
   /** @returns bytes that all incomplete answers hold */
   get total(): number {
     return this.#total;
@@ -49,14 +59,13 @@
   /**
    * @param holding - an open holding
    * @param bytes - bytes that it holds in all from now on
-   * @param limit - the most that it may hold, in bytes
+   * @param limits - how much it may hold
    * @returns whether it may; its answer is to be given up otherwise
    */
-  hold(holding: AnswerHolding, bytes: number, limit: number): boolean {
-    if (!this.#holdings.has(holding)) return false;
+  hold(holding: AnswerHolding, bytes: number, { maxBytes, maxTotalBytes }: BufferLimits): boolean {
+    if (!this.#holdings.has(holding) || bytes > maxBytes) return false;
     const total = this.#total + bytes - holding.bytes;
-    if (bytes > limit) return false;
-    if (total > this.#maxTotalBytes && bytes > this.#maxTotalBytes / this.#holdings.size) return false;
+    if (total > maxTotalBytes && bytes > maxTotalBytes / this.#holdings.size) return false;
     this.#total = total;
     holding.bytes = bytes;
     return true;
