Measure the time of tests that only calculate in processor time, in lanes of their own

Cause: cutOffReplay and deepShortage were ended after 120 s beside a load of 11 to 14, though they only calculate: the verdict depended on the load. Change: files of core, experiment, measure and serving may take 120 s of processor time and run in two lanes beside the four of the others; all others are ended after 120 s as before.

--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -4,9 +4,26 @@
 import * as fs from "node:fs";
 import * as path from "node:path";
 
-const PARALLEL = 4;
+/** Packages whose tests only calculate: how long they take depends on the machine's load, what they find doesn't. */
+const CALCULATING = ["core", "experiment", "measure", "serving"];
+
+/** Files that run at the same time: those that only calculate, and the others, which may depend on time. */
+const PARALLEL = { calculating: 2, other: 4 };
+
+/** Time that a file may take in milliseconds: processor time where it only calculates, so that a busy machine doesn't end it. */
 const TIMEOUT_MS = 120_000;
 
+/** Time that a file which only calculates may take by the clock, in milliseconds; no load makes it wait that long. */
+const CALCULATING_TIMEOUT_MS = 600_000;
+
+const CHECK_INTERVAL_MS = 1_000;
+
+/** Length of a tick in which the system counts processor time, in milliseconds. */
+const TICK_MS = 10;
+
+/** Index of the ticks in user mode and in the kernel among the fields that follow a process's name. */
+const TICK_FIELDS = [11, 12];
+
 /** Time that a hanging test has to report what keeps it running, in milliseconds. */
 const REPORT_MS = 1_000;
 
@@ -31,6 +48,10 @@
       .filter((line) => line.trim() !== "")
   : [];
 
+function isCalculating(file) {
+  return CALCULATING.some((name) => file.startsWith(path.join("packages", name, path.sep)));
+}
+
 function run(file) {
   return new Promise((resolve) => {
     // A separate process group, so that a hanging test is killed with all processes that it started.
@@ -45,21 +66,44 @@
     };
     let output = "";
     const onTimeout = () => {
-      output += `still running after ${TIMEOUT_MS / 1000} s, ended by the test runner\n`;
+      output += `still running after its time limit, ended by the test runner\n`;
       child.kill("SIGUSR2");
       timer = setTimeout(killGroup, REPORT_MS);
     };
-    let timer = setTimeout(onTimeout, TIMEOUT_MS);
+    const onCheck = () => {
+      const elapsedMs = performance.now() - startedAt;
+      const isOver = isCalculating(file)
+        ? processorMs(child.pid) >= TIMEOUT_MS || elapsedMs >= CALCULATING_TIMEOUT_MS
+        : elapsedMs >= TIMEOUT_MS;
+      if (!isOver) return;
+      clearInterval(checks);
+      onTimeout();
+    };
+    const startedAt = performance.now();
+    const checks = setInterval(onCheck, CHECK_INTERVAL_MS);
+    let timer;
     child.stdout.on("data", (chunk) => (output += chunk));
     child.stderr.on("data", (chunk) => (output += chunk));
     child.once("exit", (code) => {
+      clearInterval(checks);
       clearTimeout(timer);
       killGroup();
-      resolve({ file, code, output });
+      resolve({ file, code, output, seconds: (performance.now() - startedAt) / 1_000 });
     });
   });
 }
 
+/** Processor time of a process in milliseconds, 0 where the system doesn't tell. */
+function processorMs(pid) {
+  try {
+    const [, fields = ""] = fs.readFileSync(`/proc/${pid}/stat`, "utf8").split(") ");
+    const values = fields.split(" ");
+    return TICK_FIELDS.reduce((sum, index) => sum + Number(values[index]), 0) * TICK_MS;
+  } catch {
+    return 0;
+  }
+}
+
 function countsOf(result) {
   const total = Number(/Total:\s+(\d+)/.exec(result.output)?.[1] ?? 0);
   const passed = Number(/Passed:\s+(\d+)/.exec(result.output)?.[1] ?? 0);
@@ -69,28 +113,33 @@
 }
 
 const started = Date.now();
-const queue = [...files];
+const queues = [
+  { queue: files.filter(isCalculating), lanes: PARALLEL.calculating },
+  { queue: files.filter((file) => !isCalculating(file)), lanes: PARALLEL.other },
+];
 let passed = 0;
 let failed = 0;
 const failedFiles = [];
 await Promise.all(
-  Array.from({ length: PARALLEL }, async () => {
-    for (let file = queue.shift(); file !== undefined; file = queue.shift()) {
-      const result = await run(file);
-      const counts = countsOf(result);
-      passed += counts.passed;
-      if (counts.failed === 0) {
-        console.log(`ok   ${file} (${counts.passed})`);
-        continue;
+  queues
+    .flatMap(({ queue, lanes }) => Array.from({ length: lanes }, () => queue))
+    .map(async (queue) => {
+      for (let file = queue.shift(); file !== undefined; file = queue.shift()) {
+        const result = await run(file);
+        const counts = countsOf(result);
+        passed += counts.passed;
+        if (counts.failed === 0) {
+          console.log(`ok   ${file} (${counts.passed}) ${result.seconds.toFixed(1)} s`);
+          continue;
+        }
+        // Compares the whole path: test files of two packages may share a name while only one of them is listed.
+        const known = knownRed.find((line) => line.startsWith(file));
+        console.log(`${known ? "KNOWN RED" : "FAIL"} ${file}\n${result.output}`);
+        if (known) continue;
+        failed += counts.failed;
+        failedFiles.push(`${file} (${counts.passed} passed, ${counts.failed} failed, exit code ${result.code})`);
       }
-      // Compares the whole path: test files of two packages may share a name while only one of them is listed.
-      const known = knownRed.find((line) => line.startsWith(file));
-      console.log(`${known ? "KNOWN RED" : "FAIL"} ${file}\n${result.output}`);
-      if (known) continue;
-      failed += counts.failed;
-      failedFiles.push(`${file} (${counts.passed} passed, ${counts.failed} failed, exit code ${result.code})`);
-    }
-  }),
+    }),
 );
 for (const line of knownRed) console.log(`known red: ${line}`);
 // Repeated at the end, since the output of a failure may be thousands of lines above.
