Settle a single send without a copy of the list, and keep a handle that nothing was sent with

Cause: each event of a stream asks whether its send goes on alone, and nearly all have one send. A handle was given up when the second send had not left the daemon.

--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -189,7 +189,7 @@
     if (outcome === serving.SendOutcome.Unknown) served.noteMayHaveRun();
     if (this.isAnswerAwaited) {
       // The endpoint of another send may still take the handle over, so that it isn't freed.
-      if (outcome !== serving.SendOutcome.NotSent) handover.markTaken();
+      if (!serving.isUnsent(outcome)) handover.markTaken();
       this.#logFailed(active, outcome, detail, ANOTHER_AWAITED);
       return;
     }
--- a/packages/serving/src/hedging/sendRace.ts
+++ b/packages/serving/src/hedging/sendRace.ts
@@ -1,3 +1,5 @@
+const NONE: readonly never[] = [];
+
 /**
  * The sends of one request that are in flight. There is one at a time, unless an endpoint falls silent: its send stays while
  * another endpoint is tried, and whichever brings something first goes on alone.
@@ -39,7 +41,8 @@
    * @returns the other sends, which are to be cancelled; none if the send isn't in flight
    */
   settle(send: Send): readonly Send[] {
-    if (!this.#sends.includes(send)) return [];
+    // Asked at each event of a stream, of which nearly all have one send.
+    if (this.#sends.length === 1 || !this.#sends.includes(send)) return NONE;
     const others = this.#sends.filter((each) => each !== send);
     this.#sends = [send];
     return others;
