Connect to an endpoint without an entry before its answer counts as whole

What callers see: a stream without a length that breaks off in the middle and looks complete. Cause: an endpoint that may get nothing new counted as leaving, and the end of its connection as that of its answer. The entry of a crashed endpoint is removed as well; a daemon that handled the end later than the removal took the stream for whole. Why it works: an endpoint that says that it leaves still counts so; one without an entry must accept a connection, or a peer's. Its end blames no request, as before. The new test of endpointCrashDetector fails without the mend.

--- a/packages/gateway/src/endpointCrashDetector.ts
+++ b/packages/gateway/src/endpointCrashDetector.ts
@@ -39,13 +39,15 @@
   readonly probe: (endpoint: serving.Endpoint) => Promise<pathMonitors.ProbeResult>;
   /** @returns whether the endpoint is expected to end, because it is leaving or gone */
   readonly isLeaving: (endpoint: serving.Endpoint) => boolean;
+  /** @returns whether the endpoint has no entry any more */
+  readonly isGone: (endpoint: serving.Endpoint) => boolean;
   /** Called with an endpoint that has crashed and what was running there for this daemon's callers. */
   readonly onCrashed: (endpoint: serving.Endpoint, runs: readonly BrokenRun[]) => void;
 }
 
 /** What a check of an endpoint finds. */
 enum CheckFinding {
-  /** It accepts connections, or is expected to end. */
+  /** It accepts connections, or says that it leaves. */
   Serving = "serving",
   /** Nothing listens there any more. */
   Crashed = "crashed",
@@ -168,9 +170,13 @@
    * not be blamed on the requests that ran, and a path that hangs must not hide that the endpoint has crashed.
    */
   async #connect(endpoint: serving.Endpoint): Promise<CheckFinding> {
-    if (this.#parts.hasLiveConnection(endpoint.id) || this.#parts.isLeaving(endpoint)) return CheckFinding.Serving;
+    if (this.#parts.hasLiveConnection(endpoint.id)) return CheckFinding.Serving;
+    const isLeaving = this.#parts.isLeaving(endpoint);
+    if (isLeaving && !this.#parts.isGone(endpoint)) return CheckFinding.Serving;
     const { error, finding } = await this.#parts.probe(endpoint);
     if (error === undefined || finding?.reached === true) return CheckFinding.Serving;
+    // The entry of a crashed endpoint is removed, too: its end blames no request, but proves no answer whole.
+    if (isLeaving) return CheckFinding.Unreached;
     return (finding?.refused ?? error.code === REFUSED) ? CheckFinding.Crashed : CheckFinding.Unreached;
   }
 }
--- a/packages/gateway/tests/endpointCrashDetector.test.ts
+++ b/packages/gateway/tests/endpointCrashDetector.test.ts
@@ -22,6 +22,7 @@
 interface Options {
   lastReceivedAt?: number;
   readonly isLeaving?: boolean;
+  readonly isGone?: boolean;
   readonly hasLiveConnection?: boolean;
   /** Error code of a failed connection, instead of the real one. */
   readonly error?: string;
@@ -40,7 +41,8 @@
       if (error !== undefined) error.code = options.error ?? error.code;
       return { error, finding: options.finding };
     },
-    isLeaving: () => options.isLeaving ?? false,
+    isLeaving: () => options.isLeaving ?? options.isGone ?? false,
+    isGone: () => options.isGone ?? false,
     onCrashed: ({ id }, runs) => crashed.push([id, runs.length]),
   });
   return { detector, crashed, lines };
@@ -194,4 +196,12 @@
   await new Promise((resolve) => server.close(resolve));
 });
 
+// Guards against an answer without a length that looks whole as its endpoint crashed in the middle: the entry was removed
+// before the daemon, whose event loop lagged, handled the end.
+suite("an endpoint that is gone and refuses connections proves no answer whole, and blames no request", async () => {
+  const { detector, crashed } = createFixture({ isGone: true, finding: { reached: false, refused: true } });
+  assert.ok(await detector.mayHaveCrashed(endpointAt(await closedPort())));
+  assert.equal(crashed, []);
+});
+
 suite.run();
--- a/packages/gateway/tests/helpers/exchangeHarness.ts
+++ b/packages/gateway/tests/helpers/exchangeHarness.ts
@@ -291,6 +291,7 @@
         hasLiveConnection: () => true,
         probe: () => Promise.resolve({ error: undefined, finding: undefined }),
         isLeaving: () => false,
+        isGone: () => false,
         onCrashed: () => undefined,
       }),
       streams: new streamOrigins.StreamOrigins({
