--- a/review/support/processes.mjs
+++ b/review/support/processes.mjs
@@ -1,5 +1,4 @@
 /** A runner as a process, and the entries that runners write into the store. */
-import * as childProcess from "node:child_process";
 import * as site from "./site.mjs";
 
 const HEARTBEAT_MS = 1200;
@@ -13,9 +12,7 @@
 
   constructor(id, program, parameters, record) {
     this.id = id;
-    this.#child = childProcess.spawn(process.execPath, [program, id, ...parameters], {
-      stdio: ["ignore", "pipe", "inherit"],
-    });
+    this.#child = site.startProcess([program, id, ...parameters], { stdio: ["ignore", "pipe", "inherit"] });
     this.left = new Promise((resolve) => this.#child.once("exit", resolve));
     void this.left.then(() => (this.hasEnded = true));
     let rest = "";
--- a/review/support/site.mjs
+++ b/review/support/site.mjs
@@ -9,10 +9,10 @@
 
 export const HOST = "desk.example";
 
-/** Exit codes of a case. */
-export const BROKEN = 1;
-export const HELD = 0;
-export const NOT_RUN = 2;
+/** Exit codes of a case's program; `run.sh` turns them into its own. Node itself ends with 1 where a module is missing. */
+const HELD = 0;
+const BROKEN = 10;
+const NOT_RUN = 2;
 
 /** Whether the disruption takes place. */
 export const HAS_TROUBLE = process.env.TROUBLE !== "0";
@@ -44,6 +44,21 @@
   ttl_max_s: 5,
 };
 
+/** All processes that a case has started; they end with it, however it ends. */
+const children = new Set();
+
+/** Starts a process that ends with the case. */
+export function startProcess(parameters, options) {
+  const child = childProcess.spawn(process.execPath, parameters, options);
+  children.add(child);
+  child.once("exit", () => children.delete(child));
+  return child;
+}
+
+function endProcesses() {
+  for (const child of children) child.kill("SIGKILL");
+}
+
 export const sleep = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
 
 /** Writes what was sent, answered and run, one line each, with the time since the start. */
@@ -111,7 +126,7 @@
     const file = path.join(this.#folder, `${name}.json`);
     fs.writeFileSync(file, JSON.stringify(settings));
     const log = fs.openSync(path.join(this.#folder, `${name}.log`), "a");
-    const child = childProcess.spawn(process.execPath, ["--max-old-space-size=160", "target/gateway.cjs"], {
+    const child = startProcess(["--max-old-space-size=160", "target/gateway.cjs"], {
       env: { PATH: process.env.PATH, HOME: process.env.HOME, CAMPHORCOURSE_BOOT: file },
       stdio: ["ignore", log, log],
     });
@@ -134,9 +149,9 @@
     }
   }
 
-  async stop() {
-    for (const { child, hasEnded } of this.#daemons) if (!hasEnded) child.kill("SIGKILL");
-    this.store.stop();
+  /** Ends all processes that the case has started, and removes its files. */
+  end() {
+    endProcesses();
     fs.rmSync(this.#folder, { recursive: true, force: true });
   }
 }
@@ -156,6 +171,8 @@
   const record = new Record();
   const site = new Site();
   let code = NOT_RUN;
+  process.once("exit", () => site.end());
+  process.once("SIGTERM", () => process.exit(NOT_RUN));
   try {
     const broken = await play(site, record);
     for (const line of broken) record.note("broken", { what: line });
@@ -168,7 +185,6 @@
   } finally {
     record.write(folder);
     if (process.env.KEEP_LOGS !== undefined) site.keepLogs(process.env.KEEP_LOGS);
-    await site.stop();
   }
   process.exit(code);
 }
