--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -17,6 +17,7 @@
 /** The largest dose of second answers: this share of a runner's answers, for this long. */
 const EXTRA_SHARE = 0.03;
 const EXTRA_MS = 5000;
+const DOSES = 4;
 
 /** Waves that fill the runners' places for a moment, and single requests between them. */
 const WAVE = 60;
@@ -33,8 +34,10 @@
   runs = new Map();
   #busy = 0;
   #queue = [];
+  /** Answers, and second answers, since the dose began. */
   #answers = 0;
   #extras = 0;
+  #extrasUntil = 0;
   #record;
   #seed;
   /** Second answers that lie in wait, by connection. */
@@ -44,10 +47,16 @@
     this.id = id;
     this.#record = record;
     this.#seed = seed;
-    this.extrasUntil = 0;
     this.raw = new runners.RawRunner(id, (request, socket) => this.#onRequest(request, socket));
   }
 
+  /** Gives second answers from now on, for as long as a dose lasts. */
+  beginDose() {
+    this.#answers = 0;
+    this.#extras = 0;
+    this.#extrasUntil = performance.now() + EXTRA_MS;
+  }
+
   #draw() {
     this.#seed = (this.#seed * 1103515245 + 12345) % 2147483648;
     return this.#seed / 2147483648;
@@ -72,7 +81,7 @@
     this.#record.note("turned-away", { runner: this.id, id: request.id });
     const bytes = runners.answerBytes(503, request.id, { "X-Not-Executed": "1", "X-Instance-Id": this.id }, "");
     socket.write(bytes);
-    const mayRepeat = performance.now() < this.extrasUntil && this.#extras + 1 <= this.#answers * EXTRA_SHARE;
+    const mayRepeat = performance.now() < this.#extrasUntil && this.#extras + 1 <= this.#answers * EXTRA_SHARE;
     if (!mayRepeat) return;
     this.#extras++;
     this.#late.set(socket, { id: request.id, bytes });
@@ -164,10 +173,12 @@
     }
     clearInterval(singles);
   };
-  await load(CALM_MS);
-  if (site.HAS_TROUBLE) all[0].extrasUntil = performance.now() + EXTRA_MS;
-  record.note("trouble", { on: site.HAS_TROUBLE });
-  await load(EXTRA_MS);
+  for (let dose = 0; dose < DOSES; dose++) {
+    await load(CALM_MS);
+    record.note("dose", { hasTrouble: site.HAS_TROUBLE });
+    if (site.HAS_TROUBLE) all[0].beginDose();
+    await load(EXTRA_MS);
+  }
   const answers = await Promise.all(pending);
   await site.sleep(1500);
   agent.destroy();
