--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -7,7 +7,8 @@
 import * as runners from "../support/runner.mjs";
 import * as site from "../support/site.mjs";
 
-const FOLDER = url.fileURLToPath(new URL(".", import.meta.url));
+/** What was sent, answered and run. */
+const RECORD_FILE = url.fileURLToPath(new URL("record.txt", import.meta.url));
 
 /** As on the sheet: 3 runners, 6 slots each, and a queue; up to 220 ms of work, in the mean 30. */
 const RUNNERS = 3;
@@ -197,4 +198,4 @@
   return broken;
 }
 
-void site.runCase(FOLDER, play);
+void site.runCase(RECORD_FILE, play);
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -7,7 +7,8 @@
 import * as processes from "../support/processes.mjs";
 import * as site from "../support/site.mjs";
 
-const FOLDER = url.fileURLToPath(new URL(".", import.meta.url));
+/** What was sent, answered and run. */
+const RECORD_FILE = url.fileURLToPath(new URL("record.txt", import.meta.url));
 const ZONES = ["halle-a", "halle-b", "halle-c"];
 
 const SILENCE_MS = 1500;
@@ -133,4 +134,4 @@
   });
 }
 
-void site.runCase(FOLDER, play);
+void site.runCase(RECORD_FILE, play);
--- a/review/support/resets.mjs
+++ b/review/support/resets.mjs
@@ -4,7 +4,6 @@
  * A sound runner answers with streams that have neither a length nor chunks. Each second half of its connections are reset,
  * whatever they carry at that moment. Counted are the streams that were reset and look whole to their client.
  */
-import * as fs from "node:fs";
 import * as http from "node:http";
 import * as os from "node:os";
 import * as path from "node:path";
@@ -82,4 +81,4 @@
     .map(({ id, events }) => `${id} looks whole after ${events} of ${EVENTS} events`);
 }
 
-void site.runCase(fs.mkdtempSync(path.join(os.tmpdir(), "trial-")), play);
+void site.runCase(path.join(os.tmpdir(), `resets-${process.pid}.txt`), play);
--- a/review/support/site.mjs
+++ b/review/support/site.mjs
@@ -71,8 +71,8 @@
     this.#lines.push(`${(performance.now() - this.#startedAt).toFixed(1)} ${kind} ${text.join(" ")}`);
   }
 
-  write(folder) {
-    fs.writeFileSync(path.join(folder, "record.txt"), `${this.#lines.join("\n")}\n`);
+  write(file) {
+    fs.writeFileSync(file, `${this.#lines.join("\n")}\n`);
   }
 }
 
@@ -167,10 +167,11 @@
 }
 
 /** Runs a case: writes the record, ends everything, and exits with 1 if the rule was broken, 0 if it held, 2 otherwise. */
-export async function runCase(folder, play) {
+export async function runCase(recordFile, play) {
   const record = new Record();
   const site = new Site();
   let code = NOT_RUN;
+  fs.rmSync(recordFile, { force: true });
   process.once("exit", () => site.end());
   process.once("SIGTERM", () => process.exit(NOT_RUN));
   try {
@@ -183,7 +184,7 @@
     record.note("not-run", { why: String(error?.stack ?? error).replaceAll("\n", " ") });
     console.log(`could not run: ${String(error)}`);
   } finally {
-    record.write(folder);
+    record.write(recordFile);
     if (process.env.KEEP_LOGS !== undefined) site.keepLogs(process.env.KEEP_LOGS);
   }
   process.exit(code);
