Give the first review case smaller and closer waves, so that it fails with a margin

Its waves were so large that the request after a second answer was mostly turned away as well, so nothing ran: of 24 second answers none came before a request that ran.

Code at fault, as before: AnswerReceiver.onHead. Nothing else was changed.

--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -18,11 +18,11 @@
 /** The largest dose of second answers: this share of a runner's answers, for this long. */
 const EXTRA_SHARE = 0.03;
 const EXTRA_MS = 5000;
-const DOSES = 4;
+const DOSES = 6;
 
 /** Waves that fill the runners' places for a moment, and single requests between them. */
-const WAVE = 60;
-const WAVE_EVERY_MS = 500;
+const WAVES = [22, 26, 30];
+const WAVE_EVERY_MS = 200;
 const SINGLE_EVERY_MS = 20;
 const CALM_MS = 2000;
 
@@ -169,7 +169,7 @@
   const load = async (forMs) => {
     const singles = setInterval(sendOne, SINGLE_EVERY_MS);
     for (let elapsed = 0; elapsed < forMs; elapsed += WAVE_EVERY_MS) {
-      for (let each = 0; each < WAVE; each++) sendOne();
+      for (let each = 0; each < WAVES[(elapsed / WAVE_EVERY_MS) % WAVES.length]; each++) sendOne();
       await site.sleep(WAVE_EVERY_MS);
     }
     clearInterval(singles);
