--- a/review/support/processes.mjs
+++ b/review/support/processes.mjs
@@ -56,6 +56,11 @@
     this.#timers.set(id, beat);
   }
 
+  /** Writes the entry no more; it stays until it is removed. */
+  silence(id) {
+    clearInterval(this.#timers.get(id));
+  }
+
   remove(id, isGone = true) {
     clearInterval(this.#timers.get(id));
     if (this.#timers.delete(id) && isGone) this.#store.remove(`servers/${id}`);
