--- a/review/support/engine.mjs
+++ b/review/support/engine.mjs
@@ -11,6 +11,9 @@
 const json = (status, request, body) =>
   runners.answerBytes(status, request.id ?? "none", { "Content-Type": "application/json" }, JSON.stringify(body));
 
+/** The runs under way, by request. */
+const runs = new Map();
+
 function stream(request, socket) {
   const pieces = Number(request.headers.get("x-token-counts")?.split(",")[1] ?? 10);
   const from = Number(request.headers.get("last-event-id") ?? 0);
@@ -26,26 +29,51 @@
     isChunked ? "Transfer-Encoding: chunked" : "Connection: close",
   ];
   note("begin", request.id, "after", from, "of", pieces);
-  let next = from + 1;
+  const run = { created: from, stop: () => undefined };
+  runs.set(request.id, run);
   socket.write(`${head.join("\r\n")}\r\n\r\n`);
+  const end = () => {
+    clearInterval(timer);
+    if (runs.get(request.id) === run) runs.delete(request.id);
+  };
   const timer = setInterval(() => {
-    if (next <= pieces) {
-      note("event", request.id, next);
-      socket.write(frame(`id: ${next}\ndata: piece ${next} of ${request.id}\n\n`));
-      next++;
+    if (run.created < pieces) {
+      run.created++;
+      note("event", request.id, run.created);
+      socket.write(frame(`id: ${run.created}\ndata: piece ${run.created} of ${request.id}\n\n`));
       return;
     }
-    clearInterval(timer);
+    end();
     note("end", request.id);
     if (isChunked) socket.write("0\r\n\r\n");
     else socket.end();
   }, Number(eventMs));
+  // A run that is moved away stops, and its stream is closed without its end.
+  run.stop = () => {
+    end();
+    note("stopped", request.id, "at", run.created);
+    socket.end();
+  };
   socket.once("close", () => {
-    clearInterval(timer);
-    if (next <= pieces) note("dropped", request.id, "at", next - 1);
+    if (runs.get(request.id) === run && run.created < pieces) note("dropped", request.id, "at", run.created);
+    end();
   });
 }
 
+/** Copies a run's memory to another runner, which takes a few ms. */
+function move(request, socket) {
+  const { id: requestId, target, last } = JSON.parse(request.body);
+  const run = runs.get(requestId);
+  note("move", requestId, "to", target, "last", last, run === undefined ? "no-run" : "run");
+  if (run === undefined) {
+    socket.write(json(404, request, {}));
+    return;
+  }
+  if (last) run.stop();
+  const answer = json(200, request, { "kv-handle": `h${requestId}`, created: run.created });
+  setTimeout(() => socket.write(answer), 5);
+}
+
 const runner = new runners.RawRunner(id, (request, socket) => {
   const expected = request.headers.get("x-expect-instance");
   if (expected !== undefined && expected !== id) {
@@ -54,6 +82,10 @@
     const models = [{ name: "m", version: 1, adapters: [] }];
     const counts = { waiting: 0, running: 0, "kv-used": 0, "kv-total": 500000, "kv-handles": 0 };
     socket.write(json(200, request, { stage: "decode", models, busy: false, sequence: 0, ...counts }));
+  } else if (request.target === "/camphorcourse/kv-move") {
+    move(request, socket);
+  } else if (request.target.startsWith("/camphorcourse/kv-handle/")) {
+    socket.write(json(200, request, {}));
   } else if (request.target.startsWith("/camphorcourse/")) {
     note("call", request.method, request.target);
     socket.write(json(404, request, {}));
