Review case: a stream without a seal is passed on as a success

Seen: one of three runners hands out a wrong byte in the name of the seal's header, in one answer of 33. The clients of these streams get 200 without a seal, all events and the end of a complete answer.

At fault: AnswerReceiver looks for the seal at the end of an answer only, when a stream's head and events have been passed on.

--- a/review/support/engine.mjs
+++ b/review/support/engine.mjs
@@ -1,11 +1,12 @@
 /**
  * A stand-in of a model runner as a process, after the pages: it streams events with increasing ids, answers with neither a
  * length nor chunks where it is told so, and ends its streams with their connection. SIGTERM ends the process at once, as at
- * the end of the time for which a leaving runner goes on: the system closes what is still open.
+ * the end of the time for which a leaving runner goes on: the system closes what is still open. A runner that spoils answers
+ * hands out one wrong byte in each so many heads.
  */
 import * as runners from "./runner.mjs";
 
-const [id, framing = "close", eventMs = "100"] = process.argv.slice(2);
+const [id, framing = "close", eventMs = "100", spoiledEach = "0"] = process.argv.slice(2);
 const note = (...fields) => process.stdout.write(`${fields.join(" ")}\n`);
 
 const json = (status, request, body) =>
@@ -13,29 +14,37 @@
 
 /** The runs under way, by request. */
 const runs = new Map();
+let begun = 0;
 
 function stream(request, socket) {
   const pieces = Number(request.headers.get("x-token-counts")?.split(",")[1] ?? 10);
   const from = Number(request.headers.get("last-event-id") ?? 0);
   const isChunked = framing === "chunked";
   const frame = (text) => (isChunked ? `${text.length.toString(16)}\r\n${text}\r\n` : text);
+  begun++;
+  const isSpoiled = spoiledEach !== "0" && begun % Number(spoiledEach) === 0;
   const head = [
     "HTTP/1.1 200 OK",
     `X-Request-Id: ${request.id}`,
-    `X-Response-Seal: seal.${id}`,
+    `X-Response-${isSpoiled ? "Seap" : "Seal"}: seal.${id}`,
     "X-Weight-Versions: 1",
     `X-Instance-Id: ${id}`,
     "Content-Type: text/event-stream",
     isChunked ? "Transfer-Encoding: chunked" : "Connection: close",
   ];
-  note("begin", request.id, "after", from, "of", pieces);
+  note("begin", request.id, "after", from, "of", pieces, isSpoiled ? "spoiled" : "sound");
   const run = { created: from, stop: () => undefined };
   runs.set(request.id, run);
   socket.write(`${head.join("\r\n")}\r\n\r\n`);
   const end = () => {
     clearInterval(timer);
+    socket.off("close", onClose);
     if (runs.get(request.id) === run) runs.delete(request.id);
   };
+  const onClose = () => {
+    if (run.created < pieces) note("dropped", request.id, "at", run.created);
+    end();
+  };
   const timer = setInterval(() => {
     if (run.created < pieces) {
       run.created++;
@@ -54,10 +63,7 @@
     note("stopped", request.id, "at", run.created);
     socket.end();
   };
-  socket.once("close", () => {
-    if (runs.get(request.id) === run && run.created < pieces) note("dropped", request.id, "at", run.created);
-    end();
-  });
+  socket.once("close", onClose);
 }
 
 /** Copies a run's memory to another runner, which takes a few ms. */
