--- a/review/support/runner.mjs
+++ b/review/support/runner.mjs
@@ -16,7 +16,10 @@
       if (end < 0) return requests;
       const [line, ...fields] = this.#bytes.subarray(0, end).toString("latin1").split("\r\n");
       const headers = new Map(
-        fields.map((each) => each.split(/: ?/, 2)).map(([name, value]) => [name.toLowerCase(), value]),
+        fields.map((each) => {
+          const colon = each.indexOf(":");
+          return [each.slice(0, colon).toLowerCase(), each.slice(colon + 1).trim()];
+        }),
       );
       const next = end + HEAD_END.length + Number(headers.get("content-length") ?? 0);
       if (this.#bytes.length < next) return requests;
