--- a/review/support/engine.mjs
+++ b/review/support/engine.mjs
@@ -2,15 +2,13 @@
  * A stand-in of a model runner as a process, after the pages: it streams events with increasing ids, answers with neither a
  * length nor chunks where it is told so, and ends its streams with their connection. SIGTERM ends the process at once, as at
  * the end of the time for which a leaving runner goes on: the system closes what is still open. A runner that spoils answers
- * hands out one wrong byte in each so many heads, or answers each so many moves a second time.
+ * hands out one wrong byte in each so many heads.
  */
 import * as runners from "./runner.mjs";
 
-const [id, framing = "close", eventMs = "100", spoiledEach = "0", extraEach = "0"] = process.argv.slice(2);
+const [id, framing = "close", eventMs = "100", spoiledEach = "0"] = process.argv.slice(2);
 /** Time of a move to another zone: 11,992 tokens of 35.136 KB over 1,100 Gbit/s, twice. */
 const MOVE_MS = 6;
-/** How much later than the answer its second copy comes, at most. */
-const MAX_EXTRA_LATE_MS = 100;
 const note = (...fields) => process.stdout.write(`${fields.join(" ")}\n`);
 
 const json = (status, request, body) =>
@@ -19,8 +17,6 @@
 /** The runs under way, by request. */
 const runs = new Map();
 let begun = 0;
-let moves = 0;
-let linkFreeAt = 0;
 
 function stream(request, socket) {
   const pieces = Number(request.headers.get("x-token-counts")?.split(",")[1] ?? 10);
@@ -91,20 +87,8 @@
     return;
   }
   if (last) run.stop();
-  moves++;
-  const answer = json(200, request, { "kv-handle": `h.${requestId}.${moves}`, created: run.created });
-  const isDoubled = extraEach !== "0" && moves % Number(extraEach) === 0;
-  // Moves are queued on the link.
-  linkFreeAt = Math.max(performance.now(), linkFreeAt) + MOVE_MS;
-  setTimeout(() => {
-    socket.write(answer);
-    if (!isDoubled) return;
-    setTimeout(() => {
-      if (socket.destroyed) return;
-      note("second-answer", requestId);
-      socket.write(answer);
-    }, Math.random() * MAX_EXTRA_LATE_MS);
-  }, linkFreeAt - performance.now());
+  const answer = json(200, request, { "kv-handle": `h${requestId}`, created: run.created });
+  setTimeout(() => socket.write(answer), MOVE_MS);
 }
 
 const runner = new runners.RawRunner(id, (request, socket) => {
