--- a/review/5/case.mjs
+++ b/review/support/cutAnswers.mjs
@@ -1,10 +1,16 @@
-/** A plain runner crashes while it writes answers that have neither a length nor chunks. */
+/**
+ * The trial behind one line of the report, no case: `node review/support/cutAnswers.mjs` after `review/build.sh`.
+ *
+ * One of three plain runners is killed while it writes answers that have neither a length nor chunks. Counted are the answers
+ * that reach their client as whole successes with a part of their bytes. With TROUBLE=0 no runner is killed.
+ */
 import * as http from "node:http";
+import * as os from "node:os";
 import * as path from "node:path";
-import * as processes from "../support/processes.mjs";
-import * as site from "../support/site.mjs";
+import * as processes from "./processes.mjs";
+import * as site from "./site.mjs";
 
-const PROGRAM = path.join(import.meta.dirname, "../support/plain.mjs");
+const PROGRAM = path.join(import.meta.dirname, "plain.mjs");
 const PIECES = 8;
 const PIECE_BYTES = 100;
 const PIECE_MS = 15;
@@ -50,7 +56,7 @@
   });
 }
 
-await site.runCase(path.join(import.meta.dirname, "record.txt"), async (place, record) => {
+await site.runCase(path.join(os.tmpdir(), `cutAnswers-${process.pid}.txt`), async (place, record) => {
   await place.start([route("label", "safe"), route("manifest", "unsafe")], SERVICES);
   const entries = new processes.Entries(place.store);
   const zones = ["halle-a", "halle-b", "halle-c"];
--- a/review/6/case.mjs
+++ b/review/support/unsealed.mjs
@@ -1,10 +1,16 @@
-/** A runner hands out wrong bytes in the heads of some of its streams. */
+/**
+ * The trial behind one line of the report, no case: `node review/support/unsealed.mjs` after `review/build.sh`.
+ *
+ * One of three runners hands out a wrong byte in the name of the seal's header, in one answer of 33. Counted are the streams that
+ * reach their client as whole successes without a seal. With TROUBLE=0 no byte is wrong.
+ */
 import * as http from "node:http";
+import * as os from "node:os";
 import * as path from "node:path";
-import * as processes from "../support/processes.mjs";
-import * as site from "../support/site.mjs";
+import * as processes from "./processes.mjs";
+import * as site from "./site.mjs";
 
-const PROGRAM = path.join(import.meta.dirname, "../support/engine.mjs");
+const PROGRAM = path.join(import.meta.dirname, "engine.mjs");
 const PIECES = 10;
 const EVENT_MS = "20";
 /** One of three runners spoils 3 of 100 answers. */
@@ -74,7 +80,7 @@
   });
 }
 
-await site.runCase(path.join(import.meta.dirname, "record.txt"), async (place, record) => {
+await site.runCase(path.join(os.tmpdir(), `unsealed-${process.pid}.txt`), async (place, record) => {
   await place.start([ROUTE], SERVICES);
   const entries = new processes.Entries(place.store);
   const zones = ["halle-a", "halle-b", "halle-c"];
