Review: end a case's processes on SIGINT and SIGHUP too

Seen: a case ended by SIGINT or SIGHUP left 3, 9 and 3 processes (one trial of each case and signal); SIGTERM left none. site.mjs caught SIGTERM only.

--- a/review/support/site.mjs
+++ b/review/support/site.mjs
@@ -173,7 +173,7 @@
   let code = NOT_RUN;
   fs.rmSync(recordFile, { force: true });
   process.once("exit", () => site.end());
-  process.once("SIGTERM", () => process.exit(NOT_RUN));
+  for (const signal of ["SIGTERM", "SIGINT", "SIGHUP"]) process.once(signal, () => process.exit(NOT_RUN));
   try {
     const broken = await play(site, record);
     for (const line of broken) record.note("broken", { what: line });
