Log what was sent for a request, what came of it, and whose answer came

Cause: the record of 579 requests that were rejected as not run although they had run names neither the stage of a failed send nor whose answer came in its place, and no line tells what had been sent when a request was rejected, so that the three hypotheses can't be told apart. Change: each request has a ledger of its sends, written when they are decided on and before a byte leaves, which request-end prints; nothing is decided by it yet. foreign-answer lines and a counter name the request whose answer came; send-failed names the stage.

--- a/packages/gateway/src/activeSend.ts
+++ b/packages/gateway/src/activeSend.ts
@@ -24,6 +24,8 @@
   readonly predictedMs: number;
   readonly plan: serving.EnginePlan | undefined;
   readonly resume?: plannedSends.ResumedRun;
+  /** The send in the ledger of its request. */
+  readonly entry: serving.LedgerEntry;
   /** When it was decided on, in milliseconds. */
   readonly sentAt: number;
   /** Requests of all daemons that run at the endpoint after the send, this one included, as far as is known. */
@@ -56,6 +58,9 @@
     this.predictedMs = planned.predictedMs;
     this.plan = planned.plan;
     if (planned.resume !== undefined) this.resume = planned.resume;
+    const isPrefill = planned.stage === plannedSends.Stage.Prefill;
+    const kind = isPrefill ? serving.SendKind.Prefill : serving.SendKind.Run;
+    this.entry = served.ledger.open(planned.endpoint.id, kind);
     this.sentAt = performance.now();
     this.#pauseMs = served.route.pauseMs;
     this.runningAtSend = context.loads.runningRequests(planned.endpoint.id, this.sentAt) + 1;
@@ -165,6 +170,7 @@
   /** Closes the connection, upon which the endpoint drops the request. */
   cancel(): void {
     this.#request?.cancel();
+    this.entry.settle(this.wasDispatched ? serving.SendFate.Unanswered : serving.SendFate.Unsent);
   }
 
   /** @param onReleased - called once the send is over, to drop what is held of its answer */
--- a/packages/gateway/src/answerBody.ts
+++ b/packages/gateway/src/answerBody.ts
@@ -84,6 +84,7 @@
   onEnd(): void {
     const { active, answer, end, feedback, handover, results, served } = this.#send;
     const { status, headers } = this.#head;
+    active.entry.settle(serving.SendFate.Answered);
     handover.markTaken();
     const failed = status >= SERVER_ERRORS_FROM;
     const now = performance.now();
@@ -172,6 +173,7 @@
 
   #onEvent(event: eventSplitters.StreamEvent): void {
     const { active, answer, context, feedback, handover, results, served } = this.#send;
+    active.entry.settle(serving.SendFate.Answered);
     results.settle(active);
     if (active.finishPrefill()) feedback.learnPrefillTime(active);
     else if (active.markFirstEvent()) {
--- a/packages/gateway/src/answerReceiver.ts
+++ b/packages/gateway/src/answerReceiver.ts
@@ -1,5 +1,6 @@
 import * as serving from "@camphorcourse/serving";
 import * as answerBodies from "./answerBody.js";
+import * as foreignAnswers from "./answers/foreignAnswer.js";
 import type * as sendings from "./sending.js";
 import type * as exchangeParts from "./exchangeParts.js";
 import type * as ports from "./ports.js";
@@ -33,6 +34,7 @@
     if (head.misdirected) context.onMisdirected(active.endpoint, head.endpointId);
     const isForRequest =
       head.requestId === undefined ? head.notRun || status >= CLIENT_ERRORS_FROM : head.requestId === served.id;
+    if (!isForRequest) foreignAnswers.noteForeignAnswer(context, { ...active, id: served.id }, status, head);
     // The endpoint may have been replaced under its address since it was chosen.
     if (!this.#mayBring(head)) return false;
     // A stream has begun to run with its first event.
--- a/packages/gateway/src/prefillReceiver.ts
+++ b/packages/gateway/src/prefillReceiver.ts
@@ -1,4 +1,5 @@
 import * as serving from "@camphorcourse/serving";
+import * as foreignAnswers from "./answers/foreignAnswer.js";
 import * as boundedBuffers from "./answers/boundedBuffer.js";
 import type * as sendings from "./sending.js";
 import type * as exchangeParts from "./exchangeParts.js";
@@ -27,7 +28,9 @@
     this.#status = status;
     this.#notRun = head.notRun;
     if (head.misdirected) context.onMisdirected(active.endpoint, head.endpointId);
-    return head.requestId === undefined || head.requestId === served.id;
+    const isForRequest = head.requestId === undefined || head.requestId === served.id;
+    if (!isForRequest) foreignAnswers.noteForeignAnswer(context, { ...active, id: served.id }, status, head);
+    return isForRequest;
   }
 
   /** {@inheritDoc sendings.AnswerReceiver.onData} */
@@ -39,6 +42,7 @@
   onEnd(): void {
     const { active, results, context, served, handover, feedback } = this.#send;
     const result = this.#status === HTTP_OK ? context.format.readHandle(this.#buffer.join()) : undefined;
+    active.entry.settle(this.#fateOfAnswer(result?.isOk() === true));
     if (result?.isOk() === true) results.settle(active);
     if (!results.end(active)) return;
     if (result?.isOk() === true) {
@@ -62,7 +66,13 @@
   onBroken(outcome: serving.SendOutcome, detail: string): void {
     const { active, results } = this.#send;
     if (!results.end(active)) return;
+    active.entry.settle(serving.isUnsent(outcome) ? serving.SendFate.Unsent : serving.SendFate.Unanswered);
     const prefillOutcome = serving.isUnsent(outcome) ? outcome : serving.SendOutcome.Declined;
     results.broken(active, prefillOutcome, detail);
   }
+
+  #fateOfAnswer(hasHandle: boolean): serving.SendFate {
+    if (hasHandle) return serving.SendFate.Prefilled;
+    return this.#notRun ? serving.SendFate.Declined : serving.SendFate.Answered;
+  }
 }
--- a/packages/gateway/src/requestEnd.ts
+++ b/packages/gateway/src/requestEnd.ts
@@ -171,7 +171,7 @@
   }
 
   #logEnd(outcome: string, status: number): void {
-    const { caller, route, service, sends, mayHaveRun, progress, id } = this.#served;
+    const { caller, ledger, route, service, sends, mayHaveRun, progress, id } = this.#served;
     const now = performance.now();
     this.#context.metrics.count(`requests_${outcome.replaceAll("-", "_")}`);
     this.#context.log.info("request-end", {
@@ -182,6 +182,7 @@
       service,
       sends,
       mayHaveRun,
+      sent: ledger.toString(),
       tookMs: Math.round(now - caller.arrivedAt),
       ...progress.logFields(caller.arrivedAt, now),
       configuration: this.#context.view.configurationRevision,
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -22,6 +22,14 @@
 /** Step in the log after a failed send while another one of the request is in flight. */
 const ANOTHER_AWAITED = "another-awaited";
 
+/** What the ledger records for the outcome of a run. */
+const FATES: Readonly<Record<serving.SendOutcome, serving.SendFate>> = {
+  [serving.SendOutcome.NotSent]: serving.SendFate.Unsent,
+  [serving.SendOutcome.Withheld]: serving.SendFate.Unsent,
+  [serving.SendOutcome.Declined]: serving.SendFate.Declined,
+  [serving.SendOutcome.Unknown]: serving.SendFate.Unanswered,
+};
+
 /** Forwards one request to endpoints, one send after the other, until one gives its final answer. */
 export class RequestForwarder
   implements exchangeParts.SendResultHandler, waitingRequests.WaitingRequest, callControls.WaitingCall, ownRuns.RunHost
@@ -185,6 +193,7 @@
     const declined = outcome === serving.SendOutcome.Declined;
     if (outcome !== serving.SendOutcome.Withheld)
       feedback.recordResult(active, declined ? serving.SendResult.Declined : serving.SendResult.Failed);
+    active.entry.settle(FATES[outcome]);
     this.#countFailed(active, outcome);
     if (outcome === serving.SendOutcome.Unknown) served.noteMayHaveRun();
     if (this.isAnswerAwaited) {
@@ -212,6 +221,7 @@
     context.log.info("send-failed", {
       id: served.id,
       endpoint: active.endpoint.id,
+      stage: active.stage,
       fate,
       detail,
       sends: served.sends,
--- a/packages/gateway/src/servedRequest.ts
+++ b/packages/gateway/src/servedRequest.ts
@@ -13,6 +13,7 @@
   readonly #body: Buffer;
   readonly #access: serving.Access;
   readonly #progress = new streamProgresses.StreamProgress();
+  readonly #ledger = new serving.SendLedger();
   readonly #deadlineAt: number;
   readonly #triedEndpoints = new Set<string>();
   readonly #acceptedUnder: number;
@@ -95,6 +96,11 @@
     return this.#partNames;
   }
 
+  /** @returns its sends, and what has become of each */
+  get ledger(): serving.SendLedger {
+    return this.#ledger;
+  }
+
   /** @returns progress of the request's stream */
   get progress(): streamProgresses.StreamProgress {
     return this.#progress;
