Settle whose answer it is before anything of it is read

What callers saw: requests that may run once were refused as not run although they ran, or ran twice, after an endpoint's late second answer to an earlier request had come on the same connection. A Retry-After, a 421 or a Server-Leaving of such an answer kept the endpoint from its work. Cause: each receiver read an answer's head by itself. AnswerReceiver kept "not run" before it compared the id, statements were noted for any answer, and the daemon's own calls took whatever came. Change: the client decides once, for requests, prefills, requests passed on for peers and the daemon's own calls, whether an answer names the id that was sent; an answer to a call without an id names none. Any other answer reaches no receiver and no observer, and its connection is closed.

--- a/packages/gateway/src/answerReceiver.ts
+++ b/packages/gateway/src/answerReceiver.ts
@@ -1,6 +1,5 @@
 import * as serving from "@camphorcourse/serving";
 import * as answerBodies from "./answerBody.js";
-import * as foreignAnswers from "./answers/foreignAnswer.js";
 import type * as sendings from "./sending.js";
 import type * as exchangeParts from "./exchangeParts.js";
 import type * as ports from "./ports.js";
@@ -8,7 +7,7 @@
 const HTTP_OK = 200;
 const CLIENT_ERRORS_FROM = 400;
 
-/** Receives an endpoint's answer to a request, and checks that it belongs to the request and is complete. */
+/** Receives an endpoint's answer to a request, and checks that it may bring the rest of a stream and is complete. */
 export class AnswerReceiver implements sendings.AnswerReceiver {
   readonly #send: exchangeParts.AnsweredSend;
   readonly #isStream: boolean;
@@ -32,14 +31,11 @@
     this.#sealed = head.sealed;
     this.#body = this.#createBody(status, headers, head.endpointId);
     if (head.misdirected) context.onMisdirected(active.endpoint, head.endpointId);
-    const isForRequest =
-      head.requestId === undefined ? head.notRun || status >= CLIENT_ERRORS_FROM : head.requestId === served.id;
-    if (!isForRequest) foreignAnswers.noteForeignAnswer(context, { ...active, id: served.id }, status, head);
     // The endpoint may have been replaced under its address since it was chosen.
     if (!this.#mayBring(head)) return false;
     // A stream has begun to run with its first event.
-    if (isForRequest && !head.notRun && !this.#isStream) served.noteBegunToRun();
-    return isForRequest;
+    if (!head.notRun && !this.#isStream) served.noteBegunToRun();
+    return true;
   }
 
   /** {@inheritDoc sendings.AnswerReceiver.onData} */
--- a/packages/gateway/src/answers/foreignAnswer.ts
+++ b/packages/gateway/src/answers/foreignAnswer.ts
@@ -8,8 +8,7 @@
   /** Id of the request; undefined for a call of the daemon itself. */
   readonly id: string | undefined;
   readonly endpoint: Pick<serving.Endpoint, "id">;
-  /** What the send asks of the endpoint. */
-  readonly stage: string;
+  readonly call: serving.AnsweredCall;
 }
 
 /**
@@ -22,7 +21,7 @@
  */
 export function noteForeignAnswer(
   { log, metrics }: { readonly log: decisionLogs.DecisionLog; readonly metrics: metricsModule.Metrics },
-  { endpoint, id, stage }: AwaitedAnswer,
+  { call, endpoint, id }: AwaitedAnswer,
   status: number,
   { isLeaving, misdirected, notRun, requestId, rest }: ports.AnswerHead,
 ): void {
@@ -30,7 +29,7 @@
   log.warn("foreign-answer", {
     id,
     endpoint: endpoint.id,
-    stage,
+    call,
     answerTo: requestId ?? "unnamed",
     status,
     notRun,
--- a/packages/gateway/src/endpointClient.ts
+++ b/packages/gateway/src/endpointClient.ts
@@ -129,7 +129,7 @@
       ...this.#paths,
       endpoint,
       request,
-      receiver: new ObservedReceiver(receiver, this.#guard.onSend(endpoint, request)),
+      receiver: this.#identified(endpoint, request, receiver, this.#guard.onSend(endpoint, request)),
       pool: this.#poolOf(endpoint),
       isLoopLagging: this.#isLoopLagging,
       mayDispatch: () => this.#guard.mayReceive(endpoint, request.call),
@@ -158,7 +158,7 @@
       pool: this.#poolOf(endpoint),
       request,
       mayDispatch: () => this.#guard.mayReceive(endpoint, request.call),
-      receiver: new ObservedReceiver(receiver, this.#guard.onSendForPeer(endpoint)),
+      receiver: this.#identified(endpoint, request, receiver, this.#guard.onSendForPeer(endpoint)),
       isLoopLagging: this.#isLoopLagging,
       onBroken: (wasDispatched) => this.#noteBroken(endpoint, wasDispatched),
       onOversized: () => this.#count("oversized_answers"),
@@ -200,6 +200,17 @@
     this.#paths.relays.close();
   }
 
+  #identified(
+    endpoint: serving.Endpoint,
+    request: sendings.OutgoingRequest,
+    receiver: sendings.AnswerReceiver,
+    observe: sendings.AnswerObserver,
+  ): sendings.AnswerReceiver {
+    const isOwn = (status: number, headers: sendings.AnswerHeaders): boolean =>
+      this.#guard.isAnswerTo(endpoint, request, status, headers);
+    return new IdentifyingReceiver(receiver, isOwn, observe);
+  }
+
   #noteBroken(endpoint: serving.Endpoint, wasDispatched: boolean): void {
     this.#count("endpoint_connections_broken");
     if (wasDispatched) this.#paths.monitor.noteBroken(endpoint);
@@ -225,20 +236,27 @@
   }
 }
 
-/** Reports the heads of the answers to its receiver. */
-class ObservedReceiver implements sendings.AnswerReceiver {
+/** Passes on the answer to its request only; nothing of any other answer reaches its receiver or observer. */
+class IdentifyingReceiver implements sendings.AnswerReceiver {
   readonly #receiver: sendings.AnswerReceiver;
+  readonly #isOwn: (status: number, headers: sendings.AnswerHeaders) => boolean;
   readonly #observe: sendings.AnswerObserver;
 
-  constructor(receiver: sendings.AnswerReceiver, observe: sendings.AnswerObserver) {
+  constructor(
+    receiver: sendings.AnswerReceiver,
+    isOwn: (status: number, headers: sendings.AnswerHeaders) => boolean,
+    observe: sendings.AnswerObserver,
+  ) {
     this.#receiver = receiver;
+    this.#isOwn = isOwn;
     this.#observe = observe;
   }
 
   onHead(status: number, headers: sendings.AnswerHeaders): boolean {
-    const isForRequest = this.#receiver.onHead(status, headers);
-    this.#observe(status, headers, isForRequest);
-    return isForRequest;
+    if (!this.#isOwn(status, headers)) return false;
+    const isAccepted = this.#receiver.onHead(status, headers);
+    this.#observe(status, headers);
+    return isAccepted;
   }
 
   onData(chunk: Buffer): boolean {
--- a/packages/gateway/src/endpointSend.ts
+++ b/packages/gateway/src/endpointSend.ts
@@ -111,6 +111,10 @@
   #onStart(controller: undici.Dispatcher.DispatchController): void {
     this.#controller = controller;
     const now = performance.now();
+    if (this.#over) {
+      controller.abort(new Error("cancelled"));
+      return;
+    }
     if (!this.#parts.mayDispatch()) {
       this.#isWithheld = true;
       controller.abort(new Error("the endpoint takes nothing now"));
--- a/packages/gateway/src/engineCalls.ts
+++ b/packages/gateway/src/engineCalls.ts
@@ -77,6 +77,7 @@
           createHeaders: () => call.headers(engine.id),
           body: call.body === undefined ? undefined : Buffer.from(call.body),
           call: kind,
+          answerId: undefined,
         },
         {
           onHead: (answerStatus) => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -209,7 +209,6 @@
       view: this.#view,
       client,
       monitor,
-      format: dependencies.format,
       isStopping: () => this.#stopping,
       liveDaemons: () => this.#view.daemonsUpperBound,
     });
--- a/packages/gateway/src/paths/relayServer.ts
+++ b/packages/gateway/src/paths/relayServer.ts
@@ -7,7 +7,6 @@
 import type * as endpointClients from "../endpointClient.js";
 import * as endpointIncarnations from "../endpointIncarnation.js";
 import type * as fleetViews from "../fleetView.js";
-import type * as ports from "../ports.js";
 import * as sendings from "../sending.js";
 import * as pathMonitors from "./pathMonitor.js";
 import * as relayMessages from "./relayMessage.js";
@@ -48,7 +47,6 @@
   readonly view: fleetViews.FleetView;
   readonly client: endpointClients.EndpointClient;
   readonly monitor: pathMonitors.PathMonitor;
-  readonly format: Pick<ports.MessageFormat, "readAnswer">;
   readonly isStopping: () => boolean;
   /** @returns upper bound of the number of live daemons, including this one */
   readonly liveDaemons: () => number;
@@ -157,7 +155,15 @@
     const { headers, method, path } = message;
     const body = message.body === undefined ? undefined : Buffer.from(message.body);
     const sendBefore = startedAt + message.remainingMs;
-    const request = { method, path, createHeaders: () => headers, body, call: serving.AnsweredCall.Run, sendBefore };
+    const request = {
+      method,
+      path,
+      createHeaders: () => headers,
+      body,
+      call: serving.AnsweredCall.Run,
+      answerId: message.id,
+      sendBefore,
+    };
     const inFlight = client.sendForPeer(
       endpoint,
       request,
@@ -184,8 +190,6 @@
   ): sendings.AnswerReceiver {
     return {
       onHead: (status, headers) => {
-        const { requestId } = this.#parts.format.readAnswer(status, headers);
-        if (requestId !== undefined && requestId !== message.id) return false;
         response.writeHead(status, {
           ...passedBack(headers),
           [relayMessages.RESULT_HEADER]: relayMessages.RelayResult.Answer,
--- a/packages/gateway/src/paths/routedSend.ts
+++ b/packages/gateway/src/paths/routedSend.ts
@@ -228,7 +228,7 @@
 
   #relayedRequest(): sendings.OutgoingRequest {
     const { endpoint, relays, request } = this.#parts;
-    const { body, call, createHeaders, method, path, passOnAs, sendBefore } = request;
+    const { answerId, body, call, createHeaders, method, path, passOnAs, sendBefore } = request;
     const remainingMs = Math.max(0, Math.min(MAX_UINT32, (sendBefore ?? Infinity) - performance.now()));
     const message = protobuf.create(messages.RelayedRequestSchema, {
       id: passOnAs ?? "",
@@ -249,6 +249,7 @@
       createHeaders: () => [],
       body: Buffer.from(protobuf.toBinary(messages.RelayedRequestSchema, message)),
       call,
+      answerId,
       ...(sendBefore === undefined ? {} : { sendBefore }),
     };
   }
--- a/packages/gateway/src/prefillHandover.ts
+++ b/packages/gateway/src/prefillHandover.ts
@@ -64,6 +64,7 @@
         createHeaders: () => [],
         body: undefined,
         call: serving.AnsweredCall.Control,
+        answerId: undefined,
         passOnAs: prefilled.handle,
       },
       { onHead: () => true, onData, onEnd: ignore, onBroken: ignore },
--- a/packages/gateway/src/prefillReceiver.ts
+++ b/packages/gateway/src/prefillReceiver.ts
@@ -1,5 +1,4 @@
 import * as serving from "@camphorcourse/serving";
-import * as foreignAnswers from "./answers/foreignAnswer.js";
 import * as boundedBuffers from "./answers/boundedBuffer.js";
 import type * as sendings from "./sending.js";
 import type * as exchangeParts from "./exchangeParts.js";
@@ -23,14 +22,12 @@
 
   /** {@inheritDoc sendings.AnswerReceiver.onHead} */
   onHead(status: number, headers: sendings.AnswerHeaders): boolean {
-    const { active, context, served } = this.#send;
+    const { active, context } = this.#send;
     const head = context.format.readAnswer(status, headers);
     this.#status = status;
     this.#notRun = head.notRun;
     if (head.misdirected) context.onMisdirected(active.endpoint, head.endpointId);
-    const isForRequest = head.requestId === undefined || head.requestId === served.id;
-    if (!isForRequest) foreignAnswers.noteForeignAnswer(context, { ...active, id: served.id }, status, head);
-    return isForRequest;
+    return true;
   }
 
   /** {@inheritDoc sendings.AnswerReceiver.onData} */
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -19,6 +19,8 @@
   readonly createHeaders: () => string[];
   readonly body: Buffer | undefined;
   readonly call: serving.AnsweredCall;
+  /** Id that it carries, which its answer names; undefined if it carries none, so that its answer names none. */
+  readonly answerId: string | undefined;
   /** Instant from which it must not be sent any more, in milliseconds, if there is one. */
   readonly sendBefore?: number;
   /** Id of the caller's request; present if a peer may send the request in place of this daemon. */
@@ -42,11 +44,8 @@
   onBroken(outcome: serving.SendOutcome, detail: string): void;
 }
 
-/**
- * Called with status and headers of an answer, and whether it belongs to the request: a late answer to an earlier request
- * may come in its place.
- */
-export type AnswerObserver = (status: number, headers: AnswerHeaders, isForRequest: boolean) => void;
+/** Called with status and headers of the answer to a request. */
+export type AnswerObserver = (status: number, headers: AnswerHeaders) => void;
 
 /** Guards all requests to endpoints and observes their answers, whichever part of the gateway sends them. */
 export interface TrafficGuard {
@@ -56,6 +55,22 @@
    * @returns whether the endpoint may get it now, by what it has said of itself
    */
   mayReceive(endpoint: serving.Endpoint, call: serving.AnsweredCall): boolean;
+  /**
+   * Decides whose answer has come, before anything of it is read: an endpoint may answer an earlier request a second time, in
+   * the place of the next answer.
+   *
+   * @param endpoint - where a request was sent
+   * @param request - the request
+   * @param status - status of an answer that has come on its connection
+   * @param headers - headers of that answer
+   * @returns whether it is the answer to the request
+   */
+  isAnswerTo(
+    endpoint: serving.Endpoint,
+    request: Pick<OutgoingRequest, "answerId" | "call">,
+    status: number,
+    headers: AnswerHeaders,
+  ): boolean;
   /**
    * @param endpoint - where a request is sent now
    * @param request - the request
--- a/packages/gateway/src/sends/outgoingMessage.ts
+++ b/packages/gateway/src/sends/outgoingMessage.ts
@@ -40,7 +40,16 @@
   const { method, target: path } = served.caller;
   // The answer to HEAD names the length of a body that doesn't follow, which a peer could not pass back.
   const passOnAs = method === "HEAD" || resume?.isReturn === true ? {} : { passOnAs: served.id };
-  return { method, path, createHeaders, body, call: callOf(planned), sendBefore: served.deadlineAt, ...passOnAs };
+  return {
+    method,
+    path,
+    createHeaders,
+    body,
+    call: callOf(planned),
+    answerId: served.id,
+    sendBefore: served.deadlineAt,
+    ...passOnAs,
+  };
 }
 
 function callOf({ resume, stage }: plannedSends.PlannedSend): serving.AnsweredCall {
--- a/packages/gateway/src/statements/endpointStatements.ts
+++ b/packages/gateway/src/statements/endpointStatements.ts
@@ -4,6 +4,7 @@
 import type * as metricsModule from "../metrics.js";
 import type * as ports from "../ports.js";
 import type * as sendings from "../sending.js";
+import * as foreignAnswers from "../answers/foreignAnswer.js";
 import * as firstSightings from "./firstSightings.js";
 
 /** Dependencies of {@link EndpointStatements}. */
@@ -44,6 +45,24 @@
     return this.gate.mayReceive(endpoint, isNewWork, performance.now());
   }
 
+  /**
+   * {@inheritDoc sendings.TrafficGuard.isAnswerTo}
+   *
+   * Endpoints echo the id of a request in each answer to it. An answer that names none may be that to any call on the connection.
+   */
+  isAnswerTo(
+    endpoint: serving.Endpoint,
+    { answerId, call }: Pick<sendings.OutgoingRequest, "answerId" | "call">,
+    status: number,
+    headers: sendings.AnswerHeaders,
+  ): boolean {
+    const head = this.#parts.format.readAnswer(status, headers);
+    this.#noteUnlisted(endpoint, head);
+    if (head.requestId === answerId) return true;
+    foreignAnswers.noteForeignAnswer(this.#parts, { endpoint, id: answerId, call }, status, head);
+    return false;
+  }
+
   /** {@inheritDoc sendings.TrafficGuard.onSend} */
   onSend(endpoint: serving.Endpoint, request: sendings.OutgoingRequest): sendings.AnswerObserver {
     const onLimitAnswer = this.#parts.limits.onSend(endpoint, request.call);
@@ -62,11 +81,9 @@
   ): sendings.AnswerObserver {
     const sentAt = performance.now();
     this.rests.noteSent(endpoint, sentAt);
-    return (status, headers, isForRequest) => {
+    return (status, headers) => {
       const head = this.#parts.format.readAnswer(status, headers);
-      this.#noteUnlisted(endpoint, head);
       if (!isByOther(endpoint, head)) this.#noteStatements(endpoint, head, mayStateRest);
-      if (!isForRequest) return;
       if (!head.notRun) this.#noteTaken(endpoint, sentAt);
       onOwnAnswer(status, head);
     };
--- a/packages/gateway/tests/helpers/exchangeHarness.ts
+++ b/packages/gateway/tests/helpers/exchangeHarness.ts
@@ -200,7 +200,7 @@
   readonly #client = new RecordingClient(
     () => undefined,
     () => false,
-    { mayReceive: () => true, onSend: () => () => undefined, onSendForPeer: () => () => undefined },
+    { mayReceive: () => true, isAnswerTo: () => true, onSend: () => () => undefined, onSendForPeer: () => () => undefined },
     paths.createPaths(),
   );
   readonly #context: contexts.ServingContext;
--- a/packages/gateway/tests/relayServer.test.ts
+++ b/packages/gateway/tests/relayServer.test.ts
@@ -31,7 +31,6 @@
     view,
     client: { mayReceive: () => true, hasRoom: () => true, hasLiveConnection: () => false } as never,
     monitor: { paths: { pathTo: () => serving.EndpointPath.None } } as never,
-    format: { readAnswer: () => undefined as never },
     isStopping: () => false,
     liveDaemons: () => 2,
   });
