Let a run that has been sent go on alone, whatever its late prefill brings

What callers saw: a prefill was silent for 1.45 s and then answered; the run that had been sent in its place was cancelled, and the request ran a second time, or was refused though it had run. Cause: a handle counted as a part of the answer, so that it superseded the other send. Change: a prefill doesn't supersede a run that has left; its handle is freed. A run that was sent beside a silent send is known to the mover of runs from its first event on, also if no send was superseded.

--- a/packages/gateway/src/exchangeParts.ts
+++ b/packages/gateway/src/exchangeParts.ts
@@ -50,6 +50,8 @@
   settle(active: activeSends.ActiveSend): void;
   /** Whether a send is in flight whose endpoint isn't known to have ended: the answer may still come from there. */
   readonly isAnswerAwaited: boolean;
+  /** Whether a run has been sent and is in flight, so that the request needs no other. */
+  readonly isRunUnderWay: boolean;
   /** Continues the request with another send. */
   sendNext(): void;
 }
--- a/packages/gateway/src/prefillReceiver.ts
+++ b/packages/gateway/src/prefillReceiver.ts
@@ -48,7 +48,8 @@
       handover.keep({ engine: active.endpoint, handle: result.value.handle });
       served.unmarkTried(active.endpoint.id);
       served.notePrefilled();
-      results.sendNext();
+      if (results.isRunUnderWay) handover.free();
+      else results.sendNext();
       return;
     }
     const detail = `status ${this.#status}${this.#notRun ? "" : ", no handle"}`;
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -33,6 +33,8 @@
   readonly #parts: exchangeParts.ExchangeParts;
   readonly #chooser: sendChoosers.SendChooser;
   readonly #sends: hedgedSends.HedgedSends;
+  /** The run that was sent beside a silent send, until it is known to go on alone and may be moved. */
+  #hedgingRun: activeSends.ActiveSend | undefined;
   /** Whether the request has waited for an endpoint that it may get to now, and is being sent. */
   #isResumed = false;
 
@@ -177,7 +179,9 @@
   settle(active: activeSends.ActiveSend): void {
     const { context, served } = this.#parts;
     const losers = this.#sends.settle(active);
-    if (losers.length === 0 || active.stage !== plannedSends.Stage.Answering) return;
+    if (losers.length === 0 && active !== this.#hedgingRun) return;
+    if (active.stage !== plannedSends.Stage.Answering) return;
+    this.#hedgingRun = undefined;
     // The copy at a backup is that of the first run.
     if (losers.some(({ sentAt }) => sentAt < active.sentAt)) context.backups.noteOver(served);
     context.runs.noteRunning({ active, served, host: this });
@@ -188,6 +192,11 @@
     return this.#sends.isAnyAlive;
   }
 
+  /** {@inheritDoc exchangeParts.SendResultHandler.isRunUnderWay} */
+  get isRunUnderWay(): boolean {
+    return this.#sends.isRunUnderWay;
+  }
+
   /** {@inheritDoc exchangeParts.SendResultHandler.failed} */
   failed(active: activeSends.ActiveSend, outcome: serving.SendOutcome, detail: string): void {
     const { end, feedback, handover, served } = this.#parts;
@@ -353,6 +362,7 @@
       ...planned.admission,
       ...planned.pacing,
     });
+    if (isAnswering && replaced !== undefined) this.#hedgingRun = active;
     if (isAnswering && replaced === undefined) context.runs.noteRunning({ active, served, host: this });
     active.start(message, this.#receiver(active), (silentMs) => this.#onSilent(active, silentMs));
   }
--- a/packages/gateway/src/sends/hedgedSends.ts
+++ b/packages/gateway/src/sends/hedgedSends.ts
@@ -37,6 +37,11 @@
     );
   }
 
+  /** @returns whether a run has been sent and is in flight; it goes on alone, whatever a prefill brings */
+  get isRunUnderWay(): boolean {
+    return this.#race.sends.some(({ stage, wasDispatched }) => stage === plannedSends.Stage.Answering && wasDispatched);
+  }
+
   /**
    * @param entry - a send in the ledger
    * @returns whether it is in flight and nothing of it has left, so that cancelling it keeps it from the endpoint
@@ -61,12 +66,14 @@
   }
 
   /**
-   * Cancels the other sends once one has brought a part of the answer.
+   * Cancels the other sends once one has brought a part of the answer. A prefill that is late doesn't replace a run that has been
+   * sent meanwhile: it would run twice.
    *
    * @param active - that send
    * @returns the sends that it has won against; none if it was the only one
    */
   settle(active: activeSends.ActiveSend): readonly activeSends.ActiveSend[] {
+    if (active.stage === plannedSends.Stage.Prefill && this.isRunUnderWay) return [];
     const losers = this.#race.settle(active);
     for (const loser of losers) {
       this.#logSuperseded(loser, active);
