Don't take a prefill that fails for proof that the request has not run

Cause: PrefillReceiver turned every end but a handle into "declined", which only the endpoint can say. Change: the ledger keeps prefills like runs: a handle and the endpoint's own rejection prove that nothing ran. After a reset or silence the request may be sent elsewhere, as a prefill doesn't run it, but without proof its caller isn't promised anything; an engine that answers with something else has done something else, and the request isn't sent again unless it may be repeated. The health of the engine is judged as before. The test "a request in prefill has not run: 503" contradicted this; it is replaced by one for 502 while a prefill is under way, and one for 503 once prefill and run were declined.

--- a/packages/gateway/src/prefillReceiver.ts
+++ b/packages/gateway/src/prefillReceiver.ts
@@ -52,21 +52,16 @@
       else results.sendNext();
       return;
     }
-    const detail = `status ${this.#status}${this.#notRun ? "" : ", no handle"}`;
-    results.failed(active, serving.SendOutcome.Declined, detail);
+    const outcome = this.#notRun ? serving.SendOutcome.Declined : serving.SendOutcome.Unknown;
+    results.failed(active, outcome, `status ${this.#status}${this.#notRun ? "" : ", no handle"}`);
   }
 
-  /**
-   * {@inheritDoc sendings.AnswerReceiver.onBroken}
-   *
-   * A prefill doesn't run the request, so the request has not run even if the prefill's answer is lost.
-   */
+  /** {@inheritDoc sendings.AnswerReceiver.onBroken} */
   onBroken(outcome: serving.SendOutcome, detail: string): void {
     const { active, results } = this.#send;
     if (!results.end(active)) return;
-    active.entry.settle(serving.isUnsent(outcome) ? serving.SendFate.Unsent : serving.SendFate.Unanswered);
-    const prefillOutcome = serving.isUnsent(outcome) ? outcome : serving.SendOutcome.Declined;
-    results.broken(active, prefillOutcome, detail);
+    if (this.#notRun) results.failed(active, serving.SendOutcome.Declined, detail);
+    else results.broken(active, outcome, detail);
   }
 
   #fateOfAnswer(hasHandle: boolean): serving.SendFate {
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -18,7 +18,7 @@
 /** Step in the log after a failed send while another one of the request is in flight. */
 const ANOTHER_AWAITED = "another-awaited";
 
-/** What the ledger records for the outcome of a run. */
+/** What the ledger records for an outcome, unless the endpoint has answered. */
 const FATES: Readonly<Record<serving.SendOutcome, serving.SendFate>> = {
   [serving.SendOutcome.NotSent]: serving.SendFate.Unsent,
   [serving.SendOutcome.Withheld]: serving.SendFate.Unsent,
@@ -201,8 +201,13 @@
   failed(active: activeSends.ActiveSend, outcome: serving.SendOutcome, detail: string): void {
     const { end, feedback, handover, served } = this.#parts;
     const declined = outcome === serving.SendOutcome.Declined;
+    const isAnswering = active.stage === plannedSends.Stage.Answering;
+    const isPrefillLost = !isAnswering && outcome === serving.SendOutcome.Unknown;
     if (outcome !== serving.SendOutcome.Withheld)
-      feedback.recordResult(active, declined ? serving.SendResult.Declined : serving.SendResult.Failed);
+      feedback.recordResult(
+        active,
+        declined || isPrefillLost ? serving.SendResult.Declined : serving.SendResult.Failed,
+      );
     active.entry.settle(FATES[outcome]);
     this.#countFailed(active, outcome);
     if (this.isAnswerAwaited) {
@@ -215,8 +220,8 @@
     this.#sends.cancelAll();
     const isRefused = active.resume !== undefined && outcome !== serving.SendOutcome.Unknown;
     if (isRefused && this.#resumeElsewhere(active, outcome, detail)) return;
-    if (declined && active.stage === plannedSends.Stage.Answering) handover.free();
-    if (outcome === serving.SendOutcome.Unknown) handover.markTaken();
+    if (declined && isAnswering) handover.free();
+    if (outcome === serving.SendOutcome.Unknown && isAnswering) handover.markTaken();
     const step = served.decideNextStep();
     this.#logFailed(active, outcome, detail, step);
     if (step === serving.NextStep.SendAgain) this.sendNext();
@@ -259,7 +264,8 @@
     }
     const giveUp = (): void => this.failed(active, outcome, detail);
     if (outcome === serving.SendOutcome.Unknown) active.entry.settle(serving.SendFate.Unanswered);
-    const mayGoOnAtBackup = outcome === serving.SendOutcome.Unknown && !this.isAnswerAwaited;
+    const isRunLost = outcome === serving.SendOutcome.Unknown && active.stage === plannedSends.Stage.Answering;
+    const mayGoOnAtBackup = isRunLost && !this.isAnswerAwaited;
     if (!mayGoOnAtBackup || !context.backups.onBroken({ active, served }, giveUp)) giveUp();
   }
 
--- a/packages/gateway/tests/exchange.test.ts
+++ b/packages/gateway/tests/exchange.test.ts
@@ -31,17 +31,27 @@
   });
 }
 
-suite("a request in prefill has not run: 503 with Retry-After", () => {
+// The engine's own failure of a prefill counts as a run, and it may be on its way: nothing proves that the request has not run.
+suite("a request whose prefill is under way isn't rejected as not run: 502", () => {
   const harness = startedExchange(Stream, [Prefill, Decode]);
   assert.is(harness.sends.length, 1);
   harness.exchange.endNow("stopping");
+  assert.equal(harness.answer.refusals, [{ status: 502, headers: [] }]);
+  assert.ok(harness.send(0).cancelled);
+  assert.is(harness.running, 0);
+  assert.match(harness.endLines[0] ?? "", /outcome=stopping status=502 .*sent=e0:prefill:unanswered/);
+});
+
+suite("a request whose prefill and run were declined has not run: 503 with Retry-After", () => {
+  const harness = startedExchange(Stream, [Prefill, Decode]);
+  finishPrefill(harness.send(0));
+  decline(harness.send(1));
   assert.is(harness.answer.refusals.length, 1);
   assert.is(harness.answer.refusals[0]?.status, 503);
   assert.is(harness.answer.refusals[0]?.headers[0], "retry");
   assert.match(harness.answer.refusals[0]?.headers[1] ?? "", /^0\.\d{3}$/);
-  assert.ok(harness.send(0).cancelled);
   assert.is(harness.running, 0);
-  assert.match(harness.endLines[0] ?? "", /outcome=stopping status=503/);
+  assert.match(harness.endLines[0] ?? "", /status=503 .*sent="?e0:prefill:prefilled e1:run:declined/);
 });
 
 /** Answers a prefill as finished. */
--- a/packages/serving/src/ledger/sendLedger.ts
+++ b/packages/serving/src/ledger/sendLedger.ts
@@ -47,12 +47,15 @@
 
   /** @returns whether the endpoint is proven not to have run the request, and not to run it later */
   get isProvenNotRun(): boolean {
-    return this.kind === SendKind.Prefill || PROVEN_NOT_RUN.has(this.#fate);
+    return PROVEN_NOT_RUN.has(this.#fate);
   }
 
-  /** @returns whether the endpoint may have run the request; a prefill doesn't run it */
+  /**
+   * @returns whether the endpoint may have run the request, so that it must not be sent to run again unless it may be repeated. A
+   *   prefill doesn't run it, but an endpoint that answers a prefill with neither a handle nor a rejection has done something else
+   */
   get mayHaveRun(): boolean {
-    return this.kind === SendKind.Run && !this.isProvenNotRun;
+    return this.kind === SendKind.Run ? !this.isProvenNotRun : this.#fate === SendFate.Answered;
   }
 
   /**
