Don't forward a rejection that no endpoint has promised

What callers saw: an endpoint's own 503, 429 or 408 without X-Not-Executed to a run that may run once was forwarded as it was, which promises callers that the request has not run. Change: where the request may not run again, the caller gets 502 in place of such a status. Requests that may be repeated get the endpoint's answer, as before.

--- a/packages/gateway/src/requestEnd.ts
+++ b/packages/gateway/src/requestEnd.ts
@@ -69,7 +69,8 @@
   }
 
   /**
-   * Forwards the complete answer of an endpoint to the caller.
+   * Forwards the complete answer of an endpoint to the caller. A status by which callers repeat what may run once is not forwarded,
+   * as the endpoint hasn't said that the request has not run.
    *
    * @param status - HTTP status
    * @param headers - the endpoint's headers
@@ -77,6 +78,14 @@
    * @param now - instant at which the answer came, in milliseconds
    */
   forward(status: number, headers: sendings.AnswerHeaders, body: Buffer, now: number): void {
+    if (serving.isRejection(status) && !serving.mayRetry(this.#served.route)) {
+      this.fail(
+        serving.FailureStatus.BadGateway,
+        "unproven-rejection",
+        "the endpoint failed; the request may have run",
+      );
+      return;
+    }
     this.#context.metrics.record(metricsModule.Duration.Request, now - this.#served.caller.arrivedAt);
     this.#answer.forward(status, headers, body);
     this.#context.suspects.noteSuccess(this.#served);
