Give calls whose answers name nobody a connection of their own

What callers would see: a stream that goes on from another request's memory. Cause: these calls shared the kept connections of requests. Change: each of them has a connection of its own, which is closed after its answer. They are rare: two for a moved run, one for a report or an order. Handles that are freed stay on kept connections, as nothing is read from their answers.

--- a/packages/gateway/src/endpointClient.ts
+++ b/packages/gateway/src/endpointClient.ts
@@ -130,7 +130,7 @@
       endpoint,
       request,
       receiver: this.#identified(endpoint, request, receiver, this.#guard.onSend(endpoint, request)),
-      pool: this.#poolOf(endpoint),
+      pool: request.isUnshared === true ? this.#createPool(endpoint, false) : this.#poolOf(endpoint),
       isLoopLagging: this.#isLoopLagging,
       mayDispatch: () => this.#guard.mayReceive(endpoint, request.call),
       onBroken: (wasDispatched) => this.#noteBroken(endpoint, wasDispatched),
@@ -224,16 +224,22 @@
       pool = undefined;
     }
     if (pool === undefined) {
-      const { monitor } = this.#paths;
-      pool = new connectionPools.EndpointConnectionPool(endpoint.address, this.#isLoopLagging, {
-        onConnected: () => monitor.noteConnected(endpoint),
-        onConnectFailed: (since, error) => monitor.noteConnectFailed(endpoint, since, error.message),
-        onReceived: () => monitor.noteReceived(endpoint),
-      });
+      pool = this.#createPool(endpoint, true);
       this.#pools.set(endpoint.id, pool);
     }
     return pool;
   }
+
+  #createPool(endpoint: serving.Endpoint, keepsConnections: boolean): connectionPools.EndpointConnectionPool {
+    const { monitor } = this.#paths;
+    const listener: connectionPools.PoolListener = {
+      onConnected: () => monitor.noteConnected(endpoint),
+      onConnectFailed: (since, error) => monitor.noteConnectFailed(endpoint, since, error.message),
+      onReceived: () => monitor.noteReceived(endpoint),
+    };
+    const { address } = endpoint;
+    return new connectionPools.EndpointConnectionPool(address, this.#isLoopLagging, listener, keepsConnections);
+  }
 }
 
 /** Passes on the answer to its request only; nothing of any other answer reaches its receiver or observer. */
--- a/packages/gateway/src/endpointConnectionPool.ts
+++ b/packages/gateway/src/endpointConnectionPool.ts
@@ -89,20 +89,24 @@
   readonly #busy = new Set<PooledConnection>();
   readonly #isLoopLagging: () => boolean;
   readonly #listener: PoolListener | undefined;
+  readonly #keepsConnections: boolean;
   #lastReceivedAt = 0;
 
   /**
    * @param address - the address, IP:PORT
    * @param isLoopLagging - whether the event loop lags, so that the socket events it processes may be old
    * @param listener - is notified of connections and data, if given
+   * @param keepsConnections - whether a connection is kept for further requests
    */
   constructor(
     readonly address: string,
     isLoopLagging: () => boolean,
     listener?: PoolListener,
+    keepsConnections = true,
   ) {
     this.#isLoopLagging = isLoopLagging;
     this.#listener = listener;
+    this.#keepsConnections = keepsConnections;
   }
 
   /** @returns instant at which data was last received, in milliseconds */
@@ -144,12 +148,16 @@
   }
 
   /**
-   * Makes a connection available for other requests.
+   * Makes a connection available for other requests, unless none is kept.
    *
    * @param connection - a connection whose request is over, with no unread data
    * @param now - current instant in milliseconds
    */
   release(connection: PooledConnection, now: number): void {
+    if (!this.#keepsConnections) {
+      this.discard(connection);
+      return;
+    }
     this.#busy.delete(connection);
     connection.onReadable = undefined;
     connection.usedAt = now;
