Log for how long a daemon has known the versions, and the length that decides

A stream-taken-up line with source=only-version gave the age of the knowledge and neither for how long all versions had been known, nor the length that this is compared with, nor whether a peer had confirmed it. The line now carries versionsKnownMs, windowMs, confirmedByPeer and configurationAgeMs. Nothing decides differently.

--- a/packages/gateway/src/streams/streamOrigins.ts
+++ b/packages/gateway/src/streams/streamOrigins.ts
@@ -139,7 +139,8 @@
     const query = { attempt: attemptHash(served, attemptId ?? served.id), host, path };
     const finding = this.#findHere(query) ?? (await this.#ask(query));
     const { origin, source, isFinal } = finding;
-    const ageMs = this.#parts.view.versions.ageMs(startedAt);
+    const { freshness, versions } = this.#parts.view;
+    const ageMs = versions.ageMs(startedAt);
     this.#parts.metrics.count(`streams_taken_up_${source.replaceAll("-", "_")}`);
     this.#parts.log.info("stream-taken-up", {
       id: served.id,
@@ -151,6 +152,10 @@
       version: origin?.softwareVersion,
       isFinal,
       versionsAgeMs: ageMs === undefined ? undefined : Math.round(ageMs),
+      versionsKnownMs: Math.round(versions.knownMs),
+      confirmedByPeer: versions.isConfirmedByPeer,
+      windowMs: Math.round(versions.windowMs),
+      configurationAgeMs: Math.round(freshness.ageMs(startedAt)),
       tookMs: Math.round(performance.now() - startedAt),
     });
     return finding;
--- a/packages/gateway/tests/streamOrigins.test.ts
+++ b/packages/gateway/tests/streamOrigins.test.ts
@@ -150,6 +150,14 @@
   assert.is((await find(harness, undefined)).origin, undefined);
 });
 
+// Without these fields, a version that was taken for the only one too early can't be told from one that was for long.
+suite("the line of a stream that is taken up says by which length it was decided", async () => {
+  const harness = new Harness();
+  await find(harness, "first");
+  const line = harness.lines.find((each) => each.includes("event=stream-taken-up"));
+  assert.match(line ?? "", / versionsKnownMs=0 confirmedByPeer=false windowMs=8000 configurationAgeMs=/);
+});
+
 suite("records that contradict each other are logged, and neither is used", async () => {
   const harness = new Harness();
   harness.origins.noteBegun(request("first"));
--- a/packages/serving/src/streams/softwareVersions.ts
+++ b/packages/serving/src/streams/softwareVersions.ts
@@ -46,6 +46,7 @@
   /** All entries between these instants are known, in milliseconds. */
   #completeSince = Number.POSITIVE_INFINITY;
   #completeUntil = Number.NEGATIVE_INFINITY;
+  #isConfirmedByPeer = false;
   #digest: { readonly value: number; readonly validUntil: number } | undefined;
 
   /** @returns longest time since a stream that a caller takes up now was at an endpoint, in milliseconds; it never shrinks */
@@ -97,7 +98,10 @@
    * @param begunAt - when it began, in milliseconds
    */
   noteListed(begunAt: number): void {
-    if (begunAt - this.#completeUntil > MAX_LISTING_GAP_MS) this.#completeSince = begunAt;
+    if (begunAt - this.#completeUntil > MAX_LISTING_GAP_MS) {
+      this.#completeSince = begunAt;
+      this.#isConfirmedByPeer = false;
+    }
     this.#completeUntil = Math.max(this.#completeUntil, begunAt);
   }
 
@@ -119,7 +123,11 @@
    */
   notePeer(digest: number, at: number, now: number): void {
     if (digest !== this.digest(now) || at < this.#completeSince - MAX_LISTING_GAP_MS) return;
-    this.#completeSince = Math.min(this.#completeSince, at - this.windowMs);
+    const since = at - this.windowMs;
+    if (since < this.#completeSince) {
+      this.#completeSince = since;
+      this.#isConfirmedByPeer = true;
+    }
     this.#completeUntil = Math.max(this.#completeUntil, at);
   }
 
@@ -133,6 +141,16 @@
     return isComplete ? Math.max(0, now - this.#completeUntil) : undefined;
   }
 
+  /** @returns whether the time for which all versions are known is that of a peer */
+  get isConfirmedByPeer(): boolean {
+    return this.#isConfirmedByPeer;
+  }
+
+  /** @returns time for which all versions are known without a gap, up to their age, in milliseconds; 0 if they aren't */
+  get knownMs(): number {
+    return Math.max(0, this.#completeUntil - this.#completeSince);
+  }
+
   /**
    * @param service - a service
    * @param now - current time in milliseconds
