Let a peer confirm versions only for as long as it knows them

A heartbeat said that its sender knows all versions as of an instant, and not for how long. The receiver took its own window for the sender's, so that a peer whose longest timeout is shorter (it is behind with the configuration, or has restarted since the timeout was lowered) confirmed a version as the only one although it had already forgotten another. Heartbeats now carry the sender's window; one that is shorter than the receiver's confirms nothing, and so does a peer of earlier software, which states none.

The new case of softwareVersions fails without the comparison (mutation killed). streamReplay, peerLink, distantHeartbeats and streamOrigins pass.

--- a/packages/experiment/src/streamReplay.ts
+++ b/packages/experiment/src/streamReplay.ts
@@ -263,7 +263,9 @@
         if (peer === undefined) continue;
         process.routes.noteUnchanged(now - peer.routes.unchangedMs(now));
         const ageMs = peer.versions.ageMs(now);
-        if (ageMs !== undefined) process.versions.notePeer(peer.versions.digest(now), now - ageMs, now);
+        if (ageMs === undefined) continue;
+        const { windowMs } = peer.versions;
+        process.versions.notePeer({ digest: peer.versions.digest(now), at: now - ageMs, windowMs }, now);
       }
       this.#publish(daemon, process, process.knowledge.due(now));
       this.#mostRecords = Math.max(this.#mostRecords, process.knowledge.count);
--- a/packages/gateway/src/peers/peerReceiver.ts
+++ b/packages/gateway/src/peers/peerReceiver.ts
@@ -155,12 +155,13 @@
   }
 
   #noteVersions(pulse: messages.Pulse, now: number): void {
-    const { configurationRevision, routesUnchangedMs, versionsAgeMs, versionsDigest } = pulse;
+    const { configurationRevision, routesUnchangedMs, versionsAgeMs, versionsDigest, versionsWindowMs } = pulse;
     const { view } = this.#parts;
     const isSameConfiguration = Number(configurationRevision) === view.configurationRevision;
     if (isSameConfiguration && routesUnchangedMs > 0) view.routes.noteUnchanged(now - routesUnchangedMs);
     if (versionsAgeMs === undefined) return;
-    view.versions.notePeer(versionsDigest, now - versionsAgeMs - this.#parts.lateMs(), now);
+    const at = now - versionsAgeMs - this.#parts.lateMs();
+    view.versions.notePeer({ digest: versionsDigest, at, windowMs: versionsWindowMs }, now);
   }
 
   #applyStreamRecords(records: readonly messages.StreamRecord[], now: number): void {
--- a/packages/gateway/src/streams/recordExchange.ts
+++ b/packages/gateway/src/streams/recordExchange.ts
@@ -75,7 +75,10 @@
 }
 
 /** What a heartbeat says of the versions that may have begun streams, and of the routes. */
-export type VersionFields = Pick<messages.Pulse, "routesUnchangedMs" | "versionsDigest" | "versionsAgeMs">;
+export type VersionFields = Pick<
+  messages.Pulse,
+  "routesUnchangedMs" | "versionsDigest" | "versionsAgeMs" | "versionsWindowMs"
+>;
 
 /**
  * @param view - what the daemon knows about the fleet
@@ -84,7 +87,8 @@
  */
 export function versionFields({ routes, versions }: fleetViews.FleetView, now: number): VersionFields {
   const routesUnchangedMs = peerWorks.toUint32(Math.max(0, Math.floor(routes.unchangedMs(now))));
-  const known = { routesUnchangedMs, versionsDigest: versions.digest(now) };
+  const versionsWindowMs = peerWorks.toUint32(Math.floor(versions.windowMs));
+  const known = { routesUnchangedMs, versionsDigest: versions.digest(now), versionsWindowMs };
   const ageMs = versions.ageMs(now);
   return ageMs === undefined ? known : { ...known, versionsAgeMs: peerWorks.toUint32(Math.ceil(ageMs)) };
 }
--- a/packages/serving/src/streams/softwareVersions.ts
+++ b/packages/serving/src/streams/softwareVersions.ts
@@ -31,6 +31,15 @@
   lastSeenAt: number;
 }
 
+/** What a peer says of the versions that it knows. */
+export interface PeerVersions {
+  readonly digest: number;
+  /** Instant as of which the peer knows all versions, in milliseconds. */
+  readonly at: number;
+  /** Time before that instant for which it knows all of them, in milliseconds. */
+  readonly windowMs: number;
+}
+
 /** What is known of one endpoint. */
 type SeenEndpoint = Pick<directories.Endpoint, "id" | "service" | "softwareVersion">;
 
@@ -115,14 +124,15 @@
   }
 
   /**
-   * Notes what a peer knows. One that knows the same versions, and that they are all, confirms them.
+   * Notes what a peer knows. One that knows the same versions, and that they are all, confirms them for as long as it
+   * knows them: a peer that knows shorter timeouts than this daemon may have forgotten a version.
    *
-   * @param digest - the peer's digest of the versions
-   * @param at - instant as of which the peer knows all versions, in milliseconds
+   * @param peer - what the peer knows
    * @param now - current time in milliseconds
    */
-  notePeer(digest: number, at: number, now: number): void {
+  notePeer({ digest, at, windowMs }: PeerVersions, now: number): void {
     if (digest !== this.digest(now) || at < this.#completeSince - MAX_LISTING_GAP_MS) return;
+    if (windowMs < Math.floor(this.windowMs)) return;
     const since = at - this.windowMs;
     if (since < this.#completeSince) {
       this.#completeSince = since;
--- a/packages/serving/tests/softwareVersions.test.ts
+++ b/packages/serving/tests/softwareVersions.test.ts
@@ -81,18 +81,27 @@
   const peer = knowledge(WINDOW_MS, endpoint("e1", "v1"));
   const fresh = (): serving.SoftwareVersions => knowledge(now, endpoint("e9", "v1"));
   const agreeing = fresh();
-  agreeing.notePeer(peer.digest(now), now, now);
+  agreeing.notePeer({ digest: peer.digest(now), at: now, windowMs: WINDOW_MS }, now);
   assert.is(agreeing.soleVersion("service", now), "v1");
   const other = fresh();
-  other.notePeer(knowledge(now, endpoint("e1", "v1"), endpoint("e2", "v2")).digest(now), now, now);
+  const both = knowledge(now, endpoint("e1", "v1"), endpoint("e2", "v2"));
+  other.notePeer({ digest: both.digest(now), at: now, windowMs: WINDOW_MS }, now);
   assert.is(other.soleVersion("service", now), undefined);
 });
 
+// A peer that is behind with the configuration may have forgotten a version whose streams may still be taken up.
+suite("a peer that knows shorter timeouts confirms nothing", () => {
+  const now = 5_000;
+  const versions = knowledge(now, endpoint("e1", "v1"));
+  versions.notePeer({ digest: versions.digest(now), at: now, windowMs: WINDOW_MS - 1 }, now);
+  assert.is(versions.soleVersion("service", now), undefined);
+});
+
 suite("a peer confirms nothing to a daemon that has never listed the entries", () => {
   const versions = new serving.SoftwareVersions();
   versions.noteTimeout(TIMEOUT_MS);
   versions.notePresent(endpoint("e1", "v1"), 0);
-  versions.notePeer(versions.digest(1), 1, 1);
+  versions.notePeer({ digest: versions.digest(1), at: 1, windowMs: WINDOW_MS }, 1);
   assert.is(versions.soleVersion("service", 1), undefined);
 });
 
