Keep the longest timeout of streams where it outlives the daemons

After all daemons had been killed at once, callers got streams that were joined from two versions. A daemon that starts knows only the timeout in force. It took a version for the only one once it had known all versions for that timeout and 3 s; a stream that began under a longer one was then taken up at the new version, as the old one had left no trace. The lines said source=only-version windowMs=4500 where streams of 10 s were open.

The daemons that read the key-value service for others now write the longest timeout of streams to one item, once for each raise; daemons read it with the first listing, before they conclude anything. Nothing is written while the configuration has no longer timeout than the item holds. After a restart streams are rejected as unknown for the longest timeout and 3 s instead of the timeout in force and 3 s.

--- a/packages/gateway/src/fleetView.ts
+++ b/packages/gateway/src/fleetView.ts
@@ -25,6 +25,8 @@
   readonly freshness = new serving.ConfigurationFreshness();
   /** Versions of the endpoints' software that may have begun streams which callers take up. */
   readonly versions = new serving.SoftwareVersions();
+  /** The longest timeout of streams, and what of it the key-value service holds. */
+  readonly longestTimeout = new serving.LongestTimeout();
   /** Services to which the routes have led of late. */
   readonly routes = new serving.RouteHistory();
   /** Daemons that left recently and may restart. */
@@ -100,8 +102,22 @@
     this.#configurationDocument = document;
     this.freshness.noteInForce(revision);
     this.routes.noteInForce(this.#table, performance.now());
-    for (const { requestClass, timeoutMs } of configuration.routes)
-      if (requestClass === serving.RequestClass.Stream) this.versions.noteTimeout(timeoutMs);
+    const streams = configuration.routes.filter(({ requestClass }) => requestClass === serving.RequestClass.Stream);
+    const timeoutMs = Math.max(0, ...streams.map((route) => route.timeoutMs));
+    this.longestTimeout.noteInForce(timeoutMs);
+    this.versions.noteTimeout(timeoutMs);
     return true;
   }
+
+  /**
+   * Notes the longest timeout of streams that the key-value service holds: streams may have begun under it before this
+   * daemon started.
+   *
+   * @param stored - what was read or written
+   * @returns whether it is news
+   */
+  noteStoredTimeout(stored: serving.StoredTimeout): boolean {
+    this.versions.noteTimeout(stored.timeoutMs);
+    return this.longestTimeout.noteStored(stored);
+  }
 }
--- a/packages/gateway/src/fleetViewUpdater.ts
+++ b/packages/gateway/src/fleetViewUpdater.ts
@@ -3,6 +3,7 @@
 import type * as decisionLogs from "./decisionLog.js";
 import type * as fleetViews from "./fleetView.js";
 import type * as ports from "./ports.js";
+import * as timeoutKeepers from "./streams/timeoutKeeper.js";
 import * as suspectCodec from "./suspects/suspectCodec.js";
 
 /** Source of an update. */
@@ -86,6 +87,7 @@
     }
     for (const update of changes) this.#report(update, Source.Store, faults.get(update.id));
     for (const key of [...view.daemons.keys()]) if (!daemons.has(key)) this.#removeDaemon(key);
+    if (!listing.items.some(({ key }) => key === layout.streamTimeoutKey)) this.#noteNoTimeout(listing.revision);
   }
 
   /**
@@ -98,6 +100,7 @@
       this.#applyItem(event.item, begunAt);
       return;
     }
+    if (event.key === layout.streamTimeoutKey) this.#noteNoTimeout(event.revision);
     if (event.key.startsWith(layout.daemonPrefix)) this.#removeDaemon(event.key);
     if (!event.key.startsWith(layout.endpointPrefix)) return;
     // Shortly after an outage of the service, a removal may be an entry that lapsed during the outage; the next listing
@@ -237,6 +240,8 @@
       this.#applyDaemon(item);
     } else if (item.key === layout.roleChangeKey) {
       this.#applyRoleChange(item);
+    } else if (item.key === layout.streamTimeoutKey) {
+      this.#applyTimeout(item);
     } else if (item.key === layout.usageKeys.report) {
       this.#parts.onUsageReport(item.value);
     } else if (item.key.startsWith(layout.suspectPrefix)) {
@@ -250,6 +255,18 @@
     else this.#parts.log.warn("suspect-unreadable", { key: item.key, revision: item.revision, detail: record.error });
   }
 
+  #applyTimeout({ revision, value }: ports.StoredItem): void {
+    const { log, view } = this.#parts;
+    const timeoutMs = timeoutKeepers.decodeTimeout(value);
+    if (timeoutMs.isErr()) log.warn("stream-timeout-unreadable", { revision, detail: timeoutMs.error });
+    const stored = { timeoutMs: timeoutMs.unwrapOr(0), revision, asOf: revision };
+    if (view.noteStoredTimeout(stored)) log.info("stream-timeout-known", { timeoutMs: stored.timeoutMs, revision });
+  }
+
+  #noteNoTimeout(asOf: number): void {
+    this.#parts.view.noteStoredTimeout({ timeoutMs: 0, revision: 0, asOf });
+  }
+
   #applyRoleChange(item: ports.StoredItem): void {
     if (item.revision <= this.#roleChangeRevision) return;
     this.#roleChangeRevision = item.revision;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -32,6 +32,7 @@
 import * as sideServers from "./sideServers.js";
 import * as endpointStatements from "./statements/endpointStatements.js";
 import * as streamOrigins from "./streams/streamOrigins.js";
+import * as timeoutKeepers from "./streams/timeoutKeeper.js";
 import * as storeReadingModes from "./storeReadingMode.js";
 import * as countedStores from "./store/countedStore.js";
 import * as storeFollowers from "./storeFollower.js";
@@ -58,6 +59,7 @@
   readonly #servers: http.Server[] = [];
   readonly #loop: loopMonitors.LoopMonitor;
   readonly #gaugeSources: gauges.GaugeSources;
+  readonly #timeoutKeeper: timeoutKeepers.TimeoutKeeper;
   readonly #shutdown: shutdownSequences.ShutdownSequence;
   #stopping = false;
 
@@ -273,6 +275,13 @@
       this.#log,
       () => this.#peers.activeSet.active || this.#storeReadingMode.followsClosely(performance.now()),
     );
+    this.#timeoutKeeper = new timeoutKeepers.TimeoutKeeper({
+      store: stores.streamTimeout,
+      key: dependencies.layout.streamTimeoutKey,
+      view: this.#view,
+      log: this.#log,
+      followsClosely: () => this.#storeReadingMode.followsClosely(performance.now()),
+    });
     const endpointChanges = new endpointChangesModule.EndpointChanges({
       context: this.#context,
       peers: this.#peers,
@@ -319,6 +328,7 @@
     this.#log.info("start", { incarnation: this.#entry.incarnation, dataCentre: this.#settings.dataCentre });
     void this.#follower.run();
     void this.#registration.run();
+    void this.#timeoutKeeper.run();
     await this.#listener.listen(this.#settings.callers);
     await this.#peers.start();
     this.#duties.start();
@@ -358,6 +368,7 @@
   async stop(): Promise<void> {
     if (this.#stopping) return;
     this.#stopping = true;
+    this.#timeoutKeeper.stop();
     await this.#shutdown.run();
   }
 
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -112,6 +112,8 @@
   readonly authorityKey: string;
   /** Key of the last change of an engine's role. */
   readonly roleChangeKey: string;
+  /** Key of the longest timeout of streams. */
+  readonly streamTimeoutKey: string;
   readonly usageKeys: UsageKeys;
   /** Prefix of the requests that are rejected because endpoints crashed while running them. */
   readonly suspectPrefix: string;
--- a/packages/gateway/src/store/countedStore.ts
+++ b/packages/gateway/src/store/countedStore.ts
@@ -17,6 +17,8 @@
   Orders = "orders",
   UsageRecords = "usage_records",
   Suspects = "suspects",
+  /** The longest timeout of streams, where it has been raised. */
+  StreamTimeout = "stream_timeout",
 }
 
 /** What calls of one user of the service are for, where it differs from the others of that user. */
@@ -104,7 +106,10 @@
 export function countedStores(
   store: ports.DurableStore,
   metrics: Pick<metricsModule.Metrics, "count">,
-): Record<"follower" | "configuration" | "registration" | "duties" | "usage" | "suspects", ports.DurableStore> {
+): Record<
+  "follower" | "configuration" | "registration" | "duties" | "usage" | "suspects" | "streamTimeout",
+  ports.DurableStore
+> {
   return {
     follower: new CountedStore(store, metrics, Purpose.List, { watch: Purpose.Watch }),
     configuration: new CountedStore(store, metrics, Purpose.Configuration),
@@ -112,5 +117,6 @@
     duties: new CountedStore(store, metrics, Purpose.Orders),
     usage: new CountedStore(store, metrics, Purpose.UsageRecords),
     suspects: new CountedStore(store, metrics, Purpose.Suspects),
+    streamTimeout: new CountedStore(store, metrics, Purpose.StreamTimeout),
   };
 }
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -87,6 +87,7 @@
 export * from "./statements/restTable.js";
 export * from "./statements/restingEndpoints.js";
 export * from "./statements/sendGate.js";
+export * from "./streams/longestTimeout.js";
 export * from "./streams/originKnowledge.js";
 export * from "./streams/recordHolders.js";
 export * from "./streams/routeHistory.js";
