Recognise a reset that the runtime reports as an orderly end

Cause: an answer with neither a length nor chunks ends where its connection closes, and is incomplete if that was reset. A reset that arrives together with data raises POLLHUP; after a partial read libuv then reports the end of the stream without reading the error. So the socket had neither an error nor a broken state, and a part of an answer was taken for all of it.

Change: when a socket reports its end, its peer's name is looked up. A socket that the peer has only closed is half open and still has a peer. After a reset it has none, and getpeername fails with ENOTCONN. That failure is documented (POSIX, getpeername(2), and Node's page of socket.remoteAddress, undefined once the peer is gone); the missing error is not documented, and is what the runtime does today. Where a runtime reports the reset as an error, nothing changes. Node caches the name, so that the pool must be the first to read it; undici reads it only as it reports an error.

All readers of answers get them through this pool: plain answers, streams, prefills, the daemon's own calls to engines, what is sent for a peer (whose chunks are then broken off), and what a peer passes on. The clients of the store and of the duties have pools of their own; their bodies are JSON, of which a part can't be read.

--- a/packages/gateway/src/endpointConnectionPool.ts
+++ b/packages/gateway/src/endpointConnectionPool.ts
@@ -26,7 +26,7 @@
   usedAt: number;
   /** Called when bytes have arrived, before the HTTP client parses them, while a request is under way. */
   onReadable: ((socket: net.Socket) => void) | undefined;
-  /** Whether the socket reported an error instead of a regular close. */
+  /** Whether the connection was reset instead of closed in order. */
   reset: boolean;
 }
 
@@ -34,7 +34,7 @@
  * Creates a connection, which is opened by its first request.
  *
  * An answer without a length ends where its connection closes, and it is incomplete if the connection was reset. The
- * HTTP client takes a reset for the regular end of such an answer, so the socket's error is recorded here before the
+ * HTTP client takes a reset for the regular end of such an answer, so how the connection ended is recorded here before the
  * client handles it.
  */
 function createConnection(
@@ -68,6 +68,9 @@
           socket.on("error", () => {
             connection.reset = true;
           });
+          socket.on("end", () => {
+            connection.reset ||= !isConnected(socket);
+          });
           const reportConnected = (): void => {
             if (socket.destroyed) callback(new Error("the connection broke while it was being established"), null);
             else callback(null, socket);
@@ -83,6 +86,18 @@
   return connection;
 }
 
+/**
+ * libuv reports a reset that arrives together with data as an orderly end, without an error. A socket that the peer has only
+ * closed still has a peer, whereas `getpeername` fails with ENOTCONN after a reset. Node.js caches the name once it has been
+ * read, so this must be its first reader.
+ *
+ * @param socket - a socket that has reported its end, and whose own side hasn't been ended yet
+ * @returns whether it still has a peer, so that the end was an orderly one
+ */
+function isConnected(socket: net.Socket): boolean {
+  return socket.remoteAddress !== undefined;
+}
+
 /** Connections to one incarnation of an endpoint, or to a peer that passes requests on. */
 export class EndpointConnectionPool {
   readonly #idle: PooledConnection[] = [];
