Check the endpoint before a plain answer without a length is passed on

Cause: an operating system closes the connections of a killed process in order, so that an answer with neither a length nor chunks ends as if its endpoint had written all of it. For streams the gateway checks whether the endpoint still serves; for plain answers it didn't, although it holds all of them back until their end.

Change: both kinds go through one step, answers/unframedAnswer.ts. If the endpoint may have ended, the send counts as broken: an idempotent request goes to another endpoint, any other gets 502. The request counts as one that may have run while the check lasts, as no send is in flight then and the deadline may pass. Answers to 204 and 304 have no body and aren't checked. A plain answer without framing now arrives 10 ms later at least, the delay of the check, which also connects to the endpoint where no idle connection to it is open; answers of one endpoint that end within that time share it.

Prefills and the daemon's own calls need no check of their own: what is read of them is one JSON object, of which a part can't be read, or the status. Answers that a peer passes on are marked as unframed and are checked by the daemon that serves the caller.

--- a/packages/gateway/src/answerBody.ts
+++ b/packages/gateway/src/answerBody.ts
@@ -1,6 +1,7 @@
 import * as serving from "@camphorcourse/serving";
 import * as callerAnswers from "./callerAnswer.js";
 import * as boundedBuffers from "./answers/boundedBuffer.js";
+import * as unframedAnswers from "./answers/unframedAnswer.js";
 import type * as contexts from "./context.js";
 import * as sendings from "./sending.js";
 import * as eventSplitters from "./eventSplitter.js";
@@ -82,10 +83,17 @@
 
   /** {@inheritDoc AnswerBody.onEnd} */
   onEnd(): void {
-    const { active, answer, end, feedback, handover, results, served } = this.#send;
-    const { status, headers } = this.#head;
+    const { active, handover } = this.#send;
     active.entry.settle(serving.SendFate.Answered);
     handover.markTaken();
+    if (unframedAnswers.endsWithConnection(this.#head))
+      void unframedAnswers.completeUnlessCut(this.#send, () => this.#complete());
+    else this.#complete();
+  }
+
+  #complete(): void {
+    const { active, answer, end, feedback, results, served } = this.#send;
+    const { status, headers } = this.#head;
     const failed = status >= SERVER_ERRORS_FROM;
     const now = performance.now();
     feedback.recordResult(active, failed ? serving.SendResult.Failed : serving.SendResult.Good);
@@ -144,7 +152,7 @@
   /** An engine that stops a run to move it closes its stream like one that has written all of it. */
   #endUnframed(): void {
     const { active, context, results, served } = this.#send;
-    const complete = (): void => void this.#completeUnlessCrashed();
+    const complete = (): void => void unframedAnswers.completeUnlessCut(this.#send, () => this.#complete());
     const isBeingMoved = context.runs.onClosed({ active, served }, serving.StreamClose.Unframed, {
       complete,
       break: () => results.broken(active, serving.SendOutcome.Unknown, "the stream closed while its run was moved"),
@@ -152,15 +160,6 @@
     if (!isBeingMoved) complete();
   }
 
-  /** An engine that crashes after an event closes the connection as one does whose answer has neither length nor chunks. */
-  async #completeUnlessCrashed(): Promise<void> {
-    const { active, context, end, results } = this.#send;
-    const mayHaveCrashed = await context.crashDetector.mayHaveCrashed(active.endpoint);
-    if (end.over) return;
-    if (mayHaveCrashed) results.broken(active, serving.SendOutcome.Unknown, "the endpoint is gone as the stream ended");
-    else this.#complete();
-  }
-
   #complete(): void {
     const { active, answer, end, feedback } = this.#send;
     feedback.recordResult(active, serving.SendResult.Good);
