Check whether a leaving endpoint still serves before its unframed answer is whole

Cause: the check whether an endpoint has ended took a leaving one for serving without a look, as its end blames no request. So a stream with neither length nor chunks that a leaving endpoint cut as it exited was completed towards its caller after a part of its events, as long as its entry was known.

Change: a leaving endpoint is checked like any other, 100 ms later, as it may close its connections before it stops listening. If nothing listens, its answer isn't taken for whole, and no request is blamed. An unframed stream is whole if its connection was closed in order, its last bytes end an event, its run isn't being moved and the endpoint accepts connections after the close (docs/design/streams.md). Otherwise it goes on at the same software version if its route allows that, or is cut visibly. Leaving alone is no reason to cut: an endpoint serves on for its drain time, and streams that end in that time are whole. Not known is how many events a stream should have.

The test of the crash detector that took a leaving endpoint at a closed port for serving stated the fault itself. It is replaced by three: one that listens has ended its answer, one that refuses connections proves none whole and blames no request, and one that stops listening 40 ms after the close proves none.

--- a/packages/gateway/src/endpointCrashDetector.ts
+++ b/packages/gateway/src/endpointCrashDetector.ts
@@ -6,6 +6,9 @@
 /** Delay between a broken connection and the check of its endpoint, in milliseconds: other connections break with it. */
 const CHECK_DELAY_MS = 10;
 
+/** Further delay of the check of an endpoint that is leaving, in milliseconds: a process takes some time to end. */
+const LEAVING_CHECK_DELAY_MS = 100;
+
 /** Maximum number of broken runs of one endpoint that are kept until its check has finished. */
 const MAX_RUNS = 256;
 
@@ -39,19 +42,17 @@
   readonly probe: (endpoint: serving.Endpoint) => Promise<pathMonitors.ProbeResult>;
   /** @returns whether the endpoint is expected to end, because it is leaving or gone */
   readonly isLeaving: (endpoint: serving.Endpoint) => boolean;
-  /** @returns whether the endpoint has no entry any more */
-  readonly isGone: (endpoint: serving.Endpoint) => boolean;
   /** Called with an endpoint that has crashed and what was running there for this daemon's callers. */
   readonly onCrashed: (endpoint: serving.Endpoint, runs: readonly BrokenRun[]) => void;
 }
 
 /** What a check of an endpoint finds. */
 enum CheckFinding {
-  /** It accepts connections, or says that it leaves. */
+  /** It accepts connections. */
   Serving = "serving",
   /** Nothing listens there any more. */
   Crashed = "crashed",
-  /** This daemon can't connect, and whether the endpoint or the path has failed isn't known. */
+  /** This daemon can't connect: the endpoint has left, or whether it or the path has failed isn't known. */
   Unreached = "unreached",
 }
 
@@ -87,12 +88,13 @@
   }
 
   /**
-   * An answer without a length or chunks is whole only if its endpoint goes on. A peer that is asked may not know yet that
-   * the endpoint has crashed: its own connections to it still look open while its event loop lags. That blames no request,
-   * but proves no answer whole either.
+   * An answer without a length or chunks is whole only if its endpoint goes on. An endpoint that leaves does so for its drain
+   * time, and then ends in the middle of what it writes. A peer that is asked may not know yet that the endpoint has crashed:
+   * its own connections to it still look open while its event loop lags. That blames no request, but proves no answer whole
+   * either.
    *
    * @param endpoint - an endpoint that has closed a connection in order
-   * @returns whether it may have done so because it has crashed: it can't be reached, and no peer reaches it
+   * @returns whether it may have done so because it has ended: it can't be reached, and no peer reaches it
    */
   async mayHaveCrashed(endpoint: serving.Endpoint): Promise<boolean> {
     return (await this.#checkOf(endpoint).finding) !== CheckFinding.Serving;
@@ -170,12 +172,14 @@
    * not be blamed on the requests that ran, and a path that hangs must not hide that the endpoint has crashed.
    */
   async #connect(endpoint: serving.Endpoint): Promise<CheckFinding> {
-    if (this.#parts.hasLiveConnection(endpoint.id)) return CheckFinding.Serving;
+    const { hasLiveConnection, probe } = this.#parts;
     const isLeaving = this.#parts.isLeaving(endpoint);
-    if (isLeaving && !this.#parts.isGone(endpoint)) return CheckFinding.Serving;
-    const { error, finding } = await this.#parts.probe(endpoint);
+    // An endpoint that leaves may close its connections one by one before it stops listening.
+    if (isLeaving) await new Promise((resolve) => setTimeout(resolve, LEAVING_CHECK_DELAY_MS));
+    if (hasLiveConnection(endpoint.id)) return CheckFinding.Serving;
+    const { error, finding } = await probe(endpoint);
     if (error === undefined || finding?.reached === true) return CheckFinding.Serving;
-    // The entry of a crashed endpoint is removed, too: its end blames no request, but proves no answer whole.
+    // A planned end, or that of a crashed endpoint whose entry is removed, blames no request but proves no answer whole.
     if (isLeaving) return CheckFinding.Unreached;
     return (finding?.refused ?? error.code === REFUSED) ? CheckFinding.Crashed : CheckFinding.Unreached;
   }
--- a/packages/gateway/src/suspects/crashProtection.ts
+++ b/packages/gateway/src/suspects/crashProtection.ts
@@ -49,7 +49,6 @@
       hasLiveConnection: (endpointId) => client.hasLiveConnection(endpointId),
       probe,
       isLeaving: ({ id }) => !directory.isAvailable(id),
-      isGone: ({ id }) => directory.revisionOf(id) === 0,
       onCrashed: (endpoint, runs) => {
         onCrashed(endpoint);
         this.gate.noteCrashed(endpoint, runs);
--- a/packages/gateway/tests/endpointCrashDetector.test.ts
+++ b/packages/gateway/tests/endpointCrashDetector.test.ts
@@ -11,6 +11,9 @@
 /** Time within which a check of an endpoint has finished, in milliseconds. */
 const CHECKED_MS = 150;
 
+/** Time within which a check of an endpoint that is leaving has finished, in milliseconds. */
+const LEAVING_CHECKED_MS = 400;
+
 const pause = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
 
 interface Fixture {
@@ -22,7 +25,6 @@
 interface Options {
   lastReceivedAt?: number;
   readonly isLeaving?: boolean;
-  readonly isGone?: boolean;
   readonly hasLiveConnection?: boolean;
   /** Error code of a failed connection, instead of the real one. */
   readonly error?: string;
@@ -41,8 +43,7 @@
       if (error !== undefined) error.code = options.error ?? error.code;
       return { error, finding: options.finding };
     },
-    isLeaving: () => options.isLeaving ?? options.isGone ?? false,
-    isGone: () => options.isGone ?? false,
+    isLeaving: () => options.isLeaving ?? false,
     onCrashed: ({ id }, runs) => crashed.push([id, runs.length]),
   });
   return { detector, crashed, lines };
@@ -109,7 +110,7 @@
 suite("an endpoint that is leaving has not crashed", async () => {
   const { detector, crashed } = createFixture({ isLeaving: true });
   detector.noteBroken(endpointAt(await closedPort()), run());
-  await pause(CHECKED_MS);
+  await pause(LEAVING_CHECKED_MS);
   assert.equal(crashed, []);
 });
 
@@ -147,13 +148,13 @@
 );
 
 suite(
-  "an endpoint that a peer reaches, that leaves or that accepts connections has ended its answer by itself",
+  "an endpoint that a peer reaches or that accepts connections, also while it leaves, has ended its answer by itself",
   async () => {
     const reached = createFixture({ finding: { reached: true, refused: false } }).detector;
     assert.is(await reached.mayHaveCrashed(endpointAt(await closedPort())), false);
-    assert.is(await createFixture({ isLeaving: true }).detector.mayHaveCrashed(endpointAt(await closedPort())), false);
     const server = await listening();
     assert.is(await createFixture().detector.mayHaveCrashed(endpointAt(portOf(server))), false);
+    assert.is(await createFixture({ isLeaving: true }).detector.mayHaveCrashed(endpointAt(portOf(server))), false);
     server.close();
   },
 );
@@ -196,12 +197,28 @@
   await new Promise((resolve) => server.close(resolve));
 });
 
-// Guards against an answer without a length that looks whole as its endpoint crashed in the middle: the entry was removed
-// before the daemon, whose event loop lagged, handled the end.
-suite("an endpoint that is gone and refuses connections proves no answer whole, and blames no request", async () => {
-  const { detector, crashed } = createFixture({ isGone: true, finding: { reached: false, refused: true } });
-  assert.ok(await detector.mayHaveCrashed(endpointAt(await closedPort())));
-  assert.equal(crashed, []);
-});
+// Guards against an answer without a length that looks whole: a leaving endpoint exited in the middle of it, or it crashed and
+// its entry was removed before the daemon, whose event loop lagged, handled the end.
+suite(
+  "an endpoint that leaves or is gone and refuses connections proves no answer whole, and blames no request",
+  async () => {
+    const { detector, crashed } = createFixture({ isLeaving: true, finding: { reached: false, refused: true } });
+    assert.ok(await detector.mayHaveCrashed(endpointAt(await closedPort())));
+    assert.equal(crashed, []);
+  },
+);
+
+// Guards against the same where the endpoint closes its connections shortly before it stops listening.
+suite(
+  "an endpoint that leaves and stops listening right after the end of an answer proves it no whole one",
+  async () => {
+    const { detector } = createFixture({ isLeaving: true });
+    const server = await listening();
+    const isCut = detector.mayHaveCrashed(endpointAt(portOf(server)));
+    await pause(40);
+    await new Promise((resolve) => server.close(resolve));
+    assert.ok(await isCut);
+  },
+);
 
 suite.run();
--- a/packages/gateway/tests/helpers/exchangeHarness.ts
+++ b/packages/gateway/tests/helpers/exchangeHarness.ts
@@ -306,7 +306,6 @@
         hasLiveConnection: () => true,
         probe: () => Promise.resolve({ error: undefined, finding: undefined }),
         isLeaving: () => false,
-        isGone: () => false,
         onCrashed: () => undefined,
       }),
       streams: new streamOrigins.StreamOrigins({
