Look for the seal before anything of an answer is passed on

Cause: the seal was looked for at the end of an answer. By then the head and the events of a stream were at the caller; a second engine's empty end completed it, as a success without a seal.

Change: a successful answer to the request that bears no seal ends its send with its head: the connection is closed, and the request may have run. An idempotent request or a stream that may be resumed goes on at another endpoint, any other gets 502.

--- a/packages/gateway/src/answerReceiver.ts
+++ b/packages/gateway/src/answerReceiver.ts
@@ -35,6 +35,7 @@
     if (!this.#mayBring(head)) return false;
     // A stream has begun to run with its first event.
     if (!head.notRun && !this.#isStream) served.noteBegunToRun();
+    if (this.#lacksSeal) this.#rejectUnsealed();
     return true;
   }
 
@@ -49,8 +50,6 @@
     if (!results.end(active)) return;
     if (this.#notRun) {
       results.failed(active, serving.SendOutcome.Declined, `status ${this.#status}`);
-    } else if (this.#status < CLIENT_ERRORS_FROM && !this.#sealed) {
-      results.failed(active, serving.SendOutcome.Unknown, "the answer bears no seal");
     } else {
       this.#body?.onEnd();
     }
@@ -64,6 +63,18 @@
     else results.broken(active, outcome, detail);
   }
 
+  get #lacksSeal(): boolean {
+    return !this.#notRun && this.#status < CLIENT_ERRORS_FROM && !this.#sealed;
+  }
+
+  /** Ends the send before anything of the answer is passed on: events of a stream can't be taken back. */
+  #rejectUnsealed(): void {
+    const { active, results } = this.#send;
+    if (!results.end(active)) return;
+    active.cancel();
+    results.failed(active, serving.SendOutcome.Unknown, "the answer bears no seal");
+  }
+
   /** Whether a stream that has begun may go on with this answer. */
   #mayBring({ endpointId, notRun }: ports.AnswerHead): boolean {
     const { active, context, served } = this.#send;
