Don't answer a connection's later request before the one that runs

What callers would see: 408 in the place of the answer to a request that runs, which promises that it hasn't run: the headers of a second request on the same connection were overdue. Or 400, or bytes in the middle of a stream. Cause: faults of a connection were answered at once, whatever else was unanswered on it. Change: such a connection is closed once its accepted requests have their answers; the fault itself gets no answer then.

--- a/packages/gateway/src/callerListener.ts
+++ b/packages/gateway/src/callerListener.ts
@@ -65,6 +65,10 @@
   readonly #acceptedLate = new WeakSet<stream.Duplex>();
   /** Instant of the last request of each connection, in milliseconds. */
   readonly #readAt = new WeakMap<stream.Duplex, number>();
+  /** Number of accepted requests of a connection that have no complete answer. */
+  readonly #unansweredBySocket = new WeakMap<stream.Duplex, number>();
+  /** Connections that are closed once their requests are answered. */
+  readonly #closing = new WeakSet<stream.Duplex>();
   readonly #unlistedHeaders = new firstSightings.FirstSightings();
   #shutdown: serving.GracefulShutdown | undefined;
   #doorClosed = false;
@@ -197,11 +201,22 @@
 
   #closeConnection(socket: stream.Duplex, status: number, error: NodeJS.ErrnoException): void {
     this.#context.log.info("bad-request", { detail: error.code ?? error.message, status });
+    if ((this.#unansweredBySocket.get(socket) ?? 0) > 0) {
+      // The caller would take this answer for that to its earlier request, which may be running.
+      this.#closing.add(socket);
+      return;
+    }
     const head = `HTTP/1.1 ${status} ${http.STATUS_CODES[status] ?? ""}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
     if (socket.writable) socket.end(head);
     else socket.destroy();
   }
 
+  #countUnanswered(socket: net.Socket, change: 1 | -1): void {
+    const unanswered = (this.#unansweredBySocket.get(socket) ?? 0) + change;
+    this.#unansweredBySocket.set(socket, unanswered);
+    if (unanswered === 0 && this.#closing.has(socket)) socket.end();
+  }
+
   async #onRequest(incoming: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     const { configuration, view, format, log } = this.#context;
     const now = performance.now();
@@ -264,7 +279,11 @@
       const exchange = this.#accept(request, body, answer);
       if (exchange === undefined) return;
       caller.exchange = exchange;
-      response.once("close", () => this.#unanswered.delete(exchange));
+      this.#countUnanswered(incoming.socket, 1);
+      response.once("close", () => {
+        this.#unanswered.delete(exchange);
+        this.#countUnanswered(incoming.socket, -1);
+      });
       exchange.start();
     }
   }
