Tell peers which requests carry no id

Cause: since an answer must name the id that was sent, a peer that frees a handle for another daemon took the engine's answer, which names none, for one to another request, and closed its connection. Change: a request that is passed on says whether it carries an id.

--- a/packages/gateway/src/paths/relayServer.ts
+++ b/packages/gateway/src/paths/relayServer.ts
@@ -161,7 +161,7 @@
       createHeaders: () => headers,
       body,
       call: serving.AnsweredCall.Run,
-      answerId: message.id,
+      answerId: message.isUnnamed ? undefined : message.id,
       sendBefore,
     };
     const inFlight = client.sendForPeer(
--- a/packages/gateway/src/paths/routedSend.ts
+++ b/packages/gateway/src/paths/routedSend.ts
@@ -241,6 +241,7 @@
       headers: createHeaders(),
       remainingMs: Math.floor(remainingMs),
       asksFraming: true,
+      isUnnamed: answerId === undefined,
       ...(body === undefined ? {} : { body }),
     });
     return {
