Keep a request from running again if any of its routes forbids it

Cause: whether a request may be repeated was asked of the route in force at the decision, and the retry was then sent under a newer one, which may forbid it. Change: a request may run again only if each route by which it has been served allows it, asked after the configuration was followed. The retry decision gets the answer instead of class and resumability of a route; its tests derive it from the same draws.

--- a/packages/gateway/src/requestEnd.ts
+++ b/packages/gateway/src/requestEnd.ts
@@ -78,7 +78,7 @@
    * @param now - instant at which the answer came, in milliseconds
    */
   forward(status: number, headers: sendings.AnswerHeaders, body: Buffer, now: number): void {
-    if (serving.isRejection(status) && !serving.mayRetry(this.#served.route)) {
+    if (serving.isRejection(status) && !this.#served.isRepeatable) {
       this.fail(
         serving.FailureStatus.BadGateway,
         "unproven-rejection",
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -82,10 +82,6 @@
       end.timeOut();
       return;
     }
-    if (!served.mayRun) {
-      end.reject("may-have-run");
-      return;
-    }
     if (!served.followConfiguration()) {
       if (this.#parts.context.configuration.isCurrent)
         end.fail(
@@ -96,6 +92,11 @@
       else end.reject("route-unconfirmed");
       return;
     }
+    // The configuration may have changed since the retry was decided on, and forbid it now.
+    if (!served.mayRun) {
+      end.reject("may-have-run");
+      return;
+    }
     const restartedEngine = handover.dropIfLost();
     if (restartedEngine !== undefined) {
       this.#prefillAgain(restartedEngine);
--- a/packages/gateway/src/sends/hedgedSends.ts
+++ b/packages/gateway/src/sends/hedgedSends.ts
@@ -92,7 +92,7 @@
     const { context, served } = this.#parts;
     const now = performance.now();
     const shouldReplace = serving.shouldReplace({
-      isRepeatable: active.stage === plannedSends.Stage.Prefill || serving.mayRetry(served.route),
+      isRepeatable: active.stage === plannedSends.Stage.Prefill || served.isRepeatable,
       isReplaced: this.latest !== active,
       isBeingStopped: context.runs.isBeingStopped(served),
       sinceAttemptMs: now - this.#replacementTriedAt,
--- a/packages/gateway/src/servedRequest.ts
+++ b/packages/gateway/src/servedRequest.ts
@@ -18,6 +18,7 @@
   readonly #triedEndpoints = new Set<string>();
   readonly #acceptedUnder: number;
   #route: serving.Route;
+  #isRepeatable: boolean;
   #service = "";
   #fingerprints: serving.Fingerprints | undefined;
   #partNames: readonly serving.SuspectName[] | undefined;
@@ -47,6 +48,7 @@
     this.#context = context;
     this.#caller = caller;
     this.#route = route;
+    this.#isRepeatable = serving.mayRetry(route);
     this.#body = body;
     this.#access = access;
     this.#acceptedUnder = context.view.configurationRevision;
@@ -137,7 +139,12 @@
 
   /** @returns whether the request may be sent to run: it has certainly not run, or may run again */
   get mayRun(): boolean {
-    return !this.mayHaveRun || serving.mayRetry(this.#route);
+    return !this.mayHaveRun || this.#isRepeatable;
+  }
+
+  /** @returns whether the request may run more than once, under each route by which it has been served */
+  get isRepeatable(): boolean {
+    return this.#isRepeatable;
   }
 
   /** @returns deadline of the request, in milliseconds */
@@ -205,6 +212,7 @@
     const route = this.#context.view.table?.find(this.#caller.host, this.#caller.path);
     if (route === undefined) return false;
     this.#route = route;
+    this.#isRepeatable &&= serving.mayRetry(route);
     if (!route.shares.some((share) => share.service === this.#service && share.weight > 0)) this.chooseService();
     return true;
   }
@@ -309,8 +317,7 @@
       .some((endpoint) => !this.#triedEndpoints.has(endpoint.id) && this.mayGoOnAt(endpoint));
     return serving.nextStep({
       mayHaveRun: this.mayHaveRun,
-      requestClass: this.#route.requestClass,
-      resumable: this.#route.resumable,
+      isRepeatable: this.#isRepeatable,
       sends: this.#sends,
       attempts: this.#mayBeSentAgain ? this.#route.attempts : 0,
       remainingMs: this.remainingMs,
--- a/packages/serving/src/retryDecision.ts
+++ b/packages/serving/src/retryDecision.ts
@@ -35,8 +35,8 @@
 export interface RetryInputs {
   /** Whether any send of this request may have run, by its ledger. */
   readonly mayHaveRun: boolean;
-  readonly requestClass: configurations.RequestClass;
-  readonly resumable: boolean;
+  /** Whether the request may run again even though an earlier send may have run. */
+  readonly isRepeatable: boolean;
   /** Number of sends that count so far, including this one. */
   readonly sends: number;
   readonly attempts: number;
@@ -50,12 +50,12 @@
 const MIN_REMAINING_MS = 25;
 
 /**
- * @param inputs - class of the request, and whether its route allows resuming
- * @returns whether the request may run again even though an earlier send may have run
+ * @param route - class of its requests, and whether it allows resuming
+ * @returns whether a request on it may run again even though an earlier send may have run
  */
-export function mayRetry(inputs: Pick<RetryInputs, "requestClass" | "resumable">): boolean {
-  if (inputs.requestClass === configurations.RequestClass.Idempotent) return true;
-  return inputs.requestClass === configurations.RequestClass.Stream && inputs.resumable;
+export function mayRetry({ requestClass, resumable }: Pick<configurations.Route, "requestClass" | "resumable">): boolean {
+  if (requestClass === configurations.RequestClass.Idempotent) return true;
+  return requestClass === configurations.RequestClass.Stream && resumable;
 }
 
 /**
@@ -67,7 +67,7 @@
  */
 export function nextStep(inputs: RetryInputs): NextStep {
   const { mayHaveRun } = inputs;
-  const isAllowed = !mayHaveRun || mayRetry(inputs);
+  const isAllowed = !mayHaveRun || inputs.isRepeatable;
   const isUseful = inputs.remainingMs >= MIN_REMAINING_MS && inputs.hasOtherEndpoint;
   if (isAllowed && isUseful && inputs.sends < inputs.attempts) {
     const isFirstCounted = inputs.sends === 0;
--- a/packages/serving/tests/retryDecision.test.ts
+++ b/packages/serving/tests/retryDecision.test.ts
@@ -21,7 +21,7 @@
 suite("a request that may have run is never reported as not run", () => {
   fastCheck.assert(
     fastCheck.property(inputs, ({ hasBudget, ...given }) => {
-      const step = serving.nextStep({ ...given, spendRetry: () => hasBudget });
+      const step = serving.nextStep({ ...given, isRepeatable: serving.mayRetry(given), spendRetry: () => hasBudget });
       if (given.mayHaveRun) assert.is.not(step, serving.NextStep.Reject);
       else assert.ok(step === serving.NextStep.Reject || step === serving.NextStep.SendAgain);
     }),
@@ -34,7 +34,7 @@
 suite("a request that may run only once is not retried once it may have run", () => {
   fastCheck.assert(
     fastCheck.property(inputs, ({ hasBudget, ...given }) => {
-      const step = serving.nextStep({ ...given, spendRetry: () => hasBudget });
+      const step = serving.nextStep({ ...given, isRepeatable: serving.mayRetry(given), spendRetry: () => hasBudget });
       if (step === serving.NextStep.SendAgain && given.mayHaveRun) assert.ok(serving.mayRetry(given));
     }),
     { seed: 2 },
@@ -49,7 +49,7 @@
         wasAsked = true;
         return hasBudget;
       };
-      const step = serving.nextStep({ ...given, spendRetry });
+      const step = serving.nextStep({ ...given, isRepeatable: serving.mayRetry(given), spendRetry });
       if (step !== serving.NextStep.SendAgain) return;
       assert.ok(given.sends < given.attempts);
       assert.ok(given.sends === 0 || (wasAsked && hasBudget));
