Reject a request that is prefilled too late to run, once its prefill is over

What callers would see: at a planned stop, a request whose prompt was being prefilled when no time was left to run it was sent on to run, and cut when the process ended. Cause: since the ledger decides, a request with a prefill under way doesn't count as unsent. Change: such a request is kept from running, and rejected as not run as soon as its prefill brings a handle.

--- a/packages/gateway/src/callerListener.ts
+++ b/packages/gateway/src/callerListener.ts
@@ -160,7 +160,7 @@
    */
   endUnsentRequests(): void {
     for (const answer of this.#readingBody) this.#refuseStopping(answer);
-    for (const exchange of [...this.#unanswered]) if (exchange.isUnsent) exchange.endNow(ENDED_BY_STOP);
+    for (const exchange of [...this.#unanswered]) exchange.endUnsent(ENDED_BY_STOP);
   }
 
   /**
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -59,9 +59,15 @@
     return this.#end.hasBegun;
   }
 
-  /** @returns whether nothing has run yet, and nothing that may run has been sent to an endpoint */
-  get isUnsent(): boolean {
-    return this.#forwarder.isUnsent;
+  /**
+   * Rejects the request as not run if nothing of it has been sent to run, and keeps one from running whose prompt is being
+   * prefilled: it is rejected as soon as that is over.
+   *
+   * @param reason - outcome in the log
+   */
+  endUnsent(reason: string): void {
+    if (this.#forwarder.isUnsent) this.endNow(reason);
+    else this.#forwarder.forbidRuns(reason);
   }
 
   /** Begins to serve the request. */
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -35,6 +35,8 @@
   readonly #sends: hedgedSends.HedgedSends;
   /** The run that was sent beside a silent send, until it is known to go on alone and may be moved. */
   #hedgingRun: activeSends.ActiveSend | undefined;
+  /** Why the request must not be sent to run any more, if it must not. */
+  #forbidden: string | undefined;
   /** Whether the request has waited for an endpoint that it may get to now, and is being sent. */
   #isResumed = false;
 
@@ -92,6 +94,10 @@
       else end.reject("route-unconfirmed");
       return;
     }
+    if (this.#forbidden !== undefined && !served.mayHaveRun) {
+      end.reject(this.#forbidden);
+      return;
+    }
     // The configuration may have changed since the retry was decided on, and forbid it now.
     if (!served.mayRun) {
       end.reject("may-have-run");
@@ -290,6 +296,11 @@
     );
   }
 
+  /** @param reason - why a request that has not run must not run any more */
+  forbidRuns(reason: string): void {
+    this.#forbidden = reason;
+  }
+
   /** Cancels the sends in flight. */
   cancelSends(): void {
     this.#sends.cancelAll();
--- a/packages/gateway/tests/exchange.test.ts
+++ b/packages/gateway/tests/exchange.test.ts
@@ -42,6 +42,19 @@
   assert.match(harness.endLines[0] ?? "", /outcome=stopping status=502 .*sent=e0:prefill:unanswered/);
 });
 
+// Guards against a run that begins when a stopping daemon has no time left for it.
+suite("a request whose prompt was prefilled after the last time to run it is rejected as not run", () => {
+  const harness = startedExchange(Stream, [Prefill, Decode]);
+  harness.exchange.endUnsent("stopping");
+  assert.equal(harness.answer.refusals, []);
+  finishPrefill(harness.send(0));
+  assert.is(harness.answer.refusals[0]?.status, 503);
+  assert.equal(
+    harness.sends.map(({ path }) => path),
+    ["/x", "/free/handle"],
+  );
+});
+
 suite("a request whose prefill and run were declined has not run: 503 with Retry-After", () => {
   const harness = startedExchange(Stream, [Prefill, Decode]);
   finishPrefill(harness.send(0));
