Send a request whose prefill is lost on to an engine that decodes

Cause: a prefill that ended without an answer counted as an attempt, so that a route with one attempt had none left. The first prefill that an engine accepts is none, and this one may have been accepted. Change: the first lost prefill isn't counted, and the prompt is prefilled by the engine that decodes: the run is the request's first, so that neither the attempts nor the retry budget are exceeded.

--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -472,12 +472,17 @@
     return choice.value;
   }
 
-  /** A send counts unless nothing of it was sent. A prefill counts only when it fails, not when the engine accepts it. */
+  /**
+   * A send counts unless nothing of it was sent. A prefill counts only when it fails, not when the engine accepts it or may have
+   * accepted it.
+   */
   #countFailed(active: activeSends.ActiveSend, outcome: serving.SendOutcome): void {
     const { served } = this.#parts;
     if (active.resume !== undefined) return;
     if (active.stage === plannedSends.Stage.Answering && serving.isUnsent(outcome)) served.uncountSend();
-    if (active.stage === plannedSends.Stage.Prefill && !serving.isUnsent(outcome)) served.countSend();
+    if (active.stage !== plannedSends.Stage.Prefill || serving.isUnsent(outcome)) return;
+    const isLost = active.entry.fate === serving.SendFate.Unanswered;
+    if (!isLost || !served.notePrefillLost()) served.countSend();
   }
 }
 
--- a/packages/gateway/src/servedRequest.ts
+++ b/packages/gateway/src/servedRequest.ts
@@ -28,6 +28,7 @@
   #hasBegunToRun = false;
   #prefillsAccepted = 0;
   #isPrefillPaid = false;
+  #isPrefillLost = false;
   #isStreamBegun = false;
   #origin: serving.StreamOrigin | undefined;
 
@@ -260,6 +261,18 @@
     this.#isPrefillPaid = false;
   }
 
+  /**
+   * Records that a prefill ended without an answer. The engine may have accepted it, so that it counts as the first one, which is no
+   * attempt; the prompt is then prefilled by the engine that decodes.
+   *
+   * @returns whether it is the first one
+   */
+  notePrefillLost(): boolean {
+    const isFirst = this.#prefillsAccepted === 0 && !this.#isPrefillLost;
+    this.#isPrefillLost = true;
+    return isFirst;
+  }
+
   /** The next prefill is the retry itself, which the budget has allowed. */
   notePrefillPaid(): void {
     this.#isPrefillPaid = true;
@@ -272,6 +285,7 @@
    * @returns whether it may; the retry is then counted as spent
    */
   mayPrefill(): boolean {
+    if (this.#isPrefillLost) return false;
     if (this.#prefillsAccepted === 0 || this.#isPrefillPaid) return true;
     return this.spendRetry();
   }
