Don't wait for a prefill that can't serve its request any more

What callers would see: 504 at the deadline, 2.9 s after the run of a request that may run once was lost: a silent prefill was still in flight. Cause: any send in flight counted as one whose answer may come. Change: a prefill doesn't once the request may have run and must not run again.

--- a/packages/gateway/src/sends/hedgedSends.ts
+++ b/packages/gateway/src/sends/hedgedSends.ts
@@ -28,12 +28,19 @@
     return this.#race.latest;
   }
 
-  /** @returns whether a send is in flight whose run may still go on, as far as is known */
+  /**
+   * @returns whether a send is in flight that may still serve the request, as far as is known. A prefill doesn't once the request
+   *   may have run and must not run again
+   */
   get isAnyAlive(): boolean {
-    const { crashDetector, view } = this.#parts.context;
+    const { context, served } = this.#parts;
+    const { crashDetector, view } = context;
     const now = performance.now();
     return this.#race.sends.some(
-      ({ endpoint }) => view.directory.isSameIncarnation(endpoint) && !crashDetector.hasCrashed(endpoint, now),
+      ({ endpoint, stage }) =>
+        (stage === plannedSends.Stage.Answering || served.mayRun) &&
+        view.directory.isSameIncarnation(endpoint) &&
+        !crashDetector.hasCrashed(endpoint, now),
     );
   }
 
