Don't count an answer to another request as a broken connection

What callers would see: 502 for a request that may be repeated and has an attempt left, after two answers to other requests. Cause: a foreign answer closes its connection, which counted as one that the endpoint had broken: requests with two of these aren't sent again, and may be suspected of crashing endpoints. Change: such a send ends with an outcome of its own. Beside it: a request that may have run gets 502 where its route has been removed, not 404, and moves, copies and the choice of endpoints ask whether each route of a request lets it be repeated. Two names say what they mean.

--- a/packages/gateway/src/endpointClient.ts
+++ b/packages/gateway/src/endpointClient.ts
@@ -1,4 +1,4 @@
-import type * as serving from "@camphorcourse/serving";
+import * as serving from "@camphorcourse/serving";
 import * as connectionPools from "./endpointConnectionPool.js";
 import type * as decisionLogs from "./decisionLog.js";
 import * as endpointSends from "./endpointSend.js";
@@ -130,7 +130,7 @@
       endpoint,
       request,
       receiver: this.#identified(endpoint, request, receiver, this.#guard.onSend(endpoint, request)),
-      pool: request.isUnshared === true ? this.#createPool(endpoint, false) : this.#poolOf(endpoint),
+      pool: request.usesOwnConnection === true ? this.#createPool(endpoint, false) : this.#poolOf(endpoint),
       isLoopLagging: this.#isLoopLagging,
       mayDispatch: () => this.#guard.mayReceive(endpoint, request.call),
       onBroken: (wasDispatched) => this.#noteBroken(endpoint, wasDispatched),
@@ -247,6 +247,7 @@
   readonly #receiver: sendings.AnswerReceiver;
   readonly #isOwn: (status: number, headers: sendings.AnswerHeaders) => boolean;
   readonly #observe: sendings.AnswerObserver;
+  #isForeign = false;
 
   constructor(
     receiver: sendings.AnswerReceiver,
@@ -259,7 +260,8 @@
   }
 
   onHead(status: number, headers: sendings.AnswerHeaders): boolean {
-    if (!this.#isOwn(status, headers)) return false;
+    this.#isForeign = !this.#isOwn(status, headers);
+    if (this.#isForeign) return false;
     const isAccepted = this.#receiver.onHead(status, headers);
     this.#observe(status, headers);
     return isAccepted;
@@ -274,6 +276,6 @@
   }
 
   onBroken(outcome: serving.SendOutcome, detail: string): void {
-    this.#receiver.onBroken(outcome, detail);
+    this.#receiver.onBroken(this.#isForeign ? serving.SendOutcome.Foreign : outcome, detail);
   }
 }
--- a/packages/gateway/src/engineCalls.ts
+++ b/packages/gateway/src/engineCalls.ts
@@ -78,7 +78,7 @@
           body: call.body === undefined ? undefined : Buffer.from(call.body),
           call: kind,
           answerId: undefined,
-          isUnshared: true,
+          usesOwnConnection: true,
         },
         {
           onHead: (answerStatus) => {
--- a/packages/gateway/src/paths/relayServer.ts
+++ b/packages/gateway/src/paths/relayServer.ts
@@ -23,6 +23,7 @@
   [serving.SendOutcome.Withheld]: relayMessages.RelayResult.Refused,
   [serving.SendOutcome.Declined]: relayMessages.RelayResult.AnswerLost,
   [serving.SendOutcome.Unknown]: relayMessages.RelayResult.AnswerLost,
+  [serving.SendOutcome.Foreign]: relayMessages.RelayResult.AnswerLost,
 };
 
 const BAD_REQUEST = 400;
--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -24,6 +24,7 @@
   [serving.SendOutcome.Withheld]: serving.SendFate.Unsent,
   [serving.SendOutcome.Declined]: serving.SendFate.Declined,
   [serving.SendOutcome.Unknown]: serving.SendFate.Unanswered,
+  [serving.SendOutcome.Foreign]: serving.SendFate.Unanswered,
 };
 
 /** Forwards one request to endpoints, one send after the other, until one gives its final answer. */
@@ -34,7 +35,7 @@
   readonly #chooser: sendChoosers.SendChooser;
   readonly #sends: hedgedSends.HedgedSends;
   /** The run that was sent beside a silent send, until it is known to go on alone and may be moved. */
-  #hedgingRun: activeSends.ActiveSend | undefined;
+  #replacementRun: activeSends.ActiveSend | undefined;
   /** Why the request must not be sent to run any more, if it must not. */
   #forbidden: string | undefined;
   /** Whether the request has waited for an endpoint that it may get to now, and is being sent. */
@@ -85,7 +86,8 @@
       return;
     }
     if (!served.followConfiguration()) {
-      if (this.#parts.context.configuration.isCurrent)
+      if (served.mayHaveRun) end.reject("route-removed");
+      else if (this.#parts.context.configuration.isCurrent)
         end.fail(
           serving.FailureStatus.NotFound,
           "route-removed",
@@ -186,9 +188,9 @@
   settle(active: activeSends.ActiveSend): void {
     const { context, served } = this.#parts;
     const losers = this.#sends.settle(active);
-    if (losers.length === 0 && active !== this.#hedgingRun) return;
+    if (losers.length === 0 && active !== this.#replacementRun) return;
     if (active.stage !== plannedSends.Stage.Answering) return;
-    this.#hedgingRun = undefined;
+    this.#replacementRun = undefined;
     // The copy at a backup is that of the first run.
     if (losers.some(({ sentAt }) => sentAt < active.sentAt)) context.backups.noteOver(served);
     context.runs.noteRunning({ active, served, host: this });
@@ -256,6 +258,11 @@
   /** {@inheritDoc exchangeParts.SendResultHandler.broken} */
   broken(active: activeSends.ActiveSend, outcome: serving.SendOutcome, detail: string): void {
     const { context, served } = this.#parts;
+    if (outcome === serving.SendOutcome.Foreign) {
+      // The connection was closed here, which says nothing of the endpoint, nor of what it runs.
+      this.failed(active, serving.SendOutcome.Unknown, detail);
+      return;
+    }
     const isBeingMoved = context.runs.onClosed({ active, served }, serving.StreamClose.Broken, {
       complete: () => undefined,
       break: () => this.broken(active, outcome, detail),
@@ -380,7 +387,7 @@
       ...planned.admission,
       ...planned.pacing,
     });
-    if (isAnswering && replaced !== undefined) this.#hedgingRun = active;
+    if (isAnswering && replaced !== undefined) this.#replacementRun = active;
     if (isAnswering && replaced === undefined) context.runs.noteRunning({ active, served, host: this });
     active.start(message, this.#receiver(active), (silentMs) => this.#onSilent(active, silentMs));
   }
--- a/packages/gateway/src/runs/backups.ts
+++ b/packages/gateway/src/runs/backups.ts
@@ -128,7 +128,7 @@
     const running = loads.runningRequests(active.endpoint.id, performance.now());
     return {
       engineLimits,
-      isRepeatable: serving.mayRetry(served.route),
+      isRepeatable: served.isRepeatable,
       expectedMs: events === undefined ? undefined : events * (baseMs + running * perStreamMs),
       tokens: prompt.promptTokens + prompt.outputTokens,
     };
--- a/packages/gateway/src/runs/runMove.ts
+++ b/packages/gateway/src/runs/runMove.ts
@@ -156,7 +156,7 @@
   async #stop(): Promise<void> {
     this.#stopSentAt = performance.now();
     const { handleMs } = this.#parts;
-    const isRepeatable = serving.mayRetry(this.run.served.route);
+    const isRepeatable = this.run.served.isRepeatable;
     const answer = await this.#call(true, isRepeatable ? Math.min(handleMs, REPEATABLE_STOP_TIMEOUT_MS) : handleMs);
     this.#apply(this.#state.stopped(answer), answer.outcome);
     if (this.#state.phase === serving.RunPhase.Stopped) {
--- a/packages/gateway/src/sendChooser.ts
+++ b/packages/gateway/src/sendChooser.ts
@@ -128,7 +128,7 @@
       metrics.count("resting_endpoints_passed_over");
       return { ready: [], restMs };
     }
-    const usable = health.selectUsable(awake, serving.mayRetry(this.#served.route), now);
+    const usable = health.selectUsable(awake, this.#served.isRepeatable, now);
     const isQueued = !this.#isNextInQueue && limits.waiting.count(this.#served.service) > 0;
     const startable = this.#mayBeginStream ? view.versions.selectSettled(usable, now) : usable;
     const { ready, limited } = serving.selectReady(limits.enforcer, startable, isQueued, now);
--- a/packages/gateway/src/sending.ts
+++ b/packages/gateway/src/sending.ts
@@ -22,7 +22,7 @@
   /** Id that it carries, which its answer names; undefined if it carries none, so that its answer names none. */
   readonly answerId: string | undefined;
   /** Whether it has a connection of its own, as its answer doesn't tell to which call it belongs. */
-  readonly isUnshared?: boolean;
+  readonly usesOwnConnection?: boolean;
   /** Instant from which it must not be sent any more, in milliseconds, if there is one. */
   readonly sendBefore?: number;
   /** Id of the caller's request; present if a peer may send the request in place of this daemon. */
--- a/packages/serving/src/retryDecision.ts
+++ b/packages/serving/src/retryDecision.ts
@@ -10,6 +10,8 @@
   Declined = "declined",
   /** The request may have run. */
   Unknown = "unknown",
+  /** The request may have run; an answer to another one came on its connection, which was closed for that. */
+  Foreign = "foreign",
 }
 
 /**
@@ -53,7 +55,10 @@
  * @param route - class of its requests, and whether it allows resuming
  * @returns whether a request on it may run again even though an earlier send may have run
  */
-export function mayRetry({ requestClass, resumable }: Pick<configurations.Route, "requestClass" | "resumable">): boolean {
+export function mayRetry({
+  requestClass,
+  resumable,
+}: Pick<configurations.Route, "requestClass" | "resumable">): boolean {
   if (requestClass === configurations.RequestClass.Idempotent) return true;
   return requestClass === configurations.RequestClass.Stream && resumable;
 }
