--- a/packages/serving/tests/retryBudget.test.ts
+++ b/packages/serving/tests/retryBudget.test.ts
@@ -1,9 +1,18 @@
+import * as v8 from "node:v8";
+import * as vm from "node:vm";
 import * as fastCheck from "fast-check";
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
 import * as serving from "../src/index.js";
 
 const suite = uvu.suite("shared retry budget");
+/** Number of requests that would take 8 bytes each if their instants were kept. */
+const REQUESTS = 3_000_000;
+const MAX_GROWN_BYTES = 500_000;
+
+v8.setFlagsFromString("--expose-gc");
+const collectGarbage = vm.runInNewContext("gc") as () => void;
+
 const BOUNDS = { ratio: 0.2, extra: 56, windowMs: 10_000 };
 
 // When all endpoints fail at once, every daemon retries as much as it may. In any window, the retries of all daemons
@@ -44,4 +53,18 @@
   assert.not.ok(budget.spend(40, 8));
 });
 
+// Guards against memory that grows with each request of a service for which no retry is considered.
+suite("requests without a retry take no memory beyond one window", () => {
+  const budget = new serving.SharedRetryBudget(BOUNDS, 0);
+  const heldBytes = (): number => {
+    collectGarbage();
+    return process.memoryUsage().heapUsed;
+  };
+  const before = heldBytes();
+  for (let index = 0; index < REQUESTS; index++) budget.noteRequest(index);
+  const grownBytes = heldBytes() - before;
+  assert.ok(budget.spend(REQUESTS, 8));
+  assert.ok(grownBytes < MAX_GROWN_BYTES, `${grownBytes} bytes`);
+});
+
 suite.run();
