--- a/packages/gateway/src/callerListener.ts
+++ b/packages/gateway/src/callerListener.ts
@@ -199,7 +199,11 @@
     });
   }
 
-  #closeConnection(socket: stream.Duplex, status: number, error: NodeJS.ErrnoException): void {
+  #closeConnection(
+    socket: stream.Duplex,
+    status: serving.FailureStatus.BadRequest | serving.RejectionStatus.RequestTimeout,
+    error: NodeJS.ErrnoException,
+  ): void {
     this.#context.log.info("bad-request", { detail: error.code ?? error.message, status });
     if ((this.#unansweredBySocket.get(socket) ?? 0) > 0) {
       // The caller would take this answer for that to its earlier request, which may be running.
--- a/packages/serving/src/ledger/sendLedger.ts
+++ b/packages/serving/src/ledger/sendLedger.ts
@@ -100,7 +100,7 @@
  * All sends of one request and what has become of each, written before their first byte leaves. Whether the request may have run
  * is concluded from here only, whatever is in flight at that moment.
  *
- * Answers the load pattern in which sends end in other ways than by their own answer: they are replaced, moved, resumed from a
+ * Answers the load pattern in which many sends end otherwise than by their own answer: they are replaced, moved, resumed from a
  * copy or cancelled, their connections break, or answers to other requests come on them.
  */
 export class SendLedger {
@@ -129,7 +129,7 @@
     return entry;
   }
 
-  /** @returns the proof that the request has not run, if there is one; no send must be under way */
+  /** @returns the proof that the request has not run, if there is one; a send that is under way proves nothing */
   proveNotRun(): NotRunProof | undefined {
     return NotRunProof.of(this.#entries);
   }
