Send a request's id on a connection once only

What callers saw: a request was refused as not run although it ran, where its id had been sent to the endpoint before on the same connection and the endpoint's answer to the first one, "not executed", came a second time; a run that was moved was taken for refused by its destination, and resumed there a third time. Cause: an answer is known by the id that it names. Where one connection carries an id twice, the id doesn't tell which of the two it answers. Change: a connection that has carried an id isn't given out for it again; the pool picks another one. This holds for runs, prefills, moved runs and requests that are sent for a peer.

--- a/packages/gateway/src/endpointConnectionPool.ts
+++ b/packages/gateway/src/endpointConnectionPool.ts
@@ -2,6 +2,7 @@
 import * as undici from "undici";
 import * as connectors from "./paths/connector.js";
 import * as pendingReads from "./pendingReads.js";
+import * as recentIds from "./sends/recentIds.js";
 
 /** Time for a connection to an endpoint to be established, in milliseconds; a healthy endpoint takes a few. */
 const CONNECT_TIMEOUT_MS = 350;
@@ -24,6 +25,8 @@
   readonly client: undici.Client;
   socket: net.Socket | undefined;
   usedAt: number;
+  /** Requests that it has carried. */
+  readonly carried: recentIds.RecentIds;
   /** Called when bytes have arrived, before the HTTP client parses them, while a request is under way. */
   onReadable: ((socket: net.Socket) => void) | undefined;
   /** Whether the connection was reset instead of closed in order. */
@@ -45,6 +48,7 @@
   const connection: PooledConnection = {
     socket: undefined,
     usedAt: 0,
+    carried: new recentIds.RecentIds(),
     reset: false,
     onReadable: undefined,
     client: new undici.Client(`http://${address}`, {
@@ -155,13 +159,25 @@
     return [...this.#busy].reduce((sum, connection) => sum + (connection.socket?.writableLength ?? 0), 0);
   }
 
-  /** @returns a connection for one request, to be released or discarded */
-  acquire(): PooledConnection {
-    const connection = this.#idle.pop() ?? createConnection(this.address, this.#isLoopLagging, this.#listener);
+  /**
+   * Gives out a connection that has not carried a request with this id. On one that has, a second answer to the earlier request
+   * would pass for the answer to this one.
+   *
+   * @param requestId - id that the request carries and its answer names, if any
+   * @returns a connection for one request, to be released or discarded
+   */
+  acquire(requestId: string | undefined): PooledConnection {
+    const connection = this.#takeIdle(requestId) ?? createConnection(this.address, this.#isLoopLagging, this.#listener);
+    if (requestId !== undefined) connection.carried.add(requestId);
     this.#busy.add(connection);
     return connection;
   }
 
+  #takeIdle(requestId: string | undefined): PooledConnection | undefined {
+    const index = this.#idle.findLastIndex(({ carried }) => requestId === undefined || !carried.mayHave(requestId));
+    return index === -1 ? undefined : this.#idle.splice(index, 1)[0];
+  }
+
   /**
    * Makes a connection available for other requests, unless none is kept.
    *
--- a/packages/gateway/src/endpointSend.ts
+++ b/packages/gateway/src/endpointSend.ts
@@ -47,7 +47,7 @@
    */
   constructor(parts: SendParts) {
     this.#parts = parts;
-    this.#connection = parts.pool.acquire();
+    this.#connection = parts.pool.acquire(parts.request.answerId);
     const isForCaller = parts.request.sendBefore !== undefined;
     if (!isForCaller || !parts.isLoopLagging()) this.#dispatch();
     else this.#deferredDispatch = new pendingReads.DeferredStep(() => this.#dispatch());
