Send no heartbeat while the socket isn't open

What operators saw: nothing so far. In a trial beside other load, a connection to an endpoint failed 0.2 s after a daemon's planned stop, and "Not running" of the closed socket ended the process of the test. Cause: a change of the paths to endpoints sends heartbeats at once, also after the socket was closed, and before it is bound: the send binds it by itself, and the start then fails with "Socket is already bound". Change: heartbeats that are to go out at once are left out while the sockets aren't open. Evidence: peerLink fails 1 of 2 cases without the check (Socket is already bound), none with it.

--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -206,6 +206,8 @@
 
   /** Sends heartbeats to all recipients at once, for example when this daemon begins to leave. */
   sendHeartbeatsNow(): void {
+    // A path to an endpoint may change before the socket is bound, or after it has been closed.
+    if (!this.#socketsOpen) return;
     const now = performance.now();
     this.activeSet.update(now);
     this.#sendHeartbeats(now, this.#recipients(now), { frequent: true, distant: true, occasional: true });
--- a/packages/gateway/tests/peerLink.test.ts
+++ b/packages/gateway/tests/peerLink.test.ts
@@ -39,11 +39,42 @@
   }
 }
 
+const OWN_ENTRY = { vm: "vm-1", incarnation: "i", dataCentre: "a", callers: "", peers: "", capacity: 1 };
+
+async function createLink(view: fleetViews.FleetView): Promise<peerLinks.PeerLink> {
+  const ignore = (): void => undefined;
+  return new peerLinks.PeerLink({
+    dutyLeaseMs: () => undefined,
+    settings: { peers: { host: HOST, port: await freePorts.freePort() } } as never,
+    streams: { answer: () => undefined, merge: () => undefined, publishDue: () => undefined },
+    entry: OWN_ENTRY,
+    view,
+    loads: new serving.EngineLoadTracker(),
+    demand: new serving.Demand(),
+    speeds: new serving.ServiceSpeeds(),
+    suspects: new serving.SuspectTable({ isRefuted: () => false, onChange: () => undefined }),
+    limits: limits.createLimits(),
+    pacing: pacing.createPacing(),
+    acceptance: new serving.AcceptanceTracker(),
+    fairness: fairnessHelper.createFairness(view),
+    log: new decisionLogs.DecisionLog("vm-1", "fatal", { writableLength: 0, write: () => true }),
+    ready: () => true,
+    ...paths.REACHING_ALL,
+    lateMs: () => 0,
+    storeSilentMs: () => 0,
+    followsClosely: () => true,
+    busyCores: () => 0,
+    onDaemon: ignore,
+    onConfiguration: ignore,
+    onEndpoint: ignore,
+    onDeparture: ignore,
+  });
+}
+
 // A configuration is accepted, and the daemons that read it send it to those that rarely read. If they waited for their
 // next heartbeat and check, a second later each in a large fleet, callers would get 404 on an added route for longer
 // than the limit.
 suite("a new configuration is reported in heartbeats, and sent to daemons that rarely read, at once", async () => {
-  const ignore = (): void => undefined;
   const peer = datagrams.createSocket("udp4");
   const port = await freePorts.freePort();
   await new Promise<void>((resolve) => peer.bind(port, HOST, resolve));
@@ -67,41 +98,13 @@
   );
 
   const view = new fleetViews.FleetView();
-  const entry = { vm: "vm-1", incarnation: "i", dataCentre: "a", callers: "", peers: "", capacity: 1 };
   const others = Array.from({ length: FLEET_SIZE }, (_, index) => `vm-${index + 2}`);
   // Nothing listens on the other addresses; only vm-2 exists.
-  for (const vm of others) view.daemons.set(vm, { ...entry, vm, peers: `${HOST}:${vm === "vm-2" ? port : 9}` });
+  for (const vm of others) view.daemons.set(vm, { ...OWN_ENTRY, vm, peers: `${HOST}:${vm === "vm-2" ? port : 9}` });
   view.configure(CONFIGURATION, new Uint8Array([1]), 1);
   view.endpointDocuments.set("e1", { value: new Uint8Array([1]), revision: 1 });
-  const link = new peerLinks.PeerLink({
-    dutyLeaseMs: () => undefined,
-    settings: { peers: { host: HOST, port: await freePorts.freePort() } } as never,
-    streams: { answer: () => undefined, merge: () => undefined, publishDue: () => undefined },
-    entry,
-    view,
-    loads: new serving.EngineLoadTracker(),
-    demand: new serving.Demand(),
-    speeds: new serving.ServiceSpeeds(),
-    suspects: new serving.SuspectTable({ isRefuted: () => false, onChange: () => undefined }),
-    limits: limits.createLimits(),
-    pacing: pacing.createPacing(),
-    acceptance: new serving.AcceptanceTracker(),
-    fairness: fairnessHelper.createFairness(view),
-    log: new decisionLogs.DecisionLog("vm-1", "fatal", { writableLength: 0, write: () => true }),
-    ready: () => true,
-    ...paths.REACHING_ALL,
-    lateMs: () => 0,
-    storeSilentMs: () => 0,
-    followsClosely: () => true,
-    busyCores: () => 0,
-    onDaemon: ignore,
-    onConfiguration: ignore,
-    onEndpoint: ignore,
-    onDeparture: ignore,
-  });
+  const link = await createLink(view);
   try {
-    // The configuration is read before the sockets are open: nothing is sent, and nothing fails.
-    link.noteConfiguration();
     await link.start();
     await within(() => heartbeatRevisions.length === 1, "the first heartbeat");
     link.peerTable.record({
@@ -132,12 +135,30 @@
     assert.is(sentEndpoints, 0, "a daemon that the key-value service answers needs no list of endpoints");
   } finally {
     link.stop();
-    // The same holds after they are closed.
-    link.noteConfiguration();
     peer.close();
     server.close();
     server.closeAllConnections();
   }
 });
 
+// Guards against an error that ends the daemon: the paths to endpoints change before its sockets are open or after they are closed.
+suite("nothing is sent before its sockets are open and after they are closed", async () => {
+  const view = new fleetViews.FleetView();
+  view.daemons.set("vm-2", { ...OWN_ENTRY, vm: "vm-2", peers: `${HOST}:9` });
+  view.configure(CONFIGURATION, new Uint8Array([1]), 1);
+  const link = await createLink(view);
+  const change = (): void => {
+    link.noteConfiguration();
+    link.sendHeartbeatsNow();
+  };
+  try {
+    change();
+    await link.start();
+    change();
+  } finally {
+    link.stop();
+  }
+  change();
+});
+
 suite.run();
