Move the log lines of a request's sends out of the forwarder

Change: SendLog writes the lines of sends that begin, fail or fall silent, with the ages of the last data. No line, name or field changes.

--- a/packages/gateway/src/requestForwarder.ts
+++ b/packages/gateway/src/requestForwarder.ts
@@ -3,7 +3,6 @@
 import * as activeSends from "./activeSend.js";
 import * as answerReceivers from "./answerReceiver.js";
 import type * as callControls from "./calls/callControl.js";
-import type * as decisionLogs from "./decisionLog.js";
 import type * as sendings from "./sending.js";
 import type * as exchangeParts from "./exchangeParts.js";
 import type * as waitingRequests from "./limits/waitingRequests.js";
@@ -13,6 +12,7 @@
 import * as hedgedSends from "./sends/hedgedSends.js";
 import * as outgoingMessages from "./sends/outgoingMessage.js";
 import * as plannedSends from "./sends/plannedSend.js";
+import * as sendLogs from "./sends/sendLog.js";
 import * as statedWaits from "./sends/statedWait.js";
 
 /** Step in the log after a failed send while another one of the request is in flight. */
@@ -34,6 +34,7 @@
   readonly #parts: exchangeParts.ExchangeParts;
   readonly #chooser: sendChoosers.SendChooser;
   readonly #sends: hedgedSends.HedgedSends;
+  readonly #log: sendLogs.SendLog;
   /** The run that was sent beside a silent send, until it is known to go on alone and may be moved. */
   #replacementRun: activeSends.ActiveSend | undefined;
   /** Why the request must not be sent to run any more, if it must not. */
@@ -46,6 +47,7 @@
     this.#parts = parts;
     this.#chooser = new sendChoosers.SendChooser(parts.context, parts.served);
     this.#sends = new hedgedSends.HedgedSends(parts);
+    this.#log = new sendLogs.SendLog(parts);
   }
 
   /** {@inheritDoc ownRuns.RunHost.active} */
@@ -67,15 +69,11 @@
     try {
       send();
     } catch (error) {
-      this.#logFault(error as Error);
+      this.#log.fault(error as Error);
       this.#parts.end.reject("request-fault");
     }
   }
 
-  #logFault({ message, stack }: Error): void {
-    this.#parts.context.log.warn("request-fault", { id: this.#parts.served.id, detail: message, stack });
-  }
-
   #chooseAndSend(): void {
     const { end, handover, served } = this.#parts;
     if (end.over) return;
@@ -222,7 +220,7 @@
     if (this.isAnswerAwaited) {
       // The endpoint of another send may still take the handle over, so that it isn't freed.
       if (!serving.isUnsent(outcome)) handover.markTaken();
-      this.#logFailed(active, outcome, detail, ANOTHER_AWAITED);
+      this.#log.failed(active, outcome, detail, ANOTHER_AWAITED);
       return;
     }
     // What is left in flight is at endpoints that have ended.
@@ -232,29 +230,13 @@
     if (declined && isAnswering) handover.free();
     if (outcome === serving.SendOutcome.Unknown && isAnswering) handover.markTaken();
     const step = served.decideNextStep();
-    this.#logFailed(active, outcome, detail, step);
+    this.#log.failed(active, outcome, detail, step);
     if (step === serving.NextStep.SendAgain) this.sendNext();
     else if (step === serving.NextStep.Reject) end.reject(`send-${outcome}`);
     else if (step === serving.NextStep.TimedOut) end.timeOut();
     else end.reject("endpoint-failed");
   }
 
-  #logFailed(active: activeSends.ActiveSend, fate: serving.SendOutcome, detail: string, step: string): void {
-    const { context, served } = this.#parts;
-    context.log.info("send-failed", {
-      id: served.id,
-      endpoint: active.endpoint.id,
-      stage: active.stage,
-      fate,
-      detail,
-      sends: served.sends,
-      step,
-      ...active.dispatchFields,
-      tookMs: Math.round(performance.now() - active.sentAt),
-      ...this.#silenceFields(active),
-    });
-  }
-
   /** {@inheritDoc exchangeParts.SendResultHandler.broken} */
   broken(active: activeSends.ActiveSend, outcome: serving.SendOutcome, detail: string): void {
     const { context, served } = this.#parts;
@@ -324,19 +306,6 @@
     this.#parts.context.suspects.release(this.#parts.served);
   }
 
-  /**
-   * Ages of the last data from the endpoint and from any, and the delay of the event loop: only together they tell a failed
-   * endpoint from a lost link and from a paused process.
-   */
-  #silenceFields({ endpoint }: activeSends.ActiveSend): decisionLogs.LogFields {
-    const { client } = this.#parts.context;
-    return {
-      endpointHeardMs: ageMs(client.lastReceivedAt(endpoint.id)),
-      anyHeardMs: ageMs(client.lastReceivedFromAnyAt),
-      loopLateMs: Math.round(this.#parts.context.lateMs()),
-    };
-  }
-
   /** Starts over with a new prefill, which counts as a send: the engine has lost the KV cache that it kept. */
   #prefillAgain(engine: serving.Endpoint): void {
     const { context, end, served } = this.#parts;
@@ -354,7 +323,7 @@
    */
   #dispatch(planned: plannedSends.PlannedSend, replaced?: activeSends.ActiveSend): void {
     const { context, served } = this.#parts;
-    const remainingMs = Math.floor(served.remainingMs);
+    const leftMs = Math.floor(served.remainingMs);
     const active = new activeSends.ActiveSend(context, served, planned);
     this.#sends.begin(active);
     served.markTried(planned.endpoint.id);
@@ -365,28 +334,8 @@
     const backup =
       isAnswering && replaced === undefined ? context.backups.noteSend({ active, served, host: this }) : undefined;
     const message = outgoingMessages.createMessage(this.#parts, planned, urgency, backup);
-    const { dataCentre } = planned.endpoint;
-    context.traffic?.add(trafficCounters.Traffic.Requests, dataCentre, message.body?.length ?? 0);
-    context.log.info("send", {
-      id: served.id,
-      stage: planned.stage,
-      endpoint: planned.endpoint.id,
-      way: context.distances?.wayTo(dataCentre),
-      version: planned.endpoint.softwareVersion,
-      after: served.progress.lastEventId,
-      service: served.service,
-      sends: served.sends,
-      leftMs: remainingMs,
-      predictedMs: Math.round(planned.predictedMs),
-      unread: planned.plan?.unreadTokens,
-      copyFrom: planned.plan?.copySource?.id,
-      replaces: replaced?.endpoint.id,
-      urgency,
-      entryRevision: context.view.directory.revision,
-      configuration: context.view.configurationRevision,
-      ...planned.admission,
-      ...planned.pacing,
-    });
+    context.traffic?.add(trafficCounters.Traffic.Requests, planned.endpoint.dataCentre, message.body?.length ?? 0);
+    this.#log.sent(planned, { leftMs, urgency, replaced });
     if (isAnswering && replaced !== undefined) this.#replacementRun = active;
     if (isAnswering && replaced === undefined) context.runs.noteRunning({ active, served, host: this });
     active.start(message, this.#receiver(active), (silentMs) => this.#onSilent(active, silentMs));
@@ -431,7 +380,7 @@
     try {
       this.#replace(active, silentMs);
     } catch (error) {
-      this.#logFault(error as Error);
+      this.#log.fault(error as Error);
       const { latest } = this.#sends;
       if (latest === undefined || latest === active) return;
       latest.cancel();
@@ -449,17 +398,7 @@
       return;
     }
     const anyReceivedMs = performance.now() - context.client.lastReceivedFromAnyAt;
-    context.log.warn("endpoint-silent", {
-      id: served.id,
-      endpoint: active.endpoint.id,
-      stage: active.stage,
-      silentMs: Math.round(silentMs),
-      replacement: planned.endpoint.id,
-      ...this.#silenceFields(active),
-      events: served.progress.events,
-      acceptedUnder: served.acceptedUnder,
-      configuration: context.view.configurationRevision,
-    });
+    this.#log.silent(active, silentMs, planned.endpoint);
     this.#sends.blame(active, anyReceivedMs);
     if (active.resume !== undefined) handover.markTaken();
     context.runs.noteOver(served);
@@ -492,8 +431,3 @@
     if (!isLost || !served.notePrefillLost()) served.countSend();
   }
 }
-
-/** Age of an instant in whole milliseconds; undefined if it is 0, for never. */
-function ageMs(instant: number): number | undefined {
-  return instant === 0 ? undefined : Math.round(performance.now() - instant);
-}
