Don't let an overdue heartbeat hide a pause of the event loop

What callers saw: nothing; an endpoint worked for a caller that had left more than a second before. Cause: a pause that begins between a heartbeat's timer and its recording makes the next timer overdue. That heartbeat follows a turn later, is punctual, and replaced the lateness of the first, so that requests that had waited in their sockets were sent without waiting for pending reads. On the same path, a signal that is read right after the first heartbeat counted as sent after the pause. Change: a heartbeat within half an interval of another one isn't recorded, and a signal that is read within that time is dated back to before the pause.

--- a/packages/gateway/src/loopWatch.ts
+++ b/packages/gateway/src/loopWatch.ts
@@ -4,12 +4,24 @@
 /** Time since the last heartbeat above which the process was paused, in milliseconds. */
 const PAUSE_MS = 2 * HEARTBEAT_INTERVAL_MS;
 
+/**
+ * Time within which a second heartbeat is an overdue one, in milliseconds: its timer became due during a pause that began after the
+ * timer of the first one had run. It must not hide the pause.
+ */
+const OVERDUE_MS = HEARTBEAT_INTERVAL_MS / 2;
+
 /** A monotonic clock and the system time, both in milliseconds. */
 export interface Clocks {
   monotonic(): number;
   systemTime(): number;
 }
 
+/** When a heartbeat was recorded, by both clocks. */
+interface Heartbeat {
+  readonly monotonicAt: number;
+  readonly systemTimeAt: number;
+}
+
 /** Called with the delay of the event loop, in milliseconds. */
 export type DelayListener = (lateMs: number) => void;
 
@@ -24,8 +36,9 @@
 export class LoopWatch {
   readonly #clocks: Clocks;
   readonly #onHeartbeat: DelayListener;
-  #monotonicAt: number;
-  #systemTimeAt: number;
+  #last: Heartbeat;
+  /** The heartbeat before the last one. */
+  #previous: Heartbeat;
   #lastLateMs = 0;
   #timer: NodeJS.Timeout | undefined;
 
@@ -36,8 +49,8 @@
   constructor(clocks: Clocks = SYSTEM_CLOCKS, onHeartbeat: DelayListener = () => undefined) {
     this.#clocks = clocks;
     this.#onHeartbeat = onHeartbeat;
-    this.#monotonicAt = clocks.monotonic();
-    this.#systemTimeAt = clocks.systemTime();
+    this.#last = { monotonicAt: clocks.monotonic(), systemTimeAt: clocks.systemTime() };
+    this.#previous = this.#last;
   }
 
   /**
@@ -56,10 +69,11 @@
   /** Records that the event loop is running. */
   recordHeartbeat(): void {
     const now = this.#clocks.monotonic();
-    this.#lastLateMs = Math.max(0, now - this.#monotonicAt - HEARTBEAT_INTERVAL_MS);
+    if (now - this.#last.monotonicAt < OVERDUE_MS) return;
+    this.#lastLateMs = Math.max(0, now - this.#last.monotonicAt - HEARTBEAT_INTERVAL_MS);
     this.#onHeartbeat(this.#lastLateMs);
-    this.#monotonicAt = now;
-    this.#systemTimeAt = this.#clocks.systemTime();
+    this.#previous = this.#last;
+    this.#last = { monotonicAt: now, systemTimeAt: this.#clocks.systemTime() };
   }
 
   /**
@@ -68,7 +82,7 @@
    * @returns delay of the last heartbeat or of the one that is due, whichever is larger, in milliseconds
    */
   get lateMs(): number {
-    return Math.max(this.#lastLateMs, this.#clocks.monotonic() - this.#monotonicAt - HEARTBEAT_INTERVAL_MS);
+    return Math.max(this.#lastLateMs, this.#clocks.monotonic() - this.#last.monotonicAt - HEARTBEAT_INTERVAL_MS);
   }
 
   /**
@@ -77,7 +91,10 @@
    */
   earliestSignalAt(): number {
     const now = this.#clocks.monotonic();
-    const silentMs = Math.max(now - this.#monotonicAt, this.#clocks.systemTime() - this.#systemTimeAt);
+    // A pause that ended with the last heartbeat isn't over for a signal that is read right after it.
+    const isAfterHeartbeat = now - this.#last.monotonicAt < OVERDUE_MS;
+    const { monotonicAt, systemTimeAt } = isAfterHeartbeat ? this.#previous : this.#last;
+    const silentMs = Math.max(now - monotonicAt, this.#clocks.systemTime() - systemTimeAt);
     return silentMs > PAUSE_MS ? now - silentMs : now;
   }
 }
--- a/packages/gateway/tests/loopWatch.test.ts
+++ b/packages/gateway/tests/loopWatch.test.ts
@@ -88,4 +88,33 @@
   assert.equal(delays, [0, 1_500, 0]);
 });
 
+// Guards against a pause that is hidden by its second heartbeat: it begins between the timer of one heartbeat and its recording.
+suite("a heartbeat that was overdue doesn't hide the pause", () => {
+  const clocks = new FakeClocks();
+  const watch = new loopWatches.LoopWatch(clocks);
+  clocks.advance(1_700);
+  watch.recordHeartbeat();
+  clocks.advance(20);
+  watch.recordHeartbeat();
+  clocks.advance(30);
+  assert.is(watch.lateMs, 1_500);
+  clocks.advance(150);
+  watch.recordHeartbeat();
+  assert.is(watch.lateMs, 0);
+});
+
+// Guards against a signal that counts as sent after a pause, as it is read after the heartbeat that ended the pause.
+suite("a signal received right after the heartbeat that ended a pause may have been sent during it", () => {
+  const clocks = new FakeClocks();
+  const watch = new loopWatches.LoopWatch(clocks);
+  clocks.advance(3_400);
+  watch.recordHeartbeat();
+  clocks.advance(20);
+  watch.recordHeartbeat();
+  clocks.advance(10);
+  assert.is(watch.earliestSignalAt(), 1_000);
+  clocks.advance(180);
+  assert.is(watch.earliestSignalAt(), 4_610);
+});
+
 suite.run();
