--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -7,6 +7,12 @@
 /** Packages whose tests only calculate: how long they take depends on the machine's load, what they find doesn't. */
 const CALCULATING = ["core", "experiment", "measure", "serving"];
 
+/**
+ * Files that run one at a time, after all others: they measure a process's memory while many clients connect to it, which a busy
+ * machine would only slow down.
+ */
+const ALONE = /^(crowd|largestBody)/;
+
 /** Files that run at the same time: those that only calculate, and the others, which may depend on time. */
 const PARALLEL = { calculating: 2, other: 4 };
 
@@ -113,34 +119,37 @@
 }
 
 const started = Date.now();
+const others = files.filter((file) => !isCalculating(file));
+const alone = others.filter((file) => ALONE.test(path.basename(file)));
 const queues = [
   { queue: files.filter(isCalculating), lanes: PARALLEL.calculating },
-  { queue: files.filter((file) => !isCalculating(file)), lanes: PARALLEL.other },
+  { queue: others.filter((file) => !alone.includes(file)), lanes: PARALLEL.other },
 ];
 let passed = 0;
 let failed = 0;
 const failedFiles = [];
-await Promise.all(
-  queues
-    .flatMap(({ queue, lanes }) => Array.from({ length: lanes }, () => queue))
-    .map(async (queue) => {
-      for (let file = queue.shift(); file !== undefined; file = queue.shift()) {
-        const result = await run(file);
-        const counts = countsOf(result);
-        passed += counts.passed;
-        if (counts.failed === 0) {
-          console.log(`ok   ${file} (${counts.passed}) ${result.seconds.toFixed(1)} s`);
-          continue;
-        }
-        // Compares the whole path: test files of two packages may share a name while only one of them is listed.
-        const known = knownRed.find((line) => line.startsWith(file));
-        console.log(`${known ? "KNOWN RED" : "FAIL"} ${file}\n${result.output}`);
-        if (known) continue;
-        failed += counts.failed;
-        failedFiles.push(`${file} (${counts.passed} passed, ${counts.failed} failed, exit code ${result.code})`);
-      }
-    }),
-);
+/** Runs the files of a queue one after the other, and counts their results. */
+async function runQueue(queue) {
+  for (let file = queue.shift(); file !== undefined; file = queue.shift()) {
+    const result = await run(file);
+    const counts = countsOf(result);
+    passed += counts.passed;
+    if (counts.failed === 0) {
+      console.log(`ok   ${file} (${counts.passed}) ${result.seconds.toFixed(1)} s`);
+      continue;
+    }
+    // Compares the whole path: test files of two packages may share a name while only one of them is listed.
+    const known = knownRed.find((line) => line.startsWith(file));
+    console.log(`${known ? "KNOWN RED" : "FAIL"} ${file}\n${result.output}`);
+    if (known) continue;
+    failed += counts.failed;
+    failedFiles.push(`${file} (${counts.passed} passed, ${counts.failed} failed, exit code ${result.code})`);
+  }
+}
+
+const lanes = queues.flatMap(({ queue, lanes }) => Array.from({ length: lanes }, () => queue));
+await Promise.all(lanes.map(runQueue));
+await runQueue(alone);
 for (const line of knownRed) console.log(`known red: ${line}`);
 // Repeated at the end, since the output of a failure may be thousands of lines above.
 for (const text of failedFiles) console.log(`failed: ${text}`);
