Copy the parts of a caller's body into one buffer

What callers saw: a few clients with bodies of legal size in chunks of one byte ended the process, and broke off all other answers; even one whole body of 4 MB in such chunks did. Cause: readBody kept each part that the parser hands on as a Buffer of its own. A chunk of one byte counted as one byte and cost an object of some hundred bytes on the heap, whatever the limit on bytes. Change: BodyBuffer copies parts: a body with a stated length into one buffer of that length, which also saves the second copy at its end, a chunked one into blocks of 64 KB (BlockBuffer, which answers use, moves to common). A body that comes in one part, as most do, is kept without a copy. What is held no longer depends on the size of the parts.

--- a/packages/gateway/src/answers/boundedBuffer.ts
+++ b/packages/gateway/src/answers/boundedBuffer.ts
@@ -1,12 +1,12 @@
+import * as common from "@camphorcourse/common";
 import type * as serving from "@camphorcourse/serving";
-import * as blockBuffers from "./blockBuffer.js";
 
 /** Buffers one answer, within its own bound and that of all answers together. */
 export class BoundedBuffer {
   readonly #memory: serving.AnswerMemory;
   readonly #holding: serving.AnswerHolding;
   readonly #limits: serving.BufferLimits;
-  readonly #buffer = new blockBuffers.BlockBuffer();
+  readonly #buffer = new common.BlockBuffer();
 
   /**
    * @param memory - bounds all answers together
--- a/packages/gateway/src/callerRequest.ts
+++ b/packages/gateway/src/callerRequest.ts
@@ -1,4 +1,5 @@
 import type * as http from "node:http";
+import * as common from "@camphorcourse/common";
 import * as serving from "@camphorcourse/serving";
 import * as neverthrow from "neverthrow";
 import type * as ports from "./ports.js";
@@ -103,26 +104,27 @@
   memory: BodyMemory,
 ): Promise<Buffer | "too-large" | "no-memory" | undefined> {
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
+    const stated = incoming.headers["content-length"];
+    const statedBytes = Number(stated ?? 0);
+    let body = new common.BodyBuffer(stated === undefined ? undefined : statedBytes);
     let size = 0;
-    const statedBytes = Number(incoming.headers["content-length"] ?? 0);
     // What exceeds the limit is too large whatever memory there is.
-    let isRejected = statedBytes <= limit && !memory.mayTake(statedBytes);
-    if (isRejected) resolve("no-memory");
+    let isRejected = statedBytes > limit || !memory.mayTake(statedBytes);
+    if (isRejected) resolve(statedBytes > limit ? "too-large" : "no-memory");
     incoming.on("data", (chunk: Buffer) => {
       size += chunk.length;
       if (isRejected) return;
       if (size > limit) resolve("too-large");
       else if (memory.mayTake(chunk.length)) {
         memory.add(chunk.length);
-        chunks.push(chunk);
+        body.append(chunk);
       } else {
         isRejected = true;
-        chunks.length = 0;
+        body = new common.BodyBuffer(undefined);
         resolve("no-memory");
       }
     });
-    incoming.once("end", () => resolve(Buffer.concat(chunks)));
+    incoming.once("end", () => resolve(body.join()));
     incoming.once("error", () => resolve(undefined));
     incoming.once("close", () => resolve(undefined));
   });
