Copy the parts of peers' requests and of the product's own callers into one buffer

What callers saw: the same end of the process, by bodies in chunks of one byte at the port for other daemons, and at the product's own daemon. Cause: the pattern of the caller's body stood in two more readers, relayServer and bodyReader: a Buffer kept for each part. Change: both collect into BodyBuffer, and refuse a stated length over their limit before anything is read, as a buffer of the stated length must not be made for it. Sought in every other reader of a message: the remaining one, the calls of the RPC library, is listed.

--- a/packages/daemon/src/bodyReader.ts
+++ b/packages/daemon/src/bodyReader.ts
@@ -17,8 +17,9 @@
   limit: number,
 ): Promise<neverthrow.Result<Buffer, common.Problem>> {
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
+    const stated = incoming.headers["content-length"];
+    const statedBytes = stated === undefined ? undefined : Number(stated);
+    const body = new common.BodyBuffer(statedBytes);
     const timer = setTimeout(() => {
       finish(neverthrow.err(common.problem(common.ProblemKind.BadRequest, "the body took longer than 10 s to arrive")));
     }, BODY_TIMEOUT_MS);
@@ -28,13 +29,17 @@
       if (result.isErr()) incoming.pause();
       resolve(result);
     };
+    const isTooLarge = (bytes: number): boolean => {
+      if (bytes <= limit) return false;
+      finish(neverthrow.err(common.problem(common.ProblemKind.BodyTooLarge, `the body exceeds ${limit} bytes`)));
+      return true;
+    };
+    if (isTooLarge(statedBytes ?? 0)) return;
     incoming.on("data", (chunk: Buffer) => {
-      size += chunk.length;
-      if (size <= limit) chunks.push(chunk);
-      else finish(neverthrow.err(common.problem(common.ProblemKind.BodyTooLarge, `the body exceeds ${limit} bytes`)));
+      if (!isTooLarge(body.length + chunk.length)) body.append(chunk);
     });
     incoming.once("end", () => {
-      finish(neverthrow.ok(Buffer.concat(chunks)));
+      finish(neverthrow.ok(body.join()));
     });
     incoming.once("close", () => {
       finish(
--- a/packages/gateway/src/paths/relayServer.ts
+++ b/packages/gateway/src/paths/relayServer.ts
@@ -1,5 +1,6 @@
 import type * as http from "node:http";
 import * as protobuf from "@bufbuild/protobuf";
+import * as common from "@camphorcourse/common";
 import * as messages from "@camphorcourse/protocol/gateway";
 import * as serving from "@camphorcourse/serving";
 import * as neverthrow from "neverthrow";
@@ -112,15 +113,16 @@
 
   async #read(incoming: http.IncomingMessage): Promise<neverthrow.Result<messages.RelayedRequest, string>> {
     const bodyBytes = this.#parts.view.table?.configuration.limits.bodyBytes ?? DEFAULT_BODY_BYTES;
-    const chunks: Buffer[] = [];
-    let size = 0;
+    const stated = incoming.headers["content-length"];
+    const limit = bodyBytes + MAX_OVERHEAD_BYTES;
+    if (Number(stated ?? 0) > limit) return neverthrow.err("the message is too large");
+    const buffer = new common.BodyBuffer(stated === undefined ? undefined : Number(stated));
     try {
       for await (const chunk of incoming) {
-        chunks.push(chunk as Buffer);
-        size += (chunk as Buffer).length;
-        if (size > bodyBytes + MAX_OVERHEAD_BYTES) return neverthrow.err("the message is too large");
+        if (buffer.length + (chunk as Buffer).length > limit) return neverthrow.err("the message is too large");
+        buffer.append(chunk as Buffer);
       }
-      const message = protobuf.fromBinary(messages.RelayedRequestSchema, Buffer.concat(chunks));
+      const message = protobuf.fromBinary(messages.RelayedRequestSchema, buffer.join());
       if (message.method === "" || !message.path.startsWith("/")) return neverthrow.err("method or path is missing");
       if (message.headers.length % 2 !== 0) return neverthrow.err("a header has no value");
       return neverthrow.ok(message);
