Bound what the bodies of requests hold on every VM, and reserve what they announce

What callers saw: sixty clients with bodies of 4 MB, whole or a byte short, took a daemon on a VM of 250 MB to 305 to 560 MB, where its process is killed with the answers of all others. Cause: bodies were counted only where the settings list that others contend for the memory. Where they were counted, an announced body was checked and not reserved, so that all that came at one moment passed; and a newcomer was rejected however long the others had stood still. Change: BodyMemory (common, without I/O) bounds all bodies to the quarter of the VM's memory that held bytes had under contention; 256 MB count where the settings state no memory. A stated length is reserved from the beginning, a chunked body in steps and twice, as its blocks are joined at its end. Without room, unfinished bodies give way that have stood still for a second, the longest first, then those beyond an equal share to one within it; a sixteenth is for bodies of up to 64 KB; a complete body never gives way, as it may have run. Retry-After is the time in which as much as is missing has been released of late, instead of a second. BodyReader reads, the listener judges. Answers are counted and broken off as before, under contention only: nothing else changes on other sites.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,6 +1,7 @@
 /** Utilities that all packages share: clocks, random numbers, hashing, errors, log lines. */
 export * from "./blockBuffer.js";
 export * from "./bodyBuffer.js";
+export * from "./bodyMemory.js";
 export * from "./clock.js";
 export * from "./errors.js";
 export * from "./hash.js";
--- /dev/null
+++ b/packages/gateway/src/bodies/requestBodies.ts
@@ -0,0 +1,67 @@
+import type * as http from "node:http";
+import * as common from "@camphorcourse/common";
+import * as bodyReaders from "./bodyReader.js";
+
+/** Dependencies of {@link RequestBodies}. */
+export interface RequestBodiesParts {
+  /** Bytes that all bodies together may hold. */
+  readonly limitBytes: number;
+  /** @returns bytes that are held for anything else within the same limit */
+  readonly otherBytes: () => number;
+  /** Called when an unfinished body is given up for others. */
+  readonly onYielded: () => void;
+}
+
+/** Reads the bodies of all requests, of callers and of peers, within one memory. */
+export class RequestBodies {
+  readonly #parts: RequestBodiesParts;
+  readonly #memory: common.BodyMemory<bodyReaders.BodyReader>;
+
+  /** @param parts - dependencies */
+  constructor(parts: RequestBodiesParts) {
+    this.#parts = parts;
+    this.#memory = new common.BodyMemory(parts.limitBytes);
+  }
+
+  /** @returns bytes that are reserved for all bodies */
+  get reservedBytes(): number {
+    return this.#memory.total;
+  }
+
+  /**
+   * @param bytes - size of a body that was rejected
+   * @returns time after which there is likely to be room for it, in milliseconds
+   */
+  retryAfterMs(bytes: number): number {
+    return this.#memory.retryAfterMs(bytes);
+  }
+
+  /**
+   * Begins to read the body of a request.
+   *
+   * @param incoming - the request
+   * @param options - limits of the body
+   * @returns its reader, to be released once the body isn't needed any more
+   */
+  read(incoming: http.IncomingMessage, options: bodyReaders.BodyOptions): bodyReaders.BodyReader {
+    const room: bodyReaders.BodyRoom = {
+      reserve: (bytes) => this.#reserve(holding, bytes),
+      noteProgress: () => this.#memory.noteProgress(holding, performance.now()),
+      complete: () => this.#memory.complete(holding),
+      release: () => this.#memory.close(holding, performance.now()),
+    };
+    const reader = new bodyReaders.BodyReader(incoming, options, room);
+    const holding = this.#memory.open(reader, performance.now());
+    reader.start();
+    return reader;
+  }
+
+  #reserve(holding: common.BodyHolding<bodyReaders.BodyReader>, bytes: number): boolean {
+    const yielding = this.#memory.reserve(holding, bytes, performance.now(), this.#parts.otherBytes());
+    for (const reader of yielding ?? []) {
+      this.#parts.onYielded();
+      reader.giveUp(bodyReaders.BodyFault.NoMemory);
+    }
+    return yielding !== undefined;
+  }
+}
--- a/packages/gateway/src/callerListener.ts
+++ b/packages/gateway/src/callerListener.ts
@@ -3,6 +3,7 @@
 import type * as stream from "node:stream";
 import * as serving from "@camphorcourse/serving";
 import * as acceptDelayEstimators from "./acceptDelayEstimator.js";
+import * as bodyReaders from "./bodies/bodyReader.js";
 import * as callerAnswers from "./callerAnswer.js";
 import * as callerRequests from "./callerRequest.js";
 import * as accessGates from "./callers/accessGate.js";
@@ -24,15 +25,14 @@
 /** Interval at which the server checks for requests whose headers are overdue, in milliseconds. */
 const HEADER_CHECK_INTERVAL_MS = 500;
 
+const MS_PER_SECOND = 1_000;
+
 /** Retry-After value while no configuration is available, in seconds. */
 const NOT_CONFIGURED_RETRY_AFTER = "0.400";
 
 /** Retry-After value of a stopping daemon, in seconds; the caller retries on another daemon. */
 const STOPPING_RETRY_AFTER = "0.050";
 
-/** Retry-After value while no memory is left for bodies, in seconds; the slowest readers are broken off within that time. */
-const NO_MEMORY_RETRY_AFTER = "1.000";
-
 /** Outcome in the log of a request that was open when the process ended. */
 const ENDED_BY_STOP = "cut-by-stop";
 
@@ -254,11 +254,8 @@
       if (!response.writableFinished) onDisconnect();
     });
     this.#readingBody.add(answer);
-    const body = await callerRequests.readBody(
-      incoming,
-      limits.bodyBytes,
-      this.#bodyMemory(request, incoming, response),
-    );
+    const reader = this.#startReading(request, incoming, response, limits.bodyBytes);
+    const body = await reader.result;
     // A caller's request is read before its disconnect. Without waiting for the pending reads, a request whose caller
     // disconnected while the connection waited for acceptance would still be sent to an endpoint.
     if (this.#acceptedLate.delete(incoming.socket)) await pendingReads.handled();
@@ -267,20 +264,13 @@
     const { requestId: id } = request.headers;
     if (answer.state === callerAnswers.AnswerState.Ended) {
       log.info("refused-stopping", { id, detail: "before its request was read" });
-    } else if (body === undefined || caller.hasDisconnected || response.destroyed) {
+    } else if (caller.hasDisconnected || response.destroyed) {
       log.info("caller-left", { id, detail: "before its request was read" });
-    } else if (body === "too-large") {
-      log.info("body-too-large", { id, limit: limits.bodyBytes });
-      answer.refuse(serving.FailureStatus.PayloadTooLarge, "the request body exceeds the size limit", CLOSE_HEADERS);
-      incoming.resume();
-    } else if (body === "no-memory") {
-      this.#context.metrics.count("bodies_rejected_for_memory");
-      log.warn("no-memory", { id, heldBytes: this.#context.memory.heldBytes });
-      const retry = [format.retryAfterHeader, NO_MEMORY_RETRY_AFTER];
-      rejectUnaccepted(answer, "no memory is left for the body; retry after Retry-After", [...CLOSE_HEADERS, ...retry]);
+    } else if (body.isErr()) {
+      this.#refuseUnread(request, answer, body.error, reader.requiredBytes);
       incoming.resume();
     } else {
-      const exchange = this.#accept(request, body, answer);
+      const exchange = this.#accept(request, body.value, answer);
       if (exchange === undefined) return;
       caller.exchange = exchange;
       this.#countUnanswered(incoming.socket, 1);
@@ -292,26 +282,51 @@
     }
   }
 
-  /** Counts the body of a request as held until the response closes. */
-  #bodyMemory(
+  /** Begins to read the body of a request, which is held until the response closes. */
+  #startReading(
     { headers }: callerRequests.CallerRequest,
-    { socket }: http.IncomingMessage,
+    incoming: http.IncomingMessage,
     response: http.ServerResponse,
-  ): callerRequests.BodyMemory {
+    maxBytes: number,
+  ): bodyReaders.BodyReader {
     const { memory } = this.#context;
-    let held = 0;
+    const { socket } = incoming;
+    let heldBytes = 0;
+    const onHeld = (bytes: number): void => {
+      heldBytes += bytes;
+      memory.addRequest(socket, bytes);
+    };
     memory.noteRequest(socket, headers.requestId);
+    const reader = memory.bodies.read(incoming, { maxBytes, onHeld });
     response.once("close", () => {
-      memory.addRequest(socket, -held);
+      reader.release();
+      memory.addRequest(socket, -heldBytes);
       memory.addAnswer(socket, Number.NEGATIVE_INFINITY);
     });
-    return {
-      mayTake: (bytes) => memory.mayTake(bytes),
-      add: (bytes) => {
-        held += bytes;
-        memory.addRequest(socket, bytes);
-      },
-    };
+    return reader;
+  }
+
+  /** Refuses a request whose body was not read to its end. */
+  #refuseUnread(
+    { headers }: callerRequests.CallerRequest,
+    answer: callerAnswers.CallerAnswer,
+    fault: bodyReaders.BodyFault,
+    requiredBytes: number,
+  ): void {
+    const { format, log, memory, metrics } = this.#context;
+    const { requestId: id } = headers;
+    if (fault === bodyReaders.BodyFault.Disconnected) {
+      log.info("caller-left", { id, detail: "before its request was read" });
+    } else if (fault === bodyReaders.BodyFault.TooLarge) {
+      log.info("body-too-large", { id, requiredBytes });
+      answer.refuse(serving.FailureStatus.PayloadTooLarge, "the request body exceeds the size limit", CLOSE_HEADERS);
+    } else {
+      metrics.count("bodies_rejected_for_memory");
+      const retryAfterMs = memory.bodies.retryAfterMs(requiredBytes);
+      log.warn("no-memory", { id, requiredBytes, heldBytes: memory.heldBytes, retryAfterMs: Math.round(retryAfterMs) });
+      const retry = [format.retryAfterHeader, (retryAfterMs / MS_PER_SECOND).toFixed(3)];
+      rejectUnaccepted(answer, "no memory is left for the body; retry after Retry-After", [...CLOSE_HEADERS, ...retry]);
+    }
   }
 
   /** Shows operators what callers say and nobody reads, before it matters that nobody does. */
--- a/packages/gateway/src/callerRequest.ts
+++ b/packages/gateway/src/callerRequest.ts
@@ -1,5 +1,4 @@
 import type * as http from "node:http";
-import * as common from "@camphorcourse/common";
 import * as serving from "@camphorcourse/serving";
 import * as neverthrow from "neverthrow";
 import type * as ports from "./ports.js";
@@ -80,52 +79,3 @@
   }
   return values;
 }
-
-/** Where the bytes of a request's body are counted. */
-export interface BodyMemory {
-  /** @param bytes - size of a body, or of its next part; @returns whether it may be taken */
-  mayTake(bytes: number): boolean;
-  /** @param bytes - bytes that are held from now on */
-  add(bytes: number): void;
-}
-
-/**
- * Reads the body of a request.
- *
- * @param incoming - the request
- * @param limit - maximum size of the body in bytes
- * @param memory - counts the body
- * @returns the body; undefined if the caller disconnected, "too-large" if the body exceeds the limit, "no-memory" if there
- *   is no memory for it
- */
-export function readBody(
-  incoming: http.IncomingMessage,
-  limit: number,
-  memory: BodyMemory,
-): Promise<Buffer | "too-large" | "no-memory" | undefined> {
-  return new Promise((resolve) => {
-    const stated = incoming.headers["content-length"];
-    const statedBytes = Number(stated ?? 0);
-    let body = new common.BodyBuffer(stated === undefined ? undefined : statedBytes);
-    let size = 0;
-    // What exceeds the limit is too large whatever memory there is.
-    let isRejected = statedBytes > limit || !memory.mayTake(statedBytes);
-    if (isRejected) resolve(statedBytes > limit ? "too-large" : "no-memory");
-    incoming.on("data", (chunk: Buffer) => {
-      size += chunk.length;
-      if (isRejected) return;
-      if (size > limit) resolve("too-large");
-      else if (memory.mayTake(chunk.length)) {
-        memory.add(chunk.length);
-        body.append(chunk);
-      } else {
-        isRejected = true;
-        body = new common.BodyBuffer(undefined);
-        resolve("no-memory");
-      }
-    });
-    incoming.once("end", () => resolve(body.join()));
-    incoming.once("error", () => resolve(undefined));
-    incoming.once("close", () => resolve(undefined));
-  });
-}
--- a/packages/gateway/src/memory/memoryGuard.ts
+++ b/packages/gateway/src/memory/memoryGuard.ts
@@ -1,22 +1,33 @@
 import type * as net from "node:net";
 import * as serving from "@camphorcourse/serving";
+import * as requestBodies from "../bodies/requestBodies.js";
 import type * as decisionLogs from "../decisionLog.js";
 import type * as metricsModule from "../metrics.js";
 
 /** Interval at which the unsent bytes of callers' connections are looked at, in milliseconds. */
 const SAMPLE_INTERVAL_MS = 100;
 
+/** Memory of a VM whose settings don't state it, in bytes. */
+const DEFAULT_MEMORY_BYTES = 268_435_456;
+
 /** Dependencies of {@link MemoryGuard}. */
 export interface MemoryGuardParts {
-  /** Memory of the VM in bytes, if others contend for it; undefined if nothing is limited by it. */
+  /** Memory of the VM in bytes, if others contend for it; undefined if answers aren't limited by it. */
   readonly memoryBytes: number | undefined;
+  /** Memory of the VM in bytes, whoever contends for it; undefined if it isn't stated. */
+  readonly vmMemoryBytes?: number | undefined;
   readonly log: decisionLogs.DecisionLog;
   readonly metrics: metricsModule.Metrics;
 }
 
-/** Keeps what is held for callers within the VM's memory: counts it, and breaks off the answers of the slowest readers. */
+/**
+ * Keeps what is held for callers within the VM's memory: bounds the bodies of requests and, where others contend for the memory,
+ * counts answers as well and breaks off those of the slowest readers.
+ */
 export class MemoryGuard {
   readonly #parts: MemoryGuardParts;
+  /** Bodies of requests, of callers and of peers. */
+  readonly bodies: requestBodies.RequestBodies;
   readonly #held: serving.HeldBytes<net.Socket> | undefined;
   readonly #connections = new Set<net.Socket>();
   /** Id of the last request of each connection, for the log. */
@@ -27,11 +38,16 @@
   constructor(parts: MemoryGuardParts) {
     this.#parts = parts;
     if (parts.memoryBytes !== undefined) this.#held = new serving.HeldBytes(parts.memoryBytes);
+    this.bodies = new requestBodies.RequestBodies({
+      limitBytes: serving.heldBytesLimit(parts.memoryBytes ?? parts.vmMemoryBytes ?? DEFAULT_MEMORY_BYTES),
+      otherBytes: () => this.#held?.answerBytes ?? 0,
+      onYielded: () => parts.metrics.count("bodies_given_up_for_memory"),
+    });
   }
 
-  /** @returns bytes that are held for callers, 0 if they aren't counted */
+  /** @returns bytes that are held for callers, without answers where these aren't counted */
   get heldBytes(): number {
-    return this.#held?.total ?? 0;
+    return this.bodies.reservedBytes + (this.#held?.answerBytes ?? 0);
   }
 
   /** @returns whether a stream may be read on though its caller reads slowly; never if held bytes aren't counted */
@@ -55,14 +71,6 @@
     if (this.#connections.has(connection)) this.#requestIds.set(connection, requestId);
   }
 
-  /**
-   * @param bytes - size of a body, or of its next part
-   * @returns whether it may be taken
-   */
-  mayTake(bytes: number): boolean {
-    return this.#held?.mayTake(bytes) ?? true;
-  }
-
   /**
    * @param connection - the connection of a request
    * @param bytes - bytes of its body that are held from now on; negative if they no longer are
--- a/packages/gateway/src/requests/servingContext.ts
+++ b/packages/gateway/src/requests/servingContext.ts
@@ -68,7 +68,12 @@
     answerTimes: new serving.AnswerTimes(),
     pacing: new pacings.Pacing({ loads, speeds, lateMs, senders }),
     health: new serving.EndpointHealth(),
-    memory: new memoryGuards.MemoryGuard({ memoryBytes: settings.memoryBytes, log, metrics }),
+    memory: new memoryGuards.MemoryGuard({
+      memoryBytes: settings.memoryBytes,
+      vmMemoryBytes: settings.vmMemoryBytes,
+      log,
+      metrics,
+    }),
     runs: new runMovers.RunMover(() => context),
     backups: new runBackups.Backups(() => context),
     budgets: new retryBudgets.RetryBudgets(settings.retryBounds, performance.now()),
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -36,7 +36,9 @@
   readonly orderLeaseMs: number;
   /** Time for which an engine that leaves goes on with its runs, in milliseconds; 2,000 if not set. */
   readonly engineDrainMs?: number;
-  /** Memory of the VM in bytes, if others contend for it; undefined if nothing is limited by it. */
+  /** Memory of the VM in bytes, if others contend for it; undefined if answers aren't limited by it. */
   readonly memoryBytes?: number | undefined;
+  /** Memory of the VM in bytes, whoever contends for it: bounds what requests hold; 256 MB if not set. */
+  readonly vmMemoryBytes?: number | undefined;
   readonly logLevel: string;
 }
--- a/packages/serving/src/memory/heldBytes.ts
+++ b/packages/serving/src/memory/heldBytes.ts
@@ -1,6 +1,14 @@
 /** Share of a VM's memory that answers and requests may hold: the rest is for the process and for control. */
 const MEMORY_SHARE = 0.25;
 
+/**
+ * @param memoryBytes - memory of a VM
+ * @returns bytes of it that answers and requests may hold
+ */
+export function heldBytesLimit(memoryBytes: number): number {
+  return memoryBytes * MEMORY_SHARE;
+}
+
 /**
  * Share of the limit up to which streams are read on for callers that read slowly. Each small event costs several times its
  * size in buffers, and whole answers and requests need room beside them.
@@ -30,10 +38,11 @@
   readonly #limitBytes: number;
   readonly #holdings = new Map<Connection, Holding>();
   #total = 0;
+  #requestBytes = 0;
 
   /** @param memoryBytes - memory of the VM */
   constructor(memoryBytes: number) {
-    this.#limitBytes = memoryBytes * MEMORY_SHARE;
+    this.#limitBytes = heldBytesLimit(memoryBytes);
   }
 
   /** @returns bytes that are held for all connections */
@@ -41,6 +50,11 @@
     return this.#total;
   }
 
+  /** @returns bytes of answers that are held for all connections, received and unsent ones */
+  get answerBytes(): number {
+    return this.#total - this.#requestBytes;
+  }
+
   /** @returns bytes that may be held for all connections */
   get limit(): number {
     return this.#limitBytes;
@@ -68,6 +82,7 @@
     const before = holding.requestBytes;
     holding.requestBytes = Math.max(0, before + bytes);
     this.#total += holding.requestBytes - before;
+    this.#requestBytes += holding.requestBytes - before;
   }
 
   /**
@@ -103,6 +118,7 @@
     if (holding === undefined) return;
     this.#holdings.delete(connection);
     this.#total -= holding.requestBytes + holding.answerBytes + holding.unsentBytes;
+    this.#requestBytes -= holding.requestBytes;
   }
 
   /**
