Reject requests whose body hasn't come to its end in their time

What callers saw: connections of clients that stop in the middle of a body stayed open for as long as the clients liked, each with its descriptor and what had come of the body. Cause: requestTimeout is 0, and nothing else ends a body that stands still; deadlines began with the whole request. Change: a body that hasn't come by the end of the time that its request has (the least of the client's deadline and the route's timeout; 30 s where no route matches) can't be served, so that its request is rejected with 408: nothing of it has run, for requests that may run once as well. One timer looks at all unfinished bodies ten times a second, after the pending reads, so that a pause of the process rejects no body that came in time; a body that comes at once costs no timer of its own.

--- a/packages/gateway/src/bodies/bodyReader.ts
+++ b/packages/gateway/src/bodies/bodyReader.ts
@@ -8,6 +8,8 @@
   TooLarge = "too-large",
   /** There is no memory for it. */
   NoMemory = "no-memory",
+  /** It hasn't come to its end in the time of its request. */
+  TooLate = "too-late",
   /** Its sender has closed the connection. */
   Disconnected = "disconnected",
 }
@@ -16,6 +18,8 @@
 export interface BodyOptions {
   /** Maximum size of the body in bytes. */
   readonly maxBytes: number;
+  /** @returns instant by which the body must have come, in milliseconds; asked only while it is being read */
+  readonly deadlineAt: () => number;
   /** @param bytes - bytes of the body that are held from now on */
   readonly onHeld: (bytes: number) => void;
 }
@@ -77,6 +81,14 @@
     return this.#statedBytes ?? this.#length;
   }
 
+  /**
+   * @param now - current instant in milliseconds
+   * @returns whether the body has not come to its end in its time
+   */
+  isOverdue(now: number): boolean {
+    return this.#settle !== undefined && now >= this.#options.deadlineAt();
+  }
+
   /** Begins to read, unless what is stated of the body's length is too much. */
   start(): void {
     const bytes = this.#statedBytes ?? 0;
--- a/packages/gateway/src/bodies/requestBodies.ts
+++ b/packages/gateway/src/bodies/requestBodies.ts
@@ -2,6 +2,9 @@
 import * as common from "@camphorcourse/common";
 import * as bodyReaders from "./bodyReader.js";
 
+/** Interval at which unfinished bodies are checked for their deadlines, in milliseconds. */
+const CHECK_INTERVAL_MS = 100;
+
 /** Dependencies of {@link RequestBodies}. */
 export interface RequestBodiesParts {
   /** Bytes that all bodies together may hold. */
@@ -16,6 +19,8 @@
 export class RequestBodies {
   readonly #parts: RequestBodiesParts;
   readonly #memory: common.BodyMemory<bodyReaders.BodyReader>;
+  readonly #unfinished = new Set<bodyReaders.BodyReader>();
+  #timer: NodeJS.Timeout | undefined;
 
   /** @param parts - dependencies */
   constructor(parts: RequestBodiesParts) {
@@ -52,10 +57,27 @@
     };
     const reader = new bodyReaders.BodyReader(incoming, options, room);
     const holding = this.#memory.open(reader, performance.now());
+    this.#unfinished.add(reader);
+    void reader.result.then(() => this.#unfinished.delete(reader));
     reader.start();
+    this.#schedule();
     return reader;
   }
 
+  /** One timer for all bodies: most have come before it fires. */
+  #schedule(): void {
+    if (this.#unfinished.size === 0) return;
+    // After a pause of the process, timers run before pending socket reads: a body that came in time would be rejected.
+    this.#timer ??= setTimeout(() => setImmediate(() => this.#check()), CHECK_INTERVAL_MS).unref();
+  }
+
+  #check(): void {
+    this.#timer = undefined;
+    const now = performance.now();
+    for (const reader of this.#unfinished) if (reader.isOverdue(now)) reader.giveUp(bodyReaders.BodyFault.TooLate);
+    this.#schedule();
+  }
+
   #reserve(holding: common.BodyHolding<bodyReaders.BodyReader>, bytes: number): boolean {
     const yielding = this.#memory.reserve(holding, bytes, performance.now(), this.#parts.otherBytes());
     for (const reader of yielding ?? []) {
--- a/packages/gateway/src/callerListener.ts
+++ b/packages/gateway/src/callerListener.ts
@@ -22,6 +22,9 @@
 /** Possible wait for acceptance, in milliseconds, from which a connection's caller may have disconnected meanwhile. */
 const LONG_ACCEPT_DELAY_MS = 100;
 
+/** Time for the body of a request that matches no route, in milliseconds; longer than any ordinary upload takes. */
+const UNROUTED_BODY_TIMEOUT_MS = 30_000;
+
 /** Interval at which the server checks for requests whose headers are overdue, in milliseconds. */
 const HEADER_CHECK_INTERVAL_MS = 500;
 
@@ -284,7 +287,7 @@
 
   /** Begins to read the body of a request, which is held until the response closes. */
   #startReading(
-    { headers }: callerRequests.CallerRequest,
+    request: callerRequests.CallerRequest,
     incoming: http.IncomingMessage,
     response: http.ServerResponse,
     maxBytes: number,
@@ -296,8 +299,9 @@
       heldBytes += bytes;
       memory.addRequest(socket, bytes);
     };
-    memory.noteRequest(socket, headers.requestId);
-    const reader = memory.bodies.read(incoming, { maxBytes, onHeld });
+    const deadlineAt = (): number => request.arrivedAt + this.#bodyTimeoutMs(request);
+    memory.noteRequest(socket, request.headers.requestId);
+    const reader = memory.bodies.read(incoming, { maxBytes, deadlineAt, onHeld });
     response.once("close", () => {
       reader.release();
       memory.addRequest(socket, -heldBytes);
@@ -306,6 +310,12 @@
     return reader;
   }
 
+  /** A request whose body comes after the time that it had can't be served. */
+  #bodyTimeoutMs({ headers, host, path }: callerRequests.CallerRequest): number {
+    const routeTimeoutMs = this.#context.view.table?.find(host, path)?.timeoutMs ?? UNROUTED_BODY_TIMEOUT_MS;
+    return Math.min(headers.deadlineMs ?? routeTimeoutMs, routeTimeoutMs);
+  }
+
   /** Refuses a request whose body was not read to its end. */
   #refuseUnread(
     { headers }: callerRequests.CallerRequest,
@@ -320,6 +330,11 @@
     } else if (fault === bodyReaders.BodyFault.TooLarge) {
       log.info("body-too-large", { id, requiredBytes });
       answer.refuse(serving.FailureStatus.PayloadTooLarge, "the request body exceeds the size limit", CLOSE_HEADERS);
+    } else if (fault === bodyReaders.BodyFault.TooLate) {
+      metrics.count("bodies_overdue");
+      log.info("body-overdue", { id, requiredBytes });
+      const detail = "the request body did not arrive within the request's time";
+      answer.reject(serving.NotRunProof.ofUnaccepted(), serving.RejectionStatus.RequestTimeout, detail, CLOSE_HEADERS);
     } else {
       metrics.count("bodies_rejected_for_memory");
       const retryAfterMs = memory.bodies.retryAfterMs(requiredBytes);
