Let refused clients read their answer, and read on for a bounded time only

What callers saw: a client whose body was refused (413, 503) while it was sending got a reset instead of the answer, so that it didn't learn that its request hasn't run. One that asked first with Expect: 100-continue was told to send what was refused then. One with an unknown expectation was read without end. Cause: the connection was closed right behind the answer with unread bytes in it, which resets it; "100 Continue" was sent by the server before anything was checked; the server's own 417 keeps the connection. "100 Continue" is sent once the body may be read, 417 is an answer like others. RFC 9112, 9.6, and RFC 9110, 10.1.1.

--- a/packages/gateway/src/bodies/bodyReader.ts
+++ b/packages/gateway/src/bodies/bodyReader.ts
@@ -76,6 +76,11 @@
     });
   }
 
+  /** @returns whether the body is still being read */
+  get isReading(): boolean {
+    return this.#settle !== undefined;
+  }
+
   /** @returns bytes that it needs at least, as far as that is known */
   get requiredBytes(): number {
     return this.#statedBytes ?? this.#length;
--- a/packages/gateway/src/callerAnswer.ts
+++ b/packages/gateway/src/callerAnswer.ts
@@ -1,6 +1,7 @@
 import type * as http from "node:http";
 import * as net from "node:net";
 import type * as serving from "@camphorcourse/serving";
+import type * as unreadBodies from "./bodies/unreadBodies.js";
 import * as sendings from "./sending.js";
 
 /** Headers that are not forwarded: the hop-by-hop ones, and those that are set anew here. */
@@ -32,15 +33,18 @@
 /** The answer to one caller; it is ended once. */
 export class CallerAnswer {
   readonly #response: http.ServerResponse;
+  readonly #unread: unreadBodies.UnreadBodies | undefined;
   readonly #closesConnection: () => boolean;
   #state = AnswerState.Open;
 
   /**
    * @param response - the HTTP response to the caller
    * @param closesConnection - whether the connection is to be closed after the answer
+   * @param unread - reads on what the caller still sends after an error answer; undefined if it sends nothing
    */
-  constructor(response: http.ServerResponse, closesConnection: () => boolean) {
+  constructor(response: http.ServerResponse, closesConnection: () => boolean, unread?: unreadBodies.UnreadBodies) {
     this.#response = response;
+    this.#unread = unread;
     this.#closesConnection = closesConnection;
   }
 
@@ -148,7 +152,12 @@
     this.#state = AnswerState.Ended;
     const body = Buffer.from(`${detail}\n`);
     this.#writeHead(status, ["content-type", "text/plain", "content-length", String(body.length), ...headers]);
-    this.#response.end(body);
+    if (this.#unread === undefined || this.#response.req.complete) {
+      this.#response.end(body);
+      return;
+    }
+    this.#response.write(body);
+    this.#unread.linger(this.#response);
   }
 
   /**
--- a/packages/gateway/src/callerListener.ts
+++ b/packages/gateway/src/callerListener.ts
@@ -4,6 +4,7 @@
 import * as serving from "@camphorcourse/serving";
 import * as acceptDelayEstimators from "./acceptDelayEstimator.js";
 import * as bodyReaders from "./bodies/bodyReader.js";
+import * as unreadBodies from "./bodies/unreadBodies.js";
 import * as callerAnswers from "./callerAnswer.js";
 import * as callerRequests from "./callerRequest.js";
 import * as accessGates from "./callers/accessGate.js";
@@ -72,6 +73,7 @@
   readonly #unansweredBySocket = new WeakMap<stream.Duplex, number>();
   /** Connections that are closed once their requests are answered. */
   readonly #closing = new WeakSet<stream.Duplex>();
+  readonly #unread = new unreadBodies.UnreadBodies();
   readonly #unlistedHeaders = new firstSightings.FirstSightings();
   #shutdown: serving.GracefulShutdown | undefined;
   #doorClosed = false;
@@ -99,6 +101,8 @@
       socket.once("close", () => this.#connections.delete(socket));
     });
     this.#server.on("request", (incoming, response) => void this.#onRequest(incoming, response));
+    this.#server.on("checkContinue", (incoming, response) => void this.#onRequest(incoming, response, true));
+    this.#server.on("checkExpectation", (_incoming, response) => this.#refuseExpectation(response));
     this.#server.on("clientError", (error: NodeJS.ErrnoException, socket) => this.#onClientError(error, socket));
   }
 
@@ -175,6 +179,7 @@
 
   /** Gives each open request its final answer before the process ends, so that its connection does not just break. */
   endOpen(): void {
+    this.#unread.endAll();
     for (const exchange of [...this.#unanswered]) exchange.endNow(ENDED_BY_STOP);
   }
 
@@ -224,7 +229,21 @@
     if (unanswered === 0 && this.#closing.has(socket)) socket.end();
   }
 
-  async #onRequest(incoming: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+  #answerTo(response: http.ServerResponse, awaitsContinue = false): callerAnswers.CallerAnswer {
+    const unread = awaitsContinue ? undefined : this.#unread;
+    return new callerAnswers.CallerAnswer(response, () => this.#shutdown !== undefined, unread);
+  }
+
+  #refuseExpectation(response: http.ServerResponse): void {
+    const detail = "the only expectation that is met is 100-continue";
+    this.#answerTo(response).refuse(serving.FailureStatus.ExpectationFailed, detail, CLOSE_HEADERS);
+  }
+
+  async #onRequest(
+    incoming: http.IncomingMessage,
+    response: http.ServerResponse,
+    awaitsContinue = false,
+  ): Promise<void> {
     const { configuration, view, format, log } = this.#context;
     const now = performance.now();
     this.#lastRequestAt = now;
@@ -233,13 +252,12 @@
     response.once("close", () => {
       this.#openRequests--;
     });
-    const answer = new callerAnswers.CallerAnswer(response, () => this.#shutdown !== undefined);
+    const answer = this.#answerTo(response, awaitsContinue);
     const limits = view.table?.configuration.limits ?? DEFAULT_LIMITS;
     const read = callerRequests.readCallerRequest(incoming, format, limits.headerBytes, now);
     if (read.isErr()) {
       log.info("bad-request", { detail: read.error.detail, status: read.error.status });
       answer.refuse(read.error.status, read.error.detail, CLOSE_HEADERS);
-      incoming.resume();
       return;
     }
     const request = read.value;
@@ -258,6 +276,7 @@
     });
     this.#readingBody.add(answer);
     const reader = this.#startReading(request, incoming, response, limits.bodyBytes);
+    if (awaitsContinue && reader.isReading) response.writeContinue();
     const body = await reader.result;
     // A caller's request is read before its disconnect. Without waiting for the pending reads, a request whose caller
     // disconnected while the connection waited for acceptance would still be sent to an endpoint.
@@ -271,7 +290,6 @@
       log.info("caller-left", { id, detail: "before its request was read" });
     } else if (body.isErr()) {
       this.#refuseUnread(request, answer, body.error, reader.requiredBytes);
-      incoming.resume();
     } else {
       const exchange = this.#accept(request, body.value, answer);
       if (exchange === undefined) return;
--- a/packages/serving/src/ledger/answerStatuses.ts
+++ b/packages/serving/src/ledger/answerStatuses.ts
@@ -12,6 +12,7 @@
   Unauthorized = 401,
   NotFound = 404,
   PayloadTooLarge = 413,
+  ExpectationFailed = 417,
   HeadersTooLarge = 431,
   BadGateway = 502,
   GatewayTimeout = 504,
