End requests that wait on a connection with it

What callers saw: after a client had left that sends several requests without waiting for answers, those behind the first ran on at their endpoints for nobody and counted as open for ever, so that a graceful shutdown waited for them in vain. Cause: the HTTP server emits "close" only for the response whose turn it is; for those behind it nothing tells that the connection is gone, and each of the listener's clean-ups hangs on that event. Change: ConnectionGuard knows the responses that wait on each connection and closes them with it.

--- a/packages/gateway/src/callerListener.ts
+++ b/packages/gateway/src/callerListener.ts
@@ -8,6 +8,7 @@
 import * as callerAnswers from "./callerAnswer.js";
 import * as callerRequests from "./callerRequest.js";
 import * as accessGates from "./callers/accessGate.js";
+import * as connectionGuards from "./connections/connectionGuard.js";
 import type * as contexts from "./context.js";
 import * as exchanges from "./exchange.js";
 import * as pendingReads from "./pendingReads.js";
@@ -59,6 +60,7 @@
   readonly #context: contexts.ServingContext;
   readonly #accessGate: accessGates.AccessGate;
   readonly #server: http.Server;
+  readonly #guard = new connectionGuards.ConnectionGuard();
   /** Accepted requests that have no final answer yet. */
   readonly #unanswered = new Set<exchanges.Exchange>();
   /** Answers to requests whose body is still being read. */
@@ -94,6 +96,7 @@
       insecureHTTPParser: false,
       joinDuplicateHeaders: false,
     });
+    this.#guard.attach(this.#server);
     this.#server.on("connection", (socket: stream.Duplex) => {
       this.#connections.add(socket);
       if (socket instanceof net.Socket) this.#context.memory.noteConnection(socket);
@@ -245,6 +248,7 @@
     awaitsContinue = false,
   ): Promise<void> {
     const { configuration, view, format, log } = this.#context;
+    this.#guard.begin(response);
     const now = performance.now();
     this.#lastRequestAt = now;
     this.#readAt.set(incoming.socket, now);
