Bound the requests that wait on callers' connections

What callers saw: a few clients that send thousands of small requests on a connection without waiting for answers took a daemon on a VM of 200 MB to 222 to 240 MB, and with more of them (160 connections) ended it with a full heap. Cause: the HTTP server reads such a connection on until answers wait to be sent, up to 2 MB at a time, and starts each request at once; nothing bounded how many wait, on one connection or on all. Change: ConnectionLimit (common, without I/O) counts requests whose responses aren't complete. Beyond as many as a tenth of the VM's memory and a quarter of the heap hold at 24 KB each, the connection with the most is closed where one has several, else the request is rejected with 503; a connection whose only request runs is never closed. Nothing more is read of a connection while nine or more of its requests wait. Closed connections hold their requests until the end of the turn of the event loop, so that nothing is read on any connection until then: otherwise each one brings hundreds more. A single client meets no bound, however many it sends (pipelinedRequests); nothing is added to reading in calm.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -3,6 +3,7 @@
 export * from "./bodyBuffer.js";
 export * from "./bodyMemory.js";
 export * from "./clock.js";
+export * from "./connectionLimit.js";
 export * from "./errors.js";
 export * from "./hash.js";
 export * from "./hybridClock.js";
--- a/packages/gateway/src/callerListener.ts
+++ b/packages/gateway/src/callerListener.ts
@@ -1,6 +1,7 @@
 import * as http from "node:http";
 import * as net from "node:net";
 import type * as stream from "node:stream";
+import type * as common from "@camphorcourse/common";
 import * as serving from "@camphorcourse/serving";
 import * as acceptDelayEstimators from "./acceptDelayEstimator.js";
 import * as bodyReaders from "./bodies/bodyReader.js";
@@ -38,6 +39,9 @@
 /** Retry-After value of a stopping daemon, in seconds; the caller retries on another daemon. */
 const STOPPING_RETRY_AFTER = "0.050";
 
+/** Retry-After value while too many requests are open, in seconds. */
+const TOO_MANY_REQUESTS_RETRY_AFTER = "1.000";
+
 /** Outcome in the log of a request that was open when the process ended. */
 const ENDED_BY_STOP = "cut-by-stop";
 
@@ -60,7 +64,7 @@
   readonly #context: contexts.ServingContext;
   readonly #accessGate: accessGates.AccessGate;
   readonly #server: http.Server;
-  readonly #guard = new connectionGuards.ConnectionGuard();
+  readonly #guard: connectionGuards.ConnectionGuard;
   /** Accepted requests that have no final answer yet. */
   readonly #unanswered = new Set<exchanges.Exchange>();
   /** Answers to requests whose body is still being read. */
@@ -82,9 +86,13 @@
   #openRequests = 0;
   #lastRequestAt = 0;
 
-  /** @param context - dependencies shared by all requests */
-  constructor(context: contexts.ServingContext) {
+  /**
+   * @param context - dependencies shared by all requests
+   * @param bounds - bounds of the callers' connections and requests
+   */
+  constructor(context: contexts.ServingContext, bounds: common.ConnectionBounds) {
     this.#context = context;
+    this.#guard = new connectionGuards.ConnectionGuard({ bounds, close: (socket) => this.#closeForOthers(socket) });
     this.#accessGate = new accessGates.AccessGate(context);
     this.#server = http.createServer({
       maxHeaderSize: PARSER_HEADER_BYTES,
@@ -248,7 +256,8 @@
     awaitsContinue = false,
   ): Promise<void> {
     const { configuration, view, format, log } = this.#context;
-    this.#guard.begin(response);
+    const guarded = this.#guard.begin(response);
+    if (guarded === undefined) return;
     const now = performance.now();
     this.#lastRequestAt = now;
     this.#readAt.set(incoming.socket, now);
@@ -257,6 +266,10 @@
       this.#openRequests--;
     });
     const answer = this.#answerTo(response, awaitsContinue);
+    if (guarded.isRejected) {
+      this.#rejectBeyondBounds(answer, "too-many-requests");
+      return;
+    }
     const limits = view.table?.configuration.limits ?? DEFAULT_LIMITS;
     const read = callerRequests.readCallerRequest(incoming, format, limits.headerBytes, now);
     if (read.isErr()) {
@@ -298,6 +311,7 @@
       const exchange = this.#accept(request, body.value, answer);
       if (exchange === undefined) return;
       caller.exchange = exchange;
+      guarded.noteRunning();
       this.#countUnanswered(incoming.socket, 1);
       response.once("close", () => {
         this.#unanswered.delete(exchange);
@@ -443,6 +457,25 @@
     return !isAccepted;
   }
 
+  /** Rejects a request that has no place beside the others. */
+  #rejectBeyondBounds(answer: callerAnswers.CallerAnswer, reason: string): void {
+    this.#context.metrics.count("requests_rejected_beyond_bounds");
+    this.#context.log.warn("beyond-bounds", { reason, connections: this.#guard.connections });
+    const retry = [this.#context.format.retryAfterHeader, TOO_MANY_REQUESTS_RETRY_AFTER];
+    rejectUnaccepted(answer, "too many requests are open here; retry after Retry-After", [...CLOSE_HEADERS, ...retry]);
+  }
+
+  /** Closes a connection for others, and rejects its request if that is still being read. */
+  #closeForOthers(socket: net.Socket): void {
+    this.#context.metrics.count("connections_closed_for_others");
+    this.#context.log.info("connection-closed-for-others", { from: socket.remoteAddress });
+    const answers = [...this.#readingBody].filter(({ connection }) => connection === socket);
+    for (const answer of answers) this.#rejectBeyondBounds(answer, "too-many-connections");
+    // A client that doesn't read would keep its connection for as long as it likes.
+    if (answers.length > 0 && socket.writableLength === 0) socket.destroySoon();
+    else socket.destroy();
+  }
+
   #refuseStopping(answer: callerAnswers.CallerAnswer): void {
     const retry = [this.#context.format.retryAfterHeader, STOPPING_RETRY_AFTER];
     rejectUnaccepted(answer, "this daemon is stopping; retry on another one", retry);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,5 +1,6 @@
 import * as crypto from "node:crypto";
 import type * as http from "node:http";
+import * as v8 from "node:v8";
 import * as common from "@camphorcourse/common";
 import * as serving from "@camphorcourse/serving";
 import * as fleetViewUpdaters from "./fleetViewUpdater.js";
@@ -17,6 +18,7 @@
 import type * as gatewayDependencies from "./lifecycle/gatewayDependencies.js";
 import * as loopMonitors from "./lifecycle/loopMonitor.js";
 import * as shutdownSequences from "./lifecycle/shutdownSequence.js";
+import * as memoryGuards from "./memory/memoryGuard.js";
 import * as gauges from "./metrics/gauges.js";
 import * as metricsModule from "./metrics.js";
 import * as usageCodecs from "./duties/usageCodec.js";
@@ -192,7 +194,11 @@
       lateMs: () => this.#loop.lateMs,
       senders: () => this.#peers.senders.length,
     });
-    this.#listener = new callerListeners.CallerListener(this.#context);
+    const bounds = serving.serverBounds({
+      memoryBytes: settings.vmMemoryBytes ?? memoryGuards.DEFAULT_MEMORY_BYTES,
+      heapBytes: v8.getHeapStatistics().heap_size_limit,
+    });
+    this.#listener = new callerListeners.CallerListener(this.#context, bounds.callers);
     this.#follower = new storeFollowers.StoreFollower({
       store: stores.follower,
       layout: dependencies.layout,
--- a/packages/gateway/src/memory/memoryGuard.ts
+++ b/packages/gateway/src/memory/memoryGuard.ts
@@ -8,7 +8,7 @@
 const SAMPLE_INTERVAL_MS = 100;
 
 /** Memory of a VM whose settings don't state it, in bytes. */
-const DEFAULT_MEMORY_BYTES = 268_435_456;
+export const DEFAULT_MEMORY_BYTES = 268_435_456;
 
 /** Dependencies of {@link MemoryGuard}. */
 export interface MemoryGuardParts {
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -6,6 +6,7 @@
 export * from "./capacity/neededEngines.js";
 export * from "./configuration.js";
 export * from "./configurationFreshness.js";
+export * from "./connections/serverBounds.js";
 export * from "./decayingPeak.js";
 export * from "./routeTable.js";
 export * from "./demand.js";
