Leave descriptors for endpoints and other callers while connections of callers only stay

What callers saw: clients that open connections and only keep them, idle, with an unfinished head or body, took all descriptors of the process; nobody else could connect, and requests found no connection to their endpoints. Cause: the number of callers' connections had no bound; an idle one is closed after 15 s, an unfinished body never was.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -42,6 +42,9 @@
 
 const SEED_BYTES = 4;
 
+/** Descriptors of a process whose settings don't state them. */
+const DEFAULT_MAX_DESCRIPTORS = 4_096;
+
 /** One daemon: accepts callers' requests, follows the state of the fleet, and forwards the requests to endpoints. */
 export class Gateway {
   readonly #settings: settingsModule.GatewaySettings;
@@ -197,6 +200,7 @@
     const bounds = serving.serverBounds({
       memoryBytes: settings.vmMemoryBytes ?? memoryGuards.DEFAULT_MEMORY_BYTES,
       heapBytes: v8.getHeapStatistics().heap_size_limit,
+      maxDescriptors: settings.maxDescriptors ?? DEFAULT_MAX_DESCRIPTORS,
     });
     this.#listener = new callerListeners.CallerListener(this.#context, bounds.callers);
     this.#follower = new storeFollowers.StoreFollower({
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -40,5 +40,7 @@
   readonly memoryBytes?: number | undefined;
   /** Memory of the VM in bytes, whoever contends for it: bounds what requests hold; 256 MB if not set. */
   readonly vmMemoryBytes?: number | undefined;
+  /** Descriptors that the process may open; 4,096 if not set. */
+  readonly maxDescriptors?: number | undefined;
   readonly logLevel: string;
 }
