Bound the connections to all endpoints together by the daemon's descriptors

What callers saw: requests that wait at their endpoints on a few callers' connections took a descriptor each, up to what the endpoints allow, so that nothing was left for other callers and the key-value service. Cause: connections to endpoints are bounded for each endpoint only. Change: all endpoints together have five sixteenths of the descriptors (1,208 on a site's smallest VM); beyond that none has room, which requests meet as they meet a full endpoint. Idle connections don't count, and are closed for new ones.

--- a/packages/gateway/src/endpointClient.ts
+++ b/packages/gateway/src/endpointClient.ts
@@ -25,6 +25,8 @@
   readonly #isLoopLagging: () => boolean;
   readonly #guard: sendings.TrafficGuard;
   readonly #paths: PathParts;
+  readonly #maxConnections: number;
+  readonly #connections: connectionPools.ConnectionCounts = { busy: 0, idle: 0 };
   /** Requests under way through peers, by endpoint. */
   readonly #relayed = new Map<string, number>();
   /** When data of an endpoint last came through a peer, in milliseconds. */
@@ -35,17 +37,20 @@
    * @param isLoopLagging - whether the event loop lags, so that the socket events it processes may be old
    * @param guard - guards what is sent, and observes the answers
    * @param paths - the paths to endpoints
+   * @param maxConnections - connections to all endpoints together
    */
   constructor(
     count: (name: string) => void,
     isLoopLagging: () => boolean,
     guard: sendings.TrafficGuard,
     paths: PathParts,
+    maxConnections = Number.POSITIVE_INFINITY,
   ) {
     this.#count = count;
     this.#isLoopLagging = isLoopLagging;
     this.#guard = guard;
     this.#paths = paths;
+    this.#maxConnections = maxConnections;
   }
 
   /**
@@ -69,6 +74,7 @@
    */
   hasRoom(endpointId: string, maxConnections: number, daemons: number): boolean {
     const limit = Math.max(2, Math.floor((maxConnections * USED_CONNECTIONS_SHARE) / Math.max(1, daemons)));
+    if (this.#connections.busy >= this.#maxConnections) return false;
     const busy = (this.#pools.get(endpointId)?.busy ?? 0) + (this.#relayed.get(endpointId) ?? 0);
     return busy < limit;
   }
@@ -227,9 +233,17 @@
       pool = this.#createPool(endpoint, true);
       this.#pools.set(endpoint.id, pool);
     }
+    if (!pool.hasLiveIdle) this.#closeIdleBeyondBound();
     return pool;
   }
 
+  /** Idle connections to some endpoints must not keep requests from others. */
+  #closeIdleBeyondBound(): void {
+    const { busy, idle } = this.#connections;
+    if (busy + idle < this.#maxConnections) return;
+    for (const pool of this.#pools.values()) pool.close();
+  }
+
   #createPool(endpoint: serving.Endpoint, keepsConnections: boolean): connectionPools.EndpointConnectionPool {
     const { monitor } = this.#paths;
     const listener: connectionPools.PoolListener = {
@@ -238,7 +252,13 @@
       onReceived: () => monitor.noteReceived(endpoint),
     };
     const { address } = endpoint;
-    return new connectionPools.EndpointConnectionPool(address, this.#isLoopLagging, listener, keepsConnections);
+    return new connectionPools.EndpointConnectionPool(
+      address,
+      this.#isLoopLagging,
+      listener,
+      keepsConnections,
+      this.#connections,
+    );
   }
 }
 
--- a/packages/gateway/src/endpointConnectionPool.ts
+++ b/packages/gateway/src/endpointConnectionPool.ts
@@ -20,6 +20,14 @@
   onReceived(): void;
 }
 
+/** Counts the connections of several pools. */
+export interface ConnectionCounts {
+  /** Connections that carry a request. */
+  busy: number;
+  /** Connections that are kept for further requests. */
+  idle: number;
+}
+
 /** A connection to an endpoint; it carries one request at a time. */
 export interface PooledConnection {
   readonly client: undici.Client;
@@ -109,6 +117,7 @@
   readonly #isLoopLagging: () => boolean;
   readonly #listener: PoolListener | undefined;
   readonly #keepsConnections: boolean;
+  readonly #counts: ConnectionCounts;
   #lastReceivedAt = 0;
 
   /**
@@ -116,16 +125,19 @@
    * @param isLoopLagging - whether the event loop lags, so that the socket events it processes may be old
    * @param listener - is notified of connections and data, if given
    * @param keepsConnections - whether a connection is kept for further requests
+   * @param counts - counts the connections of this pool with those of others, if given
    */
   constructor(
     readonly address: string,
     isLoopLagging: () => boolean,
     listener?: PoolListener,
     keepsConnections = true,
+    counts: ConnectionCounts = { busy: 0, idle: 0 },
   ) {
     this.#isLoopLagging = isLoopLagging;
     this.#listener = listener;
     this.#keepsConnections = keepsConnections;
+    this.#counts = counts;
   }
 
   /** @returns instant at which data was last received, in milliseconds */
@@ -170,12 +182,15 @@
     const connection = this.#takeIdle(requestId) ?? createConnection(this.address, this.#isLoopLagging, this.#listener);
     if (requestId !== undefined) connection.carried.add(requestId);
     this.#busy.add(connection);
+    this.#counts.busy++;
     return connection;
   }
 
   #takeIdle(requestId: string | undefined): PooledConnection | undefined {
     const index = this.#idle.findLastIndex(({ carried }) => requestId === undefined || !carried.mayHave(requestId));
-    return index === -1 ? undefined : this.#idle.splice(index, 1)[0];
+    if (index === -1) return undefined;
+    this.#counts.idle--;
+    return this.#idle.splice(index, 1)[0];
   }
 
   /**
@@ -189,10 +204,10 @@
       this.discard(connection);
       return;
     }
-    this.#busy.delete(connection);
-    connection.onReadable = undefined;
+    this.#leaveBusy(connection);
     connection.usedAt = now;
     this.#idle.push(connection);
+    this.#counts.idle++;
   }
 
   /**
@@ -202,8 +217,7 @@
    * @param connection - the connection
    */
   discard(connection: PooledConnection): void {
-    this.#busy.delete(connection);
-    connection.onReadable = undefined;
+    this.#leaveBusy(connection);
     connection.client.destroy().catch(() => undefined);
   }
 
@@ -215,12 +229,19 @@
   closeUnusedSince(before: number): void {
     for (const connection of this.#idle.filter(({ usedAt }) => usedAt < before)) {
       this.#idle.splice(this.#idle.indexOf(connection), 1);
+      this.#counts.idle--;
       connection.client.destroy().catch(() => undefined);
     }
   }
 
   /** Closes the idle connections. */
   close(): void {
+    this.#counts.idle -= this.#idle.length;
     for (const connection of this.#idle.splice(0)) connection.client.destroy().catch(() => undefined);
   }
+
+  #leaveBusy(connection: PooledConnection): void {
+    if (this.#busy.delete(connection)) this.#counts.busy--;
+    connection.onReadable = undefined;
+  }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -121,11 +121,17 @@
       onReachedByPeer: (endpointId) => this.#context.health.forgive(endpointId),
     });
     const { monitor } = this.#reachability;
+    const bounds = serving.serverBounds({
+      memoryBytes: settings.vmMemoryBytes ?? memoryGuards.DEFAULT_MEMORY_BYTES,
+      heapBytes: v8.getHeapStatistics().heap_size_limit,
+      maxDescriptors: settings.maxDescriptors ?? DEFAULT_MAX_DESCRIPTORS,
+    });
     const client = new endpointClients.EndpointClient(
       (name) => this.#metrics.count(name),
       isLoopLagging,
       statements,
       this.#reachability,
+      bounds.maxOutgoing,
     );
     const protection = new crashProtections.CrashProtection({
       store: stores.suspects,
@@ -197,11 +203,6 @@
       lateMs: () => this.#loop.lateMs,
       senders: () => this.#peers.senders.length,
     });
-    const bounds = serving.serverBounds({
-      memoryBytes: settings.vmMemoryBytes ?? memoryGuards.DEFAULT_MEMORY_BYTES,
-      heapBytes: v8.getHeapStatistics().heap_size_limit,
-      maxDescriptors: settings.maxDescriptors ?? DEFAULT_MAX_DESCRIPTORS,
-    });
     this.#listener = new callerListeners.CallerListener(this.#context, bounds.callers);
     this.#follower = new storeFollowers.StoreFollower({
       store: stores.follower,
--- a/packages/serving/src/connections/serverBounds.ts
+++ b/packages/serving/src/connections/serverBounds.ts
@@ -4,8 +4,8 @@
 const FILE_DESCRIPTORS = 200;
 const OTHER_DESCRIPTORS = 32;
 
-/** Share of the remaining descriptors for callers' connections. */
-const CALLERS_SHARE = 7 / 16;
+/** Shares of the remaining descriptors for callers' connections, and for those to endpoints. */
+const SHARES = { callers: 7 / 16, outgoing: 5 / 16 };
 
 /** Fewest connections that a server takes, however few descriptors there are. */
 const MIN_CONNECTIONS = 4;
@@ -22,8 +22,10 @@
 /** Shares of the VM's memory and of the heap that open requests may take. */
 const REQUEST_SHARES = { memory: 1 / 10, heap: 1 / 4 };
 
-/** Bounds of a daemon's servers. */
+/** Bounds of a daemon's servers, and of its own connections. */
 export interface ServerBounds {
+  /** Connections to endpoints. */
+  readonly maxOutgoing: number;
   readonly callers: common.ConnectionBounds;
 }
 
@@ -50,5 +52,8 @@
   const connections = (share: number): number => Math.max(MIN_CONNECTIONS, Math.floor(sockets * share));
   const requestBytes = Math.min(memoryBytes * REQUEST_SHARES.memory, heapBytes * REQUEST_SHARES.heap);
   const maxRequests = Math.floor(requestBytes / REQUEST_HEAP_BYTES);
-  return { callers: { maxConnections: Math.min(maxHeads, connections(CALLERS_SHARE)), maxRequests } };
+  return {
+    maxOutgoing: connections(SHARES.outgoing),
+    callers: { maxConnections: Math.min(maxHeads, connections(SHARES.callers)), maxRequests },
+  };
 }
--- a/packages/serving/tests/serverBounds.test.ts
+++ b/packages/serving/tests/serverBounds.test.ts
@@ -11,6 +11,10 @@
   assert.is(serving.serverBounds(SMALL_VM).callers.maxConnections, 1_692);
 });
 
+suite("connections to endpoints have a part that callers can't take", () => {
+  assert.is(serving.serverBounds(SMALL_VM).maxOutgoing, 1_208);
+});
+
 suite("where there are many descriptors, unfinished heads on all connections fit into half of the heap", () => {
   const { callers } = serving.serverBounds({ ...SMALL_VM, maxDescriptors: 100_000 });
   assert.is(callers.maxConnections, 2_560);
