Let the parser read heads only up to the configuration's limit

What callers saw: 2,500 connections with unfinished heads of 100 KB ended the process with a full heap; of a head with more than 1,000 lines the later ones were left out without a word, its id among them. Cause: the parser read 128 KB of each head before the limit of 16 KB was checked, and kept up to 1,000 lines as strings; trailers likewise. Change: the parser has the configuration's limit, for connections that are opened after it, and 200 lines; one with more is refused with 431, as is a head that exceeds the limit before it ends (400 before). 200 lines are many times what the pages' requests have.

--- a/packages/gateway/src/callerListener.ts
+++ b/packages/gateway/src/callerListener.ts
@@ -16,8 +16,11 @@
 import type * as settingsModule from "./settings.js";
 import * as firstSightings from "./statements/firstSightings.js";
 
-/** Header size that the HTTP parser accepts, in bytes; the limit of the configuration is checked afterwards. */
-const PARSER_HEADER_BYTES = 131_072;
+/** Lines that a head may have. Each costs two strings while the head is unfinished, however short it is. */
+const MAX_HEADER_LINES = 200;
+
+/** Error code of the HTTP parser for a head that exceeds its limit. */
+const HEADERS_TOO_LARGE_CODE = "HPE_HEADER_OVERFLOW";
 
 /** Limits that apply until a configuration is available. */
 const DEFAULT_LIMITS = { headerBytes: 16_384, bodyBytes: 4_194_304, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 };
@@ -95,7 +98,7 @@
     this.#guard = new connectionGuards.ConnectionGuard({ bounds, close: (socket) => this.#closeForOthers(socket) });
     this.#accessGate = new accessGates.AccessGate(context);
     this.#server = http.createServer({
-      maxHeaderSize: PARSER_HEADER_BYTES,
+      maxHeaderSize: DEFAULT_LIMITS.headerBytes,
       connectionsCheckingInterval: HEADER_CHECK_INTERVAL_MS,
       requestTimeout: 0,
       headersTimeout: DEFAULT_LIMITS.headerTimeoutMs,
@@ -104,6 +107,8 @@
       insecureHTTPParser: false,
       joinDuplicateHeaders: false,
     });
+    // One more, as the server leaves out what exceeds this without a word.
+    this.#server.maxHeadersCount = MAX_HEADER_LINES + 1;
     this.#guard.attach(this.#server);
     this.#server.on("connection", (socket: stream.Duplex) => {
       this.#connections.add(socket);
@@ -143,6 +148,8 @@
   applyLimits(): void {
     const limits = this.#context.view.table?.configuration.limits;
     if (limits === undefined) return;
+    // The parser reads it for each new connection; its type doesn't list it.
+    Object.assign(this.#server, { maxHeaderSize: limits.headerBytes });
     this.#server.headersTimeout = limits.headerTimeoutMs;
     this.#server.keepAliveTimeout = limits.idleTimeoutMs;
   }
@@ -208,7 +215,9 @@
    */
   #onClientError(error: NodeJS.ErrnoException, socket: stream.Duplex): void {
     if (error.code !== HEADERS_TIMEOUT_CODE) {
-      this.#closeConnection(socket, serving.FailureStatus.BadRequest, error);
+      const isTooLarge = error.code === HEADERS_TOO_LARGE_CODE;
+      const status = isTooLarge ? serving.FailureStatus.HeadersTooLarge : serving.FailureStatus.BadRequest;
+      this.#closeConnection(socket, status, error);
       return;
     }
     const readAt = this.#readAt.get(socket);
@@ -220,7 +229,7 @@
 
   #closeConnection(
     socket: stream.Duplex,
-    status: serving.FailureStatus.BadRequest | serving.RejectionStatus.RequestTimeout,
+    status: serving.FailureStatus | serving.RejectionStatus.RequestTimeout,
     error: NodeJS.ErrnoException,
   ): void {
     this.#context.log.info("bad-request", { detail: error.code ?? error.message, status });
@@ -271,7 +280,12 @@
       return;
     }
     const limits = view.table?.configuration.limits ?? DEFAULT_LIMITS;
-    const read = callerRequests.readCallerRequest(incoming, format, limits.headerBytes, now);
+    const read = callerRequests.readCallerRequest(
+      incoming,
+      format,
+      { bytes: limits.headerBytes, lines: MAX_HEADER_LINES },
+      now,
+    );
     if (read.isErr()) {
       log.info("bad-request", { detail: read.error.detail, status: read.error.status });
       answer.refuse(read.error.status, read.error.detail, CLOSE_HEADERS);
--- a/packages/gateway/src/callerRequest.ts
+++ b/packages/gateway/src/callerRequest.ts
@@ -22,6 +22,16 @@
   readonly detail: string;
 }
 
+/** What a head may have. */
+export interface HeaderLimits {
+  /** Maximum size of request line and headers in bytes. */
+  readonly bytes: number;
+  readonly lines: number;
+}
+
+/** Names and values in the list of a request's headers, which alternate. */
+const ENTRIES_PER_LINE = 2;
+
 /** Separator and line end of one header line: ": " and CRLF. */
 const HEADER_OVERHEAD_BYTES = 4;
 
@@ -30,19 +40,21 @@
  *
  * @param incoming - the request as received
  * @param format - parses the headers
- * @param headerLimit - maximum size of request line and headers in bytes
+ * @param limits - what its head may have
  * @param now - current instant in milliseconds
  * @returns the request, or what is wrong with it
  */
 export function readCallerRequest(
   incoming: http.IncomingMessage,
   format: ports.MessageFormat,
-  headerLimit: number,
+  limits: HeaderLimits,
   now: number,
 ): neverthrow.Result<CallerRequest, RequestFault> {
   const target = incoming.url ?? "";
-  if (headerBytes(incoming) > headerLimit)
+  if (headerBytes(incoming) > limits.bytes)
     return fault(serving.FailureStatus.HeadersTooLarge, "the request headers exceed the size limit");
+  if (incoming.rawHeaders.length > limits.lines * ENTRIES_PER_LINE)
+    return fault(serving.FailureStatus.HeadersTooLarge, `the request has more than ${limits.lines} header lines`);
   if (!target.startsWith("/")) return fault(serving.FailureStatus.BadRequest, "the request target is not a path");
   const hosts = headerValues(incoming.rawHeaders, "host");
   const host = hosts[0];
@@ -69,7 +81,7 @@
 function headerBytes(incoming: http.IncomingMessage): number {
   let bytes = (incoming.url?.length ?? 0) + (incoming.method?.length ?? 0);
   for (const text of incoming.rawHeaders) bytes += text.length;
-  return bytes + (incoming.rawHeaders.length / 2) * HEADER_OVERHEAD_BYTES;
+  return bytes + (incoming.rawHeaders.length / ENTRIES_PER_LINE) * HEADER_OVERHEAD_BYTES;
 }
 
 function headerValues(rawHeaders: readonly string[], name: string): string[] {
