Answer a peer's call without a valid host instead of ending the process

What callers saw: one request at the port for other daemons without a host, or with one that is no host, ended the process with the answers of all callers. Cause: the RPC library throws while it builds a URL from the Host header, before it handles the request; the exception came out of the server's event. Change: the call is answered with 400.

--- a/packages/gateway/src/peers/peerCalls.ts
+++ b/packages/gateway/src/peers/peerCalls.ts
@@ -12,6 +12,8 @@
 /** Largest message of a peer in bytes: the largest configuration, and the entries of hundreds of endpoints and daemons. */
 const MAX_MESSAGE_BYTES = 16_777_216;
 
+const BAD_REQUEST = 400;
+
 /** Timeout for sending news to one peer, in milliseconds. */
 const SEND_TIMEOUT_MS = 800;
 
@@ -53,7 +55,7 @@
   });
   const server = http.createServer((incoming, response) => {
     if (incoming.url === relayMessages.RELAY_PATH) handler.onRelay(incoming, response);
-    else handleRpc(incoming, response);
+    else handleCall(handleRpc, incoming, response);
   });
   return new Promise((resolve) => {
     server.listen({ host: address.host, port: address.port }, () => {
@@ -62,6 +64,20 @@
   });
 }
 
+/** The library throws for a request without a valid host, before it answers; uncaught, that would end the daemon. */
+function handleCall(
+  handleRpc: http.RequestListener,
+  incoming: http.IncomingMessage,
+  response: http.ServerResponse,
+): void {
+  try {
+    handleRpc(incoming, response);
+  } catch {
+    response.writeHead(BAD_REQUEST, { connection: "close" });
+    response.end();
+  }
+}
+
 /** Calls other daemons over connections that are opened on first use. */
 export class PeerClient {
   readonly #clients = new Map<string, connect.Client<typeof messages.GatewayPeer>>();
