Read requests that peers pass on within the memory for all bodies

What callers saw: requests at the port for other daemons, each with a body of 4 MB, whole or a byte short, took a daemon on a VM of 250 MB to 317 to 690 MB. Cause: relayServer read by itself, bounded each message and not all of them, held the body twice, and waited for the end of a message for ever. Change: RequestBodies reads them like callers' bodies, within the same memory, for 10 s at most, and holds them until the response closes; the body is a view of its message, not a copy. A message that isn't read whole is answered (the peer knows then that nothing was sent) and read on for a while before the connection closes: after a reset the peer would have to assume that the request has run.

--- a/packages/gateway/src/bodies/bodyReader.ts
+++ b/packages/gateway/src/bodies/bodyReader.ts
@@ -21,7 +21,7 @@
   /** @returns instant by which the body must have come, in milliseconds; asked only while it is being read */
   readonly deadlineAt: () => number;
   /** @param bytes - bytes of the body that are held from now on */
-  readonly onHeld: (bytes: number) => void;
+  readonly onHeld?: (bytes: number) => void;
 }
 
 /** Reserves memory for a body. */
@@ -131,7 +131,7 @@
     else {
       this.#body.append(part);
       this.#room.noteProgress();
-      this.#options.onHeld(part.length);
+      this.#options.onHeld?.(part.length);
     }
   }
 
--- a/packages/gateway/src/bodies/requestBodies.ts
+++ b/packages/gateway/src/bodies/requestBodies.ts
@@ -1,6 +1,7 @@
 import type * as http from "node:http";
 import * as common from "@camphorcourse/common";
 import * as bodyReaders from "./bodyReader.js";
+import * as unreadBodies from "./unreadBodies.js";
 
 /** Interval at which unfinished bodies are checked for their deadlines, in milliseconds. */
 const CHECK_INTERVAL_MS = 100;
@@ -17,6 +18,8 @@
 
 /** Reads the bodies of all requests, of callers and of peers, within one memory. */
 export class RequestBodies {
+  /** Reads on what senders still send after they have been refused. */
+  readonly unread = new unreadBodies.UnreadBodies();
   readonly #parts: RequestBodiesParts;
   readonly #memory: common.BodyMemory<bodyReaders.BodyReader>;
   readonly #unfinished = new Set<bodyReaders.BodyReader>();
--- a/packages/gateway/src/bodies/unreadBodies.ts
+++ b/packages/gateway/src/bodies/unreadBodies.ts
@@ -20,6 +20,18 @@
   /** Ends the reading of each client, the earliest first. */
   readonly #lingering = new Set<() => void>();
 
+  /**
+   * Answers a request that isn't read to its end, without a body.
+   *
+   * @param response - the response, of which nothing has been written
+   * @param status - HTTP status
+   */
+  refuse(response: http.ServerResponse, status: number): void {
+    response.writeHead(status, { connection: "close", "content-length": 0 });
+    response.flushHeaders();
+    this.linger(response);
+  }
+
   /**
    * Reads on until the client has sent its body or closed its connection, or for as long as the limits allow, and ends the
    * response then.
@@ -28,6 +40,10 @@
    */
   linger(response: http.ServerResponse): void {
     const incoming = response.req;
+    if (incoming.readableEnded || incoming.destroyed) {
+      response.end();
+      return;
+    }
     let cost = 0;
     const finish = (): void => {
       clearTimeout(timer);
--- a/packages/gateway/src/callerListener.ts
+++ b/packages/gateway/src/callerListener.ts
@@ -5,7 +5,6 @@
 import * as serving from "@camphorcourse/serving";
 import * as acceptDelayEstimators from "./acceptDelayEstimator.js";
 import * as bodyReaders from "./bodies/bodyReader.js";
-import * as unreadBodies from "./bodies/unreadBodies.js";
 import * as callerAnswers from "./callerAnswer.js";
 import * as callerRequests from "./callerRequest.js";
 import * as accessGates from "./callers/accessGate.js";
@@ -82,7 +81,6 @@
   readonly #unansweredBySocket = new WeakMap<stream.Duplex, number>();
   /** Connections that are closed once their requests are answered. */
   readonly #closing = new WeakSet<stream.Duplex>();
-  readonly #unread = new unreadBodies.UnreadBodies();
   readonly #unlistedHeaders = new firstSightings.FirstSightings();
   #shutdown: serving.GracefulShutdown | undefined;
   #doorClosed = false;
@@ -197,7 +195,7 @@
 
   /** Gives each open request its final answer before the process ends, so that its connection does not just break. */
   endOpen(): void {
-    this.#unread.endAll();
+    this.#context.memory.bodies.unread.endAll();
     for (const exchange of [...this.#unanswered]) exchange.endNow(ENDED_BY_STOP);
   }
 
@@ -250,7 +248,7 @@
   }
 
   #answerTo(response: http.ServerResponse, awaitsContinue = false): callerAnswers.CallerAnswer {
-    const unread = awaitsContinue ? undefined : this.#unread;
+    const unread = awaitsContinue ? undefined : this.#context.memory.bodies.unread;
     return new callerAnswers.CallerAnswer(response, () => this.#shutdown !== undefined, unread);
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -219,6 +219,7 @@
     });
     const relayServer = new relayServers.RelayServer({
       log: this.#log,
+      bodies: this.#context.memory.bodies,
       view: this.#view,
       client,
       monitor,
--- a/packages/gateway/src/paths/relayServer.ts
+++ b/packages/gateway/src/paths/relayServer.ts
@@ -1,9 +1,9 @@
 import type * as http from "node:http";
 import * as protobuf from "@bufbuild/protobuf";
-import * as common from "@camphorcourse/common";
 import * as messages from "@camphorcourse/protocol/gateway";
 import * as serving from "@camphorcourse/serving";
 import * as neverthrow from "neverthrow";
+import type * as requestBodies from "../bodies/requestBodies.js";
 import type * as decisionLogs from "../decisionLog.js";
 import type * as endpointClients from "../endpointClient.js";
 import * as endpointIncarnations from "../endpointIncarnation.js";
@@ -27,6 +27,9 @@
   [serving.SendOutcome.Foreign]: relayMessages.RelayResult.AnswerLost,
 };
 
+/** Time for the message of a peer, in milliseconds; a peer has the whole request when it passes it on. */
+const READ_TIMEOUT_MS = 10_000;
+
 const BAD_REQUEST = 400;
 const BAD_GATEWAY = 502;
 const REFUSED_CODE = "ECONNREFUSED";
@@ -46,6 +49,8 @@
 /** Dependencies of {@link RelayServer}. */
 export interface RelayServerParts {
   readonly log: decisionLogs.DecisionLog;
+  /** Reads messages within the memory for the bodies of all requests. */
+  readonly bodies: requestBodies.RequestBodies;
   readonly view: fleetViews.FleetView;
   readonly client: endpointClients.EndpointClient;
   readonly monitor: pathMonitors.PathMonitor;
@@ -98,11 +103,11 @@
   async handle(incoming: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     response.sendDate = false;
     response.on("error", () => undefined);
-    const message = await this.#read(incoming);
+    const message = await this.#read(incoming, response);
     if (message.isErr()) {
       this.#parts.log.warn("relay-request-unreadable", { detail: message.error, from: incoming.socket.remoteAddress });
-      response.writeHead(BAD_REQUEST, { connection: "close" });
-      response.end();
+      // A reset would look to the peer as if the request might have run.
+      this.#parts.bodies.unread.refuse(response, BAD_REQUEST);
       return;
     }
     if (response.closed) return;
@@ -111,24 +116,18 @@
     else this.#send(message.value, endpoint.value, response);
   }
 
-  async #read(incoming: http.IncomingMessage): Promise<neverthrow.Result<messages.RelayedRequest, string>> {
-    const bodyBytes = this.#parts.view.table?.configuration.limits.bodyBytes ?? DEFAULT_BODY_BYTES;
-    const stated = incoming.headers["content-length"];
-    const limit = bodyBytes + MAX_OVERHEAD_BYTES;
-    if (Number(stated ?? 0) > limit) return neverthrow.err("the message is too large");
-    const buffer = new common.BodyBuffer(stated === undefined ? undefined : Number(stated));
-    try {
-      for await (const chunk of incoming) {
-        if (buffer.length + (chunk as Buffer).length > limit) return neverthrow.err("the message is too large");
-        buffer.append(chunk as Buffer);
-      }
-      const message = protobuf.fromBinary(messages.RelayedRequestSchema, buffer.join());
-      if (message.method === "" || !message.path.startsWith("/")) return neverthrow.err("method or path is missing");
-      if (message.headers.length % 2 !== 0) return neverthrow.err("a header has no value");
-      return neverthrow.ok(message);
-    } catch (error) {
-      return neverthrow.err(error instanceof Error ? error.message : String(error));
-    }
+  /** Reads the message of a peer, which is held until the response closes. */
+  async #read(
+    incoming: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<neverthrow.Result<messages.RelayedRequest, string>> {
+    const { bodies, view } = this.#parts;
+    const bodyBytes = view.table?.configuration.limits.bodyBytes ?? DEFAULT_BODY_BYTES;
+    const deadlineAt = performance.now() + READ_TIMEOUT_MS;
+    const reader = bodies.read(incoming, { maxBytes: bodyBytes + MAX_OVERHEAD_BYTES, deadlineAt: () => deadlineAt });
+    response.once("close", () => reader.release());
+    const body = await reader.result;
+    return body.mapErr((fault) => `the message was not read: ${fault}`).andThen(decodeMessage);
   }
 
   #endpointFor(message: messages.RelayedRequest): neverthrow.Result<serving.Endpoint, relayMessages.RelayResult> {
@@ -156,7 +155,7 @@
     const startedAt = performance.now();
     this.#open++;
     const { headers, method, path } = message;
-    const body = message.body === undefined ? undefined : Buffer.from(message.body);
+    const body = message.body === undefined ? undefined : viewOf(message.body);
     const sendBefore = startedAt + message.remainingMs;
     const request = {
       method,
@@ -224,6 +223,22 @@
   }
 }
 
+function decodeMessage(bytes: Buffer): neverthrow.Result<messages.RelayedRequest, string> {
+  try {
+    const message = protobuf.fromBinary(messages.RelayedRequestSchema, bytes);
+    if (message.method === "" || !message.path.startsWith("/")) return neverthrow.err("method or path is missing");
+    if (message.headers.length % 2 !== 0) return neverthrow.err("a header has no value");
+    return neverthrow.ok(message);
+  } catch (error) {
+    return neverthrow.err(error instanceof Error ? error.message : String(error));
+  }
+}
+
+/** @returns the bytes of a part of a message, without a copy */
+function viewOf({ buffer, byteOffset, byteLength }: Uint8Array): Buffer {
+  return Buffer.from(buffer, byteOffset, byteLength);
+}
+
 function passedBack(headers: sendings.AnswerHeaders): http.OutgoingHttpHeaders {
   const kept = Object.entries(headers).filter(([name, value]) => value !== undefined && !CONNECTION_HEADERS.has(name));
   return Object.fromEntries(kept) as http.OutgoingHttpHeaders;
