Read the messages of peers' calls within the memory for all bodies

What callers saw: calls at the port for other daemons with messages of 16 MB that stop a byte short took a daemon to 431 MB, and ten messages in chunks of one byte ended it with a full heap. Cause: the RPC library bounds each message and not all of them, keeps each part by itself, and waits without end. Change: a message is read by RequestBodies, for 2 s at most, longer than its sender waits for the answer, and handed to the library as a whole; one that isn't read whole is answered with 503 and read on for a while.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -237,6 +237,7 @@
         onProbe: (endpointId) => relayServer.probe(endpointId),
         onRelay: (incoming, response) => void relayServer.handle(incoming, response),
       },
+      peerServer: { bodies: this.#context.memory.bodies },
       onNeighbourCutOff: () => this.#reachability.monitor.checkOwnLink(),
       storeSilentMs: () => this.#follower.silentMs,
       dutyLeaseMs: () => this.#duties.leaseMs,
--- a/packages/gateway/src/peerLink.ts
+++ b/packages/gateway/src/peerLink.ts
@@ -128,11 +128,13 @@
   /** Opens the sockets and starts sending and receiving. */
   async start(): Promise<void> {
     await this.#heartbeatSocket.listen(this.#parts.settings.peers);
-    this.#server = await peerCalls.servePeers(this.#parts.settings.peers, {
-      ...this.#parts.pathCalls,
+    const { pathCalls, peerServer, settings, streams } = this.#parts;
+    const handler: peerCalls.PeerCallHandler = {
+      ...pathCalls,
       onNews: (news) => this.#receiver.applyNews(news),
-      onStreamQuery: (query) => this.#parts.streams.answer(query),
-    });
+      onStreamQuery: (query) => streams.answer(query),
+    };
+    this.#server = await peerCalls.servePeers(settings.peers, handler, peerServer);
     this.#socketsOpen = true;
     this.#tick();
   }
--- a/packages/gateway/src/peers/peerCalls.ts
+++ b/packages/gateway/src/peers/peerCalls.ts
@@ -1,8 +1,10 @@
 import * as http from "node:http";
+import * as stream from "node:stream";
 import * as messages from "@camphorcourse/protocol/gateway";
 import type * as serving from "@camphorcourse/serving";
 import * as connect from "@connectrpc/connect";
 import * as connectNode from "@connectrpc/connect-node";
+import type * as requestBodies from "../bodies/requestBodies.js";
 import type * as pathMonitors from "../paths/pathMonitor.js";
 import * as relayMessages from "../paths/relayMessage.js";
 import type * as settingsModule from "../settings.js";
@@ -12,7 +14,11 @@
 /** Largest message of a peer in bytes: the largest configuration, and the entries of hundreds of endpoints and daemons. */
 const MAX_MESSAGE_BYTES = 16_777_216;
 
+/** Time for the message of a call, in milliseconds; the caller waits for its answer less long. */
+const READ_TIMEOUT_MS = 2_000;
+
 const BAD_REQUEST = 400;
+const UNAVAILABLE = 503;
 
 /** Timeout for sending news to one peer, in milliseconds. */
 const SEND_TIMEOUT_MS = 800;
@@ -32,14 +38,25 @@
   onRelay(incoming: http.IncomingMessage, response: http.ServerResponse): void;
 }
 
+/** What the server for the calls of other daemons needs. */
+export interface PeerServerParts {
+  /** Reads the messages. */
+  readonly bodies: requestBodies.RequestBodies;
+}
+
 /**
  * Starts the server for the calls of other daemons.
  *
  * @param address - address to listen on
  * @param handler - handles the calls
+ * @param parts - what the server needs
  * @returns the server, once it listens
  */
-export function servePeers(address: settingsModule.SocketAddress, handler: PeerCallHandler): Promise<http.Server> {
+export function servePeers(
+  address: settingsModule.SocketAddress,
+  handler: PeerCallHandler,
+  { bodies }: PeerServerParts,
+): Promise<http.Server> {
   const handleRpc = connectNode.connectNodeAdapter({
     routes: (router) => {
       router.service(messages.GatewayPeer, {
@@ -55,7 +72,7 @@
   });
   const server = http.createServer((incoming, response) => {
     if (incoming.url === relayMessages.RELAY_PATH) handler.onRelay(incoming, response);
-    else handleCall(handleRpc, incoming, response);
+    else void handleCall(handleRpc, bodies, incoming, response);
   });
   return new Promise((resolve) => {
     server.listen({ host: address.host, port: address.port }, () => {
@@ -64,15 +81,27 @@
   });
 }
 
-/** The library throws for a request without a valid host, before it answers; uncaught, that would end the daemon. */
-function handleCall(
+/** The library keeps each part of a message by itself, so that it gets the message as a whole. */
+async function handleCall(
   handleRpc: http.RequestListener,
+  bodies: requestBodies.RequestBodies,
   incoming: http.IncomingMessage,
   response: http.ServerResponse,
-): void {
+): Promise<void> {
+  const deadlineAt = performance.now() + READ_TIMEOUT_MS;
+  const reader = bodies.read(incoming, { maxBytes: MAX_MESSAGE_BYTES, deadlineAt: () => deadlineAt });
+  response.once("close", () => reader.release());
+  const message = await reader.result;
+  if (message.isErr()) {
+    bodies.unread.refuse(response, UNAVAILABLE);
+    return;
+  }
+  const { headers, httpVersion, method, socket, url } = incoming;
+  const whole = Object.assign(stream.Readable.from([message.value]), { headers, httpVersion, method, socket, url });
   try {
-    handleRpc(incoming, response);
+    handleRpc(whole as unknown as http.IncomingMessage, response);
   } catch {
+    // The library throws for a request without a valid host, before it answers; uncaught, that would end the daemon.
     response.writeHead(BAD_REQUEST, { connection: "close" });
     response.end();
   }
--- a/packages/gateway/src/peers/peerLinkParts.ts
+++ b/packages/gateway/src/peers/peerLinkParts.ts
@@ -36,6 +36,8 @@
   readonly isLinkLost: () => boolean;
   /** Handles the calls of peers that don't reach an endpoint. */
   readonly pathCalls: Pick<peerCalls.PeerCallHandler, "onProbe" | "onRelay">;
+  /** What the server for the calls of peers needs. */
+  readonly peerServer: peerCalls.PeerServerParts;
   /** Keeps what began the streams of other daemons. */
   readonly streams: Pick<streamOrigins.StreamOrigins, "answer" | "merge" | "publishDue">;
   /** Called when a daemon of this data centre reports that it is cut off from endpoints. */
--- a/packages/gateway/tests/helpers/paths.ts
+++ b/packages/gateway/tests/helpers/paths.ts
@@ -1,3 +1,4 @@
+import * as requestBodies from "../../src/bodies/requestBodies.js";
 import * as serving from "@camphorcourse/serving";
 import * as decisionLogs from "../../src/decisionLog.js";
 import type * as endpointClients from "../../src/endpointClient.js";
@@ -32,5 +33,12 @@
   isCutOff: () => false,
   isLinkLost: () => false,
   pathCalls: { onProbe: () => Promise.resolve({ reached: false, refused: false }), onRelay: () => undefined },
+  peerServer: {
+    bodies: new requestBodies.RequestBodies({
+      limitBytes: 64_000_000,
+      otherBytes: () => 0,
+      onYielded: () => undefined,
+    }),
+  },
   onNeighbourCutOff: () => undefined,
 };
--- a/packages/gateway/tests/peerLink.test.ts
+++ b/packages/gateway/tests/peerLink.test.ts
@@ -95,6 +95,7 @@
         return Number(news.configurationRevision);
       },
     },
+    paths.REACHING_ALL.peerServer,
   );
 
   const view = new fleetViews.FleetView();
