Bound connections and requests at the ports for daemons, addresses, readiness and metrics

What callers saw: connections to these ports that only stay took all descriptors of the process, and requests for metrics whose answers nobody reads took a daemon on a VM of 200 MB to 252 MB. Cause: these servers had the bounds of callers' connections no more than callers' had: none, on connections, on requests that wait on one, on lines of a head; a body that nobody asked for was read without end. Change: each has a ConnectionGuard with its part of the descriptors (an eighth for daemons, a sixteenth for addresses, a sixty-fourth each for readiness and metrics; at least four) and the bound on requests; 16 KB, 200 lines and 3 s for a head; a request with a body is answered and closed. Idle connections give way to new ones, so that the platform's readiness check and callers' questions get through.

--- a/packages/gateway/src/callerListener.ts
+++ b/packages/gateway/src/callerListener.ts
@@ -9,15 +9,13 @@
 import * as callerRequests from "./callerRequest.js";
 import * as accessGates from "./callers/accessGate.js";
 import * as connectionGuards from "./connections/connectionGuard.js";
+import * as serverOptions from "./connections/serverOptions.js";
 import type * as contexts from "./context.js";
 import * as exchanges from "./exchange.js";
 import * as pendingReads from "./pendingReads.js";
 import type * as settingsModule from "./settings.js";
 import * as firstSightings from "./statements/firstSightings.js";
 
-/** Lines that a head may have. Each costs two strings while the head is unfinished, however short it is. */
-const MAX_HEADER_LINES = 200;
-
 /** Error code of the HTTP parser for a head that exceeds its limit. */
 const HEADERS_TOO_LARGE_CODE = "HPE_HEADER_OVERFLOW";
 
@@ -105,8 +103,7 @@
       insecureHTTPParser: false,
       joinDuplicateHeaders: false,
     });
-    // One more, as the server leaves out what exceeds this without a word.
-    this.#server.maxHeadersCount = MAX_HEADER_LINES + 1;
+    serverOptions.limitHeads(this.#server);
     this.#guard.attach(this.#server);
     this.#server.on("connection", (socket: stream.Duplex) => {
       this.#connections.add(socket);
@@ -281,7 +278,7 @@
     const read = callerRequests.readCallerRequest(
       incoming,
       format,
-      { bytes: limits.headerBytes, lines: MAX_HEADER_LINES },
+      { bytes: limits.headerBytes, lines: serverOptions.MAX_HEADER_LINES },
       now,
     );
     if (read.isErr()) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -48,6 +48,7 @@
 /** One daemon: accepts callers' requests, follows the state of the fleet, and forwards the requests to endpoints. */
 export class Gateway {
   readonly #settings: settingsModule.GatewaySettings;
+  readonly #bounds: serving.ServerBounds;
   readonly #log: decisionLogs.DecisionLog;
   readonly #metrics = new metricsModule.Metrics();
   readonly #view = new fleetViews.FleetView();
@@ -121,7 +122,7 @@
       onReachedByPeer: (endpointId) => this.#context.health.forgive(endpointId),
     });
     const { monitor } = this.#reachability;
-    const bounds = serving.serverBounds({
+    this.#bounds = serving.serverBounds({
       memoryBytes: settings.vmMemoryBytes ?? memoryGuards.DEFAULT_MEMORY_BYTES,
       heapBytes: v8.getHeapStatistics().heap_size_limit,
       maxDescriptors: settings.maxDescriptors ?? DEFAULT_MAX_DESCRIPTORS,
@@ -131,7 +132,7 @@
       isLoopLagging,
       statements,
       this.#reachability,
-      bounds.maxOutgoing,
+      this.#bounds.maxOutgoing,
     );
     const protection = new crashProtections.CrashProtection({
       store: stores.suspects,
@@ -203,7 +204,7 @@
       lateMs: () => this.#loop.lateMs,
       senders: () => this.#peers.senders.length,
     });
-    this.#listener = new callerListeners.CallerListener(this.#context, bounds.callers);
+    this.#listener = new callerListeners.CallerListener(this.#context, this.#bounds.callers);
     this.#follower = new storeFollowers.StoreFollower({
       store: stores.follower,
       layout: dependencies.layout,
@@ -237,7 +238,7 @@
         onProbe: (endpointId) => relayServer.probe(endpointId),
         onRelay: (incoming, response) => void relayServer.handle(incoming, response),
       },
-      peerServer: { bodies: this.#context.memory.bodies },
+      peerServer: { bodies: this.#context.memory.bodies, bounds: this.#bounds.peers },
       onNeighbourCutOff: () => this.#reachability.monitor.checkOwnLink(),
       storeSilentMs: () => this.#follower.silentMs,
       dutyLeaseMs: () => this.#duties.leaseMs,
@@ -352,13 +353,13 @@
    * Starts an additional HTTP server beside the callers' one, such as for readiness, addresses or metrics.
    *
    * @param handlers - what answers each path
-   * @param address - where to listen
+   * @param server - which server it is
    */
   async serve(
     handlers: Readonly<Record<string, sideServers.SideHandler>>,
-    address: settingsModule.SocketAddress,
+    server: sideServers.SideServer,
   ): Promise<void> {
-    this.#servers.push(await sideServers.listen(handlers, address));
+    this.#servers.push(await sideServers.listen(handlers, this.#settings[server], this.#bounds[server]));
   }
 
   /**
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -15,6 +15,7 @@
 export * as connectors from "./paths/connector.js";
 export * from "./ports.js";
 export * from "./settings.js";
+export { SideServer } from "./sideServers.js";
 export type { SideAnswer, SideHandler } from "./sideServers.js";
 export * from "./storeFollower.js";
 export * as suspectCodec from "./suspects/suspectCodec.js";
--- a/packages/gateway/src/peers/peerCalls.ts
+++ b/packages/gateway/src/peers/peerCalls.ts
@@ -1,10 +1,13 @@
 import * as http from "node:http";
 import * as stream from "node:stream";
 import * as messages from "@camphorcourse/protocol/gateway";
+import type * as common from "@camphorcourse/common";
 import type * as serving from "@camphorcourse/serving";
 import * as connect from "@connectrpc/connect";
 import * as connectNode from "@connectrpc/connect-node";
 import type * as requestBodies from "../bodies/requestBodies.js";
+import * as connectionGuards from "../connections/connectionGuard.js";
+import * as serverOptions from "../connections/serverOptions.js";
 import type * as pathMonitors from "../paths/pathMonitor.js";
 import * as relayMessages from "../paths/relayMessage.js";
 import type * as settingsModule from "../settings.js";
@@ -42,6 +45,8 @@
 export interface PeerServerParts {
   /** Reads the messages. */
   readonly bodies: requestBodies.RequestBodies;
+  /** Bounds of its connections and requests. */
+  readonly bounds: common.ConnectionBounds;
 }
 
 /**
@@ -55,7 +60,7 @@
 export function servePeers(
   address: settingsModule.SocketAddress,
   handler: PeerCallHandler,
-  { bodies }: PeerServerParts,
+  { bodies, bounds }: PeerServerParts,
 ): Promise<http.Server> {
   const handleRpc = connectNode.connectNodeAdapter({
     routes: (router) => {
@@ -70,10 +75,20 @@
     },
     readMaxBytes: MAX_MESSAGE_BYTES,
   });
-  const server = http.createServer((incoming, response) => {
+  const guard = new connectionGuards.ConnectionGuard({ bounds, close: (socket) => socket.destroy() });
+  const server = http.createServer(serverOptions.OPTIONS, (incoming, response) => {
+    const request = guard.begin(response);
+    if (request === undefined) return;
+    if (request.isRejected) {
+      bodies.unread.refuse(response, UNAVAILABLE);
+      return;
+    }
+    incoming.once("end", () => request.noteRunning());
     if (incoming.url === relayMessages.RELAY_PATH) handler.onRelay(incoming, response);
     else void handleCall(handleRpc, bodies, incoming, response);
   });
+  serverOptions.limitHeads(server);
+  guard.attach(server);
   return new Promise((resolve) => {
     server.listen({ host: address.host, port: address.port }, () => {
       resolve(server);
--- a/packages/gateway/src/sideServers.ts
+++ b/packages/gateway/src/sideServers.ts
@@ -1,6 +1,17 @@
 import * as http from "node:http";
+import type * as common from "@camphorcourse/common";
+import * as unreadBodies from "./bodies/unreadBodies.js";
+import * as connectionGuards from "./connections/connectionGuard.js";
+import * as serverOptions from "./connections/serverOptions.js";
 import type * as settingsModule from "./settings.js";
 
+/** A server beside the callers' one, by the name of its address in the settings. */
+export enum SideServer {
+  Addresses = "addresses",
+  Readiness = "readiness",
+  Metrics = "metrics",
+}
+
 /** Answer of a side server. */
 export interface SideAnswer {
   /** HTTP status; 200 if absent. */
@@ -19,6 +30,9 @@
 const HTTP_OK = 200;
 const NOT_FOUND = 404;
 const INTERNAL_ERROR = 500;
+const UNAVAILABLE = 503;
+
+const REJECTED: SideAnswer = { status: UNAVAILABLE, body: "too many requests\n" };
 
 /**
  * Starts an HTTP server beside the callers' one that answers GET requests for a few paths. It does without a web framework:
@@ -26,20 +40,34 @@
  *
  * @param handlers - what answers each path
  * @param address - where to listen
+ * @param bounds - bounds of its connections and requests
  * @returns the server, once it is listening
  */
 export function listen(
   handlers: Readonly<Record<string, SideHandler>>,
   address: settingsModule.SocketAddress,
+  bounds: common.ConnectionBounds,
 ): Promise<http.Server> {
-  const server = http.createServer((request, response) => {
-    const { status, body, contentType } = answerOf(handlers, request);
+  const guard = new connectionGuards.ConnectionGuard({ bounds, close: (socket) => socket.destroy() });
+  const unread = new unreadBodies.UnreadBodies();
+  const server = http.createServer(serverOptions.OPTIONS, (request, response) => {
+    const guarded = guard.begin(response);
+    if (guarded === undefined) return;
+    const { status, body, contentType } = guarded.isRejected ? REJECTED : answerOf(handlers, request);
+    const hasBody =
+      request.headers["content-length"] !== undefined || request.headers["transfer-encoding"] !== undefined;
     response.writeHead(status ?? HTTP_OK, {
       "content-type": contentType ?? "text/plain; charset=UTF-8",
       "content-length": Buffer.byteLength(body),
+      ...(hasBody ? { connection: "close" } : {}),
     });
-    response.end(body);
+    if (hasBody) {
+      response.write(body);
+      unread.linger(response);
+    } else response.end(body);
   });
+  serverOptions.limitHeads(server);
+  guard.attach(server);
   return new Promise((resolve, reject) => {
     server.once("error", reject);
     server.listen(address.port, address.host, () => {
--- a/packages/gateway/tests/helpers/paths.ts
+++ b/packages/gateway/tests/helpers/paths.ts
@@ -39,6 +39,7 @@
       otherBytes: () => 0,
       onYielded: () => undefined,
     }),
+    bounds: { maxConnections: 1_000, maxRequests: 1_000 },
   },
   onNeighbourCutOff: () => undefined,
 };
--- a/packages/gateway/tests/sideServers.test.ts
+++ b/packages/gateway/tests/sideServers.test.ts
@@ -5,6 +5,8 @@
 
 const suite = uvu.suite("HTTP servers beside the callers' one");
 
+const BOUNDS = { maxConnections: 10, maxRequests: 10 };
+
 const handlers = {
   "/state": () => ({ status: 503, body: "not ready" }),
   "/named": (query: URLSearchParams) => ({ body: query.get("name") ?? "", contentType: "application/json" }),
@@ -14,7 +16,7 @@
 };
 
 suite("they answer the paths that they know, and no others", async () => {
-  const server = await sideServers.listen(handlers, { host: "127.0.0.1", port: 0 });
+  const server = await sideServers.listen(handlers, { host: "127.0.0.1", port: 0 }, BOUNDS);
   const { port } = server.address() as net.AddressInfo;
   const get = (target: string, method = "GET"): Promise<Response> =>
     fetch(`http://127.0.0.1:${port}${target}`, { method });
@@ -37,7 +39,7 @@
 
 // Guards against a fault in a handler that ends the daemon with all its callers.
 suite("a fault in a handler fails its request only", async () => {
-  const server = await sideServers.listen(handlers, { host: "127.0.0.1", port: 0 });
+  const server = await sideServers.listen(handlers, { host: "127.0.0.1", port: 0 }, BOUNDS);
   const { port } = server.address() as net.AddressInfo;
   try {
     assert.is((await fetch(`http://127.0.0.1:${port}/broken`)).status, 500);
@@ -49,10 +51,10 @@
 
 // Guards against a daemon that starts although one of its addresses is taken.
 suite("an address that is taken is reported", async () => {
-  const server = await sideServers.listen(handlers, { host: "127.0.0.1", port: 0 });
+  const server = await sideServers.listen(handlers, { host: "127.0.0.1", port: 0 }, BOUNDS);
   const { port } = server.address() as net.AddressInfo;
   try {
-    await sideServers.listen(handlers, { host: "127.0.0.1", port });
+    await sideServers.listen(handlers, { host: "127.0.0.1", port }, BOUNDS);
     assert.unreachable("the address was taken");
   } catch (error) {
     assert.is((error as NodeJS.ErrnoException).code, "EADDRINUSE");
--- a/packages/serving/src/connections/serverBounds.ts
+++ b/packages/serving/src/connections/serverBounds.ts
@@ -4,8 +4,15 @@
 const FILE_DESCRIPTORS = 200;
 const OTHER_DESCRIPTORS = 32;
 
-/** Shares of the remaining descriptors for callers' connections, and for those to endpoints. */
-const SHARES = { callers: 7 / 16, outgoing: 5 / 16 };
+/** Shares of the remaining descriptors for connections to endpoints, and for the clients of each server. */
+const SHARES = {
+  outgoing: 5 / 16,
+  callers: 7 / 16,
+  peers: 1 / 8,
+  addresses: 1 / 16,
+  readiness: 1 / 64,
+  metrics: 1 / 64,
+};
 
 /** Fewest connections that a server takes, however few descriptors there are. */
 const MIN_CONNECTIONS = 4;
@@ -22,11 +29,18 @@
 /** Shares of the VM's memory and of the heap that open requests may take. */
 const REQUEST_SHARES = { memory: 1 / 10, heap: 1 / 4 };
 
+/** Requests at the same time for addresses, readiness or metrics, which are answered at once. */
+const MAX_SIDE_REQUESTS = 256;
+
 /** Bounds of a daemon's servers, and of its own connections. */
 export interface ServerBounds {
   /** Connections to endpoints. */
   readonly maxOutgoing: number;
   readonly callers: common.ConnectionBounds;
+  readonly peers: common.ConnectionBounds;
+  readonly addresses: common.ConnectionBounds;
+  readonly readiness: common.ConnectionBounds;
+  readonly metrics: common.ConnectionBounds;
 }
 
 /** What a process may take of its VM. */
@@ -52,8 +66,16 @@
   const connections = (share: number): number => Math.max(MIN_CONNECTIONS, Math.floor(sockets * share));
   const requestBytes = Math.min(memoryBytes * REQUEST_SHARES.memory, heapBytes * REQUEST_SHARES.heap);
   const maxRequests = Math.floor(requestBytes / REQUEST_HEAP_BYTES);
+  const sideBounds = (share: number): common.ConnectionBounds => ({
+    maxConnections: connections(share),
+    maxRequests: MAX_SIDE_REQUESTS,
+  });
   return {
     maxOutgoing: connections(SHARES.outgoing),
     callers: { maxConnections: Math.min(maxHeads, connections(SHARES.callers)), maxRequests },
+    peers: { maxConnections: connections(SHARES.peers), maxRequests },
+    addresses: sideBounds(SHARES.addresses),
+    readiness: sideBounds(SHARES.readiness),
+    metrics: sideBounds(SHARES.metrics),
   };
 }
--- a/packages/serving/tests/serverBounds.test.ts
+++ b/packages/serving/tests/serverBounds.test.ts
@@ -15,6 +15,12 @@
   assert.is(serving.serverBounds(SMALL_VM).maxOutgoing, 1_208);
 });
 
+suite("all servers and the connections to endpoints together take no more than there are", () => {
+  const { maxOutgoing, ...servers } = serving.serverBounds(SMALL_VM);
+  const connections = Object.values(servers).reduce((sum, { maxConnections }) => sum + maxConnections, maxOutgoing);
+  assert.ok(connections <= SMALL_VM.maxDescriptors - 232);
+});
+
 suite("where there are many descriptors, unfinished heads on all connections fit into half of the heap", () => {
   const { callers } = serving.serverBounds({ ...SMALL_VM, maxDescriptors: 100_000 });
   assert.is(callers.maxConnections, 2_560);
