Move what bounds HTTP servers to common, for both daemons

Cause: the product's own daemon has the same faults as the platform's, and doesn't depend on the gateway. Change: the readers of bodies, of what refused clients still send, the guard of connections and the options of servers are @camphorcourse/common/http; no behaviour changes.

--- a/packages/gateway/src/bodies/bodyReader.ts
+++ b/packages/common/src/http/bodyReader.ts
@@ -1,6 +1,6 @@
 import type * as http from "node:http";
-import * as common from "@camphorcourse/common";
 import * as neverthrow from "neverthrow";
+import * as bodyBuffers from "../bodyBuffer.js";
 
 /** Why a body isn't read to its end. */
 export enum BodyFault {
@@ -52,7 +52,7 @@
   readonly #options: BodyOptions;
   readonly #room: BodyRoom;
   readonly #statedBytes: number | undefined;
-  #body: common.BodyBuffer;
+  #body: bodyBuffers.BodyBuffer;
   #reservedBytes = 0;
   #length = 0;
   #settle: ((result: neverthrow.Result<Buffer, BodyFault>) => void) | undefined;
@@ -70,7 +70,7 @@
     this.#room = room;
     const stated = incoming.headers["content-length"];
     this.#statedBytes = stated === undefined ? undefined : Number(stated);
-    this.#body = new common.BodyBuffer(this.#statedBytes);
+    this.#body = new bodyBuffers.BodyBuffer(this.#statedBytes);
     this.result = new Promise((resolve) => {
       this.#settle = resolve;
     });
@@ -113,7 +113,7 @@
    */
   giveUp(fault: BodyFault): void {
     if (this.#settle === undefined) return;
-    this.#body = new common.BodyBuffer(undefined);
+    this.#body = new bodyBuffers.BodyBuffer(undefined);
     this.release();
     this.#end(neverthrow.err(fault));
   }
--- a/packages/gateway/src/connections/connectionGuard.ts
+++ b/packages/common/src/http/connectionGuard.ts
@@ -1,6 +1,6 @@
 import type * as http from "node:http";
 import type * as net from "node:net";
-import * as common from "@camphorcourse/common";
+import * as connectionLimits from "../connectionLimit.js";
 
 /**
  * Requests on one connection from which on nothing more is read of it until earlier ones are answered. A client may send a few
@@ -10,7 +10,7 @@
 
 /** What a server does with connections and requests beyond its bounds. */
 export interface ConnectionGuardParts {
-  readonly bounds: common.ConnectionBounds;
+  readonly bounds: connectionLimits.ConnectionBounds;
   /**
    * Closes a connection for others.
    *
@@ -40,14 +40,14 @@
 /** Bounds the connections of an HTTP server, and the requests that wait on them. */
 export class ConnectionGuard {
   readonly #parts: ConnectionGuardParts;
-  readonly #limit: common.ConnectionLimit<net.Socket>;
+  readonly #limit: connectionLimits.ConnectionLimit<net.Socket>;
   readonly #connections = new Map<net.Socket, GuardedConnection>();
   #isSuspended = false;
 
   /** @param parts - bounds, and what happens beyond them */
   constructor(parts: ConnectionGuardParts) {
     this.#parts = parts;
-    this.#limit = new common.ConnectionLimit(parts.bounds);
+    this.#limit = new connectionLimits.ConnectionLimit(parts.bounds);
   }
 
   /** @returns number of open connections */
--- a/packages/gateway/src/bodies/requestBodies.ts
+++ b/packages/common/src/http/requestBodies.ts
@@ -1,5 +1,5 @@
 import type * as http from "node:http";
-import * as common from "@camphorcourse/common";
+import * as bodyMemories from "../bodyMemory.js";
 import * as bodyReaders from "./bodyReader.js";
 import * as unreadBodies from "./unreadBodies.js";
 
@@ -21,14 +21,14 @@
   /** Reads on what senders still send after they have been refused. */
   readonly unread = new unreadBodies.UnreadBodies();
   readonly #parts: RequestBodiesParts;
-  readonly #memory: common.BodyMemory<bodyReaders.BodyReader>;
+  readonly #memory: bodyMemories.BodyMemory<bodyReaders.BodyReader>;
   readonly #unfinished = new Set<bodyReaders.BodyReader>();
   #timer: NodeJS.Timeout | undefined;
 
   /** @param parts - dependencies */
   constructor(parts: RequestBodiesParts) {
     this.#parts = parts;
-    this.#memory = new common.BodyMemory(parts.limitBytes);
+    this.#memory = new bodyMemories.BodyMemory(parts.limitBytes);
   }
 
   /** @returns bytes that are reserved for all bodies */
@@ -81,7 +81,7 @@
     this.#schedule();
   }
 
-  #reserve(holding: common.BodyHolding<bodyReaders.BodyReader>, bytes: number): boolean {
+  #reserve(holding: bodyMemories.BodyHolding<bodyReaders.BodyReader>, bytes: number): boolean {
     const yielding = this.#memory.reserve(holding, bytes, performance.now(), this.#parts.otherBytes());
     for (const reader of yielding ?? []) {
       this.#parts.onYielded();
--- a/packages/gateway/src/callerAnswer.ts
+++ b/packages/gateway/src/callerAnswer.ts
@@ -1,7 +1,7 @@
 import type * as http from "node:http";
 import * as net from "node:net";
+import type * as httpServers from "@camphorcourse/common/http";
 import type * as serving from "@camphorcourse/serving";
-import type * as unreadBodies from "./bodies/unreadBodies.js";
 import * as sendings from "./sending.js";
 
 /** Headers that are not forwarded: the hop-by-hop ones, and those that are set anew here. */
@@ -33,7 +33,7 @@
 /** The answer to one caller; it is ended once. */
 export class CallerAnswer {
   readonly #response: http.ServerResponse;
-  readonly #unread: unreadBodies.UnreadBodies | undefined;
+  readonly #unread: httpServers.UnreadBodies | undefined;
   readonly #closesConnection: () => boolean;
   #state = AnswerState.Open;
 
@@ -42,7 +42,7 @@
    * @param closesConnection - whether the connection is to be closed after the answer
    * @param unread - reads on what the caller still sends after an error answer; undefined if it sends nothing
    */
-  constructor(response: http.ServerResponse, closesConnection: () => boolean, unread?: unreadBodies.UnreadBodies) {
+  constructor(response: http.ServerResponse, closesConnection: () => boolean, unread?: httpServers.UnreadBodies) {
     this.#response = response;
     this.#unread = unread;
     this.#closesConnection = closesConnection;
--- a/packages/gateway/src/callerListener.ts
+++ b/packages/gateway/src/callerListener.ts
@@ -1,15 +1,13 @@
 import * as http from "node:http";
 import * as net from "node:net";
 import type * as stream from "node:stream";
+import * as httpServers from "@camphorcourse/common/http";
 import type * as common from "@camphorcourse/common";
 import * as serving from "@camphorcourse/serving";
 import * as acceptDelayEstimators from "./acceptDelayEstimator.js";
-import * as bodyReaders from "./bodies/bodyReader.js";
 import * as callerAnswers from "./callerAnswer.js";
 import * as callerRequests from "./callerRequest.js";
 import * as accessGates from "./callers/accessGate.js";
-import * as connectionGuards from "./connections/connectionGuard.js";
-import * as serverOptions from "./connections/serverOptions.js";
 import type * as contexts from "./context.js";
 import * as exchanges from "./exchange.js";
 import * as pendingReads from "./pendingReads.js";
@@ -64,7 +62,7 @@
   readonly #context: contexts.ServingContext;
   readonly #accessGate: accessGates.AccessGate;
   readonly #server: http.Server;
-  readonly #guard: connectionGuards.ConnectionGuard;
+  readonly #guard: httpServers.ConnectionGuard;
   /** Accepted requests that have no final answer yet. */
   readonly #unanswered = new Set<exchanges.Exchange>();
   /** Answers to requests whose body is still being read. */
@@ -91,7 +89,7 @@
    */
   constructor(context: contexts.ServingContext, bounds: common.ConnectionBounds) {
     this.#context = context;
-    this.#guard = new connectionGuards.ConnectionGuard({ bounds, close: (socket) => this.#closeForOthers(socket) });
+    this.#guard = new httpServers.ConnectionGuard({ bounds, close: (socket) => this.#closeForOthers(socket) });
     this.#accessGate = new accessGates.AccessGate(context);
     this.#server = http.createServer({
       maxHeaderSize: DEFAULT_LIMITS.headerBytes,
@@ -103,7 +101,7 @@
       insecureHTTPParser: false,
       joinDuplicateHeaders: false,
     });
-    serverOptions.limitHeads(this.#server);
+    httpServers.limitHeaderLines(this.#server);
     this.#guard.attach(this.#server);
     this.#server.on("connection", (socket: stream.Duplex) => {
       this.#connections.add(socket);
@@ -278,7 +276,7 @@
     const read = callerRequests.readCallerRequest(
       incoming,
       format,
-      { bytes: limits.headerBytes, lines: serverOptions.MAX_HEADER_LINES },
+      { bytes: limits.headerBytes, lines: httpServers.MAX_HEADER_LINES },
       now,
     );
     if (read.isErr()) {
@@ -336,7 +334,7 @@
     incoming: http.IncomingMessage,
     response: http.ServerResponse,
     maxBytes: number,
-  ): bodyReaders.BodyReader {
+  ): httpServers.BodyReader {
     const { memory } = this.#context;
     const { socket } = incoming;
     let heldBytes = 0;
@@ -365,17 +363,17 @@
   #refuseUnread(
     { headers }: callerRequests.CallerRequest,
     answer: callerAnswers.CallerAnswer,
-    fault: bodyReaders.BodyFault,
+    fault: httpServers.BodyFault,
     requiredBytes: number,
   ): void {
     const { format, log, memory, metrics } = this.#context;
     const { requestId: id } = headers;
-    if (fault === bodyReaders.BodyFault.Disconnected) {
+    if (fault === httpServers.BodyFault.Disconnected) {
       log.info("caller-left", { id, detail: "before its request was read" });
-    } else if (fault === bodyReaders.BodyFault.TooLarge) {
+    } else if (fault === httpServers.BodyFault.TooLarge) {
       log.info("body-too-large", { id, requiredBytes });
       answer.refuse(serving.FailureStatus.PayloadTooLarge, "the request body exceeds the size limit", CLOSE_HEADERS);
-    } else if (fault === bodyReaders.BodyFault.TooLate) {
+    } else if (fault === httpServers.BodyFault.TooLate) {
       metrics.count("bodies_overdue");
       log.info("body-overdue", { id, requiredBytes });
       const detail = "the request body did not arrive within the request's time";
--- a/packages/gateway/src/memory/memoryGuard.ts
+++ b/packages/gateway/src/memory/memoryGuard.ts
@@ -1,6 +1,6 @@
 import type * as net from "node:net";
+import * as httpServers from "@camphorcourse/common/http";
 import * as serving from "@camphorcourse/serving";
-import * as requestBodies from "../bodies/requestBodies.js";
 import type * as decisionLogs from "../decisionLog.js";
 import type * as metricsModule from "../metrics.js";
 
@@ -27,7 +27,7 @@
 export class MemoryGuard {
   readonly #parts: MemoryGuardParts;
   /** Bodies of requests, of callers and of peers. */
-  readonly bodies: requestBodies.RequestBodies;
+  readonly bodies: httpServers.RequestBodies;
   readonly #held: serving.HeldBytes<net.Socket> | undefined;
   readonly #connections = new Set<net.Socket>();
   /** Id of the last request of each connection, for the log. */
@@ -38,7 +38,7 @@
   constructor(parts: MemoryGuardParts) {
     this.#parts = parts;
     if (parts.memoryBytes !== undefined) this.#held = new serving.HeldBytes(parts.memoryBytes);
-    this.bodies = new requestBodies.RequestBodies({
+    this.bodies = new httpServers.RequestBodies({
       limitBytes: serving.heldBytesLimit(parts.memoryBytes ?? parts.vmMemoryBytes ?? DEFAULT_MEMORY_BYTES),
       otherBytes: () => this.#held?.answerBytes ?? 0,
       onYielded: () => parts.metrics.count("bodies_given_up_for_memory"),
--- a/packages/gateway/src/paths/relayServer.ts
+++ b/packages/gateway/src/paths/relayServer.ts
@@ -1,9 +1,9 @@
 import type * as http from "node:http";
+import type * as httpServers from "@camphorcourse/common/http";
 import * as protobuf from "@bufbuild/protobuf";
 import * as messages from "@camphorcourse/protocol/gateway";
 import * as serving from "@camphorcourse/serving";
 import * as neverthrow from "neverthrow";
-import type * as requestBodies from "../bodies/requestBodies.js";
 import type * as decisionLogs from "../decisionLog.js";
 import type * as endpointClients from "../endpointClient.js";
 import * as endpointIncarnations from "../endpointIncarnation.js";
@@ -50,7 +50,7 @@
 export interface RelayServerParts {
   readonly log: decisionLogs.DecisionLog;
   /** Reads messages within the memory for the bodies of all requests. */
-  readonly bodies: requestBodies.RequestBodies;
+  readonly bodies: httpServers.RequestBodies;
   readonly view: fleetViews.FleetView;
   readonly client: endpointClients.EndpointClient;
   readonly monitor: pathMonitors.PathMonitor;
--- a/packages/gateway/src/peers/peerCalls.ts
+++ b/packages/gateway/src/peers/peerCalls.ts
@@ -1,13 +1,11 @@
 import * as http from "node:http";
 import * as stream from "node:stream";
+import * as httpServers from "@camphorcourse/common/http";
 import * as messages from "@camphorcourse/protocol/gateway";
 import type * as common from "@camphorcourse/common";
 import type * as serving from "@camphorcourse/serving";
 import * as connect from "@connectrpc/connect";
 import * as connectNode from "@connectrpc/connect-node";
-import type * as requestBodies from "../bodies/requestBodies.js";
-import * as connectionGuards from "../connections/connectionGuard.js";
-import * as serverOptions from "../connections/serverOptions.js";
 import type * as pathMonitors from "../paths/pathMonitor.js";
 import * as relayMessages from "../paths/relayMessage.js";
 import type * as settingsModule from "../settings.js";
@@ -44,7 +42,7 @@
 /** What the server for the calls of other daemons needs. */
 export interface PeerServerParts {
   /** Reads the messages. */
-  readonly bodies: requestBodies.RequestBodies;
+  readonly bodies: httpServers.RequestBodies;
   /** Bounds of its connections and requests. */
   readonly bounds: common.ConnectionBounds;
 }
@@ -75,8 +73,8 @@
     },
     readMaxBytes: MAX_MESSAGE_BYTES,
   });
-  const guard = new connectionGuards.ConnectionGuard({ bounds, close: (socket) => socket.destroy() });
-  const server = http.createServer(serverOptions.OPTIONS, (incoming, response) => {
+  const guard = new httpServers.ConnectionGuard({ bounds, close: (socket) => socket.destroy() });
+  const server = http.createServer(httpServers.SERVER_OPTIONS, (incoming, response) => {
     const request = guard.begin(response);
     if (request === undefined) return;
     if (request.isRejected) {
@@ -87,7 +85,7 @@
     if (incoming.url === relayMessages.RELAY_PATH) handler.onRelay(incoming, response);
     else void handleCall(handleRpc, bodies, incoming, response);
   });
-  serverOptions.limitHeads(server);
+  httpServers.limitHeaderLines(server);
   guard.attach(server);
   return new Promise((resolve) => {
     server.listen({ host: address.host, port: address.port }, () => {
@@ -99,7 +97,7 @@
 /** The library keeps each part of a message by itself, so that it gets the message as a whole. */
 async function handleCall(
   handleRpc: http.RequestListener,
-  bodies: requestBodies.RequestBodies,
+  bodies: httpServers.RequestBodies,
   incoming: http.IncomingMessage,
   response: http.ServerResponse,
 ): Promise<void> {
--- a/packages/gateway/src/sideServers.ts
+++ b/packages/gateway/src/sideServers.ts
@@ -1,8 +1,6 @@
 import * as http from "node:http";
+import * as httpServers from "@camphorcourse/common/http";
 import type * as common from "@camphorcourse/common";
-import * as unreadBodies from "./bodies/unreadBodies.js";
-import * as connectionGuards from "./connections/connectionGuard.js";
-import * as serverOptions from "./connections/serverOptions.js";
 import type * as settingsModule from "./settings.js";
 
 /** A server beside the callers' one, by the name of its address in the settings. */
@@ -48,9 +46,9 @@
   address: settingsModule.SocketAddress,
   bounds: common.ConnectionBounds,
 ): Promise<http.Server> {
-  const guard = new connectionGuards.ConnectionGuard({ bounds, close: (socket) => socket.destroy() });
-  const unread = new unreadBodies.UnreadBodies();
-  const server = http.createServer(serverOptions.OPTIONS, (request, response) => {
+  const guard = new httpServers.ConnectionGuard({ bounds, close: (socket) => socket.destroy() });
+  const unread = new httpServers.UnreadBodies();
+  const server = http.createServer(httpServers.SERVER_OPTIONS, (request, response) => {
     const guarded = guard.begin(response);
     if (guarded === undefined) return;
     const { status, body, contentType } = guarded.isRejected ? REJECTED : answerOf(handlers, request);
@@ -66,7 +64,7 @@
       unread.linger(response);
     } else response.end(body);
   });
-  serverOptions.limitHeads(server);
+  httpServers.limitHeaderLines(server);
   guard.attach(server);
   return new Promise((resolve, reject) => {
     server.once("error", reject);
--- a/packages/gateway/tests/helpers/paths.ts
+++ b/packages/gateway/tests/helpers/paths.ts
@@ -1,4 +1,4 @@
-import * as requestBodies from "../../src/bodies/requestBodies.js";
+import * as httpServers from "@camphorcourse/common/http";
 import * as serving from "@camphorcourse/serving";
 import * as decisionLogs from "../../src/decisionLog.js";
 import type * as endpointClients from "../../src/endpointClient.js";
@@ -34,7 +34,7 @@
   isLinkLost: () => false,
   pathCalls: { onProbe: () => Promise.resolve({ reached: false, refused: false }), onRelay: () => undefined },
   peerServer: {
-    bodies: new requestBodies.RequestBodies({
+    bodies: new httpServers.RequestBodies({
       limitBytes: 64_000_000,
       otherBytes: () => 0,
       onYielded: () => undefined,
--- a/packages/gateway/tests/relayServer.test.ts
+++ b/packages/gateway/tests/relayServer.test.ts
@@ -1,11 +1,11 @@
 import * as http from "node:http";
 import type * as net from "node:net";
+import * as httpServers from "@camphorcourse/common/http";
 import * as protobuf from "@bufbuild/protobuf";
 import * as messages from "@camphorcourse/protocol/gateway";
 import * as serving from "@camphorcourse/serving";
 import * as uvu from "uvu";
 import * as assert from "uvu/assert";
-import * as requestBodies from "../src/bodies/requestBodies.js";
 import * as decisionLogs from "../src/decisionLog.js";
 import * as fleetViews from "../src/fleetView.js";
 import * as relayMessages from "../src/paths/relayMessage.js";
@@ -29,7 +29,7 @@
   view.directory.put(endpoint, 1);
   const relayServer = new relayServers.RelayServer({
     log: new decisionLogs.DecisionLog("vm-1", "info", { writableLength: 0, write: () => true }),
-    bodies: new requestBodies.RequestBodies({
+    bodies: new httpServers.RequestBodies({
       limitBytes: 1_000_000,
       otherBytes: () => 0,
       onYielded: () => undefined,
