Review: streams that a crash cut off end as complete

A daemon that stood still for 3.5 s while a runner crashed and came back takes the runner's unframed streams for whole: it decides by whether the runner accepts connections (endpointCrashDetector.ts, mayHaveCrashed), and the next incarnation does. The callers get 43 of 120 events and the end.

--- a/review/support-2/daemon.mjs
+++ b/review/support-2/daemon.mjs
@@ -29,7 +29,18 @@
 }
 
 /** A settings file as DEPLOY.md lists it, with the figures of the site leoben-mv. */
-export function settingsOf({ vm, zone, zones, ports, peerPort, storeAddress, seeds, contracts, bounds = {} }) {
+export function settingsOf({
+  vm,
+  zone,
+  zones,
+  ports,
+  peerPort,
+  storeAddress,
+  seeds,
+  contracts,
+  memoryMb = 350,
+  bounds = {},
+}) {
   const [front, ready, directory] = ports;
   const at = (port) => `127.0.0.1:${port}`;
   return {
@@ -46,7 +57,7 @@
     seeds: seeds ?? [],
     bootstrap: true,
     "in-tolerance": false,
-    limits: { "cpu-share": 0.675, cores: 1, "memory-mb": 350, "max-fds": 4100, "link-mbps": 1000, "disk-mb": 0 },
+    limits: { "cpu-share": 0.675, cores: 1, "memory-mb": memoryMb, "max-fds": 4100, "link-mbps": 1000, "disk-mb": 0 },
     "data-dir": null,
     discovery: "platform",
     entry: "directory",
--- a/review/support-2/runner.mjs
+++ b/review/support-2/runner.mjs
@@ -10,8 +10,11 @@
   /** Ids of the requests that it began to run, with the instant in milliseconds. */
   runs = [];
   crashes = 0;
+  /** Version of its software. */
+  version = "1";
   /** @returns whether a request crashes the runner as it begins to run it */
   isCrashing = () => false;
+  isLeaving = false;
   #connections = new Set();
   #server;
   #port = 0;
@@ -49,17 +52,30 @@
     for (const connection of this.#connections) connection.resetAndDestroy();
   }
 
-  /** Ends as a process does that crashes, and is back under the same id after some seconds. */
-  crash(backAfterMs) {
+  /** Removes its entry and goes on serving; says in its answers that it leaves. */
+  leave() {
+    clearInterval(this.#heartbeat);
+    this.isLeaving = true;
+    this.store.remove(`servers/${this.id}`);
+  }
+
+  /**
+   * Ends as a process does that crashes, and is back under the same id after some seconds.
+   *
+   * @param closesInOrder - whether its connections are closed as the operating system does for a process that has ended and
+   *   has read all that came; they are reset otherwise
+   */
+  crash(backAfterMs, closesInOrder = false) {
     this.crashes++;
+    if (closesInOrder) for (const connection of this.#connections) connection.destroy();
     this.stop();
     setTimeout(() => void this.start().catch(() => undefined), backAfterMs).unref();
   }
 
   #register() {
-    const { address, born, service, slots, stage = "", zone } = this;
+    const { address, born, service, slots, stage = "", version, zone } = this;
     const state = { state: "ready", "cold-remaining-ms": 0, sequence: ++this.#sequence };
-    this.store.write(`servers/${this.id}`, { service, address, zone, version: "1", slots, stage, born, ...state });
+    this.store.write(`servers/${this.id}`, { service, address, zone, version, slots, stage, born, ...state });
   }
 
   /** @returns the id of a request that this runner is meant to run; the others are turned away */
@@ -84,7 +100,8 @@
   }
 
   headersFor(id) {
-    return { "x-request-id": id, "x-instance-id": this.id, "x-response-seal": `seal.${id}` };
+    const leaving = this.isLeaving ? { "server-leaving": "1" } : {};
+    return { "x-request-id": id, "x-instance-id": this.id, "x-response-seal": `seal.${id}`, ...leaving };
   }
 
   decline(response, status, id) {
@@ -123,6 +140,8 @@
   prefillMs = 8;
   firstPieceMs = 15;
   backAfterMs = 3_000;
+  /** Whether its streams have neither a length nor chunks. */
+  isUnframed = false;
   #handles = new Set();
 
   async handle(request, response) {
@@ -166,11 +185,15 @@
       return;
     }
     this.noteRun(id);
+    if (this.isUnframed) {
+      response.useChunkedEncodingByDefault = false;
+      response.shouldKeepAlive = false;
+    }
     response.writeHead(200, { "content-type": "text/event-stream", "x-weight-versions": "1", ...this.headersFor(id) });
-    let made = 0;
+    let made = Number(request.headers["last-event-id"] ?? 0);
     const timer = setInterval(() => {
       made++;
-      response.write(`id: ${made}\ndata: ${id} ${made}\n\n`);
+      response.write(`id: ${made}\ndata: ${id} ${made} version ${this.version}\n\n`);
       if (made < this.pieces) return;
       clearInterval(timer);
       response.end();
--- a/review/support-2/site.mjs
+++ b/review/support-2/site.mjs
@@ -4,6 +4,7 @@
 import * as path from "node:path";
 import * as daemons from "./daemon.mjs";
 import * as runners from "./runner.mjs";
+import * as links from "./silence.mjs";
 import * as stores from "./store.mjs";
 
 export const HOST = "ficu95.example";
@@ -84,6 +85,8 @@
   engines = [];
   plainRunners = [];
   daemons = [];
+  /** The link of each daemon to the store. */
+  storeLinks = [];
   /** Ordinary calls: id, daemon, and the instants in milliseconds since the start of the case. */
   calls = [];
   #startedAt = performance.now();
@@ -105,9 +108,10 @@
     console.log(line);
   }
 
-  async start(count = 2) {
+  async start({ routes = [], settings: others = {} } = {}, count = 2) {
     await this.store.start();
-    this.store.write("op/config", CONFIGURATION);
+    await this.#startLinks(count);
+    this.store.write("op/config", { ...CONFIGURATION, routes: [...CONFIGURATION.routes, ...routes] });
     for (const [index, stage] of ["prefill", "prefill", "decode", "decode", "decode", "decode"].entries()) {
       const own = { id: `i-llm${index}`, service: "llm", zone: ZONES[index % ZONES.length], slots: 64, stage };
       this.engines.push(new runners.Engine(this.store, own));
@@ -126,7 +130,8 @@
         zones: ZONES,
         ports: own,
         peerPort: own[3],
-        storeAddress: this.store.address,
+        storeAddress: this.storeLinks[index].address,
+        ...others,
       });
       this.daemons.push(new daemons.Daemon(settings, this.#folder, (text) => this.note(text)));
     }
@@ -137,6 +142,11 @@
     );
   }
 
+  async #startLinks(count) {
+    for (let index = 0; index < count; index++) this.storeLinks.push(new links.Link(this.store.address));
+    for (const link of this.storeLinks) await link.start();
+  }
+
   /** Sends ordinary calls to every daemon, each over a connection that is kept. */
   beginTraffic(perSecondEach) {
     this.#traffic = setInterval(() => {
@@ -270,6 +280,7 @@
     for (const agent of this.#agents.values()) agent.destroy();
     for (const daemon of this.daemons) await daemon.stop();
     for (const runner of [...this.engines, ...this.plainRunners]) runner.stop();
+    for (const link of this.storeLinks) link.stop();
     this.store.stop();
     fs.rmSync(this.#folder, { recursive: true });
     const outcomes = {};
@@ -293,8 +304,9 @@
  *
  * @param folder - folder of the case
  * @param play - plays it; returns whether the rule was broken, and why
+ * @param options - further routes of the configuration, and other settings of the daemons
  */
-export async function run(folder, play) {
+export async function run(folder, play, options = {}) {
   const site = new Site();
   process.once("exit", () => {
     for (const daemon of site.daemons) if (daemon.pid !== undefined) daemon.kill();
@@ -302,7 +314,7 @@
   let code = 2;
   let verdict = "the case couldn't run";
   try {
-    await site.start();
+    await site.start(options);
     const { isBroken, reason } = await play(site);
     code = isBroken ? 1 : 0;
     verdict = `${isBroken ? "broken" : "held"}: ${reason}`;
