--- a/review/support-2/site.mjs
+++ b/review/support-2/site.mjs
@@ -18,6 +18,9 @@
 /** Timeouts of the routes, in milliseconds. */
 export const TIMEOUT_MS = { stream: 10_000, call: 1_000 };
 
+/** Longest time that a case may take, in milliseconds. */
+const MAX_CASE_MS = 118_000;
+
 /** Time after a route's timeout within which a request must have its final answer, in milliseconds (CONFIG). */
 export const ANSWER_SLACK_MS = 500;
 
@@ -311,6 +314,8 @@
   process.once("exit", () => {
     for (const daemon of site.daemons) if (daemon.pid !== undefined) daemon.kill();
   });
+  for (const signal of ["SIGINT", "SIGTERM", "SIGHUP"]) process.once(signal, () => process.exit(2));
+  setTimeout(() => process.exit(2), MAX_CASE_MS).unref();
   let code = 2;
   let verdict = "the case couldn't run";
   try {
