--- a/review/support-2/site.mjs
+++ b/review/support-2/site.mjs
@@ -297,6 +297,7 @@
     const runs = [...this.engines, ...this.plainRunners].flatMap(({ id, runs: own }) =>
       own.map((run) => `${run.id} at ${id} at ${Math.round(run.at - this.#startedAt)}`),
     );
+    if (folder === undefined) return;
     const text = [...this.#lines, "", "Sent and answered:", ...calls, "", "Run:", ...runs, ""].join("\n");
     fs.writeFileSync(path.join(folder, "record.txt"), text);
   }
@@ -305,7 +306,7 @@
 /**
  * Plays a case and ends this process: with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
  *
- * @param folder - folder of the case
+ * @param folder - folder of the case, which gets its record; undefined for a trial
  * @param play - plays it; returns whether the rule was broken, and why
  * @param options - further routes of the configuration, and other settings of the daemons
  */
--- a/review/support-2/store.mjs
+++ b/review/support-2/store.mjs
@@ -7,6 +7,8 @@
 export class Store {
   /** Whether calls are answered; a store that is down takes calls and says nothing. */
   isUp = true;
+  /** Whether watches that are waiting are cut. */
+  cutsWatches = false;
   #items = new Map();
   #changes = [];
   #leases = new Map();
@@ -59,7 +61,12 @@
     if (!this.isUp) return;
     const url = new URL(request.url, "http://store");
     const body = chunks.length === 0 ? {} : JSON.parse(Buffer.concat(chunks).toString());
-    const [status, answer] = await this.#answer(request.method, url, body);
+    const answered = await this.#answer(request.method, url, body);
+    if (answered === undefined) {
+      request.socket.destroy();
+      return;
+    }
+    const [status, answer] = answered;
     response.writeHead(status, { "content-type": "application/json" });
     response.end(JSON.stringify(answer));
   }
@@ -96,6 +103,7 @@
     const after = Number(query.get("after"));
     const until = performance.now() + Number(query.get("wait-ms"));
     for (;;) {
+      if (this.cutsWatches) return undefined;
       const events = this.#changes.filter(({ key, revision }) => revision > after && key.startsWith(prefix));
       if (events.length > 0 || performance.now() >= until) return [200, { events, "current-rev": this.#revision }];
       await new Promise((resolve) => setTimeout(resolve, WATCH_POLL_MS));
